--- /dev/null
+++ b/cli/client.c
@@ -0,0 +1,119 @@
+#include "cli/client.h"
+
+#include "libbamboothread/base/error.h"
+#include "libbamboothread/connection/log_client.h"
+
+#define TIMEOUT_S 120
+#define PAGE_MAX_RECORDS 1000
+
+/**
+ * ctl_call() - one HTTP exchange
+ * @method: HTTP method
+ * @address: IP:port of the server
+ * @path: path and query
+ * @body: JSON to send, or NULL
+ * @status: HTTP status
+ * @error: BT_ERROR_IO if no whole answer came
+ *
+ * Return: the answer's body, or NULL.
+ */
+GBytes *
+ctl_call (const char *method, const char *address, const char *path, GBytes *body, guint *status,
+          GError **error)
+{
+  g_autofree char *uri = g_strdup_printf ("http://%s%s", address, path);
+  g_autoptr (SoupSession) session
+      = soup_session_new_with_options ("timeout", TIMEOUT_S, "proxy-resolver", NULL, NULL);
+  g_autoptr (SoupMessage) message = soup_message_new (method, uri);
+  if (message == NULL)
+    {
+      g_set_error (error, BT_ERROR, BT_ERROR_INVALID, "\"%s\" is no address", address);
+      return NULL;
+    }
+  if (body != NULL)
+    soup_message_set_request_body_from_bytes (message, "application/json", body);
+  g_autoptr (GError) inner = NULL;
+  GBytes *answer = soup_session_send_and_read (session, message, NULL, &inner);
+  *status = soup_message_get_status (message);
+  if (answer == NULL)
+    g_set_error (error, BT_ERROR, BT_ERROR_IO, "%s: %s", address, inner->message);
+  return answer;
+}
+
+static bt_log_page_t *
+read_page (const char *log, gint64 from, GError **error)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/streams/%s?from=%" G_GINT64_FORMAT "&max=%d",
+                                           BT_TABLES_STREAM, from, PAGE_MAX_RECORDS);
+  guint status = 0;
+  g_autoptr (GBytes) body = ctl_call ("GET", log, path, NULL, &status, error);
+  if (body == NULL)
+    return NULL;
+  if (status != SOUP_STATUS_OK)
+    {
+      g_set_error (error, BT_ERROR, BT_ERROR_UNAVAILABLE, "the log answered with status %u",
+                   status);
+      return NULL;
+    }
+  gsize len;
+  const char *data = g_bytes_get_data (body, &len);
+  return bt_schema_parse (&bt_log_page_schema, data, len, error);
+}
+
+/**
+ * ctl_fold_log() - read the tables' stream on to its end
+ * @log: IP:port of the log
+ * @fold: the fold, as far as it was read before
+ * @error: why it could not be read
+ *
+ * Return: TRUE if it was read to its end.
+ */
+gboolean
+ctl_fold_log (const char *log, bt_fold_t *fold, GError **error)
+{
+  for (;;)
+    {
+      bt_log_page_t *page = read_page (log, fold->next, error);
+      if (page == NULL)
+        return FALSE;
+      guint n = page->records->len;
+      for (guint i = 0; i < n; i++)
+        {
+          GRefString *text = page->records->pdata[i];
+          bt_fold_record (fold, page->first + i, text, g_ref_string_length (text));
+        }
+      bt_schema_free (&bt_log_page_schema, page);
+      if (n == 0)
+        return TRUE;
+    }
+}
+
+/**
+ * ctl_append() - append one record
+ * @log: IP:port of the log
+ * @stream: the stream's name
+ * @record: JSON text
+ * @error: why the log did not say that it stored it; it may still have
+ *
+ * Return: TRUE if it was stored.
+ */
+gboolean
+ctl_append (const char *log, const char *stream, GBytes *record, GError **error)
+{
+  gsize len;
+  const char *data = g_bytes_get_data (record, &len);
+  bt_log_batch_t batch = { .records = g_ptr_array_new () };
+  g_ptr_array_add (batch.records, g_ref_string_new_len (data, (gssize)len));
+  g_autoptr (GBytes) body = bt_schema_bytes (&bt_log_batch_schema, &batch);
+  g_ref_string_release (batch.records->pdata[0]);
+  g_ptr_array_unref (batch.records);
+  g_autofree char *path = g_strdup_printf ("/v1/streams/%s", stream);
+  guint status = 0;
+  g_autoptr (GBytes) answer = ctl_call ("POST", log, path, body, &status, error);
+  if (answer == NULL)
+    return FALSE;
+  if (status == SOUP_STATUS_OK)
+    return TRUE;
+  g_set_error (error, BT_ERROR, BT_ERROR_UNAVAILABLE, "the log answered with status %u", status);
+  return FALSE;
+}
--- /dev/null
+++ b/cli/commands.h
@@ -0,0 +1,54 @@
+#ifndef BT_CLI_COMMANDS_H
+#define BT_CLI_COMMANDS_H
+
+#include <glib.h>
+
+#define CTL_EXIT_FAILED 1
+#define CTL_EXIT_USAGE 2
+
+/**
+ * struct ctl_options_t - options that commands share
+ * @daemon: IP:port of a daemon's HTTP interface
+ * @log: IP:port of the platform's log
+ * @base: version that an edit is based on, or -1
+ * @author: who edits
+ * @raw: whether to print JSON as it comes
+ */
+typedef struct
+{
+  const char *daemon;
+  const char *log;
+  gint64 base;
+  const char *author;
+  gboolean raw;
+} ctl_options_t;
+
+/**
+ * struct ctl_command_t - a command of the tool
+ * @words: its name, one or two words
+ * @n_args: how many arguments it takes
+ */
+typedef struct
+{
+  const char *words;
+  const char *args;
+  int n_args;
+  const char *help;
+  int (*run) (const ctl_options_t *options, const char **args);
+} ctl_command_t;
+
+int ctl_submit (const ctl_options_t *options, const char **args);
+int ctl_status (const ctl_options_t *options, const char **args);
+int ctl_cancel (const ctl_options_t *options, const char **args);
+int ctl_list (const ctl_options_t *options, const char **args);
+int ctl_explain (const ctl_options_t *options, const char **args);
+int ctl_why_waiting (const ctl_options_t *options, const char **args);
+int ctl_dump (const ctl_options_t *options, const char **args);
+int ctl_counters (const ctl_options_t *options, const char **args);
+int ctl_tables_check (const ctl_options_t *options, const char **args);
+int ctl_tables_show (const ctl_options_t *options, const char **args);
+int ctl_tables_diff (const ctl_options_t *options, const char **args);
+int ctl_tables_edit (const ctl_options_t *options, const char **args);
+int ctl_tables_history (const ctl_options_t *options, const char **args);
+
+#endif
--- /dev/null
+++ b/cli/jobs.c
@@ -0,0 +1,203 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli/client.h"
+#include "cli/commands.h"
+
+/*
+ * Commands about jobs, and about the state of a daemon.
+ */
+
+static int
+print_body (const ctl_options_t *options, GBytes *body, guint status)
+{
+  gsize len;
+  const char *data = g_bytes_get_data (body, &len);
+  g_autoptr (JsonNode) node = options->raw ? NULL : bt_json_parse (data, len, NULL);
+  if (node != NULL)
+    {
+      g_autoptr (GBytes) pretty = bt_json_bytes (node, TRUE);
+      data = g_bytes_get_data (pretty, &len);
+      fwrite (data, 1, len, stdout);
+    }
+  else
+    fwrite (data, 1, len, stdout);
+  fputc ('\n', stdout);
+  return SOUP_STATUS_IS_SUCCESSFUL (status) ? EXIT_SUCCESS : CTL_EXIT_FAILED;
+}
+
+static GBytes *
+call (const ctl_options_t *options, const char *method, const char *path, GBytes *body,
+      guint *status)
+{
+  g_autoptr (GError) error = NULL;
+  GBytes *answer = ctl_call (method, options->daemon, path, body, status, &error);
+  if (answer == NULL)
+    fprintf (stderr, "bamboothreadctl: %s\n", error->message);
+  return answer;
+}
+
+static int
+call_and_print (const ctl_options_t *options, const char *method, const char *path, GBytes *body)
+{
+  guint status = 0;
+  g_autoptr (GBytes) answer = call (options, method, path, body, &status);
+  if (answer == NULL)
+    return CTL_EXIT_FAILED;
+  return print_body (options, answer, status);
+}
+
+/**
+ * ctl_submit() - send the request in a file and print what became of it
+ * @options: options
+ * @args: the file
+ *
+ * Return: exit status.
+ */
+int
+ctl_submit (const ctl_options_t *options, const char **args)
+{
+  g_autoptr (GError) error = NULL;
+  char *data;
+  gsize len;
+  if (!g_file_get_contents (args[0], &data, &len, &error))
+    {
+      fprintf (stderr, "bamboothreadctl: %s\n", error->message);
+      return CTL_EXIT_FAILED;
+    }
+  g_autoptr (GBytes) body = g_bytes_new_take (data, len);
+  return call_and_print (options, "POST", "/v1/jobs", body);
+}
+
+/**
+ * ctl_status() - print a job
+ * @options: options
+ * @args: the job's id
+ *
+ * Return: exit status.
+ */
+int
+ctl_status (const ctl_options_t *options, const char **args)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/jobs/%s", args[0]);
+  return call_and_print (options, "GET", path, NULL);
+}
+
+/**
+ * ctl_cancel() - cancel a job
+ * @options: options
+ * @args: the job's id
+ *
+ * Return: exit status.
+ */
+int
+ctl_cancel (const ctl_options_t *options, const char **args)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/jobs/%s", args[0]);
+  return call_and_print (options, "DELETE", path, NULL);
+}
+
+/**
+ * ctl_list() - list the jobs of the daemon's data centre
+ * @options: options
+ * @args: none
+ *
+ * Return: exit status.
+ */
+int
+ctl_list (const ctl_options_t *options, const char **args)
+{
+  return call_and_print (options, "GET", "/v1/jobs", NULL);
+}
+
+static int
+print_decisions (JsonNode *node)
+{
+  JsonArray *array = JSON_NODE_HOLDS_ARRAY (node) ? json_node_get_array (node) : NULL;
+  guint n = array != NULL ? json_array_get_length (array) : 0;
+  for (guint i = 0; i < n; i++)
+    {
+      JsonObject *item = json_array_get_object_element (array, i);
+      printf ("%8.3f s ago  %-12s %s (tables version %" G_GINT64_FORMAT ", line %s)\n",
+              (double)json_object_get_int_member (item, "ago_ms") / 1000,
+              json_object_get_string_member (item, "action"),
+              json_object_get_string_member (item, "detail"),
+              json_object_get_int_member (item, "version"),
+              json_object_get_string_member (item, "line"));
+    }
+  if (n == 0)
+    printf ("no decision about this job is remembered\n");
+  return n > 0 ? EXIT_SUCCESS : CTL_EXIT_FAILED;
+}
+
+/**
+ * ctl_explain() - print each decision about a job with its table line
+ * @options: options
+ * @args: the job's id
+ *
+ * Return: exit status.
+ */
+int
+ctl_explain (const ctl_options_t *options, const char **args)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/jobs/%s/explain", args[0]);
+  guint status = 0;
+  g_autoptr (GBytes) body = call (options, "GET", path, NULL, &status);
+  if (body == NULL)
+    return CTL_EXIT_FAILED;
+  gsize len;
+  const char *data = g_bytes_get_data (body, &len);
+  g_autoptr (JsonNode) node = bt_json_parse (data, len, NULL);
+  if (options->raw || node == NULL || !SOUP_STATUS_IS_SUCCESSFUL (status))
+    return print_body (options, body, status);
+  return print_decisions (node);
+}
+
+/**
+ * ctl_why_waiting() - print what a job waits for
+ * @options: options
+ * @args: the job's id
+ *
+ * Return: exit status.
+ */
+int
+ctl_why_waiting (const ctl_options_t *options, const char **args)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/jobs/%s/why-waiting", args[0]);
+  return call_and_print (options, "GET", path, NULL);
+}
+
+static int
+ask_address (const ctl_options_t *options, const char *address, const char *path)
+{
+  ctl_options_t other = *options;
+  other.daemon = address;
+  return call_and_print (&other, "GET", path, NULL);
+}
+
+/**
+ * ctl_dump() - print the state of a daemon
+ * @options: options
+ * @args: IP:port of the daemon's HTTP interface
+ *
+ * Return: exit status.
+ */
+int
+ctl_dump (const ctl_options_t *options, const char **args)
+{
+  return ask_address (options, args[0], "/v1/dump");
+}
+
+/**
+ * ctl_counters() - print what a daemon has counted
+ * @options: options
+ * @args: IP:port of the daemon's HTTP interface
+ *
+ * Return: exit status.
+ */
+int
+ctl_counters (const ctl_options_t *options, const char **args)
+{
+  return ask_address (options, args[0], "/v1/counters");
+}
--- /dev/null
+++ b/libbamboothread/base/clock.c
@@ -0,0 +1,48 @@
+#include "libbamboothread/base/clock.h"
+
+/**
+ * bt_clock_init() - set up a running clock
+ * @clock: the clock
+ */
+void
+bt_clock_init (bt_clock_t *clock)
+{
+  clock->paused = FALSE;
+  clock->now_us = 0;
+}
+
+/**
+ * bt_clock_init_paused() - set up a clock that only bt_clock_advance() moves
+ * @clock: the clock
+ * @now_us: the time it shows, in microseconds
+ */
+void
+bt_clock_init_paused (bt_clock_t *clock, gint64 now_us)
+{
+  clock->paused = TRUE;
+  clock->now_us = now_us;
+}
+
+/**
+ * bt_clock_now() - the time
+ * @clock: the clock
+ *
+ * Return: monotonic time in microseconds.
+ */
+gint64
+bt_clock_now (const bt_clock_t *clock)
+{
+  return clock->paused ? clock->now_us : g_get_monotonic_time ();
+}
+
+/**
+ * bt_clock_advance() - move a paused clock forward
+ * @clock: a paused clock
+ * @by_us: by how much, in microseconds; not negative
+ */
+void
+bt_clock_advance (bt_clock_t *clock, gint64 by_us)
+{
+  g_return_if_fail (clock->paused && by_us >= 0);
+  clock->now_us += by_us;
+}
--- /dev/null
+++ b/libbamboothread/base/log.h
@@ -0,0 +1,22 @@
+#ifndef BT_BASE_LOG_H
+#define BT_BASE_LOG_H
+
+#include <glib.h>
+
+/**
+ * enum bt_log_level_t - syslog priorities in use
+ */
+typedef enum
+{
+  BT_LOG_ERROR = 3,
+  BT_LOG_WARNING = 4,
+  BT_LOG_NOTICE = 5,
+  BT_LOG_INFO = 6,
+  BT_LOG_DEBUG = 7,
+} bt_log_level_t;
+
+void bt_log_set_ident (const char *ident);
+void bt_log_set_level (bt_log_level_t level);
+void bt_log (bt_log_level_t level, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
+
+#endif
--- /dev/null
+++ b/libbamboothread/connection/caller_server.c
@@ -0,0 +1,366 @@
+#include "libbamboothread/connection/caller_server.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+#include "libbamboothread/base/error.h"
+#include "libbamboothread/base/log.h"
+#include "libbamboothread/connection/address.h"
+
+#define BODY_MAX_BYTES (BT_PAYLOAD_MAX_BYTES + 64 * 1024)
+#define EXCHANGES_MAX 16384
+
+struct bt_caller_server_t
+{
+  SoupServer *server;
+  bt_core_t *core;
+  GHashTable *exchanges;
+  guint64 counter;
+};
+
+typedef struct
+{
+  bt_caller_server_t *server;
+  guint64 number;
+  SoupServerMessage *message;
+  gulong finished;
+  gboolean submitted;
+} exchange_t;
+
+static void
+exchange_free (gpointer data)
+{
+  exchange_t *exchange = data;
+  g_signal_handler_disconnect (exchange->message, exchange->finished);
+  g_object_unref (exchange->message);
+  g_free (exchange);
+}
+
+static void
+respond (SoupServerMessage *message, guint status, GBytes *body)
+{
+  gsize len = 0;
+  const char *data = body != NULL ? g_bytes_get_data (body, &len) : "";
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, "application/json", SOUP_MEMORY_COPY, data, len);
+}
+
+static void
+respond_error (SoupServerMessage *message, guint status, int code, const char *text)
+{
+  JsonObject *json = json_object_new ();
+  json_object_set_string_member (json, "error", bt_error_name (code));
+  json_object_set_string_member (json, "detail", text);
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_OBJECT);
+  json_node_take_object (node, json);
+  g_autoptr (GBytes) body = bt_json_bytes (node, FALSE);
+  respond (message, status, body);
+}
+
+static void
+respond_node (SoupServerMessage *message, JsonNode *node)
+{
+  g_autoptr (GBytes) body = bt_json_bytes (node, FALSE);
+  json_node_unref (node);
+  respond (message, SOUP_STATUS_OK, body);
+}
+
+/* The connection closed before the answer was complete. */
+static void
+on_finished (SoupServerMessage *message, gpointer data)
+{
+  exchange_t *exchange = data;
+  bt_caller_server_t *server = exchange->server;
+  guint64 number = exchange->number;
+  gboolean submitted = exchange->submitted;
+  g_hash_table_remove (server->exchanges, &number);
+  if (submitted)
+    bt_core_caller_gone (server->core, number);
+}
+
+static exchange_t *
+exchange_begin (bt_caller_server_t *server, SoupServerMessage *message)
+{
+  exchange_t *exchange = g_new0 (exchange_t, 1);
+  exchange->server = server;
+  exchange->number = ++server->counter;
+  exchange->message = g_object_ref (message);
+  exchange->finished = g_signal_connect (message, "finished", G_CALLBACK (on_finished), exchange);
+  g_hash_table_insert (server->exchanges, &exchange->number, exchange);
+  soup_server_message_pause (message);
+  return exchange;
+}
+
+static void
+exchange_end (bt_caller_server_t *server, exchange_t *exchange)
+{
+  g_autoptr (SoupServerMessage) message = g_object_ref (exchange->message);
+  g_hash_table_remove (server->exchanges, &exchange->number);
+  soup_server_message_unpause (message);
+}
+
+static guint
+http_status (const bt_outcome_t *outcome)
+{
+  switch (outcome->status)
+    {
+    case BT_STATUS_DONE:
+    case BT_STATUS_CANCELLED:
+      return SOUP_STATUS_OK;
+    case BT_STATUS_ACCEPTED:
+    case BT_STATUS_HELD:
+      return SOUP_STATUS_ACCEPTED;
+    case BT_STATUS_FAILED:
+      return SOUP_STATUS_BAD_GATEWAY;
+    case BT_STATUS_UNKNOWN:
+      return SOUP_STATUS_GATEWAY_TIMEOUT;
+    default:
+      return SOUP_STATUS_SERVICE_UNAVAILABLE;
+    }
+}
+
+static JsonNode *
+outcome_node (const char *job, const bt_outcome_t *outcome)
+{
+  JsonObject *json = json_object_new ();
+  if (job[0] != '\0')
+    json_object_set_string_member (json, "job", job);
+  json_object_set_string_member (json, "status", bt_status_names[outcome->status]);
+  if (outcome->reason != BT_REASON_NONE)
+    json_object_set_string_member (json, "reason", bt_reason_names[outcome->reason]);
+  if (outcome->retry_after_ms > 0)
+    json_object_set_int_member (json, "retry_after_ms", outcome->retry_after_ms);
+  if (outcome->detail != NULL && outcome->detail[0] != '\0')
+    json_object_set_string_member (json, "detail", outcome->detail);
+  if (outcome->answer != NULL)
+    {
+      gsize len;
+      const guchar *data = g_bytes_get_data (outcome->answer, &len);
+      g_autofree char *text = g_base64_encode (data, len);
+      json_object_set_string_member (json, "answer_base64", text);
+    }
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+  json_node_take_object (node, json);
+  return node;
+}
+
+/**
+ * bt_caller_server_answer() - tell a caller what became of its request
+ * @server: the server
+ * @exchange: the caller's exchange; nothing happens if it went away
+ * @job: the job's id
+ * @outcome: what became of it
+ */
+void
+bt_caller_server_answer (bt_caller_server_t *server, guint64 exchange, const char *job,
+                         const bt_outcome_t *outcome)
+{
+  exchange_t *found = g_hash_table_lookup (server->exchanges, &exchange);
+  if (found == NULL)
+    return;
+  g_autoptr (JsonNode) node = outcome_node (job, outcome);
+  g_autoptr (GBytes) body = bt_json_bytes (node, FALSE);
+  if (outcome->retry_after_ms > 0)
+    {
+      g_autofree char *seconds = g_strdup_printf ("%u", (outcome->retry_after_ms + 999) / 1000);
+      SoupMessageHeaders *headers = soup_server_message_get_response_headers (found->message);
+      soup_message_headers_replace (headers, "Retry-After", seconds);
+    }
+  respond (found->message, http_status (outcome), body);
+  exchange_end (server, found);
+}
+
+/**
+ * bt_caller_server_query_answer() - answer a query
+ * @server: the server
+ * @exchange: the exchange; nothing happens if it went away
+ * @known: whether the job is known
+ * @body: the answer, or NULL
+ */
+void
+bt_caller_server_query_answer (bt_caller_server_t *server, guint64 exchange, gboolean known,
+                               GBytes *body)
+{
+  exchange_t *found = g_hash_table_lookup (server->exchanges, &exchange);
+  if (found == NULL)
+    return;
+  if (known)
+    respond (found->message, SOUP_STATUS_OK, body);
+  else
+    respond_error (found->message, SOUP_STATUS_NOT_FOUND, BT_ERROR_NOT_FOUND,
+                   "no owner that could be reached knows this job");
+  exchange_end (server, found);
+}
+
+static void
+submit (bt_caller_server_t *server, SoupServerMessage *message)
+{
+  SoupMessageBody *body = soup_server_message_get_request_body (message);
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
+  gsize len;
+  const char *data = g_bytes_get_data (bytes, &len);
+  if (len > BODY_MAX_BYTES)
+    {
+      respond_error (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, BT_ERROR_TOO_LARGE,
+                     "the body is too large");
+      return;
+    }
+  g_autoptr (GError) error = NULL;
+  bt_request_t *request = bt_schema_parse (&bt_request_schema, data, len, &error);
+  if (request == NULL)
+    {
+      bt_log (BT_LOG_INFO, "request-refused", "cause=\"%s\"", error->message);
+      respond_error (message, SOUP_STATUS_BAD_REQUEST, error->code, error->message);
+      return;
+    }
+  exchange_t *exchange = exchange_begin (server, message);
+  exchange->submitted = TRUE;
+  GRefString *job = bt_core_submit (server->core, exchange->number, request);
+  g_clear_pointer (&job, g_ref_string_release);
+  bt_schema_free (&bt_request_schema, request);
+}
+
+static void
+query (bt_caller_server_t *server, SoupServerMessage *message, bt_query_t what,
+       const char *argument)
+{
+  exchange_t *exchange = exchange_begin (server, message);
+  bt_core_query (server->core, exchange->number, what, argument);
+}
+
+/* Paths are /v1/jobs/DATA-CENTRE/ID and a verb after the id. */
+static void
+query_job (bt_caller_server_t *server, SoupServerMessage *message, const char *method,
+           const char *path)
+{
+  static const struct
+  {
+    const char *suffix;
+    bt_query_t what;
+  } verbs[] = {
+    { "/explain", BT_QUERY_EXPLAIN },
+    { "/why-waiting", BT_QUERY_WHY_WAITING },
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS (verbs); i++)
+    if (g_str_has_suffix (path, verbs[i].suffix))
+      {
+        g_autofree char *job = g_strndup (path, strlen (path) - strlen (verbs[i].suffix));
+        query (server, message, verbs[i].what, job);
+        return;
+      }
+  if (strcmp (method, "DELETE") == 0)
+    query (server, message, BT_QUERY_CANCEL, path);
+  else
+    query (server, message, BT_QUERY_STATUS, path);
+}
+
+static void
+on_jobs (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *params,
+         gpointer data)
+{
+  bt_caller_server_t *server = data;
+  const char *method = soup_server_message_get_method (message);
+  if (g_hash_table_size (server->exchanges) >= EXCHANGES_MAX)
+    {
+      respond_error (message, SOUP_STATUS_SERVICE_UNAVAILABLE, BT_ERROR_UNAVAILABLE,
+                     "too many exchanges at once");
+      return;
+    }
+  if (g_str_has_prefix (path, "/v1/jobs/") && strcmp (method, "POST") != 0)
+    {
+      query_job (server, message, method, path + strlen ("/v1/jobs/"));
+      return;
+    }
+  if (strcmp (path, "/v1/jobs") != 0)
+    {
+      respond_error (message, SOUP_STATUS_NOT_FOUND, BT_ERROR_NOT_FOUND, "no such path");
+      return;
+    }
+  if (strcmp (method, "POST") == 0)
+    {
+      submit (server, message);
+      return;
+    }
+  const char *caller = params != NULL ? g_hash_table_lookup (params, "caller") : NULL;
+  query (server, message, BT_QUERY_LIST, caller != NULL ? caller : "");
+}
+
+static void
+on_dump (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *params,
+         gpointer data)
+{
+  bt_caller_server_t *server = data;
+  respond_node (message, bt_core_dump (server->core));
+}
+
+static void
+on_counters (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *params,
+             gpointer data)
+{
+  bt_caller_server_t *server = data;
+  respond_node (message, bt_counters_node (bt_core_counters (server->core)));
+}
+
+static void
+on_health (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *params,
+           gpointer data)
+{
+  bt_caller_server_t *server = data;
+  JsonObject *json = json_object_new ();
+  json_object_set_int_member (json, "tables_version", bt_core_tables (server->core)->version);
+  json_object_set_boolean_member (json, "leading", bt_core_leading (server->core));
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+  json_node_take_object (node, json);
+  respond_node (message, node);
+}
+
+/**
+ * bt_caller_server_new() - listen for callers
+ * @listen: IP:port
+ * @error: BT_ERROR_INVALID for the address, or an error of GIO
+ *
+ * Return: a server for bt_caller_server_free(), or NULL.
+ */
+bt_caller_server_t *
+bt_caller_server_new (const char *listen, GError **error)
+{
+  g_autoptr (GSocketAddress) address = bt_address_parse (listen, error);
+  if (address == NULL)
+    return NULL;
+  g_autoptr (SoupServer) soup = soup_server_new ("server-header", "bamboothread", NULL);
+  if (!soup_server_listen (soup, address, 0, error))
+    return NULL;
+  bt_caller_server_t *server = g_new0 (bt_caller_server_t, 1);
+  server->server = g_steal_pointer (&soup);
+  server->exchanges = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, exchange_free);
+  return server;
+}
+
+/**
+ * bt_caller_server_attach() - begin to serve
+ * @server: the server
+ * @core: where requests go; has to outlive the server
+ */
+void
+bt_caller_server_attach (bt_caller_server_t *server, bt_core_t *core)
+{
+  server->core = core;
+  soup_server_add_handler (server->server, "/v1/jobs", on_jobs, server, NULL);
+  soup_server_add_handler (server->server, "/v1/dump", on_dump, server, NULL);
+  soup_server_add_handler (server->server, "/v1/counters", on_counters, server, NULL);
+  soup_server_add_handler (server->server, "/v1/health", on_health, server, NULL);
+}
+
+/**
+ * bt_caller_server_free() - close all exchanges
+ * @server: the server
+ */
+void
+bt_caller_server_free (bt_caller_server_t *server)
+{
+  g_hash_table_remove_all (server->exchanges);
+  soup_server_disconnect (server->server);
+  g_object_unref (server->server);
+  g_hash_table_unref (server->exchanges);
+  g_free (server);
+}
--- /dev/null
+++ b/libbamboothread/connection/caller_server.h
@@ -0,0 +1,20 @@
+#ifndef BT_CONNECTION_CALLER_SERVER_H
+#define BT_CONNECTION_CALLER_SERVER_H
+
+#include "libbamboothread/process/core.h"
+
+/*
+ * The HTTP interface to callers and operators, as docs/interfaces/caller.md says.
+ */
+
+typedef struct bt_caller_server_t bt_caller_server_t;
+
+bt_caller_server_t *bt_caller_server_new (const char *listen, GError **error);
+void bt_caller_server_free (bt_caller_server_t *server);
+void bt_caller_server_attach (bt_caller_server_t *server, bt_core_t *core);
+void bt_caller_server_answer (bt_caller_server_t *server, guint64 exchange, const char *job,
+                              const bt_outcome_t *outcome);
+void bt_caller_server_query_answer (bt_caller_server_t *server, guint64 exchange, gboolean known,
+                                    GBytes *body);
+
+#endif
--- /dev/null
+++ b/libbamboothread/connection/http.h
@@ -0,0 +1,24 @@
+#ifndef BT_CONNECTION_HTTP_H
+#define BT_CONNECTION_HTTP_H
+
+#include <libsoup/soup.h>
+
+/*
+ * One HTTP exchange as a client, for the adapters to workers, log and list.
+ */
+
+#define BT_HTTP_BODY_MAX_BYTES (8 * 1024 * 1024)
+
+/**
+ * bt_http_done_t - an exchange has ended
+ * @context: as given to bt_http_call()
+ * @status: HTTP status, or 0 if no whole answer came
+ * @body: the answer's body, or NULL
+ */
+typedef void (*bt_http_done_t) (gpointer context, guint status, GBytes *body);
+
+SoupSession *bt_http_session_new (guint timeout_s, guint connections_per_host);
+void bt_http_call (SoupSession *session, const char *method, const char *address, const char *path,
+                   GBytes *body, GCancellable *cancel, bt_http_done_t done, gpointer context);
+
+#endif
--- /dev/null
+++ b/libbamboothread/connection/list_client.h
@@ -0,0 +1,44 @@
+#ifndef BT_CONNECTION_LIST_CLIENT_H
+#define BT_CONNECTION_LIST_CLIENT_H
+
+#include "libbamboothread/base/schema.h"
+
+/*
+ * The adapter to the platform's lagging list of VMs, as docs/interfaces/vm-list.md says.
+ */
+
+typedef struct
+{
+  GRefString *name;
+  gint state;
+} bt_listed_vm_t;
+
+/**
+ * enum bt_listed_state_t - state of a VM in the list
+ */
+typedef enum
+{
+  BT_LISTED_LIVE,
+  BT_LISTED_LEAVING,
+} bt_listed_state_t;
+
+typedef struct
+{
+  GPtrArray *vms;
+} bt_vm_list_t;
+
+extern const bt_schema_t bt_vm_list_schema;
+
+/**
+ * bt_list_handler_t - the list was read
+ * @leaving: names of VMs that are leaving
+ */
+typedef void (*bt_list_handler_t) (void *context, const GPtrArray *leaving);
+
+typedef struct bt_list_client_t bt_list_client_t;
+
+bt_list_client_t *bt_list_client_new (const char *address, bt_list_handler_t handler,
+                                      void *context);
+void bt_list_client_free (bt_list_client_t *client);
+
+#endif
--- /dev/null
+++ b/libbamboothread/connection/log_client.c
@@ -0,0 +1,188 @@
+#include "libbamboothread/connection/log_client.h"
+
+#include "libbamboothread/base/error.h"
+#include "libbamboothread/connection/http.h"
+
+#define APPEND_TIMEOUT_S 3
+#define READ_TIMEOUT_S 10
+#define READ_WAIT_MS 5000
+#define PAGE_MAX_RECORDS 1000
+#define CONNECTIONS 8
+#define RECORD_MAX_BYTES (2 * 1024 * 1024)
+
+struct bt_log_client_t
+{
+  char *address;
+  SoupSession *appends;
+  SoupSession *reads;
+  GCancellable *cancel;
+  bt_log_handler_t handler;
+  void *context;
+};
+
+typedef struct
+{
+  bt_log_client_t *client;
+  guint64 batch;
+  char *stream;
+} call_t;
+
+static const bt_field_t batch_fields[] = {
+  { "records", BT_FIELD_STRINGS, offsetof (bt_log_batch_t, records), TRUE, 0, 4096,
+    RECORD_MAX_BYTES },
+};
+
+const bt_schema_t bt_log_batch_schema = BT_SCHEMA (batch_fields, bt_log_batch_t);
+
+static const bt_field_t page_fields[] = {
+  { "first", BT_FIELD_INT, offsetof (bt_log_page_t, first), TRUE, 0, G_MAXINT64 },
+  { "next", BT_FIELD_INT, offsetof (bt_log_page_t, next), TRUE, 0, G_MAXINT64 },
+  { "records", BT_FIELD_STRINGS, offsetof (bt_log_page_t, records), TRUE, 0, 4096,
+    RECORD_MAX_BYTES },
+};
+
+const bt_schema_t bt_log_page_schema = BT_SCHEMA (page_fields, bt_log_page_t);
+
+/**
+ * bt_log_client_new() - an adapter to the log
+ * @address: IP:port of the log
+ * @handler: what becomes of calls, copied
+ * @context: handed to @handler
+ *
+ * Return: an adapter for bt_log_client_free().
+ */
+bt_log_client_t *
+bt_log_client_new (const char *address, const bt_log_handler_t *handler, void *context)
+{
+  bt_log_client_t *client = g_new0 (bt_log_client_t, 1);
+  client->address = g_strdup (address);
+  client->appends = bt_http_session_new (APPEND_TIMEOUT_S, CONNECTIONS);
+  client->reads = bt_http_session_new (READ_TIMEOUT_S, CONNECTIONS);
+  client->cancel = g_cancellable_new ();
+  client->handler = *handler;
+  client->context = context;
+  return client;
+}
+
+/**
+ * bt_log_client_free() - end all calls without a reply
+ * @client: the adapter
+ */
+void
+bt_log_client_free (bt_log_client_t *client)
+{
+  g_cancellable_cancel (client->cancel);
+  while (g_main_context_iteration (NULL, FALSE))
+    ;
+  g_object_unref (client->appends);
+  g_object_unref (client->reads);
+  g_object_unref (client->cancel);
+  g_free (client->address);
+  g_free (client);
+}
+
+static void
+call_free (call_t *call)
+{
+  g_free (call->stream);
+  g_free (call);
+}
+
+static void
+on_appended (gpointer data, guint status, GBytes *body)
+{
+  call_t *call = data;
+  if (!g_cancellable_is_cancelled (call->client->cancel))
+    call->client->handler.appended (call->client->context, call->batch, status == SOUP_STATUS_OK);
+  call_free (call);
+}
+
+/**
+ * bt_log_client_append() - append records to a stream
+ * @client: the adapter
+ * @stream: the stream's name
+ * @batch: names this call in its answer
+ * @records: GBytes of each, JSON texts
+ */
+void
+bt_log_client_append (bt_log_client_t *client, const char *stream, guint64 batch,
+                      const GPtrArray *records)
+{
+  bt_log_batch_t message = { .records = g_ptr_array_new () };
+  for (guint i = 0; i < records->len; i++)
+    {
+      gsize len;
+      const char *data = g_bytes_get_data (records->pdata[i], &len);
+      g_ptr_array_add (message.records, g_ref_string_new_len (data, (gssize)len));
+    }
+  g_autoptr (GBytes) body = bt_schema_bytes (&bt_log_batch_schema, &message);
+  for (guint i = 0; i < message.records->len; i++)
+    g_ref_string_release (message.records->pdata[i]);
+  g_ptr_array_unref (message.records);
+  g_autofree char *path = g_strdup_printf ("/v1/streams/%s", stream);
+  call_t *call = g_new0 (call_t, 1);
+  call->client = client;
+  call->batch = batch;
+  bt_http_call (client->appends, "POST", client->address, path, body, client->cancel, on_appended,
+                call);
+}
+
+static void
+page_taken (const call_t *call, const bt_log_page_t *page)
+{
+  g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  for (guint i = 0; i < page->records->len; i++)
+    {
+      GRefString *text = page->records->pdata[i];
+      g_ptr_array_add (records, g_bytes_new (text, g_ref_string_length (text)));
+    }
+  call->client->handler.records (call->client->context, call->stream, page->first, records,
+                                 page->next);
+}
+
+static void
+on_page (gpointer data, guint status, GBytes *body)
+{
+  call_t *call = data;
+  if (g_cancellable_is_cancelled (call->client->cancel))
+    {
+      call_free (call);
+      return;
+    }
+  g_autoptr (GError) error = NULL;
+  bt_log_page_t *page = NULL;
+  if (status == SOUP_STATUS_OK)
+    {
+      gsize len;
+      const char *text = g_bytes_get_data (body, &len);
+      page = bt_schema_parse (&bt_log_page_schema, text, len, &error);
+    }
+  else if (status == SOUP_STATUS_GONE)
+    g_set_error (&error, BT_ERROR, BT_ERROR_EXPIRED, "the offset is no longer kept");
+  else
+    g_set_error (&error, BT_ERROR, BT_ERROR_UNAVAILABLE, "HTTP status %u", status);
+  if (page != NULL)
+    page_taken (call, page);
+  else
+    call->client->handler.failed (call->client->context, call->stream, error);
+  bt_schema_free (&bt_log_page_schema, page);
+  call_free (call);
+}
+
+/**
+ * bt_log_client_read() - read a stream, waiting for records if there are none
+ * @client: the adapter
+ * @stream: the stream's name
+ * @from: offset of the first record wanted
+ */
+void
+bt_log_client_read (bt_log_client_t *client, const char *stream, gint64 from)
+{
+  g_autofree char *path
+      = g_strdup_printf ("/v1/streams/%s?from=%" G_GINT64_FORMAT "&wait_ms=%d&max=%d", stream, from,
+                         READ_WAIT_MS, PAGE_MAX_RECORDS);
+  call_t *call = g_new0 (call_t, 1);
+  call->client = client;
+  call->stream = g_strdup (stream);
+  bt_http_call (client->reads, "GET", client->address, path, NULL, client->cancel, on_page, call);
+}
--- /dev/null
+++ b/libbamboothread/connection/worker_client.c
@@ -0,0 +1,206 @@
+#include "libbamboothread/connection/worker_client.h"
+
+#include "libbamboothread/base/clock.h"
+#include "libbamboothread/base/log.h"
+#include "libbamboothread/connection/http.h"
+
+#define CONTROL_CONNECTIONS 4
+#define RUN_CONNECTIONS 64
+/* Longest time that a start which waits for its answer may take. */
+#define RUN_TIMEOUT_S 3600
+
+struct bt_worker_client_t
+{
+  SoupSession *control;
+  SoupSession *run;
+  GCancellable *cancel;
+  bt_worker_handler_t handler;
+  void *context;
+};
+
+typedef struct
+{
+  bt_worker_client_t *client;
+  GRefString *worker;
+  GRefString *attempt;
+} call_t;
+
+static call_t *
+call_new (bt_worker_client_t *client, const char *worker, GRefString *attempt)
+{
+  call_t *call = g_new0 (call_t, 1);
+  call->client = client;
+  call->worker = g_ref_string_new (worker);
+  call->attempt = attempt != NULL ? g_ref_string_acquire (attempt) : NULL;
+  return call;
+}
+
+static void
+call_free (call_t *call)
+{
+  g_ref_string_release (call->worker);
+  g_clear_pointer (&call->attempt, g_ref_string_release);
+  g_free (call);
+}
+
+static gpointer
+read_reply (const call_t *call, const bt_schema_t *schema, guint status, GBytes *body)
+{
+  if (status != SOUP_STATUS_OK)
+    return NULL;
+  gsize len;
+  const char *data = g_bytes_get_data (body, &len);
+  g_autoptr (GError) error = NULL;
+  gpointer reply = bt_schema_parse (schema, data, len, &error);
+  if (reply == NULL)
+    bt_log (BT_LOG_WARNING, "worker-answer-refused", "worker=%s cause=\"%s\"", call->worker,
+            error->message);
+  return reply;
+}
+
+static void
+on_lease (gpointer data, guint status, GBytes *body)
+{
+  call_t *call = data;
+  if (!g_cancellable_is_cancelled (call->client->cancel))
+    {
+      gpointer reply = read_reply (call, &bt_lease_reply_schema, status, body);
+      call->client->handler.lease (call->client->context, call->worker, reply);
+      bt_schema_free (&bt_lease_reply_schema, reply);
+    }
+  call_free (call);
+}
+
+static void
+on_start (gpointer data, guint status, GBytes *body)
+{
+  call_t *call = data;
+  if (!g_cancellable_is_cancelled (call->client->cancel))
+    {
+      gpointer reply = read_reply (call, &bt_start_reply_schema, status, body);
+      call->client->handler.start (call->client->context, call->worker, call->attempt, reply);
+      bt_schema_free (&bt_start_reply_schema, reply);
+    }
+  call_free (call);
+}
+
+static void
+on_stop (gpointer data, guint status, GBytes *body)
+{
+  call_t *call = data;
+  if (!g_cancellable_is_cancelled (call->client->cancel))
+    {
+      gpointer reply = read_reply (call, &bt_stop_reply_schema, status, body);
+      call->client->handler.stop (call->client->context, call->worker, reply);
+      bt_schema_free (&bt_stop_reply_schema, reply);
+    }
+  call_free (call);
+}
+
+static void
+on_release (gpointer data, guint status, GBytes *body)
+{
+  call_free (data);
+}
+
+/**
+ * bt_worker_client_new() - an adapter to all workers
+ * @call_timeout_us: how long a call may take, in microseconds
+ * @handler: what becomes of calls, copied
+ * @context: handed to @handler
+ *
+ * Return: an adapter for bt_worker_client_free().
+ */
+bt_worker_client_t *
+bt_worker_client_new (gint64 call_timeout_us, const bt_worker_handler_t *handler, void *context)
+{
+  bt_worker_client_t *client = g_new0 (bt_worker_client_t, 1);
+  guint timeout_s = (guint)MAX (1, call_timeout_us / BT_USEC_PER_SEC);
+  client->control = bt_http_session_new (timeout_s, CONTROL_CONNECTIONS);
+  client->run = bt_http_session_new (RUN_TIMEOUT_S, RUN_CONNECTIONS);
+  client->cancel = g_cancellable_new ();
+  client->handler = *handler;
+  client->context = context;
+  return client;
+}
+
+/**
+ * bt_worker_client_free() - end all calls without a reply
+ * @client: the adapter
+ */
+void
+bt_worker_client_free (bt_worker_client_t *client)
+{
+  g_cancellable_cancel (client->cancel);
+  while (g_main_context_iteration (NULL, FALSE))
+    ;
+  g_object_unref (client->control);
+  g_object_unref (client->run);
+  g_object_unref (client->cancel);
+  g_free (client);
+}
+
+/**
+ * bt_worker_client_lease() - claim or renew a worker
+ * @client: the adapter
+ * @worker: its name
+ * @address: its IP:port
+ * @request: what to ask
+ */
+void
+bt_worker_client_lease (bt_worker_client_t *client, const char *worker, const char *address,
+                        const bt_lease_request_t *request)
+{
+  g_autoptr (GBytes) body = bt_schema_bytes (&bt_lease_request_schema, request);
+  bt_http_call (client->control, "POST", address, "/v1/lease", body, client->cancel, on_lease,
+                call_new (client, worker, NULL));
+}
+
+/**
+ * bt_worker_client_start() - start an attempt
+ * @client: the adapter
+ * @worker: the worker's name
+ * @address: its IP:port
+ * @request: what to start
+ */
+void
+bt_worker_client_start (bt_worker_client_t *client, const char *worker, const char *address,
+                        const bt_start_request_t *request)
+{
+  g_autoptr (GBytes) body = bt_schema_bytes (&bt_start_request_schema, request);
+  SoupSession *session = request->wait ? client->run : client->control;
+  bt_http_call (session, "POST", address, "/v1/start", body, client->cancel, on_start,
+                call_new (client, worker, request->attempt));
+}
+
+/**
+ * bt_worker_client_stop() - stop, checkpoint or throttle attempts
+ * @client: the adapter
+ * @worker: the worker's name
+ * @address: its IP:port
+ * @request: which attempts, and how
+ */
+void
+bt_worker_client_stop (bt_worker_client_t *client, const char *worker, const char *address,
+                       const bt_stop_request_t *request)
+{
+  g_autoptr (GBytes) body = bt_schema_bytes (&bt_stop_request_schema, request);
+  bt_http_call (client->control, "POST", address, "/v1/stop", body, client->cancel, on_stop,
+                call_new (client, worker, NULL));
+}
+
+/**
+ * bt_worker_client_release() - give a worker up
+ * @client: the adapter
+ * @worker: its name
+ * @address: its IP:port
+ * @request: the lease given up
+ */
+void
+bt_worker_client_release (bt_worker_client_t *client, const char *worker, const char *address,
+                          const bt_release_request_t *request)
+{
+  g_autoptr (GBytes) body = bt_schema_bytes (&bt_release_request_schema, request);
+  bt_http_call (client->control, "POST", address, "/v1/release", body, client->cancel, on_release,
+                call_new (client, worker, NULL));
+}
--- /dev/null
+++ b/libbamboothread/process/core.h
@@ -0,0 +1,130 @@
+#ifndef BT_PROCESS_CORE_H
+#define BT_PROCESS_CORE_H
+
+#include "libbamboothread/base/clock.h"
+#include "libbamboothread/process/counters.h"
+#include "libbamboothread/request/request.h"
+#include "libbamboothread/request/worker_api.h"
+#include "libbamboothread/version/fold.h"
+#include "proto/peer.pb-c.h"
+
+/*
+ * The deterministic core of a daemon. It holds no socket, thread or wall
+ * clock: messages and timers go in by the functions below, and messages come
+ * out by the callbacks of bt_core_ops_t. The daemon, the tests, the fuzzer and
+ * the benchmarks drive the same code.
+ */
+
+typedef struct bt_core_t bt_core_t;
+
+/**
+ * struct bt_core_ops_t - where a core sends its messages
+ * @peer_send: to the daemon at an address; may be lost
+ * @log_append: append records to a stream as one batch; answered by
+ *   bt_core_on_append()
+ * @log_read: read a stream from an offset, waiting for records; answered by
+ *   bt_core_on_records() or bt_core_on_read_failed()
+ * @worker_lease: answered by bt_core_on_lease()
+ * @worker_start: answered by bt_core_on_start()
+ * @worker_stop: answered by bt_core_on_stop()
+ * @worker_release: not answered
+ * @answer: tell a caller what became of its request
+ * @query_answer: answer a query of a caller or operator
+ * @tables_changed: a new version is in force; may be NULL
+ *
+ * Every callback gets the context pointer that was given with them. None may
+ * call back into the core.
+ */
+typedef struct
+{
+  void (*peer_send) (void *context, const char *address, const Bt__Envelope *envelope);
+  void (*log_append) (void *context, const char *stream, guint64 batch, const GPtrArray *records);
+  void (*log_read) (void *context, const char *stream, gint64 from);
+  void (*worker_lease) (void *context, const char *worker, const char *address,
+                        const bt_lease_request_t *request);
+  void (*worker_start) (void *context, const char *worker, const char *address,
+                        const bt_start_request_t *request);
+  void (*worker_stop) (void *context, const char *worker, const char *address,
+                       const bt_stop_request_t *request);
+  void (*worker_release) (void *context, const char *worker, const char *address,
+                          const bt_release_request_t *request);
+  void (*answer) (void *context, guint64 exchange, const char *job, const bt_outcome_t *outcome);
+  void (*query_answer) (void *context, guint64 exchange, gboolean known, GBytes *body);
+  void (*tables_changed) (void *context, gint64 version);
+} bt_core_ops_t;
+
+/**
+ * struct bt_core_config_t - what a core is told at its start
+ * @name: name of this daemon, unique in the cell
+ * @address: host:port where its peers reach it
+ * @incarnation: differs at each start of the daemon
+ * @seeds: addresses of peers to begin with
+ * @heartbeat_us: time between heartbeats to a peer
+ * @suspect_us: silence after which a peer is thought dead
+ * @lease_us: how long an owner holds a worker without renewal
+ * @task_lease_us: how long tasks run on without renewal
+ * @drift_us: most that two clocks drift apart over a lease
+ * @call_timeout_us: how long a worker or log call may take
+ * @retention_us: how long an ended job is remembered
+ */
+typedef struct
+{
+  const char *name;
+  const char *address;
+  const char *data_centre;
+  const char *region;
+  guint64 incarnation;
+  const GPtrArray *seeds;
+  gint64 heartbeat_us;
+  gint64 suspect_us;
+  gint64 lease_us;
+  gint64 task_lease_us;
+  gint64 drift_us;
+  gint64 call_timeout_us;
+  gint64 retention_us;
+  guint32 seed;
+} bt_core_config_t;
+
+void bt_core_config_init (bt_core_config_t *config);
+
+/**
+ * enum bt_query_t - what a query asks
+ */
+typedef enum
+{
+  BT_QUERY_STATUS,
+  BT_QUERY_LIST,
+  BT_QUERY_CANCEL,
+  BT_QUERY_EXPLAIN,
+  BT_QUERY_WHY_WAITING,
+} bt_query_t;
+
+bt_core_t *bt_core_new (const bt_core_config_t *config, const bt_clock_t *clock,
+                        const bt_core_ops_t *ops, void *context);
+void bt_core_free (bt_core_t *core);
+void bt_core_start (bt_core_t *core);
+void bt_core_tick (bt_core_t *core);
+void bt_core_leave (bt_core_t *core);
+gboolean bt_core_idle (const bt_core_t *core);
+
+GRefString *bt_core_submit (bt_core_t *core, guint64 exchange, const bt_request_t *request);
+void bt_core_caller_gone (bt_core_t *core, guint64 exchange);
+void bt_core_query (bt_core_t *core, guint64 exchange, bt_query_t what, const char *argument);
+
+void bt_core_on_peer (bt_core_t *core, const Bt__Envelope *envelope);
+void bt_core_on_records (bt_core_t *core, const char *stream, gint64 first,
+                         const GPtrArray *records, gint64 next);
+void bt_core_on_read_failed (bt_core_t *core, const char *stream, const GError *error);
+void bt_core_on_append (bt_core_t *core, guint64 batch, gboolean stored);
+void bt_core_on_lease (bt_core_t *core, const char *worker, const bt_lease_reply_t *reply);
+void bt_core_on_start (bt_core_t *core, const char *worker, const char *attempt,
+                       const bt_start_reply_t *reply);
+void bt_core_on_stop (bt_core_t *core, const char *worker, const bt_stop_reply_t *reply);
+void bt_core_on_vm_list (bt_core_t *core, const GPtrArray *leaving);
+
+JsonNode *bt_core_dump (const bt_core_t *core);
+const bt_counters_t *bt_core_counters (const bt_core_t *core);
+const bt_fold_t *bt_core_tables (const bt_core_t *core);
+gboolean bt_core_leading (const bt_core_t *core);
+
+#endif
--- /dev/null
+++ b/libbamboothread/process/core_private.h
@@ -0,0 +1,474 @@
+#ifndef BT_PROCESS_CORE_PRIVATE_H
+#define BT_PROCESS_CORE_PRIVATE_H
+
+#include "libbamboothread/process/core.h"
+#include "libbamboothread/request/record.h"
+
+/*
+ * State that the parts of the core share. Each part has its own file and
+ * functions bt_PART_VERB; the comment over a struct says which part writes it.
+ */
+
+typedef struct bt_worker_t bt_worker_t;
+typedef struct bt_job_t bt_job_t;
+
+/**
+ * struct bt_member_t - another daemon; written by member.c
+ * @heard_at: when its last heartbeat came, in microseconds
+ * @leading: whether it says that it owns its data centre's workers
+ */
+typedef struct
+{
+  GRefString *name;
+  GRefString *address;
+  GRefString *data_centre;
+  GRefString *region;
+  guint64 incarnation;
+  gint64 heard_at;
+  gboolean alive;
+  gboolean leading;
+  gboolean leaving;
+  guint64 term;
+  gint64 lead_since;
+  gint64 tables_version;
+  GPtrArray *pools;
+} bt_member_t;
+
+/**
+ * struct bt_members_t - all daemons known; written by member.c
+ */
+typedef struct
+{
+  GHashTable *by_name;
+  GHashTable *seeds;
+  gint64 next_heartbeat;
+  gint64 last_tick;
+} bt_members_t;
+
+/**
+ * enum bt_attempt_phase_t - where an attempt is
+ * @BT_PHASE_RECORDING: its record is on the way to the log; not sent
+ * @BT_PHASE_SENT: sent to its worker; no reply yet
+ * @BT_PHASE_RUNNING: its worker has it
+ * @BT_PHASE_UNCERTAIN: sent, and the reply is lost
+ * @BT_PHASE_ADOPTED: recorded by an earlier owner; where it is, is not known
+ */
+typedef enum
+{
+  BT_PHASE_RECORDING,
+  BT_PHASE_SENT,
+  BT_PHASE_RUNNING,
+  BT_PHASE_UNCERTAIN,
+  BT_PHASE_ADOPTED,
+} bt_attempt_phase_t;
+
+/**
+ * struct bt_attempt_t - one try to run a task; written by sched.c and recover.c
+ * @worker: where, or NULL if only the name of its worker is known
+ * @recorded: whether the log holds its record
+ * @sent_at: when it was sent, in microseconds
+ */
+typedef struct
+{
+  GRefString *id;
+  bt_job_t *job;
+  guint task;
+  bt_worker_t *worker;
+  GRefString *worker_name;
+  bt_attempt_phase_t phase;
+  gboolean recorded;
+  gboolean stopping;
+  gint64 sent_at;
+  bt_vector_t need;
+} bt_attempt_t;
+
+/**
+ * enum bt_task_state_t - state of a task
+ */
+typedef enum
+{
+  BT_TASK_WAITING,
+  BT_TASK_PLACED,
+  BT_TASK_ENDED,
+} bt_task_state_t;
+
+typedef struct
+{
+  bt_task_state_t state;
+  bt_attempt_t *attempt;
+  guint tries;
+  gboolean recorded;
+  GBytes *answer;
+} bt_task_t;
+
+/**
+ * enum bt_job_state_t - state of a job
+ * @BT_JOB_RECORDING: its acceptance is on the way to the log
+ * @BT_JOB_OPEN: some of its tasks have not ended
+ * @BT_JOB_ENDED: its outcome is known
+ */
+typedef enum
+{
+  BT_JOB_RECORDING,
+  BT_JOB_OPEN,
+  BT_JOB_ENDED,
+} bt_job_state_t;
+
+/**
+ * struct bt_job_t - a request, as the owner of its home's workers holds it
+ * @request: what was asked, or NULL if only a worker's report told of the job
+ * @durable: whether the log holds its acceptance
+ * @resent: whether an earlier owner may have run it
+ * @queue_link: its place in the queue; data is NULL while it is not queued
+ * @waiters: names of the daemons whose callers wait for it
+ */
+struct bt_job_t
+{
+  GRefString *id;
+  bt_request_t *request;
+  GRefString *route;
+  GRefString *team;
+  GRefString *pool;
+  bt_class_t work_class;
+  gboolean idempotent;
+  gboolean durable;
+  gboolean recorded;
+  gboolean resent;
+  gboolean cancelled;
+  gboolean end_recorded;
+  bt_job_state_t state;
+  bt_vector_t need;
+  bt_task_t *tasks;
+  guint n_tasks;
+  guint n_waiting;
+  guint n_placed;
+  guint n_ended;
+  guint failures;
+  gint64 submitted_at;
+  gint64 deadline_at;
+  gint64 not_before;
+  gint64 started_at;
+  gint64 ended_at;
+  gint64 retries;
+  GList queue_link;
+  GPtrArray *waiters;
+  bt_status_t status;
+  bt_reason_t reason;
+  GBytes *answer;
+  char *detail;
+  gint64 version;
+};
+
+/**
+ * struct bt_worker_t - a worker of this data centre; written by owner.c
+ * @listed: whether the tables name it
+ * @leaving: whether it is about to leave
+ * @used: what all attempts on it take
+ * @epoch: epoch of the lease held, or 0
+ * @lease_until: until when the lease surely holds, in microseconds
+ * @tasks_until: until when attempts on it surely run on, in microseconds
+ * @over_at: when attempts on it are surely over, if no renewal is sent
+ * @clock_ms: the worker's clock in its last reply
+ * @clock_at: when that reply came
+ * @imported: whether its full list of attempts has been taken in
+ * @fence: whether to claim a new epoch, so that starts on the way are refused
+ * @acks: attempts whose end is to be confirmed to it
+ * @stops: attempts to stop with the next tick
+ */
+struct bt_worker_t
+{
+  GRefString *name;
+  GRefString *address;
+  GRefString *pool;
+  GRefString *rack;
+  gboolean listed;
+  gboolean leaving;
+  bt_vector_t capacity;
+  bt_vector_t used;
+  gint64 boot;
+  gint64 epoch;
+  gint64 lease_until;
+  gint64 tasks_until;
+  gint64 over_at;
+  gint64 clock_ms;
+  gint64 clock_at;
+  gint64 prev_sent_at;
+  gint64 sent_at;
+  gint64 next_send;
+  gboolean in_flight;
+  gboolean sent_claim;
+  gboolean sent_tasks;
+  gboolean imported;
+  gboolean lost;
+  gboolean fence;
+  GHashTable *attempts;
+  GPtrArray *acks;
+  GPtrArray *acks_sent;
+  GPtrArray *stops;
+};
+
+/**
+ * struct bt_owner_t - leases on the data centre's workers; written by owner.c
+ * @leading: whether this daemon holds more than half of the workers
+ * @settled: whether all that an earlier owner started is known or surely over
+ * @settle_at: when it is surely over
+ * @next_claim: not before this time does it claim workers
+ */
+typedef struct
+{
+  GHashTable *workers;
+  gboolean candidate;
+  gboolean leading;
+  gboolean settled;
+  gint64 lead_since;
+  gint64 settle_at;
+  gint64 next_claim;
+  guint n_listed;
+} bt_owner_t;
+
+/**
+ * struct bt_journal_t - the data centre's job stream; written by journal.c
+ * @next: offset of the next record to read
+ * @term: highest term seen
+ * @own_term: this daemon's term while it leads, 0 before its record is read back
+ * @caught_up: whether this daemon's own lead record has been read back
+ * @pending: records to append
+ * @in_flight: records of the batch on its way
+ */
+typedef struct
+{
+  char *stream;
+  gint64 next;
+  gint64 term;
+  gint64 own_term;
+  gboolean caught_up;
+  gboolean reading;
+  gboolean available;
+  gint64 read_again_at;
+  GQueue pending;
+  GPtrArray *in_flight;
+  guint64 batch;
+  gint64 append_again_at;
+  GHashTable *seen;
+  GQueue seen_order;
+  guint64 counter;
+} bt_journal_t;
+
+/**
+ * struct bt_sched_t - jobs and their queue; written by sched.c
+ */
+typedef struct
+{
+  GHashTable *jobs;
+  GQueue queue[BT_N_CLASSES];
+  GHashTable *route_waiting;
+  GHashTable *attempts;
+  gint64 next_sweep;
+  guint64 counter;
+} bt_sched_t;
+
+/**
+ * struct bt_pending_t - a request whose caller waits at this daemon; written by entry.c
+ * @home: the data centre whose owner has it
+ * @sent_to: the daemon that was asked last, or NULL
+ * @sent_lead: the reign of that daemon, see lead_since
+ * @sends: how often it was asked in that reign
+ * @waiting_reply: whether that daemon may have taken it
+ * @maybe_run: whether a daemon that was asked may have run it
+ */
+typedef struct
+{
+  GRefString *job;
+  guint64 exchange;
+  bt_request_t *request;
+  GRefString *home;
+  GRefString *sent_to;
+  gint64 sent_lead;
+  guint sends;
+  gboolean maybe_run;
+  gboolean waiting_reply;
+  gint64 submitted_at;
+  gint64 next_send;
+  gint64 give_up_at;
+} bt_pending_t;
+
+typedef struct
+{
+  guint64 number;
+  guint64 exchange;
+  bt_query_t what;
+  GRefString *argument;
+  gint64 give_up_at;
+} bt_pending_query_t;
+
+typedef struct
+{
+  GHashTable *pending;
+  GHashTable *by_exchange;
+  GHashTable *queries;
+  guint64 counter;
+} bt_entry_t;
+
+/**
+ * struct bt_trace_entry_t - one decision; written by trace.c
+ * @line: the table line that caused it, for instance "route term-lookup"
+ */
+typedef struct
+{
+  gint64 at;
+  GRefString *job;
+  const char *action;
+  char *line;
+  gint64 version;
+  char *detail;
+} bt_trace_entry_t;
+
+typedef struct
+{
+  bt_trace_entry_t *ring;
+  gsize next;
+} bt_trace_t;
+
+struct bt_core_t
+{
+  bt_core_config_t config;
+  char *name;
+  char *address;
+  char *data_centre;
+  char *region;
+  char *owner_id;
+  const bt_clock_t *clock;
+  GRand *rand;
+  bt_core_ops_t ops;
+  void *context;
+  gint64 now;
+  gint64 started_at;
+  gboolean leaving;
+  bt_counters_t counters;
+  bt_fold_t tables;
+  gboolean tables_reading;
+  gint64 tables_read_at;
+  bt_members_t members;
+  bt_owner_t owner;
+  bt_journal_t journal;
+  bt_sched_t sched;
+  bt_entry_t entry;
+  bt_trace_t trace;
+};
+
+/* core.c */
+void bt_core_send (bt_core_t *core, const char *address, Bt__Envelope *envelope);
+void bt_core_send_member (bt_core_t *core, const char *name, Bt__Envelope *envelope);
+
+/* member.c */
+void bt_members_init (bt_core_t *core);
+void bt_members_clear (bt_core_t *core);
+void bt_members_tick (bt_core_t *core);
+void bt_members_announce (bt_core_t *core);
+void bt_members_on_heartbeat (bt_core_t *core, const Bt__Envelope *envelope);
+const bt_member_t *bt_members_get (const bt_core_t *core, const char *name);
+const bt_member_t *bt_members_leader (const bt_core_t *core, const char *data_centre);
+gboolean bt_members_candidate (const bt_core_t *core);
+
+/* tables.c */
+void bt_core_tables_tick (bt_core_t *core);
+void bt_core_tables_on_records (bt_core_t *core, gint64 first, const GPtrArray *records,
+                                gint64 next);
+void bt_core_tables_on_failed (bt_core_t *core, const GError *error);
+void bt_core_tables_on_peer (bt_core_t *core, const Bt__Envelope *envelope);
+
+/* owner.c */
+void bt_owner_init (bt_core_t *core);
+void bt_owner_clear (bt_core_t *core);
+void bt_owner_tick (bt_core_t *core);
+void bt_owner_apply_tables (bt_core_t *core);
+void bt_owner_on_lease (bt_core_t *core, const char *name, const bt_lease_reply_t *reply);
+void bt_owner_release (bt_core_t *core);
+gboolean bt_owner_may_start (const bt_core_t *core, const bt_worker_t *worker);
+void bt_owner_fence (bt_core_t *core, bt_worker_t *worker);
+void bt_owner_ack (bt_core_t *core, bt_worker_t *worker, const char *attempt);
+bt_worker_t *bt_owner_worker (const bt_core_t *core, const char *name);
+
+/* journal.c */
+void bt_journal_init (bt_core_t *core);
+void bt_journal_clear (bt_core_t *core);
+void bt_journal_tick (bt_core_t *core);
+void bt_journal_lead (bt_core_t *core);
+void bt_journal_unlead (bt_core_t *core);
+void bt_journal_append (bt_core_t *core, bt_record_t *record);
+void bt_journal_on_append (bt_core_t *core, guint64 batch, gboolean stored);
+void bt_journal_on_records (bt_core_t *core, gint64 first, const GPtrArray *records, gint64 next);
+void bt_journal_on_failed (bt_core_t *core, const GError *error);
+bt_record_t *bt_journal_record (bt_core_t *core, bt_record_type_t type, const char *job);
+
+/* job.c */
+bt_job_t *bt_job_new (bt_core_t *core, const char *id);
+void bt_job_free (gpointer data);
+void bt_job_describe (bt_job_t *job, const bt_request_t *request, const bt_route_t *route);
+void bt_job_set_tasks (bt_job_t *job, guint n);
+void bt_job_add_waiter (bt_job_t *job, const char *member);
+bt_attempt_t *bt_attempt_new (bt_core_t *core, bt_job_t *job, guint task, const char *id,
+                              const char *worker_name);
+void bt_attempt_bind (bt_attempt_t *attempt, bt_worker_t *worker, const bt_vector_t *need);
+void bt_attempt_drop (bt_core_t *core, bt_attempt_t *attempt, bt_task_state_t task_state);
+JsonNode *bt_job_node (const bt_core_t *core, const bt_job_t *job, gboolean whole);
+
+/* queue.c */
+void bt_queue_push (bt_core_t *core, bt_job_t *job);
+void bt_queue_remove (bt_core_t *core, bt_job_t *job);
+guint bt_queue_length (const bt_core_t *core, const char *pool);
+
+/* place.c */
+bt_worker_t *bt_place_find (bt_core_t *core, const bt_job_t *job, guint task);
+gboolean bt_place_possible (const bt_core_t *core, const bt_request_t *request,
+                            const bt_pool_t *pool);
+
+/* sched.c */
+void bt_sched_init (bt_core_t *core);
+void bt_sched_clear (bt_core_t *core);
+void bt_sched_tick (bt_core_t *core);
+void bt_sched_run (bt_core_t *core);
+void bt_sched_submit (bt_core_t *core, const char *member, const char *id,
+                      const bt_request_t *request, gboolean resent, gint64 age_us);
+void bt_sched_caller_gone (bt_core_t *core, const char *member, const char *id);
+void bt_sched_cancel (bt_core_t *core, bt_job_t *job);
+void bt_sched_on_start (bt_core_t *core, const char *worker, const char *attempt,
+                        const bt_start_reply_t *reply);
+void bt_sched_on_stop (bt_core_t *core, const char *worker, const bt_stop_reply_t *reply);
+void bt_sched_on_report (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report);
+void bt_sched_attempt_sendable (bt_core_t *core, bt_attempt_t *attempt);
+void bt_sched_attempt_lost (bt_core_t *core, bt_attempt_t *attempt, gboolean surely_not_run);
+void bt_sched_end_job (bt_core_t *core, bt_job_t *job, bt_status_t status, bt_reason_t reason,
+                       GBytes *answer, const char *detail);
+void bt_sched_tell (bt_core_t *core, bt_job_t *job);
+
+/* recover.c */
+void bt_recover_on_lead (bt_core_t *core);
+void bt_recover_on_unlead (bt_core_t *core);
+void bt_recover_on_settled (bt_core_t *core);
+void bt_recover_fold (bt_core_t *core, const bt_record_t *record, gboolean valid_term);
+void bt_recover_import (bt_core_t *core, bt_worker_t *worker, const bt_lease_reply_t *reply,
+                        gint64 sent_at, gboolean rebooted);
+void bt_recover_worker_over (bt_core_t *core, bt_worker_t *worker);
+gboolean bt_recover_ready (const bt_core_t *core, const bt_job_t *job);
+
+/* entry.c */
+void bt_entry_init (bt_core_t *core);
+void bt_entry_clear (bt_core_t *core);
+void bt_entry_tick (bt_core_t *core);
+GRefString *bt_entry_submit (bt_core_t *core, guint64 exchange, const bt_request_t *request);
+void bt_entry_caller_gone (bt_core_t *core, guint64 exchange);
+void bt_entry_on_outcome (bt_core_t *core, const char *from, const char *job,
+                          const bt_outcome_t *outcome);
+void bt_entry_query (bt_core_t *core, guint64 exchange, bt_query_t what, const char *argument);
+void bt_entry_on_query (bt_core_t *core, const char *member, const Bt__Query *query);
+void bt_entry_on_query_reply (bt_core_t *core, const Bt__QueryReply *reply);
+
+/* trace.c */
+void bt_trace_init (bt_core_t *core);
+void bt_trace_clear (bt_core_t *core);
+void bt_trace_add (bt_core_t *core, const char *job, const char *action, const char *line,
+                   const char *format, ...) G_GNUC_PRINTF (5, 6);
+JsonNode *bt_trace_node (const bt_core_t *core, const char *job);
+
+#endif
--- /dev/null
+++ b/libbamboothread/process/entry.c
@@ -0,0 +1,613 @@
+#include "libbamboothread/process/core_private.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+
+/*
+ * Requests whose callers wait at this daemon. The entry hands each to the
+ * owner of a data centre's workers, and again to the next owner if that one
+ * is lost; it never runs anything itself.
+ */
+
+/* Pause before a request is sent to the same owner again. */
+#define RESEND_US (1 * BT_USEC_PER_SEC)
+/* Pause between two looks for an owner. */
+#define LOOK_AGAIN_US (50 * BT_USEC_PER_MSEC)
+/* How long after its deadline a request may still run before its caller is told. */
+#define RUN_GRACE_US (30 * BT_USEC_PER_SEC)
+#define RUN_GRACE_FACTOR 10
+/* How long a caller waits for a job to be recorded. */
+#define ACCEPT_WAIT_US (15 * BT_USEC_PER_SEC)
+#define QUERY_WAIT_US (3 * BT_USEC_PER_SEC)
+#define RETRY_AFTER_MS 1000
+
+static void
+pending_free (gpointer data)
+{
+  bt_pending_t *pending = data;
+  bt_schema_free (&bt_request_schema, pending->request);
+  g_ref_string_release (pending->job);
+  g_clear_pointer (&pending->home, g_ref_string_release);
+  g_clear_pointer (&pending->sent_to, g_ref_string_release);
+  g_free (pending);
+}
+
+static void
+query_free (gpointer data)
+{
+  bt_pending_query_t *query = data;
+  g_ref_string_release (query->argument);
+  g_free (query);
+}
+
+/**
+ * bt_entry_init() - nobody waits
+ * @core: the core
+ */
+void
+bt_entry_init (bt_core_t *core)
+{
+  bt_entry_t *entry = &core->entry;
+  entry->pending = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, NULL);
+  entry->by_exchange = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, pending_free);
+  entry->queries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, query_free);
+}
+
+/**
+ * bt_entry_clear() - forget all that wait
+ * @core: the core
+ */
+void
+bt_entry_clear (bt_core_t *core)
+{
+  g_hash_table_unref (core->entry.pending);
+  g_hash_table_unref (core->entry.by_exchange);
+  g_hash_table_unref (core->entry.queries);
+}
+
+/* Several callers may wait for one job, since a key makes them the same. */
+static GPtrArray *
+waiting_for (bt_core_t *core, const char *job)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  bt_pending_t *pending = g_hash_table_lookup (core->entry.pending, job);
+  if (pending != NULL && pending->request->key == NULL)
+    {
+      g_ptr_array_add (found, pending);
+      return found;
+    }
+  g_hash_table_iter_init (&iter, core->entry.by_exchange);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&pending))
+    if (strcmp (pending->job, job) == 0)
+      g_ptr_array_add (found, pending);
+  return found;
+}
+
+static void
+forget (bt_core_t *core, bt_pending_t *pending)
+{
+  if (g_hash_table_lookup (core->entry.pending, pending->job) == pending)
+    g_hash_table_remove (core->entry.pending, pending->job);
+  g_hash_table_remove (core->entry.by_exchange, &pending->exchange);
+}
+
+static void
+count_answer (bt_core_t *core, bt_status_t status)
+{
+  bt_counters_t *counters = &core->counters;
+  switch (status)
+    {
+    case BT_STATUS_ACCEPTED:
+    case BT_STATUS_HELD:
+      counters->answered_accepted++;
+      break;
+    case BT_STATUS_DONE:
+      counters->answered_done++;
+      break;
+    case BT_STATUS_NOT_RUN:
+      counters->answered_not_run++;
+      break;
+    case BT_STATUS_UNKNOWN:
+      counters->answered_unknown++;
+      break;
+    case BT_STATUS_FAILED:
+      counters->answered_failed++;
+      break;
+    case BT_STATUS_CANCELLED:
+      counters->answered_cancelled++;
+      break;
+    case BT_STATUS_RETRY:
+      break;
+    }
+}
+
+static void
+answer (bt_core_t *core, bt_pending_t *pending, const bt_outcome_t *outcome)
+{
+  count_answer (core, outcome->status);
+  core->ops.answer (core->context, pending->exchange, pending->job, outcome);
+  forget (core, pending);
+}
+
+static void
+answer_not_run (bt_core_t *core, guint64 exchange, const char *job, bt_reason_t reason,
+                const char *detail)
+{
+  bt_outcome_t outcome = { .status = BT_STATUS_NOT_RUN, .reason = reason, .detail = detail };
+  outcome.retry_after_ms = RETRY_AFTER_MS;
+  count_answer (core, outcome.status);
+  core->ops.answer (core->context, exchange, job, &outcome);
+}
+
+static gboolean
+has_owner (const bt_core_t *core, const char *data_centre)
+{
+  if (strcmp (data_centre, core->data_centre) == 0 && core->owner.leading)
+    return TRUE;
+  return bt_members_leader (core, data_centre) != NULL;
+}
+
+static const char *
+region_of (const bt_core_t *core, const char *data_centre)
+{
+  if (strcmp (data_centre, core->data_centre) == 0)
+    return core->region;
+  const bt_member_t *leader = bt_members_leader (core, data_centre);
+  return leader != NULL ? leader->region : "";
+}
+
+/* Nearer is less: own data centre, own region, any; an owner beats none. */
+static guint
+distance (const bt_core_t *core, const char *data_centre)
+{
+  if (strcmp (data_centre, core->data_centre) == 0)
+    return has_owner (core, data_centre) ? 0 : 3;
+  if (!has_owner (core, data_centre))
+    return 4;
+  return strcmp (region_of (core, data_centre), core->region) == 0 ? 1 : 2;
+}
+
+static guint
+key_rank (const char *job_key, const char *data_centre)
+{
+  g_autofree char *text = g_strconcat (job_key, "@", data_centre, NULL);
+  return g_str_hash (text) * 2654435761u;
+}
+
+static GRefString *
+choose_home (const bt_core_t *core, const bt_pool_t *pool, const char *key)
+{
+  GRefString *best = NULL;
+  for (guint i = 0; i < pool->vms->len; i++)
+    {
+      const bt_vm_t *vm = pool->vms->pdata[i];
+      if (best == NULL)
+        {
+          best = vm->data_centre;
+          continue;
+        }
+      guint now = key != NULL ? key_rank (key, best) : distance (core, best);
+      guint then = key != NULL ? key_rank (key, vm->data_centre) : distance (core, vm->data_centre);
+      if (then < now)
+        best = vm->data_centre;
+    }
+  return best;
+}
+
+static char *
+job_id (bt_core_t *core, const bt_request_t *request, const char *home)
+{
+  if (request->key == NULL)
+    return g_strdup_printf ("%s/%s.%" G_GUINT64_FORMAT, home, core->owner_id,
+                            core->entry.counter++);
+  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
+  g_checksum_update (sum, (const guchar *)request->caller,
+                     (gssize)g_ref_string_length (request->caller) + 1);
+  g_checksum_update (sum, (const guchar *)request->key, (gssize)g_ref_string_length (request->key));
+  char *id = g_strdup_printf ("%s/k-%.40s", home, g_checksum_get_string (sum));
+  g_checksum_free (sum);
+  return id;
+}
+
+static gint64
+give_up_at (const bt_core_t *core, const bt_request_t *request, const bt_route_t *route)
+{
+  if (bt_request_durable (request))
+    return core->now + ACCEPT_WAIT_US;
+  gint64 deadline_ms = request->deadline_ms > 0 ? request->deadline_ms : route->deadline_ms;
+  gint64 run_us = RUN_GRACE_FACTOR * request->run_ms * BT_USEC_PER_MSEC;
+  return core->now + deadline_ms * BT_USEC_PER_MSEC + MAX (run_us, RUN_GRACE_US);
+}
+
+static void
+hand_over (bt_core_t *core, bt_pending_t *pending, const char *to, const char *address,
+           gint64 lead_since)
+{
+  gboolean other = pending->sent_to == NULL || strcmp (pending->sent_to, to) != 0
+                   || pending->sent_lead != lead_since;
+  if (other && pending->waiting_reply)
+    pending->maybe_run = TRUE;
+  if (pending->waiting_reply)
+    core->counters.entry_resent++;
+  g_clear_pointer (&pending->sent_to, g_ref_string_release);
+  pending->sent_to = g_ref_string_new (to);
+  pending->sent_lead = lead_since;
+  pending->sends = other ? 1 : pending->sends + 1;
+  pending->waiting_reply = TRUE;
+  pending->next_send = core->now + RESEND_US;
+  gint64 age_us = core->now - pending->submitted_at;
+  if (address == NULL)
+    {
+      bt_sched_submit (core, core->name, pending->job, pending->request, pending->maybe_run,
+                       age_us);
+      return;
+    }
+  g_autoptr (GBytes) bytes = bt_schema_bytes (&bt_request_schema, pending->request);
+  Bt__Submit submit = BT__SUBMIT__INIT;
+  submit.job = pending->job;
+  gsize len;
+  submit.request.data = (guint8 *)g_bytes_get_data (bytes, &len);
+  submit.request.len = len;
+  submit.tables_version = (guint64)core->tables.version;
+  submit.age_ms = (guint32)(age_us / BT_USEC_PER_MSEC);
+  submit.resent = pending->maybe_run;
+  Bt__Envelope envelope = BT__ENVELOPE__INIT;
+  envelope.body_case = BT__ENVELOPE__BODY_SUBMIT;
+  envelope.submit = &submit;
+  bt_core_send (core, address, &envelope);
+}
+
+static void
+send_pending (bt_core_t *core, bt_pending_t *pending)
+{
+  if (strcmp (pending->home, core->data_centre) == 0 && core->owner.leading)
+    {
+      hand_over (core, pending, core->name, NULL, core->owner.lead_since);
+      return;
+    }
+  const bt_member_t *leader = bt_members_leader (core, pending->home);
+  if (leader == NULL)
+    {
+      pending->next_send = core->now + LOOK_AGAIN_US;
+      return;
+    }
+  hand_over (core, pending, leader->name, leader->address, leader->lead_since);
+}
+
+/**
+ * bt_entry_submit() - a caller of this daemon asks for work
+ * @core: the core
+ * @exchange: the caller's exchange, for the answer
+ * @request: the request
+ *
+ * Return: the job's id, to be released.
+ */
+GRefString *
+bt_entry_submit (bt_core_t *core, guint64 exchange, const bt_request_t *request)
+{
+  core->counters.submitted++;
+  const bt_route_t *route = bt_tables_match (core->tables.tables, request->caller, request->work);
+  if (route == NULL)
+    {
+      answer_not_run (core, exchange, "", BT_REASON_NO_ROUTE, "routes: no line matches");
+      return NULL;
+    }
+  const bt_pool_t *pool = bt_tables_pool (core->tables.tables, route->pool);
+  GRefString *home = choose_home (core, pool, request->key);
+  if (home == NULL || core->leaving)
+    {
+      answer_not_run (core, exchange, "",
+                      core->leaving ? BT_REASON_SHUTTING_DOWN : BT_REASON_NO_POOL_MEMBER,
+                      core->leaving ? "this daemon is about to leave" : "the pool has no VM");
+      return NULL;
+    }
+  g_autofree char *id = job_id (core, request, home);
+  bt_pending_t *pending = g_new0 (bt_pending_t, 1);
+  pending->job = g_ref_string_new (id);
+  pending->exchange = exchange;
+  pending->request = bt_schema_copy (&bt_request_schema, request);
+  pending->home = g_ref_string_acquire (home);
+  pending->submitted_at = core->now;
+  pending->give_up_at = give_up_at (core, request, route);
+  GRefString *result = g_ref_string_acquire (pending->job);
+  g_hash_table_replace (core->entry.pending, pending->job, pending);
+  g_hash_table_insert (core->entry.by_exchange, &pending->exchange, pending);
+  send_pending (core, pending);
+  return result;
+}
+
+/* Whether an outcome that rests on what its owner did not do holds for this request. */
+static gboolean
+speaks_for_last_owner (const bt_pending_t *pending, const char *from, const bt_outcome_t *outcome)
+{
+  return pending->sent_to != NULL && strcmp (pending->sent_to, from) == 0
+         && pending->sent_lead == outcome->lead_since;
+}
+
+/* The owner asked did not run it, or is no owner and was asked just once. */
+static void
+ask_again (bt_core_t *core, bt_pending_t *pending, const char *from, const bt_outcome_t *outcome)
+{
+  if (pending->sent_to == NULL || strcmp (pending->sent_to, from) != 0)
+    return;
+  gboolean proof = outcome->reason == BT_REASON_NO_OWNER
+                       ? pending->sends == 1
+                       : speaks_for_last_owner (pending, from, outcome);
+  if (proof)
+    pending->waiting_reply = FALSE;
+  pending->next_send = core->now + LOOK_AGAIN_US;
+}
+
+/**
+ * bt_entry_on_outcome() - an owner tells what became of a job
+ * @core: the core
+ * @from: the owner's name
+ * @job: the job's id
+ * @outcome: what became of it
+ *
+ * An outcome that nobody waits for is dropped and counted. That a request was
+ * not run only the owner asked last can say, for an earlier one can't know
+ * what the later one did.
+ */
+void
+bt_entry_on_outcome (bt_core_t *core, const char *from, const char *job,
+                     const bt_outcome_t *outcome)
+{
+  g_autoptr (GPtrArray) waiting = waiting_for (core, job);
+  if (waiting->len == 0)
+    core->counters.answers_dropped_late++;
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      bt_pending_t *pending = waiting->pdata[i];
+      gboolean ran = outcome->status == BT_STATUS_DONE || outcome->status == BT_STATUS_FAILED
+                     || outcome->status == BT_STATUS_ACCEPTED;
+      if (outcome->status == BT_STATUS_RETRY)
+        ask_again (core, pending, from, outcome);
+      else if (ran || speaks_for_last_owner (pending, from, outcome))
+        answer (core, pending, outcome);
+      else
+        core->counters.answers_dropped_late++;
+    }
+}
+
+/**
+ * bt_entry_caller_gone() - a caller closed its exchange before the answer
+ * @core: the core
+ * @exchange: the exchange
+ */
+void
+bt_entry_caller_gone (bt_core_t *core, guint64 exchange)
+{
+  bt_pending_t *pending = g_hash_table_lookup (core->entry.by_exchange, &exchange);
+  if (pending == NULL)
+    return;
+  const char *to = pending->sent_to;
+  if (to != NULL && strcmp (to, core->name) == 0)
+    bt_sched_caller_gone (core, core->name, pending->job);
+  else if (to != NULL)
+    {
+      Bt__CallerGone gone = BT__CALLER_GONE__INIT;
+      gone.job = pending->job;
+      Bt__Envelope envelope = BT__ENVELOPE__INIT;
+      envelope.body_case = BT__ENVELOPE__BODY_CALLER_GONE;
+      envelope.caller_gone = &gone;
+      bt_core_send_member (core, to, &envelope);
+    }
+  pending = g_hash_table_lookup (core->entry.by_exchange, &exchange);
+  if (pending != NULL)
+    forget (core, pending);
+}
+
+static char *
+home_of (const char *job)
+{
+  const char *slash = strchr (job, '/');
+  return slash != NULL ? g_strndup (job, (gsize)(slash - job)) : g_strdup ("");
+}
+
+static GBytes *
+describe_waiting (const bt_core_t *core, const bt_job_t *job)
+{
+  JsonObject *json = json_object_new ();
+  json_object_set_string_member (json, "job", job->id);
+  json_object_set_boolean_member (json, "waiting", job->queue_link.data != NULL);
+  const char *cause = "no VM of its pool has room for it now";
+  if (job->queue_link.data == NULL)
+    cause = "it does not wait";
+  else if (!bt_recover_ready (core, job))
+    cause = "an earlier owner may have started it, or a retry is not due yet";
+  json_object_set_string_member (json, "cause", cause);
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_OBJECT);
+  json_node_take_object (node, json);
+  return bt_json_bytes (node, FALSE);
+}
+
+static GBytes *
+list_jobs (const bt_core_t *core, const char *caller)
+{
+  JsonArray *array = json_array_new ();
+  GHashTableIter iter;
+  bt_job_t *job;
+  g_hash_table_iter_init (&iter, core->sched.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&job))
+    if (job->request != NULL && (caller[0] == '\0' || strcmp (job->request->caller, caller) == 0))
+      json_array_add_element (array, bt_job_node (core, job, FALSE));
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_ARRAY);
+  json_node_take_array (node, array);
+  return bt_json_bytes (node, FALSE);
+}
+
+static GBytes *
+answer_query (bt_core_t *core, bt_query_t what, const char *argument)
+{
+  if (what == BT_QUERY_LIST)
+    return list_jobs (core, argument);
+  bt_job_t *job = g_hash_table_lookup (core->sched.jobs, argument);
+  if (what == BT_QUERY_EXPLAIN)
+    {
+      g_autoptr (JsonNode) node = bt_trace_node (core, argument);
+      return bt_json_bytes (node, FALSE);
+    }
+  if (job == NULL)
+    return NULL;
+  if (what == BT_QUERY_WHY_WAITING)
+    return describe_waiting (core, job);
+  if (what == BT_QUERY_CANCEL)
+    bt_sched_cancel (core, job);
+  g_autoptr (JsonNode) node = bt_job_node (core, job, TRUE);
+  return bt_json_bytes (node, FALSE);
+}
+
+/**
+ * bt_entry_query() - a caller or operator asks about jobs
+ * @core: the core
+ * @exchange: the exchange, for the answer
+ * @what: what is asked
+ * @argument: a job's id, or a caller's name for a list
+ */
+void
+bt_entry_query (bt_core_t *core, guint64 exchange, bt_query_t what, const char *argument)
+{
+  g_autofree char *home = what == BT_QUERY_LIST ? g_strdup (core->data_centre) : home_of (argument);
+  if (core->owner.leading && strcmp (home, core->data_centre) == 0)
+    {
+      g_autoptr (GBytes) body = answer_query (core, what, argument);
+      core->ops.query_answer (core->context, exchange, body != NULL, body);
+      return;
+    }
+  const bt_member_t *leader = bt_members_leader (core, home);
+  if (leader == NULL)
+    {
+      core->ops.query_answer (core->context, exchange, FALSE, NULL);
+      return;
+    }
+  bt_pending_query_t *query = g_new0 (bt_pending_query_t, 1);
+  query->number = ++core->entry.counter;
+  query->exchange = exchange;
+  query->what = what;
+  query->argument = g_ref_string_new (argument);
+  query->give_up_at = core->now + QUERY_WAIT_US;
+  g_hash_table_insert (core->entry.queries, &query->number, query);
+  Bt__Query message = BT__QUERY__INIT;
+  message.number = query->number;
+  message.what = what;
+  message.argument = (char *)argument;
+  Bt__Envelope envelope = BT__ENVELOPE__INIT;
+  envelope.body_case = BT__ENVELOPE__BODY_QUERY;
+  envelope.query = &message;
+  bt_core_send (core, leader->address, &envelope);
+}
+
+/**
+ * bt_entry_on_query() - another daemon asks about jobs of this data centre
+ * @core: the core
+ * @member: that daemon's name
+ * @query: its query
+ */
+void
+bt_entry_on_query (bt_core_t *core, const char *member, const Bt__Query *query)
+{
+  Bt__QueryReply reply = BT__QUERY_REPLY__INIT;
+  reply.number = query->number;
+  g_autoptr (GBytes) body = core->owner.leading && query->what <= BT_QUERY_WHY_WAITING
+                                ? answer_query (core, (bt_query_t)query->what, query->argument)
+                                : NULL;
+  reply.known = body != NULL;
+  if (body != NULL)
+    {
+      gsize len;
+      reply.body.data = (guint8 *)g_bytes_get_data (body, &len);
+      reply.body.len = len;
+    }
+  Bt__Envelope envelope = BT__ENVELOPE__INIT;
+  envelope.body_case = BT__ENVELOPE__BODY_QUERY_REPLY;
+  envelope.query_reply = &reply;
+  bt_core_send_member (core, member, &envelope);
+}
+
+/**
+ * bt_entry_on_query_reply() - an owner answers a query
+ * @core: the core
+ * @reply: its answer
+ */
+void
+bt_entry_on_query_reply (bt_core_t *core, const Bt__QueryReply *reply)
+{
+  bt_pending_query_t *query = g_hash_table_lookup (core->entry.queries, &reply->number);
+  if (query == NULL)
+    {
+      core->counters.answers_dropped_late++;
+      return;
+    }
+  g_autoptr (GBytes) body = g_bytes_new (reply->body.data, reply->body.len);
+  core->ops.query_answer (core->context, query->exchange, reply->known, body);
+  g_hash_table_remove (core->entry.queries, &reply->number);
+}
+
+static void
+expire_queries (bt_core_t *core)
+{
+  GHashTableIter iter;
+  bt_pending_query_t *query;
+  g_hash_table_iter_init (&iter, core->entry.queries);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&query))
+    {
+      if (core->now < query->give_up_at)
+        continue;
+      core->ops.query_answer (core->context, query->exchange, FALSE, NULL);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+give_up (bt_core_t *core, bt_pending_t *pending)
+{
+  gboolean certain = !pending->maybe_run && !pending->waiting_reply;
+  bt_outcome_t outcome = { .status = certain ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN };
+  outcome.reason = BT_REASON_NO_OWNER;
+  outcome.retry_after_ms = RETRY_AFTER_MS;
+  outcome.detail = "no owner of the data centre's workers answered";
+  answer (core, pending, &outcome);
+}
+
+static gboolean
+owner_changed (const bt_core_t *core, const bt_pending_t *pending)
+{
+  if (!pending->waiting_reply)
+    return FALSE;
+  if (strcmp (pending->home, core->data_centre) == 0 && core->owner.leading)
+    return strcmp (pending->sent_to, core->name) != 0
+           || pending->sent_lead != core->owner.lead_since;
+  const bt_member_t *leader = bt_members_leader (core, pending->home);
+  return leader != NULL
+         && (strcmp (pending->sent_to, leader->name) != 0
+             || pending->sent_lead != leader->lead_since);
+}
+
+/**
+ * bt_entry_tick() - send again what is due, and give up what is overdue
+ * @core: the core
+ */
+void
+bt_entry_tick (bt_core_t *core)
+{
+  expire_queries (core);
+  g_autoptr (GPtrArray) due = g_ptr_array_new ();
+  GHashTableIter iter;
+  bt_pending_t *pending;
+  g_hash_table_iter_init (&iter, core->entry.by_exchange);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&pending))
+    if (core->now >= MIN (pending->next_send, pending->give_up_at) || owner_changed (core, pending))
+      g_ptr_array_add (due, g_memdup2 (&pending->exchange, sizeof pending->exchange));
+  for (guint i = 0; i < due->len; i++)
+    {
+      pending = g_hash_table_lookup (core->entry.by_exchange, due->pdata[i]);
+      if (pending != NULL && core->now >= pending->give_up_at)
+        give_up (core, pending);
+      else if (pending != NULL)
+        send_pending (core, pending);
+      g_free (due->pdata[i]);
+    }
+}
--- /dev/null
+++ b/libbamboothread/process/job.c
@@ -0,0 +1,265 @@
+#include "libbamboothread/process/core_private.h"
+
+#include <string.h>
+
+/*
+ * Jobs and attempts as objects: their life and their links to each other.
+ */
+
+/**
+ * bt_job_new() - a job of which only the id is known, in the table of jobs
+ * @core: the core
+ * @id: its id
+ *
+ * Return: the job; the table owns it.
+ */
+bt_job_t *
+bt_job_new (bt_core_t *core, const char *id)
+{
+  bt_job_t *job = g_new0 (bt_job_t, 1);
+  job->id = g_ref_string_new (id);
+  job->state = BT_JOB_OPEN;
+  job->waiters = g_ptr_array_new_with_free_func ((GDestroyNotify)g_ref_string_release);
+  job->submitted_at = core->now;
+  job->version = core->tables.version;
+  job->deadline_at = G_MAXINT64;
+  g_hash_table_insert (core->sched.jobs, job->id, job);
+  return job;
+}
+
+static void
+release_string (GRefString **at)
+{
+  g_clear_pointer (at, g_ref_string_release);
+}
+
+/**
+ * bt_job_free() - free a job that has no attempts and is not queued
+ * @data: the job
+ */
+void
+bt_job_free (gpointer data)
+{
+  bt_job_t *job = data;
+  for (guint i = 0; i < job->n_tasks; i++)
+    g_clear_pointer (&job->tasks[i].answer, g_bytes_unref);
+  g_free (job->tasks);
+  bt_schema_free (&bt_request_schema, job->request);
+  release_string (&job->route);
+  release_string (&job->team);
+  release_string (&job->pool);
+  g_ptr_array_unref (job->waiters);
+  g_clear_pointer (&job->answer, g_bytes_unref);
+  g_free (job->detail);
+  g_ref_string_release (job->id);
+  g_free (job);
+}
+
+/**
+ * bt_job_set_tasks() - give a job at least a number of tasks
+ * @job: the job
+ * @n: the number
+ */
+void
+bt_job_set_tasks (bt_job_t *job, guint n)
+{
+  if (n <= job->n_tasks)
+    return;
+  job->tasks = g_renew (bt_task_t, job->tasks, n);
+  memset (job->tasks + job->n_tasks, 0, (n - job->n_tasks) * sizeof *job->tasks);
+  job->n_waiting += n - job->n_tasks;
+  job->n_tasks = n;
+}
+
+/**
+ * bt_job_describe() - fill in what was asked for, and by which route
+ * @job: the job
+ * @request: the request, copied
+ * @route: the route, or NULL if the tables no longer have it
+ */
+void
+bt_job_describe (bt_job_t *job, const bt_request_t *request, const bt_route_t *route)
+{
+  job->request = bt_schema_copy (&bt_request_schema, request);
+  bt_request_need (request, &job->need);
+  job->durable = bt_request_durable (request);
+  bt_job_set_tasks (job, (guint)request->tasks);
+  if (route == NULL)
+    return;
+  job->route = g_ref_string_acquire (route->name);
+  job->team = g_ref_string_acquire (route->team);
+  job->pool = g_ref_string_acquire (route->pool);
+  job->work_class = (bt_class_t)route->work_class;
+  job->idempotent = route->idempotent;
+  job->retries = route->retries;
+  gint64 deadline_ms = request->deadline_ms;
+  if (deadline_ms == 0 && !job->durable)
+    deadline_ms = route->deadline_ms;
+  job->deadline_at
+      = deadline_ms > 0 ? job->submitted_at + deadline_ms * BT_USEC_PER_MSEC : G_MAXINT64;
+}
+
+/**
+ * bt_job_add_waiter() - note a daemon whose caller waits
+ * @job: the job
+ * @member: the daemon's name
+ */
+void
+bt_job_add_waiter (bt_job_t *job, const char *member)
+{
+  for (guint i = 0; i < job->waiters->len; i++)
+    if (strcmp (job->waiters->pdata[i], member) == 0)
+      return;
+  g_ptr_array_add (job->waiters, g_ref_string_new (member));
+}
+
+/**
+ * bt_attempt_new() - a try to run a task
+ * @core: the core
+ * @job: its job
+ * @task: index of its task, which waits
+ * @id: its id, or NULL for a new one
+ * @worker_name: name of its worker
+ *
+ * Return: the attempt, linked to the task; bt_attempt_drop() ends it.
+ */
+bt_attempt_t *
+bt_attempt_new (bt_core_t *core, bt_job_t *job, guint task, const char *id, const char *worker_name)
+{
+  g_autofree char *fresh = NULL;
+  if (id == NULL)
+    id = fresh = g_strdup_printf ("%s/%u/%s.%" G_GUINT64_FORMAT, job->id, task, core->owner_id,
+                                  core->sched.counter++);
+  bt_attempt_t *attempt = g_new0 (bt_attempt_t, 1);
+  attempt->id = g_ref_string_new (id);
+  attempt->job = job;
+  attempt->task = task;
+  attempt->worker_name = g_ref_string_new (worker_name);
+  attempt->phase = BT_PHASE_ADOPTED;
+  job->tasks[task].attempt = attempt;
+  job->tasks[task].state = BT_TASK_PLACED;
+  job->tasks[task].tries++;
+  job->n_waiting--;
+  job->n_placed++;
+  g_hash_table_insert (core->sched.attempts, attempt->id, attempt);
+  return attempt;
+}
+
+/**
+ * bt_attempt_bind() - let an attempt take its share of a worker
+ * @attempt: an attempt that is not bound yet
+ * @worker: the worker
+ * @need: what it takes
+ */
+void
+bt_attempt_bind (bt_attempt_t *attempt, bt_worker_t *worker, const bt_vector_t *need)
+{
+  attempt->worker = worker;
+  attempt->need = *need;
+  bt_vector_add (&worker->used, need);
+  g_hash_table_insert (worker->attempts, attempt->id, attempt);
+}
+
+/**
+ * bt_attempt_drop() - end an attempt and free its share of the worker
+ * @core: the core
+ * @attempt: the attempt, freed
+ * @task_state: the state that its task is left in
+ */
+void
+bt_attempt_drop (bt_core_t *core, bt_attempt_t *attempt, bt_task_state_t task_state)
+{
+  bt_job_t *job = attempt->job;
+  if (attempt->worker != NULL)
+    {
+      bt_vector_sub (&attempt->worker->used, &attempt->need);
+      g_hash_table_remove (attempt->worker->attempts, attempt->id);
+    }
+  job->tasks[attempt->task].attempt = NULL;
+  job->tasks[attempt->task].state = task_state;
+  job->n_placed--;
+  if (task_state == BT_TASK_ENDED)
+    job->n_ended++;
+  else
+    job->n_waiting++;
+  g_hash_table_remove (core->sched.attempts, attempt->id);
+  g_ref_string_release (attempt->id);
+  g_ref_string_release (attempt->worker_name);
+  g_free (attempt);
+}
+
+static const char *
+state_text (const bt_job_t *job)
+{
+  if (job->state == BT_JOB_ENDED)
+    return bt_status_names[job->status];
+  if (job->state == BT_JOB_RECORDING)
+    return "recording";
+  return job->n_placed > 0 ? "running" : "waiting";
+}
+
+static JsonNode *
+tasks_node (const bt_job_t *job)
+{
+  JsonArray *array = json_array_new ();
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      const bt_task_t *task = &job->tasks[i];
+      JsonObject *item = json_object_new ();
+      static const char *const names[] = { "waiting", "placed", "ended" };
+      static const char *const phases[]
+          = { "recording", "sent", "running", "uncertain", "adopted" };
+      json_object_set_string_member (item, "state", names[task->state]);
+      if (task->attempt != NULL)
+        {
+          json_object_set_string_member (item, "phase", phases[task->attempt->phase]);
+          json_object_set_string_member (item, "worker", task->attempt->worker_name);
+          json_object_set_string_member (item, "attempt", task->attempt->id);
+        }
+      json_array_add_object_element (array, item);
+    }
+  JsonNode *node = json_node_new (JSON_NODE_ARRAY);
+  json_node_take_array (node, array);
+  return node;
+}
+
+/**
+ * bt_job_node() - a job as JSON, for its caller
+ * @core: the core
+ * @job: the job
+ * @whole: whether with tasks and answer
+ *
+ * Return: a new node.
+ */
+JsonNode *
+bt_job_node (const bt_core_t *core, const bt_job_t *job, gboolean whole)
+{
+  JsonObject *json = json_object_new ();
+  json_object_set_string_member (json, "job", job->id);
+  json_object_set_string_member (json, "status", state_text (job));
+  if (job->reason != BT_REASON_NONE)
+    json_object_set_string_member (json, "reason", bt_reason_names[job->reason]);
+  if (job->detail != NULL)
+    json_object_set_string_member (json, "detail", job->detail);
+  if (job->request != NULL)
+    {
+      json_object_set_string_member (json, "caller", job->request->caller);
+      json_object_set_string_member (json, "work", job->request->work);
+      json_object_set_string_member (json, "kind", bt_kind_names[job->request->kind]);
+    }
+  if (job->route != NULL)
+    json_object_set_string_member (json, "route", job->route);
+  json_object_set_int_member (json, "age_ms", (core->now - job->submitted_at) / BT_USEC_PER_MSEC);
+  if (whole)
+    json_object_set_member (json, "tasks", tasks_node (job));
+  if (whole && job->answer != NULL)
+    {
+      gsize len;
+      const guchar *data = g_bytes_get_data (job->answer, &len);
+      g_autofree char *text = g_base64_encode (data, len);
+      json_object_set_string_member (json, "answer_base64", text);
+    }
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+  json_node_take_object (node, json);
+  return node;
+}
--- /dev/null
+++ b/libbamboothread/process/sched.c
@@ -0,0 +1,959 @@
+#include "libbamboothread/process/core_private.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+
+/*
+ * What becomes of the jobs of the data centre that this daemon owns.
+ */
+
+#define SWEEP_US (100 * BT_USEC_PER_MSEC)
+/* Backoff before a failed task is tried again: first wait, and the longest. */
+#define BACKOFF_FIRST_MS 100
+#define BACKOFF_MAX_MS 30000
+/* What a refused caller is told to wait. */
+#define RETRY_AFTER_MS 1000
+/* Jobs of a class that don't fit before the rest of the class waits too. */
+#define MISSES_MAX 64
+
+static gboolean
+needs_record (const bt_job_t *job)
+{
+  gboolean gang = job->request != NULL && job->request->kind == BT_KIND_GANG;
+  return !job->idempotent || gang;
+}
+
+static gboolean
+end_needs_record (const bt_job_t *job)
+{
+  return job->durable || job->recorded;
+}
+
+/**
+ * bt_sched_init() - no jobs
+ * @core: the core
+ */
+void
+bt_sched_init (bt_core_t *core)
+{
+  core->sched.jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, bt_job_free);
+  core->sched.attempts = g_hash_table_new (g_str_hash, g_str_equal);
+  core->sched.route_waiting = g_hash_table_new (g_str_hash, g_str_equal);
+}
+
+/**
+ * bt_sched_clear() - free all jobs and attempts
+ * @core: the core
+ */
+void
+bt_sched_clear (bt_core_t *core)
+{
+  GHashTableIter iter;
+  bt_job_t *job;
+  g_hash_table_iter_init (&iter, core->sched.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&job))
+    {
+      bt_queue_remove (core, job);
+      for (guint i = 0; i < job->n_tasks; i++)
+        if (job->tasks[i].attempt != NULL)
+          bt_attempt_drop (core, job->tasks[i].attempt, BT_TASK_ENDED);
+    }
+  g_hash_table_unref (core->sched.jobs);
+  g_hash_table_unref (core->sched.attempts);
+  g_hash_table_unref (core->sched.route_waiting);
+}
+
+static void
+tell_member (bt_core_t *core, const char *member, const char *job, const bt_outcome_t *outcome)
+{
+  if (strcmp (member, core->name) == 0)
+    {
+      bt_outcome_t told = *outcome;
+      told.lead_since = core->owner.lead_since;
+      bt_entry_on_outcome (core, core->name, job, &told);
+      return;
+    }
+  Bt__Outcome message = BT__OUTCOME__INIT;
+  message.job = (char *)job;
+  message.status = outcome->status;
+  message.reason = outcome->reason;
+  message.retry_after_ms = outcome->retry_after_ms;
+  message.lead_since_us = (guint64)core->owner.lead_since;
+  message.detail = outcome->detail != NULL ? (char *)outcome->detail : (char *)"";
+  if (outcome->answer != NULL)
+    {
+      gsize len;
+      message.answer.data = (guint8 *)g_bytes_get_data (outcome->answer, &len);
+      message.answer.len = len;
+    }
+  Bt__Envelope envelope = BT__ENVELOPE__INIT;
+  envelope.body_case = BT__ENVELOPE__BODY_OUTCOME;
+  envelope.outcome = &message;
+  bt_core_send_member (core, member, &envelope);
+}
+
+/**
+ * bt_sched_tell() - tell all that wait for a job how it stands
+ * @core: the core
+ * @job: the job, ended or accepted
+ */
+void
+bt_sched_tell (bt_core_t *core, bt_job_t *job)
+{
+  bt_outcome_t outcome = { .status = job->status, .reason = job->reason };
+  outcome.answer = job->answer;
+  outcome.detail = job->detail;
+  if (job->state != BT_JOB_ENDED)
+    outcome.status = job->recorded ? BT_STATUS_ACCEPTED : BT_STATUS_HELD;
+  else if (job->status == BT_STATUS_NOT_RUN)
+    outcome.retry_after_ms = RETRY_AFTER_MS;
+  for (guint i = 0; i < job->waiters->len; i++)
+    tell_member (core, job->waiters->pdata[i], job->id, &outcome);
+  g_ptr_array_set_size (job->waiters, 0);
+}
+
+static void
+stop_attempt (bt_core_t *core, bt_attempt_t *attempt)
+{
+  attempt->stopping = TRUE;
+  if (attempt->worker != NULL && attempt->phase == BT_PHASE_RUNNING)
+    g_ptr_array_add (attempt->worker->stops, g_ref_string_acquire (attempt->id));
+}
+
+static void
+abandon_attempt (bt_core_t *core, bt_attempt_t *attempt)
+{
+  bt_record_t *record = bt_journal_record (core, BT_RECORD_ABANDONED, attempt->job->id);
+  record->attempt = g_ref_string_acquire (attempt->id);
+  record->task = attempt->task;
+  bt_journal_append (core, record);
+}
+
+static void
+stop_tasks (bt_core_t *core, bt_job_t *job)
+{
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      bt_attempt_t *attempt = job->tasks[i].attempt;
+      if (attempt == NULL)
+        continue;
+      if (attempt->phase == BT_PHASE_RECORDING)
+        {
+          abandon_attempt (core, attempt);
+          bt_attempt_drop (core, attempt, BT_TASK_WAITING);
+        }
+      else
+        stop_attempt (core, attempt);
+    }
+}
+
+/**
+ * bt_sched_end_job() - a job's outcome is known
+ * @core: the core
+ * @job: the job; nothing happens if it has ended before
+ * @status: the outcome
+ * @reason: why
+ * @answer: the whole answer, or NULL
+ * @detail: the cause in words, or NULL
+ */
+void
+bt_sched_end_job (bt_core_t *core, bt_job_t *job, bt_status_t status, bt_reason_t reason,
+                  GBytes *answer, const char *detail)
+{
+  if (job->state == BT_JOB_ENDED)
+    return;
+  bt_queue_remove (core, job);
+  job->state = BT_JOB_ENDED;
+  job->ended_at = core->now;
+  job->status = status;
+  job->reason = reason;
+  job->answer = answer != NULL ? g_bytes_ref (answer) : NULL;
+  job->detail = g_strdup (detail);
+  stop_tasks (core, job);
+  bt_trace_add (core, job->id, "ended", job->route != NULL ? job->route : "-", "%s, %s",
+                bt_status_names[status], bt_reason_names[reason]);
+  if (end_needs_record (job))
+    {
+      bt_record_t *record = bt_journal_record (core, BT_RECORD_ENDED, job->id);
+      record->status = status;
+      record->reason = reason;
+      bt_journal_append (core, record);
+    }
+  bt_sched_tell (core, job);
+}
+
+/* Whether this daemon can prove that no earlier owner ran the request. */
+static gboolean
+surely_not_run (const bt_core_t *core, gboolean resent, gboolean recorded_kind)
+{
+  return !resent || (recorded_kind && core->journal.caught_up);
+}
+
+static void
+refuse (bt_core_t *core, const char *member, const char *id, gboolean certain, bt_reason_t reason,
+        const char *line, const char *detail)
+{
+  bt_outcome_t outcome = { .status = certain ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN };
+  outcome.reason = reason;
+  outcome.retry_after_ms = RETRY_AFTER_MS;
+  g_autofree char *text = g_strdup_printf ("%s: %s", line, detail);
+  outcome.detail = text;
+  bt_trace_add (core, id, "refused", line, "%s: %s", bt_reason_names[reason], detail);
+  tell_member (core, member, id, &outcome);
+}
+
+static guint
+route_waiting (const bt_core_t *core, const bt_route_t *route)
+{
+  guint n = 0;
+  for (const GList *l = core->sched.queue[route->work_class].head; l != NULL; l = l->next)
+    {
+      const bt_job_t *job = l->data;
+      if (job->route != NULL && strcmp (job->route, route->name) == 0)
+        n++;
+    }
+  return n;
+}
+
+static bt_reason_t
+admission_fault (const bt_core_t *core, const bt_route_t *route, const bt_request_t *request)
+{
+  const bt_pool_t *pool = bt_tables_pool (core->tables.tables, route->pool);
+  if (!bt_pool_in_data_centre (pool, core->data_centre))
+    return BT_REASON_NO_POOL_MEMBER;
+  if (!bt_place_possible (core, request, pool))
+    return BT_REASON_NEVER_FITS;
+  gboolean log_needed = bt_request_durable (request) || !route->idempotent;
+  if (log_needed && !core->journal.available && route->on_log_outage == BT_LOG_OUTAGE_REFUSE)
+    return BT_REASON_LOG_UNAVAILABLE;
+  if (route_waiting (core, route) >= (guint)route->queue_limit)
+    return BT_REASON_QUEUE_FULL;
+  return BT_REASON_NONE;
+}
+
+static void
+record_accepted (bt_core_t *core, const bt_job_t *job)
+{
+  bt_record_t *record = bt_journal_record (core, BT_RECORD_ACCEPTED, job->id);
+  record->request = bt_schema_copy (&bt_request_schema, job->request);
+  record->route = job->route != NULL ? g_ref_string_acquire (job->route) : NULL;
+  bt_journal_append (core, record);
+}
+
+static void
+admit (bt_core_t *core, const char *member, const char *id, const bt_request_t *request,
+       const bt_route_t *route, gboolean resent, gint64 age_us)
+{
+  bt_job_t *job = bt_job_new (core, id);
+  job->submitted_at = core->now - age_us;
+  job->resent = resent;
+  bt_job_describe (job, request, route);
+  bt_job_add_waiter (job, member);
+  bt_trace_add (core, id, "admitted", route->name, "pool %s, class %s", route->pool,
+                bt_class_names[route->work_class]);
+  if (!job->durable)
+    {
+      bt_queue_push (core, job);
+      return;
+    }
+  gboolean hold = !core->journal.available && route->on_log_outage == BT_LOG_OUTAGE_HOLD;
+  job->state = hold ? BT_JOB_OPEN : BT_JOB_RECORDING;
+  record_accepted (core, job);
+  if (!hold)
+    return;
+  bt_queue_push (core, job);
+  bt_sched_tell (core, job);
+}
+
+static void
+submit_known (bt_core_t *core, const char *member, bt_job_t *job, const bt_request_t *request)
+{
+  if (job->request == NULL)
+    bt_job_describe (job, request,
+                     bt_tables_match (core->tables.tables, request->caller, request->work));
+  bt_job_add_waiter (job, member);
+  if (job->state == BT_JOB_ENDED || (job->state == BT_JOB_OPEN && job->durable))
+    bt_sched_tell (core, job);
+  else if (job->state == BT_JOB_OPEN && job->n_waiting > 0)
+    bt_queue_push (core, job);
+}
+
+/**
+ * bt_sched_submit() - a request for the workers of this data centre
+ * @core: the core
+ * @member: name of the daemon whose caller asks
+ * @id: the job's id; one seen before is the same request
+ * @request: the request
+ * @resent: whether an earlier owner was asked and may have run it
+ * @age_us: time since the caller asked, in microseconds
+ */
+void
+bt_sched_submit (bt_core_t *core, const char *member, const char *id, const bt_request_t *request,
+                 gboolean resent, gint64 age_us)
+{
+  if (!core->owner.leading || core->leaving)
+    {
+      bt_outcome_t outcome = { .status = BT_STATUS_RETRY, .reason = BT_REASON_NO_OWNER };
+      tell_member (core, member, id, &outcome);
+      return;
+    }
+  bt_job_t *job = g_hash_table_lookup (core->sched.jobs, id);
+  if (job != NULL)
+    {
+      submit_known (core, member, job, request);
+      return;
+    }
+  gboolean young = core->now < core->owner.lead_since + core->config.retention_us;
+  resent = resent || (request->key != NULL && young);
+  const bt_route_t *route = bt_tables_match (core->tables.tables, request->caller, request->work);
+  if (route == NULL)
+    {
+      refuse (core, member, id, !resent, BT_REASON_NO_ROUTE, "routes", "no line matches");
+      return;
+    }
+  gboolean recorded_kind = bt_request_durable (request) || !route->idempotent;
+  bt_reason_t fault = admission_fault (core, route, request);
+  if (fault != BT_REASON_NONE)
+    {
+      gboolean certain = surely_not_run (core, resent, recorded_kind);
+      refuse (core, member, id, certain, fault, route->name, bt_reason_names[fault]);
+      return;
+    }
+  admit (core, member, id, request, route, resent, age_us);
+  bt_sched_run (core);
+}
+
+static void
+send_start (bt_core_t *core, bt_attempt_t *attempt)
+{
+  bt_job_t *job = attempt->job;
+  core->now = bt_clock_now (core->clock);
+  if (!bt_owner_may_start (core, attempt->worker))
+    {
+      bt_sched_attempt_lost (core, attempt, TRUE);
+      return;
+    }
+  attempt->phase = BT_PHASE_SENT;
+  attempt->sent_at = core->now;
+  if (job->started_at == 0)
+    job->started_at = core->now;
+  bt_start_request_t request = { .epoch = attempt->worker->epoch, .task = attempt->task };
+  request.owner = g_ref_string_new (core->owner_id);
+  request.attempt = attempt->id;
+  request.job = job->id;
+  request.mcpus = attempt->need.v[BT_RESOURCE_MCPUS];
+  request.memory_mb = attempt->need.v[BT_RESOURCE_MEMORY_MB];
+  request.gpus = attempt->need.v[BT_RESOURCE_GPUS];
+  request.connections = attempt->need.v[BT_RESOURCE_CONNECTIONS];
+  request.run_ms = job->request->run_ms;
+  request.service = job->request->kind == BT_KIND_SERVICE;
+  request.wait = job->request->kind == BT_KIND_REQUEST;
+  request.payload = job->request->payload;
+  core->counters.starts_sent++;
+  bt_trace_add (core, job->id, "started", job->route,
+                "task %u on %s (pool %s) after %" G_GINT64_FORMAT " ms", attempt->task,
+                attempt->worker->name, attempt->worker->pool,
+                (core->now - job->submitted_at) / BT_USEC_PER_MSEC);
+  core->ops.worker_start (core->context, attempt->worker->name, attempt->worker->address, &request);
+  g_ref_string_release (request.owner);
+}
+
+/**
+ * bt_sched_attempt_sendable() - an attempt's record is in the log
+ * @core: the core
+ * @attempt: an attempt that was being recorded
+ */
+void
+bt_sched_attempt_sendable (bt_core_t *core, bt_attempt_t *attempt)
+{
+  if (attempt->phase == BT_PHASE_RECORDING)
+    send_start (core, attempt);
+}
+
+static void
+begin_attempt (bt_core_t *core, bt_job_t *job, guint task, bt_worker_t *worker)
+{
+  bt_attempt_t *attempt = bt_attempt_new (core, job, task, NULL, worker->name);
+  bt_attempt_bind (attempt, worker, &job->need);
+  attempt->phase = BT_PHASE_RECORDING;
+  if (!needs_record (job))
+    return;
+  bt_record_t *record = bt_journal_record (core, BT_RECORD_ATTEMPT, job->id);
+  record->attempt = g_ref_string_acquire (attempt->id);
+  record->worker = g_ref_string_acquire (worker->name);
+  record->task = task;
+  record->route = g_ref_string_acquire (job->route);
+  if (!job->durable)
+    record->request = bt_schema_copy (&bt_request_schema, job->request);
+  bt_journal_append (core, record);
+}
+
+static gint
+first_waiting (const bt_job_t *job)
+{
+  for (guint i = 0; i < job->n_tasks; i++)
+    if (job->tasks[i].state == BT_TASK_WAITING)
+      return (gint)i;
+  return -1;
+}
+
+static void
+unplace_unsent (bt_core_t *core, bt_job_t *job, const GArray *tasks)
+{
+  for (guint i = 0; i < tasks->len; i++)
+    bt_attempt_drop (core, job->tasks[g_array_index (tasks, guint, i)].attempt, BT_TASK_WAITING);
+}
+
+/* All tasks of a gang are placed at once or none is. */
+static gboolean
+place_gang (bt_core_t *core, bt_job_t *job)
+{
+  if (job->n_placed > 0)
+    return FALSE;
+  g_autoptr (GArray) placed = g_array_new (FALSE, FALSE, sizeof (guint));
+  gint task;
+  while ((task = first_waiting (job)) >= 0)
+    {
+      bt_worker_t *worker = bt_place_find (core, job, (guint)task);
+      if (worker == NULL)
+        {
+          unplace_unsent (core, job, placed);
+          return FALSE;
+        }
+      guint index = (guint)task;
+      bt_attempt_t *attempt = bt_attempt_new (core, job, index, NULL, worker->name);
+      bt_attempt_bind (attempt, worker, &job->need);
+      g_array_append_val (placed, index);
+    }
+  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
+  for (guint i = 0; i < placed->len; i++)
+    g_ptr_array_add (workers, job->tasks[g_array_index (placed, guint, i)].attempt->worker);
+  unplace_unsent (core, job, placed);
+  for (guint i = 0; i < placed->len; i++)
+    begin_attempt (core, job, g_array_index (placed, guint, i), workers->pdata[i]);
+  return TRUE;
+}
+
+static gboolean
+place_tasks (bt_core_t *core, bt_job_t *job)
+{
+  gint task;
+  while ((task = first_waiting (job)) >= 0)
+    {
+      bt_worker_t *worker = bt_place_find (core, job, (guint)task);
+      if (worker == NULL)
+        return FALSE;
+      begin_attempt (core, job, (guint)task, worker);
+      bt_attempt_t *attempt = job->tasks[task].attempt;
+      if (!needs_record (job))
+        send_start (core, attempt);
+      if (job->tasks[task].state == BT_TASK_WAITING)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gboolean
+place_job (bt_core_t *core, bt_job_t *job)
+{
+  if (needs_record (job) && !core->journal.caught_up)
+    return FALSE;
+  if (job->request->kind == BT_KIND_GANG)
+    return place_gang (core, job);
+  return place_tasks (core, job);
+}
+
+/**
+ * bt_sched_run() - start what can be started, most urgent class first
+ * @core: the core
+ */
+void
+bt_sched_run (bt_core_t *core)
+{
+  if (!core->owner.leading)
+    return;
+  for (int i = 0; i < BT_N_CLASSES; i++)
+    {
+      guint misses = 0;
+      GList *next;
+      for (GList *l = core->sched.queue[i].head; l != NULL && misses < MISSES_MAX; l = next)
+        {
+          bt_job_t *job = l->data;
+          next = l->next;
+          if (!bt_recover_ready (core, job))
+            continue;
+          if (place_job (core, job))
+            bt_queue_remove (core, job);
+          else
+            misses++;
+        }
+    }
+}
+
+static gint64
+backoff_us (bt_core_t *core, guint failures)
+{
+  gint64 ms = BACKOFF_FIRST_MS << MIN (failures, 8);
+  ms = MIN (ms, BACKOFF_MAX_MS);
+  return g_rand_int_range (core->rand, (gint32)ms / 2, (gint32)ms + 1) * BT_USEC_PER_MSEC;
+}
+
+static void
+requeue (bt_core_t *core, bt_job_t *job)
+{
+  if (job->state != BT_JOB_OPEN || job->request == NULL)
+    return;
+  if (job->request->kind == BT_KIND_GANG && job->n_placed > 0)
+    stop_tasks (core, job);
+  bt_queue_push (core, job);
+}
+
+static void
+forget_unknown_job (bt_core_t *core, bt_job_t *job)
+{
+  if (job->request == NULL && !job->recorded && job->n_placed == 0)
+    g_hash_table_remove (core->sched.jobs, job->id);
+}
+
+/**
+ * bt_sched_attempt_lost() - an attempt is over without a result
+ * @core: the core
+ * @attempt: the attempt, freed
+ * @surely_not_run: whether it certainly never started
+ */
+void
+bt_sched_attempt_lost (bt_core_t *core, bt_attempt_t *attempt, gboolean surely_not_run)
+{
+  bt_job_t *job = attempt->job;
+  bt_trace_add (core, job->id, surely_not_run ? "not-started" : "lost",
+                job->route != NULL ? job->route : "-", "task %u on %s", attempt->task,
+                attempt->worker_name);
+  core->counters.attempts_lost++;
+  if (surely_not_run && attempt->recorded)
+    abandon_attempt (core, attempt);
+  gboolean again = surely_not_run || job->idempotent;
+  gboolean open = job->state == BT_JOB_OPEN;
+  bt_attempt_drop (core, attempt, again && open ? BT_TASK_WAITING : BT_TASK_ENDED);
+  if (job->request == NULL && !job->recorded)
+    forget_unknown_job (core, job);
+  else if (again)
+    requeue (core, job);
+  else
+    bt_sched_end_job (core, job, BT_STATUS_UNKNOWN, BT_REASON_OWNER_LOST, NULL,
+                      "the task may have run; its worker was lost");
+}
+
+static GBytes *
+whole_answer (const bt_job_t *job)
+{
+  if (job->n_tasks == 1)
+    return job->tasks[0].answer != NULL ? g_bytes_ref (job->tasks[0].answer) : NULL;
+  JsonArray *array = json_array_new ();
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      gsize len = 0;
+      const guchar *data
+          = job->tasks[i].answer != NULL ? g_bytes_get_data (job->tasks[i].answer, &len) : NULL;
+      g_autofree char *text = g_base64_encode (data, len);
+      json_array_add_string_element (array, text);
+    }
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_ARRAY);
+  json_node_take_array (node, array);
+  return bt_json_bytes (node, FALSE);
+}
+
+static void
+record_task_end (bt_core_t *core, const bt_attempt_t *attempt, bt_status_t status,
+                 const char *answer)
+{
+  bt_record_t *record = bt_journal_record (core, BT_RECORD_TASK_ENDED, attempt->job->id);
+  record->task = attempt->task;
+  record->attempt = g_ref_string_acquire (attempt->id);
+  record->worker = g_ref_string_acquire (attempt->worker_name);
+  record->status = status;
+  record->answer = answer != NULL ? g_ref_string_new (answer) : NULL;
+  bt_journal_append (core, record);
+}
+
+static GBytes *
+decode_answer (const char *base64)
+{
+  if (base64 == NULL)
+    return NULL;
+  gsize len;
+  guchar *data = g_base64_decode (base64, &len);
+  return g_bytes_new_take (data, len);
+}
+
+static void
+settle_ack (bt_core_t *core, bt_worker_t *worker, const bt_attempt_t *attempt, bt_status_t status,
+            const char *answer)
+{
+  if (end_needs_record (attempt->job))
+    record_task_end (core, attempt, status, answer);
+  else
+    bt_owner_ack (core, worker, attempt->id);
+}
+
+static void
+task_done (bt_core_t *core, bt_worker_t *worker, bt_attempt_t *attempt,
+           const bt_attempt_report_t *report)
+{
+  bt_job_t *job = attempt->job;
+  bt_task_t *task = &job->tasks[attempt->task];
+  settle_ack (core, worker, attempt, BT_STATUS_DONE, report->answer);
+  g_clear_pointer (&task->answer, g_bytes_unref);
+  task->answer = decode_answer (report->answer);
+  bt_attempt_drop (core, attempt, BT_TASK_ENDED);
+  if (job->n_ended < job->n_tasks)
+    return;
+  g_autoptr (GBytes) answer = whole_answer (job);
+  bt_sched_end_job (core, job, BT_STATUS_DONE, BT_REASON_NONE, answer, NULL);
+}
+
+static gboolean
+may_retry (const bt_job_t *job)
+{
+  if (job->state != BT_JOB_OPEN || !job->idempotent || job->request == NULL)
+    return FALSE;
+  return job->request->kind == BT_KIND_SERVICE || job->failures <= job->retries;
+}
+
+static void
+task_failed (bt_core_t *core, bt_worker_t *worker, bt_attempt_t *attempt,
+             const bt_attempt_report_t *report)
+{
+  bt_job_t *job = attempt->job;
+  job->failures++;
+  if (may_retry (job))
+    {
+      bt_trace_add (core, job->id, "retry", job->route, "task %u failed on %s, failure %u",
+                    attempt->task, worker->name, job->failures);
+      bt_owner_ack (core, worker, attempt->id);
+      bt_attempt_drop (core, attempt, BT_TASK_WAITING);
+      job->not_before = core->now + backoff_us (core, job->failures);
+      requeue (core, job);
+      return;
+    }
+  settle_ack (core, worker, attempt, BT_STATUS_FAILED, report->answer);
+  bt_attempt_drop (core, attempt, BT_TASK_ENDED);
+  g_autoptr (GBytes) answer = decode_answer (report->answer);
+  bt_sched_end_job (core, job, BT_STATUS_FAILED, BT_REASON_TASK_FAILED, answer,
+                    "a task failed on its worker");
+}
+
+static void
+task_stopped (bt_core_t *core, bt_worker_t *worker, bt_attempt_t *attempt)
+{
+  bt_owner_ack (core, worker, attempt->id);
+  bt_sched_attempt_lost (core, attempt, FALSE);
+}
+
+static void
+apply_end (bt_core_t *core, bt_worker_t *worker, bt_attempt_t *attempt,
+           const bt_attempt_report_t *report)
+{
+  const bt_job_t *job = attempt->job;
+  gboolean service = job->request != NULL && job->request->kind == BT_KIND_SERVICE;
+  if (report->state == BT_ATTEMPT_DONE && !service)
+    task_done (core, worker, attempt, report);
+  else if (report->state == BT_ATTEMPT_DONE || report->state == BT_ATTEMPT_FAILED)
+    task_failed (core, worker, attempt, report);
+  else
+    task_stopped (core, worker, attempt);
+}
+
+static void
+report_need (const bt_attempt_report_t *report, bt_vector_t *need)
+{
+  need->v[BT_RESOURCE_MCPUS] = report->mcpus;
+  need->v[BT_RESOURCE_MEMORY_MB] = report->memory_mb;
+  need->v[BT_RESOURCE_GPUS] = report->gpus;
+  need->v[BT_RESOURCE_SLOTS] = 1;
+  need->v[BT_RESOURCE_CONNECTIONS] = report->connections;
+}
+
+/* An attempt that its task has no place for: it is stopped. */
+static bt_attempt_t *
+take_surplus (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report)
+{
+  bt_job_t *job = bt_job_new (core, report->attempt);
+  job->state = BT_JOB_ENDED;
+  job->status = BT_STATUS_CANCELLED;
+  job->ended_at = core->now;
+  bt_job_set_tasks (job, 1);
+  bt_attempt_t *attempt = bt_attempt_new (core, job, 0, report->attempt, worker->name);
+  attempt->phase = BT_PHASE_RUNNING;
+  stop_attempt (core, attempt);
+  return attempt;
+}
+
+static gboolean
+task_taken (const bt_job_t *job, guint task)
+{
+  if (job->state == BT_JOB_ENDED)
+    return TRUE;
+  if (task >= job->n_tasks)
+    return FALSE;
+  return job->tasks[task].state == BT_TASK_ENDED
+         || (job->tasks[task].attempt != NULL
+             && job->tasks[task].attempt->phase != BT_PHASE_ADOPTED);
+}
+
+/* Find or make the attempt that a worker reports; NULL if it was taken in before. */
+static bt_attempt_t *
+take_attempt (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report)
+{
+  bt_attempt_t *attempt = g_hash_table_lookup (core->sched.attempts, report->attempt);
+  if (attempt == NULL)
+    {
+      bt_job_t *job = g_hash_table_lookup (core->sched.jobs, report->job);
+      guint task = (guint)report->task;
+      gboolean taken = job != NULL && task_taken (job, task);
+      if (taken && report->state != BT_ATTEMPT_RUNNING)
+        {
+          gboolean settled = !end_needs_record (job) || job->end_recorded
+                             || (task < job->n_tasks && job->tasks[task].recorded)
+                             || report->state == BT_ATTEMPT_STOPPED;
+          if (settled)
+            bt_owner_ack (core, worker, report->attempt);
+          return NULL;
+        }
+      core->counters.attempts_imported++;
+      if (taken)
+        attempt = take_surplus (core, worker, report);
+      else
+        {
+          if (job == NULL)
+            job = bt_job_new (core, report->job);
+          bt_job_set_tasks (job, task + 1);
+          if (job->tasks[task].attempt != NULL)
+            bt_attempt_drop (core, job->tasks[task].attempt, BT_TASK_WAITING);
+          attempt = bt_attempt_new (core, job, task, report->attempt, worker->name);
+          attempt->recorded = job->recorded;
+        }
+    }
+  if (attempt->worker == NULL)
+    {
+      bt_vector_t need;
+      report_need (report, &need);
+      bt_attempt_bind (attempt, worker, &need);
+    }
+  return attempt;
+}
+
+/**
+ * bt_sched_on_report() - a worker reports an attempt
+ * @core: the core
+ * @worker: the worker
+ * @report: what it says
+ *
+ * Ends are reported again until they are confirmed, so one that can't be
+ * judged before the journal is read to its end is left for later.
+ */
+void
+bt_sched_on_report (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report)
+{
+  gboolean known = g_hash_table_contains (core->sched.attempts, report->attempt);
+  if (!known && report->state != BT_ATTEMPT_RUNNING && !core->journal.caught_up)
+    return;
+  bt_attempt_t *attempt = take_attempt (core, worker, report);
+  if (attempt == NULL)
+    return;
+  if (report->state != BT_ATTEMPT_RUNNING)
+    {
+      apply_end (core, worker, attempt, report);
+      return;
+    }
+  attempt->phase = BT_PHASE_RUNNING;
+  if (attempt->job->n_waiting == 0)
+    bt_queue_remove (core, attempt->job);
+  if (attempt->job->state == BT_JOB_ENDED && !attempt->stopping)
+    stop_attempt (core, attempt);
+}
+
+/**
+ * bt_sched_on_start() - a worker answered a start
+ * @core: the core
+ * @worker_name: the worker's name
+ * @attempt_id: the attempt's id
+ * @reply: its answer, or NULL if none came
+ *
+ * An answer that no attempt waits for is dropped and counted.
+ */
+void
+bt_sched_on_start (bt_core_t *core, const char *worker_name, const char *attempt_id,
+                   const bt_start_reply_t *reply)
+{
+  bt_attempt_t *attempt = g_hash_table_lookup (core->sched.attempts, attempt_id);
+  bt_worker_t *worker = bt_owner_worker (core, worker_name);
+  if (attempt == NULL || worker == NULL || attempt->worker != worker)
+    {
+      core->counters.answers_dropped_late++;
+      return;
+    }
+  if (reply == NULL)
+    {
+      core->counters.starts_uncertain++;
+      attempt->phase = BT_PHASE_UNCERTAIN;
+      bt_owner_fence (core, worker);
+      return;
+    }
+  if (reply->verdict == BT_START_STARTED || reply->verdict == BT_START_ENDED)
+    {
+      if (reply->report != NULL && strcmp (reply->report->attempt, attempt_id) == 0)
+        bt_sched_on_report (core, worker, reply->report);
+      else if (reply->verdict == BT_START_STARTED)
+        attempt->phase = BT_PHASE_RUNNING;
+      else
+        core->counters.messages_malformed++;
+      return;
+    }
+  core->counters.starts_refused++;
+  worker->leaving = worker->leaving || reply->verdict == BT_START_LEAVING;
+  if (reply->verdict != BT_START_LEAVING)
+    bt_owner_fence (core, worker);
+  bt_sched_attempt_lost (core, attempt, TRUE);
+}
+
+/**
+ * bt_sched_on_stop() - a worker answered a stop
+ * @core: the core
+ * @worker_name: the worker's name
+ * @reply: its answer, or NULL if none came
+ */
+void
+bt_sched_on_stop (bt_core_t *core, const char *worker_name, const bt_stop_reply_t *reply)
+{
+  bt_worker_t *worker = bt_owner_worker (core, worker_name);
+  if (worker == NULL || reply == NULL || !reply->accepted)
+    return;
+  for (guint i = 0; i < reply->attempts->len; i++)
+    bt_sched_on_report (core, worker, reply->attempts->pdata[i]);
+}
+
+/**
+ * bt_sched_cancel() - a caller wants its job to end
+ * @core: the core
+ * @job: the job
+ */
+void
+bt_sched_cancel (bt_core_t *core, bt_job_t *job)
+{
+  if (job->state == BT_JOB_ENDED || job->cancelled)
+    return;
+  job->cancelled = TRUE;
+  if (end_needs_record (job))
+    bt_journal_append (core, bt_journal_record (core, BT_RECORD_CANCEL, job->id));
+  bt_sched_end_job (core, job, BT_STATUS_CANCELLED, BT_REASON_CANCELLED, NULL,
+                    "cancelled by its caller");
+}
+
+/**
+ * bt_sched_caller_gone() - nobody waits for a short request any more
+ * @core: the core
+ * @member: the daemon whose caller went away
+ * @id: the job's id
+ */
+void
+bt_sched_caller_gone (bt_core_t *core, const char *member, const char *id)
+{
+  bt_job_t *job = g_hash_table_lookup (core->sched.jobs, id);
+  if (job == NULL || job->durable || job->n_placed > 0 || job->state != BT_JOB_OPEN)
+    return;
+  for (guint i = 0; i < job->waiters->len; i++)
+    if (strcmp (job->waiters->pdata[i], member) != 0)
+      return;
+  bt_sched_end_job (core, job, BT_STATUS_NOT_RUN, BT_REASON_CALLER_GONE, NULL,
+                    "its caller went away before it started");
+}
+
+static void
+flush_stops (bt_core_t *core, bt_worker_t *worker)
+{
+  if (worker->stops->len == 0 || worker->epoch == 0)
+    return;
+  bt_stop_request_t request = { .epoch = worker->epoch, .mode = BT_STOP_STOP };
+  request.owner = g_ref_string_new (core->owner_id);
+  request.attempts = worker->stops;
+  core->ops.worker_stop (core->context, worker->name, worker->address, &request);
+  g_ptr_array_set_size (worker->stops, 0);
+  g_ref_string_release (request.owner);
+}
+
+static void
+repeat_stops (bt_core_t *core, bt_worker_t *worker)
+{
+  GHashTableIter iter;
+  bt_attempt_t *attempt;
+  g_hash_table_iter_init (&iter, worker->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&attempt))
+    if (attempt->stopping && worker->stops->len < 1024)
+      stop_attempt (core, attempt);
+}
+
+static void
+expire_waiting (bt_core_t *core, bt_job_t *job)
+{
+  if (job->state != BT_JOB_OPEN || job->n_placed > 0 || core->now < job->deadline_at)
+    return;
+  gboolean tried = job->tasks[0].tries > 0;
+  gboolean certain = !tried && surely_not_run (core, job->resent, needs_record (job));
+  bt_sched_end_job (core, job, certain ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN, BT_REASON_DEADLINE,
+                    NULL, "its deadline passed before it could start");
+}
+
+static gboolean
+forgettable (const bt_core_t *core, const bt_job_t *job)
+{
+  if (job->state != BT_JOB_ENDED || job->n_placed > 0 || job->waiters->len > 0)
+    return FALSE;
+  if (end_needs_record (job) && !job->end_recorded)
+    return FALSE;
+  return core->now - job->ended_at > core->config.retention_us;
+}
+
+static void
+sweep (bt_core_t *core)
+{
+  for (int i = 0; i < BT_N_CLASSES; i++)
+    {
+      GList *next;
+      for (GList *l = core->sched.queue[i].head; l != NULL; l = next)
+        {
+          next = l->next;
+          expire_waiting (core, l->data);
+        }
+    }
+  GHashTableIter iter;
+  bt_job_t *job;
+  g_hash_table_iter_init (&iter, core->sched.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&job))
+    if (forgettable (core, job))
+      g_hash_table_iter_remove (&iter);
+}
+
+/**
+ * bt_sched_tick() - start what can be started, stop what has to, expire and forget
+ * @core: the core
+ */
+void
+bt_sched_tick (bt_core_t *core)
+{
+  bt_sched_run (core);
+  gboolean sweeping = core->now >= core->sched.next_sweep;
+  GHashTableIter iter;
+  bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, core->owner.workers);
+  while (core->owner.leading && g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    {
+      if (sweeping && worker->stops->len == 0)
+        repeat_stops (core, worker);
+      flush_stops (core, worker);
+    }
+  if (!sweeping)
+    return;
+  core->sched.next_sweep = core->now + SWEEP_US;
+  sweep (core);
+}
--- /dev/null
+++ b/libbamboothread/version/fold.c
@@ -0,0 +1,348 @@
+#include "libbamboothread/version/fold.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/error.h"
+
+/* How many edit ids are remembered, to count a repeated edit once. */
+#define SEEN_MAX 4096
+#define HISTORY_MAX 256
+#define RECENT_MAX 256
+
+const char *const bt_verdict_names[]
+    = { "accepted", "duplicate", "stale", "invalid", "snapshot", NULL };
+
+static const bt_field_t names_fields[] = {
+  { "routes", BT_FIELD_STRINGS, offsetof (bt_names_t, routes), FALSE, 0, 1024 },
+  { "pools", BT_FIELD_STRINGS, offsetof (bt_names_t, pools), FALSE, 0, 1024 },
+};
+
+static const bt_schema_t names_schema = BT_SCHEMA (names_fields, bt_names_t);
+
+static const bt_field_t edit_fields[] = {
+  { "id", BT_FIELD_STRING, offsetof (bt_edit_t, id), TRUE, 1, 64 },
+  { "base", BT_FIELD_INT, offsetof (bt_edit_t, base), TRUE, 0, G_MAXINT64 },
+  { "author", BT_FIELD_STRING, offsetof (bt_edit_t, author), TRUE, 1, 128 },
+  { "put", BT_FIELD_OBJECT, offsetof (bt_edit_t, put), FALSE, 0, 0, 0, NULL, &bt_tables_schema },
+  { "remove", BT_FIELD_OBJECT, offsetof (bt_edit_t, remove), FALSE, 0, 0, 0, NULL, &names_schema },
+  { "snapshot", BT_FIELD_INT, offsetof (bt_edit_t, snapshot), FALSE, 0, G_MAXINT64 },
+  { "recent", BT_FIELD_STRINGS, offsetof (bt_edit_t, recent), FALSE, 0, RECENT_MAX },
+};
+
+const bt_schema_t bt_edit_schema = BT_SCHEMA (edit_fields, bt_edit_t);
+
+static bt_tables_t *
+tables_new (void)
+{
+  bt_tables_t *tables = g_new0 (bt_tables_t, 1);
+  tables->routes = g_ptr_array_new ();
+  tables->pools = g_ptr_array_new ();
+  return tables;
+}
+
+/**
+ * bt_fold_init() - start with empty tables of version 0
+ * @fold: the fold
+ */
+void
+bt_fold_init (bt_fold_t *fold)
+{
+  memset (fold, 0, sizeof *fold);
+  fold->tables = tables_new ();
+  g_queue_init (&fold->history);
+  g_queue_init (&fold->ids);
+  fold->seen = g_hash_table_new (g_str_hash, g_str_equal);
+}
+
+static void
+history_free (gpointer data)
+{
+  bt_history_t *entry = data;
+  g_ref_string_release (entry->id);
+  g_ref_string_release (entry->author);
+  g_free (entry->detail);
+  g_free (entry);
+}
+
+/**
+ * bt_fold_clear() - free what a fold holds
+ * @fold: the fold
+ */
+void
+bt_fold_clear (bt_fold_t *fold)
+{
+  bt_tables_free (fold->tables);
+  g_hash_table_unref (fold->seen);
+  g_queue_clear_full (&fold->ids, (GDestroyNotify)g_ref_string_release);
+  g_queue_clear_full (&fold->history, history_free);
+}
+
+static void
+remember_id (bt_fold_t *fold, GRefString *id)
+{
+  if (g_hash_table_contains (fold->seen, id))
+    return;
+  GRefString *kept = g_ref_string_acquire (id);
+  g_queue_push_tail (&fold->ids, kept);
+  g_hash_table_add (fold->seen, kept);
+  if (g_queue_get_length (&fold->ids) <= SEEN_MAX)
+    return;
+  GRefString *oldest = g_queue_pop_head (&fold->ids);
+  g_hash_table_remove (fold->seen, oldest);
+  g_ref_string_release (oldest);
+}
+
+static void
+remember_edit (bt_fold_t *fold, const bt_edit_t *edit, gint64 offset, bt_verdict_t verdict,
+               const char *detail)
+{
+  bt_history_t *entry = g_new0 (bt_history_t, 1);
+  entry->id = g_ref_string_acquire (edit->id);
+  entry->author = g_ref_string_acquire (edit->author);
+  entry->offset = offset;
+  entry->version = fold->version;
+  entry->base = edit->base;
+  entry->verdict = verdict;
+  entry->detail = g_strdup (detail);
+  g_queue_push_tail (&fold->history, entry);
+  if (g_queue_get_length (&fold->history) > HISTORY_MAX)
+    history_free (g_queue_pop_head (&fold->history));
+}
+
+/* Routes and pools both start with their name. */
+static GRefString *
+line_name (gconstpointer line)
+{
+  return *(GRefString *const *)line;
+}
+
+G_STATIC_ASSERT (offsetof (bt_route_t, name) == 0);
+G_STATIC_ASSERT (offsetof (bt_pool_t, name) == 0);
+
+static gint
+find_line (const GPtrArray *lines, const char *name)
+{
+  for (guint i = 0; i < lines->len; i++)
+    if (strcmp (line_name (lines->pdata[i]), name) == 0)
+      return (gint)i;
+  return -1;
+}
+
+static void
+put_lines (const bt_schema_t *schema, GPtrArray *lines, const GPtrArray *put)
+{
+  for (guint i = 0; i < put->len; i++)
+    {
+      gpointer line = bt_schema_copy (schema, put->pdata[i]);
+      gint at = find_line (lines, line_name (line));
+      if (at < 0)
+        {
+          g_ptr_array_add (lines, line);
+          continue;
+        }
+      bt_schema_free (schema, lines->pdata[at]);
+      lines->pdata[at] = line;
+    }
+}
+
+static void
+remove_lines (const bt_schema_t *schema, GPtrArray *lines, const GPtrArray *names)
+{
+  for (guint i = 0; i < names->len; i++)
+    {
+      gint at = find_line (lines, names->pdata[i]);
+      if (at >= 0)
+        bt_schema_free (schema, g_ptr_array_remove_index (lines, (guint)at));
+    }
+}
+
+static bt_tables_t *
+apply_edit (const bt_tables_t *tables, const bt_edit_t *edit)
+{
+  bt_tables_t *next = bt_tables_copy (tables);
+  if (edit->remove != NULL)
+    {
+      remove_lines (&bt_route_schema, next->routes, edit->remove->routes);
+      remove_lines (&bt_pool_schema, next->pools, edit->remove->pools);
+    }
+  if (edit->put != NULL)
+    {
+      put_lines (&bt_route_schema, next->routes, edit->put->routes);
+      put_lines (&bt_pool_schema, next->pools, edit->put->pools);
+    }
+  return next;
+}
+
+static bt_verdict_t
+fold_snapshot (bt_fold_t *fold, bt_edit_t *edit, gint64 offset)
+{
+  if (edit->snapshot > fold->version && edit->put != NULL)
+    {
+      bt_tables_free (fold->tables);
+      fold->tables = g_steal_pointer (&edit->put);
+      fold->version = edit->snapshot;
+      for (guint i = 0; i < edit->recent->len; i++)
+        remember_id (fold, edit->recent->pdata[i]);
+    }
+  remember_edit (fold, edit, offset, BT_VERDICT_SNAPSHOT, "");
+  return BT_VERDICT_SNAPSHOT;
+}
+
+static bt_verdict_t
+fold_edit (bt_fold_t *fold, const bt_edit_t *edit, gint64 offset)
+{
+  if (g_hash_table_contains (fold->seen, edit->id))
+    return BT_VERDICT_DUPLICATE;
+  remember_id (fold, edit->id);
+  if (edit->base != fold->version)
+    {
+      remember_edit (fold, edit, offset, BT_VERDICT_STALE, "");
+      return BT_VERDICT_STALE;
+    }
+  bt_tables_t *next = apply_edit (fold->tables, edit);
+  bt_report_t report;
+  bt_report_init (&report);
+  bt_tables_check (next, &report);
+  g_autofree char *faults = bt_report_text (&report, "edit");
+  gboolean valid = bt_report_ok (&report);
+  bt_report_clear (&report);
+  if (!valid)
+    {
+      bt_tables_free (next);
+      remember_edit (fold, edit, offset, BT_VERDICT_INVALID, faults);
+      return BT_VERDICT_INVALID;
+    }
+  bt_tables_free (fold->tables);
+  fold->tables = next;
+  fold->version++;
+  remember_edit (fold, edit, offset, BT_VERDICT_ACCEPTED, "");
+  return BT_VERDICT_ACCEPTED;
+}
+
+/**
+ * bt_fold_record() - take in the next record of the log
+ * @fold: the fold
+ * @offset: the record's offset; one below fold->next was taken in before
+ * @data: the record
+ * @len: its length in bytes
+ *
+ * Every reader that folds the same records comes to the same verdicts. A
+ * record that is no edit is skipped.
+ *
+ * Return: what became of it.
+ */
+bt_verdict_t
+bt_fold_record (bt_fold_t *fold, gint64 offset, const char *data, gsize len)
+{
+  if (offset < fold->next)
+    return BT_VERDICT_DUPLICATE;
+  fold->next = offset + 1;
+  bt_edit_t *edit = bt_schema_parse (&bt_edit_schema, data, len, NULL);
+  if (edit == NULL)
+    return BT_VERDICT_INVALID;
+  bt_verdict_t verdict
+      = edit->snapshot > 0 ? fold_snapshot (fold, edit, offset) : fold_edit (fold, edit, offset);
+  bt_schema_free (&bt_edit_schema, edit);
+  return verdict;
+}
+
+/**
+ * bt_fold_adopt() - take a version from a peer, if it is a newer one
+ * @fold: the fold
+ * @version: number of the offered version
+ * @next: offset that the peer reads next
+ * @data: a snapshot record
+ * @len: its length in bytes
+ *
+ * Return: TRUE if the version was newer and valid, and is now in force.
+ */
+gboolean
+bt_fold_adopt (bt_fold_t *fold, gint64 version, gint64 next, const char *data, gsize len)
+{
+  if (version <= fold->version)
+    return FALSE;
+  bt_edit_t *edit = bt_schema_parse (&bt_edit_schema, data, len, NULL);
+  if (edit == NULL || edit->snapshot != version || edit->put == NULL)
+    {
+      bt_schema_free (&bt_edit_schema, edit);
+      return FALSE;
+    }
+  fold_snapshot (fold, edit, next - 1);
+  fold->next = MAX (fold->next, next);
+  bt_schema_free (&bt_edit_schema, edit);
+  return TRUE;
+}
+
+/**
+ * bt_fold_snapshot() - the newest version as a record
+ * @fold: the fold
+ *
+ * Return: JSON text of a snapshot record.
+ */
+GBytes *
+bt_fold_snapshot (const bt_fold_t *fold)
+{
+  g_autofree char *id = g_strdup_printf ("snapshot-%" G_GINT64_FORMAT, fold->version);
+  bt_edit_t edit = { .base = fold->version, .put = fold->tables, .snapshot = fold->version };
+  edit.id = g_ref_string_new (id);
+  edit.author = g_ref_string_new ("bamboothread");
+  edit.recent = g_ptr_array_new ();
+  for (GList *l = fold->ids.tail; l != NULL && edit.recent->len < RECENT_MAX; l = l->prev)
+    g_ptr_array_add (edit.recent, l->data);
+  GBytes *bytes = bt_schema_bytes (&bt_edit_schema, &edit);
+  g_ptr_array_unref (edit.recent);
+  g_ref_string_release (edit.id);
+  g_ref_string_release (edit.author);
+  return bytes;
+}
+
+static gboolean
+lines_equal (const bt_schema_t *schema, gconstpointer a, gconstpointer b)
+{
+  g_autoptr (GBytes) left = bt_schema_bytes (schema, a);
+  g_autoptr (GBytes) right = bt_schema_bytes (schema, b);
+  return g_bytes_equal (left, right);
+}
+
+static void
+diff_lines (const bt_schema_t *schema, const GPtrArray *now, const GPtrArray *wanted,
+            GPtrArray *put, GPtrArray *removed)
+{
+  for (guint i = 0; i < wanted->len; i++)
+    {
+      gint at = find_line (now, line_name (wanted->pdata[i]));
+      if (at < 0 || !lines_equal (schema, now->pdata[at], wanted->pdata[i]))
+        g_ptr_array_add (put, bt_schema_copy (schema, wanted->pdata[i]));
+    }
+  for (guint i = 0; i < now->len; i++)
+    if (find_line (wanted, line_name (now->pdata[i])) < 0)
+      g_ptr_array_add (removed, g_ref_string_acquire (line_name (now->pdata[i])));
+}
+
+/**
+ * bt_fold_diff() - the edit that leads from the newest version to other tables
+ * @fold: the fold
+ * @wanted: the other tables
+ * @id: unique id of the edit
+ * @author: who edits
+ *
+ * Return: an edit for bt_schema_free(), without lines if nothing differs.
+ */
+bt_edit_t *
+bt_fold_diff (const bt_fold_t *fold, const bt_tables_t *wanted, const char *id, const char *author)
+{
+  bt_edit_t *edit = g_new0 (bt_edit_t, 1);
+  edit->id = g_ref_string_new (id);
+  edit->author = g_ref_string_new (author);
+  edit->base = fold->version;
+  edit->recent = g_ptr_array_new ();
+  edit->put = tables_new ();
+  edit->remove = g_new0 (bt_names_t, 1);
+  edit->remove->routes = g_ptr_array_new ();
+  edit->remove->pools = g_ptr_array_new ();
+  diff_lines (&bt_route_schema, fold->tables->routes, wanted->routes, edit->put->routes,
+              edit->remove->routes);
+  diff_lines (&bt_pool_schema, fold->tables->pools, wanted->pools, edit->put->pools,
+              edit->remove->pools);
+  return edit;
+}
--- /dev/null
+++ b/libbamboothread/version/tables.h
@@ -0,0 +1,176 @@
+#ifndef BT_VERSION_TABLES_H
+#define BT_VERSION_TABLES_H
+
+#include "libbamboothread/base/schema.h"
+
+/**
+ * enum bt_class_t - urgency of work, most urgent first
+ */
+typedef enum
+{
+  BT_CLASS_URGENT,
+  BT_CLASS_SERVICE,
+  BT_CLASS_BATCH,
+  BT_CLASS_BEST_EFFORT,
+  BT_N_CLASSES,
+} bt_class_t;
+
+extern const char *const bt_class_names[];
+
+/**
+ * enum bt_resource_t - dimensions of a resource vector
+ * @BT_RESOURCE_MCPUS: thousandths of a processor
+ * @BT_RESOURCE_MEMORY_MB: MiB of memory
+ * @BT_RESOURCE_GPUS: whole accelerators
+ * @BT_RESOURCE_SLOTS: places for tasks
+ * @BT_RESOURCE_CONNECTIONS: connections to the VM
+ */
+typedef enum
+{
+  BT_RESOURCE_MCPUS,
+  BT_RESOURCE_MEMORY_MB,
+  BT_RESOURCE_GPUS,
+  BT_RESOURCE_SLOTS,
+  BT_RESOURCE_CONNECTIONS,
+  BT_N_RESOURCES,
+} bt_resource_t;
+
+typedef struct
+{
+  gint64 v[BT_N_RESOURCES];
+} bt_vector_t;
+
+gboolean bt_vector_fits (const bt_vector_t *need, const bt_vector_t *room);
+void bt_vector_add (bt_vector_t *sum, const bt_vector_t *more);
+void bt_vector_sub (bt_vector_t *sum, const bt_vector_t *less);
+
+/**
+ * enum bt_partition_policy_t - what becomes of a job whose home is cut off
+ * @BT_PARTITION_STAY: its home goes on with it, and nobody else adopts it
+ * @BT_PARTITION_MOVE: others adopt it once its leases are over
+ */
+typedef enum
+{
+  BT_PARTITION_STAY,
+  BT_PARTITION_MOVE,
+} bt_partition_policy_t;
+
+/**
+ * enum bt_log_outage_policy_t - new durable work while the log is down
+ * @BT_LOG_OUTAGE_REFUSE: refuse it with a time to retry
+ * @BT_LOG_OUTAGE_HOLD: accept it, and say that it is held in memory only
+ */
+typedef enum
+{
+  BT_LOG_OUTAGE_REFUSE,
+  BT_LOG_OUTAGE_HOLD,
+} bt_log_outage_policy_t;
+
+/**
+ * struct bt_route_t - one line of the table of routes
+ * @name: its name, unique in the table
+ * @callers: callers it holds for; a final * matches any rest
+ * @work: name of the work it holds for, or NULL for any
+ * @team: whose quota its work uses
+ * @work_class: urgency
+ * @pool: the pool whose VMs take the work
+ * @idempotent: whether the work may be run again
+ * @deadline_ms: time from request to start, in milliseconds
+ * @retries: most further attempts after a failed one
+ * @queue_limit: most requests that wait by this route in a data centre
+ * @packing: weight of tight packing in the choice of a VM
+ * @waiting: weight of an early start in the choice of a VM
+ * @rack_spread: whether tasks of a job avoid a common rack
+ */
+typedef struct
+{
+  GRefString *name;
+  GPtrArray *callers;
+  GRefString *work;
+  GRefString *team;
+  gint work_class;
+  GRefString *pool;
+  gboolean idempotent;
+  gint64 deadline_ms;
+  gint64 retries;
+  gint64 queue_limit;
+  double packing;
+  double waiting;
+  gboolean rack_spread;
+  gint partition;
+  gint on_log_outage;
+} bt_route_t;
+
+/**
+ * struct bt_vm_t - a VM of a pool
+ * @address: host:port of its worker
+ */
+typedef struct
+{
+  GRefString *name;
+  GRefString *address;
+  GRefString *data_centre;
+  GRefString *rack;
+  gint64 cpus;
+  gint64 memory_mb;
+  gint64 gpus;
+} bt_vm_t;
+
+/**
+ * struct bt_quota_t - what a team may use of a pool, over all data centres
+ * @weight: its share when teams compete
+ * @borrow: whether it may use what other teams leave idle
+ */
+typedef struct
+{
+  GRefString *team;
+  gint64 weight;
+  gint64 cpus;
+  gint64 memory_mb;
+  gint64 gpus;
+  gboolean borrow;
+} bt_quota_t;
+
+/**
+ * struct bt_pool_t - one line of the table of pools
+ * @slots: tasks a VM takes at most
+ * @connections: connections a VM takes at most
+ * @urgent_reserve_percent: share of each VM that only urgent work uses
+ */
+typedef struct
+{
+  GRefString *name;
+  gint64 slots;
+  gint64 connections;
+  gint64 urgent_reserve_percent;
+  GPtrArray *vms;
+  GPtrArray *quotas;
+} bt_pool_t;
+
+/**
+ * struct bt_tables_t - one version of both tables
+ */
+typedef struct
+{
+  GPtrArray *routes;
+  GPtrArray *pools;
+} bt_tables_t;
+
+extern const bt_schema_t bt_route_schema;
+extern const bt_schema_t bt_pool_schema;
+extern const bt_schema_t bt_tables_schema;
+
+bt_tables_t *bt_tables_parse (const char *data, gsize len, bt_report_t *report);
+bt_tables_t *bt_tables_copy (const bt_tables_t *tables);
+void bt_tables_free (bt_tables_t *tables);
+void bt_tables_check (const bt_tables_t *tables, bt_report_t *report);
+GBytes *bt_tables_bytes (const bt_tables_t *tables, gboolean pretty);
+
+const bt_route_t *bt_tables_route (const bt_tables_t *tables, const char *name);
+const bt_route_t *bt_tables_match (const bt_tables_t *tables, const char *caller, const char *work);
+const bt_pool_t *bt_tables_pool (const bt_tables_t *tables, const char *name);
+const bt_vm_t *bt_tables_vm (const bt_tables_t *tables, const char *name);
+gboolean bt_pool_in_data_centre (const bt_pool_t *pool, const char *data_centre);
+void bt_pool_vm_capacity (const bt_pool_t *pool, const bt_vm_t *vm, bt_vector_t *capacity);
+
+#endif
