Bound what hostile input on the sockets can cost, and notice callers that leave

Cause: tests with raw sockets showed three faults. A body's size was not bounded, since the HTTP library gathers it before any handler runs; a peer could hold 8 MB for each of 256 connections by starting frames; a caller that closed its connection while it waited was never noticed, since the library does not read from a paused exchange (ruled out: the finished signal, which comes only with the next read or write). Change: bodies are gathered with a limit and a connection that goes on is closed; half-read frames share 32 MB and have 10 s; waiting exchanges watch their socket; envelopes with names that are empty, long or no UTF-8 are refused and counted. Conclusion: each hostile case ends in a typed error or a close, and a valid exchange right after it is served.

--- a/libbamboothread/connection/caller_server.c
+++ b/libbamboothread/connection/caller_server.c
@@ -1,7 +1,9 @@
 #include "libbamboothread/connection/caller_server.h"
 
+#include <errno.h>
 #include <libsoup/soup.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "libbamboothread/base/error.h"
 #include "libbamboothread/base/log.h"
@@ -9,6 +11,9 @@
 
 #define BODY_MAX_BYTES (BT_PAYLOAD_MAX_BYTES + 64 * 1024)
 #define EXCHANGES_MAX 16384
+/* A connection on which nothing moves for so long is closed. */
+#define SOCKET_TIMEOUT_S 60
+#define BODY_KEY "bt-body"
 
 struct bt_caller_server_t
 {
@@ -24,6 +29,7 @@
   guint64 number;
   SoupServerMessage *message;
   gulong finished;
+  GSource *watch;
   gboolean submitted;
 } exchange_t;
 
@@ -31,6 +37,8 @@
 exchange_free (gpointer data)
 {
   exchange_t *exchange = data;
+  g_source_destroy (exchange->watch);
+  g_source_unref (exchange->watch);
   g_signal_handler_disconnect (exchange->message, exchange->finished);
   g_object_unref (exchange->message);
   g_free (exchange);
@@ -65,11 +73,9 @@
   respond (message, SOUP_STATUS_OK, body);
 }
 
-/* The connection closed before the answer was complete. */
 static void
-on_finished (SoupServerMessage *message, gpointer data)
+exchange_lost (exchange_t *exchange)
 {
-  exchange_t *exchange = data;
   bt_caller_server_t *server = exchange->server;
   guint64 number = exchange->number;
   gboolean submitted = exchange->submitted;
@@ -78,6 +84,45 @@
     bt_core_caller_gone (server->core, number);
 }
 
+/* The connection closed before the answer was complete. */
+static void
+on_finished (SoupServerMessage *message, gpointer data)
+{
+  exchange_lost (data);
+}
+
+/*
+ * The library does not read from a connection whose exchange is paused, so a
+ * caller that goes away is noticed here.
+ */
+static gboolean
+on_socket_ready (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  exchange_t *exchange = data;
+  char byte;
+  ssize_t n = recv (g_socket_get_fd (socket), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0)
+    return G_SOURCE_REMOVE;
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return G_SOURCE_CONTINUE;
+  g_autoptr (SoupServerMessage) message = g_object_ref (exchange->message);
+  exchange_lost (exchange);
+  g_socket_shutdown (socket, TRUE, TRUE, NULL);
+  soup_server_message_set_status (message, SOUP_STATUS_GATEWAY_TIMEOUT, NULL);
+  soup_server_message_unpause (message);
+  return G_SOURCE_REMOVE;
+}
+
+static GSource *
+watch_socket (exchange_t *exchange)
+{
+  GSocket *socket = soup_server_message_get_socket (exchange->message);
+  GSource *watch = g_socket_create_source (socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
+  g_source_set_callback (watch, G_SOURCE_FUNC (on_socket_ready), exchange, NULL);
+  g_source_attach (watch, NULL);
+  return watch;
+}
+
 static exchange_t *
 exchange_begin (bt_caller_server_t *server, SoupServerMessage *message)
 {
@@ -86,6 +131,7 @@
   exchange->number = ++server->counter;
   exchange->message = g_object_ref (message);
   exchange->finished = g_signal_connect (message, "finished", G_CALLBACK (on_finished), exchange);
+  exchange->watch = watch_socket (exchange);
   g_hash_table_insert (server->exchanges, &exchange->number, exchange);
   soup_server_message_pause (message);
   return exchange;
@@ -195,18 +241,18 @@
 static void
 submit (bt_caller_server_t *server, SoupServerMessage *message)
 {
-  SoupMessageBody *body = soup_server_message_get_request_body (message);
-  g_autoptr (GBytes) bytes = soup_message_body_flatten (body);
-  gsize len;
-  const char *data = g_bytes_get_data (bytes, &len);
-  if (len > BODY_MAX_BYTES)
+  const GByteArray *body = g_object_get_data (G_OBJECT (message), BODY_KEY);
+  if (body != NULL && body->len > BODY_MAX_BYTES)
     {
+      bt_log (BT_LOG_INFO, "request-refused", "cause=too-large");
       respond_error (message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, BT_ERROR_TOO_LARGE,
                      "the body is too large");
       return;
     }
   g_autoptr (GError) error = NULL;
-  bt_request_t *request = bt_schema_parse (&bt_request_schema, data, len, &error);
+  bt_request_t *request
+      = bt_schema_parse (&bt_request_schema, body != NULL ? (const char *)body->data : "",
+                         body != NULL ? body->len : 0, &error);
   if (request == NULL)
     {
       bt_log (BT_LOG_INFO, "request-refused", "cause=\"%s\"", error->message);
@@ -314,6 +360,62 @@
   respond_node (message, node);
 }
 
+static void
+on_unknown (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *params,
+            gpointer data)
+{
+  respond_error (message, SOUP_STATUS_NOT_FOUND, BT_ERROR_NOT_FOUND, "no such path");
+}
+
+static void
+body_free (gpointer data)
+{
+  g_byte_array_unref (data);
+}
+
+/* Keeps one byte over the limit at most, and closes a connection that goes on. */
+static void
+on_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
+{
+  GByteArray *body = data;
+  if (body->len > BODY_MAX_BYTES)
+    {
+      g_socket_shutdown (soup_server_message_get_socket (message), TRUE, FALSE, NULL);
+      return;
+    }
+  gsize len;
+  const guint8 *bytes = g_bytes_get_data (chunk, &len);
+  g_byte_array_append (body, bytes, (guint)MIN (len, BODY_MAX_BYTES + 1 - body->len));
+}
+
+/* Bodies are gathered here and not by the library, so that their size is bounded. */
+static void
+on_headers (SoupServer *soup, SoupServerMessage *message, const char *path, GHashTable *params,
+            gpointer data)
+{
+  goffset length
+      = soup_message_headers_get_content_length (soup_server_message_get_request_headers (message));
+  soup_message_body_set_accumulate (soup_server_message_get_request_body (message), FALSE);
+  if (length > BODY_MAX_BYTES)
+    {
+      bt_log (BT_LOG_INFO, "request-refused", "cause=too-large bytes=%" G_GINT64_FORMAT,
+              (gint64)length);
+      g_socket_shutdown (soup_server_message_get_socket (message), TRUE, TRUE, NULL);
+      return;
+    }
+  GByteArray *body = g_byte_array_new ();
+  g_object_set_data_full (G_OBJECT (message), BODY_KEY, body, body_free);
+  g_signal_connect (message, "got-chunk", G_CALLBACK (on_chunk), body);
+}
+
+static void
+on_request_started (SoupServer *soup, SoupServerMessage *message, gpointer data)
+{
+  GSocket *socket = soup_server_message_get_socket (message);
+  if (socket != NULL)
+    g_socket_set_timeout (socket, SOCKET_TIMEOUT_S);
+}
+
 /**
  * bt_caller_server_new() - listen for callers
  * @listen: IP:port
@@ -345,10 +447,22 @@
 bt_caller_server_attach (bt_caller_server_t *server, bt_core_t *core)
 {
   server->core = core;
-  soup_server_add_handler (server->server, "/v1/jobs", on_jobs, server, NULL);
-  soup_server_add_handler (server->server, "/v1/dump", on_dump, server, NULL);
-  soup_server_add_handler (server->server, "/v1/counters", on_counters, server, NULL);
-  soup_server_add_handler (server->server, "/v1/health", on_health, server, NULL);
+  static const struct
+  {
+    const char *path;
+    SoupServerCallback callback;
+  } handlers[] = {
+    { "/", on_unknown },         { "/v1/jobs", on_jobs },
+    { "/v1/dump", on_dump },     { "/v1/counters", on_counters },
+    { "/v1/health", on_health },
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS (handlers); i++)
+    {
+      soup_server_add_early_handler (server->server, handlers[i].path, on_headers, server, NULL);
+      soup_server_add_handler (server->server, handlers[i].path, handlers[i].callback, server,
+                               NULL);
+    }
+  g_signal_connect (server->server, "request-started", G_CALLBACK (on_request_started), server);
 }
 
 /**
@@ -364,3 +478,18 @@
   g_hash_table_unref (server->exchanges);
   g_free (server);
 }
+
+/**
+ * bt_caller_server_port() - the port that the server listens on
+ * @server: the server
+ *
+ * Return: the port.
+ */
+guint16
+bt_caller_server_port (const bt_caller_server_t *server)
+{
+  GSList *uris = soup_server_get_uris (server->server);
+  guint16 port = uris != NULL ? (guint16)g_uri_get_port (uris->data) : 0;
+  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  return port;
+}
--- a/libbamboothread/connection/peer.c
+++ b/libbamboothread/connection/peer.c
@@ -16,6 +16,10 @@
 #define READ_TIMEOUT_S 30
 #define RECONNECT_MS 200
 #define READERS_MAX 256
+/* Most bytes of half-read frames, over all connections. */
+#define READING_MAX_BYTES (32 * 1024 * 1024)
+/* A frame that has begun has to be whole within so long. */
+#define FRAME_MAX_S 10
 
 typedef struct
 {
@@ -37,6 +41,7 @@
   guint8 header[HEADER_BYTES];
   guint8 *body;
   gsize body_len;
+  guint frame_timer;
 } reader_t;
 
 struct bt_peers_t
@@ -48,6 +53,8 @@
   GCancellable *cancel;
   bt_peer_handler_t handler;
   void *context;
+  guint16 port;
+  gsize reading_bytes;
   guint64 bytes_sent;
   guint64 bytes_received;
 };
@@ -228,13 +235,25 @@
   g_hash_table_remove (reader->peers->readers, reader);
 }
 
+static void
+reader_drop_body (reader_t *reader)
+{
+  if (reader->frame_timer > 0)
+    g_source_remove (reader->frame_timer);
+  reader->frame_timer = 0;
+  if (reader->body == NULL)
+    return;
+  reader->peers->reading_bytes -= reader->body_len;
+  g_clear_pointer (&reader->body, g_free);
+}
+
 static void
 reader_free (gpointer data)
 {
   reader_t *reader = data;
+  reader_drop_body (reader);
   g_io_stream_close (G_IO_STREAM (reader->connection), NULL, NULL);
   g_object_unref (reader->connection);
-  g_free (reader->body);
   g_free (reader);
 }
 
@@ -246,6 +265,16 @@
   reader_close (reader);
 }
 
+/* Shutting the socket down lets the read that is under way end with an error. */
+static gboolean
+on_frame_late (gpointer data)
+{
+  reader_t *reader = data;
+  reader->frame_timer = 0;
+  g_socket_shutdown (g_socket_connection_get_socket (reader->connection), TRUE, TRUE, NULL);
+  return G_SOURCE_REMOVE;
+}
+
 /* A reader whose completion finds the endpoint cancelled was freed before. */
 static gboolean
 read_finished (GObject *source, GAsyncResult *result, gsize wanted, gboolean *cancelled)
@@ -265,12 +294,13 @@
   if (!read_finished (source, result, reader->body_len, &cancelled))
     {
       if (!cancelled)
-        reader_close (reader);
+        reader_reject (reader, BT_ERROR_IO);
       return;
     }
   bt_peers_t *peers = reader->peers;
   peers->bytes_received += HEADER_BYTES + reader->body_len;
   Bt__Envelope *envelope = bt__envelope__unpack (NULL, reader->body_len, reader->body);
+  reader_drop_body (reader);
   if (envelope == NULL)
     {
       reader_reject (reader, BT_ERROR_INVALID);
@@ -300,8 +330,14 @@
       reader_reject (reader, BT_ERROR_TOO_LARGE);
       return;
     }
-  g_clear_pointer (&reader->body, g_free);
+  if (reader->peers->reading_bytes + reader->body_len > READING_MAX_BYTES)
+    {
+      reader_reject (reader, BT_ERROR_UNAVAILABLE);
+      return;
+    }
   reader->body = g_malloc (reader->body_len);
+  reader->peers->reading_bytes += reader->body_len;
+  reader->frame_timer = g_timeout_add_seconds (FRAME_MAX_S, on_frame_late, reader);
   g_input_stream_read_all_async (G_INPUT_STREAM (source), reader->body, reader->body_len,
                                  G_PRIORITY_DEFAULT, reader->peers->cancel, on_body, reader);
 }
@@ -345,11 +381,13 @@
   if (address == NULL)
     return NULL;
   g_autoptr (GSocketService) service = g_socket_service_new ();
+  g_autoptr (GSocketAddress) bound = NULL;
   if (!g_socket_listener_add_address (G_SOCKET_LISTENER (service), address, G_SOCKET_TYPE_STREAM,
-                                      G_SOCKET_PROTOCOL_TCP, NULL, NULL, error))
+                                      G_SOCKET_PROTOCOL_TCP, NULL, &bound, error))
     return NULL;
   bt_peers_t *peers = g_new0 (bt_peers_t, 1);
   peers->service = g_steal_pointer (&service);
+  peers->port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound));
   peers->client = g_socket_client_new ();
   g_socket_client_set_timeout (peers->client, CONNECT_TIMEOUT_S);
   peers->links = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, link_free);
@@ -404,3 +442,15 @@
 {
   return peers->bytes_received;
 }
+
+/**
+ * bt_peers_port() - the port that the endpoint listens on
+ * @peers: the endpoint
+ *
+ * Return: the port.
+ */
+guint16
+bt_peers_port (const bt_peers_t *peers)
+{
+  return peers->port;
+}
--- a/libbamboothread/connection/peer.h
+++ b/libbamboothread/connection/peer.h
@@ -30,6 +30,7 @@
                           GError **error);
 void bt_peers_free (bt_peers_t *peers);
 void bt_peers_send (bt_peers_t *peers, const char *address, const Bt__Envelope *envelope);
+guint16 bt_peers_port (const bt_peers_t *peers);
 guint64 bt_peers_bytes_sent (const bt_peers_t *peers);
 guint64 bt_peers_bytes_received (const bt_peers_t *peers);
 
--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "libbamboothread/base/error.h"
+#include "libbamboothread/base/log.h"
 
 /**
  * bt_core_config_init() - the usual times
@@ -253,6 +253,47 @@
   bt_entry_on_outcome (core, from, message->job, &outcome);
 }
 
+#define NAME_MAX_BYTES 255
+
+static gboolean
+valid_name (const char *text)
+{
+  gsize len = strnlen (text, NAME_MAX_BYTES + 1);
+  return len > 0 && len <= NAME_MAX_BYTES && g_utf8_validate_len (text, len, NULL);
+}
+
+static const char *
+job_named (const Bt__Envelope *envelope)
+{
+  switch (envelope->body_case)
+    {
+    case BT__ENVELOPE__BODY_SUBMIT:
+      return envelope->submit->job;
+    case BT__ENVELOPE__BODY_OUTCOME:
+      return envelope->outcome->job;
+    case BT__ENVELOPE__BODY_CALLER_GONE:
+      return envelope->caller_gone->job;
+    default:
+      return envelope->from;
+    }
+}
+
+static gboolean
+valid_heartbeat (const Bt__Envelope *envelope)
+{
+  if (envelope->body_case != BT__ENVELOPE__BODY_HEARTBEAT)
+    return TRUE;
+  const Bt__Heartbeat *beat = envelope->heartbeat;
+  return valid_name (beat->data_centre) && valid_name (beat->region);
+}
+
+static gboolean
+valid_envelope (const Bt__Envelope *envelope)
+{
+  return valid_name (envelope->from) && valid_name (envelope->address)
+         && valid_name (job_named (envelope)) && valid_heartbeat (envelope);
+}
+
 /**
  * bt_core_on_peer() - a message of another daemon
  * @core: the core
@@ -262,7 +303,13 @@
 bt_core_on_peer (bt_core_t *core, const Bt__Envelope *envelope)
 {
   refresh (core);
-  if (envelope->from[0] == '\0' || strcmp (envelope->from, core->name) == 0)
+  if (!valid_envelope (envelope))
+    {
+      core->counters.messages_malformed++;
+      bt_log (BT_LOG_WARNING, "peer-message-refused", "kind=%d", envelope->body_case);
+      return;
+    }
+  if (strcmp (envelope->from, core->name) == 0)
     return;
   switch (envelope->body_case)
     {
