--- a/cli/main.c
+++ b/cli/main.c
@@ -5,6 +5,9 @@
 
 #include "cli/commands.h"
 
+#define DAEMON_DEFAULT "127.0.0.1:8080"
+#define LOG_DEFAULT "127.0.0.1:8070"
+
 static const ctl_command_t commands[] = {
   { "submit", "FILE", 1, "send the request in FILE, print what became of it", ctl_submit },
   { "status", "JOB", 1, "print a job", ctl_status },
@@ -64,9 +67,9 @@
 int
 main (int argc, const char **argv)
 {
-  char *daemon = "127.0.0.1:8080";
-  char *log = "127.0.0.1:8070";
-  char *author = (char *)g_get_user_name ();
+  char *daemon = NULL;
+  char *log = NULL;
+  char *author = NULL;
   long long base = -1;
   int raw = 0;
   int version = 0;
@@ -84,7 +87,10 @@
   poptContext popt = poptGetContext ("bamboothreadctl", argc, argv, options, 0);
   poptSetOtherOptionHelp (popt, "[OPTION...] COMMAND [ARGUMENT...]");
   int parsed = poptGetNextOpt (popt);
-  ctl_options_t shared = { daemon, log, base, author, raw != 0 };
+  ctl_options_t shared = { .base = base, .raw = raw != 0 };
+  shared.daemon = daemon != NULL ? daemon : DAEMON_DEFAULT;
+  shared.log = log != NULL ? log : LOG_DEFAULT;
+  shared.author = author != NULL ? author : g_get_user_name ();
   int result = EXIT_SUCCESS;
   if (parsed < -1)
     {
@@ -101,5 +107,8 @@
   else
     result = run (&shared, poptGetArgs (popt));
   poptFreeContext (popt);
+  free (daemon);
+  free (log);
+  free (author);
   return result;
 }
--- a/standins/fake_list.c
+++ b/standins/fake_list.c
@@ -115,5 +115,6 @@
     }
   soup_server_add_handler (server, "/v1/vms", on_vms, &list, NULL);
   bt_standin_run ();
+  free (listen);
   return EXIT_SUCCESS;
 }
--- a/standins/fake_log.c
+++ b/standins/fake_log.c
@@ -280,6 +280,7 @@
   soup_server_add_handler (server, "/v1/streams", on_stream, &log, NULL);
   soup_server_add_handler (server, "/v1/faults", on_faults, &log, NULL);
   bt_standin_run ();
+  free (listen);
   bt_log_model_clear (&log.model);
   return EXIT_SUCCESS;
 }
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -114,7 +114,8 @@
   g_autoptr (GPtrArray) argv = g_ptr_array_new ();
   g_ptr_array_add (argv, tool);
   g_ptr_array_add (argv, (gpointer) "--log=" LOG_ADDRESS);
-  g_ptr_array_add (argv, (gpointer) "--author=tester");
+  if (strstr (args, "--author") == NULL)
+    g_ptr_array_add (argv, (gpointer) "--author=tester");
   for (int i = 0; words[i] != NULL && words[0][0] != '\0'; i++)
     g_ptr_array_add (argv, (gpointer)file_for (words[i], files));
   g_ptr_array_add (argv, NULL);
