Order waiting work by quota, class and share, and explain what it waits for

One list per class let a team fill the pool, cost a walk over all that waits on each submission, and gave no answer to what a job waits for.

Jobs now wait in lanes by route and size; a lane whose first job does not fit is left until room is freed. Teams within their quota go first, then classes, then the lower weighted dominant share; one placement in 32 goes to the job that waited longest, and a VM is held for it if it does not fit. Quotas are split over the data centres from the tables alone. The urgent reserve of each VM is kept free of other work. Decisions name their table line, and why-waiting says what would have to change.

--- a/cli/jobs.c
+++ b/cli/jobs.c
@@ -154,6 +154,30 @@
   return print_decisions (node);
 }
 
+static int
+print_causes (JsonNode *node)
+{
+  JsonObject *json = JSON_NODE_HOLDS_OBJECT (node) ? json_node_get_object (node) : NULL;
+  JsonArray *causes = json != NULL && json_object_has_member (json, "causes")
+                          ? json_object_get_array_member (json, "causes")
+                          : NULL;
+  if (causes == NULL)
+    return CTL_EXIT_FAILED;
+  printf ("%s, %.3f s after its request, tables version %" G_GINT64_FORMAT "\n",
+          json_object_get_boolean_member (json, "waiting") ? "waits" : "does not wait",
+          (double)json_object_get_int_member (json, "since_ms") / 1000,
+          json_object_get_int_member (json, "version"));
+  for (guint i = 0; i < json_array_get_length (causes); i++)
+    {
+      JsonObject *cause = json_array_get_object_element (causes, i);
+      printf ("- %s (line %s)\n  what has to change: %s\n",
+              json_object_get_string_member (cause, "text"),
+              json_object_get_string_member (cause, "line"),
+              json_object_get_string_member (cause, "change"));
+    }
+  return EXIT_SUCCESS;
+}
+
 /**
  * ctl_why_waiting() - print what a job waits for
  * @options: options
@@ -165,7 +189,16 @@
 ctl_why_waiting (const ctl_options_t *options, const char **args)
 {
   g_autofree char *path = g_strdup_printf ("/v1/jobs/%s/why-waiting", args[0]);
-  return call_and_print (options, "GET", path, NULL);
+  guint status = 0;
+  g_autoptr (GBytes) body = call (options, "GET", path, NULL, &status);
+  if (body == NULL)
+    return CTL_EXIT_FAILED;
+  gsize len;
+  const char *data = g_bytes_get_data (body, &len);
+  g_autoptr (JsonNode) node = bt_json_parse (data, len, NULL);
+  if (options->raw || node == NULL || !SOUP_STATUS_IS_SUCCESSFUL (status))
+    return print_body (options, body, status);
+  return print_causes (node);
 }
 
 static int
--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -52,6 +52,8 @@
   bt_owner_init (core);
   bt_journal_init (core);
   bt_sched_init (core);
+  bt_quota_init (core);
+  bt_queue_init (core);
   bt_entry_init (core);
   bt_trace_init (core);
   return core;
@@ -65,6 +67,8 @@
 bt_core_free (bt_core_t *core)
 {
   bt_sched_clear (core);
+  bt_queue_clear (core);
+  bt_quota_clear (core);
   bt_entry_clear (core);
   bt_journal_clear (core);
   bt_owner_clear (core);
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -11,6 +11,114 @@
 
 typedef struct bt_worker_t bt_worker_t;
 typedef struct bt_job_t bt_job_t;
+typedef struct bt_lane_t bt_lane_t;
+
+/**
+ * struct bt_account_t - a team's part of a pool in this data centre; written by quota.c
+ * @weight: its share when teams compete
+ * @borrow: whether it may use more than @entitled
+ * @entitled: its quota's part in this data centre
+ * @used: what its attempts take
+ * @share: weighted dominant share of the pool that it uses
+ */
+typedef struct
+{
+  GRefString *pool;
+  GRefString *team;
+  gint64 weight;
+  gboolean borrow;
+  bt_vector_t entitled;
+  bt_vector_t used;
+  double share;
+} bt_account_t;
+
+/**
+ * struct bt_quota_pool_t - a pool's part in this data centre; written by quota.c
+ * @capacity: of all its VMs that the tables name
+ * @live: of those on which tasks may be started
+ * @reserve_percent: share of each VM that only urgent work uses
+ */
+typedef struct
+{
+  GRefString *name;
+  bt_vector_t capacity;
+  bt_vector_t live;
+  gint64 reserve_percent;
+  GHashTable *accounts;
+} bt_quota_pool_t;
+
+/**
+ * struct bt_quotas_t - quotas of all pools; written by quota.c
+ * @version: the tables' version that they were worked out from
+ */
+typedef struct
+{
+  GHashTable *pools;
+  gint64 version;
+  gint64 next_live;
+} bt_quotas_t;
+
+/**
+ * enum bt_wait_t - why a queued job has not started
+ * @BT_WAIT_NONE: it has not been tried yet, others go first
+ * @BT_WAIT_ROOM: no VM has room for it
+ * @BT_WAIT_QUOTA: its team is at its quota and may not borrow
+ * @BT_WAIT_NOT_READY: a retry is not due, or an earlier owner may have started it
+ */
+typedef enum
+{
+  BT_WAIT_NONE,
+  BT_WAIT_ROOM,
+  BT_WAIT_QUOTA,
+  BT_WAIT_NOT_READY,
+} bt_wait_t;
+
+/**
+ * struct bt_queue_pool_t - what waits for a pool; written by queue.c
+ * @open: whether some lane may have a job that can be placed
+ * @decisions: tasks placed so far
+ * @holder: a job that waited long, for which @held is kept free
+ * @held: name of that VM
+ */
+typedef struct
+{
+  GRefString *name;
+  GPtrArray *lanes;
+  guint waiting;
+  gboolean open;
+  guint decisions;
+  bt_job_t *holder;
+  GRefString *held;
+} bt_queue_pool_t;
+
+/**
+ * struct bt_queue_route_t - what waits by a route; written by queue.c
+ * @callers: number of waiting jobs by caller
+ */
+typedef struct
+{
+  GRefString *name;
+  guint waiting;
+  guint lanes;
+  GHashTable *callers;
+} bt_queue_route_t;
+
+/**
+ * struct bt_queue_t - all that waits; written by queue.c
+ * @parked: jobs that may not be tried yet
+ * @trying: the lane whose first job is being placed
+ */
+typedef struct
+{
+  GHashTable *pools;
+  GHashTable *lanes;
+  GHashTable *routes;
+  GQueue parked;
+  bt_lane_t *trying;
+  gint64 next_unpark;
+  gint64 next_open;
+  gint64 next_expiry;
+} bt_queue_t;
 
 /**
  * struct bt_member_t - another daemon; written by member.c
@@ -67,6 +175,8 @@
  * @worker: where, or NULL if only the name of its worker is known
  * @recorded: whether the log holds its record
  * @sent_at: when it was sent, in microseconds
+ * @account: the account that pays for it, or NULL
+ * @urgent: whether it was charged as urgent work
  */
 typedef struct
 {
@@ -80,6 +190,8 @@
   gboolean stopping;
   gint64 sent_at;
   bt_vector_t need;
+  bt_account_t *account;
+  gboolean urgent;
 } bt_attempt_t;
 
 /**
@@ -116,14 +228,19 @@
 
 /**
  * struct bt_job_t - a request, as the owner of its home's workers holds it
+ * @core: the core that holds it
  * @request: what was asked, or NULL if only a worker's report told of the job
  * @durable: whether the log holds its acceptance
  * @resent: whether an earlier owner may have run it
  * @queue_link: its place in the queue; data is NULL while it is not queued
+ * @lane: the lane that it waits in, also while @parked
+ * @wait: why it was not placed when it was tried last
+ * @account: its team's account with its pool, or NULL
  * @waiters: names of the daemons whose callers wait for it
  */
 struct bt_job_t
 {
+  bt_core_t *core;
   GRefString *id;
   bt_request_t *request;
   GRefString *route;
@@ -151,6 +268,10 @@
   gint64 ended_at;
   gint64 retries;
   GList queue_link;
+  bt_lane_t *lane;
+  gboolean parked;
+  bt_wait_t wait;
+  bt_account_t *account;
   GPtrArray *waiters;
   bt_status_t status;
   bt_reason_t reason;
@@ -164,6 +285,8 @@
  * @listed: whether the tables name it
  * @leaving: whether it is about to leave
  * @used: what all attempts on it take
+ * @used_urgent: what attempts of urgent work on it take
+ * @held_for: the job that it is kept free for, or NULL; written by queue.c
  * @epoch: epoch of the lease held, or 0
  * @lease_until: until when the lease surely holds, in microseconds
  * @tasks_until: until when attempts on it surely run on, in microseconds
@@ -185,6 +308,8 @@
   gboolean leaving;
   bt_vector_t capacity;
   bt_vector_t used;
+  bt_vector_t used_urgent;
+  const bt_job_t *held_for;
   gint64 boot;
   gint64 epoch;
   gint64 lease_until;
@@ -255,13 +380,11 @@
 } bt_journal_t;
 
 /**
- * struct bt_sched_t - jobs and their queue; written by sched.c
+ * struct bt_sched_t - jobs and attempts; written by sched.c
  */
 typedef struct
 {
   GHashTable *jobs;
-  GQueue queue[BT_N_CLASSES];
-  GHashTable *route_waiting;
   GHashTable *attempts;
   gint64 next_sweep;
   guint64 counter;
@@ -352,6 +475,8 @@
   bt_owner_t owner;
   bt_journal_t journal;
   bt_sched_t sched;
+  bt_quotas_t quota;
+  bt_queue_t queue;
   bt_entry_t entry;
   bt_trace_t trace;
 };
@@ -413,15 +538,44 @@
 void bt_attempt_drop (bt_core_t *core, bt_attempt_t *attempt, bt_task_state_t task_state);
 JsonNode *bt_job_node (const bt_core_t *core, const bt_job_t *job, gboolean whole);
 
+/* quota.c */
+void bt_quota_init (bt_core_t *core);
+void bt_quota_clear (bt_core_t *core);
+void bt_quota_tick (bt_core_t *core);
+bt_account_t *bt_quota_account (bt_core_t *core, const char *pool, const char *team);
+const bt_quota_pool_t *bt_quota_pool (bt_core_t *core, const char *pool);
+void bt_quota_charge (bt_attempt_t *attempt);
+void bt_quota_credit (bt_attempt_t *attempt);
+gboolean bt_quota_within (bt_core_t *core, const bt_account_t *account, const bt_vector_t *need);
+gboolean bt_quota_allows (bt_core_t *core, const bt_account_t *account, const bt_vector_t *need);
+void bt_quota_usable (const bt_pool_t *pool, bt_class_t work_class, bt_vector_t *capacity);
+void bt_quota_room (const bt_core_t *core, const bt_job_t *job, const bt_worker_t *worker,
+                    bt_vector_t *room);
+
 /* queue.c */
+void bt_queue_init (bt_core_t *core);
+void bt_queue_clear (bt_core_t *core);
+void bt_queue_tick (bt_core_t *core);
 void bt_queue_push (bt_core_t *core, bt_job_t *job);
 void bt_queue_remove (bt_core_t *core, bt_job_t *job);
 guint bt_queue_length (const bt_core_t *core, const char *pool);
+guint bt_queue_route_length (const bt_core_t *core, const char *route);
+guint bt_queue_caller_length (const bt_core_t *core, const char *route, const char *caller);
+bt_job_t *bt_queue_next (bt_core_t *core);
+void bt_queue_tried (bt_core_t *core, bt_job_t *job, gboolean placed);
+void bt_queue_freed (bt_core_t *core, const bt_worker_t *worker);
+void bt_queue_expire (bt_core_t *core, void (*expire) (bt_core_t *core, bt_job_t *job));
+guint bt_queue_ahead (const bt_job_t *job);
+
+/* explain.c */
+GBytes *bt_explain_decisions (const bt_core_t *core, const char *job);
+GBytes *bt_explain_waiting (bt_core_t *core, const bt_job_t *job);
+char *bt_explain_not_ready (const bt_core_t *core, const bt_job_t *job, const char **change);
 
 /* place.c */
 bt_worker_t *bt_place_find (bt_core_t *core, const bt_job_t *job, guint task);
 gboolean bt_place_possible (const bt_core_t *core, const bt_request_t *request,
-                            const bt_pool_t *pool);
+                            const bt_pool_t *pool, bt_class_t work_class);
 
 /* sched.c */
 void bt_sched_init (bt_core_t *core);
@@ -467,8 +621,10 @@
 /* trace.c */
 void bt_trace_init (bt_core_t *core);
 void bt_trace_clear (bt_core_t *core);
-void bt_trace_add (bt_core_t *core, const char *job, const char *action, const char *line,
+void bt_trace_add (bt_core_t *core, const char *job, const char *action, const char *route,
                    const char *format, ...) G_GNUC_PRINTF (5, 6);
+void bt_trace_add_pool (bt_core_t *core, const char *job, const char *action, const char *pool,
+                        const char *format, ...) G_GNUC_PRINTF (5, 6);
 JsonNode *bt_trace_node (const bt_core_t *core, const char *job);
 
 #endif
--- a/libbamboothread/process/entry.c
+++ b/libbamboothread/process/entry.c
@@ -407,23 +407,6 @@
   return slash != NULL ? g_strndup (job, (gsize)(slash - job)) : g_strdup ("");
 }
 
-static GBytes *
-describe_waiting (const bt_core_t *core, const bt_job_t *job)
-{
-  JsonObject *json = json_object_new ();
-  json_object_set_string_member (json, "job", job->id);
-  json_object_set_boolean_member (json, "waiting", job->queue_link.data != NULL);
-  const char *cause = "no VM of its pool has room for it now";
-  if (job->queue_link.data == NULL)
-    cause = "it does not wait";
-  else if (!bt_recover_ready (core, job))
-    cause = "an earlier owner may have started it, or a retry is not due yet";
-  json_object_set_string_member (json, "cause", cause);
-  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_OBJECT);
-  json_node_take_object (node, json);
-  return bt_json_bytes (node, FALSE);
-}
-
 static GBytes *
 list_jobs (const bt_core_t *core, const char *caller)
 {
@@ -446,14 +429,11 @@
     return list_jobs (core, argument);
   bt_job_t *job = g_hash_table_lookup (core->sched.jobs, argument);
   if (what == BT_QUERY_EXPLAIN)
-    {
-      g_autoptr (JsonNode) node = bt_trace_node (core, argument);
-      return bt_json_bytes (node, FALSE);
-    }
+    return bt_explain_decisions (core, argument);
   if (job == NULL)
     return NULL;
   if (what == BT_QUERY_WHY_WAITING)
-    return describe_waiting (core, job);
+    return bt_explain_waiting (core, job);
   if (what == BT_QUERY_CANCEL)
     bt_sched_cancel (core, job);
   g_autoptr (JsonNode) node = bt_job_node (core, job, TRUE);
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -17,6 +17,7 @@
 bt_job_new (bt_core_t *core, const char *id)
 {
   bt_job_t *job = g_new0 (bt_job_t, 1);
+  job->core = core;
   job->id = g_ref_string_new (id);
   job->state = BT_JOB_OPEN;
   job->waiters = g_ptr_array_new_with_free_func ((GDestroyNotify)g_ref_string_release);
@@ -90,6 +91,10 @@
   job->team = g_ref_string_acquire (route->team);
   job->pool = g_ref_string_acquire (route->pool);
   job->work_class = (bt_class_t)route->work_class;
+  job->account = bt_quota_account (job->core, job->pool, job->team);
+  for (guint i = 0; i < job->n_tasks; i++)
+    if (job->tasks[i].attempt != NULL)
+      bt_quota_charge (job->tasks[i].attempt);
   job->idempotent = route->idempotent;
   job->retries = route->retries;
   gint64 deadline_ms = request->deadline_ms;
@@ -157,6 +162,7 @@
   attempt->worker = worker;
   attempt->need = *need;
   bt_vector_add (&worker->used, need);
+  bt_quota_charge (attempt);
   g_hash_table_insert (worker->attempts, attempt->id, attempt);
 }
 
@@ -172,8 +178,10 @@
   bt_job_t *job = attempt->job;
   if (attempt->worker != NULL)
     {
+      bt_quota_credit (attempt);
       bt_vector_sub (&attempt->worker->used, &attempt->need);
       g_hash_table_remove (attempt->worker->attempts, attempt->id);
+      bt_queue_freed (core, attempt->worker);
     }
   job->tasks[attempt->task].attempt = NULL;
   job->tasks[attempt->task].state = task_state;
--- a/libbamboothread/process/place.c
+++ b/libbamboothread/process/place.c
@@ -21,11 +21,11 @@
 }
 
 static gboolean
-worker_fits (const bt_worker_t *worker, const bt_vector_t *need)
+worker_fits (const bt_core_t *core, const bt_job_t *job, const bt_worker_t *worker)
 {
-  bt_vector_t room = worker->capacity;
-  bt_vector_sub (&room, &worker->used);
-  return bt_vector_fits (need, &room);
+  bt_vector_t room;
+  bt_quota_room (core, job, worker, &room);
+  return bt_vector_fits (&job->need, &room);
 }
 
 static guint
@@ -73,7 +73,7 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
     {
       if (strcmp (worker->pool, job->pool) != 0 || !bt_owner_may_start (core, worker)
-          || !worker_fits (worker, &job->need))
+          || !worker_fits (core, job, worker))
         continue;
       double value = score (core, job, worker);
       gboolean better = best == NULL || value > best_score
@@ -91,11 +91,13 @@
  * @core: the core
  * @request: the request
  * @pool: the pool
+ * @work_class: the work's class; only urgent work can use a VM's reserve
  *
  * Return: FALSE if even an empty VM of this data centre is too small.
  */
 gboolean
-bt_place_possible (const bt_core_t *core, const bt_request_t *request, const bt_pool_t *pool)
+bt_place_possible (const bt_core_t *core, const bt_request_t *request, const bt_pool_t *pool,
+                   bt_class_t work_class)
 {
   bt_vector_t need;
   bt_request_need (request, &need);
@@ -104,6 +106,7 @@
       const bt_vm_t *vm = pool->vms->pdata[i];
       bt_vector_t capacity;
       bt_pool_vm_capacity (pool, vm, &capacity);
+      bt_quota_usable (pool, work_class, &capacity);
       if (strcmp (vm->data_centre, core->data_centre) == 0 && bt_vector_fits (&need, &capacity))
         return TRUE;
     }
--- a/libbamboothread/process/queue.c
+++ b/libbamboothread/process/queue.c
@@ -3,21 +3,253 @@
 #include <string.h>
 
 /*
- * Jobs with tasks to place, in the order in which they are tried.
+ * Jobs with tasks to place, and the order in which they are tried.
+ *
+ * Jobs of one route and of about the same size wait in a lane, first come
+ * first. If the first job of a lane does not fit, the lane is blocked until
+ * room for it is freed, so the cost of a pass follows the number of lanes and
+ * not that of jobs. Among the lanes of a pool go first: teams within their
+ * quota before teams that borrow, then the more urgent class, then the team
+ * with the lower weighted dominant share, then the earlier deadline.
+ *
+ * One placement in AGED_EVERY goes to the job that has waited longest, whatever
+ * its class and team. If it does not fit, a VM is held free for it.
+ */
+
+/* Wait after which a job counts as aged. */
+#define AGED_US (30 * BT_USEC_PER_SEC)
+/* One placement in so many goes to an aged job. */
+#define AGED_EVERY 32
+/* Pause between two tries of blocked lanes for which no room was seen to be freed. */
+#define REOPEN_US (200 * BT_USEC_PER_MSEC)
+/* Pause between two looks at jobs that could not be tried yet. */
+#define UNPARK_US (50 * BT_USEC_PER_MSEC)
+/* Pause between two looks at the deadlines of all jobs. */
+#define EXPIRY_US (500 * BT_USEC_PER_MSEC)
+/* Lanes of different sizes that a route has at most; other sizes share one more. */
+#define LANES_PER_ROUTE 16
+/* How far from the end of a lane an older job is put in order. */
+#define ORDER_STEPS 64
+/* How long an empty lane is kept. */
+#define KEEP_LANE_US (60 * BT_USEC_PER_SEC)
+
+/**
+ * struct bt_lane_t - jobs of one route and about the same size
+ * @blocked: whether its first job did not fit when it was tried last
+ * @used_at: when a job was put into it last
+ */
+struct bt_lane_t
+{
+  char *key;
+  bt_queue_pool_t *pool;
+  bt_queue_route_t *route;
+  GQueue jobs;
+  gboolean blocked;
+  gint64 used_at;
+};
+
+/**
+ * struct rank_t - place of a lane among those of its pool; less goes first
+ */
+typedef struct
+{
+  gboolean borrows;
+  bt_class_t work_class;
+  double share;
+  gint64 deadline_at;
+  gint64 submitted_at;
+} rank_t;
+
+static void
+lane_free (gpointer data)
+{
+  bt_lane_t *lane = data;
+  g_free (lane->key);
+  g_free (lane);
+}
+
+static void
+pool_free (gpointer data)
+{
+  bt_queue_pool_t *pool = data;
+  g_ptr_array_unref (pool->lanes);
+  g_clear_pointer (&pool->held, g_ref_string_release);
+  g_ref_string_release (pool->name);
+  g_free (pool);
+}
+
+static void
+route_free (gpointer data)
+{
+  bt_queue_route_t *route = data;
+  g_hash_table_unref (route->callers);
+  g_ref_string_release (route->name);
+  g_free (route);
+}
+
+/**
+ * bt_queue_init() - an empty queue
+ * @core: the core
  */
+void
+bt_queue_init (bt_core_t *core)
+{
+  bt_queue_t *queue = &core->queue;
+  queue->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
+  queue->lanes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, lane_free);
+  queue->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, route_free);
+  g_queue_init (&queue->parked);
+}
+
+/**
+ * bt_queue_clear() - free an empty queue
+ * @core: the core
+ */
+void
+bt_queue_clear (bt_core_t *core)
+{
+  g_hash_table_unref (core->queue.lanes);
+  g_hash_table_unref (core->queue.pools);
+  g_hash_table_unref (core->queue.routes);
+}
+
+static bt_queue_pool_t *
+get_pool (bt_core_t *core, const char *name)
+{
+  bt_queue_pool_t *pool = g_hash_table_lookup (core->queue.pools, name);
+  if (pool != NULL)
+    return pool;
+  pool = g_new0 (bt_queue_pool_t, 1);
+  pool->name = g_ref_string_new (name);
+  pool->lanes = g_ptr_array_new ();
+  g_hash_table_insert (core->queue.pools, pool->name, pool);
+  return pool;
+}
+
+static bt_queue_route_t *
+get_route (bt_core_t *core, const char *name)
+{
+  bt_queue_route_t *route = g_hash_table_lookup (core->queue.routes, name);
+  if (route != NULL)
+    return route;
+  route = g_new0 (bt_queue_route_t, 1);
+  route->name = g_ref_string_new (name);
+  route->callers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, (GDestroyNotify)g_ref_string_release, NULL);
+  g_hash_table_insert (core->queue.routes, route->name, route);
+  return route;
+}
+
+static bt_lane_t *
+lane_by_key (bt_core_t *core, const bt_job_t *job, const char *key)
+{
+  bt_lane_t *lane = g_hash_table_lookup (core->queue.lanes, key);
+  if (lane != NULL)
+    return lane;
+  lane = g_new0 (bt_lane_t, 1);
+  lane->key = g_strdup (key);
+  lane->pool = get_pool (core, job->pool);
+  lane->route = get_route (core, job->route);
+  g_queue_init (&lane->jobs);
+  g_hash_table_insert (core->queue.lanes, lane->key, lane);
+  g_ptr_array_add (lane->pool->lanes, lane);
+  lane->route->lanes++;
+  return lane;
+}
+
+/* Sizes within a factor of two share a lane. */
+static bt_lane_t *
+lane_of (bt_core_t *core, const bt_job_t *job)
+{
+  char key[512];
+  const gint64 *need = job->need.v;
+  g_snprintf (key, sizeof key, "%s|%s|%s|%d|%d|%u|%u|%u", job->route, job->pool, job->team,
+              job->work_class, job->request->kind, g_bit_storage ((gulong)need[BT_RESOURCE_MCPUS]),
+              g_bit_storage ((gulong)need[BT_RESOURCE_MEMORY_MB]),
+              g_bit_storage ((gulong)need[BT_RESOURCE_GPUS]));
+  const bt_queue_route_t *route = get_route (core, job->route);
+  gboolean known = g_hash_table_contains (core->queue.lanes, key);
+  if (!known && route->lanes >= LANES_PER_ROUTE)
+    g_snprintf (key, sizeof key, "%s|%s|%s|%d|%d|mixed", job->route, job->pool, job->team,
+                job->work_class, job->request->kind);
+  return lane_by_key (core, job, key);
+}
+
+static void
+count_job (bt_core_t *core, const bt_job_t *job, gint change)
+{
+  bt_lane_t *lane = job->lane;
+  lane->pool->waiting += (guint)change;
+  lane->route->waiting += (guint)change;
+  const char *caller = job->request->caller;
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (lane->route->callers, caller));
+  n += (guint)change;
+  if (n == 0)
+    g_hash_table_remove (lane->route->callers, caller);
+  else
+    g_hash_table_replace (lane->route->callers, g_ref_string_new (caller), GUINT_TO_POINTER (n));
+}
+
+static void
+insert_in_order (bt_lane_t *lane, bt_job_t *job)
+{
+  GList *after = lane->jobs.tail;
+  for (guint i = 0; i < ORDER_STEPS && after != NULL; i++)
+    {
+      if (((const bt_job_t *)after->data)->submitted_at <= job->submitted_at)
+        break;
+      after = after->prev;
+    }
+  const bt_job_t *first = g_queue_peek_head (&lane->jobs);
+  if (after == NULL || (first != NULL && first->submitted_at > job->submitted_at))
+    g_queue_push_head_link (&lane->jobs, &job->queue_link);
+  else
+    g_queue_insert_after_link (&lane->jobs, after, &job->queue_link);
+}
+
+static void
+enter_lane (bt_core_t *core, bt_job_t *job)
+{
+  bt_lane_t *lane = job->lane;
+  job->parked = FALSE;
+  insert_in_order (lane, job);
+  lane->used_at = core->now;
+  if (lane->jobs.head == &job->queue_link)
+    lane->blocked = FALSE;
+  if (!lane->blocked)
+    lane->pool->open = TRUE;
+}
 
 /**
- * bt_queue_push() - put a job at the end of its class
+ * bt_queue_push() - put a job into its lane
  * @core: the core
- * @job: the job; nothing happens if it is queued
+ * @job: the job; nothing happens if it is queued, or if no route is known for it
  */
 void
 bt_queue_push (bt_core_t *core, bt_job_t *job)
 {
-  if (job->queue_link.data != NULL)
+  if (job->queue_link.data != NULL || job->request == NULL || job->route == NULL)
     return;
   job->queue_link.data = job;
-  g_queue_push_tail_link (&core->sched.queue[job->work_class], &job->queue_link);
+  job->lane = lane_of (core, job);
+  job->wait = BT_WAIT_NONE;
+  count_job (core, job, 1);
+  enter_lane (core, job);
+}
+
+static void
+release_hold (bt_core_t *core, bt_queue_pool_t *pool)
+{
+  if (pool->holder == NULL)
+    return;
+  bt_worker_t *worker = bt_owner_worker (core, pool->held);
+  if (worker != NULL)
+    worker->held_for = NULL;
+  pool->holder = NULL;
+  g_clear_pointer (&pool->held, g_ref_string_release);
+  pool->open = TRUE;
+  for (guint i = 0; i < pool->lanes->len; i++)
+    ((bt_lane_t *)pool->lanes->pdata[i])->blocked = FALSE;
 }
 
 /**
@@ -30,8 +262,24 @@
 {
   if (job->queue_link.data == NULL)
     return;
-  g_queue_unlink (&core->sched.queue[job->work_class], &job->queue_link);
+  bt_lane_t *lane = job->lane;
+  if (job->parked)
+    g_queue_unlink (&core->queue.parked, &job->queue_link);
+  else
+    {
+      if (lane->jobs.head == &job->queue_link)
+        {
+          lane->blocked = FALSE;
+          lane->pool->open = TRUE;
+        }
+      g_queue_unlink (&lane->jobs, &job->queue_link);
+    }
+  count_job (core, job, -1);
+  if (lane->pool->holder == job)
+    release_hold (core, lane->pool);
   job->queue_link.data = NULL;
+  job->parked = FALSE;
+  job->lane = NULL;
 }
 
 /**
@@ -43,14 +291,464 @@
  */
 guint
 bt_queue_length (const bt_core_t *core, const char *pool)
+{
+  const bt_queue_pool_t *found = g_hash_table_lookup (core->queue.pools, pool);
+  return found != NULL ? found->waiting : 0;
+}
+
+/**
+ * bt_queue_route_length() - jobs that wait by a route
+ * @core: the core
+ * @route: the route's name
+ *
+ * Return: their number.
+ */
+guint
+bt_queue_route_length (const bt_core_t *core, const char *route)
+{
+  const bt_queue_route_t *found = g_hash_table_lookup (core->queue.routes, route);
+  return found != NULL ? found->waiting : 0;
+}
+
+/**
+ * bt_queue_caller_length() - jobs of a caller that wait by a route
+ * @core: the core
+ * @route: the route's name
+ * @caller: the caller's name
+ *
+ * Return: their number.
+ */
+guint
+bt_queue_caller_length (const bt_core_t *core, const char *route, const char *caller)
+{
+  const bt_queue_route_t *found = g_hash_table_lookup (core->queue.routes, route);
+  if (found == NULL)
+    return 0;
+  return GPOINTER_TO_UINT (g_hash_table_lookup (found->callers, caller));
+}
+
+/**
+ * bt_queue_ahead() - jobs of the same lane that are tried before a job
+ * @job: the job
+ *
+ * Return: their number.
+ */
+guint
+bt_queue_ahead (const bt_job_t *job)
 {
   guint n = 0;
-  for (int i = 0; i < BT_N_CLASSES; i++)
-    for (const GList *l = core->sched.queue[i].head; l != NULL; l = l->next)
-      {
-        const bt_job_t *job = l->data;
-        if (job->pool != NULL && strcmp (job->pool, pool) == 0)
-          n++;
-      }
+  if (job->queue_link.data == NULL || job->parked)
+    return 0;
+  for (const GList *l = job->queue_link.prev; l != NULL; l = l->prev)
+    n++;
   return n;
 }
+
+static gboolean
+is_ready (const bt_core_t *core, const bt_job_t *job)
+{
+  gboolean gang = job->request->kind == BT_KIND_GANG;
+  if (gang && job->n_placed > 0)
+    return FALSE;
+  if ((gang || !job->idempotent) && !core->journal.caught_up)
+    return FALSE;
+  return bt_recover_ready (core, job);
+}
+
+/* Whether some lane's first job goes before another's. */
+static gboolean
+rank_less (const rank_t *a, const rank_t *b)
+{
+  if (a->borrows != b->borrows)
+    return !a->borrows;
+  if (a->work_class != b->work_class)
+    return a->work_class < b->work_class;
+  if (a->share < b->share || a->share > b->share)
+    return a->share < b->share;
+  if (a->deadline_at != b->deadline_at)
+    return a->deadline_at < b->deadline_at;
+  return a->submitted_at < b->submitted_at;
+}
+
+static void
+rank_of (bt_core_t *core, const bt_job_t *job, rank_t *rank)
+{
+  rank->borrows = job->account != NULL && !bt_quota_within (core, job->account, &job->need);
+  rank->work_class = job->work_class;
+  rank->share = job->account != NULL ? job->account->share : 0;
+  rank->deadline_at = job->deadline_at;
+  rank->submitted_at = job->submitted_at;
+}
+
+static gboolean
+is_aged (const bt_core_t *core, const bt_job_t *job)
+{
+  return core->now - job->submitted_at >= AGED_US;
+}
+
+static gboolean
+may_be_tried (const bt_lane_t *lane)
+{
+  return !lane->blocked && lane->jobs.length > 0;
+}
+
+static bt_lane_t *
+oldest_aged_lane (const bt_core_t *core, const bt_queue_pool_t *pool)
+{
+  bt_lane_t *oldest = NULL;
+  gint64 oldest_at = G_MAXINT64;
+  for (guint i = 0; i < pool->lanes->len; i++)
+    {
+      bt_lane_t *lane = pool->lanes->pdata[i];
+      const bt_job_t *job = g_queue_peek_head (&lane->jobs);
+      if (!may_be_tried (lane) || !is_aged (core, job) || job->submitted_at >= oldest_at)
+        continue;
+      oldest = lane;
+      oldest_at = job->submitted_at;
+    }
+  return oldest;
+}
+
+static bt_lane_t *
+first_lane (bt_core_t *core, const bt_queue_pool_t *pool)
+{
+  bt_lane_t *best = NULL;
+  rank_t best_rank = { 0 };
+  for (guint i = 0; i < pool->lanes->len; i++)
+    {
+      bt_lane_t *lane = pool->lanes->pdata[i];
+      if (!may_be_tried (lane))
+        continue;
+      rank_t rank;
+      rank_of (core, g_queue_peek_head (&lane->jobs), &rank);
+      if (best != NULL && !rank_less (&rank, &best_rank))
+        continue;
+      best = lane;
+      best_rank = rank;
+    }
+  return best;
+}
+
+static bt_lane_t *
+choose_lane (bt_core_t *core, const bt_queue_pool_t *pool)
+{
+  bt_lane_t *lane = NULL;
+  if (pool->decisions % AGED_EVERY == AGED_EVERY - 1)
+    lane = oldest_aged_lane (core, pool);
+  return lane != NULL ? lane : first_lane (core, pool);
+}
+
+static void
+park (bt_core_t *core, bt_lane_t *lane, bt_job_t *job)
+{
+  g_queue_unlink (&lane->jobs, &job->queue_link);
+  g_queue_push_tail_link (&core->queue.parked, &job->queue_link);
+  job->parked = TRUE;
+  if (job->wait == BT_WAIT_NOT_READY)
+    return;
+  job->wait = BT_WAIT_NOT_READY;
+  const char *change;
+  g_autofree char *text = bt_explain_not_ready (core, job, &change);
+  bt_trace_add (core, job->id, "waiting", job->route, "%s", text != NULL ? text : "not ready");
+}
+
+static void
+block (bt_core_t *core, bt_lane_t *lane, bt_job_t *job, bt_wait_t wait)
+{
+  lane->blocked = TRUE;
+  if (job->wait == wait)
+    return;
+  job->wait = wait;
+  if (wait == BT_WAIT_QUOTA)
+    bt_trace_add_pool (core, job->id, "waiting", job->pool,
+                       "team %s is at its quota here and may not borrow", job->team);
+  else
+    bt_trace_add_pool (core, job->id, "waiting", job->pool, "no VM has room for it now");
+}
+
+/* The first job of a lane, or NULL if it can't be tried. */
+static bt_job_t *
+try_lane (bt_core_t *core, bt_lane_t *lane)
+{
+  bt_job_t *job = g_queue_peek_head (&lane->jobs);
+  if (!is_ready (core, job))
+    {
+      park (core, lane, job);
+      return NULL;
+    }
+  if (job->account != NULL && !bt_quota_allows (core, job->account, &job->need))
+    {
+      block (core, lane, job, BT_WAIT_QUOTA);
+      return NULL;
+    }
+  core->queue.trying = lane;
+  return job;
+}
+
+static bt_job_t *
+next_of_pool (bt_core_t *core, bt_queue_pool_t *pool)
+{
+  while (pool->open)
+    {
+      bt_lane_t *lane = choose_lane (core, pool);
+      if (lane == NULL)
+        pool->open = FALSE;
+      else
+        {
+          bt_job_t *job = try_lane (core, lane);
+          if (job != NULL)
+            return job;
+        }
+    }
+  return NULL;
+}
+
+/**
+ * bt_queue_next() - the job of which a task is to be placed next
+ * @core: the core
+ *
+ * Return: the job, to be followed by bt_queue_tried(), or NULL if there is
+ * none that may be placed now.
+ */
+bt_job_t *
+bt_queue_next (bt_core_t *core)
+{
+  GHashTableIter iter;
+  bt_queue_pool_t *pool;
+  g_hash_table_iter_init (&iter, core->queue.pools);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&pool))
+    {
+      bt_job_t *job = next_of_pool (core, pool);
+      if (job != NULL)
+        return job;
+    }
+  return NULL;
+}
+
+/* What would be free on a VM if all but its services had ended. */
+static void
+room_in_the_end (const bt_worker_t *worker, bt_vector_t *room)
+{
+  *room = worker->capacity;
+  GHashTableIter iter;
+  const bt_attempt_t *attempt;
+  g_hash_table_iter_init (&iter, worker->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&attempt))
+    if (attempt->job->request != NULL && attempt->job->request->kind == BT_KIND_SERVICE)
+      bt_vector_sub (room, &attempt->need);
+}
+
+static bt_worker_t *
+worker_to_hold (const bt_core_t *core, const bt_job_t *job)
+{
+  bt_worker_t *best = NULL;
+  GHashTableIter iter;
+  bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, core->owner.workers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    {
+      if (strcmp (worker->pool, job->pool) != 0 || !bt_owner_may_start (core, worker))
+        continue;
+      bt_vector_t room;
+      room_in_the_end (worker, &room);
+      if (!bt_vector_fits (&job->need, &room))
+        continue;
+      gint64 used = worker->used.v[BT_RESOURCE_MCPUS];
+      gboolean better
+          = best == NULL || used < best->used.v[BT_RESOURCE_MCPUS]
+            || (used == best->used.v[BT_RESOURCE_MCPUS] && strcmp (worker->name, best->name) < 0);
+      if (better)
+        best = worker;
+    }
+  return best;
+}
+
+static void
+hold_worker (bt_core_t *core, bt_queue_pool_t *pool, bt_job_t *job)
+{
+  if (pool->holder != NULL || job->request->kind == BT_KIND_GANG || !is_aged (core, job))
+    return;
+  bt_worker_t *worker = worker_to_hold (core, job);
+  if (worker == NULL)
+    return;
+  worker->held_for = job;
+  pool->holder = job;
+  pool->held = g_ref_string_acquire (worker->name);
+  bt_trace_add_pool (core, job->id, "held", job->pool, "%s is kept free for it, as it waited long",
+                     worker->name);
+}
+
+/**
+ * bt_queue_tried() - a task of the job that bt_queue_next() named was placed or not
+ * @core: the core
+ * @job: the job, which may have left the queue meanwhile
+ * @placed: whether it was
+ */
+void
+bt_queue_tried (bt_core_t *core, bt_job_t *job, gboolean placed)
+{
+  bt_lane_t *lane = core->queue.trying;
+  core->queue.trying = NULL;
+  bt_queue_pool_t *pool = lane->pool;
+  if (placed)
+    {
+      pool->decisions++;
+      job->wait = BT_WAIT_NONE;
+      if (pool->holder == job)
+        release_hold (core, pool);
+      if (job->n_waiting == 0)
+        bt_queue_remove (core, job);
+      return;
+    }
+  if (job->lane != lane || job->parked)
+    return;
+  block (core, lane, job, BT_WAIT_ROOM);
+  hold_worker (core, pool, job);
+}
+
+/**
+ * bt_queue_freed() - an attempt on a VM is over
+ * @core: the core
+ * @worker: the VM
+ *
+ * Opens the lanes whose first job now fits there, or whose team was at its quota.
+ */
+void
+bt_queue_freed (bt_core_t *core, const bt_worker_t *worker)
+{
+  bt_queue_pool_t *pool = g_hash_table_lookup (core->queue.pools, worker->pool);
+  if (pool == NULL || pool->waiting == 0)
+    return;
+  for (guint i = 0; i < pool->lanes->len; i++)
+    {
+      bt_lane_t *lane = pool->lanes->pdata[i];
+      const bt_job_t *job = g_queue_peek_head (&lane->jobs);
+      if (!lane->blocked || job == NULL)
+        continue;
+      bt_vector_t room;
+      bt_quota_room (core, job, worker, &room);
+      gboolean gang = job->request->kind == BT_KIND_GANG;
+      if (!gang && job->wait == BT_WAIT_ROOM && !bt_vector_fits (&job->need, &room))
+        continue;
+      lane->blocked = FALSE;
+      pool->open = TRUE;
+    }
+}
+
+static void
+unpark (bt_core_t *core)
+{
+  GList *next;
+  for (GList *l = core->queue.parked.head; l != NULL; l = next)
+    {
+      bt_job_t *job = l->data;
+      next = l->next;
+      if (!is_ready (core, job))
+        continue;
+      g_queue_unlink (&core->queue.parked, l);
+      enter_lane (core, job);
+    }
+}
+
+static void
+check_hold (bt_core_t *core, bt_queue_pool_t *pool)
+{
+  if (pool->holder == NULL)
+    return;
+  const bt_worker_t *worker = bt_owner_worker (core, pool->held);
+  if (worker == NULL || !bt_owner_may_start (core, worker) || pool->holder->parked)
+    release_hold (core, pool);
+}
+
+static gboolean
+lane_unused (const bt_core_t *core, const bt_lane_t *lane)
+{
+  return lane->jobs.length == 0 && core->now - lane->used_at > KEEP_LANE_US;
+}
+
+static gboolean
+lane_referenced (const bt_core_t *core, const bt_lane_t *lane)
+{
+  for (const GList *l = core->queue.parked.head; l != NULL; l = l->next)
+    if (((const bt_job_t *)l->data)->lane == lane)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+reopen (bt_core_t *core, bt_queue_pool_t *pool)
+{
+  check_hold (core, pool);
+  for (guint i = 0; i < pool->lanes->len;)
+    {
+      bt_lane_t *lane = pool->lanes->pdata[i];
+      lane->blocked = FALSE;
+      if (lane_unused (core, lane) && !lane_referenced (core, lane))
+        {
+          g_ptr_array_remove_index_fast (pool->lanes, i);
+          lane->route->lanes--;
+          g_hash_table_remove (core->queue.lanes, lane->key);
+          continue;
+        }
+      i++;
+    }
+  pool->open = TRUE;
+}
+
+/**
+ * bt_queue_tick() - look again at jobs that could not be placed or tried
+ * @core: the core
+ */
+void
+bt_queue_tick (bt_core_t *core)
+{
+  if (core->now >= core->queue.next_unpark)
+    {
+      core->queue.next_unpark = core->now + UNPARK_US;
+      unpark (core);
+    }
+  if (core->now < core->queue.next_open)
+    return;
+  core->queue.next_open = core->now + REOPEN_US;
+  GHashTableIter iter;
+  bt_queue_pool_t *pool;
+  g_hash_table_iter_init (&iter, core->queue.pools);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&pool))
+    reopen (core, pool);
+}
+
+static void
+expire_jobs (bt_core_t *core, GQueue *jobs, gboolean all,
+             void (*expire) (bt_core_t *core, bt_job_t *job))
+{
+  GList *next;
+  for (GList *l = jobs->head; l != NULL; l = next)
+    {
+      bt_job_t *job = l->data;
+      next = l->next;
+      gboolean late = job->deadline_at <= core->now;
+      if (late)
+        expire (core, job);
+      else if (!all)
+        return;
+    }
+}
+
+/**
+ * bt_queue_expire() - find the queued jobs whose deadline has passed
+ * @core: the core
+ * @expire: called for each; may take it out of the queue
+ */
+void
+bt_queue_expire (bt_core_t *core, void (*expire) (bt_core_t *core, bt_job_t *job))
+{
+  gboolean all = core->now >= core->queue.next_expiry;
+  if (all)
+    core->queue.next_expiry = core->now + EXPIRY_US;
+  expire_jobs (core, &core->queue.parked, all, expire);
+  GHashTableIter iter;
+  bt_lane_t *lane;
+  g_hash_table_iter_init (&iter, core->queue.lanes);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&lane))
+    expire_jobs (core, &lane->jobs, all, expire);
+}
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -14,8 +14,6 @@
 #define BACKOFF_MAX_MS 30000
 /* What a refused caller is told to wait. */
 #define RETRY_AFTER_MS 1000
-/* Jobs of a class that don't fit before the rest of the class waits too. */
-#define MISSES_MAX 64
 
 static gboolean
 needs_record (const bt_job_t *job)
@@ -39,7 +37,6 @@
 {
   core->sched.jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, bt_job_free);
   core->sched.attempts = g_hash_table_new (g_str_hash, g_str_equal);
-  core->sched.route_waiting = g_hash_table_new (g_str_hash, g_str_equal);
 }
 
 /**
@@ -61,7 +58,6 @@
     }
   g_hash_table_unref (core->sched.jobs);
   g_hash_table_unref (core->sched.attempts);
-  g_hash_table_unref (core->sched.route_waiting);
 }
 
 static void
@@ -171,8 +167,8 @@
   job->answer = answer != NULL ? g_bytes_ref (answer) : NULL;
   job->detail = g_strdup (detail);
   stop_tasks (core, job);
-  bt_trace_add (core, job->id, "ended", job->route != NULL ? job->route : "-", "%s, %s",
-                bt_status_names[status], bt_reason_names[reason]);
+  bt_trace_add (core, job->id, "ended", job->route, "%s, %s", bt_status_names[status],
+                bt_reason_names[reason]);
   if (end_needs_record (job))
     {
       bt_record_t *record = bt_journal_record (core, BT_RECORD_ENDED, job->id);
@@ -199,35 +195,23 @@
   outcome.retry_after_ms = RETRY_AFTER_MS;
   g_autofree char *text = g_strdup_printf ("%s: %s", line, detail);
   outcome.detail = text;
-  bt_trace_add (core, id, "refused", line, "%s: %s", bt_reason_names[reason], detail);
+  const char *route = reason == BT_REASON_NO_ROUTE ? NULL : line;
+  bt_trace_add (core, id, "refused", route, "%s: %s", bt_reason_names[reason], detail);
   tell_member (core, member, id, &outcome);
 }
 
-static guint
-route_waiting (const bt_core_t *core, const bt_route_t *route)
-{
-  guint n = 0;
-  for (const GList *l = core->sched.queue[route->work_class].head; l != NULL; l = l->next)
-    {
-      const bt_job_t *job = l->data;
-      if (job->route != NULL && strcmp (job->route, route->name) == 0)
-        n++;
-    }
-  return n;
-}
-
 static bt_reason_t
 admission_fault (const bt_core_t *core, const bt_route_t *route, const bt_request_t *request)
 {
   const bt_pool_t *pool = bt_tables_pool (core->tables.tables, route->pool);
   if (!bt_pool_in_data_centre (pool, core->data_centre))
     return BT_REASON_NO_POOL_MEMBER;
-  if (!bt_place_possible (core, request, pool))
+  if (!bt_place_possible (core, request, pool, (bt_class_t)route->work_class))
     return BT_REASON_NEVER_FITS;
   gboolean log_needed = bt_request_durable (request) || !route->idempotent;
   if (log_needed && !core->journal.available && route->on_log_outage == BT_LOG_OUTAGE_REFUSE)
     return BT_REASON_LOG_UNAVAILABLE;
-  if (route_waiting (core, route) >= (guint)route->queue_limit)
+  if (bt_queue_route_length (core, route->name) >= (guint)route->queue_limit)
     return BT_REASON_QUEUE_FULL;
   return BT_REASON_NONE;
 }
@@ -435,23 +419,30 @@
   return TRUE;
 }
 
+static void
+expire_waiting (bt_core_t *core, bt_job_t *job)
+{
+  if (job->state != BT_JOB_OPEN || job->n_placed > 0 || core->now < job->deadline_at)
+    return;
+  gboolean tried = job->tasks[0].tries > 0;
+  gboolean certain = !tried && surely_not_run (core, job->resent, needs_record (job));
+  bt_sched_end_job (core, job, certain ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN, BT_REASON_DEADLINE,
+                    NULL, "its deadline passed before it could start");
+}
+
 static gboolean
-place_tasks (bt_core_t *core, bt_job_t *job)
+place_task (bt_core_t *core, bt_job_t *job)
 {
-  gint task;
-  while ((task = first_waiting (job)) >= 0)
-    {
-      bt_worker_t *worker = bt_place_find (core, job, (guint)task);
-      if (worker == NULL)
-        return FALSE;
-      begin_attempt (core, job, (guint)task, worker);
-      bt_attempt_t *attempt = job->tasks[task].attempt;
-      if (!needs_record (job))
-        send_start (core, attempt);
-      if (job->tasks[task].state == BT_TASK_WAITING)
-        return FALSE;
-    }
-  return TRUE;
+  gint task = first_waiting (job);
+  if (task < 0)
+    return TRUE;
+  bt_worker_t *worker = bt_place_find (core, job, (guint)task);
+  if (worker == NULL)
+    return FALSE;
+  begin_attempt (core, job, (guint)task, worker);
+  if (!needs_record (job))
+    send_start (core, job->tasks[task].attempt);
+  return job->tasks[task].state != BT_TASK_WAITING;
 }
 
 static gboolean
@@ -461,11 +452,11 @@
     return FALSE;
   if (job->request->kind == BT_KIND_GANG)
     return place_gang (core, job);
-  return place_tasks (core, job);
+  return place_task (core, job);
 }
 
 /**
- * bt_sched_run() - start what can be started, most urgent class first
+ * bt_sched_run() - start what can be started, in the order of the queue
  * @core: the core
  */
 void
@@ -473,21 +464,12 @@
 {
   if (!core->owner.leading)
     return;
-  for (int i = 0; i < BT_N_CLASSES; i++)
+  bt_job_t *job;
+  while ((job = bt_queue_next (core)) != NULL)
     {
-      guint misses = 0;
-      GList *next;
-      for (GList *l = core->sched.queue[i].head; l != NULL && misses < MISSES_MAX; l = next)
-        {
-          bt_job_t *job = l->data;
-          next = l->next;
-          if (!bt_recover_ready (core, job))
-            continue;
-          if (place_job (core, job))
-            bt_queue_remove (core, job);
-          else
-            misses++;
-        }
+      expire_waiting (core, job);
+      gboolean placed = job->state == BT_JOB_OPEN && place_job (core, job);
+      bt_queue_tried (core, job, placed);
     }
 }
 
@@ -526,9 +508,8 @@
 bt_sched_attempt_lost (bt_core_t *core, bt_attempt_t *attempt, gboolean surely_not_run)
 {
   bt_job_t *job = attempt->job;
-  bt_trace_add (core, job->id, surely_not_run ? "not-started" : "lost",
-                job->route != NULL ? job->route : "-", "task %u on %s", attempt->task,
-                attempt->worker_name);
+  bt_trace_add (core, job->id, surely_not_run ? "not-started" : "lost", job->route, "task %u on %s",
+                attempt->task, attempt->worker_name);
   core->counters.attempts_lost++;
   if (surely_not_run && attempt->recorded)
     abandon_attempt (core, attempt);
@@ -893,17 +874,6 @@
       stop_attempt (core, attempt);
 }
 
-static void
-expire_waiting (bt_core_t *core, bt_job_t *job)
-{
-  if (job->state != BT_JOB_OPEN || job->n_placed > 0 || core->now < job->deadline_at)
-    return;
-  gboolean tried = job->tasks[0].tries > 0;
-  gboolean certain = !tried && surely_not_run (core, job->resent, needs_record (job));
-  bt_sched_end_job (core, job, certain ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN, BT_REASON_DEADLINE,
-                    NULL, "its deadline passed before it could start");
-}
-
 static gboolean
 forgettable (const bt_core_t *core, const bt_job_t *job)
 {
@@ -917,15 +887,7 @@
 static void
 sweep (bt_core_t *core)
 {
-  for (int i = 0; i < BT_N_CLASSES; i++)
-    {
-      GList *next;
-      for (GList *l = core->sched.queue[i].head; l != NULL; l = next)
-        {
-          next = l->next;
-          expire_waiting (core, l->data);
-        }
-    }
+  bt_queue_expire (core, expire_waiting);
   GHashTableIter iter;
   bt_job_t *job;
   g_hash_table_iter_init (&iter, core->sched.jobs);
@@ -941,6 +903,8 @@
 void
 bt_sched_tick (bt_core_t *core)
 {
+  bt_quota_tick (core);
+  bt_queue_tick (core);
   bt_sched_run (core);
   gboolean sweeping = core->now >= core->sched.next_sweep;
   GHashTableIter iter;
--- a/libbamboothread/process/trace.c
+++ b/libbamboothread/process/trace.c
@@ -38,29 +38,56 @@
   g_free (core->trace.ring);
 }
 
+static void
+add (bt_core_t *core, const char *job, const char *action, char *line, char *detail)
+{
+  bt_trace_entry_t *entry = &core->trace.ring[core->trace.next++ % TRACE_ENTRIES];
+  entry_clear (entry);
+  entry->detail = detail;
+  entry->at = core->now;
+  entry->job = g_ref_string_new (job);
+  entry->action = action;
+  entry->line = line;
+  entry->version = core->tables.version;
+}
+
 /**
- * bt_trace_add() - record a decision
+ * bt_trace_add() - record a decision that a route caused
  * @core: the core
  * @job: id of the job that it concerns
  * @action: what was decided, a static string
- * @line: the table line that caused it
+ * @route: the route's name, or NULL if no route matched or the tables no longer have it
  * @format: printf-style cause, in words
  */
 void
-bt_trace_add (bt_core_t *core, const char *job, const char *action, const char *line,
+bt_trace_add (bt_core_t *core, const char *job, const char *action, const char *route,
               const char *format, ...)
 {
-  bt_trace_entry_t *entry = &core->trace.ring[core->trace.next++ % TRACE_ENTRIES];
-  entry_clear (entry);
   va_list args;
   va_start (args, format);
-  entry->detail = g_strdup_vprintf (format, args);
+  char *detail = g_strdup_vprintf (format, args);
   va_end (args);
-  entry->at = core->now;
-  entry->job = g_ref_string_new (job);
-  entry->action = action;
-  entry->line = g_strdup (line);
-  entry->version = core->tables.version;
+  char *line = route != NULL ? g_strconcat ("route ", route, NULL) : g_strdup ("no route");
+  add (core, job, action, line, detail);
+}
+
+/**
+ * bt_trace_add_pool() - record a decision that a pool caused
+ * @core: the core
+ * @job: id of the job that it concerns
+ * @action: what was decided, a static string
+ * @pool: the pool's name
+ * @format: printf-style cause, in words
+ */
+void
+bt_trace_add_pool (bt_core_t *core, const char *job, const char *action, const char *pool,
+                   const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  char *detail = g_strdup_vprintf (format, args);
+  va_end (args);
+  add (core, job, action, g_strconcat ("pool ", pool, NULL), detail);
 }
 
 /**
