Admit by estimated wait, let callers take turns, and learn run times by route

One caller's flood filled its route's queue and made all others of the route wait behind it; a request that could not start before its deadline was taken all the same and failed late.

Run time, use and rate of starts are learned by route; no limit rests on them.

--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -54,6 +54,7 @@
   bt_sched_init (core);
   bt_quota_init (core);
   bt_queue_init (core);
+  bt_estimate_init (core);
   bt_entry_init (core);
   bt_trace_init (core);
   return core;
@@ -69,6 +70,7 @@
   bt_sched_clear (core);
   bt_queue_clear (core);
   bt_quota_clear (core);
+  bt_estimate_clear (core);
   bt_entry_clear (core);
   bt_journal_clear (core);
   bt_owner_clear (core);
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -232,8 +232,10 @@
  * @request: what was asked, or NULL if only a worker's report told of the job
  * @durable: whether the log holds its acceptance
  * @resent: whether an earlier owner may have run it
- * @queue_link: its place in the queue; data is NULL while it is not queued
+ * @queue_link: data is NULL while it is not queued; a link while it is parked
  * @lane: the lane that it waits in, also while @parked
+ * @place: its place in the lane, or NULL while it is parked
+ * @turn: its turn among the callers of the lane
  * @wait: why it was not placed when it was tried last
  * @account: its team's account with its pool, or NULL
  * @waiters: names of the daemons whose callers wait for it
@@ -269,6 +271,8 @@
   gint64 retries;
   GList queue_link;
   bt_lane_t *lane;
+  GSequenceIter *place;
+  guint64 turn;
   gboolean parked;
   bt_wait_t wait;
   bt_account_t *account;
@@ -390,6 +394,40 @@
   guint64 counter;
 } bt_sched_t;
 
+/**
+ * struct bt_route_estimate_t - what is learned of a route's work; written by estimate.c
+ * @run_us: smoothed run time, or 0 if none has ended
+ * @mcpus_ratio: smoothed part of the declared processors that was used
+ * @memory_ratio: smoothed part of the declared memory that was used
+ * @window_at: when the current window of starts began
+ * @starts: starts in the window before, and in the current one
+ * @backlog_at: since when some work has waited without a break, or 0
+ * @retry_tokens: retries that the route may make now
+ */
+typedef struct
+{
+  GRefString *name;
+  double run_us;
+  double mcpus_ratio;
+  double memory_ratio;
+  gint64 window_at;
+  guint starts[2];
+  gint64 backlog_at;
+  double retry_tokens;
+} bt_route_estimate_t;
+
+/**
+ * struct bt_admission_t - whether a request is taken
+ * @reason: BT_REASON_NONE if it is
+ * @detail: the cause with its figures, to be freed, or NULL
+ */
+typedef struct
+{
+  bt_reason_t reason;
+  guint32 retry_after_ms;
+  char *detail;
+} bt_admission_t;
+
 /**
  * struct bt_pending_t - a request whose caller waits at this daemon; written by entry.c
  * @home: the data centre whose owner has it
@@ -477,6 +515,7 @@
   bt_sched_t sched;
   bt_quotas_t quota;
   bt_queue_t queue;
+  GHashTable *estimates;
   bt_entry_t entry;
   bt_trace_t trace;
 };
@@ -548,6 +587,7 @@
 void bt_quota_credit (bt_attempt_t *attempt);
 gboolean bt_quota_within (bt_core_t *core, const bt_account_t *account, const bt_vector_t *need);
 gboolean bt_quota_allows (bt_core_t *core, const bt_account_t *account, const bt_vector_t *need);
+gboolean bt_quota_enough (const bt_account_t *account, const bt_request_t *request);
 void bt_quota_usable (const bt_pool_t *pool, bt_class_t work_class, bt_vector_t *capacity);
 void bt_quota_room (const bt_core_t *core, const bt_job_t *job, const bt_worker_t *worker,
                     bt_vector_t *room);
@@ -561,12 +601,32 @@
 guint bt_queue_length (const bt_core_t *core, const char *pool);
 guint bt_queue_route_length (const bt_core_t *core, const char *route);
 guint bt_queue_caller_length (const bt_core_t *core, const char *route, const char *caller);
+guint bt_queue_callers (const bt_core_t *core, const char *route);
 bt_job_t *bt_queue_next (bt_core_t *core);
 void bt_queue_tried (bt_core_t *core, bt_job_t *job, gboolean placed);
 void bt_queue_freed (bt_core_t *core, const bt_worker_t *worker);
 void bt_queue_expire (bt_core_t *core, void (*expire) (bt_core_t *core, bt_job_t *job));
 guint bt_queue_ahead (const bt_job_t *job);
 
+/* estimate.c */
+void bt_estimate_init (bt_core_t *core);
+void bt_estimate_clear (bt_core_t *core);
+void bt_estimate_started (bt_core_t *core, const bt_job_t *job);
+void bt_estimate_waiting (bt_core_t *core, const char *route, gboolean some);
+void bt_estimate_used (bt_core_t *core, const bt_attempt_t *attempt,
+                       const bt_attempt_report_t *report);
+void bt_estimate_ended (bt_core_t *core, const bt_attempt_t *attempt);
+gint64 bt_estimate_run_us (const bt_core_t *core, const bt_job_t *job);
+void bt_estimate_need (const bt_core_t *core, const bt_job_t *job, bt_vector_t *used);
+gint64 bt_estimate_wait_us (bt_core_t *core, const bt_route_t *route, const char *caller);
+gint64 bt_estimate_pool_wait_us (bt_core_t *core, const char *pool);
+gboolean bt_estimate_take_retry (bt_core_t *core, const char *route);
+
+/* admit.c */
+void bt_admit_check (bt_core_t *core, const bt_route_t *route, const bt_request_t *request,
+                     gint64 age_us, bt_admission_t *verdict);
+guint32 bt_admit_retry_after_ms (bt_core_t *core, const bt_job_t *job);
+
 /* explain.c */
 GBytes *bt_explain_decisions (const bt_core_t *core, const char *job);
 GBytes *bt_explain_waiting (bt_core_t *core, const bt_job_t *job);
--- a/libbamboothread/process/explain.c
+++ b/libbamboothread/process/explain.c
@@ -231,6 +231,19 @@
                g_strdup ("nothing"));
 }
 
+static guint
+tasks_recording (const bt_job_t *job)
+{
+  guint n = 0;
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      const bt_attempt_t *attempt = job->tasks[i].attempt;
+      if (attempt != NULL && attempt->phase == BT_PHASE_RECORDING)
+        n++;
+    }
+  return n;
+}
+
 static void
 add_unqueued_cause (JsonArray *causes, const bt_job_t *job)
 {
@@ -247,6 +260,11 @@
     add_cause (causes, "no-route", route_line (job),
                g_strdup ("the tables no longer have the route by which it came"),
                g_strdup ("an operator has to add the route again, or the caller to cancel"));
+  else if (tasks_recording (job) > 0)
+    add_cause (
+        causes, "recording", route_line (job),
+        g_strdup_printf ("the starts of %u tasks are on the way to the log", tasks_recording (job)),
+        g_strdup ("the log has to answer"));
   else if (job->n_placed > 0)
     add_cause (causes, "running", route_line (job),
                g_strdup_printf ("%u of its tasks run", job->n_placed), g_strdup ("nothing"));
--- a/libbamboothread/process/queue.c
+++ b/libbamboothread/process/queue.c
@@ -5,8 +5,8 @@
 /*
  * Jobs with tasks to place, and the order in which they are tried.
  *
- * Jobs of one route and of about the same size wait in a lane, first come
- * first. If the first job of a lane does not fit, the lane is blocked until
+ * Jobs of one route and of about the same size wait in a lane, where the
+ * callers take turns. If the first job of a lane does not fit, the lane is blocked until
  * room for it is freed, so the cost of a pass follows the number of lanes and
  * not that of jobs. Among the lanes of a pool go first: teams within their
  * quota before teams that borrow, then the more urgent class, then the team
@@ -28,13 +28,16 @@
 #define EXPIRY_US (500 * BT_USEC_PER_MSEC)
 /* Lanes of different sizes that a route has at most; other sizes share one more. */
 #define LANES_PER_ROUTE 16
-/* How far from the end of a lane an older job is put in order. */
-#define ORDER_STEPS 64
+/* Callers whose turns a lane remembers before it forgets those that are past. */
+#define TURNS_KEPT 1024
 /* How long an empty lane is kept. */
 #define KEEP_LANE_US (60 * BT_USEC_PER_SEC)
 
 /**
  * struct bt_lane_t - jobs of one route and about the same size
+ * @jobs: in the order of their turns; each caller's next job has a later turn
+ * @last_turns: last turn that was given to each caller
+ * @turn: turn of the job that left the lane last
  * @blocked: whether its first job did not fit when it was tried last
  * @used_at: when a job was put into it last
  */
@@ -43,7 +46,10 @@
   char *key;
   bt_queue_pool_t *pool;
   bt_queue_route_t *route;
-  GQueue jobs;
+  GSequence *jobs;
+  guint n_jobs;
+  GHashTable *last_turns;
+  guint64 turn;
   gboolean blocked;
   gint64 used_at;
 };
@@ -64,6 +70,8 @@
 lane_free (gpointer data)
 {
   bt_lane_t *lane = data;
+  g_sequence_free (lane->jobs);
+  g_hash_table_unref (lane->last_turns);
   g_free (lane->key);
   g_free (lane);
 }
@@ -150,7 +158,9 @@
   lane->key = g_strdup (key);
   lane->pool = get_pool (core, job->pool);
   lane->route = get_route (core, job->route);
-  g_queue_init (&lane->jobs);
+  lane->jobs = g_sequence_new (NULL);
+  lane->last_turns = g_hash_table_new_full (g_str_hash, g_str_equal,
+                                            (GDestroyNotify)g_ref_string_release, g_free);
   g_hash_table_insert (core->queue.lanes, lane->key, lane);
   g_ptr_array_add (lane->pool->lanes, lane);
   lane->route->lanes++;
@@ -188,23 +198,48 @@
     g_hash_table_remove (lane->route->callers, caller);
   else
     g_hash_table_replace (lane->route->callers, g_ref_string_new (caller), GUINT_TO_POINTER (n));
+  bt_estimate_waiting (core, lane->route->name, lane->route->waiting > 0);
 }
 
+static gint
+compare_turns (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const bt_job_t *left = a;
+  const bt_job_t *right = b;
+  if (left->turn != right->turn)
+    return left->turn < right->turn ? -1 : 1;
+  if (left->submitted_at != right->submitted_at)
+    return left->submitted_at < right->submitted_at ? -1 : 1;
+  return strcmp (left->id, right->id);
+}
+
+static bt_job_t *
+first_job (const bt_lane_t *lane)
+{
+  return lane->n_jobs > 0 ? g_sequence_get (g_sequence_get_begin_iter (lane->jobs)) : NULL;
+}
+
+static gboolean
+turn_is_past (gpointer caller, gpointer turn, gpointer lane)
+{
+  return *(guint64 *)turn <= ((const bt_lane_t *)lane)->turn;
+}
+
+/* Callers take turns, as by start-time fair queueing. */
 static void
-insert_in_order (bt_lane_t *lane, bt_job_t *job)
+give_turn (bt_lane_t *lane, bt_job_t *job)
 {
-  GList *after = lane->jobs.tail;
-  for (guint i = 0; i < ORDER_STEPS && after != NULL; i++)
+  const char *caller = job->request->caller;
+  if (g_hash_table_size (lane->last_turns) >= TURNS_KEPT)
+    g_hash_table_foreach_remove (lane->last_turns, turn_is_past, lane);
+  guint64 *last = g_hash_table_lookup (lane->last_turns, caller);
+  if (last == NULL)
     {
-      if (((const bt_job_t *)after->data)->submitted_at <= job->submitted_at)
-        break;
-      after = after->prev;
+      last = g_new0 (guint64, 1);
+      g_hash_table_insert (lane->last_turns, g_ref_string_new (caller), last);
     }
-  const bt_job_t *first = g_queue_peek_head (&lane->jobs);
-  if (after == NULL || (first != NULL && first->submitted_at > job->submitted_at))
-    g_queue_push_head_link (&lane->jobs, &job->queue_link);
-  else
-    g_queue_insert_after_link (&lane->jobs, after, &job->queue_link);
+  job->turn = MAX (lane->turn, *last) + 1;
+  *last = job->turn;
 }
 
 static void
@@ -212,14 +247,30 @@
 {
   bt_lane_t *lane = job->lane;
   job->parked = FALSE;
-  insert_in_order (lane, job);
+  job->place = g_sequence_insert_sorted (lane->jobs, job, compare_turns, NULL);
+  lane->n_jobs++;
   lane->used_at = core->now;
-  if (lane->jobs.head == &job->queue_link)
+  if (first_job (lane) == job)
     lane->blocked = FALSE;
   if (!lane->blocked)
     lane->pool->open = TRUE;
 }
 
+static void
+leave_lane (bt_job_t *job)
+{
+  bt_lane_t *lane = job->lane;
+  if (first_job (lane) == job)
+    {
+      lane->blocked = FALSE;
+      lane->pool->open = TRUE;
+      lane->turn = MAX (lane->turn, job->turn);
+    }
+  g_sequence_remove (job->place);
+  job->place = NULL;
+  lane->n_jobs--;
+}
+
 /**
  * bt_queue_push() - put a job into its lane
  * @core: the core
@@ -234,6 +285,8 @@
   job->lane = lane_of (core, job);
   job->wait = BT_WAIT_NONE;
   count_job (core, job, 1);
+  if (job->turn == 0)
+    give_turn (job->lane, job);
   enter_lane (core, job);
 }
 
@@ -266,14 +319,7 @@
   if (job->parked)
     g_queue_unlink (&core->queue.parked, &job->queue_link);
   else
-    {
-      if (lane->jobs.head == &job->queue_link)
-        {
-          lane->blocked = FALSE;
-          lane->pool->open = TRUE;
-        }
-      g_queue_unlink (&lane->jobs, &job->queue_link);
-    }
+    leave_lane (job);
   count_job (core, job, -1);
   if (lane->pool->holder == job)
     release_hold (core, lane->pool);
@@ -327,6 +373,20 @@
   return GPOINTER_TO_UINT (g_hash_table_lookup (found->callers, caller));
 }
 
+/**
+ * bt_queue_callers() - callers whose jobs wait by a route
+ * @core: the core
+ * @route: the route's name
+ *
+ * Return: their number.
+ */
+guint
+bt_queue_callers (const bt_core_t *core, const char *route)
+{
+  const bt_queue_route_t *found = g_hash_table_lookup (core->queue.routes, route);
+  return found != NULL ? g_hash_table_size (found->callers) : 0;
+}
+
 /**
  * bt_queue_ahead() - jobs of the same lane that are tried before a job
  * @job: the job
@@ -336,12 +396,9 @@
 guint
 bt_queue_ahead (const bt_job_t *job)
 {
-  guint n = 0;
-  if (job->queue_link.data == NULL || job->parked)
+  if (job->place == NULL)
     return 0;
-  for (const GList *l = job->queue_link.prev; l != NULL; l = l->prev)
-    n++;
-  return n;
+  return (guint)g_sequence_iter_get_position (job->place);
 }
 
 static gboolean
@@ -389,7 +446,7 @@
 static gboolean
 may_be_tried (const bt_lane_t *lane)
 {
-  return !lane->blocked && lane->jobs.length > 0;
+  return !lane->blocked && lane->n_jobs > 0;
 }
 
 static bt_lane_t *
@@ -400,7 +457,7 @@
   for (guint i = 0; i < pool->lanes->len; i++)
     {
       bt_lane_t *lane = pool->lanes->pdata[i];
-      const bt_job_t *job = g_queue_peek_head (&lane->jobs);
+      const bt_job_t *job = first_job (lane);
       if (!may_be_tried (lane) || !is_aged (core, job) || job->submitted_at >= oldest_at)
         continue;
       oldest = lane;
@@ -420,7 +477,7 @@
       if (!may_be_tried (lane))
         continue;
       rank_t rank;
-      rank_of (core, g_queue_peek_head (&lane->jobs), &rank);
+      rank_of (core, first_job (lane), &rank);
       if (best != NULL && !rank_less (&rank, &best_rank))
         continue;
       best = lane;
@@ -441,7 +498,7 @@
 static void
 park (bt_core_t *core, bt_lane_t *lane, bt_job_t *job)
 {
-  g_queue_unlink (&lane->jobs, &job->queue_link);
+  leave_lane (job);
   g_queue_push_tail_link (&core->queue.parked, &job->queue_link);
   job->parked = TRUE;
   if (job->wait == BT_WAIT_NOT_READY)
@@ -470,7 +527,7 @@
 static bt_job_t *
 try_lane (bt_core_t *core, bt_lane_t *lane)
 {
-  bt_job_t *job = g_queue_peek_head (&lane->jobs);
+  bt_job_t *job = first_job (lane);
   if (!is_ready (core, job))
     {
       park (core, lane, job);
@@ -622,7 +679,7 @@
   for (guint i = 0; i < pool->lanes->len; i++)
     {
       bt_lane_t *lane = pool->lanes->pdata[i];
-      const bt_job_t *job = g_queue_peek_head (&lane->jobs);
+      const bt_job_t *job = first_job (lane);
       if (!lane->blocked || job == NULL)
         continue;
       bt_vector_t room;
@@ -663,7 +720,7 @@
 static gboolean
 lane_unused (const bt_core_t *core, const bt_lane_t *lane)
 {
-  return lane->jobs.length == 0 && core->now - lane->used_at > KEEP_LANE_US;
+  return lane->n_jobs == 0 && core->now - lane->used_at > KEEP_LANE_US;
 }
 
 static gboolean
@@ -718,37 +775,37 @@
 }
 
 static void
-expire_jobs (bt_core_t *core, GQueue *jobs, gboolean all,
-             void (*expire) (bt_core_t *core, bt_job_t *job))
+find_late (const bt_core_t *core, bt_job_t *job, GPtrArray *late)
 {
-  GList *next;
-  for (GList *l = jobs->head; l != NULL; l = next)
-    {
-      bt_job_t *job = l->data;
-      next = l->next;
-      gboolean late = job->deadline_at <= core->now;
-      if (late)
-        expire (core, job);
-      else if (!all)
-        return;
-    }
+  if (job->deadline_at <= core->now)
+    g_ptr_array_add (late, job);
 }
 
 /**
  * bt_queue_expire() - find the queued jobs whose deadline has passed
  * @core: the core
  * @expire: called for each; may take it out of the queue
+ *
+ * Jobs whose turn comes are looked at by their own; this is for those far back.
  */
 void
 bt_queue_expire (bt_core_t *core, void (*expire) (bt_core_t *core, bt_job_t *job))
 {
-  gboolean all = core->now >= core->queue.next_expiry;
-  if (all)
-    core->queue.next_expiry = core->now + EXPIRY_US;
-  expire_jobs (core, &core->queue.parked, all, expire);
+  if (core->now < core->queue.next_expiry)
+    return;
+  core->queue.next_expiry = core->now + EXPIRY_US;
+  g_autoptr (GPtrArray) late = g_ptr_array_new ();
+  for (const GList *l = core->queue.parked.head; l != NULL; l = l->next)
+    find_late (core, l->data, late);
   GHashTableIter iter;
-  bt_lane_t *lane;
+  const bt_lane_t *lane;
   g_hash_table_iter_init (&iter, core->queue.lanes);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&lane))
-    expire_jobs (core, &lane->jobs, all, expire);
+    {
+      GSequenceIter *at = g_sequence_get_begin_iter (lane->jobs);
+      for (; !g_sequence_iter_is_end (at); at = g_sequence_iter_next (at))
+        find_late (core, g_sequence_get (at), late);
+    }
+  for (guint i = 0; i < late->len; i++)
+    expire (core, late->pdata[i]);
 }
--- a/libbamboothread/process/quota.c
+++ b/libbamboothread/process/quota.c
@@ -421,6 +421,26 @@
   return TRUE;
 }
 
+/**
+ * bt_quota_enough() - whether a team's whole quota could ever hold a request
+ * @account: the team's account
+ * @request: the request
+ *
+ * Return: FALSE if it may not borrow and its part in this data centre is too
+ * small for a task, or for all tasks of a gang.
+ */
+gboolean
+bt_quota_enough (const bt_account_t *account, const bt_request_t *request)
+{
+  bt_vector_t need;
+  bt_request_need (request, &need);
+  gint64 at_once = request->kind == BT_KIND_GANG ? request->tasks : 1;
+  for (int i = 0; i < BT_RESOURCE_SLOTS && !account->borrow; i++)
+    if (need.v[i] * at_once > account->entitled.v[i])
+      return FALSE;
+  return TRUE;
+}
+
 static gint64
 reserved (gint64 capacity, gint64 percent, int resource)
 {
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -12,6 +12,8 @@
 /* Backoff before a failed task is tried again: first wait, and the longest. */
 #define BACKOFF_FIRST_MS 100
 #define BACKOFF_MAX_MS 30000
+/* Doublings up to the longest backoff. */
+#define BACKOFF_MAX_STEPS 9
 /* What a refused caller is told to wait. */
 #define RETRY_AFTER_MS 1000
 
@@ -103,7 +105,7 @@
   if (job->state != BT_JOB_ENDED)
     outcome.status = job->recorded ? BT_STATUS_ACCEPTED : BT_STATUS_HELD;
   else if (job->status == BT_STATUS_NOT_RUN)
-    outcome.retry_after_ms = RETRY_AFTER_MS;
+    outcome.retry_after_ms = bt_admit_retry_after_ms (core, job);
   for (guint i = 0; i < job->waiters->len; i++)
     tell_member (core, job->waiters->pdata[i], job->id, &outcome);
   g_ptr_array_set_size (job->waiters, 0);
@@ -187,35 +189,20 @@
 }
 
 static void
-refuse (bt_core_t *core, const char *member, const char *id, gboolean certain, bt_reason_t reason,
-        const char *line, const char *detail)
+refuse (bt_core_t *core, const char *member, const char *id, gboolean certain, const char *route,
+        const bt_admission_t *verdict)
 {
   bt_outcome_t outcome = { .status = certain ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN };
-  outcome.reason = reason;
-  outcome.retry_after_ms = RETRY_AFTER_MS;
-  g_autofree char *text = g_strdup_printf ("%s: %s", line, detail);
+  outcome.reason = verdict->reason;
+  outcome.retry_after_ms = verdict->retry_after_ms;
+  g_autofree char *text
+      = g_strdup_printf ("route %s: %s", route != NULL ? route : "(none)", verdict->detail);
   outcome.detail = text;
-  const char *route = reason == BT_REASON_NO_ROUTE ? NULL : line;
-  bt_trace_add (core, id, "refused", route, "%s: %s", bt_reason_names[reason], detail);
+  bt_trace_add (core, id, "refused", route, "%s: %s", bt_reason_names[verdict->reason],
+                verdict->detail);
   tell_member (core, member, id, &outcome);
 }
 
-static bt_reason_t
-admission_fault (const bt_core_t *core, const bt_route_t *route, const bt_request_t *request)
-{
-  const bt_pool_t *pool = bt_tables_pool (core->tables.tables, route->pool);
-  if (!bt_pool_in_data_centre (pool, core->data_centre))
-    return BT_REASON_NO_POOL_MEMBER;
-  if (!bt_place_possible (core, request, pool, (bt_class_t)route->work_class))
-    return BT_REASON_NEVER_FITS;
-  gboolean log_needed = bt_request_durable (request) || !route->idempotent;
-  if (log_needed && !core->journal.available && route->on_log_outage == BT_LOG_OUTAGE_REFUSE)
-    return BT_REASON_LOG_UNAVAILABLE;
-  if (bt_queue_route_length (core, route->name) >= (guint)route->queue_limit)
-    return BT_REASON_QUEUE_FULL;
-  return BT_REASON_NONE;
-}
-
 static void
 record_accepted (bt_core_t *core, const bt_job_t *job)
 {
@@ -293,15 +280,19 @@
   const bt_route_t *route = bt_tables_match (core->tables.tables, request->caller, request->work);
   if (route == NULL)
     {
-      refuse (core, member, id, !resent, BT_REASON_NO_ROUTE, "routes", "no line matches");
+      bt_admission_t none = { .reason = BT_REASON_NO_ROUTE, .retry_after_ms = RETRY_AFTER_MS };
+      none.detail = (char *)"no line matches";
+      refuse (core, member, id, !resent, NULL, &none);
       return;
     }
   gboolean recorded_kind = bt_request_durable (request) || !route->idempotent;
-  bt_reason_t fault = admission_fault (core, route, request);
-  if (fault != BT_REASON_NONE)
+  bt_admission_t verdict;
+  bt_admit_check (core, route, request, age_us, &verdict);
+  if (verdict.reason != BT_REASON_NONE)
     {
       gboolean certain = surely_not_run (core, resent, recorded_kind);
-      refuse (core, member, id, certain, fault, route->name, bt_reason_names[fault]);
+      refuse (core, member, id, certain, route->name, &verdict);
+      g_free (verdict.detail);
       return;
     }
   admit (core, member, id, request, route, resent, age_us);
@@ -335,6 +326,7 @@
   request.wait = job->request->kind == BT_KIND_REQUEST;
   request.payload = job->request->payload;
   core->counters.starts_sent++;
+  bt_estimate_started (core, job);
   bt_trace_add (core, job->id, "started", job->route,
                 "task %u on %s (pool %s) after %" G_GINT64_FORMAT " ms", attempt->task,
                 attempt->worker->name, attempt->worker->pool,
@@ -476,7 +468,7 @@
 static gint64
 backoff_us (bt_core_t *core, guint failures)
 {
-  gint64 ms = BACKOFF_FIRST_MS << MIN (failures, 8);
+  gint64 ms = BACKOFF_FIRST_MS << MIN (failures, BACKOFF_MAX_STEPS);
   ms = MIN (ms, BACKOFF_MAX_MS);
   return g_rand_int_range (core->rand, (gint32)ms / 2, (gint32)ms + 1) * BT_USEC_PER_MSEC;
 }
@@ -584,6 +576,7 @@
   bt_job_t *job = attempt->job;
   bt_task_t *task = &job->tasks[attempt->task];
   settle_ack (core, worker, attempt, BT_STATUS_DONE, report->answer);
+  bt_estimate_ended (core, attempt);
   g_clear_pointer (&task->answer, g_bytes_unref);
   task->answer = decode_answer (report->answer);
   bt_attempt_drop (core, attempt, BT_TASK_ENDED);
@@ -613,7 +606,8 @@
                     attempt->task, worker->name, job->failures);
       bt_owner_ack (core, worker, attempt->id);
       bt_attempt_drop (core, attempt, BT_TASK_WAITING);
-      job->not_before = core->now + backoff_us (core, job->failures);
+      gboolean budget = bt_estimate_take_retry (core, job->route);
+      job->not_before = core->now + backoff_us (core, budget ? job->failures : BACKOFF_MAX_STEPS);
       requeue (core, job);
       return;
     }
@@ -748,6 +742,7 @@
       return;
     }
   attempt->phase = BT_PHASE_RUNNING;
+  bt_estimate_used (core, attempt, report);
   if (attempt->job->n_waiting == 0)
     bt_queue_remove (core, attempt->job);
   if (attempt->job->state == BT_JOB_ENDED && !attempt->stopping)
