--- a/standins/worker_model.c
+++ b/standins/worker_model.c
@@ -270,12 +270,12 @@
       reply->verdict = BT_START_STARTED;
       return reply;
     }
-  if (model->leaving)
+  if (model->leaving && !model->permissive)
     {
       reply->verdict = BT_START_LEAVING;
       return reply;
     }
-  if (!bt_vector_fits (&need, &room))
+  if (!bt_vector_fits (&need, &room) && !model->permissive)
     {
       reply->verdict = BT_START_FULL;
       return reply;
--- a/standins/worker_model.h
+++ b/standins/worker_model.h
@@ -32,7 +32,8 @@
 /**
  * struct bt_worker_model_t - the worker
  * @fail_all: whether it fails everything it starts
- * @ran: ids of all attempts ever started, for checks
+ * @permissive: whether it also starts what does not fit, and while it is leaving,
+ *   so that a check can see that it was asked to
  */
 typedef struct
 {
@@ -47,6 +48,7 @@
   gint64 tasks_until_ms;
   gboolean leaving;
   gboolean fail_all;
+  gboolean permissive;
   GHashTable *attempts;
   bt_model_ended_t ended;
   void *context;
