--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -406,6 +406,7 @@
 void bt_job_free (gpointer data);
 void bt_job_describe (bt_job_t *job, const bt_request_t *request, const bt_route_t *route);
 void bt_job_set_tasks (bt_job_t *job, guint n);
+GBytes *bt_job_answer (const bt_job_t *job);
 void bt_job_add_waiter (bt_job_t *job, const char *member);
 bt_attempt_t *bt_attempt_new (bt_core_t *core, bt_job_t *job, guint task, const char *id,
                               const char *worker_name);
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -188,6 +188,32 @@
   g_free (attempt);
 }
 
+/**
+ * bt_job_answer() - the answers of all tasks as one
+ * @job: a job whose tasks have ended
+ *
+ * Return: the answer of a single task as it is, those of several as a JSON
+ * array of base64 texts; NULL if a single task has none.
+ */
+GBytes *
+bt_job_answer (const bt_job_t *job)
+{
+  if (job->n_tasks == 1)
+    return job->tasks[0].answer != NULL ? g_bytes_ref (job->tasks[0].answer) : NULL;
+  JsonArray *array = json_array_new ();
+  for (guint i = 0; i < job->n_tasks; i++)
+    {
+      gsize len = 0;
+      const guchar *data
+          = job->tasks[i].answer != NULL ? g_bytes_get_data (job->tasks[i].answer, &len) : NULL;
+      g_autofree char *text = g_base64_encode (data, len);
+      json_array_add_string_element (array, text);
+    }
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_ARRAY);
+  json_node_take_array (node, array);
+  return bt_json_bytes (node, FALSE);
+}
+
 static const char *
 state_text (const bt_job_t *job)
 {
--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -340,8 +340,8 @@
   job->ended_at = core->now;
   job->status = record->status;
   job->reason = record->reason;
-  if (job->n_tasks == 1 && job->tasks[0].answer != NULL)
-    job->answer = g_bytes_ref (job->tasks[0].answer);
+  if (job->status == BT_STATUS_DONE || job->n_tasks == 1)
+    job->answer = bt_job_answer (job);
   for (guint i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].attempt != NULL && job->tasks[i].attempt->phase == BT_PHASE_ADOPTED)
       bt_attempt_drop (core, job->tasks[i].attempt, BT_TASK_ENDED);
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -544,25 +544,6 @@
                       "the task may have run; its worker was lost");
 }
 
-static GBytes *
-whole_answer (const bt_job_t *job)
-{
-  if (job->n_tasks == 1)
-    return job->tasks[0].answer != NULL ? g_bytes_ref (job->tasks[0].answer) : NULL;
-  JsonArray *array = json_array_new ();
-  for (guint i = 0; i < job->n_tasks; i++)
-    {
-      gsize len = 0;
-      const guchar *data
-          = job->tasks[i].answer != NULL ? g_bytes_get_data (job->tasks[i].answer, &len) : NULL;
-      g_autofree char *text = g_base64_encode (data, len);
-      json_array_add_string_element (array, text);
-    }
-  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_ARRAY);
-  json_node_take_array (node, array);
-  return bt_json_bytes (node, FALSE);
-}
-
 static void
 record_task_end (bt_core_t *core, const bt_attempt_t *attempt, bt_status_t status,
                  const char *answer)
@@ -608,7 +589,7 @@
   bt_attempt_drop (core, attempt, BT_TASK_ENDED);
   if (job->n_ended < job->n_tasks)
     return;
-  g_autoptr (GBytes) answer = whole_answer (job);
+  g_autoptr (GBytes) answer = bt_job_answer (job);
   bt_sched_end_job (core, job, BT_STATUS_DONE, BT_REASON_NONE, answer, NULL);
 }
 
--- /dev/null
+++ b/tests/test_regressions.c
@@ -0,0 +1,51 @@
+#include "tests/fuzz/run.h"
+#include "tests/suite.h"
+
+/*
+ * Schedules that once violated what must always hold, shrunk to the actions
+ * that matter. Each failed before its fault was mended. Where a fault needs a
+ * certain outcome to show, the case asks for it.
+ */
+
+typedef struct
+{
+  const char *name;
+  const char *schedule;
+  bt_status_t reached;
+  guint64 times;
+} regression_t;
+
+static const regression_t cases[] = {
+  { "a new owner tells the whole answer of a job of several tasks",
+    "world seed=6 calm=1 data_centres=2 daemons=3 workers=6 ms=43000\n"
+    "14186 17 submit 5 40239 14461\n"
+    "35206 24 leave 10 59130 9914\n"
+    "41541 55 repeat 58 17 24640\n",
+    BT_STATUS_DONE, 1 },
+};
+
+START_TEST (schedule_violates_nothing)
+{
+  const regression_t *regression = &cases[_i];
+  fuzz_schedule_t *schedule = fuzz_schedule_parse (regression->schedule);
+  ck_assert_ptr_nonnull (schedule);
+  fuzz_result_t result = { 0 };
+  fuzz_run (schedule, FALSE, &result);
+  ck_assert_msg (result.violated == ORACLE_NONE, "%s: %s: %s", regression->name,
+                 oracle_invariant_names[result.violated], result.what);
+  ck_assert_msg (result.stats.answers[regression->reached] >= regression->times,
+                 "%s: told %s less than %d times", regression->name,
+                 bt_status_names[regression->reached], (int)regression->times);
+  fuzz_result_clear (&result);
+  fuzz_schedule_free (schedule);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("regressions");
+  tcase_set_timeout (tests, 120);
+  tcase_add_loop_test (tests, schedule_violates_nothing, 0, G_N_ELEMENTS (cases));
+  return suite_run ("regressions", tests);
+}
