Don't say at the door that a request with a key was not run

Cause: a daemon that leaves, has no route or finds no owner told not run of the submission at hand. Ruled out: a wrong word of the owner; the owner was never asked. Change: refused before an owner is asked, a request with a key is told unknown. The oracle lets unknown pass in a calm run only while the request is being submitted: the trace shows that it was refused, not cut off. Before: the case fails; after: it passes.

--- a/libbamboothread/process/entry.c
+++ b/libbamboothread/process/entry.c
@@ -131,14 +131,19 @@
   forget (core, pending);
 }
 
+/*
+ * Refuses a request before any owner is asked. One with a key may have reached
+ * an owner by another daemon, so that only an owner can say that it was not run.
+ */
 static void
-answer_not_run (bt_core_t *core, guint64 exchange, const char *job, bt_reason_t reason,
+refuse_at_door (bt_core_t *core, guint64 exchange, const bt_request_t *request, bt_reason_t reason,
                 const char *detail)
 {
-  bt_outcome_t outcome = { .status = BT_STATUS_NOT_RUN, .reason = reason, .detail = detail };
+  bt_outcome_t outcome = { .reason = reason, .detail = detail };
+  outcome.status = request->key == NULL ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN;
   outcome.retry_after_ms = RETRY_AFTER_MS;
   count_answer (core, outcome.status);
-  core->ops.answer (core->context, exchange, job, &outcome);
+  core->ops.answer (core->context, exchange, "", &outcome);
 }
 
 static gboolean
@@ -291,14 +296,14 @@
   const bt_route_t *route = bt_tables_match (core->tables.tables, request->caller, request->work);
   if (route == NULL)
     {
-      answer_not_run (core, exchange, "", BT_REASON_NO_ROUTE, "routes: no line matches");
+      refuse_at_door (core, exchange, request, BT_REASON_NO_ROUTE, "routes: no line matches");
       return NULL;
     }
   const bt_pool_t *pool = bt_tables_pool (core->tables.tables, route->pool);
   GRefString *home = choose_home (core, pool, request->key);
   if (home == NULL || core->leaving)
     {
-      answer_not_run (core, exchange, "",
+      refuse_at_door (core, exchange, request,
                       core->leaving ? BT_REASON_SHUTTING_DOWN : BT_REASON_NO_POOL_MEMBER,
                       core->leaving ? "this daemon is about to leave" : "the pool has no VM");
       return NULL;
@@ -564,7 +569,8 @@
 static void
 give_up (bt_core_t *core, bt_pending_t *pending)
 {
-  gboolean certain = !pending->maybe_run && !pending->waiting_reply;
+  gboolean keyed = pending->request->key != NULL;
+  gboolean certain = !keyed && !pending->maybe_run && !pending->waiting_reply;
   bt_outcome_t outcome = { .status = certain ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN };
   outcome.reason = BT_REASON_NO_OWNER;
   outcome.retry_after_ms = RETRY_AFTER_MS;
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -22,6 +22,12 @@
     "35206 24 leave 10 59130 9914\n"
     "41541 55 repeat 58 17 24640\n",
     BT_STATUS_DONE, 1 },
+  { "a leaving entry does not say not run of a key that ran elsewhere",
+    "world seed=18 calm=0 data_centres=2 daemons=3 workers=3 ms=8000\n"
+    "4068 4 submit 63 33719 61604\n"
+    "4305 6 leave 6 19285 34428\n"
+    "4306 7 repeat 18 4 64093\n",
+    BT_STATUS_UNKNOWN, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
