Don't take back a job whose acceptance may be in the log

Cause: an owner that stepped down told the entry that a job still being recorded was not run. Ruled out: a void term; the record stood before the next claim and counted. Change: a job on its way to the log counts as one that may run. Before: the case fails; after: it passes.

--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -81,9 +81,12 @@
     }
 }
 
+/* A job whose acceptance is on the way to the log may be found there by the next owner. */
 static gboolean
 never_sent (const bt_job_t *job)
 {
+  if (job->state == BT_JOB_RECORDING)
+    return FALSE;
   for (guint i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].tries > 0)
       return FALSE;
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -28,6 +28,15 @@
     "4305 6 leave 6 19285 34428\n"
     "4306 7 repeat 18 4 64093\n",
     BT_STATUS_UNKNOWN, 1 },
+  { "an acceptance on its way to the log is no proof that a job was not run",
+    "world seed=13 calm=0 data_centres=2 daemons=2 workers=5 ms=20976\n"
+    "14634 131 log-lose 39 46930 25507\n"
+    "16725 154 log-cut 53 19132 30082\n"
+    "16791 157 submit 10 36328 42472\n"
+    "19212 187 submit 36 34392 55489\n"
+    "19666 193 submit 29 45922 6432\n"
+    "20498 204 leave 20 5556 55043\n",
+    BT_STATUS_ACCEPTED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
