Give a job its route once the tables arrive

Cause: a daemon that starts reads the job stream and the tables at once. Ruled out: an unsettled owner; a trace showed it settled and caught up, with the job's pool missing. Change: the route's name is kept, and resolved when newer tables are in force. Before: the case fails; after: it passes.

--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -117,6 +117,8 @@
 /**
  * struct bt_job_t - a request, as the owner of its home's workers holds it
  * @request: what was asked, or NULL if only a worker's report told of the job
+ * @route: name of its route, or NULL
+ * @pool: its route's pool, or NULL while the tables don't have its route
  * @durable: whether the log holds its acceptance
  * @resent: whether an earlier owner may have run it
  * @queue_link: its place in the queue; data is NULL while it is not queued
@@ -405,6 +407,7 @@
 bt_job_t *bt_job_new (bt_core_t *core, const char *id);
 void bt_job_free (gpointer data);
 void bt_job_describe (bt_job_t *job, const bt_request_t *request, const bt_route_t *route);
+void bt_job_set_route (bt_job_t *job, const bt_route_t *route);
 void bt_job_set_tasks (bt_job_t *job, guint n);
 GBytes *bt_job_answer (const bt_job_t *job);
 void bt_job_add_waiter (bt_job_t *job, const char *member);
@@ -447,6 +450,7 @@
 void bt_recover_on_lead (bt_core_t *core);
 void bt_recover_on_unlead (bt_core_t *core);
 void bt_recover_on_settled (bt_core_t *core);
+void bt_recover_on_tables (bt_core_t *core);
 void bt_recover_fold (bt_core_t *core, const bt_record_t *record, gboolean valid_term);
 void bt_recover_import (bt_core_t *core, bt_worker_t *worker, const bt_lease_reply_t *reply,
                         gint64 sent_at, gboolean rebooted);
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -75,7 +75,7 @@
  * bt_job_describe() - fill in what was asked for, and by which route
  * @job: the job
  * @request: the request, copied
- * @route: the route, or NULL if the tables no longer have it
+ * @route: the route, or NULL if the tables don't have it
  */
 void
 bt_job_describe (bt_job_t *job, const bt_request_t *request, const bt_route_t *route)
@@ -84,8 +84,20 @@
   bt_request_need (request, &job->need);
   job->durable = bt_request_durable (request);
   bt_job_set_tasks (job, (guint)request->tasks);
-  if (route == NULL)
-    return;
+  if (route != NULL)
+    bt_job_set_route (job, route);
+}
+
+/**
+ * bt_job_set_route() - fill in by which route a job goes
+ * @job: the job, described, without a route so far and not queued
+ * @route: the route
+ */
+void
+bt_job_set_route (bt_job_t *job, const bt_route_t *route)
+{
+  const bt_request_t *request = job->request;
+  g_clear_pointer (&job->route, g_ref_string_release);
   job->route = g_ref_string_acquire (route->name);
   job->team = g_ref_string_acquire (route->team);
   job->pool = g_ref_string_acquire (route->pool);
--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -31,6 +31,33 @@
   return core->journal.caught_up || (!core->journal.available && job->idempotent);
 }
 
+/**
+ * bt_recover_on_tables() - newer tables are in force
+ * @core: the core
+ *
+ * The journal may tell of a job before the tables tell of its route.
+ */
+void
+bt_recover_on_tables (bt_core_t *core)
+{
+  GHashTableIter iter;
+  bt_job_t *job;
+  g_hash_table_iter_init (&iter, core->sched.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&job))
+    {
+      if (job->request == NULL || job->route == NULL || job->pool != NULL)
+        continue;
+      const bt_route_t *route = bt_tables_route (core->tables.tables, job->route);
+      if (route == NULL)
+        continue;
+      gboolean queued = job->queue_link.data != NULL;
+      bt_queue_remove (core, job);
+      bt_job_set_route (job, route);
+      if (queued)
+        bt_queue_push (core, job);
+    }
+}
+
 /**
  * bt_recover_on_lead() - this daemon has become the owner
  * @core: the core
@@ -221,6 +248,8 @@
       const bt_route_t *route
           = record->route != NULL ? bt_tables_route (core->tables.tables, record->route) : NULL;
       bt_job_describe (job, record->request, route);
+      if (route == NULL && record->route != NULL)
+        job->route = g_ref_string_acquire (record->route);
     }
   return job;
 }
--- a/libbamboothread/process/tables.c
+++ b/libbamboothread/process/tables.c
@@ -17,6 +17,13 @@
   core->ops.log_read (core->context, BT_TABLES_STREAM, core->tables.next);
 }
 
+static void
+apply (bt_core_t *core)
+{
+  bt_owner_apply_tables (core);
+  bt_recover_on_tables (core);
+}
+
 static void
 announce_version (bt_core_t *core, gint64 before)
 {
@@ -47,7 +54,7 @@
       gint64 version = core->tables.version;
       bt_fold_record (&core->tables, first + i, data, len);
       if (core->tables.version != version)
-        bt_owner_apply_tables (core);
+        apply (core);
     }
   core->tables.next = MAX (core->tables.next, next);
   announce_version (core, before);
@@ -136,6 +143,6 @@
                       (const char *)tables->body.data, tables->body.len))
     return;
   core->counters.tables_adopted++;
-  bt_owner_apply_tables (core);
+  apply (core);
   announce_version (core, before);
 }
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -37,6 +37,28 @@
     "19666 193 submit 29 45922 6432\n"
     "20498 204 leave 20 5556 55043\n",
     BT_STATUS_ACCEPTED, 1 },
+  { "a daemon that reads a job before the tables places it all the same",
+    "world seed=5 calm=0 data_centres=3 daemons=2 workers=6 ms=25885\n"
+    "12766 148 host-pause 51 11294 48965\n"
+    "12779 150 host-kill 58 17633 49532\n"
+    "12960 153 kill 56 39884 59271\n"
+    "13262 157 kill 6 54042 17924\n"
+    "13295 159 host-pause 63 53607 22628\n"
+    "13321 161 submit 11 30962 27326\n"
+    "13389 151 host-boot 58 17633 49532\n"
+    "13400 162 submit 32 9235 65519\n"
+    "13443 163 host-kill 2 18872 21240\n"
+    "13490 166 submit 12 43002 50363\n"
+    "13645 169 submit 20 62315 12502\n"
+    "13670 170 submit 6 8444 3376\n"
+    "13967 174 host-pause 50 32447 63866\n"
+    "15080 192 submit 60 64881 10047\n"
+    "15561 197 host-pause 36 51463 23640\n"
+    "15687 199 links 35 44298 29295\n"
+    "15770 80 start 20 64692 26698\n"
+    "22517 304 log-cut 22 15001 35525\n"
+    "39312 345 resume 54 42799 34339\n",
+    BT_STATUS_DONE, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
