--- a/libbamboothread/process/quota.c
+++ b/libbamboothread/process/quota.c
@@ -141,28 +141,15 @@
   return NULL;
 }
 
-/* Largest part of the pool that a quota gives of any resource. */
-static double
-quota_fraction (const bt_quota_t *quota, const bt_vector_t *all)
-{
-  double fraction = 0;
-  if (all->v[BT_RESOURCE_MCPUS] > 0)
-    fraction = (double)quota->cpus * 1000 / (double)all->v[BT_RESOURCE_MCPUS];
-  if (all->v[BT_RESOURCE_MEMORY_MB] > 0)
-    fraction = MAX (fraction, (double)quota->memory_mb / (double)all->v[BT_RESOURCE_MEMORY_MB]);
-  if (all->v[BT_RESOURCE_GPUS] > 0)
-    fraction = MAX (fraction, (double)quota->gpus / (double)all->v[BT_RESOURCE_GPUS]);
-  return MIN (fraction, 1);
-}
-
-/* Slots and connections have no quota of their own; they follow the rest. */
+/* Slots and connections have no quota of their own; they follow the processors. */
 static double
 slot_fraction (const bt_pool_t *pool, const bt_quota_t *quota, const bt_vector_t *all)
 {
-  double sum = 0;
+  gint64 sum = 0;
   for (guint i = 0; i < pool->quotas->len; i++)
-    sum += quota_fraction (pool->quotas->pdata[i], all);
-  return quota_fraction (quota, all) / MAX (sum, 1);
+    sum += ((const bt_quota_t *)pool->quotas->pdata[i])->cpus * 1000;
+  gint64 whole = MAX (sum, all->v[BT_RESOURCE_MCPUS]);
+  return whole > 0 ? (double)quota->cpus * 1000 / (double)whole : 0;
 }
 
 static guint
@@ -468,13 +455,39 @@
     take_reserve (capacity, pool->urgent_reserve_percent);
 }
 
+/* What urgent work may still take of a VM's reserve. */
+static void
+room_in_reserve (const bt_worker_t *worker, gint64 percent, bt_vector_t *room)
+{
+  for (int i = 0; i < BT_N_RESOURCES; i++)
+    {
+      gint64 left = reserved (worker->capacity.v[i], percent, i) - worker->used_urgent.v[i];
+      room->v[i] = MIN (room->v[i], MAX (left, 0));
+    }
+}
+
+/* What other work may take beside the reserve. */
+static void
+room_beside_reserve (const bt_worker_t *worker, gint64 percent, bt_vector_t *room)
+{
+  bt_vector_t unreserved = worker->capacity;
+  take_reserve (&unreserved, percent);
+  bt_vector_sub (&unreserved, &worker->used);
+  bt_vector_add (&unreserved, &worker->used_urgent);
+  for (int i = 0; i < BT_N_RESOURCES; i++)
+    room->v[i] = MIN (room->v[i], unreserved.v[i]);
+}
+
 /**
  * bt_quota_room() - what a job may use of a VM now
  * @core: the core
  * @job: the job
  * @worker: the VM
- * @room: filled in: the free capacity, less the urgent reserve and what is
- *   held for a job that waited long; may be negative
+ * @room: filled in; may be negative
+ *
+ * It is the free capacity, less the reserve if the job is not urgent. Of a VM
+ * that is held for a job that waited long, others get nothing but urgent work
+ * the reserve.
  */
 void
 bt_quota_room (const bt_core_t *core, const bt_job_t *job, const bt_worker_t *worker,
@@ -482,20 +495,15 @@
 {
   *room = worker->capacity;
   bt_vector_sub (room, &worker->used);
-  if (job->work_class == BT_CLASS_URGENT)
-    return;
-  if (worker->held_for != NULL && worker->held_for != job)
-    {
-      memset (room, 0, sizeof *room);
-      return;
-    }
   const bt_quota_pool_t *pool = g_hash_table_lookup (core->quota.pools, worker->pool);
-  if (pool == NULL || pool->reserve_percent == 0)
-    return;
-  bt_vector_t unreserved = worker->capacity;
-  take_reserve (&unreserved, pool->reserve_percent);
-  bt_vector_sub (&unreserved, &worker->used);
-  bt_vector_add (&unreserved, &worker->used_urgent);
-  for (int i = 0; i < BT_N_RESOURCES; i++)
-    room->v[i] = MIN (room->v[i], unreserved.v[i]);
+  gint64 percent = pool != NULL ? pool->reserve_percent : 0;
+  gboolean urgent = job->work_class == BT_CLASS_URGENT;
+  const bt_job_t *holder = worker->held_for;
+  gboolean held = holder != NULL && holder != job;
+  if (held && (!urgent || holder->work_class == BT_CLASS_URGENT))
+    memset (room, 0, sizeof *room);
+  else if (held)
+    room_in_reserve (worker, percent, room);
+  else if (!urgent)
+    room_beside_reserve (worker, percent, room);
 }
