--- a/libbamboothread/process/admit.c
+++ b/libbamboothread/process/admit.c
@@ -12,14 +12,14 @@
 #define RETRY_AFTER_MIN_MS 200
 #define RETRY_AFTER_MAX_MS 60000
 #define RETRY_AFTER_USUAL_MS 1000
-/* Callers are told times up to this much apart, so that they don't come back at once. */
-#define JITTER_PERCENT 25
+/* Callers are told times up to this much longer, so that they don't come back at once. */
+#define JITTER_PERCENT 50
 
 static guint32
 retry_after (bt_core_t *core, gint64 wait_us)
 {
   gint64 ms = CLAMP (wait_us / BT_USEC_PER_MSEC, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-  gint32 percent = g_rand_int_range (core->rand, 100 - JITTER_PERCENT, 100 + JITTER_PERCENT + 1);
+  gint32 percent = g_rand_int_range (core->rand, 100, 100 + JITTER_PERCENT + 1);
   return (guint32)(ms * percent / 100);
 }
 
@@ -100,7 +100,8 @@
   gint64 wait = bt_estimate_wait_us (core, route, request->caller);
   if (wait <= left)
     return;
-  refuse (verdict, BT_REASON_WAIT_TOO_LONG, retry_after (core, wait - MAX (left, 0)),
+  gint64 over = wait - MAX (left, 0) + bt_estimate_step_us (core, route->name);
+  refuse (verdict, BT_REASON_WAIT_TOO_LONG, retry_after (core, over),
           g_strdup_printf ("it would wait about %.1f s, and its deadline is in %.1f s",
                            (double)wait / BT_USEC_PER_SEC, (double)left / BT_USEC_PER_SEC));
 }
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -618,6 +618,7 @@
                        const bt_attempt_report_t *report);
 void bt_estimate_ended (bt_core_t *core, const bt_attempt_t *attempt);
 gint64 bt_estimate_run_us (const bt_core_t *core, const bt_job_t *job);
+gint64 bt_estimate_step_us (const bt_core_t *core, const char *route);
 void bt_estimate_need (const bt_core_t *core, const bt_job_t *job, bt_vector_t *used);
 gint64 bt_estimate_wait_us (bt_core_t *core, const bt_route_t *route, const char *caller);
 gint64 bt_estimate_pool_wait_us (bt_core_t *core, const char *pool);
--- a/libbamboothread/process/estimate.c
+++ b/libbamboothread/process/estimate.c
@@ -15,6 +15,8 @@
 /* Longest run time that is believed. */
 #define RUN_MAX_US (7 * 24 * 3600LL * BT_USEC_PER_SEC)
 #define WINDOW_US (2 * BT_USEC_PER_SEC)
+/* Longest time that a caller is told to wait for one task to end. */
+#define STEP_MAX_US (5 * BT_USEC_PER_SEC)
 /* Longest wait that is told. */
 #define WAIT_MAX_US (3600LL * BT_USEC_PER_SEC)
 /* Retries that a route saves up, and what a start adds. */
@@ -182,6 +184,20 @@
   return MIN (declared_ms, RUN_MAX_US / BT_USEC_PER_MSEC) * BT_USEC_PER_MSEC;
 }
 
+/**
+ * bt_estimate_step_us() - how long until some work of a route ends and frees room
+ * @core: the core
+ * @route: the route's name
+ *
+ * Return: microseconds; 0 if nothing was learned.
+ */
+gint64
+bt_estimate_step_us (const bt_core_t *core, const char *route)
+{
+  const bt_route_estimate_t *estimate = g_hash_table_lookup (core->estimates, route);
+  return estimate != NULL ? MIN ((gint64)estimate->run_us, STEP_MAX_US) : 0;
+}
+
 static gint64
 likely (gint64 declared, double ratio)
 {
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -581,13 +581,15 @@
 {
   bt_job_t *job = attempt->job;
   job->failures++;
-  if (may_retry (job))
+  gboolean retry = may_retry (job);
+  gboolean budget = retry && bt_estimate_take_retry (core, job->route);
+  if (budget || (retry && job->durable))
     {
-      bt_trace_add (core, job->id, "retry", job->route, "task %u failed on %s, failure %u",
-                    attempt->task, worker->name, job->failures);
+      bt_trace_add (core, job->id, "retry", job->route, "task %u failed on %s, failure %u%s",
+                    attempt->task, worker->name, job->failures,
+                    budget ? "" : "; the route's retries are spent, so it waits longest");
       bt_owner_ack (core, worker, attempt->id);
       bt_attempt_drop (core, attempt, BT_TASK_WAITING);
-      gboolean budget = bt_estimate_take_retry (core, job->route);
       job->not_before = core->now + backoff_us (core, budget ? job->failures : BACKOFF_MAX_STEPS);
       requeue (core, job);
       return;
@@ -595,8 +597,10 @@
   settle_ack (core, worker, attempt, BT_STATUS_FAILED, report->answer);
   bt_attempt_drop (core, attempt, BT_TASK_ENDED);
   g_autoptr (GBytes) answer = decode_answer (report->answer);
-  bt_sched_end_job (core, job, BT_STATUS_FAILED, BT_REASON_TASK_FAILED, answer,
-                    "a task failed on its worker");
+  bt_sched_end_job (core, job, BT_STATUS_FAILED,
+                    retry ? BT_REASON_RETRIES_SPENT : BT_REASON_TASK_FAILED, answer,
+                    retry ? "a task failed on its worker, and the route's retries are spent"
+                          : "a task failed on its worker");
 }
 
 static void
