Flat membership traffic: one relay a data centre, bounded gossip, probes

Heartbeats went to every address ever heard of, and each carried all members: 27.9 KB/s a node and 397 KB/s between regions at 28 members in 7 data centres, and dead addresses were kept for good.

Now the daemons of a data centre exchange heartbeats, and its owner (or, while there is none, the first by rank) exchanges them with the other data centres' and passes on who owns there.

--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -96,7 +96,7 @@
 }
 
 /**
- * bt_core_send_member() - send a message to a daemon, if it is thought alive
+ * bt_core_send_member() - send a message to a daemon, if it is known
  * @core: the core
  * @name: its name
  * @envelope: the message
@@ -104,7 +104,7 @@
 void
 bt_core_send_member (bt_core_t *core, const char *name, Bt__Envelope *envelope)
 {
-  const bt_member_t *member = bt_members_get (core, name);
+  const bt_member_t *member = bt_members_find (core, name);
   if (member != NULL)
     bt_core_send (core, member->address, envelope);
 }
@@ -264,6 +264,7 @@
   refresh (core);
   if (envelope->from[0] == '\0' || strcmp (envelope->from, core->name) == 0)
     return;
+  bt_members_on_message (core, envelope);
   switch (envelope->body_case)
     {
     case BT__ENVELOPE__BODY_HEARTBEAT:
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -14,8 +14,11 @@
 
 /**
  * struct bt_member_t - another daemon; written by member.c
- * @heard_at: when its last heartbeat came, in microseconds
+ * @data_centre: its data centre, or "" before its first heartbeat
+ * @heard_at: when it last spoke, itself or by a relay, in microseconds
  * @leading: whether it says that it owns its data centre's workers
+ * @leading_from: when it was first heard to lead
+ * @relay: whether it speaks for its data centre to the others
  */
 typedef struct
 {
@@ -27,6 +30,8 @@
   gint64 heard_at;
   gboolean alive;
   gboolean leading;
+  gint64 leading_from;
+  gboolean relay;
   gboolean leaving;
   guint64 term;
   gint64 lead_since;
@@ -34,15 +39,34 @@
   GPtrArray *pools;
 } bt_member_t;
 
+/**
+ * struct bt_contact_t - an address where a daemon is or was; written by contact.c
+ * @data_centre: its data centre, or "" if it is not known
+ * @heard_at: when anybody last heard of it, in microseconds
+ * @seed: whether the settings name it, so that it is never forgotten
+ */
+typedef struct
+{
+  GRefString *address;
+  GRefString *data_centre;
+  gint64 heard_at;
+  gboolean seed;
+} bt_contact_t;
+
 /**
  * struct bt_members_t - all daemons known; written by member.c
+ * @contacts: all addresses known; written by contact.c
+ * @beats: rounds of heartbeats sent
+ * @pools_due: whether the next round carries the pools
  */
 typedef struct
 {
   GHashTable *by_name;
-  GHashTable *seeds;
+  GHashTable *contacts;
   gint64 next_heartbeat;
   gint64 last_tick;
+  guint64 beats;
+  gboolean pools_due;
 } bt_members_t;
 
 /**
@@ -360,7 +384,18 @@
 void bt_core_send (bt_core_t *core, const char *address, Bt__Envelope *envelope);
 void bt_core_send_member (bt_core_t *core, const char *name, Bt__Envelope *envelope);
 
+/* contact.c */
+void bt_contacts_init (bt_core_t *core);
+void bt_contacts_clear (bt_core_t *core);
+void bt_contacts_learn (bt_core_t *core, const char *address, const char *data_centre,
+                        gint64 heard_at);
+void bt_contacts_forget (bt_core_t *core);
+void bt_contacts_fill (bt_core_t *core, GPtrArray *infos, guint most, const char *preferred);
+void bt_contacts_take (bt_core_t *core, Bt__MemberInfo *const *infos, gsize n);
+
 /* member.c */
+void bt_members_on_message (bt_core_t *core, const Bt__Envelope *envelope);
+const bt_member_t *bt_members_find (const bt_core_t *core, const char *name);
 void bt_members_init (bt_core_t *core);
 void bt_members_clear (bt_core_t *core);
 void bt_members_tick (bt_core_t *core);
--- a/libbamboothread/process/counters.h
+++ b/libbamboothread/process/counters.h
@@ -25,7 +25,9 @@
   X (leads_lost)                                                                                   \
   X (heartbeats_sent)                                                                              \
   X (heartbeats_received)                                                                          \
+  X (probes_sent)                                                                                  \
   X (members_suspected)                                                                            \
+  X (members_forgotten)                                                                            \
   X (own_pauses)                                                                                   \
   X (appends_sent)                                                                                 \
   X (appends_failed)                                                                               \
--- a/libbamboothread/process/member.c
+++ b/libbamboothread/process/member.c
@@ -5,8 +5,28 @@
 /*
  * Which other daemons there are and which of them are alive. A wrong belief
  * costs a hop or a wait; safety rests on the workers' leases alone.
+ *
+ * The daemons of a data centre send each other heartbeats. One of them, its
+ * relay, also exchanges heartbeats with the relays of the other data centres
+ * and passes on to its own who leads there.
  */
 
+/* Silence of another data centre's daemon before it is suspected, in spans of suspicion. */
+#define REMOTE_SUSPECT_FACTOR 3
+/* How long a silent daemon is remembered. */
+#define FORGET_US (600 * BT_USEC_PER_SEC)
+/* Rounds of heartbeats between two that carry the pools. */
+#define POOLS_EVERY 4
+/* Rounds of heartbeats between two probes of a random address. */
+#define PROBE_EVERY 8
+/* First rounds, in which every address known is probed. */
+#define BOOTSTRAP_BEATS 3
+/* Addresses probed in a round while no other daemon is known to be alive. */
+#define LONELY_PROBES 3
+/* Addresses told in a heartbeat, and in the answer to a probe. */
+#define TELL_IN_BEAT 2
+#define TELL_IN_REPLY 16
+
 static void
 member_free (gpointer data)
 {
@@ -20,21 +40,15 @@
 }
 
 /**
- * bt_members_init() - know no daemon but the seeds' addresses
+ * bt_members_init() - know no daemon but the settings' addresses
  * @core: the core
  */
 void
 bt_members_init (bt_core_t *core)
 {
-  bt_members_t *members = &core->members;
-  members->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, member_free);
-  members->seeds
-      = g_hash_table_new_full (g_str_hash, g_str_equal, (GDestroyNotify)g_ref_string_release, NULL);
-  members->last_tick = core->now;
-  const GPtrArray *seeds = core->config.seeds;
-  for (guint i = 0; seeds != NULL && i < seeds->len; i++)
-    if (strcmp (seeds->pdata[i], core->address) != 0)
-      g_hash_table_add (members->seeds, g_ref_string_new (seeds->pdata[i]));
+  core->members.by_name = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, member_free);
+  core->members.last_tick = core->now;
+  bt_contacts_init (core);
 }
 
 /**
@@ -45,7 +59,20 @@
 bt_members_clear (bt_core_t *core)
 {
   g_hash_table_unref (core->members.by_name);
-  g_hash_table_unref (core->members.seeds);
+  bt_contacts_clear (core);
+}
+
+/**
+ * bt_members_find() - find a daemon by its name, alive or not
+ * @core: the core
+ * @name: its name
+ *
+ * Return: the daemon, or NULL if it is unknown.
+ */
+const bt_member_t *
+bt_members_find (const bt_core_t *core, const char *name)
+{
+  return g_hash_table_lookup (core->members.by_name, name);
 }
 
 /**
@@ -62,6 +89,23 @@
   return member != NULL && member->alive ? member : NULL;
 }
 
+static gboolean
+is_local (const bt_core_t *core, const bt_member_t *member)
+{
+  return strcmp (member->data_centre, core->data_centre) == 0;
+}
+
+/* Terms decide where both are known; else the later reign as heard here. */
+static gboolean
+leads_over (const bt_member_t *member, const bt_member_t *other)
+{
+  if (member->term > 0 && other->term > 0 && member->term != other->term)
+    return member->term > other->term;
+  if (member->leading_from != other->leading_from)
+    return member->leading_from > other->leading_from;
+  return strcmp (member->name, other->name) < 0;
+}
+
 /**
  * bt_members_leader() - the daemon that owns a data centre's workers
  * @core: the core
@@ -74,14 +118,13 @@
 {
   const bt_member_t *found = NULL;
   GHashTableIter iter;
-  bt_member_t *member;
+  const bt_member_t *member;
   g_hash_table_iter_init (&iter, core->members.by_name);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
     {
       if (!member->alive || !member->leading || strcmp (member->data_centre, data_centre) != 0)
         continue;
-      if (found == NULL || member->term > found->term
-          || (member->term == found->term && strcmp (member->name, found->name) < 0))
+      if (found == NULL || leads_over (member, found))
         found = member;
     }
   return found;
@@ -134,6 +177,27 @@
   return TRUE;
 }
 
+/* The owner is the relay; while there is none, the first by rank. */
+static gboolean
+is_relay (const bt_core_t *core)
+{
+  if (core->owner.leading)
+    return TRUE;
+  GHashTableIter iter;
+  const bt_member_t *member;
+  g_hash_table_iter_init (&iter, core->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
+    {
+      if (!member->alive || !is_local (core, member))
+        continue;
+      if (member->leading)
+        return FALSE;
+      if (!member->leaving && (core->leaving || ranks_before (member->name, core->name)))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 static void
 fill_pools (const bt_core_t *core, GPtrArray *pools)
 {
@@ -166,58 +230,289 @@
     }
 }
 
+/* A heartbeat and what it points to. */
+typedef struct
+{
+  Bt__Heartbeat beat;
+  GPtrArray *pools;
+  GPtrArray *infos;
+  GPtrArray *centres;
+} message_t;
+
+static void
+centre_free (gpointer data)
+{
+  Bt__Centre *centre = data;
+  g_free (centre->leader);
+  g_free (centre);
+}
+
+static void
+message_init (bt_core_t *core, message_t *message, gboolean with_pools)
+{
+  bt__heartbeat__init (&message->beat);
+  message->pools = g_ptr_array_new_with_free_func (g_free);
+  message->infos = g_ptr_array_new_with_free_func (g_free);
+  message->centres = g_ptr_array_new_with_free_func (centre_free);
+  Bt__Heartbeat *beat = &message->beat;
+  beat->data_centre = core->data_centre;
+  beat->region = core->region;
+  beat->leading = core->owner.leading;
+  beat->leaving = core->leaving;
+  beat->relay = is_relay (core);
+  beat->term = (guint64)core->journal.own_term;
+  beat->lead_since_us = (guint64)core->owner.lead_since;
+  beat->tables_version = (guint64)core->tables.version;
+  beat->journal_next = (guint64)core->journal.next;
+  beat->has_pools = with_pools;
+  if (with_pools)
+    fill_pools (core, message->pools);
+}
+
+static void
+message_clear (message_t *message)
+{
+  g_ptr_array_unref (message->pools);
+  g_ptr_array_unref (message->infos);
+  g_ptr_array_unref (message->centres);
+}
+
+static void
+send_message (bt_core_t *core, message_t *message, const char *address)
+{
+  Bt__Heartbeat *beat = &message->beat;
+  beat->n_pools = message->pools->len;
+  beat->pools = (Bt__PoolSummary **)message->pools->pdata;
+  beat->n_members = message->infos->len;
+  beat->members = (Bt__MemberInfo **)message->infos->pdata;
+  beat->n_centres = message->centres->len;
+  beat->centres = (Bt__Centre **)message->centres->pdata;
+  Bt__Envelope envelope = BT__ENVELOPE__INIT;
+  envelope.body_case = BT__ENVELOPE__BODY_HEARTBEAT;
+  envelope.heartbeat = beat;
+  bt_core_send (core, address, &envelope);
+  core->counters.heartbeats_sent++;
+  if (beat->probe)
+    core->counters.probes_sent++;
+}
+
+static void
+add_centre (const bt_core_t *core, message_t *message, const bt_member_t *leader)
+{
+  Bt__MemberInfo *info = g_new (Bt__MemberInfo, 1);
+  bt__member_info__init (info);
+  info->name = leader->name;
+  info->address = leader->address;
+  info->data_centre = leader->data_centre;
+  info->region = leader->region;
+  info->incarnation = leader->incarnation;
+  info->age_ms = (guint32)((core->now - leader->heard_at) / BT_USEC_PER_MSEC);
+  Bt__Centre *centre = g_new (Bt__Centre, 1);
+  bt__centre__init (centre);
+  centre->leader = info;
+  centre->term = leader->term;
+  centre->lead_since_us = (guint64)leader->lead_since;
+  centre->tables_version = (guint64)leader->tables_version;
+  centre->has_pools = message->beat.has_pools;
+  if (centre->has_pools)
+    {
+      centre->n_pools = leader->pools->len;
+      centre->pools = (Bt__PoolSummary **)leader->pools->pdata;
+    }
+  g_ptr_array_add (message->centres, centre);
+}
+
 static void
-fill_members (const bt_core_t *core, GPtrArray *infos)
+fill_centres (const bt_core_t *core, message_t *message)
 {
+  if (!message->beat.relay)
+    return;
   GHashTableIter iter;
-  bt_member_t *member;
+  const bt_member_t *member;
+  g_hash_table_iter_init (&iter, core->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
+    if (member->alive && !is_local (core, member)
+        && bt_members_leader (core, member->data_centre) == member)
+      add_centre (core, message, member);
+}
+
+static void
+send_local (bt_core_t *core, gboolean with_pools)
+{
+  message_t message;
+  message_init (core, &message, with_pools);
+  fill_centres (core, &message);
+  bt_contacts_fill (core, message.infos, TELL_IN_BEAT, NULL);
+  GHashTableIter iter;
+  const bt_member_t *member;
+  g_hash_table_iter_init (&iter, core->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
+    if (member->alive && is_local (core, member))
+      send_message (core, &message, member->address);
+  message_clear (&message);
+}
+
+static const bt_member_t *
+relay_of (const bt_core_t *core, const char *data_centre)
+{
+  const bt_member_t *found = bt_members_leader (core, data_centre);
+  if (found != NULL)
+    return found;
+  GHashTableIter iter;
+  const bt_member_t *member;
   g_hash_table_iter_init (&iter, core->members.by_name);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
     {
-      if (!member->alive)
+      if (!member->alive || !member->relay || strcmp (member->data_centre, data_centre) != 0)
         continue;
-      Bt__MemberInfo *info = g_new (Bt__MemberInfo, 1);
-      bt__member_info__init (info);
-      info->name = member->name;
-      info->address = member->address;
-      g_ptr_array_add (infos, info);
+      if (found == NULL || member->heard_at > found->heard_at)
+        found = member;
     }
+  return found;
 }
 
+/* For each other data centre, its contacts: data centre to GPtrArray. */
+static GHashTable *
+remote_contacts (const bt_core_t *core)
+{
+  GHashTable *centres
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+  GHashTableIter iter;
+  bt_contact_t *contact;
+  g_hash_table_iter_init (&iter, core->members.contacts);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&contact))
+    {
+      if (contact->data_centre[0] == '\0' || strcmp (contact->data_centre, core->data_centre) == 0)
+        continue;
+      GPtrArray *there = g_hash_table_lookup (centres, contact->data_centre);
+      if (there == NULL)
+        {
+          there = g_ptr_array_new ();
+          g_hash_table_insert (centres, contact->data_centre, there);
+        }
+      g_ptr_array_add (there, contact);
+    }
+  return centres;
+}
+
+static const char *
+random_address (bt_core_t *core, const GPtrArray *contacts)
+{
+  guint at = (guint)g_rand_int_range (core->rand, 0, (gint32)contacts->len);
+  const bt_contact_t *contact = contacts->pdata[at];
+  return contact->address;
+}
+
+/* Speaks to the relay of each other data centre, or looks for it. */
 static void
-send_heartbeats (bt_core_t *core)
+send_remote (bt_core_t *core, gboolean with_pools)
 {
-  g_autoptr (GPtrArray) pools = g_ptr_array_new_with_free_func (g_free);
-  g_autoptr (GPtrArray) infos = g_ptr_array_new_with_free_func (g_free);
-  fill_pools (core, pools);
-  fill_members (core, infos);
-  Bt__Heartbeat beat = BT__HEARTBEAT__INIT;
-  beat.data_centre = core->data_centre;
-  beat.region = core->region;
-  beat.leading = core->owner.leading;
-  beat.leaving = core->leaving;
-  beat.term = (guint64)core->journal.own_term;
-  beat.lead_since_us = (guint64)core->owner.lead_since;
-  beat.tables_version = (guint64)core->tables.version;
-  beat.journal_next = (guint64)core->journal.next;
-  beat.n_pools = pools->len;
-  beat.pools = (Bt__PoolSummary **)pools->pdata;
-  beat.n_members = infos->len;
-  beat.members = (Bt__MemberInfo **)infos->pdata;
-  Bt__Envelope envelope = BT__ENVELOPE__INIT;
-  envelope.body_case = BT__ENVELOPE__BODY_HEARTBEAT;
-  envelope.heartbeat = &beat;
+  if (!is_relay (core))
+    return;
+  message_t message;
+  message_init (core, &message, with_pools);
+  bt_contacts_fill (core, message.infos, TELL_IN_BEAT, core->data_centre);
+  g_autoptr (GHashTable) centres = remote_contacts (core);
+  GHashTableIter iter;
+  const char *data_centre;
+  const GPtrArray *contacts;
+  g_hash_table_iter_init (&iter, centres);
+  while (g_hash_table_iter_next (&iter, (gpointer *)&data_centre, (gpointer *)&contacts))
+    {
+      const bt_member_t *relay = relay_of (core, data_centre);
+      message.beat.probe = relay == NULL;
+      send_message (core, &message,
+                    relay != NULL ? relay->address : random_address (core, contacts));
+    }
+  message_clear (&message);
+}
+
+static GHashTable *
+local_alive_addresses (const bt_core_t *core)
+{
+  GHashTable *alive = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  const bt_member_t *member;
+  g_hash_table_iter_init (&iter, core->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
+    if (member->alive && is_local (core, member))
+      g_hash_table_add (alive, member->address);
+  return alive;
+}
 
+static gboolean
+lonely (const bt_core_t *core)
+{
   GHashTableIter iter;
-  const char *address;
-  g_hash_table_iter_init (&iter, core->members.seeds);
-  while (g_hash_table_iter_next (&iter, (gpointer *)&address, NULL))
+  const bt_member_t *member;
+  g_hash_table_iter_init (&iter, core->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
+    if (member->alive)
+      return FALSE;
+  return TRUE;
+}
+
+static void
+probe_all (bt_core_t *core, message_t *message, const GPtrArray *contacts)
+{
+  for (guint i = 0; i < contacts->len; i++)
     {
-      bt_core_send (core, address, &envelope);
-      core->counters.heartbeats_sent++;
+      const bt_contact_t *contact = contacts->pdata[i];
+      send_message (core, message, contact->address);
     }
 }
 
+static void
+probe_random (bt_core_t *core, message_t *message, const GPtrArray *contacts, guint n)
+{
+  for (guint i = 0; contacts->len > 0 && i < n; i++)
+    send_message (core, message, random_address (core, contacts));
+}
+
+/* Looks for daemons that are not known to be alive: silent ones of the own
+ * data centre in every round, and any address once in a while. */
+static void
+send_probes (bt_core_t *core)
+{
+  g_autoptr (GHashTable) alive = local_alive_addresses (core);
+  g_autoptr (GPtrArray) silent = g_ptr_array_new ();
+  g_autoptr (GPtrArray) others = g_ptr_array_new ();
+  GHashTableIter iter;
+  bt_contact_t *contact;
+  g_hash_table_iter_init (&iter, core->members.contacts);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&contact))
+    if (!g_hash_table_contains (alive, contact->address))
+      {
+        gboolean local = strcmp (contact->data_centre, core->data_centre) == 0;
+        g_ptr_array_add (local ? silent : others, contact);
+      }
+  message_t message;
+  message_init (core, &message, FALSE);
+  message.beat.probe = TRUE;
+  guint64 round = core->members.beats++;
+  if (round < BOOTSTRAP_BEATS)
+    {
+      probe_all (core, &message, silent);
+      probe_all (core, &message, others);
+    }
+  else
+    {
+      probe_random (core, &message, silent, 1);
+      probe_random (core, &message, others,
+                    lonely (core) ? LONELY_PROBES : round % PROBE_EVERY == 0);
+    }
+  message_clear (&message);
+}
+
+static void
+send_heartbeats (bt_core_t *core)
+{
+  gboolean with_pools = core->members.pools_due || core->members.beats % POOLS_EVERY == 0;
+  core->members.pools_due = FALSE;
+  send_local (core, with_pools);
+  send_remote (core, with_pools);
+}
+
 /**
  * bt_members_announce() - send heartbeats now, since something in them has changed
  * @core: the core
@@ -226,9 +521,22 @@
 bt_members_announce (bt_core_t *core)
 {
   core->members.next_heartbeat = core->now + core->config.heartbeat_us;
+  core->members.pools_due = TRUE;
   send_heartbeats (core);
 }
 
+static void
+answer_probe (bt_core_t *core, const Bt__Envelope *envelope)
+{
+  message_t message;
+  message_init (core, &message, FALSE);
+  if (strcmp (envelope->heartbeat->data_centre, core->data_centre) == 0)
+    fill_centres (core, &message);
+  bt_contacts_fill (core, message.infos, TELL_IN_REPLY, envelope->heartbeat->data_centre);
+  send_message (core, &message, envelope->address);
+  message_clear (&message);
+}
+
 static void
 forgive_own_pause (bt_core_t *core)
 {
@@ -244,6 +552,13 @@
     member->heard_at = MIN (member->heard_at + gap, core->now);
 }
 
+static gint64
+suspect_after (const bt_core_t *core, const bt_member_t *member)
+{
+  gint64 silence = core->config.suspect_us;
+  return is_local (core, member) ? silence : REMOTE_SUSPECT_FACTOR * silence;
+}
+
 static void
 suspect_silent (bt_core_t *core)
 {
@@ -252,12 +567,20 @@
   g_hash_table_iter_init (&iter, core->members.by_name);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
     {
-      if (!member->alive || core->now - member->heard_at < core->config.suspect_us)
+      gint64 silence = core->now - member->heard_at;
+      if (silence >= FORGET_US)
+        {
+          core->counters.members_forgotten++;
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      if (!member->alive || silence < suspect_after (core, member))
         continue;
       member->alive = FALSE;
       member->leading = FALSE;
       core->counters.members_suspected++;
     }
+  bt_contacts_forget (core);
 }
 
 /**
@@ -271,17 +594,11 @@
 {
   forgive_own_pause (core);
   suspect_silent (core);
-  if (core->now >= core->members.next_heartbeat)
-    bt_members_announce (core);
-}
-
-static void
-learn_address (bt_core_t *core, const char *address)
-{
-  if (address[0] == '\0' || strcmp (address, core->address) == 0)
+  if (core->now < core->members.next_heartbeat)
     return;
-  if (!g_hash_table_contains (core->members.seeds, address))
-    g_hash_table_add (core->members.seeds, g_ref_string_new (address));
+  core->members.next_heartbeat = core->now + core->config.heartbeat_us;
+  send_heartbeats (core);
+  send_probes (core);
 }
 
 static void
@@ -291,18 +608,112 @@
 }
 
 static void
-take_pools (bt_member_t *member, const Bt__Heartbeat *beat)
+take_pools (bt_member_t *member, Bt__PoolSummary *const *pools, gsize n)
 {
   g_ptr_array_set_size (member->pools, 0);
-  for (gsize i = 0; i < beat->n_pools; i++)
+  for (gsize i = 0; i < n; i++)
     {
-      gsize size = bt__pool_summary__get_packed_size (beat->pools[i]);
+      gsize size = bt__pool_summary__get_packed_size (pools[i]);
       g_autofree guint8 *packed = g_malloc (size);
-      bt__pool_summary__pack (beat->pools[i], packed);
+      bt__pool_summary__pack (pools[i], packed);
       g_ptr_array_add (member->pools, bt__pool_summary__unpack (NULL, size, packed));
     }
 }
 
+static bt_member_t *
+member_new (bt_core_t *core, const char *name, const char *address, guint64 incarnation)
+{
+  bt_member_t *member = g_new0 (bt_member_t, 1);
+  member->name = g_ref_string_new (name);
+  member->address = g_ref_string_new (address);
+  member->data_centre = g_ref_string_new ("");
+  member->region = g_ref_string_new ("");
+  member->incarnation = incarnation;
+  member->pools = g_ptr_array_new_with_free_func (pool_summary_free);
+  member->heard_at = core->now;
+  g_hash_table_replace (core->members.by_name, member->name, member);
+  return member;
+}
+
+/* Return: the daemon as of this incarnation, or NULL if a later one is known. */
+static bt_member_t *
+member_of (bt_core_t *core, const char *name, const char *address, guint64 incarnation)
+{
+  bt_member_t *member = g_hash_table_lookup (core->members.by_name, name);
+  if (member != NULL && member->incarnation > incarnation)
+    return NULL;
+  if (member != NULL && member->incarnation == incarnation
+      && strcmp (member->address, address) == 0)
+    return member;
+  return member_new (core, name, address, incarnation);
+}
+
+static void
+place_member (bt_member_t *member, const char *data_centre, const char *region)
+{
+  if (strcmp (member->data_centre, data_centre) == 0)
+    return;
+  g_ref_string_release (member->data_centre);
+  g_ref_string_release (member->region);
+  member->data_centre = g_ref_string_new (data_centre);
+  member->region = g_ref_string_new (region);
+}
+
+/**
+ * bt_members_on_message() - a daemon has sent a message, so that it can be answered
+ * @core: the core
+ * @envelope: the message
+ */
+void
+bt_members_on_message (bt_core_t *core, const Bt__Envelope *envelope)
+{
+  bt_member_t *member = member_of (core, envelope->from, envelope->address, envelope->incarnation);
+  if (member != NULL)
+    member->heard_at = core->now;
+}
+
+static void
+set_leading (bt_core_t *core, bt_member_t *member, gboolean leading, gint64 lead_since)
+{
+  gboolean begins = leading && (!member->leading || member->lead_since != lead_since);
+  if (begins)
+    member->leading_from = core->now;
+  gboolean changed = begins || member->leading != leading;
+  member->leading = leading;
+  member->lead_since = lead_since;
+  if (!changed || is_local (core, member) || !is_relay (core))
+    return;
+  core->members.next_heartbeat = core->now;
+  core->members.pools_due = TRUE;
+}
+
+/* What the relay of this data centre passes on about another one. */
+static void
+take_centre (bt_core_t *core, const Bt__Centre *centre)
+{
+  const Bt__MemberInfo *info = centre->leader;
+  if (info == NULL || info->name[0] == '\0' || strcmp (info->name, core->name) == 0
+      || strcmp (info->data_centre, core->data_centre) == 0)
+    return;
+  gint64 heard_at = core->now - (gint64)info->age_ms * BT_USEC_PER_MSEC;
+  gboolean known = bt_members_find (core, info->name) != NULL;
+  bt_member_t *member = member_of (core, info->name, info->address, info->incarnation);
+  if (member == NULL || (known && member->heard_at > heard_at && member->leading))
+    return;
+  if (core->now - heard_at >= REMOTE_SUSPECT_FACTOR * core->config.suspect_us)
+    return;
+  place_member (member, info->data_centre, info->region);
+  member->heard_at = heard_at;
+  member->alive = TRUE;
+  member->relay = TRUE;
+  member->term = centre->term;
+  member->tables_version = (gint64)centre->tables_version;
+  set_leading (core, member, TRUE, (gint64)centre->lead_since_us);
+  if (centre->has_pools)
+    take_pools (member, centre->pools, centre->n_pools);
+  bt_contacts_learn (core, info->address, info->data_centre, heard_at);
+}
+
 /**
  * bt_members_on_heartbeat() - take in a peer's heartbeat
  * @core: the core
@@ -313,36 +724,24 @@
 {
   const Bt__Heartbeat *beat = envelope->heartbeat;
   core->counters.heartbeats_received++;
-  bt_member_t *member = g_hash_table_lookup (core->members.by_name, envelope->from);
-  if (member != NULL && member->incarnation > envelope->incarnation)
-    return;
-  if (member != NULL
-      && (member->incarnation != envelope->incarnation
-          || strcmp (member->address, envelope->address) != 0))
-    {
-      g_hash_table_remove (core->members.by_name, envelope->from);
-      member = NULL;
-    }
+  bt_member_t *member = member_of (core, envelope->from, envelope->address, envelope->incarnation);
   if (member == NULL)
-    {
-      member = g_new0 (bt_member_t, 1);
-      member->name = g_ref_string_new (envelope->from);
-      member->address = g_ref_string_new (envelope->address);
-      member->data_centre = g_ref_string_new (beat->data_centre);
-      member->region = g_ref_string_new (beat->region);
-      member->incarnation = envelope->incarnation;
-      member->pools = g_ptr_array_new_with_free_func (pool_summary_free);
-      g_hash_table_insert (core->members.by_name, member->name, member);
-      learn_address (core, envelope->address);
-    }
+    return;
+  place_member (member, beat->data_centre, beat->region);
   member->heard_at = core->now;
   member->alive = TRUE;
-  member->leading = beat->leading;
+  member->relay = beat->relay;
   member->leaving = beat->leaving;
   member->term = beat->term;
-  member->lead_since = (gint64)beat->lead_since_us;
   member->tables_version = (gint64)beat->tables_version;
-  take_pools (member, beat);
-  for (gsize i = 0; i < beat->n_members; i++)
-    learn_address (core, beat->members[i]->address);
+  set_leading (core, member, beat->leading, (gint64)beat->lead_since_us);
+  if (beat->has_pools)
+    take_pools (member, beat->pools, beat->n_pools);
+  bt_contacts_learn (core, envelope->address, beat->data_centre, core->now);
+  bt_contacts_take (core, beat->members, beat->n_members);
+  if (is_local (core, member))
+    for (gsize i = 0; i < beat->n_centres; i++)
+      take_centre (core, beat->centres[i]);
+  if (beat->probe)
+    answer_probe (core, envelope);
 }
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &bt__pool_summary__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bt__centre__init
+                     (Bt__Centre         *message)
+{
+  static const Bt__Centre init_value = BT__CENTRE__INIT;
+  *message = init_value;
+}
+size_t bt__centre__get_packed_size
+                     (const Bt__Centre *message)
+{
+  assert(message->base.descriptor == &bt__centre__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bt__centre__pack
+                     (const Bt__Centre *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bt__centre__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bt__centre__pack_to_buffer
+                     (const Bt__Centre *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bt__centre__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bt__Centre *
+       bt__centre__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bt__Centre *)
+     protobuf_c_message_unpack (&bt__centre__descriptor,
+                                allocator, len, data);
+}
+void   bt__centre__free_unpacked
+                     (Bt__Centre *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bt__centre__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bt__heartbeat__init
                      (Bt__Heartbeat         *message)
 {
@@ -721,7 +766,110 @@
   (ProtobufCMessageInit) bt__pool_summary__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bt__heartbeat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bt__centre__field_descriptors[6] =
+{
+  {
+    "leader",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Centre, leader),
+    &bt__member_info__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Centre, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lead_since_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Centre, lead_since_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tables_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Centre, tables_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_pools",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Centre, has_pools),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pools",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bt__Centre, n_pools),
+    offsetof(Bt__Centre, pools),
+    &bt__pool_summary__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bt__centre__field_indices_by_name[] = {
+  4,   /* field[4] = has_pools */
+  2,   /* field[2] = lead_since_us */
+  0,   /* field[0] = leader */
+  5,   /* field[5] = pools */
+  3,   /* field[3] = tables_version */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange bt__centre__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bt__centre__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bt.Centre",
+  "Centre",
+  "Bt__Centre",
+  "bt",
+  sizeof(Bt__Centre),
+  6,
+  bt__centre__field_descriptors,
+  bt__centre__field_indices_by_name,
+  1,  bt__centre__number_ranges,
+  (ProtobufCMessageInit) bt__centre__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bt__heartbeat__field_descriptors[14] =
 {
   {
     "data_centre",
@@ -843,23 +991,75 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "probe",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Heartbeat, probe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "relay",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Heartbeat, relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_pools",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Heartbeat, has_pools),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "centres",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bt__Heartbeat, n_centres),
+    offsetof(Bt__Heartbeat, centres),
+    &bt__centre__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bt__heartbeat__field_indices_by_name[] = {
+  13,   /* field[13] = centres */
   0,   /* field[0] = data_centre */
+  12,   /* field[12] = has_pools */
   5,   /* field[5] = journal_next */
   9,   /* field[9] = lead_since_us */
   2,   /* field[2] = leading */
   8,   /* field[8] = leaving */
   6,   /* field[6] = members */
   7,   /* field[7] = pools */
+  10,   /* field[10] = probe */
   1,   /* field[1] = region */
+  11,   /* field[11] = relay */
   4,   /* field[4] = tables_version */
   3,   /* field[3] = term */
 };
 static const ProtobufCIntRange bt__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor bt__heartbeat__descriptor =
 {
@@ -869,7 +1069,7 @@
   "Bt__Heartbeat",
   "bt",
   sizeof(Bt__Heartbeat),
-  10,
+  14,
   bt__heartbeat__field_descriptors,
   bt__heartbeat__field_indices_by_name,
   1,  bt__heartbeat__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Bt__MemberInfo Bt__MemberInfo;
 typedef struct Bt__PoolSummary Bt__PoolSummary;
+typedef struct Bt__Centre Bt__Centre;
 typedef struct Bt__Heartbeat Bt__Heartbeat;
 typedef struct Bt__Submit Bt__Submit;
 typedef struct Bt__Outcome Bt__Outcome;
@@ -70,6 +71,25 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Who leads another data centre, as the sender's data centre knows it.
+ */
+struct  Bt__Centre
+{
+  ProtobufCMessage base;
+  Bt__MemberInfo *leader;
+  uint64_t term;
+  uint64_t lead_since_us;
+  uint64_t tables_version;
+  protobuf_c_boolean has_pools;
+  size_t n_pools;
+  Bt__PoolSummary **pools;
+};
+#define BT__CENTRE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bt__centre__descriptor) \
+    , NULL, 0, 0, 0, 0, 0,NULL }
+
+
 struct  Bt__Heartbeat
 {
   ProtobufCMessage base;
@@ -85,10 +105,27 @@
   Bt__PoolSummary **pools;
   protobuf_c_boolean leaving;
   uint64_t lead_since_us;
+  /*
+   * Set when the sender knows little of the receiver and wants a heartbeat back.
+   */
+  protobuf_c_boolean probe;
+  /*
+   * Set when the sender speaks for its data centre to the others.
+   */
+  protobuf_c_boolean relay;
+  /*
+   * Whether the pools are filled in; if not, the last ones hold on.
+   */
+  protobuf_c_boolean has_pools;
+  /*
+   * Sent by a relay to its own data centre only.
+   */
+  size_t n_centres;
+  Bt__Centre **centres;
 };
 #define BT__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bt__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -267,6 +304,25 @@
 void   bt__pool_summary__free_unpacked
                      (Bt__PoolSummary *message,
                       ProtobufCAllocator *allocator);
+/* Bt__Centre methods */
+void   bt__centre__init
+                     (Bt__Centre         *message);
+size_t bt__centre__get_packed_size
+                     (const Bt__Centre   *message);
+size_t bt__centre__pack
+                     (const Bt__Centre   *message,
+                      uint8_t             *out);
+size_t bt__centre__pack_to_buffer
+                     (const Bt__Centre   *message,
+                      ProtobufCBuffer     *buffer);
+Bt__Centre *
+       bt__centre__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bt__centre__free_unpacked
+                     (Bt__Centre *message,
+                      ProtobufCAllocator *allocator);
 /* Bt__Heartbeat methods */
 void   bt__heartbeat__init
                      (Bt__Heartbeat         *message);
@@ -446,6 +502,9 @@
 typedef void (*Bt__PoolSummary_Closure)
                  (const Bt__PoolSummary *message,
                   void *closure_data);
+typedef void (*Bt__Centre_Closure)
+                 (const Bt__Centre *message,
+                  void *closure_data);
 typedef void (*Bt__Heartbeat_Closure)
                  (const Bt__Heartbeat *message,
                   void *closure_data);
@@ -481,6 +540,7 @@
 
 extern const ProtobufCMessageDescriptor bt__member_info__descriptor;
 extern const ProtobufCMessageDescriptor bt__pool_summary__descriptor;
+extern const ProtobufCMessageDescriptor bt__centre__descriptor;
 extern const ProtobufCMessageDescriptor bt__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor bt__submit__descriptor;
 extern const ProtobufCMessageDescriptor bt__outcome__descriptor;
--- a/standins/world.c
+++ b/standins/world.c
@@ -158,7 +158,7 @@
   from->bytes_sent += size + sizeof (guint32);
   from->messages_sent++;
   if (to == NULL || from->isolated || to->isolated || chance (world, world->loss_percent)
-      || is_cut (world, from->data_centre, to->data_centre))
+      || is_cut (world, from->data_centre, to->data_centre) || is_cut (world, from->name, to->name))
     return;
   if (strcmp (from->region, to->region) != 0)
     world->region_bytes += size + sizeof (guint32);
@@ -643,16 +643,16 @@
 }
 
 /**
- * bt_world_cut() - cut or mend the links between two data centres
+ * bt_world_cut() - cut or mend the links between two data centres or two daemons
  * @world: the world
- * @data_centre_a: one
- * @data_centre_b: the other
+ * @a: name of one
+ * @b: name of the other
  * @cut: which
  */
 void
-bt_world_cut (bt_world_t *world, const char *data_centre_a, const char *data_centre_b, gboolean cut)
+bt_world_cut (bt_world_t *world, const char *a, const char *b, gboolean cut)
 {
-  char *key = cut_key (data_centre_a, data_centre_b);
+  char *key = cut_key (a, b);
   if (cut)
     {
       g_hash_table_add (world->cuts, key);
--- a/standins/world.h
+++ b/standins/world.h
@@ -160,8 +160,7 @@
 void bt_world_host_kill (bt_world_t *world, bt_host_t *host);
 void bt_world_host_boot (bt_world_t *world, bt_host_t *host);
 void bt_world_host_pause (bt_world_t *world, bt_host_t *host, gboolean paused);
-void bt_world_cut (bt_world_t *world, const char *data_centre_a, const char *data_centre_b,
-                   gboolean cut);
+void bt_world_cut (bt_world_t *world, const char *a, const char *b, gboolean cut);
 void bt_world_log_set_down (bt_world_t *world, gboolean down);
 void bt_world_heal (bt_world_t *world);
 
