--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -179,7 +179,8 @@
   bt_core_tick (node->core);
   ck_assert_uint_eq (bt_core_counters (node->core)->members_suspected, before);
   for (guint i = 1; i < world->nodes->len; i++)
-    ck_assert_ptr_nonnull (bt_members_get (node->core, ((bt_node_t *)world->nodes->pdata[i])->name));
+    ck_assert_ptr_nonnull (
+        bt_members_get (node->core, ((bt_node_t *)world->nodes->pdata[i])->name));
   bt_world_free (world);
 }
 END_TEST
