Ask all workers for their lists after the lead was lost and won again

Cause: a daemon that steps down forgets what runs, but kept the mark that it knows each worker's list. Ruled out: an expired task lease; the first attempt was renewed throughout. Change: stepping down clears the mark. A worker also counts as known only when no new epoch is being claimed on it, since a start may still be on its way, and time settles it only once its own tasks are surely over.

--- a/libbamboothread/process/owner.c
+++ b/libbamboothread/process/owner.c
@@ -256,11 +256,23 @@
   worker->imported = FALSE;
 }
 
+/* What ran on the workers is forgotten with the lead, so their lists are wanted again. */
+static void
+forget_lists (bt_core_t *core)
+{
+  GHashTableIter iter;
+  bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, core->owner.workers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    worker->imported = FALSE;
+}
+
 static void
 unlead (bt_core_t *core)
 {
   core->owner.leading = FALSE;
   core->owner.settled = FALSE;
+  forget_lists (core);
   core->counters.leads_lost++;
   bt_log (BT_LOG_NOTICE, "lead-lost", "data_centre=%s", core->data_centre);
   bt_journal_unlead (core);
@@ -361,19 +373,26 @@
   return core->now > core->started_at + FORGET_WORKER_US && worker->imported;
 }
 
+/* Whether all that an earlier owner started on a worker is known or surely over. */
+static gboolean
+worker_settled (const bt_core_t *core, const bt_worker_t *worker)
+{
+  if (worker->imported && !worker->fence)
+    return TRUE;
+  return core->now >= MAX (core->owner.settle_at, worker->over_at);
+}
+
 static void
 settle (bt_core_t *core)
 {
   if (!core->owner.leading || core->owner.settled)
     return;
-  gboolean all_known = TRUE;
   GHashTableIter iter;
   bt_worker_t *worker;
   g_hash_table_iter_init (&iter, core->owner.workers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
-    all_known = all_known && worker->imported;
-  if (!all_known && core->now < core->owner.settle_at)
-    return;
+    if (!worker_settled (core, worker))
+      return;
   core->owner.settled = TRUE;
   bt_log (BT_LOG_NOTICE, "settled", "after_ms=%" G_GINT64_FORMAT,
           (core->now - core->owner.lead_since) / BT_USEC_PER_MSEC);
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -59,6 +59,19 @@
     "22517 304 log-cut 22 15001 35525\n"
     "39312 345 resume 54 42799 34339\n",
     BT_STATUS_DONE, 1 },
+  { "an owner that lost the lead and has it again asks what runs",
+    "world seed=40 calm=0 data_centres=2 daemons=3 workers=6 ms=29637\n"
+    "122 2 submit 31 47946 10295\n"
+    "1434 7 submit 58 63178 37910\n"
+    "2637 8 kill 35 52935 35383\n"
+    "3608 9 start 35 52935 35383\n"
+    "3937 11 submit 3 39454 22588\n"
+    "10626 21 submit 1 44449 65460\n"
+    "10962 22 links 34 34062 245\n"
+    "12692 24 submit 27 15628 9946\n"
+    "13770 25 submit 58 33911 57459\n"
+    "13901 26 pause 0 24341 43102\n",
+    BT_STATUS_ACCEPTED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
