--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -72,6 +72,27 @@
     "13770 25 submit 58 33911 57459\n"
     "13901 26 pause 0 24341 43102\n",
     BT_STATUS_ACCEPTED, 1 },
+  { "a request that failed is not told not run when its caller leaves",
+    "world seed=33 calm=0 data_centres=2 daemons=3 workers=3 ms=40610\n"
+    "4877 11 submit 26 49824 13232\n"
+    "4925 12 host-cut 25 31054 24434\n"
+    "5629 16 submit 15 10126 46286\n"
+    "6081 20 links 13 30743 62778\n"
+    "6349 22 submit 59 34411 20735\n"
+    "6704 23 submit 46 1339 32059\n"
+    "7178 25 pause 60 62512 43804\n"
+    "8779 39 submit 55 47381 29376\n"
+    "9343 42 submit 51 17507 60091\n"
+    "10119 51 cut 32 29034 32698\n"
+    "10441 53 submit 63 55627 43897\n"
+    "11761 64 submit 28 7541 38413\n"
+    "12365 69 host-cut 63 30190 10047\n"
+    "14963 81 gone 4 64 49139\n",
+    BT_STATUS_ACCEPTED, 1 },
+  { "a request that only failed until its deadline is told failed",
+    "world seed=24 calm=1 data_centres=2 daemons=3 workers=3 ms=28855\n"
+    "24788 69 submit 30 2379 45313\n",
+    BT_STATUS_FAILED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
