--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -411,15 +411,25 @@
   return TRUE;
 }
 
+/* What can be said of a job that waits, and is given up: it may have been tried before. */
+static bt_status_t
+waiting_outcome (const bt_core_t *core, const bt_job_t *job)
+{
+  guint tries = 0;
+  for (guint i = 0; i < job->n_tasks; i++)
+    tries += job->tasks[i].tries;
+  if (tries == 0 && surely_not_run (core, job->resent, needs_record (job)))
+    return BT_STATUS_NOT_RUN;
+  return tries > 0 && tries == job->failures ? BT_STATUS_FAILED : BT_STATUS_UNKNOWN;
+}
+
 static void
 expire_waiting (bt_core_t *core, bt_job_t *job)
 {
   if (job->state != BT_JOB_OPEN || job->n_placed > 0 || core->now < job->deadline_at)
     return;
-  gboolean tried = job->tasks[0].tries > 0;
-  gboolean certain = !tried && surely_not_run (core, job->resent, needs_record (job));
-  bt_sched_end_job (core, job, certain ? BT_STATUS_NOT_RUN : BT_STATUS_UNKNOWN, BT_REASON_DEADLINE,
-                    NULL, "its deadline passed before it could start");
+  bt_sched_end_job (core, job, waiting_outcome (core, job), BT_REASON_DEADLINE, NULL,
+                    "its deadline passed while it waited");
 }
 
 static gboolean
@@ -811,27 +821,6 @@
                     "cancelled by its caller");
 }
 
-/* What can be said of a job that waits, and is given up: it may have been tried before. */
-static bt_status_t
-waiting_outcome (const bt_core_t *core, const bt_job_t *job)
-{
-  guint tries = 0;
-  for (guint i = 0; i < job->n_tasks; i++)
-    tries += job->tasks[i].tries;
-  if (tries == 0 && surely_not_run (core, job->resent, needs_record (job)))
-    return BT_STATUS_NOT_RUN;
-  return tries > 0 && tries == job->failures ? BT_STATUS_FAILED : BT_STATUS_UNKNOWN;
-}
-
-static void
-expire_waiting (bt_core_t *core, bt_job_t *job)
-{
-  if (job->state != BT_JOB_OPEN || job->n_placed > 0 || core->now < job->deadline_at)
-    return;
-  bt_sched_end_job (core, job, waiting_outcome (core, job), BT_REASON_DEADLINE, NULL,
-                    "its deadline passed while it waited");
-}
-
 /**
  * bt_sched_caller_gone() - nobody waits for a short request any more
  * @core: the core
