Ownership: majority of earlier worker sets too, moved and removed workers

A daemon led with more than half of the workers that its own tables name. An edit that replaces half of them or more let two lead at once: one that had read it and one that had not. A leader now also needs more than half of each set that tables of the last minute named.

A VM whose address was edited was taken for the former one: its empty list counted as proof that nothing ran, while the former VM ran on. It now counts as lost, and is asked only after the task lease and drift have passed.

Workers that the tables no longer name were never forgotten by followers, nor if they were dead, and by uptime instead of by the time of the edit.

--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -313,6 +313,9 @@
 /**
  * struct bt_worker_t - a worker of this data centre; written by owner.c
  * @listed: whether the tables name it
+ * @unlisted_at: when the tables ceased to name it
+ * @sets: bits of the earlier sets of workers that it is in, see &struct bt_worker_set_t
+ * @moved_until: until when a VM that had its name and another address may run attempts
  * @leaving: whether it is about to leave
  * @used: what all attempts on it take
  * @used_urgent: what attempts of urgent work on it take
@@ -335,6 +338,9 @@
   GRefString *pool;
   GRefString *rack;
   gboolean listed;
+  gint64 unlisted_at;
+  guint32 sets;
+  gint64 moved_until;
   gboolean leaving;
   bt_vector_t capacity;
   bt_vector_t used;
@@ -362,8 +368,23 @@
   GPtrArray *stops;
 };
 
+/* Earlier sets of workers that are remembered; one bit of a worker's sets each. */
+#define BT_WORKER_SETS 32
+
+/**
+ * struct bt_worker_set_t - the workers that earlier tables named; written by owner.c
+ * @until: until when other daemons may still go by those tables
+ * @n: how many workers there are in it
+ */
+typedef struct
+{
+  gint64 until;
+  guint n;
+} bt_worker_set_t;
+
 /**
  * struct bt_owner_t - leases on the data centre's workers; written by owner.c
+ * @sets: earlier sets of workers, of each of which a leader holds more than half
  * @leading: whether this daemon holds more than half of the workers
  * @settled: whether all that an earlier owner started is known or surely over
  * @settle_at: when it is surely over
@@ -372,6 +393,7 @@
 typedef struct
 {
   GHashTable *workers;
+  bt_worker_set_t sets[BT_WORKER_SETS];
   gboolean candidate;
   gboolean leading;
   gboolean settled;
@@ -534,6 +556,7 @@
   bt_counters_t counters;
   bt_fold_t tables;
   gboolean tables_reading;
+  gboolean tables_caught_up;
   gint64 tables_read_at;
   bt_members_t members;
   bt_owner_t owner;
--- a/libbamboothread/process/owner.c
+++ b/libbamboothread/process/owner.c
@@ -15,6 +15,8 @@
 #define RENEWALS_PER_LEASE 3
 /* How long a worker that the tables no longer name is remembered. */
 #define FORGET_WORKER_US (600 * BT_USEC_PER_SEC)
+/* How long other daemons may go by earlier tables than this one. */
+#define EARLIER_TABLES_US (60 * BT_USEC_PER_SEC)
 
 static void
 worker_free (gpointer data)
@@ -94,6 +96,26 @@
   g_ref_string_release (old);
 }
 
+/* A VM with another address is another VM: what the former one runs is not in
+ * its list, so it is not asked before that is over. */
+static void
+move_worker (bt_core_t *core, bt_worker_t *worker, GRefString *address)
+{
+  if (strcmp (worker->address, address) == 0)
+    return;
+  replace_string (&worker->address, address);
+  gint64 over_at = core->now + core->config.task_lease_us + core->config.drift_us;
+  worker->moved_until = over_at;
+  worker->over_at = MAX (worker->over_at, over_at);
+  worker->lost = TRUE;
+  worker->imported = FALSE;
+  worker->in_flight = FALSE;
+  worker->epoch = 0;
+  worker->boot = 0;
+  worker->lease_until = 0;
+  worker->tasks_until = 0;
+}
+
 static void
 list_vm (bt_core_t *core, const bt_pool_t *pool, const bt_vm_t *vm)
 {
@@ -102,7 +124,7 @@
   bt_worker_t *worker = bt_owner_worker (core, vm->name);
   if (worker == NULL)
     worker = worker_new (core, vm, pool);
-  replace_string (&worker->address, vm->address);
+  move_worker (core, worker, vm->address);
   replace_string (&worker->pool, pool->name);
   replace_string (&worker->rack, vm->rack);
   bt_pool_vm_capacity (pool, vm, &worker->capacity);
@@ -110,20 +132,79 @@
   core->owner.n_listed++;
 }
 
+/* Return: index of a set that is over, else of the one that is over first. */
+static guint
+free_set (const bt_owner_t *owner)
+{
+  guint found = 0;
+  for (guint i = 1; i < BT_WORKER_SETS; i++)
+    if (owner->sets[i].until < owner->sets[found].until)
+      found = i;
+  return found;
+}
+
+/* Keeps the set of workers that the tables named until now. While the history
+ * of the tables is read, only the last one can still be in use. */
+static void
+remember_set (bt_core_t *core, GPtrArray *before)
+{
+  bt_owner_t *owner = &core->owner;
+  guint at = core->tables_caught_up ? free_set (owner) : 0;
+  guint32 bit = 1u << at;
+  GHashTableIter iter;
+  bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, owner->workers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    worker->sets &= ~bit;
+  for (guint i = 0; i < before->len; i++)
+    ((bt_worker_t *)before->pdata[i])->sets |= bit;
+  owner->sets[at].n = before->len;
+  owner->sets[at].until = core->now + EARLIER_TABLES_US;
+}
+
+static GPtrArray *
+listed_workers (const bt_core_t *core)
+{
+  GPtrArray *listed = g_ptr_array_new ();
+  GHashTableIter iter;
+  bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, core->owner.workers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    if (worker->listed)
+      g_ptr_array_add (listed, worker);
+  return listed;
+}
+
+/* Return: whether another set of workers is listed than before. */
+static gboolean
+note_unlisted (const bt_core_t *core, const GPtrArray *before)
+{
+  gboolean changed = before->len != core->owner.n_listed;
+  for (guint i = 0; i < before->len; i++)
+    {
+      bt_worker_t *worker = before->pdata[i];
+      if (worker->listed)
+        continue;
+      worker->unlisted_at = core->now;
+      changed = TRUE;
+    }
+  return changed;
+}
+
 /**
  * bt_owner_apply_tables() - take in which workers the newest tables name
  * @core: the core
  *
- * A worker that is no longer named gets no new tasks; those on it go on.
+ * A worker that is no longer named gets no new tasks; those on it go on. Other
+ * daemons may go by the earlier tables for a while, so a leader then needs
+ * more than half of the earlier set of workers too.
  */
 void
 bt_owner_apply_tables (bt_core_t *core)
 {
-  GHashTableIter iter;
-  bt_worker_t *worker;
-  g_hash_table_iter_init (&iter, core->owner.workers);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
-    worker->listed = FALSE;
+  g_autoptr (GPtrArray) before = listed_workers (core);
+  for (guint i = 0; i < before->len; i++)
+    ((bt_worker_t *)before->pdata[i])->listed = FALSE;
   core->owner.n_listed = 0;
   const GPtrArray *pools = core->tables.tables->pools;
   for (guint i = 0; i < pools->len; i++)
@@ -132,6 +213,8 @@
       for (guint k = 0; k < pool->vms->len; k++)
         list_vm (core, pool, pool->vms->pdata[k]);
     }
+  if (note_unlisted (core, before))
+    remember_set (core, before);
 }
 
 static gboolean
@@ -141,16 +224,40 @@
 }
 
 static gboolean
-majority_held (const bt_core_t *core, gint64 now)
+majority_of_set (const bt_core_t *core, const bt_worker_set_t *set, guint32 bit)
 {
   guint held = 0;
   GHashTableIter iter;
-  bt_worker_t *worker;
+  const bt_worker_t *worker;
   g_hash_table_iter_init (&iter, core->owner.workers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
-    if (worker->listed && lease_holds (worker, now))
+    if ((worker->sets & bit) != 0 && lease_holds (worker, core->now))
+      held++;
+  return 2 * held > set->n;
+}
+
+/* Return: whether more than half of the workers are held, of those that the
+ * tables name and of those that other daemons may think they name. */
+static gboolean
+majority_held (const bt_core_t *core)
+{
+  const bt_owner_t *owner = &core->owner;
+  guint held = 0;
+  GHashTableIter iter;
+  const bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, owner->workers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    if (worker->listed && lease_holds (worker, core->now))
       held++;
-  return 2 * held > core->owner.n_listed;
+  if (2 * held <= owner->n_listed)
+    return FALSE;
+  for (guint i = 0; i < BT_WORKER_SETS; i++)
+    {
+      const bt_worker_set_t *set = &owner->sets[i];
+      if (set->n > 0 && set->until > core->now && !majority_of_set (core, set, 1u << i))
+        return FALSE;
+    }
+  return TRUE;
 }
 
 /**
@@ -310,7 +417,7 @@
 static void
 follow_majority (bt_core_t *core)
 {
-  gboolean majority = core->owner.n_listed > 0 && majority_held (core, core->now);
+  gboolean majority = core->owner.n_listed > 0 && majority_held (core);
   if (core->owner.leading && !majority)
     unlead (core);
   if (!core->owner.leading && majority && core->owner.candidate)
@@ -354,11 +461,40 @@
 }
 
 static gboolean
-forget_worker (bt_core_t *core, const bt_worker_t *worker)
+in_live_set (const bt_core_t *core, const bt_worker_t *worker)
+{
+  for (guint i = 0; i < BT_WORKER_SETS; i++)
+    if ((worker->sets & 1u << i) != 0 && core->owner.sets[i].until > core->now)
+      return TRUE;
+  return FALSE;
+}
+
+/* A worker that the tables no longer name goes once it is drained, or silent
+ * for so long that nothing can run on it. */
+static gboolean
+forgettable (const bt_core_t *core, const bt_worker_t *worker)
 {
   if (worker->listed || worker->in_flight || g_hash_table_size (worker->attempts) > 0)
     return FALSE;
-  return core->now > core->started_at + FORGET_WORKER_US && worker->imported;
+  if (core->now < worker->unlisted_at + FORGET_WORKER_US)
+    return FALSE;
+  if (!worker->imported && core->now < worker->over_at)
+    return FALSE;
+  return !in_live_set (core, worker);
+}
+
+static void
+forget_unlisted (bt_core_t *core)
+{
+  GHashTableIter iter;
+  bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, core->owner.workers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    if (forgettable (core, worker))
+      {
+        release_worker (core, worker);
+        g_hash_table_iter_remove (&iter);
+      }
 }
 
 static void
@@ -389,6 +525,7 @@
 {
   follow_candidacy (core);
   follow_majority (core);
+  forget_unlisted (core);
   if (!core->owner.candidate)
     return;
   step_back (core);
@@ -400,13 +537,7 @@
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
     {
       notice_lapse (core, worker);
-      if (forget_worker (core, worker))
-        {
-          release_worker (core, worker);
-          g_hash_table_iter_remove (&iter);
-          continue;
-        }
-      if (!worker->in_flight && core->now >= worker->next_send)
+      if (!worker->in_flight && core->now >= MAX (worker->next_send, worker->moved_until))
         send_lease (core, worker);
     }
   settle (core);
--- a/libbamboothread/process/tables.c
+++ b/libbamboothread/process/tables.c
@@ -9,6 +9,8 @@
 #define READ_RETRY_US (500 * BT_USEC_PER_MSEC)
 /* Pause between two requests for a peer's newer tables. */
 #define ASK_PEER_US (1 * BT_USEC_PER_SEC)
+/* An answer with fewer records than this shows that the history has been read. */
+#define CAUGHT_UP_RECORDS 100
 
 static void
 read_more (bt_core_t *core)
@@ -57,6 +59,8 @@
         apply (core);
     }
   core->tables.next = MAX (core->tables.next, next);
+  if (records->len < CAUGHT_UP_RECORDS)
+    core->tables_caught_up = TRUE;
   announce_version (core, before);
   read_more (core);
 }
--- a/standins/cell.c
+++ b/standins/cell.c
@@ -5,14 +5,29 @@
  * @data_centres: how many; they are named dc1, dc2 and so on
  * @workers: workers in each, named dc1-w1 and so on
  *
+ * Return: tables for bt_tables_free().
+ */
+bt_tables_t *
+bt_cell_tables (guint data_centres, guint workers)
+{
+  return bt_cell_tables_range (data_centres, 1, workers);
+}
+
+/**
+ * bt_cell_tables_range() - tables that name some of the workers of a data centre
+ * @data_centres: how many; they are named dc1, dc2 and so on
+ * @first: number of the first worker in each
+ * @last: number of the last worker in each
+ *
  * There is a route for each class, whose caller and team have the name of the
  * class; only work of the urgent and service callers is idempotent.
  *
  * Return: tables for bt_tables_free().
  */
 bt_tables_t *
-bt_cell_tables (guint data_centres, guint workers)
+bt_cell_tables_range (guint data_centres, guint first, guint last)
 {
+  guint workers = last - first + 1;
   g_autoptr (GString) text = g_string_new ("{\"routes\":[");
   for (guint i = 0; i < BT_N_CLASSES; i++)
     g_string_append_printf (
@@ -25,7 +40,7 @@
   for (guint i = 0; i < data_centres * workers; i++)
     {
       guint centre = i / workers + 1;
-      guint worker = i % workers + 1;
+      guint worker = i % workers + first;
       g_string_append_printf (text,
                               "%s{\"name\":\"dc%u-w%u\",\"address\":\"10.%u.%u.%u:9000\","
                               "\"data_centre\":\"dc%u\",\"rack\":\"dc%u-r%u\",\"cpus\":32,"
--- a/standins/cell.h
+++ b/standins/cell.h
@@ -13,6 +13,7 @@
 #define BT_CELL_POOL "compile"
 
 bt_tables_t *bt_cell_tables (guint data_centres, guint workers);
+bt_tables_t *bt_cell_tables_range (guint data_centres, guint first, guint last);
 const char *bt_cell_region (const char *data_centre);
 
 #endif
