--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -19,6 +19,8 @@
 #define TICK_MS 10
 /* Longest time that a planned stop waits for requests in flight. */
 #define LEAVE_MAX_MS 30000
+/* How long connections that were taken last may still bring a request. */
+#define LINGER_MS 100
 
 struct bt_daemon_t
 {
@@ -31,6 +33,7 @@
   bt_list_client_t *list;
   bt_caller_server_t *callers;
   gint64 leave_by;
+  gint64 closed_at;
 };
 
 static void
@@ -249,15 +252,29 @@
   g_free (daemon);
 }
 
+static gboolean
+may_end (bt_daemon_t *daemon)
+{
+  gint64 now = bt_clock_now (&daemon->clock);
+  if (now > daemon->leave_by)
+    return TRUE;
+  if (!bt_core_idle (daemon->core))
+    return FALSE;
+  if (daemon->closed_at == 0)
+    {
+      bt_caller_server_close (daemon->callers);
+      daemon->closed_at = now;
+    }
+  return bt_caller_server_idle (daemon->callers)
+         && now > daemon->closed_at + LINGER_MS * BT_USEC_PER_MSEC;
+}
+
 static gboolean
 on_tick (gpointer data)
 {
   bt_daemon_t *daemon = data;
   bt_core_tick (daemon->core);
-  gboolean left
-      = daemon->leave_by > 0
-        && (bt_core_idle (daemon->core) || bt_clock_now (&daemon->clock) > daemon->leave_by);
-  if (left)
+  if (daemon->leave_by > 0 && may_end (daemon))
     g_main_loop_quit (daemon->loop);
   return G_SOURCE_CONTINUE;
 }
--- a/libbamboothread/connection/address.c
+++ b/libbamboothread/connection/address.c
@@ -4,6 +4,9 @@
 
 #include "libbamboothread/base/error.h"
 
+/* Connections that wait to be taken; a full queue costs its callers a second each. */
+#define LISTEN_BACKLOG 4096
+
 /**
  * bt_address_parse() - parse IP:port
  * @text: the text
@@ -26,3 +29,26 @@
     g_set_error (error, BT_ERROR, BT_ERROR_INVALID, "expected IP:port, found \"%s\"", text);
   return address;
 }
+
+/**
+ * bt_address_listen() - a socket that listens
+ * @text: IP:port
+ * @error: BT_ERROR_INVALID for the address, or an error of GIO
+ *
+ * Return: a new socket, or NULL.
+ */
+GSocket *
+bt_address_listen (const char *text, GError **error)
+{
+  g_autoptr (GSocketAddress) address = bt_address_parse (text, error);
+  if (address == NULL)
+    return NULL;
+  g_autoptr (GSocket) socket = g_socket_new (g_socket_address_get_family (address),
+                                             G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+  if (socket == NULL)
+    return NULL;
+  g_socket_set_listen_backlog (socket, LISTEN_BACKLOG);
+  if (!g_socket_bind (socket, address, TRUE, error) || !g_socket_listen (socket, error))
+    return NULL;
+  return g_steal_pointer (&socket);
+}
--- a/libbamboothread/connection/address.h
+++ b/libbamboothread/connection/address.h
@@ -4,5 +4,6 @@
 #include <gio/gio.h>
 
 GSocketAddress *bt_address_parse (const char *text, GError **error);
+GSocket *bt_address_listen (const char *text, GError **error);
 
 #endif
--- a/libbamboothread/connection/caller_server.c
+++ b/libbamboothread/connection/caller_server.c
@@ -18,6 +18,9 @@
 struct bt_caller_server_t
 {
   SoupServer *server;
+  GSocket *socket;
+  GSocketService *service;
+  guint in_progress;
   bt_core_t *core;
   GHashTable *exchanges;
   guint64 counter;
@@ -416,6 +419,34 @@
     g_socket_set_timeout (socket, SOCKET_TIMEOUT_S);
 }
 
+static void
+accept_connection (bt_caller_server_t *server, GSocketConnection *connection)
+{
+  g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (connection, NULL);
+  g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (connection, NULL);
+  if (local != NULL && remote != NULL)
+    soup_server_accept_iostream (server->server, G_IO_STREAM (connection), local, remote, NULL);
+}
+
+static gboolean
+on_incoming (GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data)
+{
+  accept_connection (data, connection);
+  return TRUE;
+}
+
+static void
+on_request_started (SoupServer *soup, SoupServerMessage *message, gpointer data)
+{
+  ((bt_caller_server_t *)data)->in_progress++;
+}
+
+static void
+on_request_over (SoupServer *soup, SoupServerMessage *message, gpointer data)
+{
+  ((bt_caller_server_t *)data)->in_progress--;
+}
+
 /**
  * bt_caller_server_new() - listen for callers
  * @listen: IP:port
@@ -426,18 +457,64 @@
 bt_caller_server_t *
 bt_caller_server_new (const char *listen, GError **error)
 {
-  g_autoptr (GSocketAddress) address = bt_address_parse (listen, error);
-  if (address == NULL)
+  g_autoptr (GSocket) socket = bt_address_listen (listen, error);
+  if (socket == NULL)
     return NULL;
-  g_autoptr (SoupServer) soup = soup_server_new ("server-header", "bamboothread", NULL);
-  if (!soup_server_listen (soup, address, 0, error))
+  g_autoptr (GSocketService) service = g_socket_service_new ();
+  if (!g_socket_listener_add_socket (G_SOCKET_LISTENER (service), socket, NULL, error))
     return NULL;
   bt_caller_server_t *server = g_new0 (bt_caller_server_t, 1);
-  server->server = g_steal_pointer (&soup);
+  server->server = soup_server_new ("server-header", "bamboothread", NULL);
+  server->socket = g_steal_pointer (&socket);
+  server->service = g_steal_pointer (&service);
   server->exchanges = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, exchange_free);
+  g_signal_connect (server->service, "incoming", G_CALLBACK (on_incoming), server);
+  g_signal_connect (server->server, "request-started", G_CALLBACK (on_request_started), server);
+  g_signal_connect (server->server, "request-finished", G_CALLBACK (on_request_over), server);
+  g_signal_connect (server->server, "request-aborted", G_CALLBACK (on_request_over), server);
   return server;
 }
 
+/**
+ * bt_caller_server_close() - take no further connections
+ * @server: the server
+ *
+ * Connections that the kernel has taken are taken over first, since their
+ * callers may have sent a request already.
+ */
+void
+bt_caller_server_close (bt_caller_server_t *server)
+{
+  if (server->service == NULL)
+    return;
+  g_socket_service_stop (server->service);
+  g_socket_set_blocking (server->socket, FALSE);
+  GSocket *taken;
+  while ((taken = g_socket_accept (server->socket, NULL, NULL)) != NULL)
+    {
+      g_autoptr (GSocketConnection) connection
+          = g_socket_connection_factory_create_connection (taken);
+      g_object_unref (taken);
+      accept_connection (server, connection);
+    }
+  g_socket_close (server->socket, NULL);
+  g_socket_listener_close (G_SOCKET_LISTENER (server->service));
+  g_clear_object (&server->service);
+  g_clear_object (&server->socket);
+}
+
+/**
+ * bt_caller_server_idle() - whether every request that came has its whole answer
+ * @server: the server
+ *
+ * Return: TRUE if nothing is being read, answered or written.
+ */
+gboolean
+bt_caller_server_idle (const bt_caller_server_t *server)
+{
+  return server->in_progress == 0;
+}
+
 /**
  * bt_caller_server_attach() - begin to serve
  * @server: the server
@@ -472,6 +549,8 @@
 void
 bt_caller_server_free (bt_caller_server_t *server)
 {
+  bt_caller_server_close (server);
+  g_signal_handlers_disconnect_by_data (server->server, server);
   g_hash_table_remove_all (server->exchanges);
   soup_server_disconnect (server->server);
   g_object_unref (server->server);
--- a/libbamboothread/connection/peer.c
+++ b/libbamboothread/connection/peer.c
@@ -377,13 +377,14 @@
 bt_peers_t *
 bt_peers_new (const char *listen, const bt_peer_handler_t *handler, void *context, GError **error)
 {
-  g_autoptr (GSocketAddress) address = bt_address_parse (listen, error);
-  if (address == NULL)
+  g_autoptr (GSocket) socket = bt_address_listen (listen, error);
+  if (socket == NULL)
     return NULL;
   g_autoptr (GSocketService) service = g_socket_service_new ();
-  g_autoptr (GSocketAddress) bound = NULL;
-  if (!g_socket_listener_add_address (G_SOCKET_LISTENER (service), address, G_SOCKET_TYPE_STREAM,
-                                      G_SOCKET_PROTOCOL_TCP, NULL, &bound, error))
+  if (!g_socket_listener_add_socket (G_SOCKET_LISTENER (service), socket, NULL, error))
+    return NULL;
+  g_autoptr (GSocketAddress) bound = g_socket_get_local_address (socket, error);
+  if (bound == NULL)
     return NULL;
   bt_peers_t *peers = g_new0 (bt_peers_t, 1);
   peers->service = g_steal_pointer (&service);
--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -152,6 +152,9 @@
 /**
  * bt_recover_on_settled() - all that earlier owners started is known or over
  * @core: the core
+ *
+ * While the journal is not caught up, records of further attempts may follow,
+ * so this is done again once it is.
  */
 void
 bt_recover_on_settled (bt_core_t *core)
@@ -410,6 +413,8 @@
     {
     case BT_RECORD_LEAD:
       record_again (core);
+      if (core->owner.settled)
+        bt_recover_on_settled (core);
       bt_sched_run (core);
       break;
     case BT_RECORD_ACCEPTED:
--- a/standins/fake_worker.c
+++ b/standins/fake_worker.c
@@ -21,8 +21,25 @@
   bt_worker_model_t model;
   SoupServer *server;
   GHashTable *waiting;
+  GPtrArray *starts;
+  GHashTable *starts_by_attempt;
 } worker_t;
 
+/**
+ * struct start_t - an attempt that ran, for checks
+ * @ended_ms: when it ended, or 0 while it runs
+ */
+typedef struct
+{
+  char *attempt;
+  char *job;
+  char *payload;
+  gint64 task;
+  gint64 started_ms;
+  gint64 ended_ms;
+  const char *state;
+} start_t;
+
 static bt_clock_t standin_clock;
 
 static void
@@ -34,10 +51,37 @@
   bt_standin_write (message, &bt_start_reply_schema, reply);
 }
 
+static void
+note_start (worker_t *worker, const bt_start_request_t *request)
+{
+  start_t *start = g_new0 (start_t, 1);
+  start->attempt = g_strdup (request->attempt);
+  start->job = g_strdup (request->job);
+  start->payload = g_strdup (request->payload != NULL ? request->payload : "");
+  start->task = request->task;
+  start->started_ms = bt_clock_now (&standin_clock) / BT_USEC_PER_MSEC;
+  start->state = bt_attempt_state_names[BT_ATTEMPT_RUNNING];
+  g_ptr_array_add (worker->starts, start);
+  g_hash_table_replace (worker->starts_by_attempt, start->attempt, start);
+}
+
+/* An attempt never runs past its lease, however late this process notices. */
+static void
+note_end (worker_t *worker, const bt_attempt_report_t *report)
+{
+  start_t *start = g_hash_table_lookup (worker->starts_by_attempt, report->attempt);
+  if (start == NULL)
+    return;
+  gint64 now = bt_clock_now (&standin_clock) / BT_USEC_PER_MSEC;
+  start->ended_ms = MIN (now, worker->model.tasks_until_ms);
+  start->state = bt_attempt_state_names[report->state];
+}
+
 static void
 on_ended (void *context, const bt_attempt_report_t *report)
 {
   worker_t *worker = context;
+  note_end (worker, report);
   SoupServerMessage *message = g_hash_table_lookup (worker->waiting, report->attempt);
   if (message == NULL)
     return;
@@ -69,7 +113,10 @@
   bt_start_request_t *request = bt_standin_read (message, &bt_start_request_schema);
   if (request == NULL)
     return;
+  guint64 starts = worker->model.starts;
   bt_start_reply_t *reply = bt_worker_model_start (&worker->model, request);
+  if (worker->model.starts > starts)
+    note_start (worker, request);
   if (reply->verdict == BT_START_STARTED && request->wait)
     {
       g_hash_table_replace (worker->waiting, g_strdup (request->attempt), g_object_ref (message));
@@ -137,6 +184,35 @@
   bt_standin_respond (message, SOUP_STATUS_OK, body);
 }
 
+/* GET /v1/starts lists every attempt that ever ran here. */
+static void
+on_starts (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *params,
+           gpointer data)
+{
+  const worker_t *worker = data;
+  JsonArray *array = json_array_new ();
+  for (guint i = 0; i < worker->starts->len; i++)
+    {
+      const start_t *start = worker->starts->pdata[i];
+      JsonObject *item = json_object_new ();
+      json_object_set_string_member (item, "attempt", start->attempt);
+      json_object_set_string_member (item, "job", start->job);
+      json_object_set_int_member (item, "task", start->task);
+      json_object_set_string_member (item, "payload", start->payload);
+      json_object_set_int_member (item, "started_ms", start->started_ms);
+      json_object_set_int_member (item, "ended_ms", start->ended_ms);
+      json_object_set_string_member (item, "state", start->state);
+      json_array_add_object_element (array, item);
+    }
+  JsonObject *json = json_object_new ();
+  json_object_set_string_member (json, "worker", worker->model.name);
+  json_object_set_array_member (json, "starts", array);
+  g_autoptr (JsonNode) node = json_node_new (JSON_NODE_OBJECT);
+  json_node_take_object (node, json);
+  g_autoptr (GBytes) body = bt_json_bytes (node, FALSE);
+  bt_standin_respond (message, SOUP_STATUS_OK, body);
+}
+
 static gboolean
 on_tick (gpointer data)
 {
@@ -156,6 +232,8 @@
   worker->model.ended = on_ended;
   worker->model.context = worker;
   worker->waiting = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_object_unref);
+  worker->starts = g_ptr_array_new ();
+  worker->starts_by_attempt = g_hash_table_new (g_str_hash, g_str_equal);
   g_autofree char *address = g_strdup_printf ("%s:%u", host, port);
   worker->server = bt_standin_listen (address, error);
   if (worker->server == NULL)
@@ -166,6 +244,7 @@
   soup_server_add_handler (worker->server, "/v1/release", on_release, worker, NULL);
   soup_server_add_handler (worker->server, "/v1/faults", on_faults, worker, NULL);
   soup_server_add_handler (worker->server, "/v1/status", on_status, worker, NULL);
+  soup_server_add_handler (worker->server, "/v1/starts", on_starts, worker, NULL);
   return worker;
 }
 
@@ -181,6 +260,7 @@
   int gpus = 0;
   int slots = 8;
   int connections = 64;
+  int instant = 0;
   int version = 0;
   struct poptOption options[] = {
     { "name", 'n', POPT_ARG_STRING, &name, 0, "first part of the workers' names", "NAME" },
@@ -192,6 +272,7 @@
     { "gpus", 'g', POPT_ARG_INT, &gpus, 0, "accelerators of each", "N" },
     { "slots", 's', POPT_ARG_INT, &slots, 0, "tasks at once", "N" },
     { "connections", 'C', POPT_ARG_INT, &connections, 0, "connections at once", "N" },
+    { "instant", 'i', POPT_ARG_NONE, &instant, 0, "end everything as soon as it starts", NULL },
     { "version", 'V', POPT_ARG_NONE, &version, 0, "print the version and exit", NULL },
     POPT_AUTOHELP POPT_TABLEEND,
   };
@@ -223,6 +304,7 @@
           bt_log (BT_LOG_ERROR, "start-failed", "cause=\"%s\"", error->message);
           return EXIT_FAILURE;
         }
+      worker->model.instant = instant != 0;
       g_ptr_array_add (workers, worker);
     }
   g_timeout_add (TICK_MS, on_tick, workers);
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -15,11 +15,11 @@
 SoupServer *
 bt_standin_listen (const char *address, GError **error)
 {
-  g_autoptr (GSocketAddress) parsed = bt_address_parse (address, error);
-  if (parsed == NULL)
+  g_autoptr (GSocket) socket = bt_address_listen (address, error);
+  if (socket == NULL)
     return NULL;
   g_autoptr (SoupServer) server = soup_server_new ("server-header", "stand-in", NULL);
-  if (!soup_server_listen (server, parsed, 0, error))
+  if (!soup_server_listen_socket (server, socket, 0, error))
     return NULL;
   return g_steal_pointer (&server);
 }
--- a/standins/worker_model.c
+++ b/standins/worker_model.c
@@ -235,7 +235,7 @@
   attempt->ends_at_ms = request->service ? G_MAXINT64 : now + request->run_ms;
   attempt->fails = model->fail_all
                    || (request->payload != NULL && g_str_has_prefix (request->payload, "fail"));
-  if (attempt->fails && model->fail_all)
+  if (model->instant || (attempt->fails && model->fail_all))
     attempt->ends_at_ms = now;
   attempt->need = *need;
   bt_vector_add (&model->used, need);
--- a/standins/worker_model.h
+++ b/standins/worker_model.h
@@ -34,6 +34,7 @@
  * @fail_all: whether it fails everything it starts
  * @permissive: whether it also starts what does not fit, and while it is leaving,
  *   so that a check can see that it was asked to
+ * @instant: whether everything ends as soon as it starts
  */
 typedef struct
 {
@@ -49,6 +50,7 @@
   gboolean leaving;
   gboolean fail_all;
   gboolean permissive;
+  gboolean instant;
   GHashTable *attempts;
   bt_model_ended_t ended;
   void *context;
