--- a/libbamboothread/connection/caller_server.c
+++ b/libbamboothread/connection/caller_server.c
@@ -14,12 +14,17 @@
 /* A connection on which nothing moves for so long is closed. */
 #define SOCKET_TIMEOUT_S 60
 #define BODY_KEY "bt-body"
+#define SOCKET_KEY "bt-socket"
 
 struct bt_caller_server_t
 {
   SoupServer *server;
+  GSocket *socket;
+  GSocketService *service;
+  guint in_progress;
   bt_core_t *core;
   GHashTable *exchanges;
+  GHashTable *sockets;
   guint64 counter;
 };
 
@@ -33,12 +38,49 @@
   gboolean submitted;
 } exchange_t;
 
+/**
+ * struct body_t - the body of a request, as far as it has come
+ */
+typedef struct
+{
+  bt_caller_server_t *server;
+  GByteArray *bytes;
+} body_t;
+
+/**
+ * struct socket_entry_t - an open connection, found by the address of its caller
+ */
+typedef struct
+{
+  GHashTable *sockets;
+  char *remote;
+} socket_entry_t;
+
+static GSocket *
+message_socket (const bt_caller_server_t *server, SoupServerMessage *message)
+{
+  GSocketAddress *remote = soup_server_message_get_remote_address (message);
+  g_autofree char *key = g_socket_connectable_to_string (G_SOCKET_CONNECTABLE (remote));
+  return g_hash_table_lookup (server->sockets, key);
+}
+
+static void
+message_cut (const bt_caller_server_t *server, SoupServerMessage *message)
+{
+  GSocket *socket = message_socket (server, message);
+  if (socket != NULL)
+    g_socket_shutdown (socket, TRUE, TRUE, NULL);
+}
+
 static void
 exchange_free (gpointer data)
 {
   exchange_t *exchange = data;
-  g_source_destroy (exchange->watch);
-  g_source_unref (exchange->watch);
+  if (exchange->watch != NULL)
+    {
+      g_source_destroy (exchange->watch);
+      g_source_unref (exchange->watch);
+    }
   g_signal_handler_disconnect (exchange->message, exchange->finished);
   g_object_unref (exchange->message);
   g_free (exchange);
@@ -116,7 +158,9 @@
 static GSource *
 watch_socket (exchange_t *exchange)
 {
-  GSocket *socket = soup_server_message_get_socket (exchange->message);
+  GSocket *socket = message_socket (exchange->server, exchange->message);
+  if (socket == NULL)
+    return NULL;
   GSource *watch = g_socket_create_source (socket, G_IO_IN | G_IO_HUP | G_IO_ERR, NULL);
   g_source_set_callback (watch, G_SOURCE_FUNC (on_socket_ready), exchange, NULL);
   g_source_attach (watch, NULL);
@@ -241,7 +285,8 @@
 static void
 submit (bt_caller_server_t *server, SoupServerMessage *message)
 {
-  const GByteArray *body = g_object_get_data (G_OBJECT (message), BODY_KEY);
+  const body_t *gathered = g_object_get_data (G_OBJECT (message), BODY_KEY);
+  const GByteArray *body = gathered != NULL ? gathered->bytes : NULL;
   if (body != NULL && body->len > BODY_MAX_BYTES)
     {
       bt_log (BT_LOG_INFO, "request-refused", "cause=too-large");
@@ -370,22 +415,24 @@
 static void
 body_free (gpointer data)
 {
-  g_byte_array_unref (data);
+  body_t *body = data;
+  g_byte_array_unref (body->bytes);
+  g_free (body);
 }
 
 /* Keeps one byte over the limit at most, and closes a connection that goes on. */
 static void
 on_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
-  GByteArray *body = data;
-  if (body->len > BODY_MAX_BYTES)
+  body_t *body = data;
+  if (body->bytes->len > BODY_MAX_BYTES)
     {
-      g_socket_shutdown (soup_server_message_get_socket (message), TRUE, FALSE, NULL);
+      message_cut (body->server, message);
       return;
     }
   gsize len;
   const guint8 *bytes = g_bytes_get_data (chunk, &len);
-  g_byte_array_append (body, bytes, (guint)MIN (len, BODY_MAX_BYTES + 1 - body->len));
+  g_byte_array_append (body->bytes, bytes, (guint)MIN (len, BODY_MAX_BYTES + 1 - body->bytes->len));
 }
 
 /* Bodies are gathered here and not by the library, so that their size is bounded. */
@@ -400,20 +447,67 @@
     {
       bt_log (BT_LOG_INFO, "request-refused", "cause=too-large bytes=%" G_GINT64_FORMAT,
               (gint64)length);
-      g_socket_shutdown (soup_server_message_get_socket (message), TRUE, TRUE, NULL);
+      message_cut (data, message);
       return;
     }
-  GByteArray *body = g_byte_array_new ();
+  body_t *body = g_new0 (body_t, 1);
+  body->server = data;
+  body->bytes = g_byte_array_new ();
   g_object_set_data_full (G_OBJECT (message), BODY_KEY, body, body_free);
   g_signal_connect (message, "got-chunk", G_CALLBACK (on_chunk), body);
 }
 
+static void
+socket_entry_free (gpointer data)
+{
+  socket_entry_t *entry = data;
+  g_hash_table_remove (entry->sockets, entry->remote);
+  g_hash_table_unref (entry->sockets);
+  g_free (entry->remote);
+  g_free (entry);
+}
+
+/* The library tells no socket of a connection that it did not accept itself. */
+static void
+remember_socket (bt_caller_server_t *server, GSocketConnection *connection, GSocketAddress *remote)
+{
+  GSocket *socket = g_socket_connection_get_socket (connection);
+  socket_entry_t *entry = g_new0 (socket_entry_t, 1);
+  entry->sockets = g_hash_table_ref (server->sockets);
+  entry->remote = g_socket_connectable_to_string (G_SOCKET_CONNECTABLE (remote));
+  g_hash_table_replace (server->sockets, entry->remote, socket);
+  g_object_set_data_full (G_OBJECT (connection), SOCKET_KEY, entry, socket_entry_free);
+  g_socket_set_timeout (socket, SOCKET_TIMEOUT_S);
+}
+
+static void
+accept_connection (bt_caller_server_t *server, GSocketConnection *connection)
+{
+  g_autoptr (GSocketAddress) local = g_socket_connection_get_local_address (connection, NULL);
+  g_autoptr (GSocketAddress) remote = g_socket_connection_get_remote_address (connection, NULL);
+  if (local == NULL || remote == NULL)
+    return;
+  remember_socket (server, connection, remote);
+  soup_server_accept_iostream (server->server, G_IO_STREAM (connection), local, remote, NULL);
+}
+
+static gboolean
+on_incoming (GSocketService *service, GSocketConnection *connection, GObject *source, gpointer data)
+{
+  accept_connection (data, connection);
+  return TRUE;
+}
+
 static void
 on_request_started (SoupServer *soup, SoupServerMessage *message, gpointer data)
 {
-  GSocket *socket = soup_server_message_get_socket (message);
-  if (socket != NULL)
-    g_socket_set_timeout (socket, SOCKET_TIMEOUT_S);
+  ((bt_caller_server_t *)data)->in_progress++;
+}
+
+static void
+on_request_over (SoupServer *soup, SoupServerMessage *message, gpointer data)
+{
+  ((bt_caller_server_t *)data)->in_progress--;
 }
 
 /**
@@ -426,18 +520,65 @@
 bt_caller_server_t *
 bt_caller_server_new (const char *listen, GError **error)
 {
-  g_autoptr (GSocketAddress) address = bt_address_parse (listen, error);
-  if (address == NULL)
+  g_autoptr (GSocket) socket = bt_address_listen (listen, error);
+  if (socket == NULL)
     return NULL;
-  g_autoptr (SoupServer) soup = soup_server_new ("server-header", "bamboothread", NULL);
-  if (!soup_server_listen (soup, address, 0, error))
+  g_autoptr (GSocketService) service = g_socket_service_new ();
+  if (!g_socket_listener_add_socket (G_SOCKET_LISTENER (service), socket, NULL, error))
     return NULL;
   bt_caller_server_t *server = g_new0 (bt_caller_server_t, 1);
-  server->server = g_steal_pointer (&soup);
+  server->server = soup_server_new ("server-header", "bamboothread", NULL);
+  server->socket = g_steal_pointer (&socket);
+  server->service = g_steal_pointer (&service);
   server->exchanges = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, exchange_free);
+  server->sockets = g_hash_table_new (g_str_hash, g_str_equal);
+  g_signal_connect (server->service, "incoming", G_CALLBACK (on_incoming), server);
+  g_signal_connect (server->server, "request-started", G_CALLBACK (on_request_started), server);
+  g_signal_connect (server->server, "request-finished", G_CALLBACK (on_request_over), server);
+  g_signal_connect (server->server, "request-aborted", G_CALLBACK (on_request_over), server);
   return server;
 }
 
+/**
+ * bt_caller_server_close() - take no further connections
+ * @server: the server
+ *
+ * Connections that the kernel has taken are taken over first, since their
+ * callers may have sent a request already.
+ */
+void
+bt_caller_server_close (bt_caller_server_t *server)
+{
+  if (server->service == NULL)
+    return;
+  g_socket_service_stop (server->service);
+  g_socket_set_blocking (server->socket, FALSE);
+  GSocket *taken;
+  while ((taken = g_socket_accept (server->socket, NULL, NULL)) != NULL)
+    {
+      g_autoptr (GSocketConnection) connection
+          = g_socket_connection_factory_create_connection (taken);
+      g_object_unref (taken);
+      accept_connection (server, connection);
+    }
+  g_socket_close (server->socket, NULL);
+  g_socket_listener_close (G_SOCKET_LISTENER (server->service));
+  g_clear_object (&server->service);
+  g_clear_object (&server->socket);
+}
+
+/**
+ * bt_caller_server_idle() - whether every request that came has its whole answer
+ * @server: the server
+ *
+ * Return: TRUE if nothing is being read, answered or written.
+ */
+gboolean
+bt_caller_server_idle (const bt_caller_server_t *server)
+{
+  return server->in_progress == 0;
+}
+
 /**
  * bt_caller_server_attach() - begin to serve
  * @server: the server
@@ -462,7 +603,6 @@
       soup_server_add_handler (server->server, handlers[i].path, handlers[i].callback, server,
                                NULL);
     }
-  g_signal_connect (server->server, "request-started", G_CALLBACK (on_request_started), server);
 }
 
 /**
@@ -472,24 +612,25 @@
 void
 bt_caller_server_free (bt_caller_server_t *server)
 {
+  bt_caller_server_close (server);
+  g_signal_handlers_disconnect_by_data (server->server, server);
   g_hash_table_remove_all (server->exchanges);
   soup_server_disconnect (server->server);
   g_object_unref (server->server);
   g_hash_table_unref (server->exchanges);
+  g_hash_table_unref (server->sockets);
   g_free (server);
 }
 
 /**
  * bt_caller_server_port() - the port that the server listens on
- * @server: the server
+ * @server: the server, not closed yet
  *
  * Return: the port.
  */
 guint16
 bt_caller_server_port (const bt_caller_server_t *server)
 {
-  GSList *uris = soup_server_get_uris (server->server);
-  guint16 port = uris != NULL ? (guint16)g_uri_get_port (uris->data) : 0;
-  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
-  return port;
+  g_autoptr (GSocketAddress) local = g_socket_get_local_address (server->socket, NULL);
+  return g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local));
 }
