Choose the data centre by distance and load, and move on after a refusal

The entry walked all VMs of the pool for each request and handed it to the nearest data centre however full that was; a refusal there was the end of it.

The data centres of each pool are worked out once per version of the tables. The nearest one whose owner reports a short enough wait is asked first, over the paid link last. A refusal at the door of one that was sent the request once is proof that it was not run, so another one that is not full is asked, under an id of its own. Owners remember refused ids for a while, so that a second copy of a message is not taken. A request with a key keeps its one home; if it was sent twice, a refusal is told as unknown, since the second copy may be taken.

--- a/libbamboothread/process/admit.c
+++ b/libbamboothread/process/admit.c
@@ -15,6 +15,72 @@
 /* Callers are told times up to this much longer, so that they don't come back at once. */
 #define JITTER_PERCENT 50
 
+/* Refused ids that are remembered. */
+#define REFUSALS_KEPT 16384
+
+/**
+ * bt_admit_init() - nothing refused yet
+ * @core: the core
+ */
+void
+bt_admit_init (bt_core_t *core)
+{
+  core->refusals.ids = g_hash_table_new (g_str_hash, g_str_equal);
+  core->refusals.order = g_new0 (GRefString *, REFUSALS_KEPT);
+}
+
+/**
+ * bt_admit_clear() - forget all refusals
+ * @core: the core
+ */
+void
+bt_admit_clear (bt_core_t *core)
+{
+  g_hash_table_unref (core->refusals.ids);
+  for (gsize i = 0; i < REFUSALS_KEPT; i++)
+    g_clear_pointer (&core->refusals.order[i], g_ref_string_release);
+  g_free (core->refusals.order);
+}
+
+/**
+ * bt_admit_note_refused() - remember that a request was refused
+ * @core: the core
+ * @id: its id
+ * @request: the request; with a key nothing is remembered, for its caller may
+ *   come again under the same id
+ *
+ * Its entry may hand it to another data centre now, so that a second copy that
+ * is still on its way here must not be taken.
+ */
+void
+bt_admit_note_refused (bt_core_t *core, const char *id, const bt_request_t *request)
+{
+  bt_refusals_t *refusals = &core->refusals;
+  if (request->key != NULL || g_hash_table_contains (refusals->ids, id))
+    return;
+  GRefString **oldest = &refusals->order[refusals->next++ % REFUSALS_KEPT];
+  if (*oldest != NULL)
+    {
+      g_hash_table_remove (refusals->ids, *oldest);
+      g_ref_string_release (*oldest);
+    }
+  *oldest = g_ref_string_new (id);
+  g_hash_table_add (refusals->ids, *oldest);
+}
+
+/**
+ * bt_admit_was_refused() - whether a request was refused here lately
+ * @core: the core
+ * @id: its id
+ *
+ * Return: TRUE if it was.
+ */
+gboolean
+bt_admit_was_refused (const bt_core_t *core, const char *id)
+{
+  return g_hash_table_contains (core->refusals.ids, id);
+}
+
 static guint32
 retry_after (bt_core_t *core, gint64 wait_us)
 {
@@ -128,6 +194,17 @@
     check_wait (core, route, request, age_us, verdict);
 }
 
+/**
+ * bt_admit_refuse_again() - the verdict on a copy of a request that was refused
+ * @verdict: filled in; its detail is to be freed
+ */
+void
+bt_admit_refuse_again (bt_admission_t *verdict)
+{
+  refuse (verdict, BT_REASON_QUEUE_FULL, RETRY_AFTER_USUAL_MS,
+          g_strdup ("an earlier copy of it was refused"));
+}
+
 /**
  * bt_admit_retry_after_ms() - when a caller whose job was not run may come again
  * @core: the core
--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -55,6 +55,8 @@
   bt_quota_init (core);
   bt_queue_init (core);
   bt_estimate_init (core);
+  bt_admit_init (core);
+  bt_home_init (core);
   bt_entry_init (core);
   bt_trace_init (core);
   return core;
@@ -71,6 +73,8 @@
   bt_queue_clear (core);
   bt_quota_clear (core);
   bt_estimate_clear (core);
+  bt_admit_clear (core);
+  bt_home_clear (core);
   bt_entry_clear (core);
   bt_journal_clear (core);
   bt_owner_clear (core);
@@ -236,8 +240,13 @@
   if (request == NULL || submit->job[0] == '\0')
     core->counters.messages_malformed++;
   else
-    bt_sched_submit (core, from, submit->job, request, submit->resent,
-                     (gint64)submit->age_ms * BT_USEC_PER_MSEC);
+    {
+      if (submit->hops > 0)
+        bt_trace_add (core, submit->job, "moved", NULL,
+                      "handed on by %s after %u refusals elsewhere", from, submit->hops);
+      bt_sched_submit (core, from, submit->job, request, submit->resent,
+                       (gint64)submit->age_ms * BT_USEC_PER_MSEC);
+    }
   bt_schema_free (&bt_request_schema, request);
 }
 
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -476,6 +476,38 @@
   char *detail;
 } bt_admission_t;
 
+/**
+ * struct bt_home_t - a data centre that has VMs of a pool; written by home.c
+ * @largest: the most that any of them has, resource by resource
+ */
+typedef struct
+{
+  GRefString *data_centre;
+  bt_vector_t largest;
+} bt_home_t;
+
+/**
+ * struct bt_homes_t - data centres of each pool; written by home.c
+ * @pools: arrays of bt_home_t by pool
+ * @version: the tables' version that they were worked out from
+ */
+typedef struct
+{
+  GHashTable *pools;
+  gint64 version;
+} bt_homes_t;
+
+/**
+ * struct bt_refusals_t - ids refused lately; written by admit.c
+ * @order: the same ids as a ring, oldest at @next
+ */
+typedef struct
+{
+  GHashTable *ids;
+  GRefString **order;
+  gsize next;
+} bt_refusals_t;
+
 /**
  * struct bt_pending_t - a request whose caller waits at this daemon; written by entry.c
  * @home: the data centre whose owner has it
@@ -484,6 +516,7 @@
  * @sends: how often it was asked in that reign
  * @waiting_reply: whether that daemon may have taken it
  * @maybe_run: whether a daemon that was asked may have run it
+ * @refused_by: names of the data centres that have refused it, or NULL
  */
 typedef struct
 {
@@ -494,6 +527,7 @@
   GRefString *sent_to;
   gint64 sent_lead;
   guint sends;
+  GPtrArray *refused_by;
   gboolean maybe_run;
   gboolean waiting_reply;
   gint64 submitted_at;
@@ -565,6 +599,8 @@
   bt_quotas_t quota;
   bt_queue_t queue;
   GHashTable *estimates;
+  bt_refusals_t refusals;
+  bt_homes_t homes;
   bt_entry_t entry;
   bt_trace_t trace;
 };
@@ -685,7 +721,19 @@
 gint64 bt_estimate_pool_wait_us (bt_core_t *core, const char *pool);
 gboolean bt_estimate_take_retry (bt_core_t *core, const char *route);
 
+/* home.c */
+void bt_home_init (bt_core_t *core);
+void bt_home_clear (bt_core_t *core);
+GRefString *bt_home_choose (bt_core_t *core, const bt_route_t *route, const bt_request_t *request);
+GRefString *bt_home_next (bt_core_t *core, const bt_route_t *route, const bt_request_t *request,
+                          const GPtrArray *tried);
+
 /* admit.c */
+void bt_admit_init (bt_core_t *core);
+void bt_admit_clear (bt_core_t *core);
+void bt_admit_note_refused (bt_core_t *core, const char *id, const bt_request_t *request);
+gboolean bt_admit_was_refused (const bt_core_t *core, const char *id);
+void bt_admit_refuse_again (bt_admission_t *verdict);
 void bt_admit_check (bt_core_t *core, const bt_route_t *route, const bt_request_t *request,
                      gint64 age_us, bt_admission_t *verdict);
 guint32 bt_admit_retry_after_ms (bt_core_t *core, const bt_job_t *job);
--- a/libbamboothread/process/counters.h
+++ b/libbamboothread/process/counters.h
@@ -39,6 +39,7 @@
   X (tables_applied)                                                                               \
   X (tables_adopted)                                                                               \
   X (entry_resent)                                                                                 \
+  X (entry_moved)                                                                                  \
   X (messages_malformed)
 
 /**
--- a/libbamboothread/process/entry.c
+++ b/libbamboothread/process/entry.c
@@ -30,6 +30,7 @@
   g_ref_string_release (pending->job);
   g_clear_pointer (&pending->home, g_ref_string_release);
   g_clear_pointer (&pending->sent_to, g_ref_string_release);
+  g_clear_pointer (&pending->refused_by, g_ptr_array_unref);
   g_free (pending);
 }
 
@@ -146,61 +147,6 @@
   core->ops.answer (core->context, exchange, "", &outcome);
 }
 
-static gboolean
-has_owner (const bt_core_t *core, const char *data_centre)
-{
-  if (strcmp (data_centre, core->data_centre) == 0 && core->owner.leading)
-    return TRUE;
-  return bt_members_leader (core, data_centre) != NULL;
-}
-
-static const char *
-region_of (const bt_core_t *core, const char *data_centre)
-{
-  if (strcmp (data_centre, core->data_centre) == 0)
-    return core->region;
-  const bt_member_t *leader = bt_members_leader (core, data_centre);
-  return leader != NULL ? leader->region : "";
-}
-
-/* Nearer is less: own data centre, own region, any; an owner beats none. */
-static guint
-distance (const bt_core_t *core, const char *data_centre)
-{
-  if (strcmp (data_centre, core->data_centre) == 0)
-    return has_owner (core, data_centre) ? 0 : 3;
-  if (!has_owner (core, data_centre))
-    return 4;
-  return strcmp (region_of (core, data_centre), core->region) == 0 ? 1 : 2;
-}
-
-static guint
-key_rank (const char *job_key, const char *data_centre)
-{
-  g_autofree char *text = g_strconcat (job_key, "@", data_centre, NULL);
-  return g_str_hash (text) * 2654435761u;
-}
-
-static GRefString *
-choose_home (const bt_core_t *core, const bt_pool_t *pool, const char *key)
-{
-  GRefString *best = NULL;
-  for (guint i = 0; i < pool->vms->len; i++)
-    {
-      const bt_vm_t *vm = pool->vms->pdata[i];
-      if (best == NULL)
-        {
-          best = vm->data_centre;
-          continue;
-        }
-      guint now = key != NULL ? key_rank (key, best) : distance (core, best);
-      guint then = key != NULL ? key_rank (key, vm->data_centre) : distance (core, vm->data_centre);
-      if (then < now)
-        best = vm->data_centre;
-    }
-  return best;
-}
-
 static char *
 job_id (bt_core_t *core, const bt_request_t *request, const char *home)
 {
@@ -258,6 +204,7 @@
   submit.tables_version = (guint64)core->tables.version;
   submit.age_ms = (guint32)(age_us / BT_USEC_PER_MSEC);
   submit.resent = pending->maybe_run;
+  submit.hops = pending->refused_by != NULL ? pending->refused_by->len : 0;
   Bt__Envelope envelope = BT__ENVELOPE__INIT;
   envelope.body_case = BT__ENVELOPE__BODY_SUBMIT;
   envelope.submit = &submit;
@@ -299,8 +246,7 @@
       refuse_at_door (core, exchange, request, BT_REASON_NO_ROUTE, "routes: no line matches");
       return NULL;
     }
-  const bt_pool_t *pool = bt_tables_pool (core->tables.tables, route->pool);
-  GRefString *home = choose_home (core, pool, request->key);
+  GRefString *home = bt_home_choose (core, route, request);
   if (home == NULL || core->leaving)
     {
       refuse_at_door (core, exchange, request,
@@ -345,6 +291,76 @@
   pending->next_send = core->now + LOOK_AGAIN_US;
 }
 
+/* Whether an owner refused a request at the door, in words that hold for its data centre only. */
+static gboolean
+is_refusal (const bt_outcome_t *outcome)
+{
+  if (outcome->status != BT_STATUS_NOT_RUN)
+    return FALSE;
+  switch (outcome->reason)
+    {
+    case BT_REASON_QUEUE_FULL:
+    case BT_REASON_WAIT_TOO_LONG:
+    case BT_REASON_NEVER_FITS:
+    case BT_REASON_OVER_QUOTA:
+    case BT_REASON_NO_POOL_MEMBER:
+      return TRUE;
+    default:
+      return FALSE;
+    }
+}
+
+/* Whether a refusal proves that the request was not run, so that others may be asked. */
+static gboolean
+may_move (const bt_pending_t *pending, const bt_outcome_t *outcome)
+{
+  return is_refusal (outcome) && pending->request->key == NULL && !pending->maybe_run
+         && pending->sends == 1;
+}
+
+/* Hands a refused request to another data centre, under an id of its own there. */
+static gboolean
+move_on (bt_core_t *core, bt_pending_t *pending)
+{
+  const bt_request_t *request = pending->request;
+  const bt_route_t *route = bt_tables_match (core->tables.tables, request->caller, request->work);
+  if (route == NULL || core->leaving)
+    return FALSE;
+  if (pending->refused_by == NULL)
+    pending->refused_by = g_ptr_array_new_with_free_func ((GDestroyNotify)g_ref_string_release);
+  g_ptr_array_add (pending->refused_by, g_ref_string_acquire (pending->home));
+  GRefString *home = bt_home_next (core, route, request, pending->refused_by);
+  if (home == NULL)
+    return FALSE;
+  if (g_hash_table_lookup (core->entry.pending, pending->job) == pending)
+    g_hash_table_remove (core->entry.pending, pending->job);
+  g_autofree char *id = job_id (core, request, home);
+  g_ref_string_release (pending->job);
+  pending->job = g_ref_string_new (id);
+  g_hash_table_replace (core->entry.pending, pending->job, pending);
+  g_ref_string_release (pending->home);
+  pending->home = g_ref_string_acquire (home);
+  g_clear_pointer (&pending->sent_to, g_ref_string_release);
+  pending->sends = 0;
+  pending->waiting_reply = FALSE;
+  core->counters.entry_moved++;
+  send_pending (core, pending);
+  return TRUE;
+}
+
+/*
+ * Owners don't remember that they refused a request with a key, since its caller
+ * may come again with it. If it was sent twice, the second copy may yet be taken.
+ */
+static void
+answer_outcome (bt_core_t *core, bt_pending_t *pending, const bt_outcome_t *outcome)
+{
+  bt_outcome_t told = *outcome;
+  if (is_refusal (outcome) && pending->request->key != NULL && pending->sends > 1)
+    told.status = BT_STATUS_UNKNOWN;
+  answer (core, pending, &told);
+}
+
 /**
  * bt_entry_on_outcome() - an owner tells what became of a job
  * @core: the core
@@ -371,7 +387,10 @@
       if (outcome->status == BT_STATUS_RETRY)
         ask_again (core, pending, from, outcome);
       else if (ran || speaks_for_last_owner (pending, from, outcome))
-        answer (core, pending, outcome);
+        {
+          if (!may_move (pending, outcome) || !move_on (core, pending))
+            answer_outcome (core, pending, outcome);
+        }
       else
         core->counters.answers_dropped_late++;
     }
--- a/libbamboothread/process/member.c
+++ b/libbamboothread/process/member.c
@@ -199,7 +199,7 @@
 }
 
 static void
-fill_pools (const bt_core_t *core, GPtrArray *pools)
+fill_pools (bt_core_t *core, GPtrArray *pools)
 {
   if (!core->owner.leading)
     return;
@@ -218,6 +218,8 @@
           bt__pool_summary__init (summary);
           summary->pool = worker->pool;
           summary->queued = bt_queue_length (core, worker->pool);
+          summary->wait_ms
+              = (guint32)(bt_estimate_pool_wait_us (core, worker->pool) / BT_USEC_PER_MSEC);
           g_hash_table_insert (by_pool, worker->pool, summary);
           g_ptr_array_add (pools, summary);
         }
--- a/tests/scene.c
+++ b/tests/scene.c
@@ -71,16 +71,21 @@
   g_strlcpy (answer->detail, outcome->detail != NULL ? outcome->detail : "", sizeof answer->detail);
 }
 
-/* The payload is "WORK REQUESTED_AT". */
+/* The payload is "WORK REQUESTED_AT EXCHANGE". */
 static void
 on_started (void *context, bt_host_t *host, const bt_start_request_t *request)
 {
   scene_t *scene = context;
   char work[64];
   gint64 at = 0;
+  guint64 exchange = 0;
   if (request->payload == NULL
-      || sscanf (request->payload, "%63s %" G_GINT64_FORMAT, work, &at) != 2)
+      || sscanf (request->payload, "%63s %" G_GINT64_FORMAT " %" G_GUINT64_FORMAT, work, &at,
+                 &exchange)
+             != 3)
     return;
+  g_autofree char *number = g_strdup_printf ("%" G_GUINT64_FORMAT, exchange);
+  count (scene->by_exchange, number, 1);
   count (scene->starts, work, 1);
   count (scene->running, work, 1);
   g_hash_table_replace (scene->started_ids, g_strdup (request->attempt), g_strdup (work));
@@ -127,6 +132,7 @@
   scene->started_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   scene->waits
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
+  scene->by_exchange = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   bt_world_config_t world;
   bt_world_config_init (&world);
   world.tables = scene->tables;
@@ -146,6 +152,7 @@
   g_hash_table_unref (scene->starts);
   g_hash_table_unref (scene->running);
   g_hash_table_unref (scene->started_ids);
+  g_hash_table_unref (scene->by_exchange);
   g_hash_table_unref (scene->waits);
   g_free (scene->query);
   g_free (scene);
@@ -158,7 +165,7 @@
   g_autofree char *json = g_strdup_printf (
       "{\"caller\":\"%s\",\"work\":\"%s\",\"kind\":\"%s\",\"tasks\":%" G_GINT64_FORMAT
       ",\"mcpus\":%" G_GINT64_FORMAT ",\"memory_mb\":64,\"connections\":0,"
-      "\"run_ms\":%" G_GINT64_FORMAT ",\"payload\":\"%s 0\"}",
+      "\"run_ms\":%" G_GINT64_FORMAT ",\"payload\":\"%s 0 0\"}",
       caller, work, bt_kind_names[kind], tasks, mcpus, run_ms, work);
   bt_request_t *request = bt_schema_parse (&bt_request_schema, json, strlen (json), NULL);
   ck_assert_ptr_nonnull (request);
@@ -171,7 +178,8 @@
 {
   bt_request_t *request = scene_request (caller, work, kind, tasks, mcpus, run_ms);
   g_autofree char *payload
-      = g_strdup_printf ("%s %" G_GINT64_FORMAT, work, scene->world->clock.now_us);
+      = g_strdup_printf ("%s %" G_GINT64_FORMAT " %" G_GUINT64_FORMAT, work,
+                         scene->world->clock.now_us, scene->world->exchange_counter + 1);
   g_ref_string_release (request->payload);
   request->payload = g_ref_string_new (payload);
   guint64 exchange = bt_world_submit (scene->world, bt_world_node (scene->world, node), request);
@@ -205,6 +213,13 @@
   return (guint)GPOINTER_TO_INT (g_hash_table_lookup (scene->running, work));
 }
 
+guint
+scene_starts_at (const scene_t *scene, guint64 exchange)
+{
+  g_autofree char *number = g_strdup_printf ("%" G_GUINT64_FORMAT, exchange);
+  return (guint)GPOINTER_TO_INT (g_hash_table_lookup (scene->by_exchange, number));
+}
+
 static gint
 compare_waits (gconstpointer a, gconstpointer b)
 {
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -44,7 +44,8 @@
  * @starts: number of starts by work
  * @waits: GArray of waits from request to start in microseconds, by work
  * @running: number of attempts running now, by work
- * @served: microseconds of run time started, by work
+ * @started_ids: work by attempt
+ * @by_exchange: number of starts by exchange
  * @query: body of the last answer to a query
  */
 typedef struct
@@ -56,6 +57,7 @@
   GHashTable *waits;
   GHashTable *running;
   GHashTable *started_ids;
+  GHashTable *by_exchange;
   char *query;
 } scene_t;
 
@@ -72,6 +74,7 @@
 guint scene_running (const scene_t *scene, const char *work);
 gint64 scene_wait_max (const scene_t *scene, const char *work);
 gint64 scene_wait_at (const scene_t *scene, const char *work, double part);
+guint scene_starts_at (const scene_t *scene, guint64 exchange);
 guint scene_refused (const scene_t *scene, bt_reason_t reason);
 
 #endif
--- /dev/null
+++ b/tests/test_home.c
@@ -0,0 +1,195 @@
+#include <string.h>
+
+#include "libbamboothread/process/core_private.h"
+#include "tests/scene.h"
+#include "tests/suite.h"
+
+/* Which data centre a request is handed to, and what follows a refusal. */
+
+#define ROUTES                                                                                     \
+  "[{\"name\":\"hold\",\"callers\":[\"*\"],\"work\":\"hold\",\"team\":\"a\",\"class\":\"urgent\"," \
+  "\"pool\":\"pool\",\"idempotent\":true,\"deadline_ms\":4000,\"queue_limit\":40},"                \
+  "{\"name\":\"charge\",\"callers\":[\"*\"],\"work\":\"charge\",\"team\":\"a\","                   \
+  "\"class\":\"urgent\",\"pool\":\"pool\",\"idempotent\":false,\"deadline_ms\":4000,"              \
+  "\"queue_limit\":40}]"
+
+static const scene_config_t base
+    = { .data_centres = 3, .vms = 2, .cpus = 8, .routes = ROUTES, .daemons = 1 };
+
+static void
+no_peer (void *context, const char *address, const Bt__Envelope *envelope)
+{
+}
+
+static const bt_core_ops_t ops = { .peer_send = no_peer };
+
+static void
+hear (bt_core_t *core, const char *data_centre, const char *region, guint wait_ms, guint free_slots)
+{
+  Bt__PoolSummary summary = BT__POOL_SUMMARY__INIT;
+  summary.pool = (char *)"pool";
+  summary.wait_ms = wait_ms;
+  summary.free_slots = free_slots;
+  Bt__PoolSummary *summaries[] = { &summary };
+  Bt__Heartbeat beat = BT__HEARTBEAT__INIT;
+  beat.data_centre = (char *)data_centre;
+  beat.region = (char *)region;
+  beat.leading = TRUE;
+  beat.n_pools = 1;
+  beat.pools = summaries;
+  Bt__Envelope envelope = BT__ENVELOPE__INIT;
+  envelope.from = (char *)data_centre;
+  envelope.address = (char *)data_centre;
+  envelope.incarnation = 1;
+  envelope.body_case = BT__ENVELOPE__BODY_HEARTBEAT;
+  envelope.heartbeat = &beat;
+  bt_members_on_heartbeat (core, &envelope);
+}
+
+/* dc1 is the entry's own, dc2 in its region, dc3 beyond the paid link. */
+static const struct
+{
+  gint wait_ms[3];
+  guint free_slots[3];
+  const char *first;
+  const char *after_dc1;
+} choice_cases[] = {
+  { { 0, 0, 0 }, { 5, 5, 5 }, "dc1", "dc2" },
+  { { 0, 0, 0 }, { 0, 5, 50 }, "dc1", "dc2" },
+  { { 2500, 0, 0 }, { 0, 5, 50 }, "dc2", "dc2" },
+  { { 2500, 2500, 0 }, { 0, 0, 5 }, "dc3", "dc3" },
+  { { 2500, 2600, 2700 }, { 0, 0, 0 }, "dc1", NULL },
+  { { 9000, 2600, 2700 }, { 0, 0, 0 }, "dc2", NULL },
+  { { -1, 0, 0 }, { 0, 5, 5 }, "dc2", "dc2" },
+  { { -1, -1, 0 }, { 0, 0, 5 }, "dc3", "dc3" },
+  { { -1, -1, -1 }, { 0, 0, 0 }, "dc1", NULL },
+  { { 0, -1, 0 }, { 5, 0, 5 }, "dc1", "dc3" },
+};
+
+START_TEST (the_nearest_that_is_not_full)
+{
+  bt_clock_t clock;
+  bt_clock_init_paused (&clock, 1000 * BT_USEC_PER_SEC);
+  bt_core_config_t config;
+  bt_core_config_init (&config);
+  config.name = "entry";
+  config.address = "entry";
+  config.data_centre = "dc1";
+  config.region = "near";
+  bt_core_t *core = bt_core_new (&config, &clock, &ops, NULL);
+  bt_tables_free (core->tables.tables);
+  core->tables.tables = scene_tables (&base);
+  core->tables.version = 1;
+  static const char *const names[] = { "dc1", "dc2", "dc3" };
+  static const char *const regions[] = { "near", "near", "far" };
+  for (guint i = 0; i < 3; i++)
+    if (choice_cases[_i].wait_ms[i] >= 0)
+      hear (core, names[i], regions[i], (guint)choice_cases[_i].wait_ms[i],
+            choice_cases[_i].free_slots[i]);
+  bt_request_t *request = scene_request ("c", "hold", BT_KIND_REQUEST, 1, 1000, 500);
+  const bt_route_t *route = bt_tables_route (core->tables.tables, "hold");
+  ck_assert_str_eq (bt_home_choose (core, route, request), choice_cases[_i].first);
+  g_autoptr (GPtrArray) tried = g_ptr_array_new ();
+  g_ptr_array_add (tried, (gpointer) "dc1");
+  const char *next = bt_home_next (core, route, request, tried);
+  ck_assert_pstr_eq (next, choice_cases[_i].after_dc1);
+  bt_schema_free (&bt_request_schema, request);
+  bt_core_free (core);
+}
+END_TEST
+
+/* The same key reaches the same data centre from everywhere, however full it is. */
+START_TEST (a_key_has_one_home)
+{
+  scene_t *scene = scene_new (&base);
+  for (guint k = 0; k < 20; k++)
+    {
+      bt_request_t *request = scene_request ("c", "charge", BT_KIND_REQUEST, 1, 1000, 50);
+      g_autofree char *key = g_strdup_printf ("k%u", k);
+      request->key = g_ref_string_new (key);
+      const char *home = NULL;
+      for (guint i = 0; i < scene->world->nodes->len; i++)
+        {
+          bt_core_t *core = ((bt_node_t *)scene->world->nodes->pdata[i])->core;
+          const bt_route_t *route = bt_tables_route (core->tables.tables, "charge");
+          const char *chosen = bt_home_choose (core, route, request);
+          if (home != NULL)
+            ck_assert_str_eq (chosen, home);
+          home = chosen;
+        }
+      bt_schema_free (&bt_request_schema, request);
+    }
+  scene_free (scene);
+}
+END_TEST
+
+/*
+ * A flood at one data centre goes on to the others, and nothing runs twice,
+ * whatever becomes of the messages.
+ */
+static const struct
+{
+  const char *work;
+  guint repeat_percent;
+  guint late_percent;
+  guint loss_percent;
+  guint per_round;
+  guint least_done;
+  guint least_not_run;
+} move_cases[] = {
+  { "hold", 0, 0, 0, 6, 600, 0 },     { "charge", 0, 0, 0, 6, 600, 0 },
+  { "hold", 0, 0, 0, 15, 800, 100 },  { "charge", 50, 0, 0, 15, 800, 100 },
+  { "charge", 50, 50, 0, 15, 20, 1 }, { "charge", 30, 30, 5, 15, 20, 1 },
+  { "hold", 30, 30, 5, 15, 20, 1 },
+};
+
+START_TEST (a_flood_moves_on_and_nothing_runs_twice)
+{
+  scene_config_t config = base;
+  config.seed = (guint32)_i + 1;
+  scene_t *scene = scene_new (&config);
+  scene->world->repeat_percent = move_cases[_i].repeat_percent;
+  scene->world->late_percent = move_cases[_i].late_percent;
+  scene->world->late_max_us = 3 * BT_USEC_PER_SEC;
+  scene->world->loss_percent = move_cases[_i].loss_percent;
+  guint n = 0;
+  for (guint round = 0; round < 100; round++)
+    {
+      for (guint i = 0; i < move_cases[_i].per_round; i++, n++)
+        scene_submit (scene, "dc1-d1", "c", move_cases[_i].work, BT_KIND_REQUEST, 1, 1000, 500);
+      bt_world_run (scene->world, 100 * BT_USEC_PER_MSEC);
+    }
+  bt_world_heal (scene->world);
+  bt_world_run (scene->world, 60 * BT_USEC_PER_SEC);
+  ck_assert_uint_eq (g_hash_table_size (scene->answers), n);
+  guint done = 0, not_run = 0;
+  GHashTableIter iter;
+  const scene_answer_t *answer;
+  g_hash_table_iter_init (&iter, scene->answers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&answer))
+    {
+      ck_assert_uint_eq (answer->answers, 1);
+      done += answer->status == BT_STATUS_DONE;
+      not_run += answer->status == BT_STATUS_NOT_RUN;
+      ck_assert_uint_le (scene_starts_at (scene, answer->exchange),
+                         answer->status == BT_STATUS_NOT_RUN ? 0 : 1);
+    }
+  guint64 moved = bt_core_counters (bt_world_node (scene->world, "dc1-d1")->core)->entry_moved;
+  ck_assert_uint_gt (moved, 0);
+  ck_assert_uint_ge (done, move_cases[_i].least_done);
+  ck_assert_uint_ge (not_run, move_cases[_i].least_not_run);
+  scene_free (scene);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("home");
+  tcase_set_timeout (tests, 60);
+  tcase_add_loop_test (tests, the_nearest_that_is_not_full, 0, G_N_ELEMENTS (choice_cases));
+  tcase_add_test (tests, a_key_has_one_home);
+  tcase_add_loop_test (tests, a_flood_moves_on_and_nothing_runs_twice, 0,
+                       G_N_ELEMENTS (move_cases));
+  return suite_run ("home", tests);
+}
