--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -35,6 +35,7 @@
   beat.data_centre = (char *)data_centre;
   beat.region = (char *)region;
   beat.leading = TRUE;
+  beat.has_pools = TRUE;
   beat.n_pools = 1;
   beat.pools = summaries;
   Bt__Envelope envelope = BT__ENVELOPE__INIT;
