--- a/libbamboothread/process/counters.h
+++ b/libbamboothread/process/counters.h
@@ -12,6 +12,11 @@
   X (answered_accepted)                                                                            \
   X (answered_cancelled)                                                                           \
   X (answers_dropped_late)                                                                         \
+  X (place_decisions)                                                                              \
+  X (place_examined)                                                                               \
+  X (stops_sent)                                                                                   \
+  X (tasks_moved)                                                                                  \
+  X (workers_rested)                                                                               \
   X (starts_sent)                                                                                  \
   X (starts_refused)                                                                               \
   X (starts_uncertain)                                                                             \
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -50,6 +50,7 @@
   release_string (&job->team);
   release_string (&job->pool);
   g_ptr_array_unref (job->waiters);
+  g_clear_pointer (&job->failed_on, g_ptr_array_unref);
   g_clear_pointer (&job->answer, g_bytes_unref);
   g_free (job->detail);
   g_ref_string_release (job->id);
@@ -109,6 +110,9 @@
       bt_quota_charge (job->tasks[i].attempt);
   job->idempotent = route->idempotent;
   job->retries = route->retries;
+  job->packing = route->packing;
+  job->waiting = route->waiting;
+  job->rack_spread = route->rack_spread;
   gint64 deadline_ms = request->deadline_ms;
   if (deadline_ms == 0 && !job->durable)
     deadline_ms = route->deadline_ms;
@@ -173,7 +177,8 @@
 {
   attempt->worker = worker;
   attempt->need = *need;
-  bt_vector_add (&worker->used, need);
+  bt_place_use (worker, need);
+  bt_health_bound (attempt);
   bt_quota_charge (attempt);
   g_hash_table_insert (worker->attempts, attempt->id, attempt);
 }
@@ -191,7 +196,8 @@
   if (attempt->worker != NULL)
     {
       bt_quota_credit (attempt);
-      bt_vector_sub (&attempt->worker->used, &attempt->need);
+      bt_health_dropped (attempt);
+      bt_place_free (attempt->worker, &attempt->need);
       g_hash_table_remove (attempt->worker->attempts, attempt->id);
       bt_queue_freed (core, attempt->worker);
     }
