--- a/cli/client.c
+++ b/cli/client.c
@@ -40,15 +40,24 @@
   return answer;
 }
 
+/* Return: a page, or NULL; then @first_kept is the first offset kept, if @from has expired. */
 static bt_log_page_t *
-read_page (const char *log, gint64 from, GError **error)
+read_page (const char *log, gint64 from, gint64 *first_kept, GError **error)
 {
+  *first_kept = -1;
   g_autofree char *path = g_strdup_printf ("/v1/streams/%s?from=%" G_GINT64_FORMAT "&max=%d",
                                            BT_TABLES_STREAM, from, PAGE_MAX_RECORDS);
   guint status = 0;
   g_autoptr (GBytes) body = ctl_call ("GET", log, path, NULL, &status, error);
   if (body == NULL)
     return NULL;
+  if (status == SOUP_STATUS_GONE)
+    {
+      *first_kept = bt_log_first_kept (body);
+      g_set_error (error, BT_ERROR, BT_ERROR_EXPIRED, "offset %" G_GINT64_FORMAT " has expired",
+                   from);
+      return NULL;
+    }
   if (status != SOUP_STATUS_OK)
     {
       g_set_error (error, BT_ERROR, BT_ERROR_UNAVAILABLE, "the log answered with status %u",
@@ -73,9 +82,19 @@
 {
   for (;;)
     {
-      bt_log_page_t *page = read_page (log, fold->next, error);
+      gint64 first_kept;
+      g_autoptr (GError) inner = NULL;
+      bt_log_page_t *page = read_page (log, fold->next, &first_kept, &inner);
+      if (page == NULL && first_kept > fold->next)
+        {
+          bt_fold_restart (fold, first_kept);
+          continue;
+        }
       if (page == NULL)
-        return FALSE;
+        {
+          g_propagate_error (error, g_steal_pointer (&inner));
+          return FALSE;
+        }
       guint n = page->records->len;
       for (guint i = 0; i < n; i++)
         {
@@ -83,6 +102,13 @@
           bt_fold_record (fold, page->first + i, text, g_ref_string_length (text));
         }
       bt_schema_free (&bt_log_page_schema, page);
+      if (n == 0 && fold->restart >= 0)
+        {
+          g_set_error (error, BT_ERROR, BT_ERROR_EXPIRED,
+                       "the log holds no snapshot yet that "
+                       "tells what its expired records did");
+          return FALSE;
+        }
       if (n == 0)
         return TRUE;
     }
--- a/cli/tables.c
+++ b/cli/tables.c
@@ -104,12 +104,14 @@
 {
   print_lines ("put route", &bt_route_schema, edit->put->routes);
   print_lines ("put pool", &bt_pool_schema, edit->put->pools);
+  for (guint i = 0; i < edit->order->len; i++)
+    printf ("route %u is %s\n", i + 1, (const char *)edit->order->pdata[i]);
   for (guint i = 0; i < edit->remove->routes->len; i++)
     printf ("remove route %s\n", (const char *)edit->remove->routes->pdata[i]);
   for (guint i = 0; i < edit->remove->pools->len; i++)
     printf ("remove pool %s\n", (const char *)edit->remove->pools->pdata[i]);
   return edit->put->routes->len + edit->put->pools->len + edit->remove->routes->len
-         + edit->remove->pools->len;
+         + edit->remove->pools->len + edit->order->len;
 }
 
 /**
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -151,10 +151,10 @@
 }
 
 static void
-on_read_failed (void *context, const char *stream, const GError *error)
+on_read_failed (void *context, const char *stream, const GError *error, gint64 first_kept)
 {
   bt_daemon_t *daemon = context;
-  bt_core_on_read_failed (daemon->core, stream, error);
+  bt_core_on_read_failed (daemon->core, stream, error, first_kept);
 }
 
 static void
@@ -198,6 +198,8 @@
   config.drift_us = settings->drift_ms * BT_USEC_PER_MSEC;
   config.call_timeout_us = settings->call_timeout_ms * BT_USEC_PER_MSEC;
   config.retention_us = settings->retention_ms * BT_USEC_PER_MSEC;
+  config.snapshot_us = settings->snapshot_ms * BT_USEC_PER_MSEC;
+  config.append_interval_us = settings->append_interval_ms * BT_USEC_PER_MSEC;
   config.seed = g_random_int ();
   return bt_core_new (&config, &daemon->clock, &core_ops, daemon);
 }
--- a/libbamboothread/base/settings.c
+++ b/libbamboothread/base/settings.c
@@ -28,6 +28,10 @@
     MINUTE_MS, 2000 },
   { "retention_ms", BT_FIELD_INT, offsetof (bt_settings_t, retention_ms), FALSE, 1000,
     24 * 60 * MINUTE_MS, 10 * MINUTE_MS },
+  { "snapshot_ms", BT_FIELD_INT, offsetof (bt_settings_t, snapshot_ms), FALSE, MINUTE_MS,
+    7 * 24 * 60 * MINUTE_MS, 60 * MINUTE_MS },
+  { "append_interval_ms", BT_FIELD_INT, offsetof (bt_settings_t, append_interval_ms), FALSE, 0,
+    MINUTE_MS, 50 },
   { "log_level", BT_FIELD_ENUM, offsetof (bt_settings_t, log_level), FALSE, 0, 0, LEVEL_DEFAULT,
     level_names },
 };
--- a/libbamboothread/base/settings.h
+++ b/libbamboothread/base/settings.h
@@ -28,6 +28,8 @@
   gint64 drift_ms;
   gint64 call_timeout_ms;
   gint64 retention_ms;
+  gint64 snapshot_ms;
+  gint64 append_interval_ms;
   gint log_level;
 } bt_settings_t;
 
--- a/libbamboothread/connection/log_client.c
+++ b/libbamboothread/connection/log_client.c
@@ -43,6 +43,34 @@
 
 const bt_schema_t bt_log_page_schema = BT_SCHEMA (page_fields, bt_log_page_t);
 
+typedef struct
+{
+  gint64 first;
+} expired_t;
+
+static const bt_field_t expired_fields[] = {
+  { "first", BT_FIELD_INT, offsetof (expired_t, first), TRUE, 0, G_MAXINT64 },
+};
+
+static const bt_schema_t expired_schema = BT_SCHEMA (expired_fields, expired_t);
+
+/**
+ * bt_log_first_kept() - read the log's answer to a read of an expired offset
+ * @body: the answer
+ *
+ * Return: the first offset that is kept, or -1 if the answer does not say.
+ */
+gint64
+bt_log_first_kept (GBytes *body)
+{
+  gsize len;
+  const char *text = g_bytes_get_data (body, &len);
+  expired_t *expired = bt_schema_parse (&expired_schema, text, len, NULL);
+  gint64 first = expired != NULL ? expired->first : -1;
+  bt_schema_free (&expired_schema, expired);
+  return first;
+}
+
 /**
  * bt_log_client_new() - an adapter to the log
  * @address: IP:port of the log
@@ -151,6 +179,7 @@
     }
   g_autoptr (GError) error = NULL;
   bt_log_page_t *page = NULL;
+  gint64 first_kept = -1;
   if (status == SOUP_STATUS_OK)
     {
       gsize len;
@@ -158,13 +187,16 @@
       page = bt_schema_parse (&bt_log_page_schema, text, len, &error);
     }
   else if (status == SOUP_STATUS_GONE)
-    g_set_error (&error, BT_ERROR, BT_ERROR_EXPIRED, "the offset is no longer kept");
+    {
+      first_kept = bt_log_first_kept (body);
+      g_set_error (&error, BT_ERROR, BT_ERROR_EXPIRED, "the offset is no longer kept");
+    }
   else
     g_set_error (&error, BT_ERROR, BT_ERROR_UNAVAILABLE, "HTTP status %u", status);
   if (page != NULL)
     page_taken (call, page);
   else
-    call->client->handler.failed (call->client->context, call->stream, error);
+    call->client->handler.failed (call->client->context, call->stream, error, first_kept);
   bt_schema_free (&bt_log_page_schema, page);
   call_free (call);
 }
--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "libbamboothread/base/error.h"
+
 #include "libbamboothread/base/log.h"
 
 /**
@@ -19,6 +21,8 @@
   config->drift_us = 100 * BT_USEC_PER_MSEC;
   config->call_timeout_us = 2 * BT_USEC_PER_SEC;
   config->retention_us = 600LL * BT_USEC_PER_SEC;
+  config->snapshot_us = 3600LL * BT_USEC_PER_SEC;
+  config->append_interval_us = 50 * BT_USEC_PER_MSEC;
 }
 
 /**
@@ -382,16 +386,18 @@
  * bt_core_on_read_failed() - the log could not be read
  * @core: the core
  * @stream: the stream
- * @error: why
+ * @error: why; BT_ERROR_EXPIRED if the records there are no longer kept
+ * @first_kept: offset of the first record that is kept, if they are not, or -1
  */
 void
-bt_core_on_read_failed (bt_core_t *core, const char *stream, const GError *error)
+bt_core_on_read_failed (bt_core_t *core, const char *stream, const GError *error, gint64 first_kept)
 {
+  gboolean expired = g_error_matches (error, BT_ERROR, BT_ERROR_EXPIRED);
   refresh (core);
   if (strcmp (stream, BT_TABLES_STREAM) == 0)
-    bt_core_tables_on_failed (core, error);
+    bt_core_tables_on_failed (core, expired ? first_kept : -1);
   else if (strcmp (stream, core->journal.stream) == 0)
-    bt_journal_on_failed (core, error);
+    bt_journal_on_failed (core, expired ? first_kept : -1);
 }
 
 /**
--- a/libbamboothread/process/core.h
+++ b/libbamboothread/process/core.h
@@ -66,6 +66,8 @@
  * @drift_us: most that two clocks drift apart over a lease
  * @call_timeout_us: how long a worker or log call may take
  * @retention_us: how long an ended job is remembered
+ * @snapshot_us: time in which all that the log has to keep is written to it once more
+ * @append_interval_us: shortest time between two appends
  */
 typedef struct
 {
@@ -82,6 +84,8 @@
   gint64 drift_us;
   gint64 call_timeout_us;
   gint64 retention_us;
+  gint64 snapshot_us;
+  gint64 append_interval_us;
   guint32 seed;
 } bt_core_config_t;
 
@@ -114,7 +118,8 @@
 void bt_core_on_peer (bt_core_t *core, const Bt__Envelope *envelope);
 void bt_core_on_records (bt_core_t *core, const char *stream, gint64 first,
                          const GPtrArray *records, gint64 next);
-void bt_core_on_read_failed (bt_core_t *core, const char *stream, const GError *error);
+void bt_core_on_read_failed (bt_core_t *core, const char *stream, const GError *error,
+                             gint64 first_kept);
 void bt_core_on_append (bt_core_t *core, guint64 batch, gboolean stored);
 void bt_core_on_lease (bt_core_t *core, const char *worker, const bt_lease_reply_t *reply);
 void bt_core_on_start (bt_core_t *core, const char *worker, const char *attempt,
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -265,6 +265,7 @@
  * @wait: why it was not placed when it was tried last
  * @account: its team's account with its pool, or NULL
  * @waiters: names of the daemons whose callers wait for it
+ * @whole_link: its place among the jobs that the log tells all of; data is NULL if it does not
  */
 struct bt_job_t
 {
@@ -308,6 +309,7 @@
   GBytes *answer;
   char *detail;
   gint64 version;
+  GList whole_link;
 };
 
 /**
@@ -410,7 +412,11 @@
  * @own_term: this daemon's term while it leads, 0 before its record is read back
  * @caught_up: whether this daemon's own lead record has been read back
  * @pending: records to append
- * @in_flight: records of the batch on its way
+ * @in_flight: texts of the records of the batch on its way
+ * @last_in_flight: id of the last record of that batch
+ * @sent_at: when the last batch was sent
+ * @whole: open jobs in the order in which the log tells all of them
+ * @next_rewrite: when the first of them is written to the log again
  */
 typedef struct
 {
@@ -424,7 +430,11 @@
   gint64 read_again_at;
   GQueue pending;
   GPtrArray *in_flight;
+  GRefString *last_in_flight;
   guint64 batch;
+  gint64 sent_at;
+  GQueue whole;
+  gint64 next_rewrite;
   gint64 append_again_at;
   GHashTable *seen;
   GQueue seen_order;
@@ -591,6 +601,9 @@
   bt_fold_t tables;
   gboolean tables_reading;
   gboolean tables_caught_up;
+  gint64 tables_snapshot_at;
+  gint64 tables_snapshot_covers;
+  gint64 tables_ask_at;
   gint64 tables_read_at;
   bt_members_t members;
   bt_owner_t owner;
@@ -634,7 +647,7 @@
 void bt_core_tables_tick (bt_core_t *core);
 void bt_core_tables_on_records (bt_core_t *core, gint64 first, const GPtrArray *records,
                                 gint64 next);
-void bt_core_tables_on_failed (bt_core_t *core, const GError *error);
+void bt_core_tables_on_failed (bt_core_t *core, gint64 first_kept);
 void bt_core_tables_on_peer (bt_core_t *core, const Bt__Envelope *envelope);
 
 /* owner.c */
@@ -653,12 +666,13 @@
 void bt_journal_init (bt_core_t *core);
 void bt_journal_clear (bt_core_t *core);
 void bt_journal_tick (bt_core_t *core);
+void bt_journal_forget (bt_core_t *core, bt_job_t *job);
 void bt_journal_lead (bt_core_t *core);
 void bt_journal_unlead (bt_core_t *core);
 void bt_journal_append (bt_core_t *core, bt_record_t *record);
 void bt_journal_on_append (bt_core_t *core, guint64 batch, gboolean stored);
 void bt_journal_on_records (bt_core_t *core, gint64 first, const GPtrArray *records, gint64 next);
-void bt_journal_on_failed (bt_core_t *core, const GError *error);
+void bt_journal_on_failed (bt_core_t *core, gint64 first_kept);
 bt_record_t *bt_journal_record (bt_core_t *core, bt_record_type_t type, const char *job);
 
 /* job.c */
@@ -776,6 +790,7 @@
 void bt_recover_import (bt_core_t *core, bt_worker_t *worker, const bt_lease_reply_t *reply,
                         gint64 sent_at, gboolean rebooted);
 void bt_recover_worker_over (bt_core_t *core, bt_worker_t *worker);
+void bt_recover_forget (bt_core_t *core);
 gboolean bt_recover_ready (const bt_core_t *core, const bt_job_t *job);
 
 /* entry.c */
--- a/libbamboothread/process/counters.h
+++ b/libbamboothread/process/counters.h
@@ -35,6 +35,9 @@
   X (records_folded)                                                                               \
   X (records_duplicate)                                                                            \
   X (records_void)                                                                                 \
+  X (records_rewritten)                                                                            \
+  X (log_expired)                                                                                  \
+  X (snapshots_appended)                                                                           \
   X (log_read_failures)                                                                            \
   X (tables_applied)                                                                               \
   X (tables_adopted)                                                                               \
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -42,6 +42,7 @@
 bt_job_free (gpointer data)
 {
   bt_job_t *job = data;
+  bt_journal_forget (job->core, job);
   for (guint i = 0; i < job->n_tasks; i++)
     g_clear_pointer (&job->tasks[i].answer, g_bytes_unref);
   g_free (job->tasks);
--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -149,6 +149,31 @@
     }
 }
 
+/**
+ * bt_recover_forget() - drop all jobs that are known from the log
+ * @core: the core, not the owner
+ *
+ * Records have expired before this daemon read them, so that what it knows may
+ * be out of date; what is still true stands in the records that are kept.
+ */
+void
+bt_recover_forget (bt_core_t *core)
+{
+  GHashTableIter iter;
+  bt_job_t *job;
+  g_hash_table_iter_init (&iter, core->sched.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&job))
+    {
+      if (!job->recorded)
+        continue;
+      bt_queue_remove (core, job);
+      for (guint i = 0; i < job->n_tasks; i++)
+        if (job->tasks[i].attempt != NULL)
+          bt_attempt_drop (core, job->tasks[i].attempt, BT_TASK_WAITING);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
 /**
  * bt_recover_on_settled() - all that earlier owners started is known or over
  * @core: the core
--- a/libbamboothread/process/tables.c
+++ b/libbamboothread/process/tables.c
@@ -7,8 +7,12 @@
 
 /* Pause before a stream is read again after a failure. */
 #define READ_RETRY_US (500 * BT_USEC_PER_MSEC)
-/* Pause between two requests for a peer's newer tables. */
+/* How long a peer is ahead before it is asked for its tables, and pause between two requests. */
 #define ASK_PEER_US (1 * BT_USEC_PER_SEC)
+/* Longest wait before a snapshot that others might have missed edits of is written again. */
+#define SNAPSHOT_AGAIN_MS 5000
+/* Batch number of snapshots; batches of the journal have higher ones. */
+#define SNAPSHOT_BATCH 0
 /* An answer with fewer records than this shows that the history has been read. */
 #define CAUGHT_UP_RECORDS 100
 
@@ -38,6 +42,40 @@
     core->ops.tables_changed (core->context, core->tables.version);
 }
 
+static guint
+leaders_known (const bt_core_t *core)
+{
+  guint n = 1;
+  GHashTableIter iter;
+  const bt_member_t *member;
+  g_hash_table_iter_init (&iter, core->members.by_name);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
+    n += member->alive && member->leading;
+  return n;
+}
+
+/* All owners draw a time, and draw anew when a snapshot is read, so that about
+ * one of them writes one in each span. */
+static void
+draw_snapshot (bt_core_t *core)
+{
+  double span = (double)core->config.snapshot_us * leaders_known (core);
+  core->tables_snapshot_at = core->now + (gint64)(g_rand_double (core->rand) * span);
+}
+
+/* A snapshot was read. If edits came before it that it does not hold, one who
+ * starts behind those can't use it, so its writer soon writes another. */
+static void
+plan_snapshot (bt_core_t *core, gint64 offset)
+{
+  draw_snapshot (core);
+  gint64 covered = core->tables.covered;
+  if (covered == offset || covered != core->tables_snapshot_covers)
+    return;
+  gint32 wait_ms = g_rand_int_range (core->rand, 0, SNAPSHOT_AGAIN_MS);
+  core->tables_snapshot_at = MIN (core->tables_snapshot_at, core->now + wait_ms * BT_USEC_PER_MSEC);
+}
+
 /**
  * bt_core_tables_on_records() - take in records of the tables' stream
  * @core: the core
@@ -54,7 +92,9 @@
       gsize len;
       const char *data = g_bytes_get_data (records->pdata[i], &len);
       gint64 version = core->tables.version;
-      bt_fold_record (&core->tables, first + i, data, len);
+      bt_verdict_t verdict = bt_fold_record (&core->tables, first + i, data, len);
+      if (verdict == BT_VERDICT_SNAPSHOT)
+        plan_snapshot (core, first + i);
       if (core->tables.version != version)
         apply (core);
     }
@@ -68,47 +108,96 @@
 /**
  * bt_core_tables_on_failed() - the tables' stream could not be read
  * @core: the core
- * @error: why
+ * @first_kept: offset of the first record kept, if the wanted one has expired, or -1
  */
 void
-bt_core_tables_on_failed (bt_core_t *core, const GError *error)
+bt_core_tables_on_failed (bt_core_t *core, gint64 first_kept)
 {
   core->tables_reading = FALSE;
+  if (first_kept > core->tables.next)
+    {
+      bt_log (BT_LOG_WARNING, "tables-expired",
+              "next=%" G_GINT64_FORMAT " first_kept=%" G_GINT64_FORMAT, core->tables.next,
+              first_kept);
+      core->counters.log_expired++;
+      core->tables_read_at = core->now;
+      bt_fold_restart (&core->tables, first_kept);
+      return;
+    }
   core->tables_read_at = core->now + READ_RETRY_US;
   core->counters.log_read_failures++;
 }
 
-static void
-ask_newer_peer (bt_core_t *core)
+/* Return: the lowest version of a peer's tables that would help. */
+static gint64
+wanted_version (const bt_core_t *core)
 {
+  return core->tables.restart >= 0 ? core->tables.version : core->tables.version + 1;
+}
+
+static const bt_member_t *
+peer_ahead (const bt_core_t *core)
+{
+  const bt_member_t *found = NULL;
+  gint64 best = wanted_version (core);
   GHashTableIter iter;
-  bt_member_t *member;
+  const bt_member_t *member;
   g_hash_table_iter_init (&iter, core->members.by_name);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&member))
+    if (member->alive && member->tables_version >= best
+        && (found == NULL || member->tables_version > found->tables_version))
+      found = member;
+  return found;
+}
+
+/* A peer that stays ahead shows that the log does not answer here. */
+static void
+ask_newer_peer (bt_core_t *core)
+{
+  const bt_member_t *peer = peer_ahead (core);
+  if (peer == NULL)
     {
-      if (!member->alive || member->tables_version <= core->tables.version)
-        continue;
-      Bt__TablesRequest request = BT__TABLES_REQUEST__INIT;
-      request.have_version = (guint64)core->tables.version;
-      Bt__Envelope envelope = BT__ENVELOPE__INIT;
-      envelope.body_case = BT__ENVELOPE__BODY_TABLES_REQUEST;
-      envelope.tables_request = &request;
-      bt_core_send (core, member->address, &envelope);
+      core->tables_ask_at = core->now + ASK_PEER_US;
       return;
     }
+  if (core->now < core->tables_ask_at)
+    return;
+  core->tables_ask_at = core->now + ASK_PEER_US;
+  Bt__TablesRequest request = BT__TABLES_REQUEST__INIT;
+  request.want_version = (guint64)wanted_version (core);
+  Bt__Envelope envelope = BT__ENVELOPE__INIT;
+  envelope.body_case = BT__ENVELOPE__BODY_TABLES_REQUEST;
+  envelope.tables_request = &request;
+  bt_core_send (core, peer->address, &envelope);
+}
+
+static void
+write_snapshot (bt_core_t *core)
+{
+  if (core->tables_snapshot_at == 0)
+    draw_snapshot (core);
+  if (!core->owner.leading || core->tables.restart >= 0 || core->tables.version == 0
+      || !core->tables_caught_up || core->now < core->tables_snapshot_at)
+    return;
+  draw_snapshot (core);
+  core->tables_snapshot_covers = core->tables.next;
+  core->counters.snapshots_appended++;
+  g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  g_ptr_array_add (records, bt_fold_snapshot (&core->tables));
+  core->ops.log_append (core->context, BT_TABLES_STREAM, SNAPSHOT_BATCH, records);
 }
 
 /**
- * bt_core_tables_tick() - keep reading the tables, from a peer while the log is down
+ * bt_core_tables_tick() - keep reading the tables, from a peer if the log does not answer
  * @core: the core
  */
 void
 bt_core_tables_tick (bt_core_t *core)
 {
-  if (core->tables_reading || core->now < core->tables_read_at)
-    return;
   ask_newer_peer (core);
-  read_more (core);
+  write_snapshot (core);
+  if (!core->tables_reading && core->now >= core->tables_read_at)
+    read_more (core);
 }
 
 static void
@@ -117,7 +206,8 @@
   g_autoptr (GBytes) snapshot = bt_fold_snapshot (&core->tables);
   Bt__Tables tables = BT__TABLES__INIT;
   tables.version = (guint64)core->tables.version;
-  tables.next_offset = (guint64)core->tables.next;
+  /* After a gap it is not known which records this version holds. */
+  tables.next_offset = core->tables.restart < 0 ? (guint64)core->tables.next : 0;
   gsize len;
   tables.body.data = (guint8 *)g_bytes_get_data (snapshot, &len);
   tables.body.len = len;
@@ -137,7 +227,7 @@
 {
   if (envelope->body_case == BT__ENVELOPE__BODY_TABLES_REQUEST)
     {
-      if ((gint64)envelope->tables_request->have_version < core->tables.version)
+      if ((gint64)envelope->tables_request->want_version <= core->tables.version)
         send_tables (core, envelope->address);
       return;
     }
--- a/libbamboothread/request/record.h
+++ b/libbamboothread/request/record.h
@@ -29,6 +29,7 @@
  * @id: unique; a record whose id was seen before counts once
  * @term: term of the owner that wrote it
  * @worker: VM of an attempt
+ * @again: whether it repeats what an earlier record told, before that one expires
  * @answer: base64 of the answer of an ended job
  */
 typedef struct
@@ -45,6 +46,7 @@
   GRefString *worker;
   gint status;
   gint reason;
+  gboolean again;
   GRefString *answer;
 } bt_record_t;
 
--- a/libbamboothread/version/fold.c
+++ b/libbamboothread/version/fold.c
@@ -10,7 +10,7 @@
 #define RECENT_MAX 256
 
 const char *const bt_verdict_names[]
-    = { "accepted", "duplicate", "stale", "invalid", "snapshot", NULL };
+    = { "accepted", "duplicate", "stale", "invalid", "snapshot", "waiting", NULL };
 
 static const bt_field_t names_fields[] = {
   { "routes", BT_FIELD_STRINGS, offsetof (bt_names_t, routes), FALSE, 0, 1024 },
@@ -25,6 +25,8 @@
   { "author", BT_FIELD_STRING, offsetof (bt_edit_t, author), TRUE, 1, 128 },
   { "put", BT_FIELD_OBJECT, offsetof (bt_edit_t, put), FALSE, 0, 0, 0, NULL, &bt_tables_schema },
   { "remove", BT_FIELD_OBJECT, offsetof (bt_edit_t, remove), FALSE, 0, 0, 0, NULL, &names_schema },
+  { "order", BT_FIELD_STRINGS, offsetof (bt_edit_t, order), FALSE, 0, 1024 },
+  { "covers", BT_FIELD_INT, offsetof (bt_edit_t, covers), FALSE, 0, G_MAXINT64 },
   { "snapshot", BT_FIELD_INT, offsetof (bt_edit_t, snapshot), FALSE, 0, G_MAXINT64 },
   { "recent", BT_FIELD_STRINGS, offsetof (bt_edit_t, recent), FALSE, 0, RECENT_MAX },
 };
@@ -49,6 +51,8 @@
 {
   memset (fold, 0, sizeof *fold);
   fold->tables = tables_new ();
+  fold->restart = -1;
+  fold->waiting = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_queue_init (&fold->history);
   g_queue_init (&fold->ids);
   fold->seen = g_hash_table_new (g_str_hash, g_str_equal);
@@ -72,6 +76,7 @@
 bt_fold_clear (bt_fold_t *fold)
 {
   bt_tables_free (fold->tables);
+  g_ptr_array_unref (fold->waiting);
   g_hash_table_unref (fold->seen);
   g_queue_clear_full (&fold->ids, (GDestroyNotify)g_ref_string_release);
   g_queue_clear_full (&fold->history, history_free);
@@ -156,6 +161,22 @@
     }
 }
 
+/* Puts the named lines first, in the order of the names; the others stay behind them. */
+static void
+order_lines (GPtrArray *lines, const GPtrArray *names)
+{
+  guint placed = 0;
+  for (guint i = 0; i < names->len; i++)
+    {
+      gint at = find_line (lines, names->pdata[i]);
+      if (at < (gint)placed)
+        continue;
+      gpointer line = g_ptr_array_steal_index (lines, (guint)at);
+      g_ptr_array_insert (lines, (gint)placed, line);
+      placed++;
+    }
+}
+
 static bt_tables_t *
 apply_edit (const bt_tables_t *tables, const bt_edit_t *edit)
 {
@@ -170,12 +191,14 @@
       put_lines (&bt_route_schema, next->routes, edit->put->routes);
       put_lines (&bt_pool_schema, next->pools, edit->put->pools);
     }
+  order_lines (next->routes, edit->order);
   return next;
 }
 
 static bt_verdict_t
 fold_snapshot (bt_fold_t *fold, bt_edit_t *edit, gint64 offset)
 {
+  fold->covered = edit->covers;
   if (edit->snapshot > fold->version && edit->put != NULL)
     {
       bt_tables_free (fold->tables);
@@ -219,6 +242,69 @@
   return BT_VERDICT_ACCEPTED;
 }
 
+static bt_verdict_t
+fold_parsed (bt_fold_t *fold, bt_edit_t *edit, gint64 offset)
+{
+  return edit->snapshot > 0 ? fold_snapshot (fold, edit, offset) : fold_edit (fold, edit, offset);
+}
+
+static void
+fold_text (bt_fold_t *fold, gint64 offset, GBytes *text)
+{
+  gsize len;
+  const char *data = g_bytes_get_data (text, &len);
+  bt_edit_t *edit = bt_schema_parse (&bt_edit_schema, data, len, NULL);
+  if (edit != NULL)
+    fold_parsed (fold, edit, offset);
+  bt_schema_free (&bt_edit_schema, edit);
+}
+
+/* Goes on from a version that holds all edits below an offset. */
+static void
+fold_waiting (bt_fold_t *fold, gint64 covers)
+{
+  gint64 restart = fold->restart;
+  g_autoptr (GPtrArray) waiting = fold->waiting;
+  fold->waiting = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  fold->restart = -1;
+  for (guint i = 0; i < waiting->len; i++)
+    if (restart + i >= covers)
+      fold_text (fold, restart + i, waiting->pdata[i]);
+}
+
+/* Edits among records that have expired may be missing, so that no edit can be
+ * judged before a snapshot that holds all of those. */
+static bt_verdict_t
+fold_after_gap (bt_fold_t *fold, bt_edit_t *edit, gint64 offset, const char *data, gsize len)
+{
+  while (fold->restart + fold->waiting->len < offset)
+    g_ptr_array_add (fold->waiting, g_bytes_new_static ("", 0));
+  g_ptr_array_add (fold->waiting, g_bytes_new (data, len));
+  if (edit == NULL || edit->snapshot == 0 || edit->covers < fold->restart)
+    return BT_VERDICT_WAITING;
+  gint64 covers = edit->covers;
+  fold_snapshot (fold, edit, offset);
+  fold_waiting (fold, covers);
+  return BT_VERDICT_SNAPSHOT;
+}
+
+/**
+ * bt_fold_restart() - go on behind records that expired before they were read
+ * @fold: the fold
+ * @first_kept: offset of the first record that is kept
+ *
+ * The newest version stays in force until a snapshot tells what went before.
+ */
+void
+bt_fold_restart (bt_fold_t *fold, gint64 first_kept)
+{
+  if (first_kept <= fold->next)
+    return;
+  fold->next = first_kept;
+  fold->restart = first_kept;
+  g_ptr_array_set_size (fold->waiting, 0);
+}
+
 /**
  * bt_fold_record() - take in the next record of the log
  * @fold: the fold
@@ -238,10 +324,11 @@
     return BT_VERDICT_DUPLICATE;
   fold->next = offset + 1;
   bt_edit_t *edit = bt_schema_parse (&bt_edit_schema, data, len, NULL);
-  if (edit == NULL)
-    return BT_VERDICT_INVALID;
-  bt_verdict_t verdict
-      = edit->snapshot > 0 ? fold_snapshot (fold, edit, offset) : fold_edit (fold, edit, offset);
+  bt_verdict_t verdict = BT_VERDICT_INVALID;
+  if (fold->restart >= 0)
+    verdict = fold_after_gap (fold, edit, offset, data, len);
+  else if (edit != NULL)
+    verdict = fold_parsed (fold, edit, offset);
   bt_schema_free (&bt_edit_schema, edit);
   return verdict;
 }
@@ -254,12 +341,15 @@
  * @data: a snapshot record
  * @len: its length in bytes
  *
+ * After a gap in the records, the same version helps too.
+ *
  * Return: TRUE if the version was newer and valid, and is now in force.
  */
 gboolean
 bt_fold_adopt (bt_fold_t *fold, gint64 version, gint64 next, const char *data, gsize len)
 {
-  if (version <= fold->version)
+  gboolean fills_gap = fold->restart >= 0 && next >= fold->restart;
+  if (version < fold->version || (version == fold->version && !fills_gap))
     return FALSE;
   bt_edit_t *edit = bt_schema_parse (&bt_edit_schema, data, len, NULL);
   if (edit == NULL || edit->snapshot != version || edit->put == NULL)
@@ -267,10 +357,13 @@
       bt_schema_free (&bt_edit_schema, edit);
       return FALSE;
     }
+  gboolean newer = version > fold->version;
   fold_snapshot (fold, edit, next - 1);
   fold->next = MAX (fold->next, next);
+  if (fills_gap)
+    fold_waiting (fold, next);
   bt_schema_free (&bt_edit_schema, edit);
-  return TRUE;
+  return newer;
 }
 
 /**
@@ -284,6 +377,8 @@
 {
   g_autofree char *id = g_strdup_printf ("snapshot-%" G_GINT64_FORMAT, fold->version);
   bt_edit_t edit = { .base = fold->version, .put = fold->tables, .snapshot = fold->version };
+  edit.covers = fold->next;
+  edit.order = g_ptr_array_new ();
   edit.id = g_ref_string_new (id);
   edit.author = g_ref_string_new ("bamboothread");
   edit.recent = g_ptr_array_new ();
@@ -291,6 +386,7 @@
     g_ptr_array_add (edit.recent, l->data);
   GBytes *bytes = bt_schema_bytes (&bt_edit_schema, &edit);
   g_ptr_array_unref (edit.recent);
+  g_ptr_array_unref (edit.order);
   g_ref_string_release (edit.id);
   g_ref_string_release (edit.author);
   return bytes;
@@ -319,6 +415,19 @@
       g_ptr_array_add (removed, g_ref_string_acquire (line_name (now->pdata[i])));
 }
 
+/* The order of routes is part of their meaning: the first that matches counts. */
+static void
+diff_order (const bt_tables_t *now, const bt_tables_t *wanted, bt_edit_t *edit)
+{
+  bt_tables_t *next = apply_edit (now, edit);
+  gboolean same = next->routes->len == wanted->routes->len;
+  for (guint i = 0; same && i < wanted->routes->len; i++)
+    same = strcmp (line_name (next->routes->pdata[i]), line_name (wanted->routes->pdata[i])) == 0;
+  for (guint i = 0; !same && i < wanted->routes->len; i++)
+    g_ptr_array_add (edit->order, g_ref_string_acquire (line_name (wanted->routes->pdata[i])));
+  bt_tables_free (next);
+}
+
 /**
  * bt_fold_diff() - the edit that leads from the newest version to other tables
  * @fold: the fold
@@ -336,6 +445,7 @@
   edit->author = g_ref_string_new (author);
   edit->base = fold->version;
   edit->recent = g_ptr_array_new ();
+  edit->order = g_ptr_array_new ();
   edit->put = tables_new ();
   edit->remove = g_new0 (bt_names_t, 1);
   edit->remove->routes = g_ptr_array_new ();
@@ -344,5 +454,6 @@
               edit->remove->routes);
   diff_lines (&bt_pool_schema, fold->tables->pools, wanted->pools, edit->put->pools,
               edit->remove->pools);
+  diff_order (fold->tables, wanted, edit);
   return edit;
 }
--- a/libbamboothread/version/fold.h
+++ b/libbamboothread/version/fold.h
@@ -21,7 +21,10 @@
  * @author: who edits
  * @put: lines added, or put in place of lines of the same name
  * @remove: names of lines removed
+ * @order: names of routes, in the order in which they are tried; others follow
  * @snapshot: version that @put holds whole, or 0 for an edit
+ * @covers: offset below which a snapshot holds all edits
+ * @recent: ids of the last edits that a snapshot holds
  */
 typedef struct
 {
@@ -30,7 +33,9 @@
   GRefString *author;
   bt_tables_t *put;
   bt_names_t *remove;
+  GPtrArray *order;
   gint64 snapshot;
+  gint64 covers;
   GPtrArray *recent;
 } bt_edit_t;
 
@@ -38,6 +43,7 @@
 
 /**
  * enum bt_verdict_t - what the fold made of an edit
+ * @BT_VERDICT_WAITING: kept until a snapshot tells what went before, see bt_fold_restart()
  */
 typedef enum
 {
@@ -46,6 +52,7 @@
   BT_VERDICT_STALE,
   BT_VERDICT_INVALID,
   BT_VERDICT_SNAPSHOT,
+  BT_VERDICT_WAITING,
 } bt_verdict_t;
 
 extern const char *const bt_verdict_names[];
@@ -70,6 +77,9 @@
  * @tables: the newest version
  * @version: its number; it only grows
  * @next: offset of the next record to read
+ * @restart: offset from which on records have been read since some expired unread, or -1
+ * @waiting: records since then, kept until a snapshot tells what went before
+ * @covered: offset below which the last snapshot holds all edits
  * @history: ring of the latest &struct bt_history_t
  */
 typedef struct
@@ -77,6 +87,9 @@
   bt_tables_t *tables;
   gint64 version;
   gint64 next;
+  gint64 restart;
+  GPtrArray *waiting;
+  gint64 covered;
   GQueue history;
   GQueue ids;
   GHashTable *seen;
@@ -84,6 +97,7 @@
 
 void bt_fold_init (bt_fold_t *fold);
 void bt_fold_clear (bt_fold_t *fold);
+void bt_fold_restart (bt_fold_t *fold, gint64 first_kept);
 bt_verdict_t bt_fold_record (bt_fold_t *fold, gint64 offset, const char *data, gsize len);
 gboolean bt_fold_adopt (bt_fold_t *fold, gint64 version, gint64 next, const char *data, gsize len);
 GBytes *bt_fold_snapshot (const bt_fold_t *fold);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1490,12 +1490,12 @@
 static const ProtobufCFieldDescriptor bt__tables_request__field_descriptors[1] =
 {
   {
-    "have_version",
+    "want_version",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bt__TablesRequest, have_version),
+    offsetof(Bt__TablesRequest, want_version),
     NULL,
     NULL,
     0,             /* flags */
@@ -1503,7 +1503,7 @@
   },
 };
 static const unsigned bt__tables_request__field_indices_by_name[] = {
-  0,   /* field[0] = have_version */
+  0,   /* field[0] = want_version */
 };
 static const ProtobufCIntRange bt__tables_request__number_ranges[1 + 1] =
 {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -210,7 +210,10 @@
 struct  Bt__TablesRequest
 {
   ProtobufCMessage base;
-  uint64_t have_version;
+  /*
+   * The lowest version that the sender has a use for.
+   */
+  uint64_t want_version;
 };
 #define BT__TABLES_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bt__tables_request__descriptor) \
--- a/standins/fake_log.c
+++ b/standins/fake_log.c
@@ -54,7 +54,10 @@
   g_autoptr (GPtrArray) records = bt_log_model_read (&log->model, stream, from, max);
   if (records == NULL)
     {
-      bt_standin_respond (message, SOUP_STATUS_GONE, NULL);
+      gint64 first = bt_log_model_first (&log->model, stream);
+      g_autofree char *text = g_strdup_printf ("{\"first\":%" G_GINT64_FORMAT "}", first);
+      g_autoptr (GBytes) body = g_bytes_new (text, strlen (text));
+      bt_standin_respond (message, SOUP_STATUS_GONE, body);
       return;
     }
   bt_log_page_t *page = g_new0 (bt_log_page_t, 1);
--- a/standins/world.c
+++ b/standins/world.c
@@ -50,6 +50,7 @@
   GPtrArray *records;
   gboolean failed;
   gboolean expired;
+  gint64 first_kept;
 } event_t;
 
 static void
@@ -543,6 +544,8 @@
   config.incarnation = ++world->incarnation_counter;
   config.seeds = world->seeds;
   config.seed = g_rand_int (world->rand);
+  if (world->config.snapshot_us > 0)
+    config.snapshot_us = world->config.snapshot_us;
   node->incarnation = config.incarnation;
   node->paused = FALSE;
   node->core = bt_core_new (&config, &world->clock, &node_ops, node);
@@ -789,6 +792,7 @@
   reply->from = read->from;
   reply->records = bt_log_model_read (&world->log, read->name, read->from, READ_MAX_RECORDS);
   reply->expired = reply->records == NULL;
+  reply->first_kept = bt_log_model_first (&world->log, read->name);
   reply->failed = !log_reachable (read->node) || chance (world, world->loss_percent);
   if (strcmp (read->node->region, ((bt_node_t *)world->nodes->pdata[0])->region) != 0)
     for (guint i = 0; reply->records != NULL && i < reply->records->len; i++)
@@ -882,7 +886,7 @@
   g_autoptr (GError) error
       = g_error_new (BT_ERROR, event->failed ? BT_ERROR_UNAVAILABLE : BT_ERROR_EXPIRED,
                      "the stream can't be read");
-  bt_core_on_read_failed (core, event->name, error);
+  bt_core_on_read_failed (core, event->name, error, event->failed ? -1 : event->first_kept);
 }
 
 static void
--- a/standins/world.h
+++ b/standins/world.h
@@ -19,6 +19,7 @@
  * @delay_min_us: shortest delay of a message
  * @delay_max_us: longest delay of a message without faults
  * @call_timeout_us: how long a caller of a worker or the log waits for a reply
+ * @snapshot_us: time in which all that the log keeps is written again, or 0 for the usual
  * @region_of: region of a data centre, or NULL for one region each
  * @seed: of everything random
  */
@@ -30,6 +31,7 @@
   gint64 delay_min_us;
   gint64 delay_max_us;
   gint64 call_timeout_us;
+  gint64 snapshot_us;
   const char *(*region_of) (const char *data_centre);
   guint32 seed;
 } bt_world_config_t;
--- a/tests/fuzz/cell.c
+++ b/tests/fuzz/cell.c
@@ -245,6 +245,7 @@
   edit->author = g_ref_string_new ("operator");
   edit->base = base;
   edit->recent = g_ptr_array_new ();
+  edit->order = g_ptr_array_new ();
   edit->put = g_new0 (bt_tables_t, 1);
   edit->put->routes = g_ptr_array_new ();
   edit->put->pools = g_ptr_array_new ();
--- a/tests/test_adapters.c
+++ b/tests/test_adapters.c
@@ -164,9 +164,10 @@
 }
 
 static void
-on_failed (void *context, const char *stream, const GError *error)
+on_failed (void *context, const char *stream, const GError *error, gint64 first_kept)
 {
   peer_t *peer = context;
+  peer->number = first_kept;
   peer->done = TRUE;
   peer->code = error->code;
 }
@@ -201,6 +202,8 @@
   ck_assert_int_eq (peer.valid, read_cases[_i].valid);
   if (!read_cases[_i].valid)
     ck_assert_int_eq (peer.code, read_cases[_i].code);
+  if (!read_cases[_i].valid)
+    ck_assert_int_eq (peer.number, read_cases[_i].code == BT_ERROR_EXPIRED ? 9 : -1);
   bt_log_client_free (client);
   peer_close (&peer);
 }
