--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -13,8 +13,11 @@
 typedef struct bt_job_t bt_job_t;
 typedef struct bt_lane_t bt_lane_t;
 
+typedef struct bt_quota_pool_t bt_quota_pool_t;
+
 /**
  * struct bt_account_t - a team's part of a pool in this data centre; written by quota.c
+ * @state: the pool
  * @weight: its share when teams compete
  * @borrow: whether it may use more than @entitled
  * @entitled: its quota's part in this data centre
@@ -23,6 +26,7 @@
  */
 typedef struct
 {
+  const bt_quota_pool_t *state;
   GRefString *pool;
   GRefString *team;
   gint64 weight;
@@ -38,14 +42,14 @@
  * @live: of those on which tasks may be started
  * @reserve_percent: share of each VM that only urgent work uses
  */
-typedef struct
+struct bt_quota_pool_t
 {
   GRefString *name;
   bt_vector_t capacity;
   bt_vector_t live;
   gint64 reserve_percent;
   GHashTable *accounts;
-} bt_quota_pool_t;
+};
 
 /**
  * struct bt_quotas_t - quotas of all pools; written by quota.c
--- a/libbamboothread/process/queue.c
+++ b/libbamboothread/process/queue.c
@@ -36,9 +36,11 @@
 /**
  * struct bt_lane_t - jobs of one route and about the same size
  * @jobs: in the order of their turns; each caller's next job has a later turn
+ * @first: the first of them, or NULL
  * @last_turns: last turn that was given to each caller
  * @turn: turn of the job that left the lane last
  * @blocked: whether its first job did not fit when it was tried last
+ * @freed: the only VM on which room was freed since then, or NULL if any may have room
  * @used_at: when a job was put into it last
  */
 struct bt_lane_t
@@ -47,10 +49,12 @@
   bt_queue_pool_t *pool;
   bt_queue_route_t *route;
   GSequence *jobs;
+  bt_job_t *first;
   guint n_jobs;
   GHashTable *last_turns;
   guint64 turn;
   gboolean blocked;
+  GRefString *freed;
   gint64 used_at;
 };
 
@@ -72,6 +76,7 @@
   bt_lane_t *lane = data;
   g_sequence_free (lane->jobs);
   g_hash_table_unref (lane->last_turns);
+  g_clear_pointer (&lane->freed, g_ref_string_release);
   g_free (lane->key);
   g_free (lane);
 }
@@ -167,16 +172,21 @@
   return lane;
 }
 
-/* Sizes within a factor of two share a lane. */
+static guint
+size_class (gint64 amount)
+{
+  return g_bit_storage ((gulong)amount) / 2;
+}
+
+/* Sizes within a factor of four share a lane. */
 static bt_lane_t *
 lane_of (bt_core_t *core, const bt_job_t *job)
 {
   char key[512];
   const gint64 *need = job->need.v;
   g_snprintf (key, sizeof key, "%s|%s|%s|%d|%d|%u|%u|%u", job->route, job->pool, job->team,
-              job->work_class, job->request->kind, g_bit_storage ((gulong)need[BT_RESOURCE_MCPUS]),
-              g_bit_storage ((gulong)need[BT_RESOURCE_MEMORY_MB]),
-              g_bit_storage ((gulong)need[BT_RESOURCE_GPUS]));
+              job->work_class, job->request->kind, size_class (need[BT_RESOURCE_MCPUS]),
+              size_class (need[BT_RESOURCE_MEMORY_MB]), size_class (need[BT_RESOURCE_GPUS]));
   const bt_queue_route_t *route = get_route (core, job->route);
   gboolean known = g_hash_table_contains (core->queue.lanes, key);
   if (!known && route->lanes >= LANES_PER_ROUTE)
@@ -213,10 +223,24 @@
   return strcmp (left->id, right->id);
 }
 
-static bt_job_t *
-first_job (const bt_lane_t *lane)
+/* Opens a lane for a try on any VM. */
+static void
+open_lane (bt_lane_t *lane)
+{
+  lane->blocked = FALSE;
+  g_clear_pointer (&lane->freed, g_ref_string_release);
+  lane->pool->open = TRUE;
+}
+
+static void
+find_first (bt_lane_t *lane)
 {
-  return lane->n_jobs > 0 ? g_sequence_get (g_sequence_get_begin_iter (lane->jobs)) : NULL;
+  bt_job_t *first
+      = lane->n_jobs > 0 ? g_sequence_get (g_sequence_get_begin_iter (lane->jobs)) : NULL;
+  if (first == lane->first)
+    return;
+  lane->first = first;
+  open_lane (lane);
 }
 
 static gboolean
@@ -250,25 +274,21 @@
   job->place = g_sequence_insert_sorted (lane->jobs, job, compare_turns, NULL);
   lane->n_jobs++;
   lane->used_at = core->now;
-  if (first_job (lane) == job)
-    lane->blocked = FALSE;
-  if (!lane->blocked)
-    lane->pool->open = TRUE;
+  if (lane->first == NULL || compare_turns (job, lane->first, NULL) < 0)
+    find_first (lane);
 }
 
 static void
 leave_lane (bt_job_t *job)
 {
   bt_lane_t *lane = job->lane;
-  if (first_job (lane) == job)
-    {
-      lane->blocked = FALSE;
-      lane->pool->open = TRUE;
-      lane->turn = MAX (lane->turn, job->turn);
-    }
   g_sequence_remove (job->place);
   job->place = NULL;
   lane->n_jobs--;
+  if (lane->first != job)
+    return;
+  lane->turn = MAX (lane->turn, job->turn);
+  find_first (lane);
 }
 
 /**
@@ -300,9 +320,8 @@
     worker->held_for = NULL;
   pool->holder = NULL;
   g_clear_pointer (&pool->held, g_ref_string_release);
-  pool->open = TRUE;
   for (guint i = 0; i < pool->lanes->len; i++)
-    ((bt_lane_t *)pool->lanes->pdata[i])->blocked = FALSE;
+    open_lane (pool->lanes->pdata[i]);
 }
 
 /**
@@ -444,9 +463,24 @@
 }
 
 static gboolean
-may_be_tried (const bt_lane_t *lane)
+fits_on (const bt_core_t *core, const bt_job_t *job, const bt_worker_t *worker)
+{
+  bt_vector_t room;
+  bt_quota_room (core, job, worker, &room);
+  return bt_vector_fits (&job->need, &room);
+}
+
+/* Blocks a lane again if the only VM that was freed for its first job is full again. */
+static gboolean
+may_be_tried (const bt_core_t *core, bt_lane_t *lane)
 {
-  return !lane->blocked && lane->n_jobs > 0;
+  if (lane->blocked || lane->first == NULL)
+    return FALSE;
+  if (lane->freed == NULL)
+    return TRUE;
+  const bt_worker_t *worker = bt_owner_worker (core, lane->freed);
+  lane->blocked = worker == NULL || !fits_on (core, lane->first, worker);
+  return !lane->blocked;
 }
 
 static bt_lane_t *
@@ -457,8 +491,8 @@
   for (guint i = 0; i < pool->lanes->len; i++)
     {
       bt_lane_t *lane = pool->lanes->pdata[i];
-      const bt_job_t *job = first_job (lane);
-      if (!may_be_tried (lane) || !is_aged (core, job) || job->submitted_at >= oldest_at)
+      const bt_job_t *job = lane->first;
+      if (!may_be_tried (core, lane) || !is_aged (core, job) || job->submitted_at >= oldest_at)
         continue;
       oldest = lane;
       oldest_at = job->submitted_at;
@@ -474,10 +508,10 @@
   for (guint i = 0; i < pool->lanes->len; i++)
     {
       bt_lane_t *lane = pool->lanes->pdata[i];
-      if (!may_be_tried (lane))
+      if (!may_be_tried (core, lane))
         continue;
       rank_t rank;
-      rank_of (core, first_job (lane), &rank);
+      rank_of (core, lane->first, &rank);
       if (best != NULL && !rank_less (&rank, &best_rank))
         continue;
       best = lane;
@@ -527,7 +561,7 @@
 static bt_job_t *
 try_lane (bt_core_t *core, bt_lane_t *lane)
 {
-  bt_job_t *job = first_job (lane);
+  bt_job_t *job = lane->first;
   if (!is_ready (core, job))
     {
       park (core, lane, job);
@@ -663,6 +697,24 @@
   hold_worker (core, pool, job);
 }
 
+static void
+freed_for_lane (const bt_core_t *core, bt_lane_t *lane, const bt_worker_t *worker)
+{
+  const bt_job_t *job = lane->first;
+  if (!lane->blocked)
+    {
+      if (lane->freed != NULL && lane->freed != worker->name)
+        g_clear_pointer (&lane->freed, g_ref_string_release);
+      return;
+    }
+  gboolean anywhere = job->wait != BT_WAIT_ROOM || job->request->kind == BT_KIND_GANG;
+  if (!anywhere && !fits_on (core, job, worker))
+    return;
+  open_lane (lane);
+  if (!anywhere)
+    lane->freed = g_ref_string_acquire (worker->name);
+}
+
 /**
  * bt_queue_freed() - an attempt on a VM is over
  * @core: the core
@@ -679,16 +731,8 @@
   for (guint i = 0; i < pool->lanes->len; i++)
     {
       bt_lane_t *lane = pool->lanes->pdata[i];
-      const bt_job_t *job = first_job (lane);
-      if (!lane->blocked || job == NULL)
-        continue;
-      bt_vector_t room;
-      bt_quota_room (core, job, worker, &room);
-      gboolean gang = job->request->kind == BT_KIND_GANG;
-      if (!gang && job->wait == BT_WAIT_ROOM && !bt_vector_fits (&job->need, &room))
-        continue;
-      lane->blocked = FALSE;
-      pool->open = TRUE;
+      if (lane->first != NULL)
+        freed_for_lane (core, lane, worker);
     }
 }
 
@@ -739,7 +783,7 @@
   for (guint i = 0; i < pool->lanes->len;)
     {
       bt_lane_t *lane = pool->lanes->pdata[i];
-      lane->blocked = FALSE;
+      open_lane (lane);
       if (lane_unused (core, lane) && !lane_referenced (core, lane))
         {
           g_ptr_array_remove_index_fast (pool->lanes, i);
--- a/libbamboothread/process/quota.c
+++ b/libbamboothread/process/quota.c
@@ -306,6 +306,7 @@
   if (account != NULL)
     return account;
   account = g_new0 (bt_account_t, 1);
+  account->state = state;
   account->pool = g_ref_string_new (pool);
   account->team = g_ref_string_new (team);
   g_hash_table_insert (state->accounts, account->team, account);
@@ -341,7 +342,7 @@
   attempt->account = account;
   attempt->urgent = attempt->job->work_class == BT_CLASS_URGENT;
   bt_vector_add (&account->used, &attempt->need);
-  update_share (get_pool (attempt->job->core, account->pool), account);
+  update_share (account->state, account);
   if (attempt->urgent)
     bt_vector_add (&attempt->worker->used_urgent, &attempt->need);
 }
@@ -357,7 +358,7 @@
   if (account == NULL)
     return;
   bt_vector_sub (&account->used, &attempt->need);
-  update_share (get_pool (attempt->job->core, account->pool), account);
+  update_share (account->state, account);
   if (attempt->urgent)
     bt_vector_sub (&attempt->worker->used_urgent, &attempt->need);
   attempt->account = NULL;
@@ -377,7 +378,8 @@
 gboolean
 bt_quota_within (bt_core_t *core, const bt_account_t *account, const bt_vector_t *need)
 {
-  const bt_quota_pool_t *pool = bt_quota_pool (core, account->pool);
+  refresh (core);
+  const bt_quota_pool_t *pool = account->state;
   for (int i = 0; i < BT_N_RESOURCES; i++)
     {
       gint64 part = scaled (account->entitled.v[i], MIN (pool->live.v[i], pool->capacity.v[i]),
