--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "libbamboothread/process/core_private.h"
@@ -57,11 +58,11 @@
  * figures are the slots that a work gets if it asks for as many.
  */
 static const flood_case_t flood_cases[] = {
-  { 2, 4, 60, 0, 10, 20, 0 },   /* flood of the least urgent */
-  { 60, 4, 2, 0, 0, 20, 10 },   /* flood of the most urgent */
-  { 60, 60, 60, 0, 24, 24, 8 }, /* of all together */
-  { 2, 3, 60, 2, 10, 15, 0 },   /* with lost VMs */
-  { 60, 3, 2, 2, 0, 15, 10 },   { 60, 60, 60, 2, 18, 18, 6 },
+  { 2, 4, 60, 0, 10, 20, 0 },    /* flood of the least urgent */
+  { 60, 4, 2, 0, 0, 20, 10 },    /* flood of the most urgent */
+  { 60, 60, 60, 0, 24, 24, 16 }, /* of all together */
+  { 2, 3, 60, 2, 10, 15, 0 },    /* with lost VMs */
+  { 60, 3, 2, 2, 0, 15, 10 },    { 60, 60, 60, 2, 18, 18, 12 },
 };
 
 static void
@@ -86,12 +87,23 @@
     }
 }
 
+static void
+print_figures (const scene_t *scene, int row)
+{
+  printf ("figures: flood %d urgent start p50 %.1f ms, p99 %.1f ms, max %.1f ms\n", row,
+          (double)scene_wait_at (scene, "hold", 0.5) / BT_USEC_PER_MSEC,
+          (double)scene_wait_at (scene, "hold", 0.99) / BT_USEC_PER_MSEC,
+          (double)scene_wait_max (scene, "hold") / BT_USEC_PER_MSEC);
+}
+
 static void
 check_share (const scene_t *scene, const char *work, guint before, guint slots, double seconds)
 {
   /* Slots times seconds, at half a second each. */
   double entitled = slots * seconds * 2;
   double got = scene_starts (scene, work) - before;
+  if (entitled > 0)
+    printf ("figures: %s got %.1f%% of its entitled share\n", work, 100 * got / entitled);
   ck_assert_msg (got >= SHARE_BOUND * entitled, "%s: %.0f of %.0f", work, got, entitled);
 }
 
@@ -111,6 +123,7 @@
   check_share (scene, "hold", holds, row->entitled_holds, 20);
   check_share (scene, "roster", rosters, row->entitled_rosters, 20);
   check_share (scene, "photo", photos, row->entitled_photos, 20);
+  print_figures (scene, _i);
   ck_assert_int_le (scene_wait_max (scene, "hold"), URGENT_BOUND_US);
   scene_free (scene);
 }
@@ -211,6 +224,29 @@
 }
 END_TEST
 
+/* However many callers flood a route, one that comes later is still taken. */
+START_TEST (a_full_queue_has_room_for_another_caller)
+{
+  scene_t *scene = scene_new (&base);
+  for (guint i = 0; i < 600; i++)
+    {
+      g_autofree char *caller = g_strdup_printf ("flooder-%d", (int)i % (_i + 1));
+      scene_submit (scene, "dc1-d1", caller, "tiny", BT_KIND_REQUEST, 1, 1000, 5000);
+    }
+  guint64 late[5];
+  for (guint i = 0; i < G_N_ELEMENTS (late); i++)
+    late[i] = scene_submit (scene, "dc1-d1", "late", "tiny", BT_KIND_REQUEST, 1, 1000, 10);
+  bt_world_run (scene->world, 100 * BT_USEC_PER_MSEC);
+  ck_assert_uint_gt (scene_refused (scene, BT_REASON_QUEUE_FULL), 300);
+  for (guint i = 0; i < G_N_ELEMENTS (late); i++)
+    ck_assert_ptr_null (scene_answer (scene, late[i]));
+  bt_world_run (scene->world, 20 * BT_USEC_PER_SEC);
+  for (guint i = 0; i < G_N_ELEMENTS (late); i++)
+    ck_assert_int_eq (scene_answer (scene, late[i])->status, BT_STATUS_DONE);
+  scene_free (scene);
+}
+END_TEST
+
 /* Work of callers that went away, or past its deadline, is dropped before it starts. */
 static const struct
 {
@@ -340,6 +376,7 @@
   tcase_add_loop_test (tests, a_refusal_is_true_and_says_when, 0, G_N_ELEMENTS (refusal_cases));
   tcase_add_test (tests, the_time_to_retry_holds);
   tcase_add_test (tests, a_flood_of_one_caller_spares_the_others);
+  tcase_add_loop_test (tests, a_full_queue_has_room_for_another_caller, 0, 4);
   tcase_add_loop_test (tests, useless_work_is_dropped, 0, G_N_ELEMENTS (drop_cases));
   tcase_add_test (tests, retries_stay_in_their_budget);
   tcase_add_loop_test (tests, estimates_follow_what_ran, 0, G_N_ELEMENTS (estimate_cases));
