--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -14,8 +14,11 @@
 typedef struct bt_place_pool_t bt_place_pool_t;
 typedef struct bt_lane_t bt_lane_t;
 
+typedef struct bt_quota_pool_t bt_quota_pool_t;
+
 /**
  * struct bt_account_t - a team's part of a pool in this data centre; written by quota.c
+ * @state: the pool
  * @weight: its share when teams compete
  * @borrow: whether it may use more than @entitled
  * @entitled: its quota's part in this data centre
@@ -24,6 +27,7 @@
  */
 typedef struct
 {
+  const bt_quota_pool_t *state;
   GRefString *pool;
   GRefString *team;
   gint64 weight;
@@ -38,13 +42,13 @@
  * @capacity: of all its VMs that the tables name
  * @live: of those on which tasks may be started
  */
-typedef struct
+struct bt_quota_pool_t
 {
   GRefString *name;
   bt_vector_t capacity;
   bt_vector_t live;
   GHashTable *accounts;
-} bt_quota_pool_t;
+};
 
 /**
  * struct bt_quotas_t - quotas of all pools; written by quota.c
