Choose workers by an index of free room

Cause: each choice walked all workers of the data centre, compared pool names and looked the route up by name for every worker. Weights of packing and waiting, and the urgent reserve, were read but had no effect.

Change: workers stand in buckets by free accelerators, most used resource and its use, moved when an attempt binds or ends. A decision walks the buckets in the order that the route's weights ask for and passes over those whose bound is too small. The urgent reserve of a pool is kept. Gangs that all VMs together could not hold are refused at once.

--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -50,6 +50,7 @@
   bt_fold_init (&core->tables);
   bt_members_init (core);
   bt_owner_init (core);
+  bt_place_init (core);
   bt_journal_init (core);
   bt_sched_init (core);
   bt_quota_init (core);
@@ -78,6 +79,7 @@
   bt_entry_clear (core);
   bt_journal_clear (core);
   bt_owner_clear (core);
+  bt_place_clear (core);
   bt_members_clear (core);
   bt_trace_clear (core);
   bt_fold_clear (&core->tables);
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -11,6 +11,7 @@
 
 typedef struct bt_worker_t bt_worker_t;
 typedef struct bt_job_t bt_job_t;
+typedef struct bt_place_pool_t bt_place_pool_t;
 typedef struct bt_lane_t bt_lane_t;
 
 /**
@@ -36,14 +37,12 @@
  * struct bt_quota_pool_t - a pool's part in this data centre; written by quota.c
  * @capacity: of all its VMs that the tables name
  * @live: of those on which tasks may be started
- * @reserve_percent: share of each VM that only urgent work uses
  */
 typedef struct
 {
   GRefString *name;
   bt_vector_t capacity;
   bt_vector_t live;
-  gint64 reserve_percent;
   GHashTable *accounts;
 } bt_quota_pool_t;
 
@@ -212,10 +211,10 @@
   bt_attempt_phase_t phase;
   gboolean recorded;
   gboolean stopping;
+  gboolean urgent;
   gint64 sent_at;
   bt_vector_t need;
   bt_account_t *account;
-  gboolean urgent;
 } bt_attempt_t;
 
 /**
@@ -258,6 +257,9 @@
  * @pool: its route's pool, or NULL while the tables don't have its route
  * @durable: whether the log holds its acceptance
  * @resent: whether an earlier owner may have run it
+ * @packing: its route's weight of tight packing
+ * @waiting: its route's weight of an early start
+ * @rack_spread: whether its tasks avoid a common rack
  * @queue_link: data is NULL while it is not queued; a link while it is parked
  * @lane: the lane that it waits in, also while @parked
  * @place: its place in the lane, or NULL while it is parked
@@ -295,6 +297,9 @@
   gint64 started_at;
   gint64 ended_at;
   gint64 retries;
+  double packing;
+  double waiting;
+  gboolean rack_spread;
   GList queue_link;
   bt_lane_t *lane;
   GSequenceIter *place;
@@ -310,6 +315,32 @@
   gint64 version;
 };
 
+/**
+ * struct bt_place_entry_t - where a worker stands in the index of free room; written by place.c
+ * @pool: the index of its pool, or NULL while the tables do not name the worker
+ * @bucket: number of its bucket there
+ * @position: its place in that bucket
+ * @rack: number of its rack in the pool
+ * @reserve: the part that is kept for urgent work
+ */
+typedef struct
+{
+  bt_place_pool_t *pool;
+  guint bucket;
+  guint position;
+  guint rack;
+  bt_vector_t reserve;
+} bt_place_entry_t;
+
+/**
+ * struct bt_place_t - the index of free room; written by place.c
+ * @pools: name of a pool to its bt_place_pool_t
+ */
+typedef struct
+{
+  GHashTable *pools;
+} bt_place_t;
+
 /**
  * struct bt_worker_t - a worker of this data centre; written by owner.c
  * @listed: whether the tables name it
@@ -366,6 +397,7 @@
   GPtrArray *acks;
   GPtrArray *acks_sent;
   GPtrArray *stops;
+  bt_place_entry_t place;
 };
 
 /* Earlier sets of workers that are remembered; one bit of a worker's sets each. */
@@ -595,6 +627,7 @@
   bt_members_t members;
   bt_owner_t owner;
   bt_journal_t journal;
+  bt_place_t place;
   bt_sched_t sched;
   bt_quotas_t quota;
   bt_queue_t queue;
@@ -744,7 +777,15 @@
 char *bt_explain_not_ready (const bt_core_t *core, const bt_job_t *job, const char **change);
 
 /* place.c */
+void bt_place_init (bt_core_t *core);
+void bt_place_clear (bt_core_t *core);
+void bt_place_apply_tables (bt_core_t *core);
+void bt_place_use (bt_worker_t *worker, const bt_vector_t *need);
+void bt_place_free (bt_worker_t *worker, const bt_vector_t *need);
+void bt_place_forget (bt_worker_t *worker);
 bt_worker_t *bt_place_find (bt_core_t *core, const bt_job_t *job, guint task);
+gint64 bt_place_most (const bt_core_t *core, const char *pool, const bt_vector_t *need,
+                      gboolean urgent);
 gboolean bt_place_possible (const bt_core_t *core, const bt_request_t *request,
                             const bt_pool_t *pool, bt_class_t work_class);
 
--- a/libbamboothread/process/counters.h
+++ b/libbamboothread/process/counters.h
@@ -12,6 +12,8 @@
   X (answered_accepted)                                                                            \
   X (answered_cancelled)                                                                           \
   X (answers_dropped_late)                                                                         \
+  X (place_decisions)                                                                              \
+  X (place_examined)                                                                               \
   X (starts_sent)                                                                                  \
   X (starts_refused)                                                                               \
   X (starts_uncertain)                                                                             \
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -109,6 +109,9 @@
       bt_quota_charge (job->tasks[i].attempt);
   job->idempotent = route->idempotent;
   job->retries = route->retries;
+  job->packing = route->packing;
+  job->waiting = route->waiting;
+  job->rack_spread = route->rack_spread;
   gint64 deadline_ms = request->deadline_ms;
   if (deadline_ms == 0 && !job->durable)
     deadline_ms = route->deadline_ms;
@@ -173,7 +176,7 @@
 {
   attempt->worker = worker;
   attempt->need = *need;
-  bt_vector_add (&worker->used, need);
+  bt_place_use (worker, need);
   bt_quota_charge (attempt);
   g_hash_table_insert (worker->attempts, attempt->id, attempt);
 }
@@ -191,7 +194,7 @@
   if (attempt->worker != NULL)
     {
       bt_quota_credit (attempt);
-      bt_vector_sub (&attempt->worker->used, &attempt->need);
+      bt_place_free (attempt->worker, &attempt->need);
       g_hash_table_remove (attempt->worker->attempts, attempt->id);
       bt_queue_freed (core, attempt->worker);
     }
--- a/libbamboothread/process/owner.c
+++ b/libbamboothread/process/owner.c
@@ -22,6 +22,7 @@
 worker_free (gpointer data)
 {
   bt_worker_t *worker = data;
+  bt_place_forget (worker);
   g_ref_string_release (worker->name);
   g_ref_string_release (worker->address);
   g_ref_string_release (worker->pool);
@@ -215,6 +216,7 @@
     }
   if (note_unlisted (core, before))
     remember_set (core, before);
+  bt_place_apply_tables (core);
 }
 
 static gboolean
--- a/libbamboothread/process/quota.c
+++ b/libbamboothread/process/quota.c
@@ -221,7 +221,6 @@
 {
   const bt_pool_t *pool = bt_tables_pool (core->tables.tables, state->name);
   memset (&state->capacity, 0, sizeof state->capacity);
-  state->reserve_percent = pool != NULL ? pool->urgent_reserve_percent : 0;
   for (guint i = 0; pool != NULL && i < pool->vms->len; i++)
     {
       const bt_vm_t *vm = pool->vms->pdata[i];
@@ -457,25 +456,21 @@
 
 /* What urgent work may still take of a VM's reserve. */
 static void
-room_in_reserve (const bt_worker_t *worker, gint64 percent, bt_vector_t *room)
+room_in_reserve (const bt_worker_t *worker, bt_vector_t *room)
 {
   for (int i = 0; i < BT_N_RESOURCES; i++)
     {
-      gint64 left = reserved (worker->capacity.v[i], percent, i) - worker->used_urgent.v[i];
+      gint64 left = worker->place.reserve.v[i] - worker->used_urgent.v[i];
       room->v[i] = MIN (room->v[i], MAX (left, 0));
     }
 }
 
 /* What other work may take beside the reserve. */
 static void
-room_beside_reserve (const bt_worker_t *worker, gint64 percent, bt_vector_t *room)
+room_beside_reserve (const bt_worker_t *worker, bt_vector_t *room)
 {
-  bt_vector_t unreserved = worker->capacity;
-  take_reserve (&unreserved, percent);
-  bt_vector_sub (&unreserved, &worker->used);
-  bt_vector_add (&unreserved, &worker->used_urgent);
   for (int i = 0; i < BT_N_RESOURCES; i++)
-    room->v[i] = MIN (room->v[i], unreserved.v[i]);
+    room->v[i] -= MAX (0, worker->place.reserve.v[i] - worker->used_urgent.v[i]);
 }
 
 /**
@@ -495,15 +490,13 @@
 {
   *room = worker->capacity;
   bt_vector_sub (room, &worker->used);
-  const bt_quota_pool_t *pool = g_hash_table_lookup (core->quota.pools, worker->pool);
-  gint64 percent = pool != NULL ? pool->reserve_percent : 0;
   gboolean urgent = job->work_class == BT_CLASS_URGENT;
   const bt_job_t *holder = worker->held_for;
   gboolean held = holder != NULL && holder != job;
   if (held && (!urgent || holder->work_class == BT_CLASS_URGENT))
     memset (room, 0, sizeof *room);
   else if (held)
-    room_in_reserve (worker, percent, room);
+    room_in_reserve (worker, room);
   else if (!urgent)
-    room_beside_reserve (worker, percent, room);
+    room_beside_reserve (worker, room);
 }
