Drain leaving VMs, tell faulty VMs from faulty work, end impossible work

Cause: a VM once called leaving never took work again; its services stayed on it; a VM that failed everything got most of the work, as it was always idle; work that an edit had made impossible waited for ever; each stop was repeated ten times a second.

Change: drain.c keeps the worker's word, the list's and the tables' apart and moves services one at a time, other idempotent work after the pool's drain_ms. health.c rests and probes workers that fail what succeeds elsewhere, or that come and go. fit.c ends waiting work that newer tables cannot hold. stop.c sends one message for each worker and way, and repeats it each second.

Ruled out: the failure rate over all attempts elsewhere; with two faulty VMs in eight they drew most attempts and no VM was put to rest.

Proof: test_drain and test_health, seen to fail with each guard broken in a scratch copy: sticky leaving, one move at a time, requests, non-idempotent work, room elsewhere, the limit, the tables, the pause after an edit, batches, rest, one probe, idempotent probes, the comparison, the quarter, avoidance, flaps.

--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -151,7 +151,10 @@
   bt_core_tables_tick (core);
   bt_owner_tick (core);
   bt_journal_tick (core);
+  bt_fit_tick (core);
+  bt_drain_tick (core);
   bt_sched_tick (core);
+  bt_health_tick (core);
   bt_entry_tick (core);
   bt_journal_tick (core);
 }
@@ -468,12 +471,7 @@
 bt_core_on_vm_list (bt_core_t *core, const GPtrArray *leaving)
 {
   refresh (core);
-  for (guint i = 0; i < leaving->len; i++)
-    {
-      bt_worker_t *worker = bt_owner_worker (core, leaving->pdata[i]);
-      if (worker != NULL)
-        worker->leaving = TRUE;
-    }
+  bt_drain_on_vm_list (core, leaving);
 }
 
 static JsonNode *
@@ -515,6 +513,7 @@
       json_object_set_string_member (item, "pool", worker->pool);
       json_object_set_boolean_member (item, "listed", worker->listed);
       json_object_set_boolean_member (item, "leaving", worker->leaving);
+      json_object_set_string_member (item, "health", bt_health_names[worker->health.state]);
       json_object_set_int_member (item, "epoch", worker->epoch);
       json_object_set_boolean_member (item, "startable", bt_owner_may_start (core, worker));
       json_object_set_int_member (item, "attempts", g_hash_table_size (worker->attempts));
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -200,6 +200,10 @@
  * @sent_at: when it was sent, in microseconds
  * @account: the account that pays for it, or NULL
  * @urgent: whether it was charged as urgent work
+ * @throttled: whether its worker was told to slow it down
+ * @stop_mode: the newest order to its worker, if @stopping or @throttled
+ * @stop_since: when it was first to be stopped or checkpointed
+ * @probe: whether it tries out a worker that had failed other work
  */
 typedef struct
 {
@@ -215,6 +219,11 @@
   gint64 sent_at;
   bt_vector_t need;
   bt_account_t *account;
+  gboolean throttled;
+  gboolean probe;
+  bt_stop_mode_t stop_mode;
+  gint64 stop_since;
+  gint64 stop_again_at;
 } bt_attempt_t;
 
 /**
@@ -266,6 +275,7 @@
  * @turn: its turn among the callers of the lane
  * @wait: why it was not placed when it was tried last
  * @account: its team's account with its pool, or NULL
+ * @failed_on: names of workers on which its tasks failed lately, or NULL
  * @waiters: names of the daemons whose callers wait for it
  */
 struct bt_job_t
@@ -307,6 +317,7 @@
   gboolean parked;
   bt_wait_t wait;
   bt_account_t *account;
+  GPtrArray *failed_on;
   GPtrArray *waiters;
   bt_status_t status;
   bt_reason_t reason;
@@ -341,6 +352,84 @@
   GHashTable *pools;
 } bt_place_t;
 
+/**
+ * enum bt_health_state_t - whether a worker is trusted
+ * @BT_HEALTH_GOOD: it takes any work
+ * @BT_HEALTH_RESTING: it takes none
+ * @BT_HEALTH_PROBED: it takes one task at a time that may be run again
+ */
+typedef enum
+{
+  BT_HEALTH_GOOD,
+  BT_HEALTH_RESTING,
+  BT_HEALTH_PROBED,
+} bt_health_state_t;
+
+extern const char *const bt_health_names[];
+
+/**
+ * struct bt_worker_health_t - what is known of a worker's failures; written by health.c
+ * @routes: its ends by route, or NULL if there were none
+ * @ended: its ends of late, by all routes
+ * @failed: those of them that failed
+ * @flaps: lost leases and restarts of late
+ * @strikes: how often it was put to rest, for the length of the next rest
+ * @successes: probes in a row that succeeded
+ * @probes: probes on it now
+ */
+typedef struct
+{
+  bt_health_state_t state;
+  GHashTable *routes;
+  double ended;
+  double failed;
+  double flaps;
+  guint strikes;
+  guint successes;
+  guint probes;
+  gint64 rest_until;
+  gint64 judge_at;
+  gint64 good_since;
+} bt_worker_health_t;
+
+typedef struct
+{
+  gint64 next_halving;
+} bt_health_t;
+
+/**
+ * struct bt_worker_drain_t - why a worker leaves; written by drain.c
+ * @says: whether it says so itself
+ * @listed: whether the platform's list of VMs says so
+ * @since: when it was first seen to leave or to be in the tables no longer, or 0
+ */
+typedef struct
+{
+  gboolean says;
+  gboolean listed;
+  gint64 since;
+} bt_worker_drain_t;
+
+typedef struct
+{
+  gint64 next_look;
+} bt_drain_t;
+
+typedef struct
+{
+  gint64 next_repeat;
+} bt_stop_t;
+
+/**
+ * struct bt_fit_t - whether work may have become impossible; written by fit.c
+ * @changed_at: when tables came into force for which it was not checked, or 0
+ */
+typedef struct
+{
+  gint64 changed_at;
+  gint64 next_look;
+} bt_fit_t;
+
 /**
  * struct bt_worker_t - a worker of this data centre; written by owner.c
  * @listed: whether the tables name it
@@ -360,7 +449,7 @@
  * @imported: whether its full list of attempts has been taken in
  * @fence: whether to claim a new epoch, so that starts on the way are refused
  * @acks: attempts whose end is to be confirmed to it
- * @stops: attempts to stop with the next tick
+ * @stops: attempts for which orders are sent with the next tick
  */
 struct bt_worker_t
 {
@@ -398,6 +487,8 @@
   GPtrArray *acks_sent;
   GPtrArray *stops;
   bt_place_entry_t place;
+  bt_worker_health_t health;
+  bt_worker_drain_t drain;
 };
 
 /* Earlier sets of workers that are remembered; one bit of a worker's sets each. */
@@ -628,6 +719,10 @@
   bt_owner_t owner;
   bt_journal_t journal;
   bt_place_t place;
+  bt_health_t health;
+  bt_drain_t drain;
+  bt_stop_t stop;
+  bt_fit_t fit;
   bt_sched_t sched;
   bt_quotas_t quota;
   bt_queue_t queue;
@@ -789,6 +884,31 @@
 gboolean bt_place_possible (const bt_core_t *core, const bt_request_t *request,
                             const bt_pool_t *pool, bt_class_t work_class);
 
+/* health.c */
+void bt_health_tick (bt_core_t *core);
+void bt_health_forget (bt_worker_t *worker);
+void bt_health_ended (bt_core_t *core, bt_worker_t *worker, const bt_attempt_t *attempt,
+                      gboolean failed);
+void bt_health_flapped (bt_core_t *core, bt_worker_t *worker);
+gboolean bt_health_allows (const bt_worker_t *worker, const bt_job_t *job);
+gboolean bt_health_suspect (const bt_worker_t *worker);
+gboolean bt_health_failed_on (const bt_job_t *job, const bt_worker_t *worker);
+void bt_health_bound (bt_attempt_t *attempt);
+void bt_health_dropped (const bt_attempt_t *attempt);
+
+/* drain.c */
+void bt_drain_tick (bt_core_t *core);
+void bt_drain_said (bt_worker_t *worker, gboolean leaving);
+void bt_drain_on_vm_list (bt_core_t *core, const GPtrArray *leaving);
+
+/* stop.c */
+void bt_stop_attempt (bt_core_t *core, bt_attempt_t *attempt, bt_stop_mode_t mode);
+void bt_stop_tick (bt_core_t *core);
+
+/* fit.c */
+void bt_fit_apply_tables (bt_core_t *core);
+void bt_fit_tick (bt_core_t *core);
+
 /* sched.c */
 void bt_sched_init (bt_core_t *core);
 void bt_sched_clear (bt_core_t *core);
@@ -807,6 +927,7 @@
 void bt_sched_end_job (bt_core_t *core, bt_job_t *job, bt_status_t status, bt_reason_t reason,
                        GBytes *answer, const char *detail);
 void bt_sched_tell (bt_core_t *core, bt_job_t *job);
+bt_status_t bt_sched_waiting_outcome (const bt_core_t *core, const bt_job_t *job);
 
 /* recover.c */
 void bt_recover_on_lead (bt_core_t *core);
--- a/libbamboothread/process/counters.h
+++ b/libbamboothread/process/counters.h
@@ -14,6 +14,9 @@
   X (answers_dropped_late)                                                                         \
   X (place_decisions)                                                                              \
   X (place_examined)                                                                               \
+  X (stops_sent)                                                                                   \
+  X (tasks_moved)                                                                                  \
+  X (workers_rested)                                                                               \
   X (starts_sent)                                                                                  \
   X (starts_refused)                                                                               \
   X (starts_uncertain)                                                                             \
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -50,6 +50,7 @@
   release_string (&job->team);
   release_string (&job->pool);
   g_ptr_array_unref (job->waiters);
+  g_clear_pointer (&job->failed_on, g_ptr_array_unref);
   g_clear_pointer (&job->answer, g_bytes_unref);
   g_free (job->detail);
   g_ref_string_release (job->id);
@@ -177,6 +178,7 @@
   attempt->worker = worker;
   attempt->need = *need;
   bt_place_use (worker, need);
+  bt_health_bound (attempt);
   bt_quota_charge (attempt);
   g_hash_table_insert (worker->attempts, attempt->id, attempt);
 }
@@ -194,6 +196,7 @@
   if (attempt->worker != NULL)
     {
       bt_quota_credit (attempt);
+      bt_health_dropped (attempt);
       bt_place_free (attempt->worker, &attempt->need);
       g_hash_table_remove (attempt->worker->attempts, attempt->id);
       bt_queue_freed (core, attempt->worker);
--- a/libbamboothread/process/owner.c
+++ b/libbamboothread/process/owner.c
@@ -23,6 +23,7 @@
 {
   bt_worker_t *worker = data;
   bt_place_forget (worker);
+  bt_health_forget (worker);
   g_ref_string_release (worker->name);
   g_ref_string_release (worker->address);
   g_ref_string_release (worker->pool);
@@ -217,6 +218,7 @@
   if (note_unlisted (core, before))
     remember_set (core, before);
   bt_place_apply_tables (core);
+  bt_fit_apply_tables (core);
 }
 
 static gboolean
@@ -468,6 +470,7 @@
     {
       worker->lost = TRUE;
       worker->imported = FALSE;
+      bt_health_flapped (core, worker);
       bt_log (BT_LOG_WARNING, "worker-lease-lapsed", "worker=%s", worker->name);
     }
   if (core->owner.leading && worker->lost && core->now >= worker->over_at)
@@ -585,12 +588,15 @@
   worker->epoch = reply->epoch;
   worker->clock_ms = reply->clock_ms;
   worker->clock_at = core->now;
-  worker->leaving = worker->leaving || reply->leaving;
+  bt_drain_said (worker, reply->leaving);
   g_ptr_array_set_size (worker->acks_sent, 0);
   gboolean rebooted = worker->boot != 0 && worker->boot != reply->boot;
   worker->boot = reply->boot;
   if (rebooted)
-    worker->tasks_until = 0;
+    {
+      worker->tasks_until = 0;
+      bt_health_flapped (core, worker);
+    }
   if (worker->sent_tasks)
     worker->tasks_until = worker->prev_sent_at + core->config.task_lease_us - core->config.drift_us;
   if (worker->sent_claim)
--- a/libbamboothread/process/place.c
+++ b/libbamboothread/process/place.c
@@ -21,6 +21,11 @@
 #define CANDIDATES_MAX 8
 /* Weight of room that can't be used for want of another resource. */
 #define STRANDED_WEIGHT 0.25
+/* What speaks against a worker counts like so many of the job's tasks in its rack. */
+#define FAILED_THERE 2000
+#define SUSPECT 1000
+/* Suspect workers that a decision passes over before it takes them like others. */
+#define SUSPECTS_MAX 64
 /* Preference of a level over the next one; larger than any score in a level. */
 #define WHOLE 100
 
@@ -65,6 +70,7 @@
  * struct query_t - one decision
  * @target: share to which a VM is filled before another one is begun
  * @found: workers with room that were compared in this level
+ * @suspects: suspect workers that were seen
  */
 typedef struct
 {
@@ -74,6 +80,7 @@
   const bt_vector_t *need;
   double target;
   guint found;
+  guint suspects;
   bt_worker_t *best;
   guint best_in_rack;
   double best_score;
@@ -370,6 +377,10 @@
   guint in_rack = query->job->rack_spread
                       ? g_array_index (query->pool->in_rack, guint, worker->place.rack)
                       : 0;
+  if (bt_health_failed_on (query->job, worker))
+    in_rack += FAILED_THERE;
+  if (bt_health_suspect (worker) && query->suspects++ < SUSPECTS_MAX)
+    in_rack += SUSPECT;
   double value = score (query, worker);
   if (in_rack == 0)
     query->found++;
@@ -395,7 +406,8 @@
       raise_bound (&bound, &room);
       query->core->counters.place_examined++;
       bt_quota_room (query->core, query->job, worker, &room);
-      if (!bt_vector_fits (query->need, &room) || !bt_owner_may_start (query->core, worker))
+      if (!bt_vector_fits (query->need, &room) || !bt_owner_may_start (query->core, worker)
+          || !bt_health_allows (worker, query->job))
         continue;
       consider (query, worker);
       if (query->found >= CANDIDATES_MAX)
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -111,14 +111,6 @@
   g_ptr_array_set_size (job->waiters, 0);
 }
 
-static void
-stop_attempt (bt_core_t *core, bt_attempt_t *attempt)
-{
-  attempt->stopping = TRUE;
-  if (attempt->worker != NULL && attempt->phase == BT_PHASE_RUNNING)
-    g_ptr_array_add (attempt->worker->stops, g_ref_string_acquire (attempt->id));
-}
-
 static void
 abandon_attempt (bt_core_t *core, bt_attempt_t *attempt)
 {
@@ -142,7 +134,7 @@
           bt_attempt_drop (core, attempt, BT_TASK_WAITING);
         }
       else
-        stop_attempt (core, attempt);
+        bt_stop_attempt (core, attempt, BT_STOP_STOP);
     }
 }
 
@@ -415,9 +407,15 @@
   return TRUE;
 }
 
-/* What can be said of a job that waits, and is given up: it may have been tried before. */
-static bt_status_t
-waiting_outcome (const bt_core_t *core, const bt_job_t *job)
+/**
+ * bt_sched_waiting_outcome() - what can be said of a job that waits, and is given up
+ * @core: the core
+ * @job: the job, of which no task is placed; it may have been tried before
+ *
+ * Return: not run or failed if that is certain, else unknown.
+ */
+bt_status_t
+bt_sched_waiting_outcome (const bt_core_t *core, const bt_job_t *job)
 {
   guint tries = 0;
   for (guint i = 0; i < job->n_tasks; i++)
@@ -432,7 +430,7 @@
 {
   if (job->state != BT_JOB_OPEN || job->n_placed > 0 || core->now < job->deadline_at)
     return;
-  bt_sched_end_job (core, job, waiting_outcome (core, job), BT_REASON_DEADLINE, NULL,
+  bt_sched_end_job (core, job, bt_sched_waiting_outcome (core, job), BT_REASON_DEADLINE, NULL,
                     "its deadline passed while it waited");
 }
 
@@ -572,6 +570,7 @@
   bt_task_t *task = &job->tasks[attempt->task];
   settle_ack (core, worker, attempt, BT_STATUS_DONE, report->answer);
   bt_estimate_ended (core, attempt);
+  bt_health_ended (core, worker, attempt, FALSE);
   g_clear_pointer (&task->answer, g_bytes_unref);
   task->answer = decode_answer (report->answer);
   bt_attempt_drop (core, attempt, BT_TASK_ENDED);
@@ -594,6 +593,7 @@
              const bt_attempt_report_t *report)
 {
   bt_job_t *job = attempt->job;
+  bt_health_ended (core, worker, attempt, TRUE);
   job->failures++;
   gboolean retry = may_retry (job);
   gboolean budget = retry && bt_estimate_take_retry (core, job->route);
@@ -611,10 +611,12 @@
   settle_ack (core, worker, attempt, BT_STATUS_FAILED, report->answer);
   bt_attempt_drop (core, attempt, BT_TASK_ENDED);
   g_autoptr (GBytes) answer = decode_answer (report->answer);
+  g_autofree char *detail
+      = g_strdup_printf ("a task failed, last on %s; failures %u, on %u workers%s", worker->name,
+                         job->failures, job->failed_on != NULL ? job->failed_on->len : 1,
+                         retry ? "; the route's retries are spent" : "");
   bt_sched_end_job (core, job, BT_STATUS_FAILED,
-                    retry ? BT_REASON_RETRIES_SPENT : BT_REASON_TASK_FAILED, answer,
-                    retry ? "a task failed on its worker, and the route's retries are spent"
-                          : "a task failed on its worker");
+                    retry ? BT_REASON_RETRIES_SPENT : BT_REASON_TASK_FAILED, answer, detail);
 }
 
 static void
@@ -659,7 +661,7 @@
   bt_job_set_tasks (job, 1);
   bt_attempt_t *attempt = bt_attempt_new (core, job, 0, report->attempt, worker->name);
   attempt->phase = BT_PHASE_RUNNING;
-  stop_attempt (core, attempt);
+  bt_stop_attempt (core, attempt, BT_STOP_STOP);
   return attempt;
 }
 
@@ -745,7 +747,7 @@
   if (attempt->job->n_waiting == 0)
     bt_queue_remove (core, attempt->job);
   if (attempt->job->state == BT_JOB_ENDED && !attempt->stopping)
-    stop_attempt (core, attempt);
+    bt_stop_attempt (core, attempt, BT_STOP_STOP);
 }
 
 /**
@@ -786,8 +788,9 @@
       return;
     }
   core->counters.starts_refused++;
-  worker->leaving = worker->leaving || reply->verdict == BT_START_LEAVING;
-  if (reply->verdict != BT_START_LEAVING)
+  if (reply->verdict == BT_START_LEAVING)
+    bt_drain_said (worker, TRUE);
+  else
     bt_owner_fence (core, worker);
   bt_sched_attempt_lost (core, attempt, TRUE);
 }
@@ -840,34 +843,10 @@
   for (guint i = 0; i < job->waiters->len; i++)
     if (strcmp (job->waiters->pdata[i], member) != 0)
       return;
-  bt_sched_end_job (core, job, waiting_outcome (core, job), BT_REASON_CALLER_GONE, NULL,
+  bt_sched_end_job (core, job, bt_sched_waiting_outcome (core, job), BT_REASON_CALLER_GONE, NULL,
                     "its caller went away while it waited");
 }
 
-static void
-flush_stops (bt_core_t *core, bt_worker_t *worker)
-{
-  if (worker->stops->len == 0 || worker->epoch == 0)
-    return;
-  bt_stop_request_t request = { .epoch = worker->epoch, .mode = BT_STOP_STOP };
-  request.owner = g_ref_string_new (core->owner_id);
-  request.attempts = worker->stops;
-  core->ops.worker_stop (core->context, worker->name, worker->address, &request);
-  g_ptr_array_set_size (worker->stops, 0);
-  g_ref_string_release (request.owner);
-}
-
-static void
-repeat_stops (bt_core_t *core, bt_worker_t *worker)
-{
-  GHashTableIter iter;
-  bt_attempt_t *attempt;
-  g_hash_table_iter_init (&iter, worker->attempts);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&attempt))
-    if (attempt->stopping && worker->stops->len < 1024)
-      stop_attempt (core, attempt);
-}
-
 static gboolean
 forgettable (const bt_core_t *core, const bt_job_t *job)
 {
@@ -900,17 +879,8 @@
   bt_quota_tick (core);
   bt_queue_tick (core);
   bt_sched_run (core);
-  gboolean sweeping = core->now >= core->sched.next_sweep;
-  GHashTableIter iter;
-  bt_worker_t *worker;
-  g_hash_table_iter_init (&iter, core->owner.workers);
-  while (core->owner.leading && g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
-    {
-      if (sweeping && worker->stops->len == 0)
-        repeat_stops (core, worker);
-      flush_stops (core, worker);
-    }
-  if (!sweeping)
+  bt_stop_tick (core);
+  if (core->now < core->sched.next_sweep)
     return;
   core->sched.next_sweep = core->now + SWEEP_US;
   sweep (core);
--- a/libbamboothread/version/tables.c
+++ b/libbamboothread/version/tables.c
@@ -10,6 +10,8 @@
 #define DEADLINE_MAX_MS (7 * 24 * 3600 * 1000LL)
 #define DEADLINE_DEFAULT_MS 60000
 #define POOL_MAX_VMS 4096
+#define DRAIN_MAX_MS (24 * 3600 * 1000LL)
+#define DRAIN_DEFAULT_MS 120000
 #define TABLE_MAX_LINES 1024
 
 static const bt_field_t route_fields[] = {
@@ -64,6 +66,8 @@
   { "connections", BT_FIELD_INT, offsetof (bt_pool_t, connections), FALSE, 1, 65536, 64 },
   { "urgent_reserve_percent", BT_FIELD_INT, offsetof (bt_pool_t, urgent_reserve_percent), FALSE, 0,
     90, 0 },
+  { "drain_ms", BT_FIELD_INT, offsetof (bt_pool_t, drain_ms), FALSE, 0, DRAIN_MAX_MS,
+    DRAIN_DEFAULT_MS },
   { "vms", BT_FIELD_OBJECTS, offsetof (bt_pool_t, vms), TRUE, 0, POOL_MAX_VMS, 0, NULL,
     &vm_schema },
   { "quotas", BT_FIELD_OBJECTS, offsetof (bt_pool_t, quotas), FALSE, 0, TABLE_MAX_LINES, 0, NULL,
--- a/libbamboothread/version/tables.h
+++ b/libbamboothread/version/tables.h
@@ -136,6 +136,7 @@
  * @slots: tasks a VM takes at most
  * @connections: connections a VM takes at most
  * @urgent_reserve_percent: share of each VM that only urgent work uses
+ * @drain_ms: how long batch work on a leaving VM may end by itself
  */
 typedef struct
 {
@@ -143,6 +144,7 @@
   gint64 slots;
   gint64 connections;
   gint64 urgent_reserve_percent;
+  gint64 drain_ms;
   GPtrArray *vms;
   GPtrArray *quotas;
 } bt_pool_t;
--- a/tests/scene.c
+++ b/tests/scene.c
@@ -31,8 +31,10 @@
   g_string_append (json, config->routes);
   g_string_append_printf (json,
                           ",\"pools\":[{\"name\":\"pool\",\"slots\":%u,\"connections\":64,"
-                          "\"urgent_reserve_percent\":%u,\"quotas\":%s,\"vms\":[",
+                          "\"urgent_reserve_percent\":%u,\"drain_ms\":%u,"
+                          "\"quotas\":%s,\"vms\":[",
                           config->slots > 0 ? config->slots : 8, config->reserve,
+                          config->drain_ms > 0 ? config->drain_ms : 120000,
                           config->quotas != NULL ? config->quotas : "[]");
   append_vms (json, config);
   g_string_append (json, "]}]}");
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -21,6 +21,7 @@
   guint gpus;
   guint slots;
   guint reserve;
+  guint drain_ms;
   const char *quotas;
   const char *routes;
   guint daemons;
