--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -673,6 +673,7 @@
                               const char *worker_name);
 void bt_attempt_bind (bt_attempt_t *attempt, bt_worker_t *worker, const bt_vector_t *need);
 void bt_attempt_drop (bt_core_t *core, bt_attempt_t *attempt, bt_task_state_t task_state);
+void bt_attempt_undo (bt_core_t *core, bt_attempt_t *attempt);
 JsonNode *bt_job_node (const bt_core_t *core, const bt_job_t *job, gboolean whole);
 
 /* quota.c */
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -178,23 +178,20 @@
   g_hash_table_insert (worker->attempts, attempt->id, attempt);
 }
 
-/**
- * bt_attempt_drop() - end an attempt and free its share of the worker
- * @core: the core
- * @attempt: the attempt, freed
- * @task_state: the state that its task is left in
- */
-void
-bt_attempt_drop (bt_core_t *core, bt_attempt_t *attempt, bt_task_state_t task_state)
+static void
+unbind (bt_attempt_t *attempt)
+{
+  if (attempt->worker == NULL)
+    return;
+  bt_quota_credit (attempt);
+  bt_vector_sub (&attempt->worker->used, &attempt->need);
+  g_hash_table_remove (attempt->worker->attempts, attempt->id);
+}
+
+static void
+forget_attempt (bt_core_t *core, bt_attempt_t *attempt, bt_task_state_t task_state)
 {
   bt_job_t *job = attempt->job;
-  if (attempt->worker != NULL)
-    {
-      bt_quota_credit (attempt);
-      bt_vector_sub (&attempt->worker->used, &attempt->need);
-      g_hash_table_remove (attempt->worker->attempts, attempt->id);
-      bt_queue_freed (core, attempt->worker);
-    }
   job->tasks[attempt->task].attempt = NULL;
   job->tasks[attempt->task].state = task_state;
   job->n_placed--;
@@ -208,6 +205,38 @@
   g_free (attempt);
 }
 
+/**
+ * bt_attempt_drop() - end an attempt and free its share of the worker
+ * @core: the core
+ * @attempt: the attempt, freed
+ * @task_state: the state that its task is left in
+ */
+void
+bt_attempt_drop (bt_core_t *core, bt_attempt_t *attempt, bt_task_state_t task_state)
+{
+  bt_worker_t *worker = attempt->worker;
+  unbind (attempt);
+  forget_attempt (core, attempt, task_state);
+  if (worker != NULL)
+    bt_queue_freed (core, worker);
+}
+
+/**
+ * bt_attempt_undo() - take back an attempt that was made to see whether it fits
+ * @core: the core
+ * @attempt: the attempt, freed; neither recorded nor sent
+ *
+ * The room that it gives back was there before, so no other job gets a new
+ * chance by it, and it does not count as a try.
+ */
+void
+bt_attempt_undo (bt_core_t *core, bt_attempt_t *attempt)
+{
+  attempt->job->tasks[attempt->task].tries--;
+  unbind (attempt);
+  forget_attempt (core, attempt, BT_TASK_WAITING);
+}
+
 /**
  * bt_job_answer() - the answers of all tasks as one
  * @job: a job whose tasks have ended
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -382,7 +382,7 @@
 unplace_unsent (bt_core_t *core, bt_job_t *job, const GArray *tasks)
 {
   for (guint i = 0; i < tasks->len; i++)
-    bt_attempt_drop (core, job->tasks[g_array_index (tasks, guint, i)].attempt, BT_TASK_WAITING);
+    bt_attempt_undo (core, job->tasks[g_array_index (tasks, guint, i)].attempt);
 }
 
 /* All tasks of a gang are placed at once or none is. */
