--- a/bench/workload.c
+++ b/bench/workload.c
@@ -88,7 +88,7 @@
 static void
 append_routes (GString *text, const bench_fleet_t *fleet)
 {
-  static const char *const pools[] = { "main", "main", "main", "gpu" };
+  const char *const pools[] = { "main", "main", "main", fleet->gpu_workers > 0 ? "gpu" : "main" };
   for (gint64 team = 0; team < fleet->teams; team++)
     for (guint i = 0; i < BT_N_CLASSES; i++)
       g_string_append_printf (
