--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -46,6 +46,16 @@
   bt_schema_free (&bt_edit_schema, edit);
 }
 
+static void
+vm_free (bt_vm_t *vm)
+{
+  g_ref_string_release (vm->name);
+  g_ref_string_release (vm->address);
+  g_ref_string_release (vm->data_centre);
+  g_ref_string_release (vm->rack);
+  g_free (vm);
+}
+
 static void
 set_leaving (scene_t *scene, way_t way, const char *name, gboolean leaving)
 {
@@ -65,7 +75,7 @@
   GPtrArray *vms = ((bt_pool_t *)tables->pools->pdata[0])->vms;
   for (guint i = 0; leaving && i < vms->len; i++)
     if (strcmp (((const bt_vm_t *)vms->pdata[i])->name, name) == 0)
-      g_ptr_array_remove_index (vms, i);
+      vm_free (g_ptr_array_remove_index (vms, i));
   publish (scene, tables);
   bt_tables_free (tables);
 }
