Give gangs a turn: reservations that expire, short work in their wait

Cause: a gang was placed only if all its room happened to be free at once, so a stream of small work kept it waiting for ever.

Change: gang.c. One reservation in a pool at a time, on the fewest workers that will hold the gang, worked out from the run times learned. It takes urgent work and work that will have ended by then, and ends by itself.

--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -279,6 +279,8 @@
  * @turn: its turn among the callers of the lane
  * @wait: why it was not placed when it was tried last
  * @account: its team's account with its pool, or NULL
+ * @gang_serial: its reservation of workers, or 0; written by gang.c
+ * @reserve_after: not before this time does it reserve again
  * @failed_on: names of workers on which its tasks failed lately, or NULL
  * @waiters: names of the daemons whose callers wait for it
  * @whole_link: its place among the jobs that the log tells all of; data is NULL if it does not
@@ -322,6 +324,8 @@
   gboolean parked;
   bt_wait_t wait;
   bt_account_t *account;
+  guint64 gang_serial;
+  gint64 reserve_after;
   GPtrArray *failed_on;
   GPtrArray *waiters;
   bt_status_t status;
@@ -436,6 +440,16 @@
   gint64 next_look;
 } bt_fit_t;
 
+/**
+ * struct bt_gang_t - reservations for gangs; written by gang.c
+ * @reservations: name of a pool to its one reservation
+ */
+typedef struct
+{
+  GHashTable *reservations;
+  guint64 counter;
+} bt_gang_t;
+
 /**
  * struct bt_worker_t - a worker of this data centre; written by owner.c
  * @listed: whether the tables name it
@@ -455,6 +469,8 @@
  * @imported: whether its full list of attempts has been taken in
  * @fence: whether to claim a new epoch, so that starts on the way are refused
  * @acks: attempts whose end is to be confirmed to it
+ * @gang_serial: the gang's reservation that it is kept for, or 0; written by gang.c
+ * @gang_start_at: when that gang is expected to start
  * @stops: attempts for which orders are sent with the next tick
  */
 struct bt_worker_t
@@ -495,6 +511,8 @@
   bt_place_entry_t place;
   bt_worker_health_t health;
   bt_worker_drain_t drain;
+  guint64 gang_serial;
+  gint64 gang_start_at;
 };
 
 /* Earlier sets of workers that are remembered; one bit of a worker's sets each. */
@@ -740,6 +758,7 @@
   bt_drain_t drain;
   bt_stop_t stop;
   bt_fit_t fit;
+  bt_gang_t gang;
   bt_sched_t sched;
   bt_quotas_t quota;
   bt_queue_t queue;
@@ -924,6 +943,13 @@
 void bt_stop_attempt (bt_core_t *core, bt_attempt_t *attempt, bt_stop_mode_t mode);
 void bt_stop_tick (bt_core_t *core);
 
+/* gang.c */
+void bt_gang_init (bt_core_t *core);
+void bt_gang_clear (bt_core_t *core);
+void bt_gang_tick (bt_core_t *core);
+gboolean bt_gang_place (bt_core_t *core, bt_job_t *job);
+gboolean bt_gang_allows (const bt_core_t *core, const bt_worker_t *worker, const bt_job_t *job);
+
 /* fit.c */
 void bt_fit_apply_tables (bt_core_t *core);
 void bt_fit_tick (bt_core_t *core);
@@ -946,6 +972,7 @@
 void bt_sched_end_job (bt_core_t *core, bt_job_t *job, bt_status_t status, bt_reason_t reason,
                        GBytes *answer, const char *detail);
 void bt_sched_tell (bt_core_t *core, bt_job_t *job);
+void bt_sched_begin_attempt (bt_core_t *core, bt_job_t *job, guint task, bt_worker_t *worker);
 bt_status_t bt_sched_waiting_outcome (const bt_core_t *core, const bt_job_t *job);
 
 /* recover.c */
--- a/libbamboothread/process/place.c
+++ b/libbamboothread/process/place.c
@@ -407,7 +407,8 @@
       query->core->counters.place_examined++;
       bt_quota_room (query->core, query->job, worker, &room);
       if (!bt_vector_fits (query->need, &room) || !bt_owner_may_start (query->core, worker)
-          || !bt_health_allows (worker, query->job))
+          || !bt_health_allows (worker, query->job)
+          || !bt_gang_allows (query->core, worker, query->job))
         continue;
       consider (query, worker);
       if (query->found >= CANDIDATES_MAX)
--- a/libbamboothread/process/queue.c
+++ b/libbamboothread/process/queue.c
@@ -638,7 +638,8 @@
   g_hash_table_iter_init (&iter, core->owner.workers);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
     {
-      if (strcmp (worker->pool, job->pool) != 0 || !bt_owner_may_start (core, worker))
+      if (strcmp (worker->pool, job->pool) != 0 || !bt_owner_may_start (core, worker)
+          || worker->gang_serial != 0)
         continue;
       bt_vector_t room;
       room_in_the_end (worker, &room);
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -343,8 +343,15 @@
     send_start (core, attempt);
 }
 
-static void
-begin_attempt (bt_core_t *core, bt_job_t *job, guint task, bt_worker_t *worker)
+/**
+ * bt_sched_begin_attempt() - give a task a worker, and record that if it has to be
+ * @core: the core
+ * @job: the job
+ * @task: index of the task, which waits
+ * @worker: a worker with room for it
+ */
+void
+bt_sched_begin_attempt (bt_core_t *core, bt_job_t *job, guint task, bt_worker_t *worker)
 {
   bt_attempt_t *attempt = bt_attempt_new (core, job, task, NULL, worker->name);
   bt_attempt_bind (attempt, worker, &job->need);
@@ -370,43 +377,6 @@
   return -1;
 }
 
-static void
-unplace_unsent (bt_core_t *core, bt_job_t *job, const GArray *tasks)
-{
-  for (guint i = 0; i < tasks->len; i++)
-    bt_attempt_undo (core, job->tasks[g_array_index (tasks, guint, i)].attempt);
-}
-
-/* All tasks of a gang are placed at once or none is. */
-static gboolean
-place_gang (bt_core_t *core, bt_job_t *job)
-{
-  if (job->n_placed > 0)
-    return FALSE;
-  g_autoptr (GArray) placed = g_array_new (FALSE, FALSE, sizeof (guint));
-  gint task;
-  while ((task = first_waiting (job)) >= 0)
-    {
-      bt_worker_t *worker = bt_place_find (core, job, (guint)task);
-      if (worker == NULL)
-        {
-          unplace_unsent (core, job, placed);
-          return FALSE;
-        }
-      guint index = (guint)task;
-      bt_attempt_t *attempt = bt_attempt_new (core, job, index, NULL, worker->name);
-      bt_attempt_bind (attempt, worker, &job->need);
-      g_array_append_val (placed, index);
-    }
-  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
-  for (guint i = 0; i < placed->len; i++)
-    g_ptr_array_add (workers, job->tasks[g_array_index (placed, guint, i)].attempt->worker);
-  unplace_unsent (core, job, placed);
-  for (guint i = 0; i < placed->len; i++)
-    begin_attempt (core, job, g_array_index (placed, guint, i), workers->pdata[i]);
-  return TRUE;
-}
-
 /**
  * bt_sched_waiting_outcome() - what can be said of a job that waits, and is given up
  * @core: the core
@@ -443,7 +413,7 @@
   bt_worker_t *worker = bt_place_find (core, job, (guint)task);
   if (worker == NULL)
     return FALSE;
-  begin_attempt (core, job, (guint)task, worker);
+  bt_sched_begin_attempt (core, job, (guint)task, worker);
   if (!needs_record (job))
     send_start (core, job->tasks[task].attempt);
   return job->tasks[task].state != BT_TASK_WAITING;
@@ -455,7 +425,7 @@
   if (needs_record (job) && !core->journal.caught_up)
     return FALSE;
   if (job->request->kind == BT_KIND_GANG)
-    return place_gang (core, job);
+    return bt_gang_place (core, job);
   return place_task (core, job);
 }
 
