Keep worker connections open and calls independent of their number

Each server now has a session of its own, and a call is timed by a timer of its own, in milliseconds.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -23,6 +23,7 @@
 #define SLOTS 64
 #define HOME "dc1"
 #define POINTS_MAX 8
+#define HTTP_TIMEOUT_MS 5000
 #define LOOPBACK_WORKER "127.0.0.1:0"
 
 /**
@@ -432,7 +433,7 @@
 }
 
 static double
-exchange_lease (http_t *http, SoupSession *session, const char *address, gint64 epoch,
+exchange_lease (http_t *http, bt_http_client_t *client, const char *address, gint64 epoch,
                 gboolean full, guint acks)
 {
   bt_lease_request_t request = { .epoch = epoch, .ttl_ms = 3000, .task_ttl_ms = 8000 };
@@ -448,7 +449,7 @@
       g_ptr_array_add (request.ack, g_ref_string_new (id));
     }
   g_autoptr (GBytes) body = bt_schema_bytes (&bt_lease_request_schema, &request);
-  bt_http_call (session, "POST", address, "/v1/lease", body, NULL, on_leased, http);
+  bt_http_call (client, "POST", address, "/v1/lease", body, NULL, on_leased, http);
   g_main_loop_run (http->loop);
   g_ref_string_release (request.owner);
   g_ptr_array_unref (request.ack);
@@ -494,16 +495,18 @@
       g_autofree char *address
           = g_strdup_printf ("127.0.0.1:%d", g_uri_get_port ((GUri *)uris->data));
       g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
-      g_autoptr (SoupSession) session = bt_http_session_new (5, 4);
+      bt_http_client_t *client = bt_http_client_new (HTTP_TIMEOUT_MS, 4);
+      SoupSession *session = bt_http_client_session (client, address);
       g_signal_connect (session, "request-queued", G_CALLBACK (on_queued), &http);
       g_signal_connect (session, "request-unqueued", G_CALLBACK (on_unqueued), &http);
-      exchange_lease (&http, session, address, 0, FALSE, 0);
-      exchange_lease (&http, session, address, http.model.epoch, FALSE, 0);
+      exchange_lease (&http, client, address, 0, FALSE, 0);
+      exchange_lease (&http, client, address, http.model.epoch, FALSE, 0);
       start_attempts (&http, sizes[i]);
       add_point (&renewal, sizes[i],
-                 exchange_lease (&http, session, address, http.model.epoch, FALSE, sizes[i]));
+                 exchange_lease (&http, client, address, http.model.epoch, FALSE, sizes[i]));
       add_point (&full, sizes[i],
-                 exchange_lease (&http, session, address, http.model.epoch, TRUE, 0));
+                 exchange_lease (&http, client, address, http.model.epoch, TRUE, 0));
+      bt_http_client_free (client);
       soup_server_disconnect (server);
       bt_worker_model_clear (&http.model);
       g_main_loop_unref (http.loop);
--- a/bench/load.c
+++ b/bench/load.c
@@ -15,7 +15,7 @@
  */
 
 #define EXIT_USAGE 2
-#define TIMEOUT_S 30
+#define TIMEOUT_MS 30000
 #define LEASE_MS (600 * 1000)
 #define OWNER "bamboothread-load"
 #define WARM_UP_PERCENT 10
@@ -33,7 +33,7 @@
 typedef struct
 {
   load_mode_t mode;
-  SoupSession *session;
+  bt_http_client_t *http;
   GMainLoop *loop;
   char **targets;
   guint n_targets;
@@ -145,14 +145,13 @@
   const char *target = load->targets[exchange->target];
   if (load->mode == MODE_DAEMON)
     {
-      bt_http_call (load->session, "POST", target, "/v1/jobs", load->job, NULL, on_answer,
-                    exchange);
+      bt_http_call (load->http, "POST", target, "/v1/jobs", load->job, NULL, on_answer, exchange);
       return;
     }
   exchange->attempt
       = g_strdup_printf ("load-%d-%u-%u", getpid (), load->concurrency, load->attempts++);
   g_autoptr (GBytes) body = start_body (load, exchange);
-  bt_http_call (load->session, "POST", target, "/v1/start", body, NULL, on_answer, exchange);
+  bt_http_call (load->http, "POST", target, "/v1/start", body, NULL, on_answer, exchange);
 }
 
 typedef struct
@@ -183,8 +182,7 @@
   request.base_ms = epoch != 0 ? g_get_monotonic_time () / 1000 : 0;
   request.ack = load->acks[target];
   g_autoptr (GBytes) body = bt_schema_bytes (&bt_lease_request_schema, &request);
-  bt_http_call (load->session, "POST", load->targets[target], "/v1/lease", body, NULL, done,
-                context);
+  bt_http_call (load->http, "POST", load->targets[target], "/v1/lease", body, NULL, done, context);
 }
 
 static gboolean
@@ -255,7 +253,7 @@
 run (load_mode_t mode, const char *targets, guint concurrency, guint requests, int server_pid)
 {
   load_t load = { .mode = mode, .concurrency = concurrency };
-  load.session = bt_http_session_new (TIMEOUT_S, concurrency);
+  load.http = bt_http_client_new (TIMEOUT_MS, concurrency);
   load.loop = g_main_loop_new (NULL, FALSE);
   load.targets = g_strsplit (targets, ",", -1);
   load.n_targets = g_strv_length (load.targets);
@@ -280,7 +278,7 @@
   g_free (load.latencies);
   g_strfreev (load.targets);
   g_main_loop_unref (load.loop);
-  g_object_unref (load.session);
+  bt_http_client_free (load.http);
   return result;
 }
 
--- a/libbamboothread/connection/http.c
+++ b/libbamboothread/connection/http.c
@@ -1,51 +1,128 @@
 #include "libbamboothread/connection/http.h"
 
-#define CONNECTIONS_MAX 8192
+/* Connections without a call are closed after so long. */
+#define IDLE_TIMEOUT_S 60
 
+/**
+ * struct bt_http_client_t - connections to servers
+ * @sessions: a session for each server, by its address, since a session looks
+ *   at all its connections for each call
+ */
+struct bt_http_client_t
+{
+  guint timeout_ms;
+  guint connections_per_host;
+  GHashTable *sessions;
+};
+
+/**
+ * struct call_t - a call on its way
+ * @cancel: ends it, by its caller's wish or because it takes too long
+ */
 typedef struct
 {
   SoupMessage *message;
   bt_http_done_t done;
   gpointer context;
+  GCancellable *cancel;
+  GCancellable *outer;
+  gulong outer_handler;
+  guint timer;
 } call_t;
 
 /**
- * bt_http_session_new() - a client with connections of its own
- * @timeout_s: longest silence of a server, in seconds
+ * bt_http_client_new() - a client with connections of its own
+ * @timeout_ms: how long a call may take, in milliseconds
  * @connections_per_host: most connections to one server
  *
- * Return: a new session.
+ * Return: a client for bt_http_client_free().
+ */
+bt_http_client_t *
+bt_http_client_new (guint timeout_ms, guint connections_per_host)
+{
+  bt_http_client_t *client = g_new0 (bt_http_client_t, 1);
+  client->timeout_ms = timeout_ms;
+  client->connections_per_host = connections_per_host;
+  client->sessions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_object_unref);
+  return client;
+}
+
+/**
+ * bt_http_client_free() - close all connections
+ * @client: the client, without a call on its way
+ */
+void
+bt_http_client_free (bt_http_client_t *client)
+{
+  g_hash_table_unref (client->sessions);
+  g_free (client);
+}
+
+/**
+ * bt_http_client_session() - the connections to a server
+ * @client: the client
+ * @address: IP:port of the server
+ *
+ * The library's own timeout stays off: it would also close connections that
+ * are idle for as long as a call may take.
+ *
+ * Return: a session that lives as long as the client.
  */
 SoupSession *
-bt_http_session_new (guint timeout_s, guint connections_per_host)
+bt_http_client_session (bt_http_client_t *client, const char *address)
 {
-  return soup_session_new_with_options ("timeout", timeout_s, "max-conns", CONNECTIONS_MAX,
-                                        "max-conns-per-host", connections_per_host,
-                                        "proxy-resolver", NULL, NULL);
+  SoupSession *session = g_hash_table_lookup (client->sessions, address);
+  if (session != NULL)
+    return session;
+  session = soup_session_new_with_options (
+      "timeout", 0, "idle-timeout", IDLE_TIMEOUT_S, "max-conns", client->connections_per_host,
+      "max-conns-per-host", client->connections_per_host, "proxy-resolver", NULL, NULL);
+  g_hash_table_insert (client->sessions, g_strdup (address), session);
+  return session;
 }
 
 static void
-on_answer (GObject *source, GAsyncResult *result, gpointer data)
+call_free (call_t *call)
 {
-  call_t *call = data;
-  g_autoptr (GError) error = NULL;
-  g_autoptr (GBytes) body
-      = soup_session_send_and_read_finish (SOUP_SESSION (source), result, &error);
-  if (!g_error_matches (error, G_IO_ERROR, G_IO_ERROR_CANCELLED))
-    {
-      guint status = body != NULL ? soup_message_get_status (call->message) : 0;
-      gboolean too_large = body != NULL && g_bytes_get_size (body) > BT_HTTP_BODY_MAX_BYTES;
-      call->done (call->context, too_large ? 0 : status, too_large ? NULL : body);
-    }
-  else
-    call->done (call->context, 0, NULL);
+  if (call->timer > 0)
+    g_source_remove (call->timer);
+  if (call->outer != NULL)
+    g_cancellable_disconnect (call->outer, call->outer_handler);
+  g_clear_object (&call->outer);
+  g_object_unref (call->cancel);
   g_object_unref (call->message);
   g_free (call);
 }
 
+static void
+on_answer (GObject *source, GAsyncResult *result, gpointer data)
+{
+  call_t *call = data;
+  g_autoptr (GBytes) body = soup_session_send_and_read_finish (SOUP_SESSION (source), result, NULL);
+  guint status = body != NULL ? soup_message_get_status (call->message) : 0;
+  gboolean too_large = body != NULL && g_bytes_get_size (body) > BT_HTTP_BODY_MAX_BYTES;
+  call->done (call->context, too_large ? 0 : status, too_large ? NULL : body);
+  call_free (call);
+}
+
+static gboolean
+on_timeout (gpointer data)
+{
+  call_t *call = data;
+  call->timer = 0;
+  g_cancellable_cancel (call->cancel);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+on_outer_cancelled (GCancellable *outer, gpointer data)
+{
+  g_cancellable_cancel (data);
+}
+
 /**
  * bt_http_call() - send a request and read its whole answer
- * @session: the client
+ * @client: the client
  * @method: HTTP method
  * @address: IP:port of the server
  * @path: path and query
@@ -55,7 +132,7 @@
  * @context: handed to @done
  */
 void
-bt_http_call (SoupSession *session, const char *method, const char *address, const char *path,
+bt_http_call (bt_http_client_t *client, const char *method, const char *address, const char *path,
               GBytes *body, GCancellable *cancel, bt_http_done_t done, gpointer context)
 {
   g_autofree char *uri = g_strdup_printf ("http://%s%s", address, path);
@@ -63,8 +140,16 @@
   call->message = soup_message_new (method, uri);
   call->done = done;
   call->context = context;
+  call->cancel = g_cancellable_new ();
+  call->timer = g_timeout_add (client->timeout_ms, on_timeout, call);
+  if (cancel != NULL)
+    {
+      call->outer = g_object_ref (cancel);
+      call->outer_handler
+          = g_cancellable_connect (cancel, G_CALLBACK (on_outer_cancelled), call->cancel, NULL);
+    }
   if (body != NULL)
     soup_message_set_request_body_from_bytes (call->message, "application/json", body);
-  soup_session_send_and_read_async (session, call->message, G_PRIORITY_DEFAULT, cancel, on_answer,
-                                    call);
+  soup_session_send_and_read_async (bt_http_client_session (client, address), call->message,
+                                    G_PRIORITY_DEFAULT, call->cancel, on_answer, call);
 }
--- a/libbamboothread/connection/http.h
+++ b/libbamboothread/connection/http.h
@@ -17,8 +17,13 @@
  */
 typedef void (*bt_http_done_t) (gpointer context, guint status, GBytes *body);
 
-SoupSession *bt_http_session_new (guint timeout_s, guint connections_per_host);
-void bt_http_call (SoupSession *session, const char *method, const char *address, const char *path,
-                   GBytes *body, GCancellable *cancel, bt_http_done_t done, gpointer context);
+typedef struct bt_http_client_t bt_http_client_t;
+
+bt_http_client_t *bt_http_client_new (guint timeout_ms, guint connections_per_host);
+void bt_http_client_free (bt_http_client_t *client);
+SoupSession *bt_http_client_session (bt_http_client_t *client, const char *address);
+void bt_http_call (bt_http_client_t *client, const char *method, const char *address,
+                   const char *path, GBytes *body, GCancellable *cancel, bt_http_done_t done,
+                   gpointer context);
 
 #endif
--- a/libbamboothread/connection/list_client.c
+++ b/libbamboothread/connection/list_client.c
@@ -3,7 +3,7 @@
 #include "libbamboothread/connection/http.h"
 
 #define POLL_S 1
-#define CALL_TIMEOUT_S 3
+#define CALL_TIMEOUT_MS 3000
 
 static const char *const state_names[] = { "live", "leaving", NULL };
 
@@ -23,7 +23,7 @@
 struct bt_list_client_t
 {
   char *address;
-  SoupSession *session;
+  bt_http_client_t *http;
   GCancellable *cancel;
   guint timer;
   gboolean busy;
@@ -63,7 +63,7 @@
   if (client->busy)
     return G_SOURCE_CONTINUE;
   client->busy = TRUE;
-  bt_http_call (client->session, "GET", client->address, "/v1/vms", NULL, client->cancel, on_list,
+  bt_http_call (client->http, "GET", client->address, "/v1/vms", NULL, client->cancel, on_list,
                 client);
   return G_SOURCE_CONTINUE;
 }
@@ -81,7 +81,7 @@
 {
   bt_list_client_t *client = g_new0 (bt_list_client_t, 1);
   client->address = g_strdup (address);
-  client->session = bt_http_session_new (CALL_TIMEOUT_S, 1);
+  client->http = bt_http_client_new (CALL_TIMEOUT_MS, 1);
   client->cancel = g_cancellable_new ();
   client->handler = handler;
   client->context = context;
@@ -100,7 +100,7 @@
   g_cancellable_cancel (client->cancel);
   while (g_main_context_iteration (NULL, FALSE))
     ;
-  g_object_unref (client->session);
+  bt_http_client_free (client->http);
   g_object_unref (client->cancel);
   g_free (client->address);
   g_free (client);
--- a/libbamboothread/connection/log_client.c
+++ b/libbamboothread/connection/log_client.c
@@ -3,8 +3,8 @@
 #include "libbamboothread/base/error.h"
 #include "libbamboothread/connection/http.h"
 
-#define APPEND_TIMEOUT_S 3
-#define READ_TIMEOUT_S 10
+#define APPEND_TIMEOUT_MS 3000
+#define READ_TIMEOUT_MS 10000
 #define READ_WAIT_MS 5000
 #define PAGE_MAX_RECORDS 1000
 #define CONNECTIONS 8
@@ -13,8 +13,8 @@
 struct bt_log_client_t
 {
   char *address;
-  SoupSession *appends;
-  SoupSession *reads;
+  bt_http_client_t *appends;
+  bt_http_client_t *reads;
   GCancellable *cancel;
   bt_log_handler_t handler;
   void *context;
@@ -84,8 +84,8 @@
 {
   bt_log_client_t *client = g_new0 (bt_log_client_t, 1);
   client->address = g_strdup (address);
-  client->appends = bt_http_session_new (APPEND_TIMEOUT_S, CONNECTIONS);
-  client->reads = bt_http_session_new (READ_TIMEOUT_S, CONNECTIONS);
+  client->appends = bt_http_client_new (APPEND_TIMEOUT_MS, CONNECTIONS);
+  client->reads = bt_http_client_new (READ_TIMEOUT_MS, CONNECTIONS);
   client->cancel = g_cancellable_new ();
   client->handler = *handler;
   client->context = context;
@@ -102,8 +102,8 @@
   g_cancellable_cancel (client->cancel);
   while (g_main_context_iteration (NULL, FALSE))
     ;
-  g_object_unref (client->appends);
-  g_object_unref (client->reads);
+  bt_http_client_free (client->appends);
+  bt_http_client_free (client->reads);
   g_object_unref (client->cancel);
   g_free (client->address);
   g_free (client);
--- a/libbamboothread/connection/worker_client.c
+++ b/libbamboothread/connection/worker_client.c
@@ -7,12 +7,12 @@
 #define CONTROL_CONNECTIONS 4
 #define RUN_CONNECTIONS 64
 /* Longest time that a start which waits for its answer may take. */
-#define RUN_TIMEOUT_S 3600
+#define RUN_TIMEOUT_MS (3600 * 1000)
 
 struct bt_worker_client_t
 {
-  SoupSession *control;
-  SoupSession *run;
+  bt_http_client_t *control;
+  bt_http_client_t *run;
   GCancellable *cancel;
   bt_worker_handler_t handler;
   void *context;
@@ -115,9 +115,9 @@
 bt_worker_client_new (gint64 call_timeout_us, const bt_worker_handler_t *handler, void *context)
 {
   bt_worker_client_t *client = g_new0 (bt_worker_client_t, 1);
-  guint timeout_s = (guint)MAX (1, call_timeout_us / BT_USEC_PER_SEC);
-  client->control = bt_http_session_new (timeout_s, CONTROL_CONNECTIONS);
-  client->run = bt_http_session_new (RUN_TIMEOUT_S, RUN_CONNECTIONS);
+  guint timeout_ms = (guint)MAX (1, call_timeout_us / BT_USEC_PER_MSEC);
+  client->control = bt_http_client_new (timeout_ms, CONTROL_CONNECTIONS);
+  client->run = bt_http_client_new (RUN_TIMEOUT_MS, RUN_CONNECTIONS);
   client->cancel = g_cancellable_new ();
   client->handler = *handler;
   client->context = context;
@@ -134,8 +134,8 @@
   g_cancellable_cancel (client->cancel);
   while (g_main_context_iteration (NULL, FALSE))
     ;
-  g_object_unref (client->control);
-  g_object_unref (client->run);
+  bt_http_client_free (client->control);
+  bt_http_client_free (client->run);
   g_object_unref (client->cancel);
   g_free (client);
 }
@@ -168,8 +168,8 @@
                         const bt_start_request_t *request)
 {
   g_autoptr (GBytes) body = bt_schema_bytes (&bt_start_request_schema, request);
-  SoupSession *session = request->wait ? client->run : client->control;
-  bt_http_call (session, "POST", address, "/v1/start", body, client->cancel, on_start,
+  bt_http_client_t *http = request->wait ? client->run : client->control;
+  bt_http_call (http, "POST", address, "/v1/start", body, client->cancel, on_start,
                 call_new (client, worker, request->attempt));
 }
 
