--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -24,6 +24,7 @@
 #define HOME "dc1"
 #define POINTS_MAX 8
 #define HTTP_TIMEOUT_MS 5000
+#define PAYLOAD_STEP 100
 #define LOOPBACK_WORKER "127.0.0.1:0"
 
 /**
@@ -475,6 +476,49 @@
     }
 }
 
+static void
+on_start (SoupServer *server, SoupServerMessage *message, const char *path, GHashTable *params,
+          gpointer data)
+{
+  http_t *http = data;
+  bt_start_request_t *request = bt_standin_read (message, &bt_start_request_schema);
+  if (request == NULL)
+    return;
+  bt_start_reply_t *reply = bt_worker_model_start (&http->model, request);
+  bt_worker_model_tick (&http->model);
+  const bt_model_attempt_t *attempt = bt_worker_model_attempt (&http->model, request->attempt);
+  if (attempt != NULL)
+    {
+      reply->verdict = BT_START_ENDED;
+      reply->report = bt_schema_copy (&bt_attempt_report_schema, &attempt->report);
+    }
+  bt_standin_write (message, &bt_start_reply_schema, reply);
+  bt_schema_free (&bt_start_request_schema, request);
+}
+
+/* A start whose reply carries the answer, which repeats the payload. */
+static double
+exchange_start (http_t *http, bt_http_client_t *client, const char *address, gsize payload)
+{
+  g_autofree char *text = g_strnfill (payload, 'x');
+  bt_start_request_t start = { .epoch = http->model.epoch, .wait = TRUE };
+  start.owner = http->model.owner;
+  start.attempt = g_ref_string_new ("lahore-gulberg/lahore-gulberg-d1-661c8a0033cae.7/0/"
+                                    "lahore-gulberg-d1-661c8a0033cae.7");
+  start.job = g_ref_string_new ("lahore-gulberg/lahore-gulberg-d1-661c8a0033cae.7");
+  start.mcpus = 500;
+  start.memory_mb = 128;
+  start.connections = 1;
+  start.payload = g_ref_string_new (text);
+  g_autoptr (GBytes) body = bt_schema_bytes (&bt_start_request_schema, &start);
+  bt_http_call (client, "POST", address, "/v1/start", body, NULL, on_leased, http);
+  g_main_loop_run (http->loop);
+  g_ref_string_release (start.attempt);
+  g_ref_string_release (start.job);
+  g_ref_string_release (start.payload);
+  return http->bytes;
+}
+
 /* Headers and bodies of a renewal as the adapter sends it; without TCP and IP. */
 static void
 measure_http (void)
@@ -482,6 +526,7 @@
   static const guint sizes[] = { 0, 4, 8, 16 };
   series_t renewal = { "HTTP bytes of a renewal, both ways", "B", "attempts confirmed" };
   series_t full = { "HTTP bytes of a renewal with the full list", "B", "attempts running" };
+  series_t start = { "HTTP bytes of a start with its answer", "B", "bytes of payload" };
   bt_clock_t clock;
   bt_clock_init (&clock);
   for (guint i = 0; i < G_N_ELEMENTS (sizes); i++)
@@ -491,6 +536,7 @@
       bt_worker_model_init (&http.model, "compile-1", &clock, &capacity, 1796363895);
       g_autoptr (SoupServer) server = bt_standin_listen (LOOPBACK_WORKER, NULL);
       soup_server_add_handler (server, "/v1/lease", on_lease, &http, NULL);
+      soup_server_add_handler (server, "/v1/start", on_start, &http, NULL);
       GSList *uris = soup_server_get_uris (server);
       g_autofree char *address
           = g_strdup_printf ("127.0.0.1:%d", g_uri_get_port ((GUri *)uris->data));
@@ -506,6 +552,8 @@
                  exchange_lease (&http, client, address, http.model.epoch, FALSE, sizes[i]));
       add_point (&full, sizes[i],
                  exchange_lease (&http, client, address, http.model.epoch, TRUE, 0));
+      gsize payload = (gsize)sizes[i] * PAYLOAD_STEP;
+      add_point (&start, (double)payload, exchange_start (&http, client, address, payload));
       bt_http_client_free (client);
       soup_server_disconnect (server);
       bt_worker_model_clear (&http.model);
@@ -513,6 +561,7 @@
     }
   print_fit (&renewal);
   print_fit (&full);
+  print_fit (&start);
 }
 
 int
