--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -78,7 +78,7 @@
 
 /**
  * struct bt_queue_pool_t - what waits for a pool; written by queue.c
- * @open: whether some lane may have a job that can be placed
+ * @open: those of its lanes whose first job may be placed now
  * @decisions: tasks placed so far
  * @holder: a job that waited long, for which @held is kept free
  * @held: name of that VM
@@ -87,8 +87,8 @@
 {
   GRefString *name;
   GPtrArray *lanes;
+  GPtrArray *open;
   guint waiting;
-  gboolean open;
   guint decisions;
   bt_job_t *holder;
   GRefString *held;
--- a/libbamboothread/process/queue.c
+++ b/libbamboothread/process/queue.c
@@ -39,7 +39,8 @@
  * @first: the first of them, or NULL
  * @last_turns: last turn that was given to each caller
  * @turn: turn of the job that left the lane last
- * @blocked: whether its first job did not fit when it was tried last
+ * @open_at: its place among the pool's open lanes, from 1; 0 while its first job
+ *   did not fit when it was tried last, or it has none
  * @freed: the only VM on which room was freed since then, or NULL if any may have room
  * @used_at: when a job was put into it last
  */
@@ -53,7 +54,7 @@
   guint n_jobs;
   GHashTable *last_turns;
   guint64 turn;
-  gboolean blocked;
+  guint open_at;
   GRefString *freed;
   gint64 used_at;
 };
@@ -86,6 +87,7 @@
 {
   bt_queue_pool_t *pool = data;
   g_ptr_array_unref (pool->lanes);
+  g_ptr_array_unref (pool->open);
   g_clear_pointer (&pool->held, g_ref_string_release);
   g_ref_string_release (pool->name);
   g_free (pool);
@@ -135,6 +137,7 @@
   pool = g_new0 (bt_queue_pool_t, 1);
   pool->name = g_ref_string_new (name);
   pool->lanes = g_ptr_array_new ();
+  pool->open = g_ptr_array_new ();
   g_hash_table_insert (core->queue.pools, pool->name, pool);
   return pool;
 }
@@ -223,13 +226,28 @@
   return strcmp (left->id, right->id);
 }
 
+static void
+block_lane (bt_lane_t *lane)
+{
+  if (lane->open_at == 0)
+    return;
+  GPtrArray *open = lane->pool->open;
+  bt_lane_t *last = open->pdata[open->len - 1];
+  open->pdata[lane->open_at - 1] = last;
+  last->open_at = lane->open_at;
+  lane->open_at = 0;
+  g_ptr_array_set_size (open, (gint)open->len - 1);
+}
+
 /* Opens a lane for a try on any VM. */
 static void
 open_lane (bt_lane_t *lane)
 {
-  lane->blocked = FALSE;
   g_clear_pointer (&lane->freed, g_ref_string_release);
-  lane->pool->open = TRUE;
+  if (lane->open_at > 0 || lane->first == NULL)
+    return;
+  g_ptr_array_add (lane->pool->open, lane);
+  lane->open_at = lane->pool->open->len;
 }
 
 static void
@@ -240,7 +258,10 @@
   if (first == lane->first)
     return;
   lane->first = first;
-  open_lane (lane);
+  if (first != NULL)
+    open_lane (lane);
+  else
+    block_lane (lane);
 }
 
 static gboolean
@@ -474,13 +495,13 @@
 static gboolean
 may_be_tried (const bt_core_t *core, bt_lane_t *lane)
 {
-  if (lane->blocked || lane->first == NULL)
-    return FALSE;
   if (lane->freed == NULL)
     return TRUE;
   const bt_worker_t *worker = bt_owner_worker (core, lane->freed);
-  lane->blocked = worker == NULL || !fits_on (core, lane->first, worker);
-  return !lane->blocked;
+  if (worker != NULL && fits_on (core, lane->first, worker))
+    return TRUE;
+  block_lane (lane);
+  return FALSE;
 }
 
 static bt_lane_t *
@@ -488,9 +509,9 @@
 {
   bt_lane_t *oldest = NULL;
   gint64 oldest_at = G_MAXINT64;
-  for (guint i = 0; i < pool->lanes->len; i++)
+  for (guint i = pool->open->len; i > 0; i--)
     {
-      bt_lane_t *lane = pool->lanes->pdata[i];
+      bt_lane_t *lane = pool->open->pdata[i - 1];
       const bt_job_t *job = lane->first;
       if (!may_be_tried (core, lane) || !is_aged (core, job) || job->submitted_at >= oldest_at)
         continue;
@@ -505,9 +526,9 @@
 {
   bt_lane_t *best = NULL;
   rank_t best_rank = { 0 };
-  for (guint i = 0; i < pool->lanes->len; i++)
+  for (guint i = pool->open->len; i > 0; i--)
     {
-      bt_lane_t *lane = pool->lanes->pdata[i];
+      bt_lane_t *lane = pool->open->pdata[i - 1];
       if (!may_be_tried (core, lane))
         continue;
       rank_t rank;
@@ -546,7 +567,7 @@
 static void
 block (bt_core_t *core, bt_lane_t *lane, bt_job_t *job, bt_wait_t wait)
 {
-  lane->blocked = TRUE;
+  block_lane (lane);
   if (job->wait == wait)
     return;
   job->wait = wait;
@@ -579,17 +600,12 @@
 static bt_job_t *
 next_of_pool (bt_core_t *core, bt_queue_pool_t *pool)
 {
-  while (pool->open)
+  bt_lane_t *lane;
+  while ((lane = choose_lane (core, pool)) != NULL)
     {
-      bt_lane_t *lane = choose_lane (core, pool);
-      if (lane == NULL)
-        pool->open = FALSE;
-      else
-        {
-          bt_job_t *job = try_lane (core, lane);
-          if (job != NULL)
-            return job;
-        }
+      bt_job_t *job = try_lane (core, lane);
+      if (job != NULL)
+        return job;
     }
   return NULL;
 }
@@ -702,7 +718,7 @@
 freed_for_lane (const bt_core_t *core, bt_lane_t *lane, const bt_worker_t *worker)
 {
   const bt_job_t *job = lane->first;
-  if (!lane->blocked)
+  if (lane->open_at > 0)
     {
       if (lane->freed != NULL && lane->freed != worker->name)
         g_clear_pointer (&lane->freed, g_ref_string_release);
@@ -794,7 +810,6 @@
         }
       i++;
     }
-  pool->open = TRUE;
 }
 
 /**
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -170,6 +170,57 @@
 }
 END_TEST
 
+/* A lane that was blocked is tried again when a VM has room for its first job, and only then. */
+static const struct
+{
+  gboolean free_first;
+  gboolean fill_first;
+  gboolean free_second;
+  gint64 freed_mcpus;
+  gboolean tried;
+} freed_cases[] = {
+  { FALSE, FALSE, FALSE, 0, FALSE },  { TRUE, FALSE, FALSE, 1000, TRUE },
+  { TRUE, FALSE, FALSE, 999, FALSE }, { TRUE, TRUE, FALSE, 1000, FALSE },
+  { TRUE, TRUE, TRUE, 1000, TRUE },   { FALSE, FALSE, TRUE, 1000, TRUE },
+};
+
+static void
+set_used (bt_worker_t *worker, gint64 left)
+{
+  worker->used = worker->capacity;
+  worker->used.v[BT_RESOURCE_MCPUS] -= left;
+  worker->used.v[BT_RESOURCE_MEMORY_MB] = 0;
+  worker->used.v[BT_RESOURCE_SLOTS] = 0;
+}
+
+START_TEST (a_freed_vm_opens_the_lanes_that_fit)
+{
+  bare_t bare;
+  bare_init (&bare, &base);
+  bt_job_t *job = add_job (&bare, "u-a", "c", 1000, 0);
+  ck_assert_ptr_eq (bt_queue_next (bare.core), job);
+  bt_queue_tried (bare.core, job, FALSE);
+  bt_worker_t *first = bt_owner_worker (bare.core, "vm1-1");
+  bt_worker_t *second = bt_owner_worker (bare.core, "vm1-2");
+  set_used (first, 0);
+  set_used (second, 0);
+  if (freed_cases[_i].free_first)
+    {
+      set_used (first, freed_cases[_i].freed_mcpus);
+      bt_queue_freed (bare.core, first);
+    }
+  if (freed_cases[_i].fill_first)
+    set_used (first, 0);
+  if (freed_cases[_i].free_second)
+    {
+      set_used (second, freed_cases[_i].freed_mcpus);
+      bt_queue_freed (bare.core, second);
+    }
+  ck_assert_ptr_eq (bt_queue_next (bare.core), freed_cases[_i].tried ? job : NULL);
+  bt_core_free (bare.core);
+}
+END_TEST
+
 /* Under a full load of others' small tasks, none waits for ever. */
 static const struct
 {
@@ -210,6 +261,7 @@
   tcase_add_loop_test (tests, the_order_holds, 0, G_N_ELEMENTS (order_cases));
   tcase_add_test (tests, callers_take_turns);
   tcase_add_loop_test (tests, a_pass_tries_each_lane_once, 0, G_N_ELEMENTS (cost_cases));
+  tcase_add_loop_test (tests, a_freed_vm_opens_the_lanes_that_fit, 0, G_N_ELEMENTS (freed_cases));
   tcase_add_loop_test (tests, nothing_starves, 0, G_N_ELEMENTS (starving_cases));
   return suite_run ("queue", tests);
 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -199,6 +199,30 @@
 }
 END_TEST
 
+/* A worker may report an attempt before anyone tells what its job is. */
+START_TEST (an_attempt_known_first_is_charged_once_its_job_is_known)
+{
+  scene_config_t config = { .data_centres = 1, .vms = 1, .cpus = 8, .routes = ROUTES };
+  bt_clock_t clock;
+  bt_core_t *core = core_in ("dc1", &config, &clock);
+  bt_request_t *request = scene_request ("c", "u-a", BT_KIND_REQUEST, 1, 1000, 500);
+  bt_job_t *job = bt_job_new (core, "dc1/j");
+  bt_job_set_tasks (job, 1);
+  bt_vector_t need;
+  bt_request_need (request, &need);
+  bt_attempt_t *attempt = bt_attempt_new (core, job, 0, "dc1/j/0", "vm1-1");
+  bt_attempt_bind (attempt, bt_owner_worker (core, "vm1-1"), &need);
+  const bt_account_t *account = bt_quota_account (core, "pool", "a");
+  ck_assert_int_eq (account->used.v[BT_RESOURCE_MCPUS], 0);
+  bt_job_describe (job, request, bt_tables_route (core->tables.tables, "u-a"));
+  ck_assert_int_eq (account->used.v[BT_RESOURCE_MCPUS], 1000);
+  bt_attempt_drop (core, attempt, BT_TASK_ENDED);
+  ck_assert_int_eq (account->used.v[BT_RESOURCE_MCPUS], 0);
+  bt_schema_free (&bt_request_schema, request);
+  bt_core_free (core);
+}
+END_TEST
+
 /* Accounts agree with the attempts, also after workers and daemons were lost. */
 START_TEST (accounts_follow_the_attempts)
 {
@@ -240,6 +264,7 @@
   tcase_add_loop_test (tests, parts_add_up_to_the_quota, 0, G_N_ELEMENTS (split_cases));
   tcase_add_loop_test (tests, the_reserve_is_for_urgent_work, 0, G_N_ELEMENTS (room_cases));
   tcase_add_loop_test (tests, each_team_gets_its_part, 0, G_N_ELEMENTS (compete_cases));
+  tcase_add_test (tests, an_attempt_known_first_is_charged_once_its_job_is_known);
   tcase_add_loop_test (tests, accounts_follow_the_attempts, 0, 4);
   return suite_run ("quota", tests);
 }
