--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -869,6 +869,7 @@
 bt_job_t *bt_queue_next (bt_core_t *core);
 void bt_queue_tried (bt_core_t *core, bt_job_t *job, gboolean placed);
 void bt_queue_freed (bt_core_t *core, const bt_worker_t *worker);
+void bt_queue_forget_worker (bt_core_t *core, const bt_worker_t *worker);
 void bt_queue_expire (bt_core_t *core, void (*expire) (bt_core_t *core, bt_job_t *job));
 guint bt_queue_ahead (const bt_job_t *job);
 
--- a/libbamboothread/process/owner.c
+++ b/libbamboothread/process/owner.c
@@ -510,6 +510,7 @@
     if (forgettable (core, worker))
       {
         release_worker (core, worker);
+        bt_queue_forget_worker (core, worker);
         g_hash_table_iter_remove (&iter);
       }
 }
--- a/libbamboothread/process/queue.c
+++ b/libbamboothread/process/queue.c
@@ -55,7 +55,7 @@
   GHashTable *last_turns;
   guint64 turn;
   guint open_at;
-  GRefString *freed;
+  const bt_worker_t *freed;
   gint64 used_at;
 };
 
@@ -77,7 +77,6 @@
   bt_lane_t *lane = data;
   g_sequence_free (lane->jobs);
   g_hash_table_unref (lane->last_turns);
-  g_clear_pointer (&lane->freed, g_ref_string_release);
   g_free (lane->key);
   g_free (lane);
 }
@@ -243,7 +242,7 @@
 static void
 open_lane (bt_lane_t *lane)
 {
-  g_clear_pointer (&lane->freed, g_ref_string_release);
+  lane->freed = NULL;
   if (lane->open_at > 0 || lane->first == NULL)
     return;
   g_ptr_array_add (lane->pool->open, lane);
@@ -497,8 +496,7 @@
 {
   if (lane->freed == NULL)
     return TRUE;
-  const bt_worker_t *worker = bt_owner_worker (core, lane->freed);
-  if (worker != NULL && fits_on (core, lane->first, worker))
+  if (fits_on (core, lane->first, lane->freed))
     return TRUE;
   block_lane (lane);
   return FALSE;
@@ -714,22 +712,43 @@
   hold_worker (core, pool, job);
 }
 
+/**
+ * struct freed_t - a VM on which room was freed
+ * @urgent: what urgent work may use of it now
+ * @other: what other work may use
+ */
+typedef struct
+{
+  const bt_worker_t *worker;
+  bt_vector_t urgent;
+  bt_vector_t other;
+} freed_t;
+
+static gboolean
+fits_freed (const bt_core_t *core, const bt_job_t *job, const freed_t *freed)
+{
+  if (freed->worker->held_for == job)
+    return fits_on (core, job, freed->worker);
+  gboolean urgent = job->work_class == BT_CLASS_URGENT;
+  return bt_vector_fits (&job->need, urgent ? &freed->urgent : &freed->other);
+}
+
 static void
-freed_for_lane (const bt_core_t *core, bt_lane_t *lane, const bt_worker_t *worker)
+freed_for_lane (const bt_core_t *core, bt_lane_t *lane, const freed_t *freed)
 {
   const bt_job_t *job = lane->first;
   if (lane->open_at > 0)
     {
-      if (lane->freed != NULL && lane->freed != worker->name)
-        g_clear_pointer (&lane->freed, g_ref_string_release);
+      if (lane->freed != NULL && lane->freed != freed->worker)
+        lane->freed = NULL;
       return;
     }
   gboolean anywhere = job->wait != BT_WAIT_ROOM || job->request->kind == BT_KIND_GANG;
-  if (!anywhere && !fits_on (core, job, worker))
+  if (!anywhere && !fits_freed (core, job, freed))
     return;
   open_lane (lane);
   if (!anywhere)
-    lane->freed = g_ref_string_acquire (worker->name);
+    lane->freed = freed->worker;
 }
 
 /**
@@ -745,14 +764,35 @@
   bt_queue_pool_t *pool = g_hash_table_lookup (core->queue.pools, worker->pool);
   if (pool == NULL || pool->waiting == 0)
     return;
+  freed_t freed = { .worker = worker };
+  const bt_job_t urgent = { .work_class = BT_CLASS_URGENT };
+  const bt_job_t other = { .work_class = BT_CLASS_BATCH };
+  bt_quota_room (core, &urgent, worker, &freed.urgent);
+  bt_quota_room (core, &other, worker, &freed.other);
   for (guint i = 0; i < pool->lanes->len; i++)
     {
       bt_lane_t *lane = pool->lanes->pdata[i];
       if (lane->first != NULL)
-        freed_for_lane (core, lane, worker);
+        freed_for_lane (core, lane, &freed);
     }
 }
 
+/**
+ * bt_queue_forget_worker() - a VM is about to be freed
+ * @core: the core
+ * @worker: the VM
+ */
+void
+bt_queue_forget_worker (bt_core_t *core, const bt_worker_t *worker)
+{
+  GHashTableIter iter;
+  bt_lane_t *lane;
+  g_hash_table_iter_init (&iter, core->queue.lanes);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&lane))
+    if (lane->freed == worker)
+      lane->freed = NULL;
+}
+
 static void
 unpark (bt_core_t *core)
 {
--- a/libbamboothread/process/quota.c
+++ b/libbamboothread/process/quota.c
@@ -381,9 +381,12 @@
   const bt_quota_pool_t *pool = account->state;
   for (int i = 0; i < BT_N_RESOURCES; i++)
     {
-      gint64 part = scaled (account->entitled.v[i], MIN (pool->live.v[i], pool->capacity.v[i]),
-                            pool->capacity.v[i]);
-      if (need->v[i] > 0 && account->used.v[i] + need->v[i] > part)
+      if (need->v[i] == 0)
+        continue;
+      gint64 part = account->entitled.v[i];
+      if (pool->live.v[i] < pool->capacity.v[i])
+        part = scaled (part, pool->live.v[i], pool->capacity.v[i]);
+      if (account->used.v[i] + need->v[i] > part)
         return FALSE;
     }
   return TRUE;
