--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -93,6 +93,32 @@
     "world seed=24 calm=1 data_centres=2 daemons=3 workers=3 ms=28855\n"
     "24788 69 submit 30 2379 45313\n",
     BT_STATUS_FAILED, 1 },
+  { "a task that the journal says has ended keeps its share until its newer attempt stops",
+    "world seed=183 calm=0 data_centres=3 daemons=2 workers=4 ms=56229\n"
+    "13607 72 isolate 54 23078 43447\n"
+    "14138 76 log-lose 62 43626 62913\n"
+    "15830 86 submit 22 9530 8303\n"
+    "16692 90 log-lose 54 23003 55372\n"
+    "21483 73 unisolate 54 23078 43447\n"
+    "24181 138 submit 21 6710 2013\n"
+    "26832 155 submit 12 31460 52607\n"
+    "28333 162 log-down 31 60176 40173\n"
+    "35333 201 pause 49 19443 33159\n"
+    "37218 202 resume 49 19443 33159\n"
+    "46141 257 cut 38 39356 48272\n"
+    "46646 260 log-slow 43 57580 726\n"
+    "48330 273 submit 37 27022 17053\n"
+    "49123 280 repeat 10 273 16705\n"
+    "50250 284 isolate 3 19878 57014\n"
+    "50512 286 log-lose 44 11463 23100\n"
+    "52677 300 kill 60 44058 52580\n"
+    "53159 303 isolate 34 44966 54373\n"
+    "53249 301 start 60 44058 52580\n"
+    "56032 258 join 38 39356 48272\n"
+    "59147 323 log-up 37 57081 24315\n"
+    "60873 304 unisolate 34 44966 54373\n"
+    "66518 319 log-up 37 25134 34281\n",
+    BT_STATUS_ACCEPTED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
