Preempt less urgent and borrowed work: throttle, checkpoint, stop

Cause: entitled work waited until tasks on full VMs ended by themselves.

Change: preempt.c. A job within its team's quota makes room on one worker, of work that may run again: less urgent after 0.5 s, borrowed after 5 s. Victims by class, quota and lost work, none of them needlessly; eight at a time in a pool, two begin each 100 ms; who was preempted preempts nobody, and gives way three times at most.

Ruled out: cost as one sum of class and lost work; old best effort work then outlived new batch work.

Proof: tests/test_preempt.c, seen to fail with each rule broken in a scratch copy: idempotence, requests, gangs, services, quota, cascade, three times, rate, class on and across VMs, lost work, throttle, checkpoint, needless victims, best effort, the wait before taking back.

--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -56,6 +56,7 @@
   bt_owner_init (core);
   bt_place_init (core);
   bt_gang_init (core);
+  bt_preempt_init (core);
   bt_journal_init (core);
   bt_sched_init (core);
   bt_quota_init (core);
@@ -86,6 +87,7 @@
   bt_owner_clear (core);
   bt_place_clear (core);
   bt_gang_clear (core);
+  bt_preempt_clear (core);
   bt_members_clear (core);
   bt_trace_clear (core);
   bt_fold_clear (&core->tables);
@@ -159,6 +161,7 @@
   bt_journal_tick (core);
   bt_fit_tick (core);
   bt_gang_tick (core);
+  bt_preempt_tick (core);
   bt_drain_tick (core);
   bt_sched_tick (core);
   bt_health_tick (core);
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -281,6 +281,7 @@
  * @account: its team's account with its pool, or NULL
  * @gang_serial: its reservation of workers, or 0; written by gang.c
  * @reserve_after: not before this time does it reserve again
+ * @preempted: how often its tasks had to make room for others
  * @failed_on: names of workers on which its tasks failed lately, or NULL
  * @waiters: names of the daemons whose callers wait for it
  * @whole_link: its place among the jobs that the log tells all of; data is NULL if it does not
@@ -326,6 +327,7 @@
   bt_account_t *account;
   guint64 gang_serial;
   gint64 reserve_after;
+  guint preempted;
   GPtrArray *failed_on;
   GPtrArray *waiters;
   bt_status_t status;
@@ -450,6 +452,16 @@
   guint64 counter;
 } bt_gang_t;
 
+/**
+ * struct bt_preempt_t - preemptions that go on; written by preempt.c
+ * @next: not before this time does another one begin
+ */
+typedef struct
+{
+  GPtrArray *active;
+  gint64 next;
+} bt_preempt_t;
+
 /**
  * struct bt_worker_t - a worker of this data centre; written by owner.c
  * @listed: whether the tables name it
@@ -759,6 +771,7 @@
   bt_stop_t stop;
   bt_fit_t fit;
   bt_gang_t gang;
+  bt_preempt_t preempt;
   bt_sched_t sched;
   bt_quotas_t quota;
   bt_queue_t queue;
@@ -951,6 +964,12 @@
 gboolean bt_gang_place (bt_core_t *core, bt_job_t *job);
 gboolean bt_gang_allows (const bt_core_t *core, const bt_worker_t *worker, const bt_job_t *job);
 
+/* preempt.c */
+void bt_preempt_init (bt_core_t *core);
+void bt_preempt_clear (bt_core_t *core);
+void bt_preempt_tick (bt_core_t *core);
+void bt_preempt_consider (bt_core_t *core, const bt_job_t *job);
+
 /* fit.c */
 void bt_fit_apply_tables (bt_core_t *core);
 void bt_fit_tick (bt_core_t *core);
--- a/libbamboothread/process/counters.h
+++ b/libbamboothread/process/counters.h
@@ -16,6 +16,7 @@
   X (place_examined)                                                                               \
   X (stops_sent)                                                                                   \
   X (tasks_moved)                                                                                  \
+  X (tasks_preempted)                                                                              \
   X (gangs_reserved)                                                                               \
   X (workers_rested)                                                                               \
   X (starts_sent)                                                                                  \
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -443,6 +443,8 @@
     {
       expire_waiting (core, job);
       gboolean placed = job->state == BT_JOB_OPEN && place_job (core, job);
+      if (!placed && job->state == BT_JOB_OPEN)
+        bt_preempt_consider (core, job);
       bt_queue_tried (core, job, placed);
     }
 }
--- a/standins/fleet.c
+++ b/standins/fleet.c
@@ -41,6 +41,7 @@
   bt_fleet_t *fleet = context;
   fleet->stops++;
   fleet->stopped += request->attempts->len;
+  fleet->stopped_by[request->mode] += request->attempts->len;
 }
 
 static void
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -13,6 +13,7 @@
  * @starts: starts that the core sent
  * @stops: stop messages that the core sent
  * @stopped: attempts that these named
+ * @stopped_by: of those, by the way they were to be stopped
  */
 typedef struct
 {
@@ -22,6 +23,7 @@
   guint64 starts;
   guint64 stops;
   guint64 stopped;
+  guint64 stopped_by[BT_STOP_THROTTLE + 1];
 } bt_fleet_t;
 
 void bt_fleet_init (bt_fleet_t *fleet, const bt_tables_t *tables, const char *data_centre,
