--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -503,9 +503,9 @@
   g_autofree char *text = g_strnfill (payload, 'x');
   bt_start_request_t start = { .epoch = http->model.epoch, .wait = TRUE };
   start.owner = http->model.owner;
-  start.attempt = g_ref_string_new ("lahore-gulberg/lahore-gulberg-d1-661c8a0033cae.7/0/"
-                                    "lahore-gulberg-d1-661c8a0033cae.7");
-  start.job = g_ref_string_new ("lahore-gulberg/lahore-gulberg-d1-661c8a0033cae.7");
+  start.attempt = g_ref_string_new ("lahore-gulberg/lahore-gulberg-d1-661c8a0033cae.99/0/"
+                                    "lahore-gulberg-d1-661c8a0033cae.99");
+  start.job = g_ref_string_new ("lahore-gulberg/lahore-gulberg-d1-661c8a0033cae.99");
   start.mcpus = 500;
   start.memory_mb = 128;
   start.connections = 1;
