Count an owner's lease from its renewal, so that one lost renewal does not end it

Cause: the lease counted from the worker's clock in the reply before, so that of three renewals in a lease none could be lost. Only the lease of tasks needs that base: an owner's lease that a late renewal prolongs at the worker keeps other claims away for longer, and the owner itself counts from its sending.

--- a/libbamboothread/process/owner.c
+++ b/libbamboothread/process/owner.c
@@ -584,8 +584,7 @@
 lease_granted (bt_core_t *core, bt_worker_t *worker, const bt_lease_reply_t *reply)
 {
   core->counters.leases_granted++;
-  gint64 from = worker->sent_claim ? worker->sent_at : worker->prev_sent_at;
-  worker->lease_until = from + core->config.lease_us - core->config.drift_us;
+  worker->lease_until = worker->sent_at + core->config.lease_us - core->config.drift_us;
   worker->epoch = reply->epoch;
   worker->clock_ms = reply->clock_ms;
   worker->clock_at = core->now;
--- a/libbamboothread/request/worker_api.h
+++ b/libbamboothread/request/worker_api.h
@@ -52,9 +52,9 @@
  * @epoch: epoch of the lease to renew, or 0 to claim
  * @ttl_ms: how long the owner's lease lasts from now on
  * @task_ttl_ms: how long running attempts last from now on; 0 leaves them be
- * @base_ms: the worker's clock in its last reply that the owner has; both
- *   times count from there, so that a renewal that arrives late adds nothing.
- *   A claim leaves it 0, counts from its arrival and leaves attempts be.
+ * @base_ms: the worker's clock in its last reply that the owner has, or 0 in a
+ *   claim; @task_ttl_ms counts from there, so that a renewal that arrives late
+ *   prolongs no attempt
  * @ack: attempts whose end the owner has taken in
  * @full: whether to report all attempts, not just those ended
  */
--- a/standins/worker_model.c
+++ b/standins/worker_model.c
@@ -158,17 +158,20 @@
   return TRUE;
 }
 
-/* Times count from the owner's last word of this clock, so a late renewal adds nothing. */
+/*
+ * The owner's lease counts from now. That of tasks counts from the last clock
+ * that the owner has seen, so that a late renewal does not prolong it.
+ */
 static gboolean
 renew (bt_worker_model_t *model, const bt_lease_request_t *request, gint64 now)
 {
   if (!held_by (model, request->owner) || request->epoch != model->epoch)
     return FALSE;
   gint64 base = MIN (request->base_ms, now);
-  model->lease_until_ms = MAX (model->lease_until_ms, base + request->ttl_ms);
+  model->lease_until_ms = MAX (model->lease_until_ms, now + request->ttl_ms);
   if (request->task_ttl_ms > 0)
     model->tasks_until_ms = MAX (model->tasks_until_ms, base + request->task_ttl_ms);
-  return model->lease_until_ms > now;
+  return TRUE;
 }
 
 /**
