Keep the share of an attempt whose task ended by another attempt

Ruled out: a stale list; the worker's list was taken in before. Change: such an attempt keeps its share, is ordered to stop, and is dropped when its worker reports its end.

--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -377,7 +377,10 @@
     return;
   if (task->attempt == NULL)
     bt_attempt_new (core, job, task_index, record->attempt, record->worker);
-  bt_attempt_drop (core, task->attempt, BT_TASK_ENDED);
+  if (g_strcmp0 (task->attempt->id, record->attempt) == 0)
+    bt_attempt_drop (core, task->attempt, BT_TASK_ENDED);
+  else
+    bt_sched_attempt_surplus (core, task->attempt);
   if (record->answer == NULL)
     return;
   gsize len;
@@ -403,8 +406,8 @@
   if (job->status == BT_STATUS_DONE || job->n_tasks == 1)
     job->answer = bt_job_answer (job);
   for (guint i = 0; i < job->n_tasks; i++)
-    if (job->tasks[i].attempt != NULL && job->tasks[i].attempt->phase == BT_PHASE_ADOPTED)
-      bt_attempt_drop (core, job->tasks[i].attempt, BT_TASK_ENDED);
+    if (job->tasks[i].attempt != NULL)
+      bt_sched_attempt_surplus (core, job->tasks[i].attempt);
   bt_sched_tell (core, job);
 }
 
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -652,19 +652,48 @@
 
 /* An attempt that its task has no place for: it is stopped. */
 static bt_attempt_t *
-take_surplus (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report)
+take_surplus (bt_core_t *core, const char *id, const char *worker_name)
 {
-  bt_job_t *job = bt_job_new (core, report->attempt);
+  bt_job_t *job = bt_job_new (core, id);
   job->state = BT_JOB_ENDED;
   job->status = BT_STATUS_CANCELLED;
   job->ended_at = core->now;
   bt_job_set_tasks (job, 1);
-  bt_attempt_t *attempt = bt_attempt_new (core, job, 0, report->attempt, worker->name);
+  bt_attempt_t *attempt = bt_attempt_new (core, job, 0, id, worker_name);
   attempt->phase = BT_PHASE_RUNNING;
-  bt_stop_attempt (core, attempt, BT_STOP_STOP);
   return attempt;
 }
 
+/**
+ * bt_sched_attempt_surplus() - a task has ended by another attempt than the one it has
+ * @core: the core
+ * @attempt: the attempt that the task has, replaced
+ *
+ * It holds its share of its worker until it is known to be over.
+ */
+void
+bt_sched_attempt_surplus (bt_core_t *core, bt_attempt_t *attempt)
+{
+  if (attempt->worker == NULL || attempt->phase == BT_PHASE_RECORDING)
+    {
+      if (attempt->phase == BT_PHASE_RECORDING)
+        abandon_attempt (core, attempt);
+      bt_attempt_drop (core, attempt, BT_TASK_ENDED);
+      return;
+    }
+  g_autoptr (GRefString) id = g_ref_string_acquire (attempt->id);
+  bt_worker_t *worker = attempt->worker;
+  bt_vector_t need = attempt->need;
+  bt_attempt_phase_t phase = attempt->phase;
+  gint64 sent_at = attempt->sent_at;
+  bt_attempt_drop (core, attempt, BT_TASK_ENDED);
+  bt_attempt_t *surplus = take_surplus (core, id, worker->name);
+  bt_attempt_bind (surplus, worker, &need);
+  surplus->phase = phase;
+  surplus->sent_at = sent_at;
+  bt_stop_attempt (core, surplus, BT_STOP_STOP);
+}
+
 static gboolean
 task_taken (const bt_job_t *job, guint task)
 {
@@ -698,7 +727,10 @@
         }
       core->counters.attempts_imported++;
       if (taken)
-        attempt = take_surplus (core, worker, report);
+        {
+          attempt = take_surplus (core, report->attempt, worker->name);
+          bt_stop_attempt (core, attempt, BT_STOP_STOP);
+        }
       else
         {
           if (job == NULL)
