Don't end a job whose number of tasks is not known

Cause: a new owner that could not read the log knew a job of several tasks only from a worker's report of one. Ruled out: a lost record; the acceptance was in the log. Before: the case fails; after: it passes.

--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -944,6 +944,7 @@
 void bt_sched_attempt_sendable (bt_core_t *core, bt_attempt_t *attempt);
 void bt_sched_attempt_lost (bt_core_t *core, bt_attempt_t *attempt, gboolean surely_not_run);
 void bt_sched_attempt_surplus (bt_core_t *core, bt_attempt_t *attempt);
+void bt_sched_finish (bt_core_t *core, bt_job_t *job);
 void bt_sched_end_job (bt_core_t *core, bt_job_t *job, bt_status_t status, bt_reason_t reason,
                        GBytes *answer, const char *detail);
 void bt_sched_tell (bt_core_t *core, bt_job_t *job);
--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -297,6 +297,7 @@
   if (strcmp (record->owner, core->owner_id) != 0)
     job->resent = TRUE;
   bt_sched_tell (core, job);
+  bt_sched_finish (core, job);
   if (job->n_waiting > 0)
     bt_queue_push (core, job);
   bt_sched_run (core);
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -173,6 +173,20 @@
   bt_sched_tell (core, job);
 }
 
+/**
+ * bt_sched_finish() - end a job whose tasks have all ended well
+ * @core: the core
+ * @job: the job; while only workers' reports tell of it, its number of tasks is not known
+ */
+void
+bt_sched_finish (bt_core_t *core, bt_job_t *job)
+{
+  if (job->state != BT_JOB_OPEN || job->request == NULL || job->n_ended < job->n_tasks)
+    return;
+  g_autoptr (GBytes) answer = bt_job_answer (job);
+  bt_sched_end_job (core, job, BT_STATUS_DONE, BT_REASON_NONE, answer, NULL);
+}
+
 /* Whether this daemon can prove that no earlier owner ran the request. */
 static gboolean
 surely_not_run (const bt_core_t *core, gboolean resent, gboolean recorded_kind)
@@ -236,6 +250,7 @@
     bt_job_describe (job, request,
                      bt_tables_match (core->tables.tables, request->caller, request->work));
   bt_job_add_waiter (job, member);
+  bt_sched_finish (core, job);
   if (job->state == BT_JOB_ENDED || (job->state == BT_JOB_OPEN && job->durable))
     bt_sched_tell (core, job);
   else if (job->state == BT_JOB_OPEN && job->n_waiting > 0)
@@ -574,10 +589,7 @@
   g_clear_pointer (&task->answer, g_bytes_unref);
   task->answer = decode_answer (report->answer);
   bt_attempt_drop (core, attempt, BT_TASK_ENDED);
-  if (job->n_ended < job->n_tasks)
-    return;
-  g_autoptr (GBytes) answer = bt_job_answer (job);
-  bt_sched_end_job (core, job, BT_STATUS_DONE, BT_REASON_NONE, answer, NULL);
+  bt_sched_finish (core, job);
 }
 
 static gboolean
@@ -763,7 +775,8 @@
 void
 bt_sched_on_report (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report)
 {
-  gboolean known = g_hash_table_contains (core->sched.attempts, report->attempt);
+  const bt_attempt_t *taken = g_hash_table_lookup (core->sched.attempts, report->attempt);
+  gboolean known = taken != NULL && taken->job->request != NULL;
   if (!known && report->state != BT_ATTEMPT_RUNNING && !core->journal.caught_up)
     return;
   bt_attempt_t *attempt = take_attempt (core, worker, report);
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -93,6 +93,27 @@
     "world seed=24 calm=1 data_centres=2 daemons=3 workers=3 ms=28855\n"
     "24788 69 submit 30 2379 45313\n",
     BT_STATUS_FAILED, 1 },
+  { "a job known from a report alone is not done before its request is known",
+    "world seed=415 calm=0 data_centres=3 daemons=2 workers=5 ms=47875\n"
+    "14706 21 pause 0 1880 45710\n"
+    "15766 22 resume 0 1880 45710\n"
+    "15863 23 submit 13 65218 27003\n"
+    "16756 24 pause 22 47117 19787\n"
+    "18689 27 links 43 14599 62940\n"
+    "18794 25 resume 22 47117 19787\n"
+    "18809 29 kill 9 53622 24701\n"
+    "19653 31 submit 29 27824 59979\n"
+    "19852 32 kill 20 12132 59417\n"
+    "20778 34 leave 49 31576 49446\n"
+    "20969 33 start 20 12132 59417\n"
+    "24652 39 submit 34 29755 55994\n"
+    "25148 40 submit 33 34750 1958\n"
+    "25547 41 cut 56 27467 52284\n"
+    "25799 43 submit 32 50708 9519\n"
+    "29875 47 log-cut 3 26521 62405\n"
+    "31272 50 submit 62 46804 29604\n"
+    "33327 30 start 9 53622 24701\n",
+    BT_STATUS_ACCEPTED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
