--- /dev/null
+++ b/tests/test_fuzz.c
@@ -0,0 +1,28 @@
+#include "tests/fuzz/run.h"
+#include "tests/suite.h"
+
+/* The fixed seeds of the fuzzer; tools/fuzz plays more. */
+
+#define SEED_FIRST 1
+#define SEED_LAST 40
+
+START_TEST (seed_violates_nothing)
+{
+  fuzz_schedule_t *schedule = fuzz_schedule_new ((guint32)_i);
+  fuzz_result_t result = { 0 };
+  fuzz_run (schedule, FALSE, &result);
+  ck_assert_msg (result.violated == ORACLE_NONE, "seed %d: %s: %s; tools/fuzz --replay-seed %d", _i,
+                 oracle_invariant_names[result.violated], result.what, _i);
+  fuzz_result_clear (&result);
+  fuzz_schedule_free (schedule);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("fuzz");
+  tcase_set_timeout (tests, 60);
+  tcase_add_loop_test (tests, seed_violates_nothing, SEED_FIRST, SEED_LAST + 1);
+  return suite_run ("fuzz", tests);
+}
