--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -247,6 +247,14 @@
   bt_journal_tick (core);
 }
 
+static void
+note_move (bt_core_t *core, const char *from, const Bt__Submit *submit, const bt_request_t *request)
+{
+  const bt_route_t *route = bt_tables_match (core->tables.tables, request->caller, request->work);
+  bt_trace_add (core, submit->job, "moved", route != NULL ? route->name : NULL,
+                "handed on by %s after %u refusals elsewhere", from, submit->hops);
+}
+
 static void
 on_submit (bt_core_t *core, const char *from, const Bt__Submit *submit)
 {
@@ -257,8 +265,7 @@
   else
     {
       if (submit->hops > 0)
-        bt_trace_add (core, submit->job, "moved", NULL,
-                      "handed on by %s after %u refusals elsewhere", from, submit->hops);
+        note_move (core, from, submit, request);
       bt_sched_submit (core, from, submit->job, request, submit->resent,
                        (gint64)submit->age_ms * BT_USEC_PER_MSEC);
     }
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -183,6 +183,29 @@
 }
 END_TEST
 
+/* The new home can say that a request was handed on, and by which route it came. */
+START_TEST (a_move_is_explained)
+{
+  scene_t *scene = scene_new (&base);
+  for (guint i = 0; i < 200; i++)
+    scene_submit (scene, "dc1-d1", "c", "hold", BT_KIND_REQUEST, 1, 1000, 500);
+  bt_world_run (scene->world, 5 * BT_USEC_PER_SEC);
+  guint explained = 0;
+  GHashTableIter iter;
+  const scene_answer_t *answer;
+  g_hash_table_iter_init (&iter, scene->answers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&answer))
+    {
+      if (g_str_has_prefix (answer->job, "dc1/"))
+        continue;
+      const char *told = scene_ask (scene, "dc1-d1", BT_QUERY_EXPLAIN, answer->job);
+      explained += strstr (told, "\"action\":\"moved\",\"line\":\"route hold\"") != NULL;
+    }
+  ck_assert_uint_gt (explained, 0);
+  scene_free (scene);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -192,5 +215,6 @@
   tcase_add_test (tests, a_key_has_one_home);
   tcase_add_loop_test (tests, a_flood_moves_on_and_nothing_runs_twice, 0,
                        G_N_ELEMENTS (move_cases));
+  tcase_add_test (tests, a_move_is_explained);
   return suite_run ("home", tests);
 }
