--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -14,15 +14,21 @@
   "{\"name\":\"" name "\",\"callers\":[\"*\"],\"work\":\"" name "\",\"team\":\"" team              \
   "\",\"class\":\"" work_class "\",\"pool\":\"pool\",\"idempotent\":true" more "}"
 
-#define ROUTES                                                                                     \
-  "[" ROUTE ("hold", "a", "urgent", ",\"deadline_ms\":8300,\"queue_limit\":2000") "," ROUTE (      \
-      "roster", "b", "batch",                                                                      \
-      ",\"queue_limit\":2000") "," ROUTE ("photo", "c", "best-effort",                             \
-                                          ",\"deadline_ms\":30000,\"queue_limit\":"                \
-                                          "2000") "," ROUTE ("tiny", "c", "batch",                 \
-                                                             ",\"queue_limit\":90,"                \
-                                                             "\"deadline_ms\":"                    \
-                                                             "600000,\"retries\":3") "]"
+#define ROUTES                                                                                                           \
+  "[" ROUTE ("hold", "a", "urgent", ",\"deadline_ms\":8300,\"queue_limit\":2000") "," ROUTE (                            \
+      "alarm", "b", "urgent",                                                                                            \
+      ",\"deadline_ms\":60000") "," ROUTE ("roster", "b", "batch",                                                       \
+                                           ",\"queue_limit\":2000") "," ROUTE ("photo", "c",                             \
+                                                                               "best-effort",                            \
+                                                                               ",\"deadline_ms\":"                       \
+                                                                               "30000,\"queue_"                          \
+                                                                               "limit\":"                                \
+                                                                               "2000") "," ROUTE ("tiny",                \
+                                                                                                  "c",                   \
+                                                                                                  "batch",               \
+                                                                                                  ",\"queue_limit\":90," \
+                                                                                                  "\"deadline_ms\":"     \
+                                                                                                  "600000,\"retries\":3") "]"
 
 static const scene_config_t base = {
   .data_centres = 1,
@@ -83,25 +89,26 @@
       ask (scene, "photo", row->photos, i);
       ask (scene, "roster", row->rosters, i);
       ask (scene, "hold", row->holds, i);
+      ask (scene, "alarm", i % 4 == 0 ? 1 : 0, i);
       bt_world_run (scene->world, 100 * BT_USEC_PER_MSEC);
     }
 }
 
 static void
-print_figures (const scene_t *scene, int row)
+print_figures (const scene_t *scene, int row, const char *work)
 {
-  printf ("figures: flood %d urgent start p50 %.1f ms, p99 %.1f ms, max %.1f ms\n", row,
-          (double)scene_wait_at (scene, "hold", 0.5) / BT_USEC_PER_MSEC,
-          (double)scene_wait_at (scene, "hold", 0.99) / BT_USEC_PER_MSEC,
-          (double)scene_wait_max (scene, "hold") / BT_USEC_PER_MSEC);
+  printf ("figures: flood %d, urgent %s: start p50 %.1f ms, p99 %.1f ms, max %.1f ms\n", row, work,
+          (double)scene_wait_at (scene, work, 0.5) / BT_USEC_PER_MSEC,
+          (double)scene_wait_at (scene, work, 0.99) / BT_USEC_PER_MSEC,
+          (double)scene_wait_max (scene, work) / BT_USEC_PER_MSEC);
 }
 
 static void
-check_share (const scene_t *scene, const char *work, guint before, guint slots, double seconds)
+check_share (const char *work, guint before, guint after, guint slots, double seconds)
 {
   /* Slots times seconds, at half a second each. */
   double entitled = slots * seconds * 2;
-  double got = scene_starts (scene, work) - before;
+  double got = after - before;
   if (entitled > 0)
     printf ("figures: %s got %.1f%% of its entitled share\n", work, 100 * got / entitled);
   ck_assert_msg (got >= SHARE_BOUND * entitled, "%s: %.0f of %.0f", work, got, entitled);
@@ -117,14 +124,19 @@
     bt_world_host_kill (scene->world, scene->world->hosts->pdata[i]);
   ask_all (scene, row, row->lost > 0 ? 150 : 30);
   guint holds = scene_starts (scene, "hold");
-  guint rosters = scene_starts (scene, "roster");
+  guint rosters = scene_starts (scene, "roster") + scene_starts (scene, "alarm");
   guint photos = scene_starts (scene, "photo");
   ask_all (scene, row, 100);
-  check_share (scene, "hold", holds, row->entitled_holds, 10);
-  check_share (scene, "roster", rosters, row->entitled_rosters, 10);
-  check_share (scene, "photo", photos, row->entitled_photos, 10);
-  print_figures (scene, _i);
+  check_share ("hold", holds, scene_starts (scene, "hold"), row->entitled_holds, 10);
+  check_share ("roster and alarm", rosters,
+               scene_starts (scene, "roster") + scene_starts (scene, "alarm"),
+               row->entitled_rosters, 10);
+  check_share ("photo", photos, scene_starts (scene, "photo"), row->entitled_photos, 10);
+  print_figures (scene, _i, "hold");
+  print_figures (scene, _i, "alarm");
   ck_assert_int_le (scene_wait_max (scene, "hold"), URGENT_BOUND_US);
+  ck_assert_int_le (scene_wait_max (scene, "alarm"), URGENT_BOUND_US);
+  ck_assert_int_le (scene_wait_at (scene, "alarm", 0.95), BT_USEC_PER_SEC);
   scene_free (scene);
 }
 END_TEST
