Forget short idempotent requests 30 s after their end

All ended requests were remembered for 600 s: at 2,000 a second 1.2 million jobs. Those with a key, a record or work that must not run twice still are. Jobs to forget are looked for once a second and no longer ten times.

--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -606,6 +606,7 @@
   GHashTable *jobs;
   GHashTable *attempts;
   gint64 next_sweep;
+  gint64 next_forget;
   guint64 counter;
 } bt_sched_t;
 
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -9,6 +9,10 @@
  */
 
 #define SWEEP_US (100 * BT_USEC_PER_MSEC)
+/* Pause between two looks for jobs to forget. */
+#define FORGET_US (1 * BT_USEC_PER_SEC)
+/* How long a short request that may run again is remembered after its end. */
+#define BRIEF_RETENTION_US (30 * BT_USEC_PER_SEC)
 /* Backoff before a failed task is tried again: first wait, and the longest. */
 #define BACKOFF_FIRST_MS 100
 #define BACKOFF_MAX_MS 30000
@@ -851,6 +855,17 @@
                     "its caller went away while it waited");
 }
 
+/*
+ * A short request without a key or a record is remembered only for messages sent
+ * again. If one comes still later, it runs a second time, which it may.
+ */
+static gboolean
+is_brief (const bt_job_t *job)
+{
+  return job->request != NULL && job->request->kind == BT_KIND_REQUEST && job->request->key == NULL
+         && job->idempotent && !end_needs_record (job);
+}
+
 static gboolean
 forgettable (const bt_core_t *core, const bt_job_t *job)
 {
@@ -858,13 +873,19 @@
     return FALSE;
   if (end_needs_record (job) && !job->end_recorded)
     return FALSE;
-  return core->now - job->ended_at > core->config.retention_us;
+  gint64 keep_us = core->config.retention_us;
+  if (is_brief (job))
+    keep_us = MIN (keep_us, BRIEF_RETENTION_US);
+  return core->now - job->ended_at > keep_us;
 }
 
 static void
 sweep (bt_core_t *core)
 {
   bt_queue_expire (core, expire_waiting);
+  if (core->now < core->sched.next_forget)
+    return;
+  core->sched.next_forget = core->now + FORGET_US;
   GHashTableIter iter;
   bt_job_t *job;
   g_hash_table_iter_init (&iter, core->sched.jobs);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -14,8 +14,13 @@
   "{\"name\":\"" name "\",\"callers\":[\"*\"],\"work\":\"" name "\",\"team\":\"" team              \
   "\",\"class\":\"" work_class "\",\"pool\":\"pool\",\"idempotent\":true" more "}"
 
+#define BILL                                                                                       \
+  "{\"name\":\"bill\",\"callers\":[\"*\"],\"work\":\"bill\",\"team\":\"a\",\"class\":\"urgent\","  \
+  "\"pool\":\"pool\",\"idempotent\":false}"
+
 #define ROUTES                                                                                                           \
-  "[" ROUTE ("hold", "a", "urgent", ",\"deadline_ms\":8300,\"queue_limit\":2000") "," ROUTE (                            \
+  "[" BILL                                                                                                               \
+  "," ROUTE ("hold", "a", "urgent", ",\"deadline_ms\":8300,\"queue_limit\":2000") "," ROUTE (                            \
       "alarm", "b", "urgent",                                                                                            \
       ",\"deadline_ms\":60000") "," ROUTE ("roster", "b", "batch",                                                       \
                                            ",\"queue_limit\":2000") "," ROUTE ("photo", "c",                             \
@@ -259,6 +264,35 @@
 }
 END_TEST
 
+/* What a flood leaves behind is forgotten soon, unless a second run would do harm. */
+static const struct
+{
+  const char *work;
+  gboolean key;
+  guint remembered;
+} memory_cases[] = { { "hold", FALSE, 0 }, { "hold", TRUE, 100 }, { "bill", FALSE, 100 } };
+
+START_TEST (brief_requests_are_forgotten_soon)
+{
+  scene_t *scene = scene_new (&base);
+  for (guint i = 0; i < 100; i++)
+    {
+      bt_request_t *request
+          = scene_request ("c", memory_cases[_i].work, BT_KIND_REQUEST, 1, 1000, 50);
+      g_autofree char *key = g_strdup_printf ("k%u", i);
+      request->key = memory_cases[_i].key ? g_ref_string_new (key) : NULL;
+      bt_world_submit (scene->world, bt_world_node (scene->world, "dc1-d1"), request);
+      bt_schema_free (&bt_request_schema, request);
+    }
+  bt_world_run (scene->world, 20 * BT_USEC_PER_SEC);
+  ck_assert_uint_eq (scene_starts (scene, memory_cases[_i].work), 100);
+  ck_assert_uint_eq (g_hash_table_size (core_of (scene)->sched.jobs), 100);
+  bt_world_run (scene->world, 40 * BT_USEC_PER_SEC);
+  ck_assert_uint_eq (g_hash_table_size (core_of (scene)->sched.jobs), memory_cases[_i].remembered);
+  scene_free (scene);
+}
+END_TEST
+
 /* Work of callers that went away, or past its deadline, is dropped before it starts. */
 static const struct
 {
@@ -389,6 +423,7 @@
   tcase_add_test (tests, the_time_to_retry_holds);
   tcase_add_test (tests, a_flood_of_one_caller_spares_the_others);
   tcase_add_loop_test (tests, a_full_queue_has_room_for_another_caller, 0, 4);
+  tcase_add_loop_test (tests, brief_requests_are_forgotten_soon, 0, G_N_ELEMENTS (memory_cases));
   tcase_add_loop_test (tests, useless_work_is_dropped, 0, G_N_ELEMENTS (drop_cases));
   tcase_add_test (tests, retries_stay_in_their_budget);
   tcase_add_loop_test (tests, estimates_follow_what_ran, 0, G_N_ELEMENTS (estimate_cases));
