Give work of an earlier owner an age

Cause: attempts taken over from an earlier owner had no time of their start, so they counted as older than anything as victims, and as about to end in the forecast for a gang. Change: they count from the begin of this owner's reign. Proof: test_preempt, work_of_an_earlier_owner_has_an_age; fails without it.

--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -849,6 +849,7 @@
 void bt_job_add_waiter (bt_job_t *job, const char *member);
 bt_attempt_t *bt_attempt_new (bt_core_t *core, bt_job_t *job, guint task, const char *id,
                               const char *worker_name);
+gint64 bt_attempt_started_at (const bt_core_t *core, const bt_attempt_t *attempt);
 void bt_attempt_bind (bt_attempt_t *attempt, bt_worker_t *worker, const bt_vector_t *need);
 void bt_attempt_drop (bt_core_t *core, bt_attempt_t *attempt, bt_task_state_t task_state);
 void bt_attempt_undo (bt_core_t *core, bt_attempt_t *attempt);
--- a/libbamboothread/process/gang.c
+++ b/libbamboothread/process/gang.c
@@ -146,7 +146,7 @@
       if (job->request != NULL && job->request->kind == BT_KIND_SERVICE)
         continue;
       gint64 run = job->request != NULL ? bt_estimate_run_us (core, job) : 0;
-      release_t release = { .at = MAX (core->now, attempt->sent_at + run) };
+      release_t release = { .at = MAX (core->now, bt_attempt_started_at (core, attempt) + run) };
       release.worker = worker;
       release.attempt = attempt;
       g_array_append_val (forecast->releases, release);
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -167,6 +167,19 @@
   return attempt;
 }
 
+/**
+ * bt_attempt_started_at() - since when an attempt runs, as far as this owner knows
+ * @core: the core
+ * @attempt: the attempt
+ *
+ * Return: when it was sent, or when this owner began to lead if an earlier one sent it.
+ */
+gint64
+bt_attempt_started_at (const bt_core_t *core, const bt_attempt_t *attempt)
+{
+  return attempt->sent_at > 0 ? attempt->sent_at : core->owner.lead_since;
+}
+
 /**
  * bt_attempt_bind() - let an attempt take its share of a worker
  * @attempt: an attempt that is not bound yet
--- a/libbamboothread/process/preempt.c
+++ b/libbamboothread/process/preempt.c
@@ -138,7 +138,7 @@
 static double
 lost_work (const bt_core_t *core, const bt_attempt_t *attempt)
 {
-  double seconds = (double)(core->now - attempt->sent_at) / BT_USEC_PER_SEC;
+  double seconds = (double)(core->now - bt_attempt_started_at (core, attempt)) / BT_USEC_PER_SEC;
   double processors = (double)attempt->need.v[BT_RESOURCE_MCPUS] / 1000;
   return MAX (seconds, 1) * MAX (processors, 0.1);
 }
--- a/tests/test_preempt.c
+++ b/tests/test_preempt.c
@@ -32,6 +32,11 @@
   "[{\"team\":\"a\",\"cpus\":0,\"memory_mb\":0},{\"team\":\"b\",\"cpus\":32,"                      \
   "\"memory_mb\":262144}]"
 
+static const char *const fleet_routes
+    = "{\"name\":\"quick\",\"callers\":[\"*\"],\"work\":\"quick\",\"team\":\"a\",\"class\":"
+      "\"urgent\",\"pool\":\"p\",\"idempotent\":true},{\"name\":\"build\",\"callers\":[\"*\"],"
+      "\"work\":\"build\",\"team\":\"b\",\"class\":\"batch\",\"pool\":\"p\",\"idempotent\":true}";
+
 static scene_t *
 open_scene (const char *quotas)
 {
@@ -161,12 +166,8 @@
 START_TEST (throttle_then_checkpoint_then_stop)
 {
   const guint64 ordered = _i == 0 ? 1 : 0;
-  static const char *const routes
-      = "{\"name\":\"quick\",\"callers\":[\"*\"],\"work\":\"quick\",\"team\":\"a\",\"class\":"
-        "\"urgent\",\"pool\":\"p\",\"idempotent\":true},{\"name\":\"build\",\"callers\":[\"*\"],"
-        "\"work\":\"build\",\"team\":\"b\",\"class\":\"batch\",\"pool\":\"p\",\"idempotent\":true}";
   g_autofree char *pool = bt_fleet_pool ("p", "", 0, 1, 1, "\"cpus\": 8, \"memory_mb\": 8192");
-  bt_tables_t *tables = bt_fleet_tables (routes, pool);
+  bt_tables_t *tables = bt_fleet_tables (fleet_routes, pool);
   bt_fleet_t fleet;
   bt_fleet_init (&fleet, tables, "a", 1);
   bt_vector_t need = { { 4000, 64, 0, 1, 0 } };
@@ -206,6 +207,35 @@
 }
 END_TEST
 
+/* What an earlier owner started is as old as this owner's reign, not as the clock. */
+START_TEST (work_of_an_earlier_owner_has_an_age)
+{
+  g_autofree char *pool = bt_fleet_pool ("p", "", 0, 1, 1, "\"cpus\": 8, \"memory_mb\": 8192");
+  bt_tables_t *tables = bt_fleet_tables (fleet_routes, pool);
+  bt_fleet_t fleet;
+  bt_fleet_init (&fleet, tables, "a", 1);
+  bt_core_t *core = fleet.core;
+  bt_vector_t need = { { 4000, 64, 0, 1, 0 } };
+  bt_worker_t *worker = bt_owner_worker (core, "p-0");
+  core->owner.lead_since = core->now - 2 * BT_USEC_PER_SEC;
+  bt_attempt_t *own = bt_fleet_run (&fleet, bt_fleet_job (&fleet, "build", &need, 1), 0, worker);
+  bt_attempt_t *earlier
+      = bt_fleet_run (&fleet, bt_fleet_job (&fleet, "build", &need, 1), 0, worker);
+  own->sent_at = core->now - 100 * BT_USEC_PER_SEC;
+  earlier->sent_at = 0;
+  bt_job_t *job = bt_fleet_job (&fleet, "quick", &need, 1);
+  bt_queue_push (core, job);
+  bt_clock_advance (&fleet.clock, BT_USEC_PER_SEC);
+  core->now = bt_clock_now (&fleet.clock);
+  bt_quota_tick (core);
+  bt_preempt_consider (core, job);
+  ck_assert (earlier->throttled);
+  ck_assert (!own->throttled);
+  bt_fleet_clear (&fleet);
+  bt_tables_free (tables);
+}
+END_TEST
+
 /* Room that comes by itself while the victims are throttled costs them no work. */
 START_TEST (no_checkpoint_if_room_comes_by_itself)
 {
@@ -310,6 +340,7 @@
   tcase_add_loop_test (tests, who_makes_room, 0, G_N_ELEMENTS (cases));
   tcase_add_loop_test (tests, which_victim_goes_first, 0, G_N_ELEMENTS (order_cases));
   tcase_add_loop_test (tests, throttle_then_checkpoint_then_stop, 0, 2);
+  tcase_add_test (tests, work_of_an_earlier_owner_has_an_age);
   tcase_add_test (tests, no_checkpoint_if_room_comes_by_itself);
   tcase_add_test (tests, no_cascade_follows);
   tcase_add_test (tests, no_more_victims_than_needed);
