Take a request only in the reign it was sent to

Cause: an entry sends a request again after a second. A copy that is on the way when its owner gives the lead up, and arrives when that owner leads again, was admitted, though the caller may have been told not-run in between; seen as 1 start of a request told not-run in test_home, case 6 (late, lost and repeated messages). Ruled out: refusals are remembered within a reign already. Change: a request names the reign it is sent to; another reign answers retry. The test counted an idempotent request that its worker had stopped as a second run: the trace shows 'lost', that is, stopped at the worker when the lease of tasks ran out there (tasks_until 1011.92 s, list at 1013.16 s), and then started again, which is allowed. It now allows one more start for each such stop, for the idempotent work only; none for not-run. Conclusion: not-run holds across reigns.

--- a/bench/order.c
+++ b/bench/order.c
@@ -139,7 +139,7 @@
       1024 * g_rand_int_range (bench->rand, 1, 9));
   bt_request_t *request = bt_schema_parse (&bt_request_schema, json, strlen (json), NULL);
   g_autofree char *id = g_strdup_printf ("dc/j%" G_GUINT64_FORMAT, bench->exchange++);
-  bt_sched_submit (bench->core, "entry", id, request, FALSE, 0);
+  bt_sched_submit (bench->core, "entry", id, request, FALSE, 0, bench->core->owner.lead_since);
   bt_schema_free (&bt_request_schema, request);
 }
 
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -982,7 +982,8 @@
 void bt_sched_tick (bt_core_t *core);
 void bt_sched_run (bt_core_t *core);
 void bt_sched_submit (bt_core_t *core, const char *member, const char *id,
-                      const bt_request_t *request, gboolean resent, gint64 age_us);
+                      const bt_request_t *request, gboolean resent, gint64 age_us,
+                      gint64 lead_since);
 void bt_sched_caller_gone (bt_core_t *core, const char *member, const char *id);
 void bt_sched_cancel (bt_core_t *core, bt_job_t *job);
 void bt_sched_on_start (bt_core_t *core, const char *worker, const char *attempt,
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -269,12 +269,17 @@
  * @request: the request
  * @resent: whether an earlier owner was asked and may have run it
  * @age_us: time since the caller asked, in microseconds
+ * @lead_since: the reign of this daemon that the request was sent to
+ *
+ * A request that was sent to an earlier reign is not taken: the answer may
+ * have been told in it, and this is then a late copy.
  */
 void
 bt_sched_submit (bt_core_t *core, const char *member, const char *id, const bt_request_t *request,
-                 gboolean resent, gint64 age_us)
+                 gboolean resent, gint64 age_us, gint64 lead_since)
 {
-  if (!core->owner.leading || core->leaving)
+  gboolean this_reign = core->owner.leading && lead_since == core->owner.lead_since;
+  if (!this_reign || core->leaving)
     {
       bt_outcome_t outcome = { .status = BT_STATUS_RETRY, .reason = BT_REASON_NO_OWNER };
       tell_member (core, member, id, &outcome);
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -143,10 +143,15 @@
    */
   protobuf_c_boolean resent;
   uint32_t hops;
+  /*
+   * The reign that the receiver is asked in, as it named it; in another one it
+   * does not take the request, so that no late copy outlives an answer.
+   */
+  uint64_t lead_since_us;
 };
 #define BT__SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bt__submit__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 struct  Bt__Outcome
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -47,6 +47,8 @@
  * @running: number of attempts running now, by work
  * @started_ids: work by attempt
  * @by_exchange: number of starts by exchange
+ * @stopped: number of attempts that their worker stopped, by exchange
+ * @exchange_of: exchange by attempt
  * @query: body of the last answer to a query
  */
 typedef struct
@@ -59,6 +61,8 @@
   GHashTable *running;
   GHashTable *started_ids;
   GHashTable *by_exchange;
+  GHashTable *stopped;
+  GHashTable *exchange_of;
   char *query;
 } scene_t;
 
@@ -75,6 +79,7 @@
 guint scene_running (const scene_t *scene, const char *work);
 gint64 scene_wait_max (const scene_t *scene, const char *work);
 gint64 scene_wait_at (const scene_t *scene, const char *work, double part);
+guint scene_stops_at (const scene_t *scene, guint64 exchange);
 guint scene_starts_at (const scene_t *scene, guint64 exchange);
 guint scene_refused (const scene_t *scene, bt_reason_t reason);
 
