A request sent in an earlier reign may have run: say so to its owner

A daemon that lost and regained its data centre took a late second copy of a request, sent in its earlier reign, for a new one. It had forgotten that it had started it, let its deadline pass and told that it was not run, though it had run: test_home, row 6 of the floods that move on, once the order of messages changed. A submission now names the reign that it was sent to, and one of another reign counts as resent. Ruled out: that refused ids were forgotten, and that the early forgetting of short requests let the copy in.

The row's bound of one start was wrong for idempotent work when messages are lost: such a request was stopped and ran again, which it may. In its place no two attempts of a request may overlap, in all rows; non-idempotent work still starts at most once, and what was told not run never.

--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -266,7 +266,8 @@
     {
       if (submit->hops > 0)
         note_move (core, from, submit, request);
-      bt_sched_submit (core, from, submit->job, request, submit->resent,
+      gboolean late = (gint64)submit->lead_since_us != core->owner.lead_since;
+      bt_sched_submit (core, from, submit->job, request, submit->resent || late,
                        (gint64)submit->age_ms * BT_USEC_PER_MSEC);
     }
   bt_schema_free (&bt_request_schema, request);
--- a/libbamboothread/process/entry.c
+++ b/libbamboothread/process/entry.c
@@ -204,6 +204,7 @@
   submit.tables_version = (guint64)core->tables.version;
   submit.age_ms = (guint32)(age_us / BT_USEC_PER_MSEC);
   submit.resent = pending->maybe_run;
+  submit.lead_since_us = (guint64)lead_since;
   submit.hops = pending->refused_by != NULL ? pending->refused_by->len : 0;
   Bt__Envelope envelope = BT__ENVELOPE__INIT;
   envelope.body_case = BT__ENVELOPE__BODY_SUBMIT;
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1076,7 +1076,7 @@
   (ProtobufCMessageInit) bt__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bt__submit__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bt__submit__field_descriptors[7] =
 {
   {
     "job",
@@ -1150,11 +1150,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lead_since_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bt__Submit, lead_since_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bt__submit__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
   5,   /* field[5] = hops */
   0,   /* field[0] = job */
+  6,   /* field[6] = lead_since_us */
   1,   /* field[1] = request */
   4,   /* field[4] = resent */
   2,   /* field[2] = tables_version */
@@ -1162,7 +1175,7 @@
 static const ProtobufCIntRange bt__submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bt__submit__descriptor =
 {
@@ -1172,7 +1185,7 @@
   "Bt__Submit",
   "bt",
   sizeof(Bt__Submit),
-  6,
+  7,
   bt__submit__field_descriptors,
   bt__submit__field_indices_by_name,
   1,  bt__submit__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -143,10 +143,14 @@
    */
   protobuf_c_boolean resent;
   uint32_t hops;
+  /*
+   * The reign that it was sent to, see Outcome; a copy that comes in a later one may have run.
+   */
+  uint64_t lead_since_us;
 };
 #define BT__SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bt__submit__descriptor) \
-    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 struct  Bt__Outcome
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -47,6 +47,8 @@
  * @running: number of attempts running now, by work
  * @started_ids: work by attempt
  * @by_exchange: number of starts by exchange
+ * @exchanges: exchange by attempt
+ * @overlaps: starts of a request while another attempt of it ran
  * @query: body of the last answer to a query
  */
 typedef struct
@@ -59,6 +61,8 @@
   GHashTable *running;
   GHashTable *started_ids;
   GHashTable *by_exchange;
+  GHashTable *exchanges;
+  guint overlaps;
   char *query;
 } scene_t;
 
