--- a/tests/scene.c
+++ b/tests/scene.c
@@ -88,10 +88,12 @@
     return;
   g_autofree char *number = g_strdup_printf ("%" G_GUINT64_FORMAT, exchange);
   count (scene->by_exchange, number, 1);
+  count (scene->running, number, 1);
+  scene->overlaps += scene_running (scene, number) > 1;
+  g_hash_table_replace (scene->exchanges, g_strdup (request->attempt), g_strdup (number));
   count (scene->starts, work, 1);
   count (scene->running, work, 1);
   g_hash_table_replace (scene->started_ids, g_strdup (request->attempt), g_strdup (work));
-  g_hash_table_replace (scene->exchange_of, g_strdup (request->attempt), g_strdup (number));
   GArray *waits = g_hash_table_lookup (scene->waits, work);
   if (waits == NULL)
     {
@@ -111,7 +113,8 @@
     return;
   count (scene->running, work, -1);
   if (report->state == BT_ATTEMPT_STOPPED)
-    count (scene->stopped, g_hash_table_lookup (scene->exchange_of, report->attempt), 1);
+    count (scene->stopped, g_hash_table_lookup (scene->exchanges, report->attempt), 1);
+  count (scene->running, g_hash_table_lookup (scene->exchanges, report->attempt), -1);
 }
 
 static void
@@ -140,7 +143,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_array_unref);
   scene->by_exchange = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   scene->stopped = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  scene->exchange_of = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  scene->exchanges = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   bt_world_config_t world;
   bt_world_config_init (&world);
   world.tables = scene->tables;
@@ -162,7 +165,7 @@
   g_hash_table_unref (scene->started_ids);
   g_hash_table_unref (scene->by_exchange);
   g_hash_table_unref (scene->stopped);
-  g_hash_table_unref (scene->exchange_of);
+  g_hash_table_unref (scene->exchanges);
   g_hash_table_unref (scene->waits);
   g_free (scene->query);
   g_free (scene);
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -48,7 +48,8 @@
  * @started_ids: work by attempt
  * @by_exchange: number of starts by exchange
  * @stopped: number of attempts that their worker stopped, by exchange
- * @exchange_of: exchange by attempt
+ * @exchanges: exchange by attempt
+ * @overlaps: starts of a request while another attempt of it ran
  * @query: body of the last answer to a query
  */
 typedef struct
@@ -62,7 +63,8 @@
   GHashTable *started_ids;
   GHashTable *by_exchange;
   GHashTable *stopped;
-  GHashTable *exchange_of;
+  GHashTable *exchanges;
+  guint overlaps;
   char *query;
 } scene_t;
 
