--- a/standins/world.c
+++ b/standins/world.c
@@ -544,6 +544,10 @@
   config.incarnation = ++world->incarnation_counter;
   config.seeds = world->seeds;
   config.seed = g_rand_int (world->rand);
+  if (world->config.lease_us > 0)
+    config.lease_us = world->config.lease_us;
+  if (world->config.task_lease_us > 0)
+    config.task_lease_us = world->config.task_lease_us;
   if (world->config.snapshot_us > 0)
     config.snapshot_us = world->config.snapshot_us;
   node->incarnation = config.incarnation;
--- a/standins/world.h
+++ b/standins/world.h
@@ -20,6 +20,8 @@
  * @delay_max_us: longest delay of a message without faults
  * @call_timeout_us: how long a caller of a worker or the log waits for a reply
  * @snapshot_us: time in which all that the log keeps is written again, or 0 for the usual
+ * @lease_us: lease of a worker, or 0 for the usual one
+ * @task_lease_us: lease of tasks, or 0 for the usual one
  * @region_of: region of a data centre, or NULL for one region each
  * @seed: of everything random
  */
@@ -31,6 +33,8 @@
   gint64 delay_min_us;
   gint64 delay_max_us;
   gint64 call_timeout_us;
+  gint64 lease_us;
+  gint64 task_lease_us;
   gint64 snapshot_us;
   const char *(*region_of) (const char *data_centre);
   guint32 seed;
