Refuse late copies of a refused request with a key too

Cause: the entry sends a request again while no answer comes. The owner refused one copy as not run, and took the next one, which ran. Ruled out: a change of owner; one owner led all the time. Change: with a key the refusal is remembered for 5 s, longer than a copy is on its way. A caller that comes again within that time is refused again.

--- a/libbamboothread/process/admit.c
+++ b/libbamboothread/process/admit.c
@@ -15,6 +15,8 @@
 /* Callers are told times up to this much longer, so that they don't come back at once. */
 #define JITTER_PERCENT 50
 
+/* How long a copy of a refused request with a key may still be on its way. */
+#define KEY_REFUSED_US (5 * BT_USEC_PER_SEC)
 /* Refused ids that are remembered. */
 #define REFUSALS_KEPT 16384
 
@@ -27,6 +29,7 @@
 {
   core->refusals.ids = g_hash_table_new (g_str_hash, g_str_equal);
   core->refusals.order = g_new0 (GRefString *, REFUSALS_KEPT);
+  core->refusals.until = g_new0 (gint64, REFUSALS_KEPT);
 }
 
 /**
@@ -40,32 +43,41 @@
   for (gsize i = 0; i < REFUSALS_KEPT; i++)
     g_clear_pointer (&core->refusals.order[i], g_ref_string_release);
   g_free (core->refusals.order);
+  g_free (core->refusals.until);
 }
 
 /**
  * bt_admit_note_refused() - remember that a request was refused
  * @core: the core
  * @id: its id
- * @request: the request; with a key nothing is remembered, for its caller may
- *   come again under the same id
+ * @request: the request; with a key it is remembered for a short time only,
+ *   for its caller may come again under the same id
  *
- * Its entry may hand it to another data centre now, so that a second copy that
- * is still on its way here must not be taken.
+ * Its entry may hand it to another data centre now or tell its caller, so that
+ * a second copy that is still on its way here must not be taken.
  */
 void
 bt_admit_note_refused (bt_core_t *core, const char *id, const bt_request_t *request)
 {
   bt_refusals_t *refusals = &core->refusals;
-  if (request->key != NULL || g_hash_table_contains (refusals->ids, id))
+  if (bt_admit_was_refused (core, id))
     return;
-  GRefString **oldest = &refusals->order[refusals->next++ % REFUSALS_KEPT];
-  if (*oldest != NULL)
+  gint64 until = request->key != NULL ? core->now + KEY_REFUSED_US : G_MAXINT64;
+  gint64 *known = g_hash_table_lookup (refusals->ids, id);
+  if (known != NULL)
     {
-      g_hash_table_remove (refusals->ids, *oldest);
-      g_ref_string_release (*oldest);
+      *known = until;
+      return;
+    }
+  gsize at = refusals->next++ % REFUSALS_KEPT;
+  if (refusals->order[at] != NULL)
+    {
+      g_hash_table_remove (refusals->ids, refusals->order[at]);
+      g_ref_string_release (refusals->order[at]);
     }
-  *oldest = g_ref_string_new (id);
-  g_hash_table_add (refusals->ids, *oldest);
+  refusals->order[at] = g_ref_string_new (id);
+  refusals->until[at] = until;
+  g_hash_table_insert (refusals->ids, refusals->order[at], &refusals->until[at]);
 }
 
 /**
@@ -78,7 +90,8 @@
 gboolean
 bt_admit_was_refused (const bt_core_t *core, const char *id)
 {
-  return g_hash_table_contains (core->refusals.ids, id);
+  const gint64 *until = g_hash_table_lookup (core->refusals.ids, id);
+  return until != NULL && core->now < *until;
 }
 
 static guint32
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -667,12 +667,15 @@
 
 /**
  * struct bt_refusals_t - ids refused lately; written by admit.c
+ * @ids: until when each is remembered, by id
  * @order: the same ids as a ring, oldest at @next
+ * @until: the times of @order
  */
 typedef struct
 {
   GHashTable *ids;
   GRefString **order;
+  gint64 *until;
   gsize next;
 } bt_refusals_t;
 
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -140,6 +140,21 @@
     "31272 50 submit 62 46804 29604\n"
     "33327 30 start 9 53622 24701\n",
     BT_STATUS_ACCEPTED, 1 },
+  { "a late copy of a refused request with a key is not taken",
+    "world seed=58 calm=0 data_centres=3 daemons=2 workers=6 ms=34553\n"
+    "3000 1 host-cut 52 63385 30881\n"
+    "3532 4 leave 0 35075 23854\n"
+    "3543 5 submit 52 39240 1137\n"
+    "3936 6 submit 29 39262 18272\n"
+    "4003 7 submit 56 25634 41277\n"
+    "4178 8 submit 2 47220 8186\n"
+    "4725 9 submit 0 30413 44655\n"
+    "6230 13 submit 54 20533 31539\n"
+    "7015 15 links 58 58173 55993\n"
+    "7088 16 submit 41 52771 51479\n"
+    "7557 17 submit 54 9746 30715\n"
+    "8114 18 submit 10 8220 31127\n",
+    BT_STATUS_NOT_RUN, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
