Remember the refusal of a request with a key for 5 s

Ruled out: a second send by the entry, which is told as unknown already; here the message itself came twice. The refusal is remembered for 5 s, and the caller told to wait as long. Also, why-waiting tells of a job whose tasks have all ended while its end is not recorded.

--- a/libbamboothread/process/admit.c
+++ b/libbamboothread/process/admit.c
@@ -17,6 +17,8 @@
 
 /* Refused ids that are remembered. */
 #define REFUSALS_KEPT 16384
+/* How long a refusal of a request with a key is remembered, and its caller told to wait. */
+#define KEYED_REFUSAL_MS 5000
 
 /**
  * bt_admit_init() - nothing refused yet
@@ -27,6 +29,7 @@
 {
   core->refusals.ids = g_hash_table_new (g_str_hash, g_str_equal);
   core->refusals.order = g_new0 (GRefString *, REFUSALS_KEPT);
+  core->refusals.at = g_new0 (gint64, REFUSALS_KEPT);
 }
 
 /**
@@ -40,45 +43,50 @@
   for (gsize i = 0; i < REFUSALS_KEPT; i++)
     g_clear_pointer (&core->refusals.order[i], g_ref_string_release);
   g_free (core->refusals.order);
+  g_free (core->refusals.at);
 }
 
 /**
  * bt_admit_note_refused() - remember that a request was refused
  * @core: the core
  * @id: its id
- * @request: the request; with a key nothing is remembered, for its caller may
- *   come again under the same id
  *
  * Its entry may hand it to another data centre now, so that a second copy that
- * is still on its way here must not be taken.
+ * is still on its way here must not be taken. One with a key may come again under
+ * the same id, so it is remembered only for a while.
  */
 void
-bt_admit_note_refused (bt_core_t *core, const char *id, const bt_request_t *request)
+bt_admit_note_refused (bt_core_t *core, const char *id)
 {
   bt_refusals_t *refusals = &core->refusals;
-  if (request->key != NULL || g_hash_table_contains (refusals->ids, id))
+  if (bt_admit_was_refused (core, id, FALSE))
     return;
   GRefString **oldest = &refusals->order[refusals->next++ % REFUSALS_KEPT];
-  if (*oldest != NULL)
-    {
-      g_hash_table_remove (refusals->ids, *oldest);
-      g_ref_string_release (*oldest);
-    }
+  if (*oldest != NULL && g_hash_table_lookup (refusals->ids, *oldest) == oldest)
+    g_hash_table_remove (refusals->ids, *oldest);
+  g_clear_pointer (oldest, g_ref_string_release);
   *oldest = g_ref_string_new (id);
-  g_hash_table_add (refusals->ids, *oldest);
+  refusals->at[oldest - refusals->order] = core->now;
+  g_hash_table_replace (refusals->ids, *oldest, oldest);
 }
 
 /**
  * bt_admit_was_refused() - whether a request was refused here lately
  * @core: the core
  * @id: its id
+ * @keyed: whether it has a key
  *
  * Return: TRUE if it was.
  */
 gboolean
-bt_admit_was_refused (const bt_core_t *core, const char *id)
+bt_admit_was_refused (const bt_core_t *core, const char *id, gboolean keyed)
 {
-  return g_hash_table_contains (core->refusals.ids, id);
+  const bt_refusals_t *refusals = &core->refusals;
+  GRefString **found = g_hash_table_lookup (refusals->ids, id);
+  if (found == NULL)
+    return FALSE;
+  gint64 age = core->now - refusals->at[found - refusals->order];
+  return !keyed || age < KEYED_REFUSAL_MS * BT_USEC_PER_MSEC;
 }
 
 static guint32
@@ -192,6 +200,8 @@
     check_queue (core, route, request, verdict);
   if (verdict->reason == BT_REASON_NONE)
     check_wait (core, route, request, age_us, verdict);
+  if (verdict->reason != BT_REASON_NONE && request->key != NULL)
+    verdict->retry_after_ms = MAX (verdict->retry_after_ms, KEYED_REFUSAL_MS);
 }
 
 /**
@@ -201,7 +211,7 @@
 void
 bt_admit_refuse_again (bt_admission_t *verdict)
 {
-  refuse (verdict, BT_REASON_QUEUE_FULL, RETRY_AFTER_USUAL_MS,
+  refuse (verdict, BT_REASON_QUEUE_FULL, KEYED_REFUSAL_MS,
           g_strdup ("an earlier copy of it was refused"));
 }
 
--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -667,12 +667,15 @@
 
 /**
  * struct bt_refusals_t - ids refused lately; written by admit.c
+ * @ids: place in @order by id
  * @order: the same ids as a ring, oldest at @next
+ * @at: when each was refused, in microseconds
  */
 typedef struct
 {
   GHashTable *ids;
   GRefString **order;
+  gint64 *at;
   gsize next;
 } bt_refusals_t;
 
@@ -913,8 +916,8 @@
 /* admit.c */
 void bt_admit_init (bt_core_t *core);
 void bt_admit_clear (bt_core_t *core);
-void bt_admit_note_refused (bt_core_t *core, const char *id, const bt_request_t *request);
-gboolean bt_admit_was_refused (const bt_core_t *core, const char *id);
+void bt_admit_note_refused (bt_core_t *core, const char *id);
+gboolean bt_admit_was_refused (const bt_core_t *core, const char *id, gboolean keyed);
 void bt_admit_refuse_again (bt_admission_t *verdict);
 void bt_admit_check (bt_core_t *core, const bt_route_t *route, const bt_request_t *request,
                      gint64 age_us, bt_admission_t *verdict);
--- a/libbamboothread/process/explain.c
+++ b/libbamboothread/process/explain.c
@@ -268,6 +268,10 @@
   else if (job->n_placed > 0)
     add_cause (causes, "running", route_line (job),
                g_strdup_printf ("%u of its tasks run", job->n_placed), g_strdup ("nothing"));
+  else if (job->n_tasks > 0 && job->n_ended == job->n_tasks)
+    add_cause (causes, "ending", route_line (job),
+               g_strdup ("all its tasks have ended, and its own end is not recorded"),
+               g_strdup ("the owner has to record its end"));
   else
     add_cause (causes, "unknown", route_line (job),
                g_strdup ("only a report of a worker told of it"),
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -303,14 +303,14 @@
     }
   gboolean recorded_kind = bt_request_durable (request) || !route->idempotent;
   bt_admission_t verdict;
-  if (bt_admit_was_refused (core, id))
+  if (bt_admit_was_refused (core, id, request->key != NULL))
     bt_admit_refuse_again (&verdict);
   else
     bt_admit_check (core, route, request, age_us, &verdict);
   if (verdict.reason != BT_REASON_NONE)
     {
       gboolean certain = surely_not_run (core, resent, recorded_kind);
-      bt_admit_note_refused (core, id, request);
+      bt_admit_note_refused (core, id);
       refuse (core, member, id, certain, route->name, &verdict);
       g_free (verdict.detail);
       return;
--- a/tests/scene.c
+++ b/tests/scene.c
@@ -195,6 +195,9 @@
                          scene->world->clock.now_us, scene->world->exchange_counter + 1);
   g_ref_string_release (request->payload);
   request->payload = g_ref_string_new (payload);
+  g_autofree char *key = g_strdup_printf ("%" G_GUINT64_FORMAT, scene->world->exchange_counter + 1);
+  if (scene->keyed)
+    request->key = g_ref_string_new (key);
   guint64 exchange = bt_world_submit (scene->world, bt_world_node (scene->world, node), request);
   bt_schema_free (&bt_request_schema, request);
   return exchange;
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -50,6 +50,7 @@
  * @stopped: number of attempts that their worker stopped, by exchange
  * @exchanges: exchange by attempt
  * @overlaps: starts of a request while another attempt of it ran
+ * @keyed: whether each request gets a key of its own
  * @query: body of the last answer to a query
  */
 typedef struct
@@ -65,6 +66,7 @@
   GHashTable *stopped;
   GHashTable *exchanges;
   guint overlaps;
+  gboolean keyed;
   char *query;
 } scene_t;
 
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -190,6 +190,39 @@
 }
 END_TEST
 
+/* A request with a key that was refused is not taken from a second copy of its message. */
+START_TEST (a_refused_key_is_not_taken_from_a_copy)
+{
+  scene_config_t config = base;
+  config.seed = (guint32)_i + 1;
+  scene_t *scene = scene_new (&config);
+  scene->keyed = TRUE;
+  scene->world->repeat_percent = 80;
+  scene->world->late_percent = 30;
+  scene->world->late_max_us = 2 * BT_USEC_PER_SEC;
+  for (guint round = 0; round < 80; round++)
+    {
+      for (guint i = 0; i < 20; i++)
+        scene_submit (scene, "dc1-d1", "c", "charge", BT_KIND_REQUEST, 1, 1000, 500);
+      bt_world_run (scene->world, 100 * BT_USEC_PER_MSEC);
+    }
+  bt_world_heal (scene->world);
+  bt_world_run (scene->world, 40 * BT_USEC_PER_SEC);
+  guint not_run = 0;
+  GHashTableIter iter;
+  const scene_answer_t *answer;
+  g_hash_table_iter_init (&iter, scene->answers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&answer))
+    {
+      gboolean refused = answer->status == BT_STATUS_NOT_RUN;
+      not_run += refused;
+      ck_assert_uint_le (scene_starts_at (scene, answer->exchange), refused ? 0 : 1);
+    }
+  ck_assert_uint_gt (not_run, 50);
+  scene_free (scene);
+}
+END_TEST
+
 /* The new home can say that a request was handed on, and by which route it came. */
 START_TEST (a_move_is_explained)
 {
@@ -222,6 +255,7 @@
   tcase_add_test (tests, a_key_has_one_home);
   tcase_add_loop_test (tests, a_flood_moves_on_and_nothing_runs_twice, 0,
                        G_N_ELEMENTS (move_cases));
+  tcase_add_loop_test (tests, a_refused_key_is_not_taken_from_a_copy, 0, 4);
   tcase_add_test (tests, a_move_is_explained);
   return suite_run ("home", tests);
 }
