Move a gang off a leaving VM only if all of it has room without the VM

Cause: past drain_ms a gang was stopped as soon as one of its tasks had room elsewhere; it could then wait for the rest. Change: the room for the whole gang is added up first, its own workers included. Proof: test_drain, a_gang_moves_as_a_whole; fails if the room, or what the gang itself holds, is not counted.

--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -964,6 +964,7 @@
 void bt_gang_clear (bt_core_t *core);
 void bt_gang_tick (bt_core_t *core);
 gboolean bt_gang_place (bt_core_t *core, bt_job_t *job);
+gboolean bt_gang_fits_anew (const bt_core_t *core, const bt_job_t *job);
 gboolean bt_gang_allows (const bt_core_t *core, const bt_worker_t *worker, const bt_job_t *job);
 
 /* preempt.c */
--- a/libbamboothread/process/drain.c
+++ b/libbamboothread/process/drain.c
@@ -104,6 +104,8 @@
   const bt_job_t *job = attempt->job;
   if (!others_run (job))
     return FALSE;
+  if (job->request->kind == BT_KIND_GANG)
+    return bt_gang_fits_anew (core, job);
   return bt_place_find (core, job, attempt->task) != NULL;
 }
 
--- a/libbamboothread/process/gang.c
+++ b/libbamboothread/process/gang.c
@@ -320,6 +320,35 @@
   return TRUE;
 }
 
+/**
+ * bt_gang_fits_anew() - whether a running gang, once stopped, could start again at once
+ * @core: the core
+ * @job: the gang
+ *
+ * Return: TRUE if the workers that may take work have room for all its running
+ * tasks, in what is free and in what the gang itself has there.
+ */
+gboolean
+bt_gang_fits_anew (const bt_core_t *core, const bt_job_t *job)
+{
+  gint64 fitting = 0;
+  GHashTableIter iter;
+  const bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, core->owner.workers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    {
+      if (!g_str_equal (worker->pool, job->pool) || !bt_owner_may_start (core, worker))
+        continue;
+      bt_vector_t room;
+      bt_quota_room (core, job, worker, &room);
+      for (guint i = 0; i < job->n_tasks; i++)
+        if (job->tasks[i].attempt != NULL && job->tasks[i].attempt->worker == worker)
+          bt_vector_add (&room, &job->need);
+      fitting += tasks_in (&room, &job->need);
+    }
+  return fitting >= job->n_placed;
+}
+
 /**
  * bt_gang_allows() - whether a worker's reservation leaves room for a task
  * @core: the core
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -231,6 +231,29 @@
 }
 END_TEST
 
+/* A gang past the limit is stopped only if all of it has room without the VM. */
+static const struct
+{
+  gint64 tasks;
+  guint starts;
+} gang_cases[] = {
+  { 5, 5 },
+  { 4, 8 },
+};
+
+START_TEST (a_gang_moves_as_a_whole)
+{
+  scene_t *scene = scene_new (&base);
+  scene_submit (scene, "dc1-d1", "c", "gang", BT_KIND_GANG, gang_cases[_i].tasks, 16000, 600000);
+  bt_world_run (scene->world, 2 * BT_USEC_PER_SEC);
+  set_leaving (scene, BY_WORKER, host_with_work (scene)->model.name, TRUE);
+  run_and_check (scene, "gang", (guint)gang_cases[_i].tasks, 20 * BT_USEC_PER_SEC);
+  ck_assert_uint_eq (scene_running (scene, "gang"), gang_cases[_i].tasks);
+  ck_assert_uint_eq (scene_starts (scene, "gang"), gang_cases[_i].starts);
+  scene_free (scene);
+}
+END_TEST
+
 /* Of a service at most one task is down at a time, however many of its VMs leave. */
 START_TEST (one_task_of_a_service_moves_at_a_time)
 {
@@ -342,6 +365,7 @@
   tcase_add_test (tests, a_request_of_an_earlier_owner_is_not_cut_off);
   tcase_add_loop_test (tests, a_leaving_vm_gets_no_work_until_it_stays, 0, BY_TABLES + 1);
   tcase_add_loop_test (tests, a_service_without_another_place_stays, 0, BY_TABLES + 1);
+  tcase_add_loop_test (tests, a_gang_moves_as_a_whole, 0, G_N_ELEMENTS (gang_cases));
   tcase_add_test (tests, one_task_of_a_service_moves_at_a_time);
   tcase_add_loop_test (tests, an_edit_makes_waiting_work_impossible, 0, G_N_ELEMENTS (fit_cases));
   tcase_add_test (tests, a_wave_of_cancellations_is_sent_in_batches);
