--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -240,12 +240,19 @@
   BT_TASK_ENDED,
 } bt_task_state_t;
 
+/**
+ * struct bt_task_t - a task of a job
+ * @tries: attempts so far
+ * @recorded: whether the log holds its end
+ * @failed: whether the log says that it failed for good
+ */
 typedef struct
 {
   bt_task_state_t state;
   bt_attempt_t *attempt;
   guint tries;
   gboolean recorded;
+  gboolean failed;
   GBytes *answer;
 } bt_task_t;
 
--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -382,11 +382,15 @@
     bt_attempt_drop (core, task->attempt, BT_TASK_ENDED);
   else
     bt_sched_attempt_surplus (core, task->attempt);
-  if (record->answer == NULL)
-    return;
-  gsize len;
-  guchar *data = g_base64_decode (record->answer, &len);
-  task->answer = g_bytes_new_take (data, len);
+  task->failed = record->status == BT_STATUS_FAILED;
+  if (record->answer != NULL)
+    {
+      gsize len;
+      guchar *data = g_base64_decode (record->answer, &len);
+      task->answer = g_bytes_new_take (data, len);
+    }
+  if (core->owner.leading && core->journal.caught_up)
+    bt_sched_finish (core, job);
 }
 
 static void
@@ -429,6 +433,17 @@
     }
 }
 
+/* An earlier owner may have recorded the ends of all tasks, but not that of the job. */
+static void
+finish_ended (bt_core_t *core)
+{
+  GHashTableIter iter;
+  bt_job_t *job;
+  g_hash_table_iter_init (&iter, core->sched.jobs);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&job))
+    bt_sched_finish (core, job);
+}
+
 /**
  * bt_recover_fold() - take in a record of the journal
  * @core: the core
@@ -442,6 +457,7 @@
     {
     case BT_RECORD_LEAD:
       record_again (core);
+      finish_ended (core);
       if (core->owner.settled)
         bt_recover_on_settled (core);
       bt_sched_run (core);
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -177,15 +177,33 @@
   bt_sched_tell (core, job);
 }
 
+static const bt_task_t *
+failed_task (const bt_job_t *job)
+{
+  for (guint i = 0; i < job->n_tasks; i++)
+    if (job->tasks[i].failed)
+      return &job->tasks[i];
+  return NULL;
+}
+
 /**
- * bt_sched_finish() - end a job whose tasks have all ended well
+ * bt_sched_finish() - end a job whose tasks have all ended, or of which one failed for good
  * @core: the core
  * @job: the job; while only workers' reports tell of it, its number of tasks is not known
  */
 void
 bt_sched_finish (bt_core_t *core, bt_job_t *job)
 {
-  if (job->state != BT_JOB_OPEN || job->request == NULL || job->n_ended < job->n_tasks)
+  if (job->state != BT_JOB_OPEN || job->request == NULL)
+    return;
+  const bt_task_t *failed = failed_task (job);
+  if (failed != NULL)
+    {
+      bt_sched_end_job (core, job, BT_STATUS_FAILED, BT_REASON_TASK_FAILED, failed->answer,
+                        "a task failed on its worker");
+      return;
+    }
+  if (job->n_ended < job->n_tasks)
     return;
   g_autoptr (GBytes) answer = bt_job_answer (job);
   bt_sched_end_job (core, job, BT_STATUS_DONE, BT_REASON_NONE, answer, NULL);
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -155,6 +155,27 @@
     "7557 17 submit 54 9746 30715\n"
     "8114 18 submit 10 8220 31127\n",
     BT_STATUS_NOT_RUN, 1 },
+  { "a job whose tasks have all ended in the journal ends too",
+    "world seed=266 calm=0 data_centres=2 daemons=3 workers=6 ms=42295\n"
+    "2066 25 submit 37 17227 43185\n"
+    "2219 26 submit 40 51759 50591\n"
+    "2571 31 submit 33 64186 21702\n"
+    "2584 32 log-cut 30 4892 24731\n"
+    "2937 36 submit 51 26132 62840\n"
+    "3430 39 submit 62 48742 20518\n"
+    "4267 46 kill 61 49772 3517\n"
+    "4494 48 cut 4 60776 5220\n"
+    "4999 52 submit 40 54998 33224\n"
+    "5214 53 links 10 55439 57341\n"
+    "5474 54 isolate 41 27687 11424\n"
+    "5653 56 isolate 42 44284 50605\n"
+    "5682 58 submit 52 48793 7535\n"
+    "5897 59 repeat 4 25 42918\n"
+    "6567 57 unisolate 42 44284 50605\n"
+    "6768 67 edit-race 34 10419 9323\n"
+    "7123 70 host-pause 12 4691 24786\n"
+    "24577 197 isolate 6 31874 50138\n",
+    BT_STATUS_ACCEPTED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
