Trust a worker again on which no probe failed for 30 s

Cause: a worker on probation takes one idempotent task at a time. Ruled out: the queue; the waiting jobs were offered to the worker. Change: a worker on probation on which no probe fails for 30 s is trusted, and judged as any other from then on. Before: both cases fail; after: they pass.

--- a/libbamboothread/process/health.c
+++ b/libbamboothread/process/health.c
@@ -26,6 +26,8 @@
 #define JUDGED_PER_TICK 8
 #define REST_FIRST_US (10 * BT_USEC_PER_SEC)
 #define REST_MAX_US (600LL * BT_USEC_PER_SEC)
+/* A worker on which no probe has failed for this time is trusted again. */
+#define PROBED_MAX_US (30 * BT_USEC_PER_SEC)
 /* Successes of probes before a worker is trusted again. */
 #define PROBES_NEEDED 2
 /* Lost leases and restarts, halved as above, after which a worker rests. */
@@ -186,6 +188,14 @@
   bt_log (BT_LOG_NOTICE, "worker-trusted", "worker=%s", worker->name);
 }
 
+/* Probes may never come, or never end: only short idempotent work gives a verdict soon. */
+static gboolean
+probed_long (const bt_core_t *core, const bt_worker_t *worker)
+{
+  return worker->health.state == BT_HEALTH_PROBED
+         && core->now >= worker->health.rest_until + PROBED_MAX_US;
+}
+
 static void
 judge_probe (bt_core_t *core, bt_worker_t *worker, const bt_job_t *job, gboolean failed)
 {
@@ -354,6 +364,8 @@
     {
       if (worker->health.state == BT_HEALTH_RESTING && core->now >= worker->health.rest_until)
         worker->health.state = BT_HEALTH_PROBED;
+      if (probed_long (core, worker))
+        trust (core, worker);
       if (left > 0 && judgement_due (core, worker))
         {
           left--;
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -176,6 +176,36 @@
     "7123 70 host-pause 12 4691 24786\n"
     "24577 197 isolate 6 31874 50138\n",
     BT_STATUS_ACCEPTED, 1 },
+  { "a service does not keep its worker on probation for ever",
+    "world seed=672 calm=1 data_centres=3 daemons=3 workers=3 ms=44613\n"
+    "0 1 submit 43 36630 5009\n"
+    "1313 5 submit 15 60235 65297\n"
+    "10493 31 repeat 48 1 6251\n"
+    "12905 36 submit 42 3610 9587\n"
+    "13364 38 submit 15 2119 21140\n"
+    "35338 84 host-listed-leaving 59 35050 46637\n"
+    "41312 98 submit 54 6948 39835\n",
+    BT_STATUS_ACCEPTED, 1 },
+  { "a worker that nothing probes is trusted again",
+    "world seed=721 calm=0 data_centres=3 daemons=3 workers=3 ms=39554\n"
+    "1390 6 submit 31 17310 19830\n"
+    "3076 12 host-kill 9 40451 22003\n"
+    "5107 21 log-down 37 11401 2197\n"
+    "5530 22 log-up 37 11401 2197\n"
+    "5667 23 leave 43 17916 3468\n"
+    "6380 24 edit 4 52855 33840\n"
+    "7382 27 leave 13 42335 31647\n"
+    "7452 28 kill 15 53525 53443\n"
+    "7501 30 submit 14 27940 57018\n"
+    "8454 29 start 15 53525 53443\n"
+    "9609 37 links 51 2981 43922\n"
+    "20868 73 host-kill 47 21729 40586\n"
+    "21341 75 submit 62 48038 53092\n"
+    "21610 76 submit 0 62671 60881\n"
+    "21851 77 submit 35 54991 63446\n"
+    "21865 78 submit 37 44766 61414\n"
+    "25157 94 host-listed-leaving 30 17813 11415\n",
+    BT_STATUS_ACCEPTED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
