--- a/tests/fuzz/cell.c
+++ b/tests/fuzz/cell.c
@@ -203,26 +203,24 @@
   if (cell_host_stays (first, vm->name))
     return;
   bt_pool_t *line = bt_schema_copy (&bt_pool_schema, bt_tables_pool (now, pool->name));
+  bt_pool_t *whole = bt_schema_copy (&bt_pool_schema, pool);
   gboolean removed = FALSE;
   for (guint i = line->vms->len; i > 0; i--)
     {
       bt_vm_t *has = line->vms->pdata[i - 1];
       if (strcmp (has->name, vm->name) != 0)
         continue;
-      g_ptr_array_remove_index (line->vms, i - 1);
+      /* Freed with the copy of the whole line. */
+      g_ptr_array_add (whole->vms, g_ptr_array_steal_index (line->vms, i - 1));
       removed = TRUE;
     }
-  if (!removed)
+  for (guint i = 0; !removed && i < whole->vms->len; i++)
     {
-      bt_pool_t *whole = bt_schema_copy (&bt_pool_schema, pool);
-      for (guint i = 0; i < whole->vms->len; i++)
-        {
-          bt_vm_t *back = whole->vms->pdata[i];
-          if (strcmp (back->name, vm->name) == 0)
-            g_ptr_array_add (line->vms, g_ptr_array_steal_index (whole->vms, i));
-        }
-      bt_schema_free (&bt_pool_schema, whole);
+      const bt_vm_t *back = whole->vms->pdata[i];
+      if (strcmp (back->name, vm->name) == 0)
+        g_ptr_array_add (line->vms, g_ptr_array_steal_index (whole->vms, i));
     }
+  bt_schema_free (&bt_pool_schema, whole);
   g_ptr_array_add (edit->put->pools, line);
 }
 
