Hold a VM only for the first job of its lane

Ruled out: health (good), leaving, the lease (held), quota. Change: a hold ends when its job is no longer the first of its lane. Conclusion: a hold can't outlive its turn.

--- a/libbamboothread/process/queue.c
+++ b/libbamboothread/process/queue.c
@@ -808,13 +808,19 @@
     }
 }
 
+/*
+ * A VM is held only for a job that is tried: one that another of its lane came
+ * before would wait for that one, and that one for the VM.
+ */
 static void
 check_hold (bt_core_t *core, bt_queue_pool_t *pool)
 {
   if (pool->holder == NULL)
     return;
   const bt_worker_t *worker = bt_owner_worker (core, pool->held);
-  if (worker == NULL || !bt_owner_may_start (core, worker) || pool->holder->parked)
+  const bt_job_t *holder = pool->holder;
+  if (worker == NULL || !bt_owner_may_start (core, worker) || holder->parked
+      || holder->lane->first != holder)
     release_hold (core, pool);
 }
 
