Forget sent starts with the lead, and fence their workers

Cause: an owner that lost the lead kept the starts whose reply had not come. Ruled out: the order of reports within one list; it only moves the fault to two workers' lists. Change: such a start is dropped as all others, and a new epoch is claimed on its worker, so that the list that comes back is decisive. Before: the case fails; after: it passes.

--- a/libbamboothread/process/recover.c
+++ b/libbamboothread/process/recover.c
@@ -86,12 +86,14 @@
   bt_attempt_t *attempt;
   g_hash_table_iter_init (&iter, core->sched.attempts);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&attempt))
-    if (attempt->phase != BT_PHASE_SENT && attempt->phase != BT_PHASE_ADOPTED)
+    if (attempt->phase != BT_PHASE_ADOPTED)
       g_ptr_array_add (gone, attempt);
   for (guint i = 0; i < gone->len; i++)
     {
       attempt = gone->pdata[i];
       gboolean ended = attempt->job->state == BT_JOB_ENDED;
+      if (attempt->phase == BT_PHASE_SENT && attempt->worker != NULL)
+        bt_owner_fence (core, attempt->worker);
       if (attempt->recorded && attempt->phase != BT_PHASE_RECORDING && !ended)
         {
           GRefString *id = g_ref_string_acquire (attempt->id);
--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -206,6 +206,15 @@
     "21865 78 submit 37 44766 61414\n"
     "25157 94 host-listed-leaving 30 17813 11415\n",
     BT_STATUS_ACCEPTED, 1 },
+  { "a start that was sent in an earlier lead does not hold its task's place",
+    "world seed=865 calm=0 data_centres=2 daemons=2 workers=6 ms=54795\n"
+    "3000 1 host-cut 4 64635 834\n"
+    "3278 3 submit 18 16258 27935\n"
+    "4045 4 pause 35 46475 31936\n"
+    "4291 2 host-join 4 64635 834\n"
+    "6656 5 resume 35 46475 31936\n"
+    "8301 12 leave 58 3522 40663\n",
+    BT_STATUS_ACCEPTED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
