--- a/tests/fuzz/run.c
+++ b/tests/fuzz/run.c
@@ -14,6 +14,8 @@
 /* And has to stay so for this time. */
 #define AFTER_END_US (12 * BT_USEC_PER_SEC)
 #define TICK_US (50 * BT_USEC_PER_MSEC)
+/* More services than these could fill the last worker of a pool for good. */
+#define SERVICES_MAX 2
 
 /**
  * struct run_t - a run under way
@@ -31,6 +33,7 @@
   bt_edit_t *last_edit;
   GPtrArray *leaving;
   gboolean *stopping;
+  guint services;
   gint64 next_list;
   gint64 next_stop;
 } run_t;
@@ -149,6 +152,11 @@
     return;
   gboolean idempotent;
   bt_request_t *request = cell_request (action, &idempotent);
+  if (request->kind == BT_KIND_SERVICE && ++run->services > SERVICES_MAX)
+    {
+      bt_schema_free (&bt_request_schema, request);
+      return;
+    }
   oracle_request_t *known = oracle_add_request (run->oracle, action->id, request, idempotent);
   bt_schema_free (&bt_request_schema, request);
   oracle_submit (run->oracle, known, node);
