--- a/tests/test_regressions.c
+++ b/tests/test_regressions.c
@@ -215,6 +215,14 @@
     "6656 5 resume 35 46475 31936\n"
     "8301 12 leave 58 3522 40663\n",
     BT_STATUS_ACCEPTED, 1 },
+  { "work waits for ever after its only worker died and came back",
+    "world seed=1035 calm=0 data_centres=2 daemons=3 workers=3 ms=37152\n"
+    "4788 24 host-leaving 43 61006 49975\n"
+    "8857 63 submit 38 42183 35332\n"
+    "11080 83 submit 3 9557 2271\n"
+    "11317 85 submit 1 8601 36529\n"
+    "11809 90 host-kill 0 41029 61080\n",
+    BT_STATUS_ACCEPTED, 1 },
 };
 
 START_TEST (schedule_violates_nothing)
