Hand work that would wait to a data centre that has room

Ruled out: gang reservations (no worker was reserved). Change: a data centre with a queue for the pool, or without room for all tasks of recorded work, or with more than 200 ms of wait for a short request, gives way to a farther one that has room: in the region always, over the paid link if the route weighs waiting no less than packing. Conclusion: the choice of home was the cause.

--- a/libbamboothread/process/home.c
+++ b/libbamboothread/process/home.c
@@ -6,7 +6,9 @@
  * The choice of the data centre that a request is handed to: the nearest one
  * that is not full, by the owners' summaries in their heartbeats. Work goes to
  * its own data centre, then to its region, and over the link between regions,
- * which is paid by volume, last.
+ * which is paid by volume, last. One where the work would wait gives way to a
+ * farther one with room: in the region always, over the link if the route's
+ * weight of waiting is not below that of packing.
  */
 
 /* Part of the time to the deadline that may pass in a queue before a farther data centre is tried.
@@ -14,6 +16,8 @@
 #define WAIT_DIVISOR 2
 /* The same for work without a deadline. */
 #define WAIT_USUAL_MS 10000
+/* Wait after which another data centre that has room is better, though farther. */
+#define WAIT_BUSY_MS 200
 
 /**
  * enum distance_t - nearer is less
@@ -29,12 +33,14 @@
 /**
  * struct view_t - a data centre as a candidate
  * @full: whether work would wait too long there
+ * @busy: whether it would wait at all
  * @wait_ms: what its owner says that work waits
  */
 typedef struct
 {
   distance_t distance;
   gboolean full;
+  gboolean busy;
   gint64 wait_ms;
   gint64 free_slots;
 } view_t;
@@ -141,6 +147,60 @@
   return deadline_ms > 0 ? deadline_ms / WAIT_DIVISOR : WAIT_USUAL_MS;
 }
 
+static void
+free_room (const bt_core_t *core, const char *pool, bt_vector_t *room)
+{
+  memset (room, 0, sizeof *room);
+  GHashTableIter iter;
+  bt_worker_t *worker;
+  g_hash_table_iter_init (&iter, core->owner.workers);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&worker))
+    {
+      if (strcmp (worker->pool, pool) != 0 || !bt_owner_may_start (core, worker))
+        continue;
+      bt_vector_add (room, &worker->capacity);
+      bt_vector_sub (room, &worker->used);
+    }
+}
+
+static gboolean
+tasks_fit (const bt_request_t *request, const bt_vector_t *room)
+{
+  bt_vector_t need;
+  bt_request_need (request, &need);
+  for (int i = 0; i < BT_N_RESOURCES; i++)
+    if (i != BT_RESOURCE_CONNECTIONS && need.v[i] * request->tasks > room->v[i])
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+own_busy (bt_core_t *core, const bt_route_t *route, const bt_request_t *request, gint64 wait_ms)
+{
+  if (!bt_request_durable (request))
+    return wait_ms > WAIT_BUSY_MS;
+  if (bt_queue_length (core, route->pool) > 0)
+    return TRUE;
+  bt_vector_t room;
+  free_room (core, route->pool, &room);
+  return !tasks_fit (request, &room);
+}
+
+static gboolean
+summary_busy (const Bt__PoolSummary *summary, const bt_request_t *request)
+{
+  if (summary == NULL)
+    return TRUE;
+  if (!bt_request_durable (request))
+    return summary->wait_ms > WAIT_BUSY_MS;
+  bt_vector_t room = { 0 };
+  room.v[BT_RESOURCE_MCPUS] = (gint64)summary->free_mcpus;
+  room.v[BT_RESOURCE_MEMORY_MB] = (gint64)summary->free_memory_mb;
+  room.v[BT_RESOURCE_GPUS] = (gint64)summary->free_gpus;
+  room.v[BT_RESOURCE_SLOTS] = summary->free_slots;
+  return summary->queued > 0 || !tasks_fit (request, &room);
+}
+
 static void
 view_own (bt_core_t *core, const bt_route_t *route, const bt_request_t *request, view_t *view)
 {
@@ -149,6 +209,7 @@
   guint waiting = bt_queue_route_length (core, route->name);
   view->full
       = view->wait_ms > wait_allowed_ms (route, request) || waiting >= (guint)route->queue_limit;
+  view->busy = own_busy (core, route, request, view->wait_ms);
 }
 
 static void
@@ -174,10 +235,18 @@
   view->wait_ms = summary != NULL ? summary->wait_ms : 0;
   view->free_slots = summary != NULL ? summary->free_slots : 0;
   view->full = summary == NULL || view->wait_ms > wait_allowed_ms (route, request);
+  view->busy = summary_busy (summary, request);
+}
+
+/* Whether a farther data centre may take work from a busy one. */
+static gboolean
+may_relieve (const bt_route_t *route, const view_t *view)
+{
+  return !view->busy && (view->distance != DISTANCE_FAR || route->waiting >= route->packing);
 }
 
 static gboolean
-view_better (const view_t *a, const view_t *b)
+view_better (const bt_route_t *route, const view_t *a, const view_t *b)
 {
   gboolean a_out = a->distance == DISTANCE_NO_OWNER;
   gboolean b_out = b->distance == DISTANCE_NO_OWNER;
@@ -187,6 +256,9 @@
     return b->full;
   if (a->full && a->wait_ms != b->wait_ms)
     return a->wait_ms < b->wait_ms;
+  gboolean a_relieves = may_relieve (route, a);
+  if (a_relieves != may_relieve (route, b))
+    return a_relieves;
   if (a->distance != b->distance)
     return a->distance < b->distance;
   return a->free_slots > b->free_slots;
@@ -241,7 +313,7 @@
       view_t view;
       view_of (core, route, request, home, &view);
       view.full = view.full || !bt_vector_fits (&need, &home->largest);
-      if (best != NULL && !view_better (&view, best_view))
+      if (best != NULL && !view_better (route, &view, best_view))
         continue;
       best = home;
       *best_view = view;
