--- a/libbamboothread/connection/caller_server.c
+++ b/libbamboothread/connection/caller_server.c
@@ -402,7 +402,10 @@
   json_object_set_boolean_member (json, "leading", bt_core_leading (server->core));
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
   json_node_take_object (node, json);
-  respond_node (message, node);
+  g_autoptr (GBytes) body = bt_json_bytes (node, FALSE);
+  json_node_unref (node);
+  gboolean serving = bt_core_serving (server->core);
+  respond (message, serving ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE, body);
 }
 
 static void
--- a/libbamboothread/process/core.c
+++ b/libbamboothread/process/core.c
@@ -626,3 +626,15 @@
 {
   return core->owner.leading;
 }
+
+/**
+ * bt_core_serving() - whether a balancer should send callers here
+ * @core: the core
+ *
+ * Return: FALSE before the tables are read and once a planned stop has begun.
+ */
+gboolean
+bt_core_serving (const bt_core_t *core)
+{
+  return core->tables.version > 0 && !core->leaving;
+}
--- a/libbamboothread/process/core.h
+++ b/libbamboothread/process/core.h
@@ -131,5 +131,6 @@
 const bt_counters_t *bt_core_counters (const bt_core_t *core);
 const bt_fold_t *bt_core_tables (const bt_core_t *core);
 gboolean bt_core_leading (const bt_core_t *core);
+gboolean bt_core_serving (const bt_core_t *core);
 
 #endif
--- a/libbamboothread/process/entry.c
+++ b/libbamboothread/process/entry.c
@@ -241,6 +241,12 @@
 bt_entry_submit (bt_core_t *core, guint64 exchange, const bt_request_t *request)
 {
   core->counters.submitted++;
+  if (core->tables.version == 0)
+    {
+      refuse_at_door (core, exchange, request, BT_REASON_STARTING,
+                      "this daemon has not read the tables yet");
+      return NULL;
+    }
   const bt_route_t *route = bt_tables_match (core->tables.tables, request->caller, request->work);
   if (route == NULL)
     {
--- a/libbamboothread/request/request.c
+++ b/libbamboothread/request/request.c
@@ -9,7 +9,7 @@
   "none",          "no-route",       "no-pool-member", "never-fits",  "over-quota",
   "queue-full",    "wait-too-long",  "deadline",       "no-owner",    "log-unavailable",
   "cancelled",     "retries-spent",  "owner-lost",     "caller-gone", "task-failed",
-  "shutting-down", "tables-changed", "invalid",        NULL,
+  "shutting-down", "tables-changed", "invalid",        "starting",    NULL,
 };
 
 static const bt_field_t request_fields[] = {
--- a/tests/test_sockets.c
+++ b/tests/test_sockets.c
@@ -61,7 +61,7 @@
 
 /* A daemon whose one VM has no owner, so that requests stay open. */
 static void
-site_open (site_t *site)
+site_open_with (site_t *site, gboolean tables)
 {
   bt_core_config_t config;
   bt_core_config_init (&config);
@@ -75,11 +75,19 @@
   ck_assert_ptr_nonnull (site->server);
   site->core = bt_core_new (&config, &site->clock, &ops, &site->server);
   bt_caller_server_attach (site->server, site->core);
+  if (!tables)
+    return;
   g_autoptr (GPtrArray) records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   g_ptr_array_add (records, g_bytes_new_static (tables_record, sizeof tables_record - 1));
   bt_core_on_records (site->core, BT_TABLES_STREAM, 0, records, 1);
 }
 
+static void
+site_open (site_t *site)
+{
+  site_open_with (site, TRUE);
+}
+
 static void
 site_close (site_t *site)
 {
@@ -172,6 +180,39 @@
                           line, length != NULL ? length : own, body);
 }
 
+/* Before the tables are read, and once a planned stop has begun, callers go elsewhere. */
+static const struct
+{
+  gboolean tables;
+  gboolean leaving;
+  const char *health;
+  const char *answer;
+} serving_cases[] = {
+  { FALSE, FALSE, "503", "starting" },
+  { TRUE, FALSE, "200", "no-route" },
+  { TRUE, TRUE, "503", "no-route" },
+};
+
+START_TEST (health_says_whether_to_send_callers)
+{
+  site_t site;
+  site_open_with (&site, serving_cases[_i].tables);
+  if (serving_cases[_i].leaving)
+    bt_core_leave (site.core);
+  guint16 port = bt_caller_server_port (site.server);
+  g_autoptr (GSocketConnection) first = dial (port);
+  static const char health[] = "GET /v1/health HTTP/1.1\r\nHost: x\r\n\r\n";
+  g_autofree char *said = talk (first, health, sizeof health - 1, "tables_version");
+  ck_assert_msg (strstr (said, serving_cases[_i].health) != NULL, "%s", said);
+  g_autoptr (GSocketConnection) second = dial (port);
+  g_autofree char *request = http_request (
+      "POST /v1/jobs HTTP/1.1", NULL, "{\"caller\":\"z\",\"work\":\"w\",\"kind\":\"request\"}");
+  g_autofree char *got = talk (second, request, strlen (request), serving_cases[_i].answer);
+  ck_assert_msg (strstr (got, serving_cases[_i].answer) != NULL, "%s", got);
+  site_close (&site);
+}
+END_TEST
+
 START_TEST (hostile_http_is_refused)
 {
   site_t site;
@@ -295,6 +336,7 @@
 {
   TCase *tests = tcase_create ("sockets");
   tcase_set_timeout (tests, 30);
+  tcase_add_loop_test (tests, health_says_whether_to_send_callers, 0, G_N_ELEMENTS (serving_cases));
   tcase_add_loop_test (tests, hostile_http_is_refused, 0, G_N_ELEMENTS (http_cases));
   tcase_add_test (tests, an_endless_body_is_cut);
   tcase_add_test (tests, a_caller_that_leaves_is_noticed);
