--- a/bench/bench.c
+++ b/bench/bench.c
@@ -139,6 +139,26 @@
     }
 }
 
+/* Regions of the users' data centres, and of those of the workload letter. */
+static const char *
+region_of (const char *data_centre)
+{
+  static const struct
+  {
+    const char *data_centre;
+    const char *region;
+  } regions[] = {
+    { "lahore-gulberg", "lahore" },    { "lahore-johar", "lahore" },
+    { "karachi-saddar", "karachi" },   { "inverness-a", "highlands" },
+    { "fort-william-b", "highlands" }, { "glasgow-a", "lowlands" },
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS (regions); i++)
+    if (strcmp (regions[i].data_centre, data_centre) == 0)
+      return regions[i].region;
+  gboolean first_four = strlen (data_centre) == 3 && data_centre[2] <= '4';
+  return first_four ? "north" : "south";
+}
+
 static bench_result_t *
 run_core (const bench_workload_t *workload, const bt_tables_t *tables, bench_scenario_t scenario,
           gint64 flood_at_us)
@@ -153,6 +173,7 @@
   config.tables = tables;
   config.daemons = (guint)workload->daemons;
   config.seed = (guint32)workload->seed;
+  config.region_of = region_of;
   bt_world_t *world = bt_world_new (&config, &observer, &run);
   bt_world_run (world, WARM_UP_US);
   run.begun = world->clock.now_us;
--- a/libbamboothread/version/tables.c
+++ b/libbamboothread/version/tables.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 const char *const bt_class_names[] = { "urgent", "service", "batch", "best-effort", NULL };
-static const char *const partition_names[] = { "stay", "move", NULL };
+static const char *const partition_names[] = { "stay", NULL };
 static const char *const log_outage_names[] = { "refuse", "hold", NULL };
 
 #define NAME_MAX_BYTES 64
--- a/libbamboothread/version/tables.h
+++ b/libbamboothread/version/tables.h
@@ -47,12 +47,10 @@
 /**
  * enum bt_partition_policy_t - what becomes of a job whose home is cut off
  * @BT_PARTITION_STAY: its home goes on with it, and nobody else adopts it
- * @BT_PARTITION_MOVE: others adopt it once its leases are over
  */
 typedef enum
 {
   BT_PARTITION_STAY,
-  BT_PARTITION_MOVE,
 } bt_partition_policy_t;
 
 /**
--- a/tests/test_tables.c
+++ b/tests/test_tables.c
@@ -30,6 +30,8 @@
   { TABLES (ROUTE (",\"class\":\"fast\""), POOL ("")), "$.routes[0].class" },
   { TABLES (ROUTE (",\"deadline_ms\":0"), POOL ("")), "$.routes[0].deadline_ms" },
   { TABLES (ROUTE (",\"unknown\":1"), POOL ("")), "$.routes[0].unknown" },
+  { TABLES (ROUTE (",\"partition\":\"stay\""), POOL ("")), NULL },
+  { TABLES (ROUTE (",\"partition\":\"move\""), POOL ("")), "$.routes[0].partition" },
   { "{\"routes\":[]}", "$.pools" },
   { "{\"routes\":{},\"pools\":[]}", "$.routes" },
   { "not json", "$" },
