Split what workers report from the scheduling of jobs

Change: result.c holds reports, replies to starts and stops, and what follows for the tasks; no behaviour changes.

--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -857,6 +857,7 @@
 void bt_job_set_route (bt_job_t *job, const bt_route_t *route);
 void bt_job_set_tasks (bt_job_t *job, guint n);
 GBytes *bt_job_answer (const bt_job_t *job);
+gboolean bt_job_end_needs_record (const bt_job_t *job);
 void bt_job_add_waiter (bt_job_t *job, const char *member);
 bt_attempt_t *bt_attempt_new (bt_core_t *core, bt_job_t *job, guint task, const char *id,
                               const char *worker_name);
@@ -997,20 +998,24 @@
                       gint64 lead_since);
 void bt_sched_caller_gone (bt_core_t *core, const char *member, const char *id);
 void bt_sched_cancel (bt_core_t *core, bt_job_t *job);
-void bt_sched_on_start (bt_core_t *core, const char *worker, const char *attempt,
-                        const bt_start_reply_t *reply);
-void bt_sched_on_stop (bt_core_t *core, const char *worker, const bt_stop_reply_t *reply);
-void bt_sched_on_report (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report);
 void bt_sched_attempt_sendable (bt_core_t *core, bt_attempt_t *attempt);
 void bt_sched_attempt_lost (bt_core_t *core, bt_attempt_t *attempt, gboolean surely_not_run);
-void bt_sched_attempt_surplus (bt_core_t *core, bt_attempt_t *attempt);
 void bt_sched_finish (bt_core_t *core, bt_job_t *job);
 void bt_sched_end_job (bt_core_t *core, bt_job_t *job, bt_status_t status, bt_reason_t reason,
                        GBytes *answer, const char *detail);
+void bt_sched_abandon (bt_core_t *core, const bt_attempt_t *attempt);
+void bt_sched_requeue (bt_core_t *core, bt_job_t *job);
 void bt_sched_tell (bt_core_t *core, bt_job_t *job);
 void bt_sched_begin_attempt (bt_core_t *core, bt_job_t *job, guint task, bt_worker_t *worker);
 bt_status_t bt_sched_waiting_outcome (const bt_core_t *core, const bt_job_t *job);
 
+/* result.c */
+void bt_sched_on_start (bt_core_t *core, const char *worker, const char *attempt,
+                        const bt_start_reply_t *reply);
+void bt_sched_on_stop (bt_core_t *core, const char *worker, const bt_stop_reply_t *reply);
+void bt_sched_on_report (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report);
+void bt_sched_attempt_surplus (bt_core_t *core, bt_attempt_t *attempt);
+
 /* recover.c */
 void bt_recover_on_lead (bt_core_t *core);
 void bt_recover_on_unlead (bt_core_t *core);
--- a/libbamboothread/process/job.c
+++ b/libbamboothread/process/job.c
@@ -121,6 +121,18 @@
       = deadline_ms > 0 ? job->submitted_at + deadline_ms * BT_USEC_PER_MSEC : G_MAXINT64;
 }
 
+/**
+ * bt_job_end_needs_record() - whether the end of a job's tasks goes to the journal
+ * @job: the job
+ *
+ * Return: TRUE if the journal holds its acceptance or an attempt of it.
+ */
+gboolean
+bt_job_end_needs_record (const bt_job_t *job)
+{
+  return job->durable || job->recorded;
+}
+
 /**
  * bt_job_add_waiter() - note a daemon whose caller waits
  * @job: the job
--- a/libbamboothread/process/sched.c
+++ b/libbamboothread/process/sched.c
@@ -13,11 +13,6 @@
 #define FORGET_US (1 * BT_USEC_PER_SEC)
 /* How long a short request that may run again is remembered after its end. */
 #define BRIEF_RETENTION_US (30 * BT_USEC_PER_SEC)
-/* Backoff before a failed task is tried again: first wait, and the longest. */
-#define BACKOFF_FIRST_MS 100
-#define BACKOFF_MAX_MS 30000
-/* Doublings up to the longest backoff. */
-#define BACKOFF_MAX_STEPS 9
 /* What a refused caller is told to wait. */
 #define RETRY_AFTER_MS 1000
 
@@ -28,12 +23,6 @@
   return !job->idempotent || gang;
 }
 
-static gboolean
-end_needs_record (const bt_job_t *job)
-{
-  return job->durable || job->recorded;
-}
-
 /**
  * bt_sched_init() - no jobs
  * @core: the core
@@ -115,8 +104,13 @@
   g_ptr_array_set_size (job->waiters, 0);
 }
 
-static void
-abandon_attempt (bt_core_t *core, bt_attempt_t *attempt)
+/**
+ * bt_sched_abandon() - record that an attempt certainly never started
+ * @core: the core
+ * @attempt: the attempt, whose record the log holds or will hold
+ */
+void
+bt_sched_abandon (bt_core_t *core, const bt_attempt_t *attempt)
 {
   bt_record_t *record = bt_journal_record (core, BT_RECORD_ABANDONED, attempt->job->id);
   record->attempt = g_ref_string_acquire (attempt->id);
@@ -134,7 +128,7 @@
         continue;
       if (attempt->phase == BT_PHASE_RECORDING)
         {
-          abandon_attempt (core, attempt);
+          bt_sched_abandon (core, attempt);
           bt_attempt_drop (core, attempt, BT_TASK_WAITING);
         }
       else
@@ -167,7 +161,7 @@
   stop_tasks (core, job);
   bt_trace_add (core, job->id, "ended", job->route, "%s, %s", bt_status_names[status],
                 bt_reason_names[reason]);
-  if (end_needs_record (job))
+  if (bt_job_end_needs_record (job))
     {
       bt_record_t *record = bt_journal_record (core, BT_RECORD_ENDED, job->id);
       record->status = status;
@@ -491,16 +485,13 @@
     }
 }
 
-static gint64
-backoff_us (bt_core_t *core, guint failures)
-{
-  gint64 ms = BACKOFF_FIRST_MS << MIN (failures, BACKOFF_MAX_STEPS);
-  ms = MIN (ms, BACKOFF_MAX_MS);
-  return g_rand_int_range (core->rand, (gint32)ms / 2, (gint32)ms + 1) * BT_USEC_PER_MSEC;
-}
-
-static void
-requeue (bt_core_t *core, bt_job_t *job)
+/**
+ * bt_sched_requeue() - a task of a job waits again
+ * @core: the core
+ * @job: the job; a gang's other tasks are stopped first
+ */
+void
+bt_sched_requeue (bt_core_t *core, bt_job_t *job)
 {
   if (job->state != BT_JOB_OPEN || job->request == NULL)
     return;
@@ -530,331 +521,19 @@
                 attempt->task, attempt->worker_name);
   core->counters.attempts_lost++;
   if (surely_not_run && attempt->recorded)
-    abandon_attempt (core, attempt);
+    bt_sched_abandon (core, attempt);
   gboolean again = surely_not_run || job->idempotent;
   gboolean open = job->state == BT_JOB_OPEN;
   bt_attempt_drop (core, attempt, again && open ? BT_TASK_WAITING : BT_TASK_ENDED);
   if (job->request == NULL && !job->recorded)
     forget_unknown_job (core, job);
   else if (again)
-    requeue (core, job);
+    bt_sched_requeue (core, job);
   else
     bt_sched_end_job (core, job, BT_STATUS_UNKNOWN, BT_REASON_OWNER_LOST, NULL,
                       "the task may have run; its worker was lost");
 }
 
-static void
-record_task_end (bt_core_t *core, const bt_attempt_t *attempt, bt_status_t status,
-                 const char *answer)
-{
-  bt_record_t *record = bt_journal_record (core, BT_RECORD_TASK_ENDED, attempt->job->id);
-  record->task = attempt->task;
-  record->attempt = g_ref_string_acquire (attempt->id);
-  record->worker = g_ref_string_acquire (attempt->worker_name);
-  record->status = status;
-  record->answer = answer != NULL ? g_ref_string_new (answer) : NULL;
-  bt_journal_append (core, record);
-}
-
-static GBytes *
-decode_answer (const char *base64)
-{
-  if (base64 == NULL)
-    return NULL;
-  gsize len;
-  guchar *data = g_base64_decode (base64, &len);
-  return g_bytes_new_take (data, len);
-}
-
-static void
-settle_ack (bt_core_t *core, bt_worker_t *worker, const bt_attempt_t *attempt, bt_status_t status,
-            const char *answer)
-{
-  if (end_needs_record (attempt->job))
-    record_task_end (core, attempt, status, answer);
-  else
-    bt_owner_ack (core, worker, attempt->id);
-}
-
-static void
-task_done (bt_core_t *core, bt_worker_t *worker, bt_attempt_t *attempt,
-           const bt_attempt_report_t *report)
-{
-  bt_job_t *job = attempt->job;
-  bt_task_t *task = &job->tasks[attempt->task];
-  settle_ack (core, worker, attempt, BT_STATUS_DONE, report->answer);
-  bt_estimate_ended (core, attempt);
-  bt_health_ended (core, worker, attempt, FALSE);
-  g_clear_pointer (&task->answer, g_bytes_unref);
-  task->answer = decode_answer (report->answer);
-  bt_attempt_drop (core, attempt, BT_TASK_ENDED);
-  bt_sched_finish (core, job);
-}
-
-static gboolean
-may_retry (const bt_job_t *job)
-{
-  if (job->state != BT_JOB_OPEN || !job->idempotent || job->request == NULL)
-    return FALSE;
-  return job->request->kind == BT_KIND_SERVICE || job->failures <= job->retries;
-}
-
-static void
-task_failed (bt_core_t *core, bt_worker_t *worker, bt_attempt_t *attempt,
-             const bt_attempt_report_t *report)
-{
-  bt_job_t *job = attempt->job;
-  bt_health_ended (core, worker, attempt, TRUE);
-  job->failures++;
-  gboolean retry = may_retry (job);
-  gboolean budget = retry && bt_estimate_take_retry (core, job->route);
-  if (budget || (retry && job->durable))
-    {
-      bt_trace_add (core, job->id, "retry", job->route, "task %u failed on %s, failure %u%s",
-                    attempt->task, worker->name, job->failures,
-                    budget ? "" : "; the route's retries are spent, so it waits longest");
-      bt_owner_ack (core, worker, attempt->id);
-      bt_attempt_drop (core, attempt, BT_TASK_WAITING);
-      job->not_before = core->now + backoff_us (core, budget ? job->failures : BACKOFF_MAX_STEPS);
-      requeue (core, job);
-      return;
-    }
-  settle_ack (core, worker, attempt, BT_STATUS_FAILED, report->answer);
-  bt_attempt_drop (core, attempt, BT_TASK_ENDED);
-  g_autoptr (GBytes) answer = decode_answer (report->answer);
-  g_autofree char *detail
-      = g_strdup_printf ("a task failed, last on %s; failures %u, on %u workers%s", worker->name,
-                         job->failures, job->failed_on != NULL ? job->failed_on->len : 1,
-                         retry ? "; the route's retries are spent" : "");
-  bt_sched_end_job (core, job, BT_STATUS_FAILED,
-                    retry ? BT_REASON_RETRIES_SPENT : BT_REASON_TASK_FAILED, answer, detail);
-}
-
-static void
-task_stopped (bt_core_t *core, bt_worker_t *worker, bt_attempt_t *attempt)
-{
-  bt_owner_ack (core, worker, attempt->id);
-  bt_sched_attempt_lost (core, attempt, FALSE);
-}
-
-static void
-apply_end (bt_core_t *core, bt_worker_t *worker, bt_attempt_t *attempt,
-           const bt_attempt_report_t *report)
-{
-  const bt_job_t *job = attempt->job;
-  gboolean service = job->request != NULL && job->request->kind == BT_KIND_SERVICE;
-  if (report->state == BT_ATTEMPT_DONE && !service)
-    task_done (core, worker, attempt, report);
-  else if (report->state == BT_ATTEMPT_DONE || report->state == BT_ATTEMPT_FAILED)
-    task_failed (core, worker, attempt, report);
-  else
-    task_stopped (core, worker, attempt);
-}
-
-static void
-report_need (const bt_attempt_report_t *report, bt_vector_t *need)
-{
-  need->v[BT_RESOURCE_MCPUS] = report->mcpus;
-  need->v[BT_RESOURCE_MEMORY_MB] = report->memory_mb;
-  need->v[BT_RESOURCE_GPUS] = report->gpus;
-  need->v[BT_RESOURCE_SLOTS] = 1;
-  need->v[BT_RESOURCE_CONNECTIONS] = report->connections;
-}
-
-/* An attempt that its task has no place for: it is stopped. */
-static bt_attempt_t *
-take_surplus (bt_core_t *core, const char *id, const char *worker_name)
-{
-  bt_job_t *job = bt_job_new (core, id);
-  job->state = BT_JOB_ENDED;
-  job->status = BT_STATUS_CANCELLED;
-  job->ended_at = core->now;
-  bt_job_set_tasks (job, 1);
-  bt_attempt_t *attempt = bt_attempt_new (core, job, 0, id, worker_name);
-  attempt->phase = BT_PHASE_RUNNING;
-  return attempt;
-}
-
-/**
- * bt_sched_attempt_surplus() - a task has ended by another attempt than the one it has
- * @core: the core
- * @attempt: the attempt that the task has, replaced
- *
- * It holds its share of its worker until it is known to be over.
- */
-void
-bt_sched_attempt_surplus (bt_core_t *core, bt_attempt_t *attempt)
-{
-  if (attempt->worker == NULL || attempt->phase == BT_PHASE_RECORDING)
-    {
-      if (attempt->phase == BT_PHASE_RECORDING)
-        abandon_attempt (core, attempt);
-      bt_attempt_drop (core, attempt, BT_TASK_ENDED);
-      return;
-    }
-  g_autoptr (GRefString) id = g_ref_string_acquire (attempt->id);
-  bt_worker_t *worker = attempt->worker;
-  bt_vector_t need = attempt->need;
-  bt_attempt_phase_t phase = attempt->phase;
-  gint64 sent_at = attempt->sent_at;
-  bt_attempt_drop (core, attempt, BT_TASK_ENDED);
-  bt_attempt_t *surplus = take_surplus (core, id, worker->name);
-  bt_attempt_bind (surplus, worker, &need);
-  surplus->phase = phase;
-  surplus->sent_at = sent_at;
-  bt_stop_attempt (core, surplus, BT_STOP_STOP);
-}
-
-static gboolean
-task_taken (const bt_job_t *job, guint task)
-{
-  if (job->state == BT_JOB_ENDED)
-    return TRUE;
-  if (task >= job->n_tasks)
-    return FALSE;
-  return job->tasks[task].state == BT_TASK_ENDED
-         || (job->tasks[task].attempt != NULL
-             && job->tasks[task].attempt->phase != BT_PHASE_ADOPTED);
-}
-
-/* Find or make the attempt that a worker reports; NULL if it was taken in before. */
-static bt_attempt_t *
-take_attempt (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report)
-{
-  bt_attempt_t *attempt = g_hash_table_lookup (core->sched.attempts, report->attempt);
-  if (attempt == NULL)
-    {
-      bt_job_t *job = g_hash_table_lookup (core->sched.jobs, report->job);
-      guint task = (guint)report->task;
-      gboolean taken = job != NULL && task_taken (job, task);
-      if (taken && report->state != BT_ATTEMPT_RUNNING)
-        {
-          gboolean settled = !end_needs_record (job) || job->end_recorded
-                             || (task < job->n_tasks && job->tasks[task].recorded)
-                             || report->state == BT_ATTEMPT_STOPPED;
-          if (settled)
-            bt_owner_ack (core, worker, report->attempt);
-          return NULL;
-        }
-      core->counters.attempts_imported++;
-      if (taken)
-        {
-          attempt = take_surplus (core, report->attempt, worker->name);
-          bt_stop_attempt (core, attempt, BT_STOP_STOP);
-        }
-      else
-        {
-          if (job == NULL)
-            job = bt_job_new (core, report->job);
-          bt_job_set_tasks (job, task + 1);
-          if (job->tasks[task].attempt != NULL)
-            bt_attempt_drop (core, job->tasks[task].attempt, BT_TASK_WAITING);
-          attempt = bt_attempt_new (core, job, task, report->attempt, worker->name);
-          attempt->recorded = job->recorded;
-        }
-    }
-  if (attempt->worker == NULL)
-    {
-      bt_vector_t need;
-      report_need (report, &need);
-      bt_attempt_bind (attempt, worker, &need);
-    }
-  return attempt;
-}
-
-/**
- * bt_sched_on_report() - a worker reports an attempt
- * @core: the core
- * @worker: the worker
- * @report: what it says
- *
- * Ends are reported again until they are confirmed, so one that can't be
- * judged before the journal is read to its end is left for later.
- */
-void
-bt_sched_on_report (bt_core_t *core, bt_worker_t *worker, const bt_attempt_report_t *report)
-{
-  const bt_attempt_t *taken = g_hash_table_lookup (core->sched.attempts, report->attempt);
-  gboolean known = taken != NULL && taken->job->request != NULL;
-  if (!known && report->state != BT_ATTEMPT_RUNNING && !core->journal.caught_up)
-    return;
-  bt_attempt_t *attempt = take_attempt (core, worker, report);
-  if (attempt == NULL)
-    return;
-  if (report->state != BT_ATTEMPT_RUNNING)
-    {
-      apply_end (core, worker, attempt, report);
-      return;
-    }
-  attempt->phase = BT_PHASE_RUNNING;
-  bt_estimate_used (core, attempt, report);
-  if (attempt->job->n_waiting == 0)
-    bt_queue_remove (core, attempt->job);
-  if (attempt->job->state == BT_JOB_ENDED && !attempt->stopping)
-    bt_stop_attempt (core, attempt, BT_STOP_STOP);
-}
-
-/**
- * bt_sched_on_start() - a worker answered a start
- * @core: the core
- * @worker_name: the worker's name
- * @attempt_id: the attempt's id
- * @reply: its answer, or NULL if none came
- *
- * An answer that no attempt waits for is dropped and counted.
- */
-void
-bt_sched_on_start (bt_core_t *core, const char *worker_name, const char *attempt_id,
-                   const bt_start_reply_t *reply)
-{
-  bt_attempt_t *attempt = g_hash_table_lookup (core->sched.attempts, attempt_id);
-  bt_worker_t *worker = bt_owner_worker (core, worker_name);
-  if (attempt == NULL || worker == NULL || attempt->worker != worker)
-    {
-      core->counters.answers_dropped_late++;
-      return;
-    }
-  if (reply == NULL)
-    {
-      core->counters.starts_uncertain++;
-      attempt->phase = BT_PHASE_UNCERTAIN;
-      bt_owner_fence (core, worker);
-      return;
-    }
-  if (reply->verdict == BT_START_STARTED || reply->verdict == BT_START_ENDED)
-    {
-      if (reply->report != NULL && strcmp (reply->report->attempt, attempt_id) == 0)
-        bt_sched_on_report (core, worker, reply->report);
-      else if (reply->verdict == BT_START_STARTED)
-        attempt->phase = BT_PHASE_RUNNING;
-      else
-        core->counters.messages_malformed++;
-      return;
-    }
-  core->counters.starts_refused++;
-  if (reply->verdict == BT_START_LEAVING)
-    bt_drain_said (worker, TRUE);
-  else
-    bt_owner_fence (core, worker);
-  bt_sched_attempt_lost (core, attempt, TRUE);
-}
-
-/**
- * bt_sched_on_stop() - a worker answered a stop
- * @core: the core
- * @worker_name: the worker's name
- * @reply: its answer, or NULL if none came
- */
-void
-bt_sched_on_stop (bt_core_t *core, const char *worker_name, const bt_stop_reply_t *reply)
-{
-  bt_worker_t *worker = bt_owner_worker (core, worker_name);
-  if (worker == NULL || reply == NULL || !reply->accepted)
-    return;
-  for (guint i = 0; i < reply->attempts->len; i++)
-    bt_sched_on_report (core, worker, reply->attempts->pdata[i]);
-}
-
 /**
  * bt_sched_cancel() - a caller wants its job to end
  * @core: the core
@@ -866,7 +545,7 @@
   if (job->state == BT_JOB_ENDED || job->cancelled)
     return;
   job->cancelled = TRUE;
-  if (end_needs_record (job))
+  if (bt_job_end_needs_record (job))
     bt_journal_append (core, bt_journal_record (core, BT_RECORD_CANCEL, job->id));
   bt_sched_end_job (core, job, BT_STATUS_CANCELLED, BT_REASON_CANCELLED, NULL,
                     "cancelled by its caller");
@@ -899,7 +578,7 @@
 is_brief (const bt_job_t *job)
 {
   return job->request != NULL && job->request->kind == BT_KIND_REQUEST && job->request->key == NULL
-         && job->idempotent && !end_needs_record (job);
+         && job->idempotent && !bt_job_end_needs_record (job);
 }
 
 static gboolean
@@ -907,7 +586,7 @@
 {
   if (job->state != BT_JOB_ENDED || job->n_placed > 0 || job->waiters->len > 0)
     return FALSE;
-  if (end_needs_record (job) && !job->end_recorded)
+  if (bt_job_end_needs_record (job) && !job->end_recorded)
     return FALSE;
   gint64 keep_us = core->config.retention_us;
   if (is_brief (job))
