--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -66,6 +66,26 @@
   hear_summary (core, data_centre, region, &summary);
 }
 
+static const char *const names[] = { "dc1", "dc2", "dc3" };
+static const char *const regions[] = { "near", "near", "far" };
+
+static bt_core_t *
+entry_new (bt_clock_t *clock)
+{
+  bt_clock_init_paused (clock, 1000 * BT_USEC_PER_SEC);
+  bt_core_config_t config;
+  bt_core_config_init (&config);
+  config.name = "entry";
+  config.address = "entry";
+  config.data_centre = names[0];
+  config.region = regions[0];
+  bt_core_t *core = bt_core_new (&config, clock, &ops, NULL);
+  bt_tables_free (core->tables.tables);
+  core->tables.tables = scene_tables (&base);
+  core->tables.version = 1;
+  return core;
+}
+
 /* dc1 is the entry's own, dc2 in its region, dc3 beyond the paid link. */
 static const struct
 {
@@ -89,19 +109,7 @@
 START_TEST (the_nearest_that_is_not_full)
 {
   bt_clock_t clock;
-  bt_clock_init_paused (&clock, 1000 * BT_USEC_PER_SEC);
-  bt_core_config_t config;
-  bt_core_config_init (&config);
-  config.name = "entry";
-  config.address = "entry";
-  config.data_centre = "dc1";
-  config.region = "near";
-  bt_core_t *core = bt_core_new (&config, &clock, &ops, NULL);
-  bt_tables_free (core->tables.tables);
-  core->tables.tables = scene_tables (&base);
-  core->tables.version = 1;
-  static const char *const names[] = { "dc1", "dc2", "dc3" };
-  static const char *const regions[] = { "near", "near", "far" };
+  bt_core_t *core = entry_new (&clock);
   for (guint i = 0; i < 3; i++)
     if (choice_cases[_i].wait_ms[i] >= 0)
       hear (core, names[i], regions[i], (guint)choice_cases[_i].wait_ms[i],
@@ -137,22 +145,10 @@
 START_TEST (work_that_would_wait_goes_where_room_is)
 {
   bt_clock_t clock;
-  bt_clock_init_paused (&clock, 1000 * BT_USEC_PER_SEC);
-  bt_core_config_t config;
-  bt_core_config_init (&config);
-  config.name = "entry";
-  config.address = "entry";
-  config.data_centre = "dc1";
-  config.region = "near";
-  bt_core_t *core = bt_core_new (&config, &clock, &ops, NULL);
-  bt_tables_free (core->tables.tables);
-  core->tables.tables = scene_tables (&base);
-  core->tables.version = 1;
+  bt_core_t *core = entry_new (&clock);
   bt_route_t *route = core->tables.tables->routes->pdata[0];
   route->packing = busy_cases[_i].packing;
   route->waiting = busy_cases[_i].waiting;
-  static const char *const names[] = { "dc1", "dc2", "dc3" };
-  static const char *const regions[] = { "near", "near", "far" };
   for (guint i = 0; i < 3; i++)
     hear_busy (core, names[i], regions[i], busy_cases[_i].queued[i], busy_cases[_i].free_slots[i]);
   bt_request_t *request = scene_request ("c", "hold", BT_KIND_BATCH, 2, 1000, 500);
