Tell the caller of a refused request with a key to wait until it may be taken

Such a caller came back after about 1 s and was refused unseen. Change: retry_after_ms of these refusals is at least 5000; test_home asks so. Before: 4 of its 30 cases fail with the new check (1000 and 1130 told).

--- a/libbamboothread/process/admit.c
+++ b/libbamboothread/process/admit.c
@@ -16,7 +16,7 @@
 #define JITTER_PERCENT 50
 
 /* How long a copy of a refused request with a key may still be on its way. */
-#define KEY_REFUSED_US (5 * BT_USEC_PER_SEC)
+#define KEY_REFUSED_MS 5000
 /* Refused ids that are remembered. */
 #define REFUSALS_KEPT 16384
 
@@ -62,7 +62,7 @@
   bt_refusals_t *refusals = &core->refusals;
   if (bt_admit_was_refused (core, id))
     return;
-  gint64 until = request->key != NULL ? core->now + KEY_REFUSED_US : G_MAXINT64;
+  gint64 until = request->key != NULL ? core->now + KEY_REFUSED_MS * BT_USEC_PER_MSEC : G_MAXINT64;
   gint64 *known = g_hash_table_lookup (refusals->ids, id);
   if (known != NULL)
     {
@@ -205,6 +205,8 @@
     check_queue (core, route, request, verdict);
   if (verdict->reason == BT_REASON_NONE)
     check_wait (core, route, request, age_us, verdict);
+  if (verdict->reason != BT_REASON_NONE && request->key != NULL)
+    verdict->retry_after_ms = MAX (verdict->retry_after_ms, KEY_REFUSED_MS);
 }
 
 /**
@@ -214,7 +216,7 @@
 void
 bt_admit_refuse_again (bt_admission_t *verdict)
 {
-  refuse (verdict, BT_REASON_QUEUE_FULL, RETRY_AFTER_USUAL_MS,
+  refuse (verdict, BT_REASON_QUEUE_FULL, KEY_REFUSED_MS,
           g_strdup ("an earlier copy of it was refused"));
 }
 
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -279,6 +279,8 @@
       gboolean refused = answer->status == BT_STATUS_NOT_RUN;
       not_run += refused;
       ck_assert_uint_le (scene_starts_at (scene, answer->exchange), refused ? 0 : 1);
+      if (refused && answer->reason != BT_REASON_DEADLINE)
+        ck_assert_uint_ge (answer->retry_after_ms, 5000);
     }
   ck_assert_uint_gt (not_run, 50);
   scene_free (scene);
