--- a/libbamboothread/process/core_private.h
+++ b/libbamboothread/process/core_private.h
@@ -872,7 +872,6 @@
 void bt_quota_clear (bt_core_t *core);
 void bt_quota_tick (bt_core_t *core);
 bt_account_t *bt_quota_account (bt_core_t *core, const char *pool, const char *team);
-const bt_quota_pool_t *bt_quota_pool (bt_core_t *core, const char *pool);
 void bt_quota_charge (bt_attempt_t *attempt);
 void bt_quota_credit (bt_attempt_t *attempt);
 gboolean bt_quota_within (bt_core_t *core, const bt_account_t *account, const bt_vector_t *need);
@@ -944,8 +943,6 @@
 void bt_place_free (bt_worker_t *worker, const bt_vector_t *need);
 void bt_place_forget (bt_worker_t *worker);
 bt_worker_t *bt_place_find (bt_core_t *core, const bt_job_t *job, guint task);
-gint64 bt_place_most (const bt_core_t *core, const char *pool, const bt_vector_t *need,
-                      gboolean urgent);
 gboolean bt_place_possible (const bt_core_t *core, const bt_request_t *request,
                             const bt_pool_t *pool, bt_class_t work_class);
 
--- a/libbamboothread/process/entry.c
+++ b/libbamboothread/process/entry.c
@@ -356,8 +356,9 @@
 }
 
 /*
- * Owners don't remember that they refused a request with a key, since its caller
- * may come again with it. If it was sent twice, the second copy may yet be taken.
+ * Owners remember for a short time only that they refused a request with a key,
+ * since its caller may come again with it. If it was sent twice, a late second
+ * copy may yet be taken.
  */
 static void
 answer_outcome (bt_core_t *core, bt_pending_t *pending, const bt_outcome_t *outcome)
--- a/libbamboothread/process/place.c
+++ b/libbamboothread/process/place.c
@@ -508,17 +508,9 @@
   return least;
 }
 
-/**
- * bt_place_most() - how many tasks of a kind the idle pool could run at once
- * @core: the core
- * @pool: the pool's name
- * @need: what a task takes, at least a slot
- * @urgent: whether it is urgent work
- *
- * Return: their number; 0 if even an idle VM of this data centre is too small.
- */
-gint64
-bt_place_most (const bt_core_t *core, const char *pool, const bt_vector_t *need, gboolean urgent)
+/* How many tasks the idle pool could run at once; 0 if even an idle VM is too small. */
+static gint64
+most_tasks (const bt_core_t *core, const char *pool, const bt_vector_t *need, gboolean urgent)
 {
   const bt_place_pool_t *index = g_hash_table_lookup (core->place.pools, pool);
   gint64 sum = 0;
@@ -546,6 +538,6 @@
 {
   bt_vector_t need;
   bt_request_need (request, &need);
-  gint64 most = bt_place_most (core, pool->name, &need, work_class == BT_CLASS_URGENT);
+  gint64 most = most_tasks (core, pool->name, &need, work_class == BT_CLASS_URGENT);
   return most >= (request->kind == BT_KIND_GANG ? request->tasks : 1);
 }
--- a/libbamboothread/process/quota.c
+++ b/libbamboothread/process/quota.c
@@ -313,20 +313,6 @@
   return account;
 }
 
-/**
- * bt_quota_pool() - a pool's part in this data centre
- * @core: the core
- * @pool: the pool's name
- *
- * Return: its capacity and accounts.
- */
-const bt_quota_pool_t *
-bt_quota_pool (bt_core_t *core, const char *pool)
-{
-  refresh (core);
-  return get_pool (core, pool);
-}
-
 /**
  * bt_quota_charge() - count a bound attempt to its team
  * @attempt: the attempt; nothing happens if it is not bound, its team is not
