--- /dev/null
+++ b/libbamboothread/scheduler/adviser.c
@@ -0,0 +1,108 @@
+#include "libbamboothread/scheduler/adviser.h"
+
+/* Calls on their way at once: the service works on one, the next is already there. */
+#define OPEN_MAX 2
+/* Calls for one question; after that the owner of the workers asks anew. */
+#define TRIES_MAX 3
+
+struct bts_adviser_t
+{
+  bts_ledger_t *ledger;
+  const bts_adviser_ops_t *ops;
+  void *context;
+  GQueue queue;
+  GPtrArray *open;
+};
+
+static void
+question_free (gpointer data)
+{
+  bts_question_t *question = data;
+  g_free (question->job);
+  if (question->workers != NULL)
+    g_ptr_array_unref (question->workers);
+  g_free (question);
+}
+
+bts_adviser_t *
+bts_adviser_new (bts_ledger_t *ledger, const bts_adviser_ops_t *ops, void *context)
+{
+  bts_adviser_t *adviser = g_new0 (bts_adviser_t, 1);
+  adviser->ledger = ledger;
+  adviser->ops = ops;
+  adviser->context = context;
+  g_queue_init (&adviser->queue);
+  adviser->open = g_ptr_array_new_with_free_func (question_free);
+  return adviser;
+}
+
+void
+bts_adviser_free (bts_adviser_t *adviser)
+{
+  g_queue_clear_full (&adviser->queue, question_free);
+  g_ptr_array_unref (adviser->open);
+  g_free (adviser);
+}
+
+static void
+run_queue (bts_adviser_t *adviser)
+{
+  while (adviser->open->len < OPEN_MAX && !g_queue_is_empty (&adviser->queue))
+    {
+      bts_question_t *question = g_queue_pop_head (&adviser->queue);
+      bts_job_t *job = bts_ledger_job (adviser->ledger, question->job);
+      bts_stage_t *stage = job == NULL || bts_job_over (job)
+                               ? NULL
+                               : bts_job_stage (job, question->occurrence, question->step);
+      question->tries++;
+      if (stage != NULL && adviser->ops->ask (adviser->context, question, stage))
+        g_ptr_array_add (adviser->open, question);
+      else
+        question_free (question);
+    }
+}
+
+/**
+ * bts_adviser_ask() - ask which workers may run a stage
+ * @adviser: the adviser
+ * @stage: the stage
+ * @workers: ids of the workers, or NULL for all; questions with few come first
+ */
+void
+bts_adviser_ask (bts_adviser_t *adviser, const bts_stage_t *stage, const GPtrArray *workers)
+{
+  bts_question_t *question = g_new0 (bts_question_t, 1);
+  question->job = g_strdup (bts_job_id (stage->job));
+  question->occurrence = stage->occurrence;
+  question->step = stage->step;
+  if (workers != NULL)
+    {
+      question->workers = g_ptr_array_new_with_free_func (g_free);
+      for (guint i = 0; i < workers->len; i++)
+        g_ptr_array_add (question->workers, g_strdup (workers->pdata[i]));
+      g_queue_push_head (&adviser->queue, question);
+    }
+  else
+    g_queue_push_tail (&adviser->queue, question);
+  run_queue (adviser);
+}
+
+/**
+ * bts_adviser_on_answer() - a call has been answered, or not
+ * @adviser: the adviser
+ * @question: what was asked
+ * @ok: whether there was a usable answer
+ */
+void
+bts_adviser_on_answer (bts_adviser_t *adviser, const bts_question_t *question, gboolean ok)
+{
+  guint i;
+  if (!g_ptr_array_find (adviser->open, question, &i))
+    return;
+  bts_question_t *closed = g_ptr_array_steal_index (adviser->open, i);
+  if (!ok && closed->tries < TRIES_MAX)
+    g_queue_push_tail (&adviser->queue, closed);
+  else
+    question_free (closed);
+  run_queue (adviser);
+}
--- /dev/null
+++ b/libbamboothread/scheduler/fleet.c
@@ -0,0 +1,203 @@
+#include "libbamboothread/scheduler/fleet.h"
+
+#include <string.h>
+
+void
+bts_entry_free (bts_entry_t *entry)
+{
+  g_free (entry->id);
+  g_free (entry->address);
+  g_free (entry->service);
+  g_free (entry->zone);
+  g_strfreev (entry->labels);
+  g_free (entry);
+}
+
+static void
+worker_free (bts_worker_t *worker)
+{
+  bts_entry_free (worker->entry);
+  g_ptr_array_unref (worker->runs);
+  g_free (worker);
+}
+
+void
+bts_fleet_init (bts_fleet_t *fleet)
+{
+  fleet->workers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)worker_free);
+}
+
+void
+bts_fleet_clear (bts_fleet_t *fleet)
+{
+  g_hash_table_unref (fleet->workers);
+}
+
+bts_worker_t *
+bts_fleet_worker (const bts_fleet_t *fleet, const char *id)
+{
+  return g_hash_table_lookup (fleet->workers, id);
+}
+
+static gboolean
+entry_same (const bts_entry_t *a, const bts_entry_t *b)
+{
+  return strcmp (a->address, b->address) == 0 && strcmp (a->service, b->service) == 0
+         && a->draining == b->draining && a->cpu_millis == b->cpu_millis
+         && a->memory_mb == b->memory_mb && a->gpus == b->gpus;
+}
+
+/**
+ * bts_fleet_enter() - take up what a worker says of itself
+ * @fleet: the workers
+ * @entry: the entry; the fleet takes it
+ *
+ * Return: what has changed. On %BTS_ENTRY_REBORN the worker's runs are still
+ * there: the caller gives them up and resets the worker.
+ */
+bts_entry_change_t
+bts_fleet_enter (bts_fleet_t *fleet, bts_entry_t *entry)
+{
+  bts_worker_t *worker = bts_fleet_worker (fleet, entry->id);
+  if (worker == NULL)
+    {
+      worker = g_new0 (bts_worker_t, 1);
+      worker->entry = entry;
+      worker->listed = TRUE;
+      worker->born_ms = entry->born_ms;
+      worker->runs = g_ptr_array_new ();
+      g_hash_table_insert (fleet->workers, entry->id, worker);
+      return BTS_ENTRY_NEW;
+    }
+  bts_entry_change_t change = entry_same (worker->entry, entry) ? BTS_ENTRY_SAME : BTS_ENTRY_CHANGED;
+  if (entry->born_ms > worker->born_ms)
+    change = worker->born_ms == 0 ? change : BTS_ENTRY_REBORN;
+  g_hash_table_steal (fleet->workers, worker->entry->id);
+  bts_entry_free (worker->entry);
+  worker->entry = entry;
+  worker->listed = TRUE;
+  g_hash_table_insert (fleet->workers, entry->id, worker);
+  return change;
+}
+
+/**
+ * bts_worker_reset() - forget what was known of an earlier life or term
+ * @worker: a worker without runs
+ */
+void
+bts_worker_reset (bts_worker_t *worker)
+{
+  memset (&worker->used, 0, sizeof worker->used);
+  worker->life++;
+  worker->synced = FALSE;
+  worker->asked = FALSE;
+  worker->clock_ms = 0;
+  worker->clock_us = 0;
+  worker->deadline_ms = 0;
+  worker->acked = 0;
+  worker->seen = 0;
+  worker->ends_open = 0;
+  worker->hold_open = FALSE;
+  worker->hold_next_us = 0;
+  worker->hold_failures = 0;
+  worker->heard_us = 0;
+  worker->rest_until_us = 0;
+  worker->faults = 0;
+}
+
+/**
+ * bts_worker_heard() - take up the clock of an answer
+ * @worker: the worker
+ * @clock_ms: its clock
+ * @now_us: when the answer came
+ *
+ * Answers overtake each other, so that an older clock is passed over.
+ */
+void
+bts_worker_heard (bts_worker_t *worker, gint64 clock_ms, gint64 now_us)
+{
+  worker->heard_us = now_us;
+  if (clock_ms <= worker->clock_ms)
+    return;
+  worker->clock_ms = clock_ms;
+  worker->clock_us = now_us;
+}
+
+/**
+ * bts_worker_clock_ms() - the worker's clock, about
+ * @worker: a worker that has answered
+ * @now_us: the time
+ *
+ * Return: its clock, by less than the time of one answer behind.
+ */
+gint64
+bts_worker_clock_ms (const bts_worker_t *worker, gint64 now_us)
+{
+  return worker->clock_ms + (now_us - worker->clock_us) / 1000;
+}
+
+/**
+ * bts_worker_expiry_us() - when its lease has surely run out
+ * @worker: the worker
+ */
+gint64
+bts_worker_expiry_us (const bts_worker_t *worker)
+{
+  gint64 left_us = MAX (worker->deadline_ms - worker->clock_ms, 0) * 1000;
+  return worker->clock_us + (gint64)((double)left_us / (1.0 - BTS_CLOCK_SLOW)) + BTS_LEASE_MARGIN_US;
+}
+
+gboolean
+bts_worker_has_label (const bts_worker_t *worker, const char *label)
+{
+  return g_strv_contains ((const char *const *)worker->entry->labels, label);
+}
+
+/**
+ * bts_worker_find() - a run by the names that the worker uses
+ * @worker: the worker
+ * @name: name of the task
+ * @number: number of the run
+ */
+bts_run_t *
+bts_worker_find (const bts_worker_t *worker, const char *name, guint number)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      bts_run_t *run = worker->runs->pdata[i];
+      if (run->number == number && strcmp (run->name, name) == 0)
+        return run;
+    }
+  return NULL;
+}
+
+/**
+ * bts_worker_add() - count a run as on the worker
+ * @worker: the worker
+ * @run: the run
+ */
+void
+bts_worker_add (bts_worker_t *worker, bts_run_t *run)
+{
+  run->worker = worker;
+  g_ptr_array_add (worker->runs, run);
+  worker->used.cpu_millis += run->room.cpu_millis;
+  worker->used.memory_mb += run->room.memory_mb;
+  worker->used.gpus += run->room.gpus;
+}
+
+/**
+ * bts_worker_remove() - give back the room of a run
+ * @worker: the worker
+ * @run: a run that is on it
+ */
+void
+bts_worker_remove (bts_worker_t *worker, bts_run_t *run)
+{
+  if (!g_ptr_array_remove_fast (worker->runs, run))
+    return;
+  worker->used.cpu_millis -= run->room.cpu_millis;
+  worker->used.memory_mb -= run->room.memory_mb;
+  worker->used.gpus -= run->room.gpus;
+}
--- /dev/null
+++ b/libbamboothread/scheduler/gate.c
@@ -0,0 +1,311 @@
+#include "libbamboothread/scheduler/gate.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+
+/* Without a read of the journal for so long, in microseconds, the store counts as
+   away: its waiting reads answer within 1 s. */
+#define FRESH_US (2200 * 1000)
+/* Part of a caller's patience kept for the way of the answer, in microseconds. */
+#define ANSWER_MARGIN_US (250 * 1000)
+/* Appends for one request; a repeat of a record that is there already has no effect. */
+#define TRIES_MAX 4
+
+/**
+ * struct request_t - a caller that waits
+ * @record: what is to be in the journal; packed
+ * @cancels: a cancellation, else a new job
+ * @until_us: when the caller has to be told that it isn't known
+ * @tries: appends so far
+ * @unknown: one of them got no answer
+ * @since_us: when the request came
+ * @barrier: the job isn't known here; a read sent after @since_us decides
+ */
+typedef struct
+{
+  guint64 exchange;
+  guint64 token;
+  char *id;
+  Bts__Record record;
+  gboolean cancels;
+  gint64 until_us;
+  guint tries;
+  gboolean unknown;
+  gint64 since_us;
+  gboolean barrier;
+} request_t;
+
+struct bts_gate_t
+{
+  bts_ledger_t *ledger;
+  const bts_gate_ops_t *ops;
+  void *context;
+  GPtrArray *requests;
+  guint64 token;
+  gint64 read_us;
+};
+
+static void
+request_free (gpointer data)
+{
+  request_t *request = data;
+  if (request->record.kind_case == BTS__RECORD__KIND_ACCEPTED)
+    bts__accepted__free_unpacked (request->record.accepted, NULL);
+  else if (request->record.kind_case == BTS__RECORD__KIND_CANCELLED)
+    bts__cancelled__free_unpacked (request->record.cancelled, NULL);
+  g_free (request->id);
+  g_free (request);
+}
+
+/**
+ * bts_gate_new() - a gate that has not read the journal yet
+ * @ledger: the folded journal
+ * @ops: where its messages go
+ * @context: handed to @ops
+ */
+bts_gate_t *
+bts_gate_new (bts_ledger_t *ledger, const bts_gate_ops_t *ops, void *context)
+{
+  bts_gate_t *gate = g_new0 (bts_gate_t, 1);
+  gate->ledger = ledger;
+  gate->ops = ops;
+  gate->context = context;
+  gate->requests = g_ptr_array_new_with_free_func (request_free);
+  return gate;
+}
+
+void
+bts_gate_free (bts_gate_t *gate)
+{
+  g_ptr_array_unref (gate->requests);
+  g_free (gate);
+}
+
+/**
+ * bts_gate_fresh() - whether the journal has been read to its end lately
+ * @gate: the gate
+ * @now_us: the time
+ */
+gboolean
+bts_gate_fresh (const bts_gate_t *gate, gint64 now_us)
+{
+  return gate->read_us != 0 && now_us - gate->read_us < FRESH_US;
+}
+
+guint
+bts_gate_waiting (const bts_gate_t *gate)
+{
+  return gate->requests->len;
+}
+
+static void
+append (bts_gate_t *gate, request_t *request)
+{
+  request->tries++;
+  request->token = ++gate->token;
+  gate->ops->append (gate->context, request->token, &request->record);
+}
+
+static request_t *
+request_new (bts_gate_t *gate, guint64 exchange, const char *id, gint64 patience_us, gint64 now_us)
+{
+  request_t *request = g_new0 (request_t, 1);
+  request->exchange = exchange;
+  request->id = g_strdup (id);
+  request->since_us = now_us;
+  request->until_us = now_us + patience_us - ANSWER_MARGIN_US;
+  bts__record__init (&request->record);
+  g_ptr_array_add (gate->requests, request);
+  return request;
+}
+
+static void
+answer (bts_gate_t *gate, request_t *request, bts_answer_t what)
+{
+  static const char *const names[] = { "ok", "away", "unknown", "gone" };
+  bt_log (BT_LOG_INFO, request->cancels ? "cancel" : "submit", "job=%s answer=%s tries=%u",
+          request->id, names[what], request->tries);
+  guint64 exchange = request->exchange;
+  g_ptr_array_remove (gate->requests, request);
+  gate->ops->answer (gate->context, exchange, what);
+}
+
+/**
+ * bts_gate_submit() - a caller hands in a job
+ * @gate: the gate
+ * @exchange: names the caller's request
+ * @job: the job, checked; the gate takes it
+ * @patience_us: how long the caller waits
+ * @now_us: the time
+ */
+void
+bts_gate_submit (bts_gate_t *gate, guint64 exchange, Bts__Accepted *job, gint64 patience_us,
+                 gint64 now_us)
+{
+  gboolean known = bts_ledger_job (gate->ledger, job->id) != NULL;
+  if (known || !bts_gate_fresh (gate, now_us))
+    {
+      bt_log (BT_LOG_INFO, "submit", "job=%s answer=%s read_age_ms=%" G_GINT64_FORMAT, job->id,
+              known ? "ok" : "away", (now_us - gate->read_us) / 1000);
+      bts__accepted__free_unpacked (job, NULL);
+      gate->ops->answer (gate->context, exchange, known ? BTS_ANSWER_OK : BTS_ANSWER_AWAY);
+      return;
+    }
+  request_t *request = request_new (gate, exchange, job->id, patience_us, now_us);
+  request->record.kind_case = BTS__RECORD__KIND_ACCEPTED;
+  request->record.accepted = job;
+  append (gate, request);
+}
+
+/**
+ * bts_gate_cancel() - a caller cancels a job
+ * @gate: the gate
+ * @exchange: names the caller's request
+ * @id: the job
+ * @patience_us: how long the caller waits
+ * @now_us: the time
+ */
+void
+bts_gate_cancel (bts_gate_t *gate, guint64 exchange, const char *id, gint64 patience_us,
+                 gint64 now_us)
+{
+  const bts_job_t *job = bts_ledger_job (gate->ledger, id);
+  if ((job != NULL && bts_job_over (job)) || !bts_gate_fresh (gate, now_us))
+    {
+      gboolean over = job != NULL && bts_job_over (job);
+      gate->ops->answer (gate->context, exchange, over ? BTS_ANSWER_OK : BTS_ANSWER_AWAY);
+      return;
+    }
+  request_t *request = request_new (gate, exchange, id, patience_us, now_us);
+  request->cancels = TRUE;
+  Bts__Cancelled *cancelled = malloc (sizeof *cancelled);
+  bts__cancelled__init (cancelled);
+  cancelled->id = strdup (id);
+  request->record.kind_case = BTS__RECORD__KIND_CANCELLED;
+  request->record.cancelled = cancelled;
+  /* It may have been accepted elsewhere a moment ago. */
+  request->barrier = job == NULL;
+  if (!request->barrier)
+    append (gate, request);
+}
+
+/**
+ * bts_gate_query() - the state of a job
+ * @gate: the gate
+ * @id: the job
+ * @now_us: the time
+ * @state: gets the state if the answer is %BTS_ANSWER_OK
+ */
+bts_answer_t
+bts_gate_query (const bts_gate_t *gate, const char *id, gint64 now_us, bts_state_t *state)
+{
+  const bts_job_t *job = bts_ledger_job (gate->ledger, id);
+  if (job == NULL)
+    return bts_gate_fresh (gate, now_us) ? BTS_ANSWER_GONE : BTS_ANSWER_AWAY;
+  *state = bts_job_state (job);
+  return BTS_ANSWER_OK;
+}
+
+static request_t *
+find (const bts_gate_t *gate, guint64 token)
+{
+  for (guint i = 0; i < gate->requests->len; i++)
+    {
+      request_t *request = gate->requests->pdata[i];
+      if (request->token == token)
+        return request;
+    }
+  return NULL;
+}
+
+/**
+ * bts_gate_on_append() - what became of an append
+ * @gate: the gate
+ * @token: of the append
+ * @stored: what became of it
+ * @now_us: the time
+ */
+void
+bts_gate_on_append (bts_gate_t *gate, guint64 token, bts_stored_t stored, gint64 now_us)
+{
+  request_t *request = find (gate, token);
+  if (request == NULL)
+    return;
+  /* A cancellation counts once the fold has met the job. */
+  if (stored == BTS_STORED && !request->cancels)
+    answer (gate, request, BTS_ANSWER_OK);
+  else if (stored == BTS_STORED_UNKNOWN)
+    {
+      request->unknown = TRUE;
+      if (request->tries < TRIES_MAX && now_us < request->until_us)
+        append (gate, request);
+    }
+  else if (stored == BTS_NOT_STORED && !request->unknown)
+    answer (gate, request, BTS_ANSWER_AWAY);
+}
+
+/**
+ * bts_gate_on_read() - the journal was read to its end
+ * @gate: the gate
+ * @sent_us: when that read was sent
+ * @now_us: the time
+ */
+void
+bts_gate_on_read (bts_gate_t *gate, gint64 sent_us, gint64 now_us)
+{
+  gate->read_us = now_us;
+  for (guint i = 0; i < gate->requests->len;)
+    {
+      request_t *request = gate->requests->pdata[i];
+      if (!request->barrier || sent_us <= request->since_us)
+        {
+          i++;
+          continue;
+        }
+      request->barrier = FALSE;
+      if (bts_ledger_job (gate->ledger, request->id) == NULL)
+        answer (gate, request, BTS_ANSWER_GONE);
+      else
+        append (gate, request);
+    }
+}
+
+/**
+ * bts_gate_on_job() - a job was accepted, or is over
+ * @gate: the gate
+ * @job: the job
+ */
+void
+bts_gate_on_job (bts_gate_t *gate, const bts_job_t *job)
+{
+  for (guint i = 0; i < gate->requests->len;)
+    {
+      request_t *request = gate->requests->pdata[i];
+      if (strcmp (request->id, bts_job_id (job)) == 0 && (!request->cancels || bts_job_over (job)))
+        {
+          answer (gate, request, BTS_ANSWER_OK);
+          i = 0;
+        }
+      else
+        i++;
+    }
+}
+
+/**
+ * bts_gate_tick() - answer callers whose patience ends
+ * @gate: the gate
+ * @now_us: the time
+ */
+void
+bts_gate_tick (bts_gate_t *gate, gint64 now_us)
+{
+  for (guint i = 0; i < gate->requests->len;)
+    {
+      request_t *request = gate->requests->pdata[i];
+      if (now_us >= request->until_us)
+        answer (gate, request, BTS_ANSWER_UNKNOWN);
+      else
+        i++;
+    }
+}
--- /dev/null
+++ b/libbamboothread/scheduler/job.c
@@ -0,0 +1,379 @@
+#include "libbamboothread/scheduler/job.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/error.h"
+
+/* Most occurrences of one job, which bounds what it can take in memory. */
+#define REPEAT_MAX 100000
+
+/**
+ * bts_accepted_check() - check a job before it is accepted or folded
+ * @accepted: the job
+ * @error: %BT_ERROR_INVALID with what is wrong
+ *
+ * Return: whether its id, steps and widths can be served at all.
+ */
+gboolean
+bts_accepted_check (const Bts__Accepted *accepted, GError **error)
+{
+  const char *fault = NULL;
+  guint64 tasks = 0;
+  if (strlen (accepted->id) != BTS_ID_LEN || accepted->policy == NULL)
+    fault = "no id of 16 digits, or no policy";
+  for (const char *c = accepted->id; fault == NULL && *c != '\0'; c++)
+    if (!g_ascii_isxdigit (*c))
+      fault = "the id has other letters than hexadecimal digits";
+  if (fault == NULL && (accepted->n_steps == 0 || accepted->repeat > REPEAT_MAX))
+    fault = "no steps, or too many occurrences";
+  for (gsize i = 0; fault == NULL && i < accepted->n_steps; i++)
+    {
+      const Bts__Step *step = accepted->steps[i];
+      tasks += step->count;
+      if (step->count == 0)
+        fault = "a step without tasks";
+      for (gsize j = 0; fault == NULL && j < step->n_after; j++)
+        if (step->after[j] >= i)
+          fault = "a step waits for itself or a later one";
+    }
+  if (fault == NULL && tasks > BTS_TASKS_MAX)
+    fault = "too many tasks";
+  if (fault != NULL)
+    g_set_error_literal (error, BT_ERROR, BT_ERROR_INVALID, fault);
+  return fault == NULL;
+}
+
+/**
+ * bts_job_new() - a job from its record
+ * @accepted: the record, checked; the job takes it
+ * @offset: where it stands in the journal
+ * @now_us: the time of folding, in microseconds
+ */
+bts_job_t *
+bts_job_new (Bts__Accepted *accepted, gint64 offset, gint64 now_us)
+{
+  bts_job_t *job = g_new0 (bts_job_t, 1);
+  job->accepted = accepted;
+  job->offset = offset;
+  job->folded_us = now_us;
+  job->occurrences = g_ptr_array_new ();
+  for (gsize i = 0; i < accepted->n_steps; i++)
+    job->n_tasks += accepted->steps[i]->count;
+  return job;
+}
+
+static void
+occurrence_free (bts_occurrence_t *occurrence, gsize n_steps)
+{
+  if (occurrence == NULL)
+    return;
+  for (gsize i = 0; i < n_steps; i++)
+    {
+      bts_stage_t *stage = &occurrence->stages[i];
+      for (guint t = 0; t < stage->n; t++)
+        {
+          g_free (stage->tasks[t].saved);
+          g_free (stage->tasks[t].avoid);
+        }
+      g_free (stage->tasks);
+      g_clear_pointer (&stage->advice, g_hash_table_unref);
+    }
+  g_free (occurrence->stages);
+  g_free (occurrence);
+}
+
+/**
+ * bts_job_free() - free a job that no run refers to
+ * @job: the job
+ */
+void
+bts_job_free (bts_job_t *job)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    occurrence_free (job->occurrences->pdata[i], job->accepted->n_steps);
+  g_ptr_array_unref (job->occurrences);
+  bts__accepted__free_unpacked (job->accepted, NULL);
+  g_free (job);
+}
+
+const char *
+bts_job_id (const bts_job_t *job)
+{
+  return job->accepted->id;
+}
+
+/**
+ * bts_job_repeat() - how many times its steps run
+ * @job: the job
+ */
+guint
+bts_job_repeat (const bts_job_t *job)
+{
+  return MAX (job->accepted->repeat, 1);
+}
+
+/**
+ * bts_job_due_ms() - when an occurrence is due
+ * @job: the job
+ * @occurrence: its number
+ *
+ * Return: Unix time in milliseconds; 0 for a job that is due at once.
+ */
+gint64
+bts_job_due_ms (const bts_job_t *job, guint occurrence)
+{
+  if (job->accepted->repeat == 0)
+    return 0;
+  return job->accepted->first_due_ms + (gint64)occurrence * job->accepted->interval_ms;
+}
+
+/**
+ * bts_job_lasting() - whether the job runs until it is cancelled
+ * @job: the job
+ */
+gboolean
+bts_job_lasting (const bts_job_t *job)
+{
+  for (gsize i = 0; i < job->accepted->n_steps; i++)
+    if (job->accepted->steps[i]->long_running)
+      return TRUE;
+  return FALSE;
+}
+
+/**
+ * bts_job_over() - whether nothing of the job may start any more
+ * @job: the job
+ */
+gboolean
+bts_job_over (const bts_job_t *job)
+{
+  return job->cancelled || job->failed || job->n_finished == bts_job_repeat (job);
+}
+
+/**
+ * bts_job_state() - what a caller is told
+ * @job: the job
+ */
+bts_state_t
+bts_job_state (const bts_job_t *job)
+{
+  if (job->n_finished == bts_job_repeat (job))
+    return BTS_COMPLETED;
+  if (job->cancelled)
+    return BTS_CANCELLED;
+  if (job->failed)
+    return BTS_FAILED;
+  return job->begun ? BTS_RUNNING : BTS_PENDING;
+}
+
+const char *
+bts_state_name (bts_state_t state)
+{
+  static const char *const names[] = { "pending", "running", "completed", "failed", "cancelled" };
+  return names[state];
+}
+
+static bts_occurrence_t *
+occurrence_new (bts_job_t *job, guint number)
+{
+  const Bts__Accepted *accepted = job->accepted;
+  bts_occurrence_t *occurrence = g_new0 (bts_occurrence_t, 1);
+  occurrence->stages = g_new0 (bts_stage_t, accepted->n_steps);
+  for (gsize i = 0; i < accepted->n_steps; i++)
+    {
+      bts_stage_t *stage = &occurrence->stages[i];
+      stage->job = job;
+      stage->occurrence = number;
+      stage->step = (guint)i;
+      stage->n = accepted->steps[i]->count;
+      stage->tasks = g_new0 (bts_task_t, stage->n);
+      for (guint t = 0; t < stage->n; t++)
+        {
+          stage->tasks[t].stage = stage;
+          stage->tasks[t].index = t;
+        }
+    }
+  return occurrence;
+}
+
+/**
+ * bts_job_open() - the state of an occurrence, made if there is none yet
+ * @job: the job
+ * @occurrence: its number, below bts_job_repeat()
+ */
+bts_occurrence_t *
+bts_job_open (bts_job_t *job, guint occurrence)
+{
+  if (job->occurrences->len <= occurrence)
+    g_ptr_array_set_size (job->occurrences, (gint)occurrence + 1);
+  if (job->occurrences->pdata[occurrence] == NULL)
+    job->occurrences->pdata[occurrence] = occurrence_new (job, occurrence);
+  return job->occurrences->pdata[occurrence];
+}
+
+/**
+ * bts_job_occurrence() - the state of an occurrence
+ * @job: the job
+ * @occurrence: its number
+ *
+ * Return: the state, or NULL if the occurrence hasn't begun.
+ */
+bts_occurrence_t *
+bts_job_occurrence (const bts_job_t *job, guint occurrence)
+{
+  return occurrence < job->occurrences->len ? job->occurrences->pdata[occurrence] : NULL;
+}
+
+/**
+ * bts_job_stage() - a step of an occurrence
+ * @job: the job
+ * @occurrence: number of the occurrence
+ * @step: number of the step
+ *
+ * Return: the stage, or NULL if the job has no such one.
+ */
+bts_stage_t *
+bts_job_stage (bts_job_t *job, guint occurrence, guint step)
+{
+  if (occurrence >= bts_job_repeat (job) || step >= job->accepted->n_steps)
+    return NULL;
+  return &bts_job_open (job, occurrence)->stages[step];
+}
+
+/**
+ * bts_job_shrink() - give back the memory that only starts need
+ * @job: a job that is over
+ */
+void
+bts_job_shrink (bts_job_t *job)
+{
+  ProtobufCBinaryData *spec = &job->accepted->spec;
+  g_clear_pointer (&spec->data, free);
+  spec->len = 0;
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      bts_occurrence_t *occurrence = job->occurrences->pdata[k];
+      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
+        g_clear_pointer (&occurrence->stages[i].advice, g_hash_table_unref);
+    }
+}
+
+static void
+ticket_free (gpointer data)
+{
+  bts_ticket_t *ticket = data;
+  g_free (ticket->ticket);
+  g_free (ticket);
+}
+
+/**
+ * bts_stage_advise() - keep leave to start a stage on a worker
+ * @stage: the stage
+ * @worker: id of the worker, or NULL to note only that advice has come
+ * @ticket: what a start has to carry
+ * @now_us: the time
+ */
+void
+bts_stage_advise (bts_stage_t *stage, const char *worker, const char *ticket, gint64 now_us)
+{
+  if (stage->advice == NULL)
+    stage->advice = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, ticket_free);
+  if (worker == NULL)
+    return;
+  bts_ticket_t *kept = g_new0 (bts_ticket_t, 1);
+  kept->ticket = g_strdup (ticket);
+  kept->at_us = now_us;
+  g_hash_table_replace (stage->advice, g_strdup (worker), kept);
+}
+
+const Bts__Step *
+bts_stage_step (const bts_stage_t *stage)
+{
+  return stage->job->accepted->steps[stage->step];
+}
+
+const Bts__Policy *
+bts_stage_policy (const bts_stage_t *stage)
+{
+  return stage->job->accepted->policy;
+}
+
+/**
+ * bts_stage_over() - whether all tasks of a stage have ended done
+ * @stage: the stage
+ */
+gboolean
+bts_stage_over (const bts_stage_t *stage)
+{
+  return stage->n_done == stage->n;
+}
+
+/**
+ * bts_stage_ready() - whether all stages that it waits for are over
+ * @stage: the stage
+ */
+gboolean
+bts_stage_ready (const bts_stage_t *stage)
+{
+  const Bts__Step *step = bts_stage_step (stage);
+  const bts_occurrence_t *occurrence = bts_job_occurrence (stage->job, stage->occurrence);
+  for (gsize i = 0; i < step->n_after; i++)
+    if (!bts_stage_over (&occurrence->stages[step->after[i]]))
+      return FALSE;
+  return TRUE;
+}
+
+/**
+ * bts_task_save() - keep the newest checkpoint of a task
+ * @task: the task
+ * @saved: the checkpoint; NULL or empty leaves the last one
+ */
+void
+bts_task_save (bts_task_t *task, const char *saved)
+{
+  if (saved == NULL || *saved == '\0' || g_strcmp0 (saved, task->saved) == 0)
+    return;
+  g_free (task->saved);
+  task->saved = g_strdup (saved);
+}
+
+/**
+ * bts_task_name() - the name of a task towards workers
+ * @task: the task
+ */
+char *
+bts_task_name (const bts_task_t *task)
+{
+  const bts_stage_t *stage = task->stage;
+  return g_strdup_printf ("%s.%u.%u.%u", bts_job_id (stage->job), stage->occurrence, stage->step,
+                          task->index);
+}
+
+/**
+ * bts_name_parse() - take a task's name apart
+ * @name: the name
+ * @id: gets the job's id
+ * @occurrence: gets the number of the occurrence
+ * @step: gets the number of the step
+ * @index: gets the number of the task in its step
+ *
+ * Return: whether it is a task's name.
+ */
+gboolean
+bts_name_parse (const char *name, char id[BTS_ID_LEN + 1], guint *occurrence, guint *step,
+                guint *index)
+{
+  g_auto (GStrv) parts = g_strsplit (name, ".", 5);
+  if (g_strv_length (parts) != 4 || strlen (parts[0]) != BTS_ID_LEN)
+    return FALSE;
+  memcpy (id, parts[0], BTS_ID_LEN + 1);
+  guint *numbers[] = { occurrence, step, index };
+  for (guint i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      guint64 value;
+      if (!g_ascii_string_to_unsigned (parts[i + 1], 10, 0, G_MAXUINT32, &value, NULL))
+        return FALSE;
+      *numbers[i] = (guint)value;
+    }
+  return TRUE;
+}
--- /dev/null
+++ b/libbamboothread/scheduler/job.h
@@ -0,0 +1,182 @@
+#ifndef BTS_JOB_H
+#define BTS_JOB_H
+
+#include <glib.h>
+
+#include "proto/record.pb-c.h"
+
+/*
+ * Jobs as the journal tells them: steps of tasks, run once or at intervals.
+ */
+
+/* Letters of a job's id, as its caller chose it. */
+#define BTS_ID_LEN 16
+/* Most tasks in one occurrence of a job; a wider one is refused as malformed. */
+#define BTS_TASKS_MAX 4096
+
+typedef struct bts_job_t bts_job_t;
+typedef struct bts_stage_t bts_stage_t;
+typedef struct bts_run_t bts_run_t;
+
+/**
+ * enum bts_how_t - how a run ended
+ * @BTS_HOW_DONE: its work is complete
+ * @BTS_HOW_FAILED: counts against the attempts of its task or gang
+ * @BTS_HOW_STOPPED: on the owner's order
+ * @BTS_HOW_LAPSED: the worker's lease ran out
+ * @BTS_HOW_BROKEN: another member of its gang ended
+ * @BTS_HOW_ALONE: the rest of its gang did not come in time
+ */
+typedef enum
+{
+  BTS_HOW_DONE,
+  BTS_HOW_FAILED,
+  BTS_HOW_STOPPED,
+  BTS_HOW_LAPSED,
+  BTS_HOW_BROKEN,
+  BTS_HOW_ALONE,
+} bts_how_t;
+
+/**
+ * enum bts_state_t - what a caller is told of a job
+ */
+typedef enum
+{
+  BTS_PENDING,
+  BTS_RUNNING,
+  BTS_COMPLETED,
+  BTS_FAILED,
+  BTS_CANCELLED,
+} bts_state_t;
+
+/**
+ * struct bts_ticket_t - leave to start a stage on a worker
+ * @at_us: when it came; 0 once the worker has refused it
+ */
+typedef struct
+{
+  char *ticket;
+  gint64 at_us;
+} bts_ticket_t;
+
+/**
+ * struct bts_task_t - one unit that takes room on a worker
+ * @index: its number in its step
+ * @done: an end of kind done is in the journal
+ * @fails: ends of kind failed in the journal
+ * @ended_run: the highest run whose end is in the journal; 0 for none
+ * @last_run: the highest run number known to have been used; 0 for none
+ * @lost_run: the highest run given up because its worker's lease ran out; an
+ *   end of it that shows up later doesn't count
+ * @saved: newest checkpoint, or NULL
+ * @run: the owner's present run of it, or NULL
+ * @ending: its run has ended and the journal doesn't hold the end yet
+ * @avoid: worker on which it failed last, or NULL
+ */
+typedef struct
+{
+  bts_stage_t *stage;
+  guint index;
+  gboolean done;
+  guint fails;
+  guint ended_run;
+  guint last_run;
+  guint lost_run;
+  char *saved;
+  bts_run_t *run;
+  gboolean ending;
+  char *avoid;
+} bts_task_t;
+
+/**
+ * struct bts_stage_t - one step of one occurrence
+ * @tasks: its tasks, @n of them
+ * @n_done: tasks with a journaled end of kind done
+ * @gang_fails: failed runs of the whole gang
+ * @gang_failed_run: the run that @gang_fails counted last
+ * @advice: worker id to bts_ticket_t, or NULL while nothing is known
+ * @asked_us: when the owner asked for advice; 0 if it isn't waiting for any
+ * @waiting: the stage stands in the owner's queue
+ * @due_us: when it should be over for its job to meet its objective
+ * @rest_until_us: no attempt to place it before
+ */
+struct bts_stage_t
+{
+  bts_job_t *job;
+  guint occurrence;
+  guint step;
+  guint n;
+  guint n_done;
+  bts_task_t *tasks;
+  guint gang_fails;
+  guint gang_failed_run;
+  GHashTable *advice;
+  gint64 asked_us;
+  gboolean waiting;
+  gint64 due_us;
+  gint64 rest_until_us;
+};
+
+/**
+ * struct bts_occurrence_t - one time that a job's steps run
+ */
+typedef struct
+{
+  bts_stage_t *stages;
+  guint n_done;
+} bts_occurrence_t;
+
+/**
+ * struct bts_job_t - a job that the journal holds
+ * @accepted: the record that created it, without its spec once the job is over
+ * @offset: of that record
+ * @folded_us: when this process folded that record
+ * @ended_us: when this process saw the job end; 0 before
+ * @occurrences: bts_occurrence_t by number; NULL where none has begun
+ * @n_tasks: tasks in one occurrence
+ * @n_finished: occurrences whose tasks have all ended done
+ * @begun: a task has been started, as the owner told
+ * @owner_told: the owner is to tell or has told that it has begun
+ */
+struct bts_job_t
+{
+  Bts__Accepted *accepted;
+  gint64 offset;
+  gint64 folded_us;
+  gint64 ended_us;
+  GPtrArray *occurrences;
+  guint n_tasks;
+  guint n_finished;
+  gboolean begun;
+  gboolean owner_told;
+  gboolean cancelled;
+  gboolean failed;
+};
+
+bts_job_t *bts_job_new (Bts__Accepted *accepted, gint64 offset, gint64 now_us);
+void bts_job_free (bts_job_t *job);
+const char *bts_job_id (const bts_job_t *job);
+bts_state_t bts_job_state (const bts_job_t *job);
+const char *bts_state_name (bts_state_t state);
+gboolean bts_job_over (const bts_job_t *job);
+gboolean bts_job_lasting (const bts_job_t *job);
+guint bts_job_repeat (const bts_job_t *job);
+gint64 bts_job_due_ms (const bts_job_t *job, guint occurrence);
+bts_occurrence_t *bts_job_open (bts_job_t *job, guint occurrence);
+bts_occurrence_t *bts_job_occurrence (const bts_job_t *job, guint occurrence);
+bts_stage_t *bts_job_stage (bts_job_t *job, guint occurrence, guint step);
+void bts_job_shrink (bts_job_t *job);
+
+void bts_stage_advise (bts_stage_t *stage, const char *worker, const char *ticket, gint64 now_us);
+const Bts__Step *bts_stage_step (const bts_stage_t *stage);
+const Bts__Policy *bts_stage_policy (const bts_stage_t *stage);
+gboolean bts_stage_ready (const bts_stage_t *stage);
+gboolean bts_stage_over (const bts_stage_t *stage);
+void bts_task_save (bts_task_t *task, const char *saved);
+char *bts_task_name (const bts_task_t *task);
+gboolean bts_name_parse (const char *name, char id[BTS_ID_LEN + 1], guint *occurrence, guint *step,
+                         guint *index);
+
+gboolean bts_accepted_check (const Bts__Accepted *accepted, GError **error);
+
+#endif
--- /dev/null
+++ b/libbamboothread/scheduler/lead.c
@@ -0,0 +1,105 @@
+#include "libbamboothread/scheduler/lead.h"
+
+#include <string.h>
+
+/* Largest delay between processes that see the same silence, in microseconds. */
+#define JITTER_MAX_US (60 * 1000)
+/* Time after which a claim that hasn't come back is written again, in microseconds. */
+#define CLAIM_RETRY_US (700 * 1000)
+/* Reads further apart than this don't show whether the owner was silent. */
+#define READ_GAP_US (2500 * 1000)
+
+/**
+ * bts_lead_init() - a process that has not read the journal yet
+ * @lead: to be filled in
+ * @node: name of this life of the process
+ */
+void
+bts_lead_init (bts_lead_t *lead, const char *node)
+{
+  memset (lead, 0, sizeof *lead);
+  lead->node = g_strdup (node);
+  lead->jitter_us = g_str_hash (node) % JITTER_MAX_US;
+}
+
+void
+bts_lead_clear (bts_lead_t *lead)
+{
+  g_free (lead->node);
+}
+
+/**
+ * bts_lead_on_read() - the journal has been read to its end
+ * @lead: the process
+ * @now_us: the time
+ */
+void
+bts_lead_on_read (bts_lead_t *lead, gint64 now_us)
+{
+  if (lead->read_us == 0 || now_us - lead->read_us > READ_GAP_US)
+    lead->sign_us = now_us;
+  lead->read_us = now_us;
+}
+
+/**
+ * bts_lead_on_sign() - the owner has changed or written a beat
+ * @lead: the process
+ * @now_us: the time
+ */
+void
+bts_lead_on_sign (bts_lead_t *lead, gint64 now_us)
+{
+  lead->sign_us = now_us;
+}
+
+/**
+ * bts_lead_mine() - whether this process is the owner
+ * @lead: the process
+ * @ledger: the folded journal
+ */
+gboolean
+bts_lead_mine (const bts_lead_t *lead, const bts_ledger_t *ledger)
+{
+  return g_strcmp0 (bts_ledger_owner (ledger), lead->node) == 0;
+}
+
+/* The part of a node's name that stays the same over its lives. */
+static gboolean
+same_place (const char *a, const char *b)
+{
+  const char *slash_a = strchr (a, '/');
+  const char *slash_b = strchr (b, '/');
+  return slash_a != NULL && slash_b != NULL && slash_a - a == slash_b - b
+         && strncmp (a, b, (gsize)(slash_a - a)) == 0;
+}
+
+/**
+ * bts_lead_due() - whether to claim the next term now
+ * @lead: the process
+ * @ledger: the folded journal
+ * @now_us: the time
+ *
+ * A process claims when there is no owner, when the owner was an earlier life of
+ * itself, or when the owner has been silent while the journal could be read.
+ *
+ * Return: whether a claim is to be written; the time of it is noted.
+ */
+gboolean
+bts_lead_due (bts_lead_t *lead, const bts_ledger_t *ledger, gint64 now_us)
+{
+  const char *owner = bts_ledger_owner (ledger);
+  if (lead->leaving || lead->read_us == 0 || now_us - lead->read_us > READ_GAP_US
+      || bts_lead_mine (lead, ledger))
+    return FALSE;
+  if (lead->claimed_us != 0 && now_us - lead->claimed_us < CLAIM_RETRY_US)
+    return FALSE;
+  gint64 wait_us = BTS_LEAD_SILENCE_US + lead->jitter_us;
+  if (owner == NULL)
+    wait_us = lead->jitter_us;
+  else if (same_place (owner, lead->node))
+    wait_us = 0;
+  if (now_us - lead->sign_us < wait_us)
+    return FALSE;
+  lead->claimed_us = now_us;
+  return TRUE;
+}
--- /dev/null
+++ b/libbamboothread/scheduler/ledger.c
@@ -0,0 +1,355 @@
+#include "libbamboothread/scheduler/ledger.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/error.h"
+
+/**
+ * struct bts_ledger_t - the fold of the journal
+ * @jobs: id to bts_job_t
+ * @term: term of the newest claim; 0 before any
+ * @owner: node of that claim, or NULL after it resigned
+ * @claim_offset: where that claim stands
+ */
+struct bts_ledger_t
+{
+  const bts_ledger_ops_t *ops;
+  void *context;
+  GHashTable *jobs;
+  guint64 term;
+  char *owner;
+  gint64 claim_offset;
+};
+
+/**
+ * bts_ledger_new() - an empty ledger
+ * @ops: who is told of what it folds; lives as long as the ledger
+ * @context: handed to @ops
+ */
+bts_ledger_t *
+bts_ledger_new (const bts_ledger_ops_t *ops, void *context)
+{
+  bts_ledger_t *ledger = g_new0 (bts_ledger_t, 1);
+  ledger->ops = ops;
+  ledger->context = context;
+  ledger->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                        (GDestroyNotify)bts_job_free);
+  return ledger;
+}
+
+void
+bts_ledger_free (bts_ledger_t *ledger)
+{
+  g_hash_table_unref (ledger->jobs);
+  g_free (ledger->owner);
+  g_free (ledger);
+}
+
+/**
+ * bts_ledger_job() - a job by its id
+ * @ledger: the ledger
+ * @id: the id
+ *
+ * Return: the job, or NULL if none is known.
+ */
+bts_job_t *
+bts_ledger_job (const bts_ledger_t *ledger, const char *id)
+{
+  return g_hash_table_lookup (ledger->jobs, id);
+}
+
+GHashTable *
+bts_ledger_jobs (const bts_ledger_t *ledger)
+{
+  return ledger->jobs;
+}
+
+guint64
+bts_ledger_term (const bts_ledger_t *ledger)
+{
+  return ledger->term;
+}
+
+/**
+ * bts_ledger_owner() - who schedules
+ * @ledger: the ledger
+ *
+ * Return: the node that claimed the present term, or NULL if none holds it.
+ */
+const char *
+bts_ledger_owner (const bts_ledger_t *ledger)
+{
+  return ledger->owner;
+}
+
+gint64
+bts_ledger_claim_offset (const bts_ledger_t *ledger)
+{
+  return ledger->claim_offset;
+}
+
+/* Takes the record's message over, so that the job keeps it without a copy. */
+static gboolean
+fold_accepted (bts_ledger_t *ledger, Bts__Record *record, gint64 offset, gint64 now_us,
+               GError **error)
+{
+  if (!bts_accepted_check (record->accepted, error))
+    return FALSE;
+  if (g_hash_table_contains (ledger->jobs, record->accepted->id))
+    return TRUE;
+  bts_job_t *job = bts_job_new (record->accepted, offset, now_us);
+  record->accepted = NULL;
+  record->kind_case = BTS__RECORD__KIND__NOT_SET;
+  g_hash_table_insert (ledger->jobs, job->accepted->id, job);
+  ledger->ops->accepted (ledger->context, job);
+  return TRUE;
+}
+
+static void
+close_job (bts_ledger_t *ledger, bts_job_t *job, gint64 now_us)
+{
+  if (job->ended_us != 0)
+    return;
+  job->ended_us = now_us;
+  ledger->ops->over (ledger->context, job);
+  bts_job_shrink (job);
+}
+
+static void
+fold_cancelled (bts_ledger_t *ledger, const Bts__Cancelled *cancelled, gint64 now_us)
+{
+  bts_job_t *job = bts_ledger_job (ledger, cancelled->id);
+  if (job == NULL || bts_job_over (job))
+    return;
+  job->cancelled = TRUE;
+  ledger->ops->cancelled (ledger->context, job);
+  close_job (ledger, job, now_us);
+}
+
+static void
+fold_claim (bts_ledger_t *ledger, const Bts__Claim *claim, gint64 offset)
+{
+  if (claim->term != ledger->term + 1)
+    return;
+  ledger->term = claim->term;
+  g_free (ledger->owner);
+  ledger->owner = g_strdup (claim->node);
+  ledger->claim_offset = offset;
+  ledger->ops->owner (ledger->context);
+}
+
+static void
+fold_resigned (bts_ledger_t *ledger, const Bts__Resigned *resigned)
+{
+  if (resigned->term != ledger->term || ledger->owner == NULL)
+    return;
+  g_clear_pointer (&ledger->owner, g_free);
+  ledger->ops->owner (ledger->context);
+}
+
+/* All members of a gang end together: one done end stands for all, one failed
+   end of a run counts once. */
+static void
+end_gang (bts_stage_t *stage, guint run, bts_how_t how)
+{
+  if (how == BTS_HOW_DONE)
+    for (guint i = 0; i < stage->n; i++)
+      stage->tasks[i].done = TRUE;
+  if (how == BTS_HOW_DONE)
+    stage->n_done = stage->n;
+  if (how == BTS_HOW_FAILED && run > stage->gang_failed_run)
+    {
+      stage->gang_failed_run = run;
+      stage->gang_fails++;
+    }
+}
+
+static void
+end_task (bts_task_t *task, bts_how_t how)
+{
+  if (how == BTS_HOW_DONE)
+    {
+      task->done = TRUE;
+      task->stage->n_done++;
+    }
+  if (how == BTS_HOW_FAILED)
+    task->fails++;
+}
+
+static guint
+count_failed (const bts_task_t *task)
+{
+  return bts_stage_step (task->stage)->gang ? task->stage->gang_fails : task->fails;
+}
+
+static void
+fold_end (bts_ledger_t *ledger, const Bts__End *end, gint64 now_us)
+{
+  bts_job_t *job = bts_ledger_job (ledger, end->job);
+  bts_stage_t *stage
+      = job == NULL ? NULL : bts_job_stage (job, end->occurrence, end->step);
+  if (stage == NULL || end->index >= stage->n || end->how > BTS_HOW_ALONE)
+    return;
+  bts_task_t *task = &stage->tasks[end->index];
+  if (end->run <= task->ended_run)
+    return;
+  task->ended_run = end->run;
+  task->last_run = MAX (task->last_run, end->run);
+  const Bts__Step *step = bts_stage_step (stage);
+  bts_how_t how = (bts_how_t)end->how;
+  guint had = stage->n_done;
+  bts_task_save (task, end->saved);
+  if (!task->done && !step->long_running)
+    {
+      if (step->gang)
+        end_gang (stage, end->run, how);
+      else
+        end_task (task, how);
+    }
+  job->begun = TRUE;
+  bts_occurrence_t *occurrence = bts_job_occurrence (job, end->occurrence);
+  occurrence->n_done += stage->n_done - had;
+  if (stage->n_done != had && occurrence->n_done == job->n_tasks)
+    job->n_finished++;
+  if (!step->long_running && !task->done && count_failed (task) >= job->accepted->policy->attempts_max)
+    job->failed = TRUE;
+  ledger->ops->ended (ledger->context, task, end->run, how);
+  if (bts_job_over (job))
+    close_job (ledger, job, now_us);
+}
+
+static void
+fold_beat (bts_ledger_t *ledger, const Bts__Beat *beat, gint64 now_us)
+{
+  if (beat->term != ledger->term || ledger->owner == NULL)
+    return;
+  for (gsize i = 0; i < beat->n_begun; i++)
+    {
+      bts_job_t *job = bts_ledger_job (ledger, beat->begun[i]);
+      if (job != NULL)
+        job->begun = TRUE;
+    }
+  for (gsize i = 0; i < beat->n_ends; i++)
+    fold_end (ledger, beat->ends[i], now_us);
+  ledger->ops->beat (ledger->context, beat->number);
+}
+
+static void
+fold_advice (bts_ledger_t *ledger, const Bts__Advice *advice, gint64 now_us)
+{
+  bts_job_t *job = bts_ledger_job (ledger, advice->job);
+  bts_stage_t *stage
+      = job == NULL ? NULL : bts_job_stage (job, advice->occurrence, advice->step);
+  if (stage == NULL || bts_job_over (job))
+    return;
+  bts_stage_advise (stage, NULL, NULL, now_us);
+  for (gsize i = 0; i < advice->n_allowed; i++)
+    bts_stage_advise (stage, advice->allowed[i]->worker, advice->allowed[i]->ticket, now_us);
+  ledger->ops->advised (ledger->context, stage);
+}
+
+/**
+ * bts_ledger_fold() - take up the next record of the journal
+ * @ledger: the ledger
+ * @offset: the record's offset
+ * @data: its bytes, @len of them
+ * @len: number of bytes
+ * @now_us: the time, in microseconds
+ * @error: %BT_ERROR_INVALID if it is no record of ours; nothing has changed then
+ *
+ * Return: whether the record could be read. One that no longer counts, because
+ * of its term or because it was folded before, is read and has no effect.
+ */
+gboolean
+bts_ledger_fold (bts_ledger_t *ledger, gint64 offset, const guint8 *data, gsize len, gint64 now_us,
+                 GError **error)
+{
+  Bts__Record *record = bts__record__unpack (NULL, len, data);
+  if (record == NULL)
+    {
+      g_set_error (error, BT_ERROR, BT_ERROR_INVALID, "record %" G_GINT64_FORMAT " can't be read",
+                   offset);
+      return FALSE;
+    }
+  gboolean ok = TRUE;
+  switch (record->kind_case)
+    {
+    case BTS__RECORD__KIND_ACCEPTED:
+      ok = fold_accepted (ledger, record, offset, now_us, error);
+      break;
+    case BTS__RECORD__KIND_CANCELLED:
+      fold_cancelled (ledger, record->cancelled, now_us);
+      break;
+    case BTS__RECORD__KIND_CLAIM:
+      fold_claim (ledger, record->claim, offset);
+      break;
+    case BTS__RECORD__KIND_RESIGNED:
+      fold_resigned (ledger, record->resigned);
+      break;
+    case BTS__RECORD__KIND_BEAT:
+      fold_beat (ledger, record->beat, now_us);
+      break;
+    case BTS__RECORD__KIND_ADVICE:
+      fold_advice (ledger, record->advice, now_us);
+      break;
+    default:
+      break;
+    }
+  bts__record__free_unpacked (record, NULL);
+  return ok;
+}
+
+/**
+ * bts_ledger_count_pending() - jobs of a route of which nothing has started
+ * @ledger: the ledger
+ * @route: name of the route
+ */
+guint
+bts_ledger_count_pending (const bts_ledger_t *ledger, const char *route)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint count = 0;
+  g_hash_table_iter_init (&iter, ledger->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const bts_job_t *job = value;
+      if (!job->begun && !bts_job_over (job) && strcmp (job->accepted->policy->route, route) == 0)
+        count++;
+    }
+  return count;
+}
+
+/**
+ * bts_ledger_forget() - drop jobs that ended long ago
+ * @ledger: the ledger
+ * @before_us: jobs that ended before this time go
+ */
+void
+bts_ledger_forget (bts_ledger_t *ledger, gint64 before_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ledger->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      bts_job_t *job = value;
+      if (job->ended_us == 0 || job->ended_us >= before_us)
+        continue;
+      ledger->ops->forgotten (ledger->context, job);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+/**
+ * bts_record_pack() - the bytes of a record
+ * @record: the record
+ */
+GBytes *
+bts_record_pack (const Bts__Record *record)
+{
+  gsize len = bts__record__get_packed_size (record);
+  guint8 *data = g_malloc (MAX (len, 1));
+  bts__record__pack (record, data);
+  return g_bytes_new_take (data, len);
+}
--- /dev/null
+++ b/libbamboothread/scheduler/manifest.c
@@ -0,0 +1,61 @@
+#include "libbamboothread/scheduler/manifest.h"
+
+#include <string.h>
+
+void
+bts_route_free (bts_route_t *route)
+{
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  g_free (route->service);
+  g_free (route);
+}
+
+/**
+ * bts_manifest_new() - tables without lines
+ */
+bts_manifest_t *
+bts_manifest_new (void)
+{
+  bts_manifest_t *manifest = g_new0 (bts_manifest_t, 1);
+  manifest->routes = g_ptr_array_new_with_free_func ((GDestroyNotify)bts_route_free);
+  return manifest;
+}
+
+void
+bts_manifest_free (bts_manifest_t *manifest)
+{
+  if (manifest == NULL)
+    return;
+  g_ptr_array_unref (manifest->routes);
+  g_free (manifest);
+}
+
+/**
+ * bts_manifest_find() - the route of a request
+ * @manifest: the tables
+ * @host: host name of the request, in lower case, without a port
+ * @path: path of the request, without a query
+ *
+ * Return: the route with the longest prefix that fits, or NULL.
+ */
+const bts_route_t *
+bts_manifest_find (const bts_manifest_t *manifest, const char *host, const char *path)
+{
+  const bts_route_t *best = NULL;
+  gsize best_len = 0;
+  for (guint i = 0; i < manifest->routes->len; i++)
+    {
+      const bts_route_t *route = manifest->routes->pdata[i];
+      gsize len = strlen (route->prefix);
+      if (strcmp (route->host, host) != 0 || strncmp (path, route->prefix, len) != 0)
+        continue;
+      if (best == NULL || len > best_len)
+        {
+          best = route;
+          best_len = len;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/libbamboothread/scheduler/node.c
@@ -0,0 +1,556 @@
+#include "libbamboothread/scheduler/node.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+
+/* Appends whose outcome only the fold tells carry this token. */
+#define TOKEN_NONE 0
+/* How long entries may still come back after the list could not be read, in
+   microseconds; the platform says about two seconds. */
+#define ENTRIES_GRACE_US (2500 * 1000)
+/* A list of entries older than this was away, in microseconds. */
+#define ENTRIES_GAP_US (2500 * 1000)
+/* Time between two sweeps of jobs that ended long ago, in microseconds. */
+#define FORGET_US (5 * BT_USEC_PER_SEC)
+
+/**
+ * struct bts_node_t - one process
+ * @deposed: a worker knows a later owner; to be acted on at the next tick
+ * @entries_us: when the list of entries was read last
+ * @entries_back_us: when it could be read again after it was away
+ */
+struct bts_node_t
+{
+  bts_node_config_t config;
+  char *name;
+  const bt_clock_t *clock;
+  const bts_node_ops_t *ops;
+  void *context;
+  bts_ledger_t *ledger;
+  bts_fleet_t fleet;
+  bts_sched_t *sched;
+  bts_gate_t *gate;
+  bts_adviser_t *adviser;
+  bts_lead_t lead;
+  bts_manifest_t *manifest;
+  gboolean deposed;
+  gboolean resigned;
+  gint64 entries_us;
+  gint64 entries_back_us;
+  gint64 forgot_us;
+};
+
+static gint64
+node_now (const bts_node_t *node)
+{
+  return bt_clock_now (node->clock);
+}
+
+static void
+append (bts_node_t *node, guint64 token, const Bts__Record *record)
+{
+  g_autoptr (GBytes) bytes = bts_record_pack (record);
+  node->ops->append (node->context, token, bytes);
+}
+
+/* What the ledger tells. */
+
+static void
+on_accepted (void *context, bts_job_t *job)
+{
+  bts_node_t *node = context;
+  bts_gate_on_job (node->gate, job);
+  bts_sched_on_accepted (node->sched, job);
+  if (!job->accepted->policy->advised || strcmp (job->accepted->entry, node->name) != 0)
+    return;
+  for (gsize i = 0; i < job->accepted->n_steps; i++)
+    bts_adviser_ask (node->adviser, bts_job_stage (job, 0, (guint)i), NULL);
+}
+
+static void
+on_cancelled (void *context, bts_job_t *job)
+{
+  bt_log (BT_LOG_INFO, "cancelled", "job=%s", bts_job_id (job));
+}
+
+static void
+on_ended (void *context, bts_task_t *task, guint run, bts_how_t how)
+{
+  bts_node_t *node = context;
+  bts_sched_on_ended (node->sched, task, run, how);
+}
+
+static void
+on_over (void *context, bts_job_t *job)
+{
+  bts_node_t *node = context;
+  bts_gate_on_job (node->gate, job);
+  bts_sched_on_over (node->sched, job);
+}
+
+static void
+on_advised (void *context, bts_stage_t *stage)
+{
+  bts_node_t *node = context;
+  bts_sched_on_advised (node->sched, stage);
+}
+
+static void
+on_owner (void *context)
+{
+  bts_node_t *node = context;
+  gint64 now_us = node_now (node);
+  const char *owner = bts_ledger_owner (node->ledger);
+  bt_log (BT_LOG_NOTICE, "owner", "term=%" G_GUINT64_FORMAT " owner=%s",
+          bts_ledger_term (node->ledger), owner == NULL ? "none" : owner);
+  bts_lead_on_sign (&node->lead, now_us);
+  bts_sched_end (node->sched);
+}
+
+static void
+on_beat (void *context, guint64 number)
+{
+  bts_node_t *node = context;
+  bts_lead_on_sign (&node->lead, node_now (node));
+  bts_sched_on_beat (node->sched, number);
+}
+
+static void
+on_forgotten (void *context, bts_job_t *job)
+{
+  bts_node_t *node = context;
+  bts_sched_on_forgotten (node->sched, job);
+}
+
+static const bts_ledger_ops_t ledger_ops
+    = { on_accepted, on_cancelled, on_ended, on_over, on_advised, on_owner, on_beat, on_forgotten };
+
+/* What the scheduler sends. */
+
+static void
+sched_hold (void *context, const bts_worker_t *worker, const bts_hold_order_t *order)
+{
+  bts_node_t *node = context;
+  node->ops->hold (node->context, worker, order);
+}
+
+static void
+sched_start (void *context, const bts_run_t *run, const bts_start_order_t *order)
+{
+  bts_node_t *node = context;
+  node->ops->start (node->context, run, order);
+}
+
+static void
+sched_stop (void *context, const bts_run_t *run, guint64 fence)
+{
+  bts_node_t *node = context;
+  node->ops->stop (node->context, run, fence);
+}
+
+static void
+sched_append (void *context, const Bts__Record *record)
+{
+  append (context, TOKEN_NONE, record);
+}
+
+static void
+sched_advise (void *context, const bts_stage_t *stage, const GPtrArray *workers)
+{
+  bts_node_t *node = context;
+  bts_adviser_ask (node->adviser, stage, workers);
+}
+
+static void
+sched_deposed (void *context)
+{
+  bts_node_t *node = context;
+  node->deposed = TRUE;
+}
+
+static gint64
+sched_now_unix_ms (void *context)
+{
+  bts_node_t *node = context;
+  return node->ops->now_unix_ms (node->context);
+}
+
+static const bts_sched_ops_t sched_ops = { sched_hold,    sched_start,  sched_stop,
+                                           sched_append,  sched_advise, sched_deposed,
+                                           sched_now_unix_ms };
+
+/* What the gate and the adviser send. */
+
+static void
+gate_append (void *context, guint64 token, const Bts__Record *record)
+{
+  append (context, token, record);
+}
+
+static void
+gate_answer (void *context, guint64 exchange, bts_answer_t answer)
+{
+  bts_node_t *node = context;
+  node->ops->answer (node->context, exchange, answer);
+}
+
+static const bts_gate_ops_t gate_ops = { gate_append, gate_answer };
+
+static void
+add_listed (const bts_node_t *node, const char *service, GPtrArray *ids)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->fleet.workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < BTS_ADVICE_MAX)
+    {
+      const bts_worker_t *worker = value;
+      if (worker->listed && !worker->entry->draining
+          && strcmp (worker->entry->service, service) == 0)
+        g_ptr_array_add (ids, worker->entry->id);
+    }
+}
+
+static gboolean
+adviser_ask (void *context, const bts_question_t *question, bts_stage_t *stage)
+{
+  bts_node_t *node = context;
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  for (guint i = 0; question->workers != NULL && i < question->workers->len; i++)
+    g_ptr_array_add (ids, question->workers->pdata[i]);
+  if (question->workers == NULL)
+    add_listed (node, bts_stage_policy (stage)->service, ids);
+  if (ids->len == 0)
+    return FALSE;
+  node->ops->advise (node->context, question, stage, ids);
+  return TRUE;
+}
+
+static const bts_adviser_ops_t adviser_ops = { adviser_ask };
+
+/**
+ * bts_node_new() - a process that knows nothing yet
+ * @config: how it is to work; copied
+ * @clock: its clock
+ * @ops: where its messages go
+ * @context: handed to @ops
+ */
+bts_node_t *
+bts_node_new (const bts_node_config_t *config, const bt_clock_t *clock, const bts_node_ops_t *ops,
+              void *context)
+{
+  bts_node_t *node = g_new0 (bts_node_t, 1);
+  node->config = *config;
+  node->name = g_strdup (config->name);
+  node->clock = clock;
+  node->ops = ops;
+  node->context = context;
+  node->ledger = bts_ledger_new (&ledger_ops, node);
+  bts_fleet_init (&node->fleet);
+  node->sched
+      = bts_sched_new (&config->sched, clock, node->ledger, &node->fleet, &sched_ops, node);
+  node->gate = bts_gate_new (node->ledger, &gate_ops, node);
+  node->adviser = bts_adviser_new (node->ledger, &adviser_ops, node);
+  bts_lead_init (&node->lead, config->name);
+  return node;
+}
+
+void
+bts_node_free (bts_node_t *node)
+{
+  bts_sched_free (node->sched);
+  bts_gate_free (node->gate);
+  bts_adviser_free (node->adviser);
+  bts_ledger_free (node->ledger);
+  bts_fleet_clear (&node->fleet);
+  bts_lead_clear (&node->lead);
+  bts_manifest_free (node->manifest);
+  g_free (node->name);
+  g_free (node);
+}
+
+bts_sched_t *
+bts_node_sched (const bts_node_t *node)
+{
+  return node->sched;
+}
+
+bts_fleet_t *
+bts_node_fleet (bts_node_t *node)
+{
+  return &node->fleet;
+}
+
+const bts_manifest_t *
+bts_node_manifest (const bts_node_t *node)
+{
+  return node->manifest;
+}
+
+/**
+ * bts_node_on_record() - the next record of the journal
+ * @node: the process
+ * @offset: of the record
+ * @data: its bytes, @len of them
+ * @len: number of bytes
+ */
+void
+bts_node_on_record (bts_node_t *node, gint64 offset, const guint8 *data, gsize len)
+{
+  g_autoptr (GError) error = NULL;
+  if (!bts_ledger_fold (node->ledger, offset, data, len, node_now (node), &error))
+    bt_log (BT_LOG_ERROR, "record-unreadable", "offset=%" G_GINT64_FORMAT " cause=\"%s\"", offset,
+            error->message);
+}
+
+static void
+begin_if_owner (bts_node_t *node)
+{
+  if (!bts_lead_mine (&node->lead, node->ledger) || bts_sched_leading (node->sched)
+      || node->resigned || node->deposed)
+    return;
+  bts_sched_begin (node->sched, bts_ledger_term (node->ledger));
+}
+
+/**
+ * bts_node_on_read() - the journal was read to its end
+ * @node: the process
+ * @sent_us: when that read was sent
+ *
+ * Only now a claim of this process is acted on: records before the end may hold
+ * a later one.
+ */
+void
+bts_node_on_read (bts_node_t *node, gint64 sent_us)
+{
+  gint64 now_us = node_now (node);
+  bts_lead_on_read (&node->lead, now_us);
+  bts_gate_on_read (node->gate, sent_us, now_us);
+  begin_if_owner (node);
+}
+
+/**
+ * bts_node_on_skipped() - records were deleted before they could be read
+ * @node: the process
+ * @from: the first of them
+ * @first: the first one that is kept
+ */
+void
+bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first)
+{
+  bt_log (BT_LOG_ERROR, "journal-skipped", "from=%" G_GINT64_FORMAT " first=%" G_GINT64_FORMAT,
+          from, first);
+}
+
+void
+bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored)
+{
+  if (token != TOKEN_NONE)
+    bts_gate_on_append (node->gate, token, stored, node_now (node));
+}
+
+/**
+ * bts_node_on_advice() - the advice service has answered, or not
+ * @node: the process
+ * @question: what was asked
+ * @advice: the answer, its job and step not filled in; NULL if there is none
+ */
+void
+bts_node_on_advice (bts_node_t *node, const bts_question_t *question, Bts__Advice *advice)
+{
+  if (advice != NULL)
+    {
+      advice->job = question->job;
+      advice->occurrence = question->occurrence;
+      advice->step = question->step;
+      Bts__Record record = BTS__RECORD__INIT;
+      record.kind_case = BTS__RECORD__KIND_ADVICE;
+      record.advice = advice;
+      append (node, TOKEN_NONE, &record);
+      bt_log (BT_LOG_INFO, "advice", "job=%s occurrence=%u step=%u allowed=%zu", question->job,
+              question->occurrence, question->step, advice->n_allowed);
+      advice->job = NULL;
+    }
+  bts_adviser_on_answer (node->adviser, question, advice != NULL);
+}
+
+/**
+ * bts_node_on_manifest() - a version of the tables was read
+ * @node: the process
+ * @manifest: the version; the process takes it. Versions go up only.
+ */
+void
+bts_node_on_manifest (bts_node_t *node, bts_manifest_t *manifest)
+{
+  if (node->manifest != NULL && manifest->version <= node->manifest->version)
+    {
+      bts_manifest_free (manifest);
+      return;
+    }
+  bt_log (BT_LOG_NOTICE, "tables", "version=%" G_GINT64_FORMAT " routes=%u", manifest->version,
+          manifest->routes->len);
+  bts_manifest_free (node->manifest);
+  node->manifest = manifest;
+}
+
+/**
+ * bts_node_on_entry() - what a worker says of itself
+ * @node: the process
+ * @entry: the entry; the process takes it
+ */
+void
+bts_node_on_entry (bts_node_t *node, bts_entry_t *entry)
+{
+  g_autofree char *id = g_strdup (entry->id);
+  const bts_worker_t *known = bts_fleet_worker (&node->fleet, id);
+  gboolean drained = known != NULL && known->entry->draining;
+  bts_entry_change_t change = bts_fleet_enter (&node->fleet, entry);
+  if (change == BTS_ENTRY_REBORN || (entry->draining && !drained))
+    bt_log (BT_LOG_INFO, "entry", "worker=%s draining=%d remaining_ms=%" G_GINT64_FORMAT
+            " reborn=%d", id, entry->draining, entry->remaining_ms, change == BTS_ENTRY_REBORN);
+  bts_sched_on_entry (node->sched, id, change);
+}
+
+/**
+ * bts_node_on_entries() - all entries have been read
+ * @node: the process
+ * @ids: the workers that have one
+ */
+void
+bts_node_on_entries (bts_node_t *node, GHashTable *ids)
+{
+  gint64 now_us = node_now (node);
+  if (now_us - node->entries_us > ENTRIES_GAP_US)
+    node->entries_back_us = now_us;
+  node->entries_us = now_us;
+  if (now_us - node->entries_back_us < ENTRIES_GRACE_US)
+    return;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->fleet.workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      bts_worker_t *worker = value;
+      if (!worker->listed || g_hash_table_contains (ids, worker->entry->id))
+        continue;
+      worker->listed = FALSE;
+      worker->unlisted_us = now_us;
+      bt_log (BT_LOG_INFO, "unlisted", "worker=%s runs=%u", worker->entry->id, worker->runs->len);
+    }
+}
+
+void
+bts_node_submit (bts_node_t *node, guint64 exchange, Bts__Accepted *job, gint64 patience_us)
+{
+  free (job->entry);
+  job->entry = strdup (node->name);
+  bts_gate_submit (node->gate, exchange, job, patience_us, node_now (node));
+}
+
+void
+bts_node_cancel (bts_node_t *node, guint64 exchange, const char *id, gint64 patience_us)
+{
+  bts_gate_cancel (node->gate, exchange, id, patience_us, node_now (node));
+}
+
+bts_answer_t
+bts_node_query (const bts_node_t *node, const char *id, bts_state_t *state)
+{
+  return bts_gate_query (node->gate, id, node_now (node), state);
+}
+
+guint
+bts_node_count_pending (const bts_node_t *node, const char *route)
+{
+  return bts_ledger_count_pending (node->ledger, route);
+}
+
+/**
+ * bts_node_ready() - whether new callers are to be sent here
+ * @node: the process
+ */
+gboolean
+bts_node_ready (const bts_node_t *node)
+{
+  return node->manifest != NULL && !node->lead.leaving
+         && bts_gate_fresh (node->gate, node_now (node));
+}
+
+/**
+ * bts_node_leave() - hand the workers on and take no new callers
+ * @node: the process
+ */
+void
+bts_node_leave (bts_node_t *node)
+{
+  node->lead.leaving = TRUE;
+}
+
+/**
+ * bts_node_idle() - whether no caller waits for an answer
+ * @node: the process
+ */
+gboolean
+bts_node_idle (const bts_node_t *node)
+{
+  return bts_gate_waiting (node->gate) == 0;
+}
+
+gboolean
+bts_node_leading (const bts_node_t *node)
+{
+  return bts_sched_leading (node->sched);
+}
+
+static void
+claim (bts_node_t *node)
+{
+  Bts__Claim claim = BTS__CLAIM__INIT;
+  claim.term = bts_ledger_term (node->ledger) + 1;
+  claim.node = node->name;
+  Bts__Record record = BTS__RECORD__INIT;
+  record.kind_case = BTS__RECORD__KIND_CLAIM;
+  record.claim = &claim;
+  bt_log (BT_LOG_NOTICE, "claim", "term=%" G_GUINT64_FORMAT, claim.term);
+  append (node, TOKEN_NONE, &record);
+}
+
+static void
+resign (bts_node_t *node)
+{
+  Bts__Resigned resigned = BTS__RESIGNED__INIT;
+  resigned.term = bts_ledger_term (node->ledger);
+  Bts__Record record = BTS__RECORD__INIT;
+  record.kind_case = BTS__RECORD__KIND_RESIGNED;
+  record.resigned = &resigned;
+  bt_log (BT_LOG_NOTICE, "resign", "term=%" G_GUINT64_FORMAT, resigned.term);
+  append (node, TOKEN_NONE, &record);
+  node->resigned = TRUE;
+}
+
+/**
+ * bts_node_tick() - do what is due
+ * @node: the process
+ */
+void
+bts_node_tick (bts_node_t *node)
+{
+  gint64 now_us = node_now (node);
+  if (node->deposed)
+    {
+      bt_log (BT_LOG_WARNING, "deposed", "term=%" G_GUINT64_FORMAT, bts_ledger_term (node->ledger));
+      bts_sched_end (node->sched);
+    }
+  node->deposed = node->deposed && bts_lead_mine (&node->lead, node->ledger);
+  if (node->lead.leaving && !node->resigned && bts_sched_leading (node->sched))
+    resign (node);
+  if (bts_lead_due (&node->lead, node->ledger, now_us))
+    claim (node);
+  bts_sched_tick (node->sched);
+  bts_gate_tick (node->gate, now_us);
+  if (now_us - node->forgot_us < FORGET_US)
+    return;
+  node->forgot_us = now_us;
+  bts_ledger_forget (node->ledger, now_us - (gint64)node->config.status_ms * 1000);
+}
--- /dev/null
+++ b/libbamboothread/scheduler/node.h
@@ -0,0 +1,77 @@
+#ifndef BTS_NODE_H
+#define BTS_NODE_H
+
+#include "libbamboothread/scheduler/adviser.h"
+#include "libbamboothread/scheduler/gate.h"
+#include "libbamboothread/scheduler/lead.h"
+#include "libbamboothread/scheduler/manifest.h"
+#include "libbamboothread/scheduler/sched.h"
+
+/*
+ * One process of the scheduler, without sockets: every process takes callers
+ * in and folds the journal, and one of them owns the workers.
+ */
+
+typedef struct bts_node_t bts_node_t;
+
+/**
+ * struct bts_node_ops_t - where a process's messages go
+ * @append: a record for the journal; answered by bts_node_on_append()
+ * @hold, @start, @stop: orders to workers; answered by the functions of the
+ *   same names in sched.h on bts_node_sched()
+ * @advise: a question to the advice service; answered by bts_node_on_advice()
+ * @answer: tell a caller
+ * @now_unix_ms: the time of day
+ */
+typedef struct
+{
+  void (*append) (void *context, guint64 token, GBytes *record);
+  void (*hold) (void *context, const bts_worker_t *worker, const bts_hold_order_t *order);
+  void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
+  void (*stop) (void *context, const bts_run_t *run, guint64 fence);
+  void (*advise) (void *context, const bts_question_t *question, const bts_stage_t *stage,
+                  const GPtrArray *workers);
+  void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
+  gint64 (*now_unix_ms) (void *context);
+} bts_node_ops_t;
+
+/**
+ * struct bts_node_config_t - how a process is told to work
+ * @name: of this life of it, VM and life parted by a slash
+ * @status_ms: how long an ended job is known
+ */
+typedef struct
+{
+  const char *name;
+  guint status_ms;
+  bts_sched_config_t sched;
+} bts_node_config_t;
+
+bts_node_t *bts_node_new (const bts_node_config_t *config, const bt_clock_t *clock,
+                          const bts_node_ops_t *ops, void *context);
+void bts_node_free (bts_node_t *node);
+bts_sched_t *bts_node_sched (const bts_node_t *node);
+bts_fleet_t *bts_node_fleet (bts_node_t *node);
+const bts_manifest_t *bts_node_manifest (const bts_node_t *node);
+
+void bts_node_on_record (bts_node_t *node, gint64 offset, const guint8 *data, gsize len);
+void bts_node_on_read (bts_node_t *node, gint64 sent_us);
+void bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first);
+void bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored);
+void bts_node_on_advice (bts_node_t *node, const bts_question_t *question, Bts__Advice *advice);
+void bts_node_on_manifest (bts_node_t *node, bts_manifest_t *manifest);
+void bts_node_on_entry (bts_node_t *node, bts_entry_t *entry);
+void bts_node_on_entries (bts_node_t *node, GHashTable *ids);
+
+void bts_node_submit (bts_node_t *node, guint64 exchange, Bts__Accepted *job, gint64 patience_us);
+void bts_node_cancel (bts_node_t *node, guint64 exchange, const char *id, gint64 patience_us);
+bts_answer_t bts_node_query (const bts_node_t *node, const char *id, bts_state_t *state);
+guint bts_node_count_pending (const bts_node_t *node, const char *route);
+
+gboolean bts_node_ready (const bts_node_t *node);
+void bts_node_leave (bts_node_t *node);
+gboolean bts_node_idle (const bts_node_t *node);
+gboolean bts_node_leading (const bts_node_t *node);
+void bts_node_tick (bts_node_t *node);
+
+#endif
--- /dev/null
+++ b/libbamboothread/scheduler/place.c
@@ -0,0 +1,160 @@
+#include "libbamboothread/scheduler/place.h"
+
+#include <string.h>
+
+/* Scores compare as thousandths of a worker; these weigh more than any room. */
+#define WEIGHT_AVOID 100000
+#define WEIGHT_FAULT 10000
+#define WEIGHT_OTHER_RACK 4000
+/* Faults in a row beyond this don't make a worker look any worse. */
+#define FAULTS_MAX 5
+
+/**
+ * bts_place_room() - what a task takes of a worker
+ * @step: its step
+ *
+ * A filling task works with what others leave, so its processor share isn't counted.
+ */
+bts_room_t
+bts_place_room (const Bts__Step *step)
+{
+  bts_room_t room = { step->fills ? 0 : step->cpu_millis, step->memory_mb, step->gpus };
+  return room;
+}
+
+/**
+ * bts_place_serves() - whether tasks of a step have a latency target of their own
+ * @step: the step
+ */
+gboolean
+bts_place_serves (const Bts__Step *step)
+{
+  return step->long_running && step->target_ms > 0;
+}
+
+static guint
+count_stage (const bts_worker_t *worker, const bts_stage_t *stage)
+{
+  guint count = 0;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const bts_run_t *run = worker->runs->pdata[i];
+      count += run->task != NULL && run->task->stage == stage;
+    }
+  return count;
+}
+
+/* Filling tasks slow down those that serve, so the two kinds are kept apart. */
+static gboolean
+disturbs (const bts_worker_t *worker, const Bts__Step *step)
+{
+  if (!step->fills && !bts_place_serves (step))
+    return FALSE;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const bts_run_t *run = worker->runs->pdata[i];
+      if (run->task == NULL)
+        continue;
+      const Bts__Step *other = bts_stage_step (run->task->stage);
+      if (step->fills ? bts_place_serves (other) : other->fills)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+has_room (const bts_worker_t *worker, const bts_room_t *room)
+{
+  return worker->used.cpu_millis + room->cpu_millis <= worker->entry->cpu_millis
+         && worker->used.memory_mb + room->memory_mb <= worker->entry->memory_mb
+         && worker->used.gpus + room->gpus <= worker->entry->gpus;
+}
+
+/**
+ * bts_place_check() - whether a worker can take one more task of a stage now
+ * @worker: the worker
+ * @stage: the stage
+ * @now_us: the time
+ *
+ * Return: %BTS_PLACE_OK, or the first reason against it.
+ */
+bts_place_why_t
+bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
+{
+  const Bts__Step *step = bts_stage_step (stage);
+  if (strcmp (worker->entry->service, bts_stage_policy (stage)->service) != 0)
+    return BTS_PLACE_OTHER_SERVICE;
+  if (!worker->synced || !worker->listed || worker->entry->draining || worker->hold_failures > 0
+      || now_us - worker->heard_us > BTS_SILENCE_US || now_us < worker->rest_until_us)
+    return BTS_PLACE_AWAY;
+  if (step->label[0] != '\0' && !bts_worker_has_label (worker, step->label))
+    return BTS_PLACE_LABEL;
+  if (bts_stage_policy (stage)->advised
+      && (stage->advice == NULL || !g_hash_table_contains (stage->advice, worker->entry->id)))
+    return BTS_PLACE_NOT_ALLOWED;
+  bts_room_t room = bts_place_room (step);
+  if (!has_room (worker, &room))
+    return BTS_PLACE_NO_ROOM;
+  if (step->per_worker_max > 0 && count_stage (worker, stage) >= step->per_worker_max)
+    return BTS_PLACE_PER_WORKER;
+  if (disturbs (worker, step))
+    return BTS_PLACE_DISTURBS;
+  return BTS_PLACE_OK;
+}
+
+static gint64
+left_share (gint64 capacity, gint64 used)
+{
+  return capacity == 0 ? 0 : (capacity - used) * 1000 / capacity;
+}
+
+static gint64
+score (const bts_worker_t *worker, const bts_task_t *task, const Bts__Step *step)
+{
+  gint64 left = step->gpus > 0
+                    ? left_share (worker->entry->gpus, worker->used.gpus + step->gpus)
+                    : left_share (worker->entry->cpu_millis, worker->used.cpu_millis + step->cpu_millis);
+  gint64 against = left;
+  if (task->avoid != NULL && strcmp (task->avoid, worker->entry->id) == 0)
+    against += WEIGHT_AVOID;
+  against += WEIGHT_FAULT * (gint64)MIN (worker->faults, FAULTS_MAX);
+  if (step->rack[0] != '\0' && !bts_worker_has_label (worker, step->rack))
+    against += WEIGHT_OTHER_RACK;
+  return against;
+}
+
+/**
+ * bts_place_choose() - the worker for a task
+ * @fleet: the workers
+ * @task: the task
+ * @now_us: the time
+ *
+ * Prefers the worker that the task fills best, so that wide tasks still find
+ * whole workers; workers on which tasks failed come last.
+ *
+ * Return: a worker that can take it now, or NULL.
+ */
+bts_worker_t *
+bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, gint64 now_us)
+{
+  const Bts__Step *step = bts_stage_step (task->stage);
+  bts_worker_t *best = NULL;
+  gint64 best_score = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      bts_worker_t *worker = value;
+      if (bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK)
+        continue;
+      gint64 found = score (worker, task, step);
+      if (best == NULL || found < best_score
+          || (found == best_score && strcmp (worker->entry->id, best->entry->id) < 0))
+        {
+          best = worker;
+          best_score = found;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/libbamboothread/scheduler/place.h
@@ -0,0 +1,35 @@
+#ifndef BTS_PLACE_H
+#define BTS_PLACE_H
+
+#include "libbamboothread/scheduler/fleet.h"
+
+/*
+ * The choice of workers for tasks. Decides from what it is given, sends nothing.
+ */
+
+/* A worker that has not answered for so long gets no new tasks, in microseconds;
+   a waiting hold answers at least each second. */
+#define BTS_SILENCE_US (1800 * 1000)
+
+/**
+ * enum bts_place_why_t - why a worker can't take a task
+ */
+typedef enum
+{
+  BTS_PLACE_OK,
+  BTS_PLACE_AWAY,
+  BTS_PLACE_OTHER_SERVICE,
+  BTS_PLACE_LABEL,
+  BTS_PLACE_NOT_ALLOWED,
+  BTS_PLACE_PER_WORKER,
+  BTS_PLACE_DISTURBS,
+  BTS_PLACE_NO_ROOM,
+} bts_place_why_t;
+
+bts_room_t bts_place_room (const Bts__Step *step);
+bts_place_why_t bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage,
+                                 gint64 now_us);
+bts_worker_t *bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, gint64 now_us);
+gboolean bts_place_serves (const Bts__Step *step);
+
+#endif
--- /dev/null
+++ b/libbamboothread/scheduler/run.c
@@ -0,0 +1,319 @@
+#include "libbamboothread/scheduler/sched_private.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+#include "libbamboothread/scheduler/place.h"
+
+/*
+ * One run of a task on a worker: from the order to start it until it is known
+ * to be over. An order without an answer may have been carried out, or may be
+ * later; it is repeated until the worker answers, and a run that isn't wanted
+ * any more is stopped by its number, which keeps a late start out as well.
+ */
+
+/* Orders to start a run that get no answer before it is stopped instead. */
+#define START_TRIES 3
+/* Time between two orders to stop a run, in microseconds. */
+#define STOP_RETRY_US (400 * 1000)
+/* Time for which a worker that was full or refused gets no new tasks, in microseconds;
+   its next listing shows what takes the room. */
+#define REST_ROOM_US (300 * 1000)
+#define REST_BUSY_US (1000 * 1000)
+/* Time before a stage whose start was refused for its form is tried again. */
+#define REST_INVALID_US (2000 * 1000)
+
+/**
+ * bts_run_new() - count a run as on a worker
+ * @sched: the scheduler
+ * @task: the task, or NULL if its job isn't known
+ * @name: its name
+ * @number: number of the run
+ * @worker: the worker
+ */
+bts_run_t *
+bts_run_new (bts_sched_t *sched, bts_task_t *task, const char *name, guint number,
+             bts_worker_t *worker)
+{
+  bts_run_t *run = g_new0 (bts_run_t, 1);
+  run->serial = ++sched->serial;
+  run->task = task;
+  run->name = g_strdup (name);
+  run->number = number;
+  run->created_us = bts_sched_now (sched);
+  if (task != NULL)
+    {
+      run->room = bts_place_room (bts_stage_step (task->stage));
+      run->saved = g_strdup (task->saved);
+      task->run = run;
+    }
+  bts_worker_add (worker, run);
+  g_hash_table_insert (sched->runs, &run->serial, run);
+  return run;
+}
+
+void
+bts_run_free (bts_run_t *run)
+{
+  g_free (run->name);
+  g_free (run->saved);
+  g_free (run);
+}
+
+/**
+ * bts_run_drop() - a run is over, or was never ordered
+ * @sched: the scheduler
+ * @run: the run; freed
+ */
+void
+bts_run_drop (bts_sched_t *sched, bts_run_t *run)
+{
+  if (run->task != NULL && run->task->run == run)
+    run->task->run = NULL;
+  bts_worker_remove (run->worker, run);
+  g_hash_table_remove (sched->runs, &run->serial);
+  bts_run_free (run);
+  sched->dirty = TRUE;
+}
+
+static void
+order_start (bts_sched_t *sched, bts_run_t *run)
+{
+  const bts_stage_t *stage = run->task->stage;
+  const bts_ticket_t *ticket
+      = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, run->worker->entry->id);
+  bts_start_order_t order = { 0 };
+  order.fence = sched->term;
+  order.deadline_ms = bts_sched_deadline (sched, run->worker);
+  order.ticket = ticket == NULL ? NULL : ticket->ticket;
+  run->order_open = TRUE;
+  run->next_us = 0;
+  sched->ops->start (sched->context, run, &order);
+}
+
+/**
+ * bts_run_start() - order a worker to start a run
+ * @sched: the scheduler
+ * @run: a new run
+ */
+void
+bts_run_start (bts_sched_t *sched, bts_run_t *run)
+{
+  run->state = BTS_RUN_STARTING;
+  bt_log (BT_LOG_INFO, "start", "task=%s run=%u worker=%s term=%" G_GUINT64_FORMAT, run->name,
+          run->number, run->worker->entry->id, sched->term);
+  order_start (sched, run);
+}
+
+static void
+order_stop (bts_sched_t *sched, bts_run_t *run)
+{
+  run->stop_open = TRUE;
+  run->next_us = 0;
+  sched->ops->stop (sched->context, run, sched->term);
+}
+
+/**
+ * bts_run_stop() - have a run stopped
+ * @sched: the scheduler
+ * @run: the run
+ */
+void
+bts_run_stop (bts_sched_t *sched, bts_run_t *run)
+{
+  if (run->state == BTS_RUN_STOPPING)
+    return;
+  run->state = BTS_RUN_STOPPING;
+  run->confirmed_us = 0;
+  bt_log (BT_LOG_INFO, "stop", "task=%s run=%u worker=%s", run->name, run->number,
+          run->worker->entry->id);
+  order_stop (sched, run);
+}
+
+/**
+ * bts_gang_break() - stop what is left of a gang's run
+ * @sched: the scheduler
+ * @stage: the gang
+ */
+void
+bts_gang_break (bts_sched_t *sched, bts_stage_t *stage)
+{
+  for (guint i = 0; i < stage->n; i++)
+    if (stage->tasks[i].run != NULL)
+      bts_run_stop (sched, stage->tasks[i].run);
+}
+
+/**
+ * bts_run_lost() - a run is over and no end of it will count
+ * @sched: the scheduler
+ * @run: the run; freed
+ * @cause: how that is known
+ */
+void
+bts_run_lost (bts_sched_t *sched, bts_run_t *run, const char *cause)
+{
+  bts_task_t *task = run->task;
+  bt_log (BT_LOG_INFO, "lost", "task=%s run=%u worker=%s cause=%s", run->name, run->number,
+          run->worker->entry->id, cause);
+  if (task != NULL)
+    task->lost_run = MAX (task->lost_run, run->number);
+  bts_run_drop (sched, run);
+  if (task == NULL)
+    return;
+  if (bts_stage_step (task->stage)->gang)
+    bts_gang_break (sched, task->stage);
+  bts_sched_wake (sched, task->stage);
+}
+
+/* An order that was surely not carried out. */
+static void
+refused (bts_sched_t *sched, bts_run_t *run, const char *cause)
+{
+  bts_task_t *task = run->task;
+  bt_log (BT_LOG_INFO, "refused", "task=%s run=%u worker=%s cause=%s", run->name, run->number,
+          run->worker->entry->id, cause);
+  bts_run_drop (sched, run);
+  if (task == NULL)
+    return;
+  if (bts_stage_step (task->stage)->gang)
+    bts_gang_break (sched, task->stage);
+  bts_sched_wake (sched, task->stage);
+}
+
+static void
+no_ticket (bts_run_t *run)
+{
+  bts_ticket_t *ticket = run->task == NULL || run->task->stage->advice == NULL
+                             ? NULL
+                             : g_hash_table_lookup (run->task->stage->advice, run->worker->entry->id);
+  if (ticket != NULL)
+    ticket->at_us = 0;
+}
+
+static void
+started (bts_sched_t *sched, bts_run_t *run, gint64 now_us)
+{
+  run->confirmed_us = now_us;
+  if (run->state == BTS_RUN_STARTING)
+    run->state = BTS_RUN_LIVE;
+}
+
+/* No answer: the order may have been carried out or may be still. */
+static void
+start_unanswered (bts_sched_t *sched, bts_run_t *run)
+{
+  run->tries++;
+  if (run->state != BTS_RUN_STARTING)
+    return;
+  if (run->tries < START_TRIES)
+    order_start (sched, run);
+  else
+    bts_run_stop (sched, run);
+}
+
+/**
+ * bts_sched_on_start() - what became of an order to start
+ * @sched: the scheduler
+ * @serial: of the run
+ * @reply: what became of it
+ * @clock_ms: the worker's clock; 0 if it didn't tell
+ */
+void
+bts_sched_on_start (bts_sched_t *sched, guint64 serial, bts_reply_t reply, gint64 clock_ms)
+{
+  bts_run_t *run = sched->term == 0 ? NULL : g_hash_table_lookup (sched->runs, &serial);
+  if (run == NULL)
+    return;
+  gint64 now_us = bts_sched_now (sched);
+  bts_worker_t *worker = run->worker;
+  run->order_open = FALSE;
+  if (clock_ms > 0)
+    bts_worker_heard (worker, clock_ms, now_us);
+  /* A refusal says nothing of earlier orders without an answer. */
+  gboolean sure = run->tries == 0 && run->state == BTS_RUN_STARTING;
+  switch (reply)
+    {
+    case BTS_REPLY_OK:
+      started (sched, run, now_us);
+      break;
+    case BTS_REPLY_NONE:
+      start_unanswered (sched, run);
+      break;
+    case BTS_REPLY_FENCED:
+      sched->ops->deposed (sched->context);
+      break;
+    case BTS_REPLY_OTHER_LIFE:
+      bts_worker_gone (sched, worker, "other-life");
+      break;
+    case BTS_REPLY_OLD:
+      if (sure)
+        refused (sched, run, "old");
+      else
+        started (sched, run, now_us);
+      break;
+    default:
+      if (reply == BTS_REPLY_NO_ROOM)
+        worker->rest_until_us = now_us + REST_ROOM_US;
+      if (reply == BTS_REPLY_BUSY)
+        worker->rest_until_us = now_us + REST_BUSY_US;
+      if (reply == BTS_REPLY_TICKET)
+        no_ticket (run);
+      if (reply == BTS_REPLY_INVALID && run->task != NULL)
+        run->task->stage->rest_until_us = now_us + REST_INVALID_US;
+      if (sure)
+        refused (sched, run, reply == BTS_REPLY_NO_ROOM  ? "room"
+                             : reply == BTS_REPLY_TICKET ? "ticket"
+                             : reply == BTS_REPLY_LATE   ? "late"
+                             : reply == BTS_REPLY_BUSY   ? "busy"
+                                                         : "invalid");
+      else
+        bts_run_stop (sched, run);
+      break;
+    }
+}
+
+/**
+ * bts_sched_on_stop() - what became of an order to stop
+ * @sched: the scheduler
+ * @serial: of the run
+ * @reply: what became of it
+ * @clock_ms: the worker's clock; 0 if it didn't tell
+ */
+void
+bts_sched_on_stop (bts_sched_t *sched, guint64 serial, bts_reply_t reply, gint64 clock_ms)
+{
+  bts_run_t *run = sched->term == 0 ? NULL : g_hash_table_lookup (sched->runs, &serial);
+  if (run == NULL)
+    return;
+  gint64 now_us = bts_sched_now (sched);
+  run->stop_open = FALSE;
+  if (clock_ms > 0)
+    bts_worker_heard (run->worker, clock_ms, now_us);
+  if (reply == BTS_REPLY_OK)
+    {
+      run->stopped = TRUE;
+      run->confirmed_us = now_us;
+      /* The listing that shows the end isn't to wait for another one. */
+      run->worker->hold_next_us = MIN (run->worker->hold_next_us, now_us);
+    }
+  else if (reply == BTS_REPLY_FENCED)
+    sched->ops->deposed (sched->context);
+  else if (reply == BTS_REPLY_OTHER_LIFE)
+    bts_worker_gone (sched, run->worker, "other-life");
+  else
+    run->next_us = now_us + STOP_RETRY_US;
+}
+
+/**
+ * bts_run_tick() - repeat the order of a run if it is due
+ * @sched: the scheduler
+ * @run: the run
+ */
+void
+bts_run_tick (bts_sched_t *sched, bts_run_t *run)
+{
+  if (run->next_us == 0 || run->next_us > bts_sched_now (sched))
+    return;
+  if (run->state == BTS_RUN_STOPPING && !run->stop_open && !run->stopped)
+    order_stop (sched, run);
+}
--- /dev/null
+++ b/libbamboothread/scheduler/sched.c
@@ -0,0 +1,640 @@
+#include "libbamboothread/scheduler/sched_private.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+#include "libbamboothread/scheduler/lead.h"
+#include "libbamboothread/scheduler/place.h"
+
+/* Time that the process which accepted a job has to ask for advice on its steps,
+   beyond the time of the calls themselves, in microseconds; after that the owner asks. */
+#define ADVICE_PATIENCE_US (1500 * 1000)
+/* Time after which a question of the owner that wasn't answered is asked again. */
+#define ADVICE_RETRY_US (3000 * 1000)
+/* Part of a ticket's validity kept for the way of the start to the worker. */
+#define TICKET_MARGIN_US (250 * 1000)
+
+
+/**
+ * bts_sched_new() - a scheduler that doesn't lead yet
+ * @config: limits; copied
+ * @clock: the process's clock
+ * @ledger: the folded journal
+ * @fleet: the workers
+ * @ops: where orders go
+ * @context: handed to @ops
+ */
+bts_sched_t *
+bts_sched_new (const bts_sched_config_t *config, const bt_clock_t *clock, bts_ledger_t *ledger,
+               bts_fleet_t *fleet, const bts_sched_ops_t *ops, void *context)
+{
+  bts_sched_t *sched = g_new0 (bts_sched_t, 1);
+  sched->config = *config;
+  sched->clock = clock;
+  sched->ledger = ledger;
+  sched->fleet = fleet;
+  sched->ops = ops;
+  sched->context = context;
+  sched->runs = g_hash_table_new (g_int64_hash, g_int64_equal);
+  sched->waiting = g_ptr_array_new ();
+  sched->timed = g_ptr_array_new ();
+  sched->outgoing = g_ptr_array_new_with_free_func (bts_outgoing_free);
+  sched->begun = g_ptr_array_new_with_free_func (g_free);
+  return sched;
+}
+
+void
+bts_sched_free (bts_sched_t *sched)
+{
+  bts_sched_end (sched);
+  g_hash_table_unref (sched->runs);
+  g_ptr_array_unref (sched->waiting);
+  g_ptr_array_unref (sched->timed);
+  g_ptr_array_unref (sched->outgoing);
+  g_ptr_array_unref (sched->begun);
+  g_free (sched);
+}
+
+gint64
+bts_sched_now (const bts_sched_t *sched)
+{
+  return bt_clock_now (sched->clock);
+}
+
+gboolean
+bts_sched_leading (const bts_sched_t *sched)
+{
+  return sched->term != 0;
+}
+
+/**
+ * bts_sched_confirmed_us() - when the owner last knew that it is the owner
+ * @sched: a leading scheduler
+ *
+ * Return: when the newest beat that came back was sent, or when the term began.
+ */
+gint64
+bts_sched_confirmed_us (const bts_sched_t *sched)
+{
+  return MAX (sched->confirmed_us, sched->began_us);
+}
+
+/**
+ * bts_sched_deadline() - the lease to send to a worker now
+ * @sched: the scheduler
+ * @worker: the worker
+ *
+ * An owner that hasn't seen its own beats for BTS_LEAD_UNSURE_US lets the
+ * leases run out: the next owner counts on that where it can't reach a worker.
+ *
+ * Return: a time on the worker's clock, in milliseconds; 0 to leave it as it is.
+ */
+gint64
+bts_sched_deadline (bts_sched_t *sched, bts_worker_t *worker)
+{
+  gint64 now_us = bts_sched_now (sched);
+  if (worker->clock_us == 0)
+    return 0;
+  if (now_us - bts_sched_confirmed_us (sched) < BTS_LEAD_UNSURE_US)
+    worker->deadline_ms
+        = MAX (worker->deadline_ms, bts_worker_clock_ms (worker, now_us)
+                                        + MIN (BTS_LEASE_MS, sched->config.hold_max_ms));
+  return worker->deadline_ms;
+}
+
+/* The longest chain of estimates from the beginning of a stage to the end of its job. */
+static gint64
+chain_ms (const bts_job_t *job, guint from)
+{
+  gsize n = job->accepted->n_steps;
+  g_autofree gint64 *finish = g_new0 (gint64, n);
+  gint64 longest = 0;
+  for (gsize i = from; i < n; i++)
+    {
+      const Bts__Step *step = job->accepted->steps[i];
+      gint64 begin = 0;
+      for (gsize j = 0; j < step->n_after; j++)
+        begin = MAX (begin, finish[step->after[j]]);
+      finish[i] = begin + step->estimate_ms;
+      longest = MAX (longest, finish[i]);
+    }
+  return longest;
+}
+
+static gint64
+stage_due_us (const bts_stage_t *stage)
+{
+  const bts_job_t *job = stage->job;
+  const Bts__Policy *policy = job->accepted->policy;
+  gint64 allowed_ms = (gint64)(policy->stretch * (double)chain_ms (job, 0)) + policy->objective_ms;
+  return job->folded_us + allowed_ms * 1000 - chain_ms (job, stage->step) * 1000;
+}
+
+/**
+ * bts_sched_wake() - put a stage into the queue if its turn has come
+ * @sched: a leading scheduler
+ * @stage: the stage
+ */
+void
+bts_sched_wake (bts_sched_t *sched, bts_stage_t *stage)
+{
+  sched->dirty = TRUE;
+  if (stage->waiting || bts_job_over (stage->job) || bts_stage_over (stage)
+      || !bts_stage_ready (stage))
+    return;
+  stage->waiting = TRUE;
+  stage->due_us = stage_due_us (stage);
+  g_ptr_array_add (sched->waiting, stage);
+}
+
+static void
+open_occurrence (bts_sched_t *sched, bts_job_t *job, guint number)
+{
+  bts_occurrence_t *occurrence = bts_job_open (job, number);
+  for (gsize i = 0; i < job->accepted->n_steps; i++)
+    bts_sched_wake (sched, &occurrence->stages[i]);
+}
+
+/**
+ * bts_sched_open_job() - queue what of a job is due
+ * @sched: a leading scheduler
+ * @job: the job
+ */
+void
+bts_sched_open_job (bts_sched_t *sched, bts_job_t *job)
+{
+  if (bts_job_over (job))
+    return;
+  if (job->accepted->repeat > 0)
+    g_ptr_array_add (sched->timed, job);
+  else
+    open_occurrence (sched, job, 0);
+}
+
+/* Opens occurrences whose time has come; a job leaves the list with its last one. */
+static void
+open_due (bts_sched_t *sched)
+{
+  gint64 now_ms = sched->timed->len > 0 ? sched->ops->now_unix_ms (sched->context) : 0;
+  for (guint i = 0; i < sched->timed->len;)
+    {
+      bts_job_t *job = sched->timed->pdata[i];
+      guint n = bts_job_repeat (job);
+      guint opened = 0;
+      while (opened < n
+             && bts_job_due_ms (job, opened) - (gint64)sched->config.early_ms / 2 <= now_ms)
+        open_occurrence (sched, job, opened++);
+      if (opened == n || bts_job_over (job))
+        g_ptr_array_remove_index_fast (sched->timed, i);
+      else
+        i++;
+    }
+}
+
+/**
+ * bts_sched_begin() - lead a term
+ * @sched: the scheduler
+ * @term: the term; the fence of all orders
+ */
+void
+bts_sched_begin (bts_sched_t *sched, guint64 term)
+{
+  bts_sched_end (sched);
+  sched->term = term;
+  sched->began_us = bts_sched_now (sched);
+  sched->confirmed_us = 0;
+  sched->settled = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    bts_worker_reset (value);
+  g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    bts_sched_open_job (sched, value);
+  bts_sched_tick (sched);
+}
+
+static void
+forget_owner_state (bts_job_t *job)
+{
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      bts_occurrence_t *occurrence = job->occurrences->pdata[k];
+      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
+        {
+          bts_stage_t *stage = &occurrence->stages[i];
+          stage->waiting = FALSE;
+          stage->asked_us = 0;
+          stage->rest_until_us = 0;
+          for (guint t = 0; t < stage->n; t++)
+            {
+              stage->tasks[t].run = NULL;
+              stage->tasks[t].ending = FALSE;
+            }
+        }
+    }
+  job->owner_told = FALSE;
+}
+
+/**
+ * bts_sched_end() - stop leading
+ * @sched: the scheduler
+ *
+ * What runs goes on; the next owner finds it on the workers' lists.
+ */
+void
+bts_sched_end (bts_sched_t *sched)
+{
+  if (sched->term == 0)
+    return;
+  sched->term = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      bts_worker_t *worker = value;
+      g_ptr_array_set_size (worker->runs, 0);
+      bts_worker_reset (worker);
+    }
+  g_hash_table_iter_init (&iter, sched->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    bts_run_free (value);
+  g_hash_table_remove_all (sched->runs);
+  g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    forget_owner_state (value);
+  g_ptr_array_set_size (sched->waiting, 0);
+  g_ptr_array_set_size (sched->timed, 0);
+  bts_beat_clear (sched);
+}
+
+/* Whether an earlier owner may have started tasks of the job that no list has shown yet. */
+static gboolean
+uncertain (const bts_sched_t *sched, const bts_job_t *job)
+{
+  return !sched->settled && job->offset < bts_ledger_claim_offset (sched->ledger);
+}
+
+static gboolean
+task_open (const bts_task_t *task)
+{
+  return !task->done && task->run == NULL && !task->ending;
+}
+
+static guint
+count_open (const bts_stage_t *stage)
+{
+  guint open = 0;
+  for (guint i = 0; i < stage->n; i++)
+    open += task_open (&stage->tasks[i]);
+  return open;
+}
+
+/* A gang starts whole, or not at all, when nothing of its last run is left. */
+static gboolean
+may_place (const bts_stage_t *stage, guint open)
+{
+  return open > 0 && (!bts_stage_step (stage)->gang || open == stage->n);
+}
+
+static guint
+next_number (const bts_sched_t *sched, const bts_stage_t *stage, const bts_task_t *task)
+{
+  guint last = task->last_run;
+  if (bts_stage_step (stage)->gang)
+    for (guint i = 0; i < stage->n; i++)
+      last = MAX (last, stage->tasks[i].last_run);
+  /* An earlier owner may have used numbers that this one has not heard of. */
+  guint floor = stage->job->offset < bts_ledger_claim_offset (sched->ledger)
+                    ? (guint)(sched->term - 1) * BTS_RUNS_PER_TERM
+                    : 0;
+  return MAX (last, floor) + 1;
+}
+
+static const char *
+ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us)
+{
+  const bts_ticket_t *ticket = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker);
+  gint64 valid_us = (gint64)bts_stage_policy (stage)->advice_validity_ms * 1000 - TICKET_MARGIN_US;
+  return ticket != NULL && ticket->at_us > 0 && now_us - ticket->at_us < valid_us ? ticket->ticket
+                                                                                 : NULL;
+}
+
+static void
+ask_advice (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *workers, gint64 now_us)
+{
+  if (workers->len == 0)
+    return;
+  stage->asked_us = now_us;
+  sched->ops->advise (sched->context, stage, workers);
+}
+
+static void
+ask_about_all (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
+{
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const bts_worker_t *worker = value;
+      if (worker->listed && !worker->entry->draining && ids->len < BTS_ADVICE_MAX
+          && strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0)
+        g_ptr_array_add (ids, worker->entry->id);
+    }
+  ask_advice (sched, stage, ids, now_us);
+}
+
+/* Whether advice is at hand for the stage; asks for it if nobody has. */
+static gboolean
+advised (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
+{
+  const Bts__Policy *policy = bts_stage_policy (stage);
+  if (!policy->advised)
+    return TRUE;
+  if (stage->asked_us != 0 && now_us - stage->asked_us < ADVICE_RETRY_US)
+    return FALSE;
+  if (stage->advice != NULL)
+    return TRUE;
+  gint64 wait_us = ADVICE_PATIENCE_US + (gint64)(policy->advice_ms * 1000.0 * (stage->step + 1));
+  if (now_us - MAX (stage->job->folded_us, sched->began_us) >= wait_us)
+    ask_about_all (sched, stage, now_us);
+  return FALSE;
+}
+
+/* A run that was tried out in a pass and is either started or taken back. */
+static bts_run_t *
+try_task (bts_sched_t *sched, bts_task_t *task, guint number)
+{
+  bts_worker_t *worker = bts_place_choose (sched->fleet, task, bts_sched_now (sched));
+  if (worker == NULL)
+    return NULL;
+  g_autofree char *name = bts_task_name (task);
+  return bts_run_new (sched, task, name, number, worker);
+}
+
+static void
+take_back (bts_sched_t *sched, GPtrArray *runs)
+{
+  for (guint i = 0; i < runs->len; i++)
+    bts_run_drop (sched, runs->pdata[i]);
+}
+
+/* Asks anew about the workers chosen whose tickets have run out. */
+static gboolean
+tickets_hold (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *runs, gint64 now_us)
+{
+  if (!bts_stage_policy (stage)->advised)
+    return TRUE;
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  for (guint i = 0; i < runs->len; i++)
+    {
+      const bts_run_t *run = runs->pdata[i];
+      char *id = run->worker->entry->id;
+      if (ticket_now (stage, id, now_us) == NULL && !g_ptr_array_find (ids, id, NULL)
+          && ids->len < BTS_ADVICE_MAX)
+        g_ptr_array_add (ids, id);
+    }
+  if (ids->len == 0)
+    return TRUE;
+  ask_advice (sched, stage, ids, now_us);
+  return FALSE;
+}
+
+/* Places as many open tasks of a stage as there is room for. */
+static void
+place_stage (bts_sched_t *sched, bts_stage_t *stage, guint open)
+{
+  gint64 now_us = bts_sched_now (sched);
+  gboolean gang = bts_stage_step (stage)->gang;
+  g_autoptr (GPtrArray) runs = g_ptr_array_new ();
+  for (guint i = 0; i < stage->n; i++)
+    {
+      bts_task_t *task = &stage->tasks[i];
+      if (!task_open (task))
+        continue;
+      bts_run_t *run = try_task (sched, task, next_number (sched, stage, task));
+      if (run == NULL)
+        break;
+      g_ptr_array_add (runs, run);
+    }
+  if (runs->len == 0)
+    return;
+  if ((gang && runs->len < open) || !tickets_hold (sched, stage, runs, now_us))
+    {
+      take_back (sched, runs);
+      return;
+    }
+  for (guint i = 0; i < runs->len; i++)
+    {
+      bts_run_t *run = runs->pdata[i];
+      run->task->last_run = run->number;
+      bts_run_start (sched, run);
+    }
+  bts_beat_begun (sched, stage->job);
+}
+
+/* Order of the queue: what serves its own users first, then by priority, then by
+   the time at which the stage has to begin for its job to meet its objective. */
+static gint
+compare (gconstpointer a, gconstpointer b)
+{
+  const bts_stage_t *left = *(bts_stage_t *const *)a;
+  const bts_stage_t *right = *(bts_stage_t *const *)b;
+  gboolean left_lasts = bts_stage_step (left)->long_running;
+  gboolean right_lasts = bts_stage_step (right)->long_running;
+  if (left_lasts != right_lasts)
+    return left_lasts ? -1 : 1;
+  guint left_priority = bts_stage_policy (left)->priority;
+  guint right_priority = bts_stage_policy (right)->priority;
+  if (left_priority != right_priority)
+    return left_priority < right_priority ? -1 : 1;
+  if (left->due_us != right->due_us)
+    return left->due_us < right->due_us ? -1 : 1;
+  return 0;
+}
+
+/**
+ * bts_sched_pass() - place what waits, if anything has changed
+ * @sched: the scheduler
+ */
+void
+bts_sched_pass (bts_sched_t *sched)
+{
+  if (sched->term == 0 || !sched->dirty)
+    return;
+  sched->dirty = FALSE;
+  gint64 now_us = bts_sched_now (sched);
+  g_ptr_array_sort (sched->waiting, compare);
+  guint kept = 0;
+  for (guint i = 0; i < sched->waiting->len; i++)
+    {
+      bts_stage_t *stage = sched->waiting->pdata[i];
+      guint open = count_open (stage);
+      if (bts_job_over (stage->job) || open == 0)
+        {
+          stage->waiting = FALSE;
+          continue;
+        }
+      if (may_place (stage, open) && !uncertain (sched, stage->job)
+          && now_us >= stage->rest_until_us && advised (sched, stage, now_us))
+        place_stage (sched, stage, open);
+      sched->waiting->pdata[kept++] = stage;
+    }
+  g_ptr_array_set_size (sched->waiting, (gint)kept);
+}
+
+/* Whether all that an earlier owner may have started is on a list or surely over. */
+static gboolean
+find_settled (const bts_sched_t *sched)
+{
+  gint64 since_us = bts_sched_now (sched) - sched->began_us;
+  if (since_us > BTS_LEAD_UNSURE_US + (gint64)((double)sched->config.hold_max_ms * 1000 / (1 - BTS_CLOCK_SLOW)))
+    return TRUE;
+  guint known = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const bts_worker_t *worker = value;
+      known++;
+      if (!worker->synced)
+        return FALSE;
+    }
+  return known > 0;
+}
+
+/**
+ * bts_sched_tick() - do what is due
+ * @sched: the scheduler
+ *
+ * To be called every few milliseconds while it leads.
+ */
+void
+bts_sched_tick (bts_sched_t *sched)
+{
+  if (sched->term == 0)
+    return;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    bts_worker_tick (sched, value);
+  if (!sched->settled && find_settled (sched))
+    {
+      sched->settled = TRUE;
+      sched->dirty = TRUE;
+      bt_log (BT_LOG_NOTICE, "settled", "term=%" G_GUINT64_FORMAT " after_ms=%" G_GINT64_FORMAT,
+              sched->term, (bts_sched_now (sched) - sched->began_us) / 1000);
+    }
+  open_due (sched);
+  bts_beat_tick (sched);
+  bts_sched_pass (sched);
+}
+
+void
+bts_sched_on_accepted (bts_sched_t *sched, bts_job_t *job)
+{
+  if (sched->term != 0)
+    bts_sched_open_job (sched, job);
+}
+
+/**
+ * bts_sched_on_over() - a job has ended, failed or was cancelled
+ * @sched: the scheduler
+ * @job: the job
+ */
+void
+bts_sched_on_over (bts_sched_t *sched, bts_job_t *job)
+{
+  if (sched->term == 0)
+    return;
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      bts_occurrence_t *occurrence = job->occurrences->pdata[k];
+      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
+        for (guint t = 0; t < occurrence->stages[i].n; t++)
+          if (occurrence->stages[i].tasks[t].run != NULL)
+            bts_run_stop (sched, occurrence->stages[i].tasks[t].run);
+    }
+}
+
+/**
+ * bts_sched_on_ended() - an end is in the journal
+ * @sched: the scheduler
+ * @task: its task
+ * @run: number of the run
+ * @how: how it ended
+ */
+void
+bts_sched_on_ended (bts_sched_t *sched, bts_task_t *task, guint run, bts_how_t how)
+{
+  if (sched->term == 0)
+    return;
+  task->ending = FALSE;
+  bts_stage_t *stage = task->stage;
+  if (task->done && task->run != NULL)
+    bts_run_stop (sched, task->run);
+  bts_sched_wake (sched, stage);
+  if (!bts_stage_over (stage))
+    return;
+  bts_occurrence_t *occurrence = bts_job_occurrence (stage->job, stage->occurrence);
+  for (gsize i = stage->step + 1; i < stage->job->accepted->n_steps; i++)
+    bts_sched_wake (sched, &occurrence->stages[i]);
+}
+
+void
+bts_sched_on_advised (bts_sched_t *sched, bts_stage_t *stage)
+{
+  stage->asked_us = 0;
+  sched->dirty = TRUE;
+}
+
+/**
+ * bts_sched_on_forgotten() - a job is about to be freed
+ * @sched: the scheduler
+ * @job: the job
+ */
+void
+bts_sched_on_forgotten (bts_sched_t *sched, bts_job_t *job)
+{
+  g_ptr_array_remove_fast (sched->timed, job);
+  for (guint i = 0; i < sched->waiting->len;)
+    {
+      const bts_stage_t *stage = sched->waiting->pdata[i];
+      if (stage->job == job)
+        g_ptr_array_remove_index (sched->waiting, i);
+      else
+        i++;
+    }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      bts_run_t *run = value;
+      if (run->task != NULL && run->task->stage->job == job)
+        run->task = NULL;
+    }
+}
+
+/**
+ * bts_sched_on_entry() - a worker's entry is new or has changed
+ * @sched: the scheduler
+ * @id: the worker
+ * @change: what has changed
+ */
+void
+bts_sched_on_entry (bts_sched_t *sched, const char *id, bts_entry_change_t change)
+{
+  bts_worker_t *worker = bts_fleet_worker (sched->fleet, id);
+  if (worker == NULL)
+    return;
+  if (change == BTS_ENTRY_REBORN)
+    bts_worker_gone (sched, worker, "reborn");
+  sched->dirty = sched->dirty || change != BTS_ENTRY_SAME;
+}
--- /dev/null
+++ b/libbamboothread/scheduler/sched.h
@@ -0,0 +1,170 @@
+#ifndef BTS_SCHED_H
+#define BTS_SCHED_H
+
+#include "libbamboothread/base/clock.h"
+#include "libbamboothread/scheduler/fleet.h"
+#include "libbamboothread/scheduler/ledger.h"
+
+/*
+ * The owner's part: holds the workers, starts and stops runs, journals ends.
+ * It does nothing outside its own term. No sockets: orders go out by the
+ * callbacks and their answers come in by the functions below.
+ */
+
+typedef struct bts_sched_t bts_sched_t;
+
+/**
+ * struct bts_hold_order_t - keep a worker's lease and ask for its lists
+ * @deadline_ms: lease on the worker's clock; 0 leaves it as it is
+ * @ack: ends up to this number may be forgotten
+ * @wait_ms: the answer may wait so long for an end
+ */
+typedef struct
+{
+  guint64 fence;
+  gint64 deadline_ms;
+  guint64 ack;
+  guint wait_ms;
+} bts_hold_order_t;
+
+/**
+ * struct bts_start_order_t - start a run
+ * @ticket: leave of the advice service, or NULL
+ */
+typedef struct
+{
+  guint64 fence;
+  gint64 deadline_ms;
+  const char *ticket;
+} bts_start_order_t;
+
+/**
+ * enum bts_reply_t - what became of an order
+ * @BTS_REPLY_NONE: no answer; it may have been carried out or may be later
+ * @BTS_REPLY_FENCED: the worker has heard of a later owner
+ * @BTS_REPLY_OLD: the run's number is not above that of one ended there
+ * @BTS_REPLY_LATE: the lease in the order was over
+ * @BTS_REPLY_NO_ROOM: the worker is full
+ * @BTS_REPLY_TICKET: the ticket is missing or too old
+ * @BTS_REPLY_BUSY: not done, may be asked again
+ * @BTS_REPLY_OTHER_LIFE: the worker that was meant is gone
+ * @BTS_REPLY_INVALID: refused for its form
+ */
+typedef enum
+{
+  BTS_REPLY_OK,
+  BTS_REPLY_NONE,
+  BTS_REPLY_FENCED,
+  BTS_REPLY_OLD,
+  BTS_REPLY_LATE,
+  BTS_REPLY_NO_ROOM,
+  BTS_REPLY_TICKET,
+  BTS_REPLY_BUSY,
+  BTS_REPLY_OTHER_LIFE,
+  BTS_REPLY_INVALID,
+} bts_reply_t;
+
+/**
+ * struct bts_running_t - a row of a worker's list of what runs
+ * @saved: newest checkpoint, or empty
+ * @percent: share at which it works
+ */
+typedef struct
+{
+  char *name;
+  guint number;
+  char *saved;
+  guint percent;
+} bts_running_t;
+
+/**
+ * struct bts_finished_t - a row of a worker's list of ends
+ * @end: number of the end in this life of the worker
+ */
+typedef struct
+{
+  guint64 end;
+  char *name;
+  guint number;
+  bts_how_t how;
+  char *saved;
+} bts_finished_t;
+
+/**
+ * struct bts_listing_t - the answer to a hold
+ * @running: bts_running_t
+ * @finished: bts_finished_t, by number
+ */
+typedef struct
+{
+  gint64 clock_ms;
+  gint64 born_ms;
+  GPtrArray *running;
+  GPtrArray *finished;
+} bts_listing_t;
+
+bts_listing_t *bts_listing_new (void);
+void bts_listing_free (bts_listing_t *listing);
+
+/**
+ * struct bts_sched_ops_t - where orders go
+ * @hold: answered by bts_sched_on_hold()
+ * @start: answered by bts_sched_on_start()
+ * @stop: answered by bts_sched_on_stop()
+ * @append: a record for the journal; it may be lost, and comes back by the ledger
+ * @advise: ask which of some workers may run a stage; @workers holds ids
+ * @deposed: a worker or the journal knows a later owner
+ * @now_unix_ms: the time of day
+ *
+ * None may call back into the scheduler before it returns.
+ */
+typedef struct
+{
+  void (*hold) (void *context, const bts_worker_t *worker, const bts_hold_order_t *order);
+  void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
+  void (*stop) (void *context, const bts_run_t *run, guint64 fence);
+  void (*append) (void *context, const Bts__Record *record);
+  void (*advise) (void *context, const bts_stage_t *stage, const GPtrArray *workers);
+  void (*deposed) (void *context);
+  gint64 (*now_unix_ms) (void *context);
+} bts_sched_ops_t;
+
+/**
+ * struct bts_sched_config_t - limits of the owner
+ * @hold_max_ms: longest lease that a worker grants
+ * @stop_ms: longest time that a stop takes
+ * @early_ms: how much before its time an occurrence may start
+ */
+typedef struct
+{
+  guint hold_max_ms;
+  guint stop_ms;
+  guint early_ms;
+} bts_sched_config_t;
+
+bts_sched_t *bts_sched_new (const bts_sched_config_t *config, const bt_clock_t *clock,
+                            bts_ledger_t *ledger, bts_fleet_t *fleet, const bts_sched_ops_t *ops,
+                            void *context);
+void bts_sched_free (bts_sched_t *sched);
+
+void bts_sched_begin (bts_sched_t *sched, guint64 term);
+void bts_sched_end (bts_sched_t *sched);
+gboolean bts_sched_leading (const bts_sched_t *sched);
+gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
+void bts_sched_tick (bts_sched_t *sched);
+void bts_sched_pass (bts_sched_t *sched);
+
+void bts_sched_on_accepted (bts_sched_t *sched, bts_job_t *job);
+void bts_sched_on_over (bts_sched_t *sched, bts_job_t *job);
+void bts_sched_on_ended (bts_sched_t *sched, bts_task_t *task, guint run, bts_how_t how);
+void bts_sched_on_advised (bts_sched_t *sched, bts_stage_t *stage);
+void bts_sched_on_beat (bts_sched_t *sched, guint64 number);
+void bts_sched_on_forgotten (bts_sched_t *sched, bts_job_t *job);
+void bts_sched_on_entry (bts_sched_t *sched, const char *worker, bts_entry_change_t change);
+
+void bts_sched_on_hold (bts_sched_t *sched, const char *worker, guint life, bts_reply_t reply,
+                        const bts_listing_t *listing);
+void bts_sched_on_start (bts_sched_t *sched, guint64 serial, bts_reply_t reply, gint64 clock_ms);
+void bts_sched_on_stop (bts_sched_t *sched, guint64 serial, bts_reply_t reply, gint64 clock_ms);
+
+#endif
--- /dev/null
+++ b/libbamboothread/scheduler/sched_private.h
@@ -0,0 +1,96 @@
+#ifndef BTS_SCHED_PRIVATE_H
+#define BTS_SCHED_PRIVATE_H
+
+#include "libbamboothread/scheduler/sched.h"
+
+/* Lease asked for at workers, in milliseconds: outlives the takeover after a kill
+   (BTS_LEAD_SILENCE_US and one round of holds) and still frees a lost worker's
+   tasks soon. */
+#define BTS_LEASE_MS 4000
+
+/**
+ * struct bts_outgoing_t - an end on its way into the journal
+ * @worker: id of the worker that listed it
+ * @life: of that worker
+ * @number: number of the end there
+ * @end: the record's part; NULL if it doesn't count and only waits for its turn
+ * @beat: the beat that carried it last; 0 before the first
+ */
+typedef struct
+{
+  char *worker;
+  guint life;
+  guint64 number;
+  Bts__End *end;
+  guint64 beat;
+} bts_outgoing_t;
+
+/**
+ * struct bts_sched_t - the owner's part of a process
+ * @term: the term that it leads; 0 if it doesn't
+ * @runs: serial to bts_run_t
+ * @waiting: bts_stage_t with tasks to be placed
+ * @timed: bts_job_t with occurrences to come
+ * @outgoing: bts_outgoing_t in the order of the lists
+ * @begun: ids of jobs whose first start isn't in the journal
+ * @begun_beat: the beat that carried the first @begun_sent of them last
+ * @beat: number of the newest beat
+ * @beat_us: when it was sent
+ * @beat_open: it hasn't come back yet
+ * @confirmed_us: when the newest beat that came back was sent
+ * @began_us: when the term began
+ * @settled: nothing that an earlier owner started is unknown any more
+ * @dirty: a pass over the queue may place something
+ */
+struct bts_sched_t
+{
+  bts_sched_config_t config;
+  const bt_clock_t *clock;
+  bts_ledger_t *ledger;
+  bts_fleet_t *fleet;
+  const bts_sched_ops_t *ops;
+  void *context;
+  guint64 term;
+  guint64 serial;
+  GHashTable *runs;
+  GPtrArray *waiting;
+  GPtrArray *timed;
+  GPtrArray *outgoing;
+  GPtrArray *begun;
+  guint64 begun_beat;
+  guint begun_sent;
+  guint64 beat;
+  gint64 beat_us;
+  gboolean beat_open;
+  gint64 confirmed_us;
+  gint64 began_us;
+  gboolean settled;
+  gboolean dirty;
+};
+
+gint64 bts_sched_now (const bts_sched_t *sched);
+gint64 bts_sched_deadline (bts_sched_t *sched, bts_worker_t *worker);
+void bts_sched_wake (bts_sched_t *sched, bts_stage_t *stage);
+void bts_sched_open_job (bts_sched_t *sched, bts_job_t *job);
+
+bts_run_t *bts_run_new (bts_sched_t *sched, bts_task_t *task, const char *name, guint number,
+                        bts_worker_t *worker);
+void bts_run_free (bts_run_t *run);
+void bts_run_drop (bts_sched_t *sched, bts_run_t *run);
+void bts_run_start (bts_sched_t *sched, bts_run_t *run);
+void bts_run_stop (bts_sched_t *sched, bts_run_t *run);
+void bts_run_lost (bts_sched_t *sched, bts_run_t *run, const char *cause);
+void bts_run_tick (bts_sched_t *sched, bts_run_t *run);
+void bts_gang_break (bts_sched_t *sched, bts_stage_t *stage);
+
+void bts_worker_tick (bts_sched_t *sched, bts_worker_t *worker);
+void bts_worker_gone (bts_sched_t *sched, bts_worker_t *worker, const char *cause);
+
+void bts_beat_add (bts_sched_t *sched, const bts_worker_t *worker, const bts_finished_t *row,
+                   bts_task_t *task);
+void bts_beat_begun (bts_sched_t *sched, bts_job_t *job);
+void bts_beat_tick (bts_sched_t *sched);
+void bts_beat_clear (bts_sched_t *sched);
+void bts_outgoing_free (gpointer data);
+
+#endif
--- /dev/null
+++ b/libbamboothread/scheduler/worker.c
@@ -0,0 +1,309 @@
+#include "libbamboothread/scheduler/sched_private.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+
+/*
+ * The owner's hold on one worker: it renews the lease, learns from the lists
+ * what runs and what has ended, and gives up the runs of a worker whose lease
+ * has surely run out.
+ */
+
+/* How long an answer may wait for an end, in milliseconds; shorter than the time
+   after which a silent worker gets no new tasks. */
+#define HOLD_WAIT_MS 1000
+/* Time to the next hold while ends are on their way into the journal: the worker
+   would list them again at once. */
+#define HOLD_ENDS_US (250 * 1000)
+/* Time to the next hold after one that got no answer. */
+#define HOLD_RETRY_US (150 * 1000)
+/* Time for which a worker that left the list is still asked, in microseconds: above
+   the longest lease. */
+#define UNLISTED_US (20 * BT_USEC_PER_SEC)
+
+static void
+listing_running_free (gpointer data)
+{
+  bts_running_t *row = data;
+  g_free (row->name);
+  g_free (row->saved);
+  g_free (row);
+}
+
+static void
+listing_finished_free (gpointer data)
+{
+  bts_finished_t *row = data;
+  g_free (row->name);
+  g_free (row->saved);
+  g_free (row);
+}
+
+bts_listing_t *
+bts_listing_new (void)
+{
+  bts_listing_t *listing = g_new0 (bts_listing_t, 1);
+  listing->running = g_ptr_array_new_with_free_func (listing_running_free);
+  listing->finished = g_ptr_array_new_with_free_func (listing_finished_free);
+  return listing;
+}
+
+void
+bts_listing_free (bts_listing_t *listing)
+{
+  if (listing == NULL)
+    return;
+  g_ptr_array_unref (listing->running);
+  g_ptr_array_unref (listing->finished);
+  g_free (listing);
+}
+
+static void
+lose_runs (bts_sched_t *sched, bts_worker_t *worker, const char *cause)
+{
+  while (worker->runs->len > 0)
+    bts_run_lost (sched, worker->runs->pdata[worker->runs->len - 1], cause);
+}
+
+/**
+ * bts_worker_gone() - the life of a worker that was known is over
+ * @sched: the scheduler
+ * @worker: the worker
+ * @cause: how that is known
+ */
+void
+bts_worker_gone (bts_sched_t *sched, bts_worker_t *worker, const char *cause)
+{
+  bt_log (BT_LOG_NOTICE, "worker-gone", "worker=%s cause=%s runs=%u", worker->entry->id, cause,
+          worker->runs->len);
+  lose_runs (sched, worker, cause);
+  bts_worker_reset (worker);
+  worker->born_ms = worker->entry->born_ms;
+  worker->hold_next_us = bts_sched_now (sched) + HOLD_RETRY_US;
+}
+
+static void
+send_hold (bts_sched_t *sched, bts_worker_t *worker, gint64 now_us)
+{
+  bts_hold_order_t order = { 0 };
+  order.fence = sched->term;
+  order.deadline_ms = bts_sched_deadline (sched, worker);
+  order.ack = worker->acked;
+  order.wait_ms = worker->synced && worker->ends_open == 0 ? HOLD_WAIT_MS : 0;
+  worker->hold_open = TRUE;
+  worker->asked = TRUE;
+  worker->hold_sent_us = now_us;
+  sched->ops->hold (sched->context, worker, &order);
+}
+
+/**
+ * bts_worker_tick() - do what is due at a worker
+ * @sched: the scheduler
+ * @worker: the worker
+ */
+void
+bts_worker_tick (bts_sched_t *sched, bts_worker_t *worker)
+{
+  gint64 now_us = bts_sched_now (sched);
+  if (worker->runs->len > 0 && worker->clock_us != 0 && now_us > bts_worker_expiry_us (worker))
+    lose_runs (sched, worker, "lease-over");
+  for (guint i = 0; i < worker->runs->len; i++)
+    bts_run_tick (sched, worker->runs->pdata[i]);
+  if (!worker->listed && worker->runs->len == 0 && worker->synced
+      && now_us - worker->unlisted_us > UNLISTED_US)
+    return;
+  if (!worker->hold_open && now_us >= worker->hold_next_us)
+    send_hold (sched, worker, now_us);
+}
+
+static bts_task_t *
+find_task (const bts_sched_t *sched, const char *name)
+{
+  char id[BTS_ID_LEN + 1];
+  guint occurrence;
+  guint step;
+  guint index;
+  if (!bts_name_parse (name, id, &occurrence, &step, &index))
+    return NULL;
+  bts_job_t *job = bts_ledger_job (sched->ledger, id);
+  bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, occurrence, step);
+  return stage == NULL || index >= stage->n ? NULL : &stage->tasks[index];
+}
+
+/* A run that an earlier owner started, or one that is not to be there. */
+static void
+adopt (bts_sched_t *sched, bts_worker_t *worker, const bts_running_t *row)
+{
+  bts_task_t *task = find_task (sched, row->name);
+  gboolean wanted = task != NULL && !task->done && !task->ending && task->run == NULL
+                    && row->number > task->ended_run && row->number > task->lost_run
+                    && !bts_job_over (task->stage->job);
+  gboolean keeps = task != NULL && task->run == NULL;
+  bts_run_t *run = bts_run_new (sched, keeps ? task : NULL, row->name, row->number, worker);
+  if (!keeps && task != NULL)
+    {
+      const Bts__Step *step = bts_stage_step (task->stage);
+      run->room.cpu_millis = step->fills ? 0 : step->cpu_millis;
+      run->room.memory_mb = step->memory_mb;
+      run->room.gpus = step->gpus;
+      worker->used.cpu_millis += run->room.cpu_millis;
+      worker->used.memory_mb += run->room.memory_mb;
+      worker->used.gpus += run->room.gpus;
+    }
+  run->state = BTS_RUN_LIVE;
+  run->confirmed_us = bts_sched_now (sched);
+  if (task != NULL)
+    task->last_run = MAX (task->last_run, row->number);
+  bt_log (BT_LOG_INFO, "found", "task=%s run=%u worker=%s wanted=%d", row->name, row->number,
+          worker->entry->id, wanted);
+  if (!wanted)
+    bts_run_stop (sched, run);
+  else
+    bts_beat_begun (sched, task->stage->job);
+}
+
+static void
+take_running (bts_sched_t *sched, bts_worker_t *worker, const bts_running_t *row)
+{
+  bts_run_t *run = bts_worker_find (worker, row->name, row->number);
+  if (run == NULL)
+    {
+      adopt (sched, worker, row);
+      return;
+    }
+  if (run->state == BTS_RUN_STARTING)
+    run->state = BTS_RUN_LIVE;
+  if (run->state == BTS_RUN_LIVE)
+    run->confirmed_us = MAX (run->confirmed_us, worker->hold_sent_us);
+  if (run->task != NULL)
+    bts_task_save (run->task, row->saved);
+}
+
+/* Whether an end that no known run explains is news of an earlier owner's run. */
+static gboolean
+end_counts (const bts_task_t *task, const bts_finished_t *row)
+{
+  return task != NULL && task->run == NULL && !task->ending && row->number > task->ended_run
+         && row->number > task->lost_run && row->number >= task->last_run;
+}
+
+static void
+judge_worker (bts_worker_t *worker, bts_task_t *task, bts_how_t how)
+{
+  if (how == BTS_HOW_DONE)
+    worker->faults = 0;
+  if (how != BTS_HOW_FAILED)
+    return;
+  worker->faults++;
+  g_free (task->avoid);
+  task->avoid = g_strdup (worker->entry->id);
+}
+
+static void
+take_finished (bts_sched_t *sched, bts_worker_t *worker, const bts_finished_t *row)
+{
+  if (row->end <= worker->seen)
+    return;
+  worker->seen = row->end;
+  worker->ends_open++;
+  bts_run_t *run = bts_worker_find (worker, row->name, row->number);
+  bts_task_t *task = run != NULL ? run->task : find_task (sched, row->name);
+  gboolean counts = run != NULL ? task != NULL : end_counts (task, row);
+  bt_log (BT_LOG_INFO, "end", "task=%s run=%u worker=%s how=%d number=%" G_GUINT64_FORMAT
+          " counts=%d", row->name, row->number, worker->entry->id, row->how, row->end, counts);
+  if (run != NULL)
+    bts_run_drop (sched, run);
+  if (counts)
+    {
+      task->ending = TRUE;
+      task->last_run = MAX (task->last_run, row->number);
+      bts_task_save (task, row->saved);
+      judge_worker (worker, task, row->how);
+    }
+  bts_beat_add (sched, worker, row, counts ? task : NULL);
+}
+
+/* Runs that the worker lists neither as running nor as ended are over, if it was
+   asked after it had confirmed the last order for them. */
+static void
+drop_vanished (bts_sched_t *sched, bts_worker_t *worker, const bts_listing_t *listing)
+{
+  g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < listing->running->len; i++)
+    g_hash_table_add (listed, ((bts_running_t *)listing->running->pdata[i])->name);
+  for (guint i = 0; i < worker->runs->len;)
+    {
+      bts_run_t *run = worker->runs->pdata[i];
+      gboolean answered = run->state == BTS_RUN_STOPPING ? run->stopped : !run->order_open;
+      if (answered && run->confirmed_us != 0 && run->confirmed_us < worker->hold_sent_us
+          && !g_hash_table_contains (listed, run->name))
+        {
+          bts_run_lost (sched, run, "not-listed");
+          i = 0;
+        }
+      else
+        i++;
+    }
+}
+
+static void
+hold_failed (bts_sched_t *sched, bts_worker_t *worker, bts_reply_t reply)
+{
+  gint64 now_us = bts_sched_now (sched);
+  if (reply == BTS_REPLY_FENCED)
+    {
+      sched->ops->deposed (sched->context);
+      return;
+    }
+  if (reply == BTS_REPLY_OTHER_LIFE)
+    {
+      bts_worker_gone (sched, worker, "other-life");
+      return;
+    }
+  if (worker->hold_failures++ == 0)
+    bt_log (BT_LOG_NOTICE, "worker-silent", "worker=%s reply=%d runs=%u", worker->entry->id, reply,
+            worker->runs->len);
+  worker->hold_next_us = now_us + HOLD_RETRY_US * MIN (worker->hold_failures, 8);
+}
+
+/**
+ * bts_sched_on_hold() - what became of a hold
+ * @sched: the scheduler
+ * @id: the worker
+ * @life: of the worker when the hold was sent
+ * @reply: what became of it
+ * @listing: the worker's lists if it answered
+ */
+void
+bts_sched_on_hold (bts_sched_t *sched, const char *id, guint life, bts_reply_t reply,
+                   const bts_listing_t *listing)
+{
+  bts_worker_t *worker = sched->term == 0 ? NULL : bts_fleet_worker (sched->fleet, id);
+  if (worker == NULL || worker->life != life)
+    return;
+  worker->hold_open = FALSE;
+  if (reply != BTS_REPLY_OK)
+    {
+      hold_failed (sched, worker, reply);
+      return;
+    }
+  gint64 now_us = bts_sched_now (sched);
+  if (listing->born_ms != 0 && worker->born_ms != 0 && listing->born_ms != worker->born_ms)
+    {
+      bts_worker_gone (sched, worker, "reborn");
+      worker->born_ms = listing->born_ms;
+      return;
+    }
+  worker->born_ms = listing->born_ms;
+  worker->hold_failures = 0;
+  bts_worker_heard (worker, listing->clock_ms, now_us);
+  for (guint i = 0; i < listing->finished->len; i++)
+    take_finished (sched, worker, listing->finished->pdata[i]);
+  for (guint i = 0; i < listing->running->len; i++)
+    take_running (sched, worker, listing->running->pdata[i]);
+  drop_vanished (sched, worker, listing);
+  worker->hold_next_us = worker->ends_open > 0 ? now_us + HOLD_ENDS_US : now_us;
+  sched->dirty = sched->dirty || !worker->synced;
+  worker->synced = TRUE;
+}
