--- /dev/null
+++ b/libbamboothread/scheduler/advice.c
@@ -0,0 +1,194 @@
+#include "libbamboothread/scheduler/sched_private.h"
+
+#include <string.h>
+
+#include "libbamboothread/scheduler/lead.h"
+
+/*
+ * Which workers may run a stage. The service takes one call at a time from each
+ * VM, so the owner spreads its questions over all processes: the one that took
+ * a job in asks about its first stage, others are told by the journal.
+ */
+
+/* Time for a question and its answer to pass through the journal, in microseconds,
+   beyond the time of the calls; then another process is asked. */
+#define PATIENCE_US (1500 * 1000)
+/* Part of a ticket's validity kept for the way of the start to the worker. */
+#define TICKET_MARGIN_US (200 * 1000)
+/* A process without a sign for so long isn't asked, in microseconds. */
+#define MEMBER_SILENT_US (8 * BT_USEC_PER_SEC)
+
+/**
+ * bts_ticket_now() - leave to start a stage on a worker
+ * @stage: the stage
+ * @worker: id of the worker
+ * @now_us: the time
+ *
+ * Return: the ticket, or NULL if there is none that holds long enough.
+ */
+const char *
+bts_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us)
+{
+  const bts_ticket_t *ticket
+      = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker);
+  gint64 valid_us = (gint64)bts_stage_policy (stage)->advice_validity_ms * 1000 - TICKET_MARGIN_US;
+  if (ticket == NULL || ticket->at_us == 0 || now_us - ticket->at_us >= valid_us)
+    return NULL;
+  return ticket->ticket;
+}
+
+static gint64
+call_us (const Bts__Policy *policy, guint workers)
+{
+  return (gint64)((policy->advice_ms + policy->advice_worker_ms * workers) * 1000.0);
+}
+
+/* The process that will be free first; those that gave no sign lately are left out. */
+static const char *
+choose_member (const bts_sched_t *sched, gint64 now_us, bts_member_t **chosen)
+{
+  const char *best = NULL;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->members);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      bts_member_t *member = value;
+      if (now_us - member->seen_us > MEMBER_SILENT_US)
+        continue;
+      if (best == NULL || member->busy_until_us < (*chosen)->busy_until_us
+          || (member->busy_until_us == (*chosen)->busy_until_us && strcmp (key, best) < 0))
+        {
+          best = key;
+          *chosen = member;
+        }
+    }
+  return best;
+}
+
+static void
+ask (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *workers, gint64 now_us)
+{
+  bts_member_t *member = NULL;
+  const char *node = choose_member (sched, now_us, &member);
+  if (workers->len == 0 || node == NULL)
+    return;
+  member->busy_until_us = MAX (member->busy_until_us, now_us)
+                          + call_us (bts_stage_policy (stage), workers->len);
+  stage->asked_us = now_us;
+  stage->answer_us = member->busy_until_us + PATIENCE_US;
+  sched->ops->advise (sched->context, node, stage, workers);
+}
+
+/* All workers of the service if nothing is known yet, else those that may run it. */
+static void
+ask_about (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
+{
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < BTS_ADVICE_MAX)
+    {
+      const bts_worker_t *worker = value;
+      if (worker->listed && !worker->entry->draining
+          && strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0
+          && (stage->advice == NULL || g_hash_table_contains (stage->advice, worker->entry->id)))
+        g_ptr_array_add (ids, worker->entry->id);
+    }
+  ask (sched, stage, ids, now_us);
+}
+
+/**
+ * bts_advice_expect() - a process will ask about the first stage of its job
+ * @sched: a leading scheduler
+ * @job: a job just accepted
+ */
+void
+bts_advice_expect (bts_sched_t *sched, const bts_job_t *job)
+{
+  const Bts__Policy *policy = job->accepted->policy;
+  bts_member_t *member = g_hash_table_lookup (sched->members, job->accepted->entry);
+  if (!policy->advised || member == NULL)
+    return;
+  gint64 now_us = bts_sched_now (sched);
+  guint workers = MIN (g_hash_table_size (sched->fleet->workers), BTS_ADVICE_MAX);
+  member->busy_until_us = MAX (member->busy_until_us, now_us) + call_us (policy, workers);
+  bts_stage_t *stage = bts_job_stage ((bts_job_t *)job, 0, 0);
+  stage->asked_us = now_us;
+  stage->answer_us = member->busy_until_us + PATIENCE_US;
+}
+
+/**
+ * bts_advice_ready() - whether it is known which workers may run a stage
+ * @sched: a leading scheduler
+ * @stage: the stage; asked about if nobody has
+ * @now_us: the time
+ */
+gboolean
+bts_advice_ready (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
+{
+  if (!bts_stage_policy (stage)->advised)
+    return TRUE;
+  if (stage->asked_us != 0 && now_us < stage->answer_us)
+    return FALSE;
+  if (stage->advice != NULL)
+    return TRUE;
+  ask_about (sched, stage, now_us);
+  return FALSE;
+}
+
+/**
+ * bts_advice_holds() - whether the workers chosen have tickets that hold
+ * @sched: a leading scheduler
+ * @stage: the stage; asked about anew if a ticket has run out
+ * @runs: the runs to be started
+ * @now_us: the time
+ */
+gboolean
+bts_advice_holds (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *runs, gint64 now_us)
+{
+  if (!bts_stage_policy (stage)->advised)
+    return TRUE;
+  for (guint i = 0; i < runs->len; i++)
+    {
+      const bts_run_t *run = runs->pdata[i];
+      if (bts_ticket_now (stage, run->worker->entry->id, now_us) != NULL)
+        continue;
+      ask_about (sched, stage, now_us);
+      return FALSE;
+    }
+  return TRUE;
+}
+
+/**
+ * bts_sched_on_advised() - advice on a stage is in the journal
+ * @sched: the scheduler
+ * @stage: the stage
+ */
+void
+bts_sched_on_advised (bts_sched_t *sched, bts_stage_t *stage)
+{
+  stage->asked_us = 0;
+  sched->dirty = TRUE;
+}
+
+/**
+ * bts_sched_on_seen() - a process has given a sign
+ * @sched: the scheduler
+ * @node: the process
+ */
+void
+bts_sched_on_seen (bts_sched_t *sched, const char *node)
+{
+  if (*node == '\0')
+    return;
+  bts_member_t *member = g_hash_table_lookup (sched->members, node);
+  if (member == NULL)
+    {
+      member = g_new0 (bts_member_t, 1);
+      g_hash_table_insert (sched->members, g_strdup (node), member);
+    }
+  member->seen_us = bts_sched_now (sched);
+}
--- a/libbamboothread/scheduler/adviser.c
+++ b/libbamboothread/scheduler/adviser.c
@@ -1,7 +1,8 @@
 #include "libbamboothread/scheduler/adviser.h"
 
-/* Calls on their way at once: the service works on one, the next is already there. */
-#define OPEN_MAX 2
+/* Calls on their way at once; the service takes one at a time from each VM, and two
+   could arrive in the wrong order. */
+#define OPEN_MAX 1
 /* Calls for one question; after that the owner of the workers asks anew. */
 #define TRIES_MAX 3
 
@@ -66,7 +67,7 @@
  * bts_adviser_ask() - ask which workers may run a stage
  * @adviser: the adviser
  * @stage: the stage
- * @workers: ids of the workers, or NULL for all; questions with few come first
+ * @workers: ids of the workers, or NULL for all
  */
 void
 bts_adviser_ask (bts_adviser_t *adviser, const bts_stage_t *stage, const GPtrArray *workers)
@@ -80,10 +81,8 @@
       question->workers = g_ptr_array_new_with_free_func (g_free);
       for (guint i = 0; i < workers->len; i++)
         g_ptr_array_add (question->workers, g_strdup (workers->pdata[i]));
-      g_queue_push_head (&adviser->queue, question);
     }
-  else
-    g_queue_push_tail (&adviser->queue, question);
+  g_queue_push_tail (&adviser->queue, question);
   run_queue (adviser);
 }
 
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -95,7 +95,8 @@
  * @gang_fails: failed runs of the whole gang
  * @gang_failed_run: the run that @gang_fails counted last
  * @advice: worker id to bts_ticket_t, or NULL while nothing is known
- * @asked_us: when the owner asked for advice; 0 if it isn't waiting for any
+ * @asked_us: when advice was asked for; 0 if none is on its way
+ * @answer_us: when it is asked for again
  * @waiting: the stage stands in the owner's queue
  * @due_us: when it should be over for its job to meet its objective
  * @rest_until_us: no attempt to place it before
@@ -112,6 +113,7 @@
   guint gang_failed_run;
   GHashTable *advice;
   gint64 asked_us;
+  gint64 answer_us;
   gboolean waiting;
   gint64 due_us;
   gint64 rest_until_us;
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -10,6 +10,7 @@
  * @term: term of the newest claim; 0 before any
  * @owner: node of that claim, or NULL after it resigned
  * @claim_offset: where that claim stands
+ * @replaying: records are read that may be of any age
  */
 struct bts_ledger_t
 {
@@ -19,6 +20,7 @@
   guint64 term;
   char *owner;
   gint64 claim_offset;
+  gboolean replaying;
 };
 
 /**
@@ -45,6 +47,17 @@
   g_free (ledger);
 }
 
+/**
+ * bts_ledger_set_replaying() - say whether records may be of any age
+ * @ledger: the ledger
+ * @replaying: whether they may; tickets in them count as too old then
+ */
+void
+bts_ledger_set_replaying (bts_ledger_t *ledger, gboolean replaying)
+{
+  ledger->replaying = replaying;
+}
+
 /**
  * bts_ledger_job() - a job by its id
  * @ledger: the ledger
@@ -101,6 +114,7 @@
   record->accepted = NULL;
   record->kind_case = BTS__RECORD__KIND__NOT_SET;
   g_hash_table_insert (ledger->jobs, job->accepted->id, job);
+  ledger->ops->seen (ledger->context, job->accepted->entry);
   ledger->ops->accepted (ledger->context, job);
   return TRUE;
 }
@@ -135,6 +149,7 @@
   g_free (ledger->owner);
   ledger->owner = g_strdup (claim->node);
   ledger->claim_offset = offset;
+  ledger->ops->seen (ledger->context, claim->node);
   ledger->ops->owner (ledger->context);
 }
 
@@ -237,17 +252,34 @@
 static void
 fold_advice (bts_ledger_t *ledger, const Bts__Advice *advice, gint64 now_us)
 {
+  ledger->ops->seen (ledger->context, advice->node);
   bts_job_t *job = bts_ledger_job (ledger, advice->job);
   bts_stage_t *stage
       = job == NULL ? NULL : bts_job_stage (job, advice->occurrence, advice->step);
   if (stage == NULL || bts_job_over (job))
     return;
-  bts_stage_advise (stage, NULL, NULL, now_us);
+  gint64 at_us = ledger->replaying ? 0 : now_us;
+  bts_stage_advise (stage, NULL, NULL, at_us);
   for (gsize i = 0; i < advice->n_allowed; i++)
-    bts_stage_advise (stage, advice->allowed[i]->worker, advice->allowed[i]->ticket, now_us);
+    bts_stage_advise (stage, advice->allowed[i]->worker, advice->allowed[i]->ticket, at_us);
   ledger->ops->advised (ledger->context, stage);
 }
 
+static void
+fold_ask (bts_ledger_t *ledger, const Bts__Ask *ask)
+{
+  bts_job_t *job = bts_ledger_job (ledger, ask->job);
+  bts_stage_t *stage = job == NULL || bts_job_over (job) || ask->term != ledger->term
+                           ? NULL
+                           : bts_job_stage (job, ask->occurrence, ask->step);
+  if (stage == NULL || ledger->replaying)
+    return;
+  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
+  for (gsize i = 0; i < ask->n_workers; i++)
+    g_ptr_array_add (workers, ask->workers[i]);
+  ledger->ops->ask (ledger->context, ask->node, stage, workers);
+}
+
 /**
  * bts_ledger_fold() - take up the next record of the journal
  * @ledger: the ledger
@@ -292,6 +324,12 @@
     case BTS__RECORD__KIND_ADVICE:
       fold_advice (ledger, record->advice, now_us);
       break;
+    case BTS__RECORD__KIND_ASK:
+      fold_ask (ledger, record->ask);
+      break;
+    case BTS__RECORD__KIND_HELLO:
+      ledger->ops->seen (ledger->context, record->hello->node);
+      break;
     default:
       break;
     }
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -20,6 +20,8 @@
  * @advised: a stage got answers of the advice service
  * @owner: a claim or resignation was taken up
  * @beat: a beat of the present owner
+ * @ask: the owner wants @node to ask about a stage
+ * @seen: a process has given a sign
  * @forgotten: the job is about to be freed
  */
 typedef struct
@@ -31,6 +33,8 @@
   void (*advised) (void *context, bts_stage_t *stage);
   void (*owner) (void *context);
   void (*beat) (void *context, guint64 number);
+  void (*ask) (void *context, const char *node, bts_stage_t *stage, const GPtrArray *workers);
+  void (*seen) (void *context, const char *node);
   void (*forgotten) (void *context, bts_job_t *job);
 } bts_ledger_ops_t;
 
@@ -38,6 +42,7 @@
 void bts_ledger_free (bts_ledger_t *ledger);
 gboolean bts_ledger_fold (bts_ledger_t *ledger, gint64 offset, const guint8 *data, gsize len,
                           gint64 now_us, GError **error);
+void bts_ledger_set_replaying (bts_ledger_t *ledger, gboolean replaying);
 bts_job_t *bts_ledger_job (const bts_ledger_t *ledger, const char *id);
 GHashTable *bts_ledger_jobs (const bts_ledger_t *ledger);
 guint64 bts_ledger_term (const bts_ledger_t *ledger);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -11,12 +11,16 @@
 #define ENTRIES_GRACE_US (2500 * 1000)
 /* A list of entries older than this was away, in microseconds. */
 #define ENTRIES_GAP_US (2500 * 1000)
+/* Time between two signs of a process, in microseconds; see MEMBER_SILENT_US. */
+#define HELLO_US (3 * BT_USEC_PER_SEC)
 /* Time between two sweeps of jobs that ended long ago, in microseconds. */
 #define FORGET_US (5 * BT_USEC_PER_SEC)
 
 /**
  * struct bts_node_t - one process
  * @deposed: a worker knows a later owner; to be acted on at the next tick
+ * @replaying: the journal has not been read to its end yet
+ * @hello_us: when this process last said that it is there
  * @entries_us: when the list of entries was read last
  * @entries_back_us: when it could be read again after it was away
  */
@@ -36,6 +40,8 @@
   bts_manifest_t *manifest;
   gboolean deposed;
   gboolean resigned;
+  gboolean replaying;
+  gint64 hello_us;
   gint64 entries_us;
   gint64 entries_back_us;
   gint64 forgot_us;
@@ -64,8 +70,8 @@
   bts_sched_on_accepted (node->sched, job);
   if (!job->accepted->policy->advised || strcmp (job->accepted->entry, node->name) != 0)
     return;
-  for (gsize i = 0; i < job->accepted->n_steps; i++)
-    bts_adviser_ask (node->adviser, bts_job_stage (job, 0, (guint)i), NULL);
+  if (!node->replaying)
+    bts_adviser_ask (node->adviser, bts_job_stage (job, 0, 0), NULL);
 }
 
 static void
@@ -116,6 +122,21 @@
   bts_sched_on_beat (node->sched, number);
 }
 
+static void
+on_ask (void *context, const char *name, bts_stage_t *stage, const GPtrArray *workers)
+{
+  bts_node_t *node = context;
+  if (strcmp (name, node->name) == 0)
+    bts_adviser_ask (node->adviser, stage, workers);
+}
+
+static void
+on_seen (void *context, const char *name)
+{
+  bts_node_t *node = context;
+  bts_sched_on_seen (node->sched, name);
+}
+
 static void
 on_forgotten (void *context, bts_job_t *job)
 {
@@ -124,7 +145,7 @@
 }
 
 static const bts_ledger_ops_t ledger_ops
-    = { on_accepted, on_cancelled, on_ended, on_over, on_advised, on_owner, on_beat, on_forgotten };
+    = { on_accepted, on_cancelled, on_ended, on_over, on_advised, on_owner, on_beat, on_ask, on_seen, on_forgotten };
 
 /* What the scheduler sends. */
 
@@ -156,10 +177,26 @@
 }
 
 static void
-sched_advise (void *context, const bts_stage_t *stage, const GPtrArray *workers)
+sched_advise (void *context, const char *name, const bts_stage_t *stage, const GPtrArray *workers)
 {
   bts_node_t *node = context;
-  bts_adviser_ask (node->adviser, stage, workers);
+  if (strcmp (name, node->name) == 0)
+    {
+      bts_adviser_ask (node->adviser, stage, workers);
+      return;
+    }
+  Bts__Ask ask = BTS__ASK__INIT;
+  ask.term = bts_ledger_term (node->ledger);
+  ask.node = (char *)name;
+  ask.job = (char *)bts_job_id (stage->job);
+  ask.occurrence = stage->occurrence;
+  ask.step = stage->step;
+  ask.n_workers = workers->len;
+  ask.workers = (char **)workers->pdata;
+  Bts__Record record = BTS__RECORD__INIT;
+  record.kind_case = BTS__RECORD__KIND_ASK;
+  record.ask = &ask;
+  append (node, TOKEN_NONE, &record);
 }
 
 static void
@@ -253,6 +290,8 @@
   node->gate = bts_gate_new (node->ledger, &gate_ops, node);
   node->adviser = bts_adviser_new (node->ledger, &adviser_ops, node);
   bts_lead_init (&node->lead, config->name);
+  node->replaying = TRUE;
+  bts_ledger_set_replaying (node->ledger, TRUE);
   return node;
 }
 
@@ -326,6 +365,8 @@
 {
   gint64 now_us = node_now (node);
   bts_lead_on_read (&node->lead, now_us);
+  node->replaying = FALSE;
+  bts_ledger_set_replaying (node->ledger, FALSE);
   bts_gate_on_read (node->gate, sent_us, now_us);
   begin_if_owner (node);
 }
@@ -364,6 +405,7 @@
       advice->job = question->job;
       advice->occurrence = question->occurrence;
       advice->step = question->step;
+      advice->node = node->name;
       Bts__Record record = BTS__RECORD__INIT;
       record.kind_case = BTS__RECORD__KIND_ADVICE;
       record.advice = advice;
@@ -371,6 +413,7 @@
       bt_log (BT_LOG_INFO, "advice", "job=%s occurrence=%u step=%u allowed=%zu", question->job,
               question->occurrence, question->step, advice->n_allowed);
       advice->job = NULL;
+      advice->node = NULL;
     }
   bts_adviser_on_answer (node->adviser, question, advice != NULL);
 }
@@ -529,6 +572,18 @@
   node->resigned = TRUE;
 }
 
+static void
+say_hello (bts_node_t *node, gint64 now_us)
+{
+  Bts__Hello hello = BTS__HELLO__INIT;
+  hello.node = node->name;
+  Bts__Record record = BTS__RECORD__INIT;
+  record.kind_case = BTS__RECORD__KIND_HELLO;
+  record.hello = &hello;
+  append (node, TOKEN_NONE, &record);
+  node->hello_us = now_us;
+}
+
 /**
  * bts_node_tick() - do what is due
  * @node: the process
@@ -547,6 +602,9 @@
     resign (node);
   if (bts_lead_due (&node->lead, node->ledger, now_us))
     claim (node);
+  if (!node->replaying && !node->lead.leaving && bts_gate_fresh (node->gate, now_us)
+      && now_us - node->hello_us >= HELLO_US)
+    say_hello (node, now_us);
   bts_sched_tick (node->sched);
   bts_gate_tick (node->gate, now_us);
   if (now_us - node->forgot_us < FORGET_US)
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -6,15 +6,6 @@
 #include "libbamboothread/scheduler/lead.h"
 #include "libbamboothread/scheduler/place.h"
 
-/* Time that the process which accepted a job has to ask for advice on its steps,
-   beyond the time of the calls themselves, in microseconds; after that the owner asks. */
-#define ADVICE_PATIENCE_US (1500 * 1000)
-/* Time after which a question of the owner that wasn't answered is asked again. */
-#define ADVICE_RETRY_US (3000 * 1000)
-/* Part of a ticket's validity kept for the way of the start to the worker. */
-#define TICKET_MARGIN_US (250 * 1000)
-
-
 /**
  * bts_sched_new() - a scheduler that doesn't lead yet
  * @config: limits; copied
@@ -40,6 +31,7 @@
   sched->timed = g_ptr_array_new ();
   sched->outgoing = g_ptr_array_new_with_free_func (bts_outgoing_free);
   sched->begun = g_ptr_array_new_with_free_func (g_free);
+  sched->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return sched;
 }
 
@@ -52,6 +44,7 @@
   g_ptr_array_unref (sched->timed);
   g_ptr_array_unref (sched->outgoing);
   g_ptr_array_unref (sched->begun);
+  g_hash_table_unref (sched->members);
   g_free (sched);
 }
 
@@ -79,6 +72,12 @@
   return MAX (sched->confirmed_us, sched->began_us);
 }
 
+gint64
+bts_sched_lease_ms (const bts_sched_t *sched)
+{
+  return MIN (BTS_LEASE_MS, sched->config.hold_max_ms);
+}
+
 /**
  * bts_sched_deadline() - the lease to send to a worker now
  * @sched: the scheduler
@@ -97,8 +96,8 @@
     return 0;
   if (now_us - bts_sched_confirmed_us (sched) < BTS_LEAD_UNSURE_US)
     worker->deadline_ms
-        = MAX (worker->deadline_ms, bts_worker_clock_ms (worker, now_us)
-                                        + MIN (BTS_LEASE_MS, sched->config.hold_max_ms));
+        = MAX (worker->deadline_ms,
+               bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
   return worker->deadline_ms;
 }
 
@@ -313,58 +312,6 @@
   return MAX (last, floor) + 1;
 }
 
-static const char *
-ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us)
-{
-  const bts_ticket_t *ticket = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker);
-  gint64 valid_us = (gint64)bts_stage_policy (stage)->advice_validity_ms * 1000 - TICKET_MARGIN_US;
-  return ticket != NULL && ticket->at_us > 0 && now_us - ticket->at_us < valid_us ? ticket->ticket
-                                                                                 : NULL;
-}
-
-static void
-ask_advice (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *workers, gint64 now_us)
-{
-  if (workers->len == 0)
-    return;
-  stage->asked_us = now_us;
-  sched->ops->advise (sched->context, stage, workers);
-}
-
-static void
-ask_about_all (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
-{
-  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const bts_worker_t *worker = value;
-      if (worker->listed && !worker->entry->draining && ids->len < BTS_ADVICE_MAX
-          && strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0)
-        g_ptr_array_add (ids, worker->entry->id);
-    }
-  ask_advice (sched, stage, ids, now_us);
-}
-
-/* Whether advice is at hand for the stage; asks for it if nobody has. */
-static gboolean
-advised (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
-{
-  const Bts__Policy *policy = bts_stage_policy (stage);
-  if (!policy->advised)
-    return TRUE;
-  if (stage->asked_us != 0 && now_us - stage->asked_us < ADVICE_RETRY_US)
-    return FALSE;
-  if (stage->advice != NULL)
-    return TRUE;
-  gint64 wait_us = ADVICE_PATIENCE_US + (gint64)(policy->advice_ms * 1000.0 * (stage->step + 1));
-  if (now_us - MAX (stage->job->folded_us, sched->began_us) >= wait_us)
-    ask_about_all (sched, stage, now_us);
-  return FALSE;
-}
-
 /* A run that was tried out in a pass and is either started or taken back. */
 static bts_run_t *
 try_task (bts_sched_t *sched, bts_task_t *task, guint number)
@@ -383,27 +330,6 @@
     bts_run_drop (sched, runs->pdata[i]);
 }
 
-/* Asks anew about the workers chosen whose tickets have run out. */
-static gboolean
-tickets_hold (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *runs, gint64 now_us)
-{
-  if (!bts_stage_policy (stage)->advised)
-    return TRUE;
-  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
-  for (guint i = 0; i < runs->len; i++)
-    {
-      const bts_run_t *run = runs->pdata[i];
-      char *id = run->worker->entry->id;
-      if (ticket_now (stage, id, now_us) == NULL && !g_ptr_array_find (ids, id, NULL)
-          && ids->len < BTS_ADVICE_MAX)
-        g_ptr_array_add (ids, id);
-    }
-  if (ids->len == 0)
-    return TRUE;
-  ask_advice (sched, stage, ids, now_us);
-  return FALSE;
-}
-
 /* Places as many open tasks of a stage as there is room for. */
 static void
 place_stage (bts_sched_t *sched, bts_stage_t *stage, guint open)
@@ -423,7 +349,7 @@
     }
   if (runs->len == 0)
     return;
-  if ((gang && runs->len < open) || !tickets_hold (sched, stage, runs, now_us))
+  if ((gang && runs->len < open) || !bts_advice_holds (sched, stage, runs, now_us))
     {
       take_back (sched, runs);
       return;
@@ -480,7 +406,7 @@
           continue;
         }
       if (may_place (stage, open) && !uncertain (sched, stage->job)
-          && now_us >= stage->rest_until_us && advised (sched, stage, now_us))
+          && now_us >= stage->rest_until_us && bts_advice_ready (sched, stage, now_us))
         place_stage (sched, stage, open);
       sched->waiting->pdata[kept++] = stage;
     }
@@ -539,8 +465,10 @@
 void
 bts_sched_on_accepted (bts_sched_t *sched, bts_job_t *job)
 {
-  if (sched->term != 0)
-    bts_sched_open_job (sched, job);
+  if (sched->term == 0)
+    return;
+  bts_advice_expect (sched, job);
+  bts_sched_open_job (sched, job);
 }
 
 /**
@@ -587,13 +515,6 @@
     bts_sched_wake (sched, &occurrence->stages[i]);
 }
 
-void
-bts_sched_on_advised (bts_sched_t *sched, bts_stage_t *stage)
-{
-  stage->asked_us = 0;
-  sched->dirty = TRUE;
-}
-
 /**
  * bts_sched_on_forgotten() - a job is about to be freed
  * @sched: the scheduler
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -112,7 +112,7 @@
  * @start: answered by bts_sched_on_start()
  * @stop: answered by bts_sched_on_stop()
  * @append: a record for the journal; it may be lost, and comes back by the ledger
- * @advise: ask which of some workers may run a stage; @workers holds ids
+ * @advise: have a process ask which of some workers may run a stage; @workers holds ids
  * @deposed: a worker or the journal knows a later owner
  * @now_unix_ms: the time of day
  *
@@ -124,7 +124,8 @@
   void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
   void (*stop) (void *context, const bts_run_t *run, guint64 fence);
   void (*append) (void *context, const Bts__Record *record);
-  void (*advise) (void *context, const bts_stage_t *stage, const GPtrArray *workers);
+  void (*advise) (void *context, const char *node, const bts_stage_t *stage,
+                  const GPtrArray *workers);
   void (*deposed) (void *context);
   gint64 (*now_unix_ms) (void *context);
 } bts_sched_ops_t;
@@ -158,6 +159,7 @@
 void bts_sched_on_over (bts_sched_t *sched, bts_job_t *job);
 void bts_sched_on_ended (bts_sched_t *sched, bts_task_t *task, guint run, bts_how_t how);
 void bts_sched_on_advised (bts_sched_t *sched, bts_stage_t *stage);
+void bts_sched_on_seen (bts_sched_t *sched, const char *node);
 void bts_sched_on_beat (bts_sched_t *sched, guint64 number);
 void bts_sched_on_forgotten (bts_sched_t *sched, bts_job_t *job);
 void bts_sched_on_entry (bts_sched_t *sched, const char *worker, bts_entry_change_t change);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -25,6 +25,17 @@
   guint64 beat;
 } bts_outgoing_t;
 
+/**
+ * struct bts_member_t - a process that may ask the advice service
+ * @seen_us: its last sign
+ * @busy_until_us: when it will have got through the questions that it has, about
+ */
+typedef struct
+{
+  gint64 seen_us;
+  gint64 busy_until_us;
+} bts_member_t;
+
 /**
  * struct bts_sched_t - the owner's part of a process
  * @term: the term that it leads; 0 if it doesn't
@@ -40,6 +51,7 @@
  * @confirmed_us: when the newest beat that came back was sent
  * @began_us: when the term began
  * @settled: nothing that an earlier owner started is unknown any more
+ * @members: name to bts_member_t of the processes that may ask for advice
  * @dirty: a pass over the queue may place something
  */
 struct bts_sched_t
@@ -65,10 +77,18 @@
   gint64 confirmed_us;
   gint64 began_us;
   gboolean settled;
+  GHashTable *members;
   gboolean dirty;
 };
 
+const char *bts_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us);
+gboolean bts_advice_ready (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
+gboolean bts_advice_holds (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *runs,
+                           gint64 now_us);
+void bts_advice_expect (bts_sched_t *sched, const bts_job_t *job);
+
 gint64 bts_sched_now (const bts_sched_t *sched);
+gint64 bts_sched_lease_ms (const bts_sched_t *sched);
 gint64 bts_sched_deadline (bts_sched_t *sched, bts_worker_t *worker);
 void bts_sched_wake (bts_sched_t *sched, bts_stage_t *stage);
 void bts_sched_open_job (bts_sched_t *sched, bts_job_t *job);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -298,6 +298,9 @@
   worker->born_ms = listing->born_ms;
   worker->hold_failures = 0;
   bts_worker_heard (worker, listing->clock_ms, now_us);
+  /* An earlier owner may have granted as much. */
+  if (worker->deadline_ms == 0)
+    worker->deadline_ms = listing->clock_ms + bts_sched_lease_ms (sched);
   for (guint i = 0; i < listing->finished->len; i++)
     take_finished (sched, worker, listing->finished->pdata[i]);
   for (guint i = 0; i < listing->running->len; i++)
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -457,6 +457,96 @@
   assert(message->base.descriptor == &bts__advice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__ask__init
+                     (Bts__Ask         *message)
+{
+  static const Bts__Ask init_value = BTS__ASK__INIT;
+  *message = init_value;
+}
+size_t bts__ask__get_packed_size
+                     (const Bts__Ask *message)
+{
+  assert(message->base.descriptor == &bts__ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__ask__pack
+                     (const Bts__Ask *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__ask__pack_to_buffer
+                     (const Bts__Ask *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Ask *
+       bts__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Ask *)
+     protobuf_c_message_unpack (&bts__ask__descriptor,
+                                allocator, len, data);
+}
+void   bts__ask__free_unpacked
+                     (Bts__Ask *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__hello__init
+                     (Bts__Hello         *message)
+{
+  static const Bts__Hello init_value = BTS__HELLO__INIT;
+  *message = init_value;
+}
+size_t bts__hello__get_packed_size
+                     (const Bts__Hello *message)
+{
+  assert(message->base.descriptor == &bts__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__hello__pack
+                     (const Bts__Hello *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__hello__pack_to_buffer
+                     (const Bts__Hello *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Hello *
+       bts__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Hello *)
+     protobuf_c_message_unpack (&bts__hello__descriptor,
+                                allocator, len, data);
+}
+void   bts__hello__free_unpacked
+                     (Bts__Hello *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__record__init
                      (Bts__Record         *message)
 {
@@ -774,7 +864,7 @@
   (ProtobufCMessageInit) bts__step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__policy__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bts__policy__field_descriptors[10] =
 {
   {
     "route",
@@ -884,10 +974,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "advice_worker_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Policy, advice_worker_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__policy__field_indices_by_name[] = {
   8,   /* field[8] = advice_ms */
   7,   /* field[7] = advice_validity_ms */
+  9,   /* field[9] = advice_worker_ms */
   6,   /* field[6] = advised */
   3,   /* field[3] = attempts_max */
   5,   /* field[5] = objective_ms */
@@ -899,7 +1002,7 @@
 static const ProtobufCIntRange bts__policy__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bts__policy__descriptor =
 {
@@ -909,7 +1012,7 @@
   "Bts__Policy",
   "bts",
   sizeof(Bts__Policy),
-  9,
+  10,
   bts__policy__field_descriptors,
   bts__policy__field_indices_by_name,
   1,  bts__policy__number_ranges,
@@ -1416,7 +1519,7 @@
   (ProtobufCMessageInit) bts__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__advice__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bts__advice__field_descriptors[6] =
 {
   {
     "job",
@@ -1478,10 +1581,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "node",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Advice, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__advice__field_indices_by_name[] = {
   3,   /* field[3] = allowed */
   0,   /* field[0] = job */
+  5,   /* field[5] = node */
   1,   /* field[1] = occurrence */
   2,   /* field[2] = step */
   4,   /* field[4] = validity_ms */
@@ -1489,7 +1605,7 @@
 static const ProtobufCIntRange bts__advice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bts__advice__descriptor =
 {
@@ -1499,14 +1615,155 @@
   "Bts__Advice",
   "bts",
   sizeof(Bts__Advice),
-  5,
+  6,
   bts__advice__field_descriptors,
   bts__advice__field_indices_by_name,
   1,  bts__advice__number_ranges,
   (ProtobufCMessageInit) bts__advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__record__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bts__ask__field_descriptors[6] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Ask, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Ask, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Ask, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Ask, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Ask, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workers",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bts__Ask, n_workers),
+    offsetof(Bts__Ask, workers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__ask__field_indices_by_name[] = {
+  2,   /* field[2] = job */
+  1,   /* field[1] = node */
+  3,   /* field[3] = occurrence */
+  4,   /* field[4] = step */
+  0,   /* field[0] = term */
+  5,   /* field[5] = workers */
+};
+static const ProtobufCIntRange bts__ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bts__ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Ask",
+  "Ask",
+  "Bts__Ask",
+  "bts",
+  sizeof(Bts__Ask),
+  6,
+  bts__ask__field_descriptors,
+  bts__ask__field_indices_by_name,
+  1,  bts__ask__number_ranges,
+  (ProtobufCMessageInit) bts__ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__hello__field_descriptors[1] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Hello, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__hello__field_indices_by_name[] = {
+  0,   /* field[0] = node */
+};
+static const ProtobufCIntRange bts__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bts__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Hello",
+  "Hello",
+  "Bts__Hello",
+  "bts",
+  sizeof(Bts__Hello),
+  1,
+  bts__hello__field_descriptors,
+  bts__hello__field_indices_by_name,
+  1,  bts__hello__number_ranges,
+  (ProtobufCMessageInit) bts__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__record__field_descriptors[8] =
 {
   {
     "accepted",
@@ -1580,19 +1837,45 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ask",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Record, kind_case),
+    offsetof(Bts__Record, ask),
+    &bts__ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Record, kind_case),
+    offsetof(Bts__Record, hello),
+    &bts__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__record__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
   5,   /* field[5] = advice */
+  6,   /* field[6] = ask */
   4,   /* field[4] = beat */
   1,   /* field[1] = cancelled */
   2,   /* field[2] = claim */
+  7,   /* field[7] = hello */
   3,   /* field[3] = resigned */
 };
 static const ProtobufCIntRange bts__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bts__record__descriptor =
 {
@@ -1602,7 +1885,7 @@
   "Bts__Record",
   "bts",
   sizeof(Bts__Record),
-  6,
+  8,
   bts__record__field_descriptors,
   bts__record__field_indices_by_name,
   1,  bts__record__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -25,6 +25,8 @@
 typedef struct Bts__Beat Bts__Beat;
 typedef struct Bts__Ticket Bts__Ticket;
 typedef struct Bts__Advice Bts__Advice;
+typedef struct Bts__Ask Bts__Ask;
+typedef struct Bts__Hello Bts__Hello;
 typedef struct Bts__Record Bts__Record;
 
 
@@ -77,10 +79,11 @@
   protobuf_c_boolean advised;
   uint32_t advice_validity_ms;
   double advice_ms;
+  double advice_worker_ms;
 };
 #define BTS__POLICY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__policy__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Bts__Accepted
@@ -189,10 +192,47 @@
   size_t n_allowed;
   Bts__Ticket **allowed;
   uint32_t validity_ms;
+  /*
+   * Who asked; it is alive.
+   */
+  char *node;
 };
 #define BTS__ADVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__advice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The owner has another process ask the advice service, which takes one call at
+ * a time from each VM.
+ */
+struct  Bts__Ask
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  char *node;
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  size_t n_workers;
+  char **workers;
+};
+#define BTS__ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+/*
+ * A process is there and may be asked.
+ */
+struct  Bts__Hello
+{
+  ProtobufCMessage base;
+  char *node;
+};
+#define BTS__HELLO__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__hello__descriptor) \
+    , (char *)protobuf_c_empty_string }
 
 
 typedef enum {
@@ -202,7 +242,9 @@
   BTS__RECORD__KIND_CLAIM = 3,
   BTS__RECORD__KIND_RESIGNED = 4,
   BTS__RECORD__KIND_BEAT = 5,
-  BTS__RECORD__KIND_ADVICE = 6
+  BTS__RECORD__KIND_ADVICE = 6,
+  BTS__RECORD__KIND_ASK = 7,
+  BTS__RECORD__KIND_HELLO = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__RECORD__KIND__CASE)
 } Bts__Record__KindCase;
 
@@ -217,6 +259,8 @@
     Bts__Resigned *resigned;
     Bts__Beat *beat;
     Bts__Advice *advice;
+    Bts__Ask *ask;
+    Bts__Hello *hello;
   };
 };
 #define BTS__RECORD__INIT \
@@ -414,6 +458,44 @@
 void   bts__advice__free_unpacked
                      (Bts__Advice *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Ask methods */
+void   bts__ask__init
+                     (Bts__Ask         *message);
+size_t bts__ask__get_packed_size
+                     (const Bts__Ask   *message);
+size_t bts__ask__pack
+                     (const Bts__Ask   *message,
+                      uint8_t             *out);
+size_t bts__ask__pack_to_buffer
+                     (const Bts__Ask   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Ask *
+       bts__ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__ask__free_unpacked
+                     (Bts__Ask *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Hello methods */
+void   bts__hello__init
+                     (Bts__Hello         *message);
+size_t bts__hello__get_packed_size
+                     (const Bts__Hello   *message);
+size_t bts__hello__pack
+                     (const Bts__Hello   *message,
+                      uint8_t             *out);
+size_t bts__hello__pack_to_buffer
+                     (const Bts__Hello   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Hello *
+       bts__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__hello__free_unpacked
+                     (Bts__Hello *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Record methods */
 void   bts__record__init
                      (Bts__Record         *message);
@@ -465,6 +547,12 @@
 typedef void (*Bts__Advice_Closure)
                  (const Bts__Advice *message,
                   void *closure_data);
+typedef void (*Bts__Ask_Closure)
+                 (const Bts__Ask *message,
+                  void *closure_data);
+typedef void (*Bts__Hello_Closure)
+                 (const Bts__Hello *message,
+                  void *closure_data);
 typedef void (*Bts__Record_Closure)
                  (const Bts__Record *message,
                   void *closure_data);
@@ -484,6 +572,8 @@
 extern const ProtobufCMessageDescriptor bts__beat__descriptor;
 extern const ProtobufCMessageDescriptor bts__ticket__descriptor;
 extern const ProtobufCMessageDescriptor bts__advice__descriptor;
+extern const ProtobufCMessageDescriptor bts__ask__descriptor;
+extern const ProtobufCMessageDescriptor bts__hello__descriptor;
 extern const ProtobufCMessageDescriptor bts__record__descriptor;
 
 PROTOBUF_C__END_DECLS
