--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -486,7 +486,8 @@
 void
 bts_node_submit (bts_node_t *node, guint64 exchange, Bts__Accepted *job, gint64 patience_us)
 {
-  free (job->entry);
+  if (job->entry != protobuf_c_empty_string)
+    free (job->entry);
   job->entry = strdup (node->name);
   bts_gate_submit (node->gate, exchange, job, patience_us, node_now (node));
 }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -85,6 +85,8 @@
  *
  * An owner that hasn't seen its own beats for BTS_LEAD_UNSURE_US lets the
  * leases run out: the next owner counts on that where it can't reach a worker.
+ * A worker that leaves holds unanswered gets no longer lease either, since its
+ * tasks are given up when the last one is over.
  *
  * Return: a time on the worker's clock, in milliseconds; 0 to leave it as it is.
  */
@@ -94,7 +96,8 @@
   gint64 now_us = bts_sched_now (sched);
   if (worker->clock_us == 0)
     return 0;
-  if (now_us - bts_sched_confirmed_us (sched) < BTS_LEAD_UNSURE_US)
+  if (worker->hold_failures == 0
+      && now_us - bts_sched_confirmed_us (sched) < BTS_LEAD_UNSURE_US)
     worker->deadline_ms
         = MAX (worker->deadline_ms,
                bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
--- /dev/null
+++ b/tests/sim.c
@@ -0,0 +1,1303 @@
+#include "tests/sim.h"
+
+#include <check.h>
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+
+/* Time between two looks of a process at what is due. */
+#define TICK_US (10 * 1000)
+#define READ_SPACING_US (25 * 1000)
+#define READ_WAIT_US (1000 * 1000)
+#define CALL_TIMEOUT_US (400 * 1000)
+#define APPEND_TIMEOUT_US (1200 * 1000)
+#define ENTRIES_US (900 * 1000)
+#define TICKET_MS 2000
+#define ADVICE_US (30 * 1000)
+/* Time from a confirmed cancellation after which no task of the job may start. */
+#define CANCEL_US (3000 * 1000)
+#define UNIX_START_MS G_GINT64_CONSTANT (1700000000000)
+
+typedef void (*sim_event_f) (sim_t *sim, gpointer data);
+
+typedef struct
+{
+  gint64 at_us;
+  guint64 serial;
+  sim_event_f run;
+  gpointer data;
+} sim_event_t;
+
+static gint
+event_compare (gconstpointer a, gconstpointer b, gpointer context)
+{
+  const sim_event_t *left = a;
+  const sim_event_t *right = b;
+  if (left->at_us != right->at_us)
+    return left->at_us < right->at_us ? -1 : 1;
+  return left->serial < right->serial ? -1 : left->serial > right->serial;
+}
+
+static gint64
+now (const sim_t *sim)
+{
+  return bt_clock_now (&sim->clock);
+}
+
+static void
+after (sim_t *sim, gint64 delay_us, sim_event_f run, gpointer data)
+{
+  sim_event_t *event = g_new0 (sim_event_t, 1);
+  event->at_us = now (sim) + delay_us;
+  event->serial = ++sim->event_serial;
+  event->run = run;
+  event->data = data;
+  g_sequence_insert_sorted (sim->events, event, event_compare, NULL);
+}
+
+static void G_GNUC_PRINTF (2, 3)
+violate (sim_t *sim, const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  g_autofree char *text = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_ptr_array_add (sim->violations,
+                   g_strdup_printf ("%.3f s: %s", (double)now (sim) / 1e6, text));
+}
+
+/* Messages to a process. Those to a frozen one wait; those to an earlier life are lost. */
+
+typedef struct
+{
+  sim_node_t *to;
+  guint life;
+  sim_event_f run;
+  gpointer data;
+  GDestroyNotify free;
+} sim_mail_t;
+
+static void
+deliver (sim_t *sim, gpointer data)
+{
+  sim_mail_t *mail = data;
+  if (mail->to->node != NULL && mail->to->life == mail->life && mail->to->frozen)
+    {
+      g_ptr_array_add (mail->to->held_back, mail);
+      return;
+    }
+  if (mail->to->node != NULL && mail->to->life == mail->life)
+    mail->run (sim, mail->data);
+  if (mail->free != NULL)
+    mail->free (mail->data);
+  g_free (mail);
+}
+
+static void
+post (sim_node_t *to, gint64 delay_us, sim_event_f run, gpointer data, GDestroyNotify free)
+{
+  sim_mail_t *mail = g_new0 (sim_mail_t, 1);
+  mail->to = to;
+  mail->life = to->life;
+  mail->run = run;
+  mail->data = data;
+  mail->free = free;
+  after (to->sim, delay_us, deliver, mail);
+}
+
+/* The log. */
+
+typedef struct
+{
+  sim_node_t *node;
+  guint64 token;
+  bts_stored_t stored;
+  GBytes *record;
+} sim_append_t;
+
+static void
+append_free (gpointer data)
+{
+  sim_append_t *append = data;
+  g_bytes_unref (append->record);
+  g_free (append);
+}
+
+static void
+append_answered (sim_t *sim, gpointer data)
+{
+  sim_append_t *append = data;
+  bts_node_on_append (append->node->node, append->token, append->stored);
+}
+
+static void
+append_landed (sim_t *sim, gpointer data)
+{
+  g_ptr_array_add (sim->log, data);
+}
+
+static gboolean
+store_away (const sim_node_t *node)
+{
+  return node->sim->store_down || node->cut;
+}
+
+static void
+op_append (void *context, guint64 token, GBytes *record)
+{
+  sim_node_t *node = context;
+  sim_t *sim = node->sim;
+  sim_append_t *append = g_new0 (sim_append_t, 1);
+  append->node = node;
+  append->token = token;
+  append->record = g_bytes_ref (record);
+  gint64 delay_us = 2 * SIM_DELAY_US + sim->append_us;
+  if (store_away (node))
+    {
+      append->stored = BTS_STORED_UNKNOWN;
+      post (node, APPEND_TIMEOUT_US, append_answered, append, append_free);
+      return;
+    }
+  if (sim->store_refuses)
+    {
+      append->stored = BTS_NOT_STORED;
+      post (node, delay_us, append_answered, append, append_free);
+      return;
+    }
+  gboolean lost = (guint)g_rand_int_range (sim->random, 0, 100) < sim->lose_percent;
+  gint64 late_us = lost && sim->late_append_us > 0
+                       ? g_rand_int_range (sim->random, 0, (gint32)sim->late_append_us)
+                       : 0;
+  after (sim, SIM_DELAY_US + sim->append_us + late_us, append_landed, g_bytes_ref (record));
+  append->stored = lost ? BTS_STORED_UNKNOWN : BTS_STORED;
+  post (node, lost ? APPEND_TIMEOUT_US : delay_us, append_answered, append, append_free);
+}
+
+typedef struct
+{
+  sim_node_t *node;
+  gint64 sent_us;
+} sim_read_t;
+
+static void read_sent (sim_t *sim, gpointer data);
+
+static void
+read_again (sim_node_t *node, gint64 delay_us)
+{
+  sim_read_t *read = g_new0 (sim_read_t, 1);
+  read->node = node;
+  post (node, delay_us, read_sent, read, g_free);
+}
+
+static void
+read_answered (sim_t *sim, gpointer data)
+{
+  sim_read_t *read = data;
+  sim_node_t *node = read->node;
+  while (node->next < (gint64)sim->log->len)
+    {
+      gsize len;
+      const guint8 *bytes = g_bytes_get_data (sim->log->pdata[node->next], &len);
+      bts_node_on_record (node->node, node->next++, bytes, len);
+    }
+  bts_node_on_read (node->node, read->sent_us);
+  read_again (node, READ_SPACING_US);
+}
+
+/* Looks again and again whether there is something to answer a waiting read with. */
+static void
+read_waits (sim_t *sim, gpointer data)
+{
+  sim_read_t *read = data;
+  sim_node_t *node = read->node;
+  sim_read_t *next = g_new0 (sim_read_t, 1);
+  *next = *read;
+  if (store_away (node) || sim->store_refuses)
+    {
+      g_free (next);
+      read_again (node, READ_WAIT_US);
+    }
+  else if (node->next < (gint64)sim->log->len || now (sim) - read->sent_us >= READ_WAIT_US)
+    post (node, SIM_DELAY_US, read_answered, next, g_free);
+  else
+    post (node, SIM_DELAY_US, read_waits, next, g_free);
+}
+
+static void
+read_sent (sim_t *sim, gpointer data)
+{
+  sim_read_t *read = data;
+  sim_read_t *next = g_new0 (sim_read_t, 1);
+  next->node = read->node;
+  next->sent_us = now (sim);
+  post (read->node, SIM_DELAY_US, read_waits, next, g_free);
+}
+
+/* Workers. */
+
+static gint64
+worker_clock_ms (const sim_worker_t *worker)
+{
+  return 1000 + (gint64)((double)(now (worker->sim) - worker->born_us) / 1000 * worker->clock_rate);
+}
+
+static void
+sim_run_free (gpointer data)
+{
+  sim_run_t *run = data;
+  g_free (run->name);
+  g_free (run->spec);
+  g_free (run);
+}
+
+static void
+finished_free (gpointer data)
+{
+  bts_finished_t *row = data;
+  g_free (row->name);
+  g_free (row->saved);
+  g_free (row);
+}
+
+static sim_run_t *
+find_run (const sim_worker_t *worker, const char *name)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      sim_run_t *run = worker->runs->pdata[i];
+      if (strcmp (run->name, name) == 0)
+        return run;
+    }
+  return NULL;
+}
+
+static void answer_holds (sim_worker_t *worker);
+
+static void
+end_run (sim_worker_t *worker, sim_run_t *run, bts_how_t how)
+{
+  guint *tomb = g_hash_table_lookup (worker->tombs, run->name);
+  if (tomb == NULL || *tomb < run->number)
+    g_hash_table_replace (worker->tombs, g_strdup (run->name),
+                          g_memdup2 (&run->number, sizeof run->number));
+  bts_finished_t *row = g_new0 (bts_finished_t, 1);
+  row->end = ++worker->last_end;
+  row->name = g_strdup (run->name);
+  row->number = run->number;
+  row->how = how;
+  row->saved = g_strdup ("");
+  g_ptr_array_add (worker->finished, row);
+  g_ptr_array_remove (worker->runs, run);
+}
+
+static sim_job_t *
+find_job (const sim_t *sim, const char *name)
+{
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      sim_job_t *job = sim->jobs->pdata[i];
+      if (strncmp (job->id, name, BTS_ID_LEN) == 0)
+        return job;
+    }
+  return NULL;
+}
+
+static const Bts__Step *
+find_step (const sim_t *sim, const char *name)
+{
+  char id[BTS_ID_LEN + 1];
+  guint occurrence;
+  guint step;
+  guint index;
+  const sim_job_t *job = find_job (sim, name);
+  if (job == NULL || !bts_name_parse (name, id, &occurrence, &step, &index)
+      || step >= job->accepted->n_steps)
+    return NULL;
+  return job->accepted->steps[step];
+}
+
+/* All members of a gang at work: counts those that are present. */
+static guint
+gang_present (const sim_t *sim, const char *prefix, guint number)
+{
+  guint present = 0;
+  for (guint w = 0; w < sim->workers->len; w++)
+    {
+      const sim_worker_t *worker = sim->workers->pdata[w];
+      for (guint i = 0; i < worker->runs->len; i++)
+        {
+          const sim_run_t *run = worker->runs->pdata[i];
+          present += g_str_has_prefix (run->name, prefix) && run->number == number;
+        }
+    }
+  return present;
+}
+
+static char *
+stage_prefix (const char *name)
+{
+  return g_strndup (name, (gsize)(strrchr (name, '.') - name) + 1);
+}
+
+static void
+check_start (sim_worker_t *worker, const sim_run_t *run)
+{
+  sim_t *sim = worker->sim;
+  const sim_job_t *job = find_job (sim, run->name);
+  if (job == NULL)
+    {
+      violate (sim, "UNASKED %s", run->name);
+      return;
+    }
+  if (job->cancelled_us != 0 && now (sim) - job->cancelled_us > CANCEL_US)
+    violate (sim, "UNASKED %s was cancelled", run->name);
+  if (g_hash_table_contains (sim->noted, run->name))
+    violate (sim, "TWICE %s had ended done", run->name);
+  gint64 at_us = now (sim);
+  g_hash_table_replace (sim->started, g_strdup (run->name), g_memdup2 (&at_us, sizeof at_us));
+  bts_room_t used = { 0 };
+  for (guint w = 0; w < sim->workers->len; w++)
+    {
+      const sim_worker_t *other = sim->workers->pdata[w];
+      for (guint i = 0; i < other->runs->len; i++)
+        {
+          const sim_run_t *there = other->runs->pdata[i];
+          if (there != run && strcmp (there->name, run->name) == 0)
+            violate (sim, "TWICE %s runs on %s and %s", run->name, other->id, worker->id);
+          if (other != worker)
+            continue;
+          used.cpu_millis += there->room.cpu_millis;
+          used.memory_mb += there->room.memory_mb;
+          used.gpus += there->room.gpus;
+        }
+    }
+  if (used.cpu_millis > worker->capacity.cpu_millis || used.memory_mb > worker->capacity.memory_mb
+      || used.gpus > worker->capacity.gpus)
+    violate (sim, "LIMIT %s on %s", run->name, worker->id);
+  const Bts__Step *step = find_step (sim, run->name);
+  for (gsize i = 0; step != NULL && i < step->n_after; i++)
+    for (guint t = 0; t < job->accepted->steps[step->after[i]]->count; t++)
+      {
+        g_autofree char *before
+            = g_strdup_printf ("%s.0.%u.%u", job->id, step->after[i], t);
+        if (!g_hash_table_contains (sim->done, before))
+          violate (sim, "ORDER %s before %s", run->name, before);
+      }
+}
+
+static void
+work (sim_worker_t *worker, sim_run_t *run, gint64 ms)
+{
+  sim_t *sim = worker->sim;
+  if (run->waiting)
+    {
+      g_autofree char *prefix = stage_prefix (run->name);
+      const Bts__Step *step = find_step (sim, run->name);
+      if (gang_present (sim, prefix, run->number) == step->count)
+        run->waiting = FALSE;
+      else if (now (sim) - run->started_us > SIM_GANG_TIMEOUT_MS * 1000)
+        {
+          end_run (worker, run, BTS_HOW_ALONE);
+          return;
+        }
+      else
+        return;
+    }
+  if (worker->stalls)
+    return;
+  run->done_ms += ms;
+  if (run->lasts || run->done_ms < run->left_ms)
+    return;
+  if (!worker->fails)
+    {
+      gint64 at_us = now (sim);
+      g_hash_table_replace (sim->done, g_strdup (run->name), g_memdup2 (&at_us, sizeof at_us));
+    }
+  end_run (worker, run, worker->fails ? BTS_HOW_FAILED : BTS_HOW_DONE);
+}
+
+static void
+worker_tick (sim_t *sim, gpointer data)
+{
+  sim_worker_t *worker = data;
+  if (worker_clock_ms (worker) > worker->deadline_ms)
+    worker->lapsed_us = now (sim);
+  for (gint i = (gint)worker->runs->len - 1; i >= 0; i--)
+    {
+      sim_run_t *run = worker->runs->pdata[i];
+      if (worker_clock_ms (worker) > worker->deadline_ms)
+        end_run (worker, run, BTS_HOW_LAPSED);
+      else if (run->stop_us != 0 && now (sim) >= run->stop_us)
+        end_run (worker, run, BTS_HOW_STOPPED);
+      else
+        work (worker, run, TICK_US / 1000);
+    }
+  answer_holds (worker);
+  after (sim, TICK_US, worker_tick, worker);
+}
+
+/* Orders. */
+
+typedef struct
+{
+  sim_node_t *from;
+  guint life;
+  sim_worker_t *worker;
+  gint64 worker_born_ms;
+  char *id;
+  guint worker_life;
+  guint64 serial;
+  char *name;
+  guint number;
+  char *spec;
+  char *ticket;
+  guint64 fence;
+  gint64 deadline_ms;
+  guint64 ack;
+  gint64 until_us;
+  bts_reply_t reply;
+  gint64 clock_ms;
+  bts_listing_t *listing;
+} sim_order_t;
+
+static void
+order_free (gpointer data)
+{
+  sim_order_t *order = data;
+  g_free (order->id);
+  g_free (order->name);
+  g_free (order->spec);
+  g_free (order->ticket);
+  bts_listing_free (order->listing);
+  g_free (order);
+}
+
+static sim_order_t *
+order_new (sim_node_t *node, const bts_worker_t *worker)
+{
+  sim_order_t *order = g_new0 (sim_order_t, 1);
+  order->from = node;
+  order->life = node->life;
+  order->id = g_strdup (worker->entry->id);
+  order->worker_life = worker->life;
+  for (guint i = 0; i < node->sim->workers->len; i++)
+    {
+      sim_worker_t *found = node->sim->workers->pdata[i];
+      if (strcmp (found->id, order->id) == 0)
+        order->worker = found;
+    }
+  order->worker_born_ms = order->worker->born_ms;
+  return order;
+}
+
+static gboolean
+reachable (const sim_order_t *order)
+{
+  const sim_worker_t *worker = order->worker;
+  return !worker->dark && !worker->dead && worker->cut_from != (gint)order->from->index;
+}
+
+static void
+give_back (sim_order_t *order, gint64 delay_us, sim_event_f run)
+{
+  if (order->from->life == order->life && order->from->node != NULL)
+    post (order->from, delay_us, run, order, order_free);
+  else
+    order_free (order);
+}
+
+static void
+raise_deadline (sim_worker_t *worker, gint64 deadline_ms)
+{
+  gint64 most = worker_clock_ms (worker) + SIM_HOLD_MAX_MS;
+  worker->deadline_ms = MAX (worker->deadline_ms, MIN (deadline_ms, most));
+}
+
+static void
+start_answered (sim_t *sim, gpointer data)
+{
+  sim_order_t *order = data;
+  bts_sched_on_start (bts_node_sched (order->from->node), order->serial, order->reply,
+                      order->clock_ms);
+}
+
+static bts_reply_t
+carry_out_start (sim_worker_t *worker, const sim_order_t *order)
+{
+  sim_t *sim = worker->sim;
+  if (worker->dead)
+    return BTS_REPLY_NONE;
+  if (order->fence < worker->fence)
+    return BTS_REPLY_FENCED;
+  worker->fence = order->fence;
+  if (order->deadline_ms <= worker_clock_ms (worker))
+    return BTS_REPLY_LATE;
+  raise_deadline (worker, order->deadline_ms);
+  const sim_run_t *there = find_run (worker, order->name);
+  if (there != NULL)
+    return there->number == order->number ? BTS_REPLY_OK : BTS_REPLY_OLD;
+  const guint *tomb = g_hash_table_lookup (worker->tombs, order->name);
+  if (tomb != NULL && order->number <= *tomb)
+    return BTS_REPLY_OLD;
+  if (sim->advised)
+    {
+      gint64 issued_ms = order->ticket == NULL ? 0 : g_ascii_strtoll (order->ticket, NULL, 10);
+      if (now (sim) / 1000 - issued_ms > TICKET_MS)
+        return BTS_REPLY_TICKET;
+    }
+  const Bts__Step *step = find_step (sim, order->name);
+  sim_run_t *run = g_new0 (sim_run_t, 1);
+  run->name = g_strdup (order->name);
+  run->number = order->number;
+  run->started_us = now (sim);
+  run->spec = g_strdup (order->spec);
+  if (step != NULL)
+    {
+      run->left_ms = step->estimate_ms;
+      run->lasts = step->long_running;
+      run->gang = step->gang;
+      run->waiting = step->gang;
+      run->room.cpu_millis = step->fills ? 0 : step->cpu_millis;
+      run->room.memory_mb = step->memory_mb;
+      run->room.gpus = step->gpus;
+    }
+  g_ptr_array_add (worker->runs, run);
+  sim->starts++;
+  check_start (worker, run);
+  return BTS_REPLY_OK;
+}
+
+static void
+start_late (sim_t *sim, gpointer data)
+{
+  sim_order_t *order = data;
+  if (order->worker->born_ms == order->worker_born_ms)
+    carry_out_start (order->worker, order);
+  order_free (order);
+}
+
+static void
+start_arrived (sim_t *sim, gpointer data)
+{
+  sim_order_t *order = data;
+  sim_worker_t *worker = order->worker;
+  order->reply = BTS_REPLY_NONE;
+  if (!reachable (order))
+    {
+      give_back (order, CALL_TIMEOUT_US, start_answered);
+      return;
+    }
+  if (worker->late_us > 0)
+    {
+      sim_order_t *late = g_new0 (sim_order_t, 1);
+      *late = *order;
+      late->id = g_strdup (order->id);
+      late->name = g_strdup (order->name);
+      late->spec = g_strdup (order->spec);
+      late->ticket = g_strdup (order->ticket);
+      late->listing = NULL;
+      after (sim, worker->late_us, start_late, late);
+      give_back (order, CALL_TIMEOUT_US, start_answered);
+      return;
+    }
+  bts_reply_t reply = carry_out_start (worker, order);
+  order->reply = worker->mute ? BTS_REPLY_NONE : reply;
+  order->clock_ms = worker->mute ? 0 : worker_clock_ms (worker);
+  give_back (order, worker->mute ? CALL_TIMEOUT_US : SIM_DELAY_US, start_answered);
+}
+
+static void
+op_start (void *context, const bts_run_t *run, const bts_start_order_t *start)
+{
+  sim_node_t *node = context;
+  sim_order_t *order = order_new (node, run->worker);
+  const ProtobufCBinaryData *spec = &run->task->stage->job->accepted->spec;
+  order->serial = run->serial;
+  order->name = g_strdup (run->name);
+  order->number = run->number;
+  order->spec = g_strndup ((const char *)spec->data, spec->len);
+  order->ticket = g_strdup (start->ticket);
+  order->fence = start->fence;
+  order->deadline_ms = start->deadline_ms;
+  after (node->sim, SIM_DELAY_US, start_arrived, order);
+}
+
+static void
+stop_answered (sim_t *sim, gpointer data)
+{
+  sim_order_t *order = data;
+  bts_sched_on_stop (bts_node_sched (order->from->node), order->serial, order->reply,
+                     order->clock_ms);
+}
+
+static void
+stop_arrived (sim_t *sim, gpointer data)
+{
+  sim_order_t *order = data;
+  sim_worker_t *worker = order->worker;
+  order->reply = BTS_REPLY_NONE;
+  if (!reachable (order))
+    {
+      give_back (order, CALL_TIMEOUT_US, stop_answered);
+      return;
+    }
+  order->reply = BTS_REPLY_OK;
+  if (order->fence < worker->fence)
+    order->reply = BTS_REPLY_FENCED;
+  else
+    {
+      worker->fence = order->fence;
+      sim_run_t *run = find_run (worker, order->name);
+      if (run != NULL && run->number == order->number && run->stop_us == 0)
+        run->stop_us = now (sim) + SIM_STOP_MS * 1000 / 2;
+      guint *tomb = g_hash_table_lookup (worker->tombs, order->name);
+      if (tomb == NULL || *tomb < order->number)
+        g_hash_table_replace (worker->tombs, g_strdup (order->name),
+                              g_memdup2 (&order->number, sizeof order->number));
+    }
+  order->clock_ms = worker_clock_ms (worker);
+  if (worker->mute)
+    order->reply = BTS_REPLY_NONE;
+  give_back (order, worker->mute ? CALL_TIMEOUT_US : SIM_DELAY_US, stop_answered);
+}
+
+static void
+op_stop (void *context, const bts_run_t *run, guint64 fence)
+{
+  sim_node_t *node = context;
+  sim_order_t *order = order_new (node, run->worker);
+  order->serial = run->serial;
+  order->name = g_strdup (run->name);
+  order->number = run->number;
+  order->fence = fence;
+  after (node->sim, SIM_DELAY_US, stop_arrived, order);
+}
+
+static void
+hold_answered (sim_t *sim, gpointer data)
+{
+  sim_order_t *order = data;
+  bts_sched_on_hold (bts_node_sched (order->from->node), order->id, order->worker_life,
+                     order->reply, order->listing);
+}
+
+static void
+list_runs (const sim_worker_t *worker, sim_order_t *order)
+{
+  order->listing = bts_listing_new ();
+  order->listing->clock_ms = worker_clock_ms (worker);
+  order->listing->born_ms = worker->born_ms;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const sim_run_t *run = worker->runs->pdata[i];
+      bts_running_t *row = g_new0 (bts_running_t, 1);
+      row->name = g_strdup (run->name);
+      row->number = run->number;
+      row->saved = g_strdup ("");
+      g_ptr_array_add (order->listing->running, row);
+    }
+  for (guint i = 0; i < worker->finished->len; i++)
+    {
+      const bts_finished_t *end = worker->finished->pdata[i];
+      bts_finished_t *row = g_new0 (bts_finished_t, 1);
+      *row = *end;
+      row->name = g_strdup (end->name);
+      row->saved = g_strdup (end->saved);
+      g_ptr_array_add (order->listing->finished, row);
+    }
+}
+
+static void
+answer_holds (sim_worker_t *worker)
+{
+  for (gint i = (gint)worker->holds->len - 1; i >= 0; i--)
+    {
+      sim_order_t *order = worker->holds->pdata[i];
+      if (worker->finished->len == 0 && now (worker->sim) < order->until_us && !worker->dead)
+        continue;
+      g_ptr_array_remove_index_fast (worker->holds, (guint)i);
+      order->reply = worker->mute || !reachable (order) ? BTS_REPLY_NONE : BTS_REPLY_OK;
+      if (order->reply == BTS_REPLY_OK)
+        list_runs (worker, order);
+      give_back (order, order->reply == BTS_REPLY_OK ? SIM_DELAY_US : CALL_TIMEOUT_US,
+                 hold_answered);
+    }
+}
+
+/* An end that is taken note of counts, unless the lease lapsed in between. */
+static void
+note_end (sim_worker_t *worker, const bts_finished_t *row)
+{
+  sim_t *sim = worker->sim;
+  const gint64 *done_us = g_hash_table_lookup (sim->done, row->name);
+  const gint64 *started_us = g_hash_table_lookup (sim->started, row->name);
+  if (row->how != BTS_HOW_DONE || done_us == NULL || worker->lapsed_us >= *done_us)
+    return;
+  if (started_us != NULL && *started_us > *done_us)
+    violate (sim, "TWICE %s was started after its end that counts", row->name);
+  g_hash_table_add (sim->noted, g_strdup (row->name));
+}
+
+static void
+hold_arrived (sim_t *sim, gpointer data)
+{
+  sim_order_t *order = data;
+  sim_worker_t *worker = order->worker;
+  order->reply = BTS_REPLY_NONE;
+  if (!reachable (order))
+    {
+      give_back (order, CALL_TIMEOUT_US, hold_answered);
+      return;
+    }
+  if (order->fence < worker->fence)
+    {
+      order->reply = BTS_REPLY_FENCED;
+      give_back (order, SIM_DELAY_US, hold_answered);
+      return;
+    }
+  worker->fence = order->fence;
+  if (order->deadline_ms > 0)
+    raise_deadline (worker, order->deadline_ms);
+  while (worker->finished->len > 0
+         && ((bts_finished_t *)worker->finished->pdata[0])->end <= order->ack)
+    {
+      note_end (worker, worker->finished->pdata[0]);
+      g_ptr_array_remove_index (worker->finished, 0);
+    }
+  g_ptr_array_add (worker->holds, order);
+  answer_holds (worker);
+}
+
+static void
+op_hold (void *context, const bts_worker_t *worker, const bts_hold_order_t *hold)
+{
+  sim_node_t *node = context;
+  sim_order_t *order = order_new (node, worker);
+  order->fence = hold->fence;
+  order->deadline_ms = hold->deadline_ms;
+  order->ack = hold->ack;
+  order->until_us = now (node->sim) + SIM_DELAY_US + (gint64)hold->wait_ms * 1000;
+  after (node->sim, SIM_DELAY_US, hold_arrived, order);
+}
+
+/* The advice service: half of all workers may run a step. */
+
+typedef struct
+{
+  sim_node_t *node;
+  const bts_question_t *question;
+  char *step;
+  GPtrArray *workers;
+} sim_advice_t;
+
+static void
+advice_free (gpointer data)
+{
+  sim_advice_t *advice = data;
+  g_free (advice->step);
+  g_ptr_array_unref (advice->workers);
+  g_free (advice);
+}
+
+static void
+advice_answered (sim_t *sim, gpointer data)
+{
+  sim_advice_t *advice = data;
+  Bts__Advice *answer = malloc (sizeof *answer);
+  bts__advice__init (answer);
+  answer->allowed = calloc (advice->workers->len, sizeof *answer->allowed);
+  for (guint i = 0; i < advice->workers->len; i++)
+    {
+      g_autofree char *key = g_strconcat (advice->step, advice->workers->pdata[i], NULL);
+      if (g_str_hash (key) % 2 == 0)
+        continue;
+      Bts__Ticket *ticket = malloc (sizeof *ticket);
+      bts__ticket__init (ticket);
+      ticket->worker = strdup (advice->workers->pdata[i]);
+      g_autofree char *text = g_strdup_printf ("%" G_GINT64_FORMAT, now (sim) / 1000);
+      ticket->ticket = strdup (text);
+      answer->allowed[answer->n_allowed++] = ticket;
+    }
+  bts_node_on_advice (advice->node->node, advice->question, answer);
+  bts__advice__free_unpacked (answer, NULL);
+}
+
+static void
+op_advise (void *context, const bts_question_t *question, const bts_stage_t *stage,
+           const GPtrArray *workers)
+{
+  sim_node_t *node = context;
+  sim_advice_t *advice = g_new0 (sim_advice_t, 1);
+  advice->node = node;
+  advice->question = question;
+  advice->step = g_strdup_printf ("%s.%u", bts_job_id (stage->job), stage->step);
+  advice->workers = g_ptr_array_new_with_free_func (g_free);
+  for (guint i = 0; i < workers->len; i++)
+    g_ptr_array_add (advice->workers, g_strdup (workers->pdata[i]));
+  node->advice_free_us = MAX (node->advice_free_us, now (node->sim)) + ADVICE_US;
+  post (node, node->advice_free_us - now (node->sim) + 2 * SIM_DELAY_US, advice_answered, advice,
+        advice_free);
+}
+
+static void
+op_answer (void *context, guint64 exchange, bts_answer_t answer)
+{
+  sim_node_t *node = context;
+  sim_t *sim = node->sim;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      sim_job_t *job = sim->jobs->pdata[i];
+      if (job->exchange == exchange && answer == BTS_ANSWER_OK)
+        job->accepted_us = now (sim);
+      if (job->exchange == exchange && answer == BTS_ANSWER_AWAY)
+        job->refused_us = now (sim);
+      if (job->cancel_exchange == exchange && answer == BTS_ANSWER_OK)
+        job->cancelled_us = now (sim);
+    }
+}
+
+static gint64
+op_now_unix_ms (void *context)
+{
+  const sim_node_t *node = context;
+  return UNIX_START_MS + now (node->sim) / 1000 + node->sim->unix_offset_ms;
+}
+
+static const bts_node_ops_t node_ops
+    = { op_append, op_hold, op_start, op_stop, op_advise, op_answer, op_now_unix_ms };
+
+static void
+node_tick (sim_t *sim, gpointer data)
+{
+  sim_node_t *node = data;
+  bts_node_tick (node->node);
+  post (node, TICK_US, node_tick, node, NULL);
+}
+
+static bts_entry_t *
+entry_of (const sim_worker_t *worker)
+{
+  bts_entry_t *entry = g_new0 (bts_entry_t, 1);
+  entry->id = g_strdup (worker->id);
+  entry->address = g_strdup ("10.0.0.1:1");
+  entry->service = g_strdup (worker->service);
+  entry->zone = g_strdup ("here");
+  const char *labels[] = { "a", worker->rack, NULL };
+  entry->labels = g_strdupv ((char **)labels);
+  entry->cpu_millis = (guint)worker->capacity.cpu_millis;
+  entry->memory_mb = (guint)worker->capacity.memory_mb;
+  entry->gpus = (guint)worker->capacity.gpus;
+  entry->draining = worker->draining;
+  entry->born_ms = worker->born_ms;
+  return entry;
+}
+
+static void
+entries_read (sim_t *sim, gpointer data)
+{
+  sim_node_t *node = data;
+  if (!store_away (node) && !sim->store_refuses)
+    {
+      g_autoptr (GHashTable) ids = g_hash_table_new (g_str_hash, g_str_equal);
+      for (guint i = 0; i < sim->workers->len; i++)
+        {
+          sim_worker_t *worker = sim->workers->pdata[i];
+          if (worker->unlisted)
+            continue;
+          g_hash_table_add (ids, worker->id);
+          bts_node_on_entry (node->node, entry_of (worker));
+        }
+      bts_node_on_entries (node->node, ids);
+    }
+  post (node, ENTRIES_US, entries_read, node, NULL);
+}
+
+/* What tests call. */
+
+sim_worker_t *
+sim_add_worker (sim_t *sim, const char *id, const char *service, bts_room_t room)
+{
+  sim_worker_t *worker = g_new0 (sim_worker_t, 1);
+  worker->sim = sim;
+  worker->id = g_strdup (id);
+  worker->service = g_strdup (service);
+  worker->rack = g_strdup_printf ("r%u", sim->workers->len / 3);
+  worker->capacity = room;
+  worker->born_ms = UNIX_START_MS + now (sim) / 1000;
+  worker->born_us = now (sim);
+  worker->clock_rate = 1.0;
+  worker->cut_from = -1;
+  worker->runs = g_ptr_array_new_with_free_func (sim_run_free);
+  worker->finished = g_ptr_array_new_with_free_func (finished_free);
+  worker->holds = g_ptr_array_new ();
+  worker->tombs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_ptr_array_add (sim->workers, worker);
+  after (sim, TICK_US, worker_tick, worker);
+  return worker;
+}
+
+void
+sim_start (sim_t *sim, guint index)
+{
+  sim_node_t *node = sim_node (sim, index);
+  node->life++;
+  node->next = 0;
+  node->frozen = FALSE;
+  node->advice_free_us = 0;
+  g_free (node->name);
+  node->name = g_strdup_printf ("node-%u/%u", index, node->life);
+  bts_node_config_t config = { 0 };
+  config.name = node->name;
+  config.status_ms = 120000;
+  config.sched.hold_max_ms = SIM_HOLD_MAX_MS;
+  config.sched.stop_ms = SIM_STOP_MS;
+  config.sched.early_ms = 250;
+  node->node = bts_node_new (&config, &sim->clock, &node_ops, node);
+  read_again (node, SIM_DELAY_US);
+  post (node, TICK_US, node_tick, node, NULL);
+  post (node, SIM_DELAY_US, entries_read, node, NULL);
+}
+
+sim_t *
+sim_new (guint nodes, guint workers, guint32 seed)
+{
+  bt_log_set_level (g_getenv ("SIM_LOG") != NULL ? BT_LOG_INFO : BT_LOG_ERROR);
+  sim_t *sim = g_new0 (sim_t, 1);
+  bt_clock_init_paused (&sim->clock, BT_USEC_PER_SEC);
+  sim->random = g_rand_new_with_seed (seed);
+  sim->log = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  sim->nodes = g_ptr_array_new ();
+  sim->workers = g_ptr_array_new ();
+  sim->jobs = g_ptr_array_new ();
+  sim->events = g_sequence_new (g_free);
+  sim->violations = g_ptr_array_new_with_free_func (g_free);
+  sim->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sim->started = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sim->noted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sim->append_us = 2000;
+  for (guint i = 0; i < workers; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("w-%u", i);
+      bts_room_t room = { 32000, 65536, 8 };
+      sim_add_worker (sim, id, "main", room);
+    }
+  for (guint i = 0; i < nodes; i++)
+    {
+      sim_node_t *node = g_new0 (sim_node_t, 1);
+      node->sim = sim;
+      node->index = i;
+      node->held_back = g_ptr_array_new ();
+      g_ptr_array_add (sim->nodes, node);
+      sim_start (sim, i);
+    }
+  return sim;
+}
+
+void
+sim_kill (sim_t *sim, guint index)
+{
+  sim_node_t *node = sim_node (sim, index);
+  g_clear_pointer (&node->node, bts_node_free);
+  node->life++;
+  node->frozen = FALSE;
+}
+
+void
+sim_freeze (sim_t *sim, guint index)
+{
+  sim_node (sim, index)->frozen = TRUE;
+}
+
+void
+sim_thaw (sim_t *sim, guint index)
+{
+  sim_node_t *node = sim_node (sim, index);
+  node->frozen = FALSE;
+  for (guint i = 0; i < node->held_back->len; i++)
+    after (sim, 0, deliver, node->held_back->pdata[i]);
+  g_ptr_array_set_size (node->held_back, 0);
+}
+
+void
+sim_leave (sim_t *sim, guint index)
+{
+  bts_node_leave (sim_node (sim, index)->node);
+}
+
+void
+sim_crash (sim_t *sim, sim_worker_t *worker)
+{
+  worker->dead = TRUE;
+  worker->unlisted = TRUE;
+  g_ptr_array_set_size (worker->runs, 0);
+  g_ptr_array_set_size (worker->finished, 0);
+}
+
+void
+sim_reborn (sim_t *sim, sim_worker_t *worker)
+{
+  sim_crash (sim, worker);
+  worker->dead = FALSE;
+  worker->unlisted = FALSE;
+  worker->dark = FALSE;
+  worker->fence = 0;
+  worker->last_end = 0;
+  worker->deadline_ms = 0;
+  worker->born_us = now (sim);
+  worker->born_ms = UNIX_START_MS + now (sim) / 1000;
+  g_hash_table_remove_all (worker->tombs);
+}
+
+sim_worker_t *
+sim_worker (sim_t *sim, guint index)
+{
+  return sim->workers->pdata[index];
+}
+
+sim_node_t *
+sim_node (sim_t *sim, guint index)
+{
+  return sim->nodes->pdata[index];
+}
+
+/* The process that leads, or -1; a deposed one may still think so as well. */
+gint
+sim_owner (const sim_t *sim)
+{
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      const sim_node_t *node = sim->nodes->pdata[i];
+      if (node->node != NULL && !node->frozen && !node->cut && bts_node_leading (node->node))
+        return (gint)i;
+    }
+  return -1;
+}
+
+void
+sim_run_ms (sim_t *sim, gint64 ms)
+{
+  gint64 until_us = now (sim) + ms * 1000;
+  while (TRUE)
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (sim->events);
+      if (g_sequence_iter_is_end (first))
+        break;
+      sim_event_t *next = g_sequence_get (first);
+      if (next->at_us > until_us)
+        break;
+      sim_event_t event = *next;
+      g_sequence_remove (first);
+      bt_clock_advance (&sim->clock, MAX (event.at_us - now (sim), 0));
+      event.run (sim, event.data);
+    }
+  bt_clock_advance (&sim->clock, until_us - now (sim));
+}
+
+static Bts__Accepted *
+accepted_new (sim_t *sim, const char *id, const sim_policy_t *policy, const sim_step_t *steps,
+              guint n)
+{
+  Bts__Accepted *job = malloc (sizeof *job);
+  bts__accepted__init (job);
+  job->id = strdup (id);
+  job->entry = strdup ("");
+  job->spec.data = (guint8 *)strdup ("spec");
+  job->spec.len = 4;
+  Bts__Policy *kept = malloc (sizeof *kept);
+  bts__policy__init (kept);
+  kept->route = strdup ("route");
+  kept->service = strdup (policy->service == NULL ? "main" : policy->service);
+  kept->priority = policy->priority;
+  kept->attempts_max = policy->attempts == 0 ? 3 : policy->attempts;
+  kept->stretch = 2.0;
+  kept->objective_ms = policy->objective_ms == 0 ? 1000 : policy->objective_ms;
+  kept->advised = sim->advised;
+  kept->advice_validity_ms = TICKET_MS;
+  kept->advice_ms = ADVICE_US / 1000.0;
+  job->policy = kept;
+  job->steps = calloc (n, sizeof *job->steps);
+  for (guint i = 0; i < n; i++)
+    {
+      Bts__Step *step = malloc (sizeof *step);
+      bts__step__init (step);
+      step->count = steps[i].count;
+      step->cpu_millis = steps[i].cpu;
+      step->memory_mb = steps[i].memory;
+      step->gpus = steps[i].gpus;
+      step->estimate_ms = steps[i].ms;
+      step->gang = steps[i].gang;
+      step->long_running = steps[i].lasts;
+      step->fills = steps[i].fills;
+      step->checkpoints = steps[i].saves;
+      step->per_worker_max = steps[i].per_worker;
+      step->target_ms = steps[i].target_ms;
+      step->label = strdup ("");
+      step->rack = strdup ("");
+      step->image = strdup ("");
+      if (steps[i].after > 0)
+        {
+          step->after = calloc (1, sizeof *step->after);
+          step->after[0] = steps[i].after - 1;
+          step->n_after = 1;
+        }
+      job->steps[job->n_steps++] = step;
+    }
+  return job;
+}
+
+static Bts__Accepted *
+accepted_copy (const Bts__Accepted *accepted)
+{
+  gsize len = bts__accepted__get_packed_size (accepted);
+  g_autofree guint8 *data = g_malloc (len);
+  bts__accepted__pack (accepted, data);
+  return bts__accepted__unpack (NULL, len, data);
+}
+
+sim_job_t *
+sim_submit (sim_t *sim, guint node, const sim_policy_t *policy, const sim_step_t *steps, guint n)
+{
+  sim_job_t *job = g_new0 (sim_job_t, 1);
+  g_snprintf (job->id, sizeof job->id, "%016x", sim->jobs->len + 1);
+  job->exchange = ++sim->exchange;
+  job->accepted = accepted_new (sim, job->id, policy, steps, n);
+  g_ptr_array_add (sim->jobs, job);
+  bts_node_submit (sim_node (sim, node)->node, job->exchange, accepted_copy (job->accepted),
+                   3 * BT_USEC_PER_SEC);
+  return job;
+}
+
+/* The same job again, as a caller does that got no answer. */
+sim_job_t *
+sim_resubmit (sim_t *sim, guint node, const sim_job_t *job)
+{
+  bts_node_submit (sim_node (sim, node)->node, job->exchange, accepted_copy (job->accepted),
+                   3 * BT_USEC_PER_SEC);
+  return (sim_job_t *)job;
+}
+
+void
+sim_cancel (sim_t *sim, guint node, sim_job_t *job)
+{
+  job->cancel_exchange = ++sim->exchange;
+  bts_node_cancel (sim_node (sim, node)->node, job->cancel_exchange, job->id, 3 * BT_USEC_PER_SEC);
+}
+
+/* What a process that lives says of a job. */
+bts_state_t
+sim_state (sim_t *sim, const sim_job_t *job)
+{
+  bts_state_t state = BTS_PENDING;
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      const sim_node_t *node = sim->nodes->pdata[i];
+      if (node->node != NULL && !node->frozen && !node->cut
+          && bts_node_query (node->node, job->id, &state) == BTS_ANSWER_OK)
+        break;
+    }
+  return state;
+}
+
+guint
+sim_count_state (sim_t *sim, bts_state_t state)
+{
+  guint count = 0;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    count += sim_state (sim, sim->jobs->pdata[i]) == state;
+  return count;
+}
+
+guint
+sim_running (const sim_t *sim, const char *prefix)
+{
+  guint count = 0;
+  for (guint w = 0; w < sim->workers->len; w++)
+    {
+      const sim_worker_t *worker = sim->workers->pdata[w];
+      for (guint i = 0; i < worker->runs->len; i++)
+        count += g_str_has_prefix (((sim_run_t *)worker->runs->pdata[i])->name, prefix);
+    }
+  return count;
+}
+
+/* Fails the test with what broke a promise. */
+void
+sim_check (sim_t *sim)
+{
+  for (guint i = 0; i < sim->violations->len; i++)
+    ck_abort_msg ("%u violations, the first: %s", sim->violations->len,
+                  (char *)sim->violations->pdata[0]);
+}
+
+static void
+free_event (gpointer data, gpointer context)
+{
+  sim_event_t *event = data;
+  if (event->run == deliver)
+    {
+      sim_mail_t *mail = event->data;
+      if (mail->free != NULL)
+        mail->free (mail->data);
+      g_free (mail);
+    }
+  else if (event->run == append_landed)
+    g_bytes_unref (event->data);
+  else if (event->run == start_arrived || event->run == start_late || event->run == stop_arrived
+           || event->run == hold_arrived)
+    order_free (event->data);
+}
+
+static void
+worker_free (sim_worker_t *worker)
+{
+  for (guint i = 0; i < worker->holds->len; i++)
+    order_free (worker->holds->pdata[i]);
+  g_ptr_array_unref (worker->holds);
+  g_ptr_array_unref (worker->runs);
+  g_ptr_array_unref (worker->finished);
+  g_hash_table_unref (worker->tombs);
+  g_free (worker->id);
+  g_free (worker->service);
+  g_free (worker->rack);
+  g_free (worker);
+}
+
+void
+sim_free (sim_t *sim)
+{
+  g_sequence_foreach (sim->events, free_event, NULL);
+  g_sequence_free (sim->events);
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      sim_node_t *node = sim->nodes->pdata[i];
+      for (guint m = 0; m < node->held_back->len; m++)
+        {
+          sim_mail_t *mail = node->held_back->pdata[m];
+          if (mail->free != NULL)
+            mail->free (mail->data);
+          g_free (mail);
+        }
+      g_ptr_array_unref (node->held_back);
+      g_clear_pointer (&node->node, bts_node_free);
+      g_free (node->name);
+      g_free (node);
+    }
+  for (guint i = 0; i < sim->workers->len; i++)
+    worker_free (sim->workers->pdata[i]);
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      sim_job_t *job = sim->jobs->pdata[i];
+      bts__accepted__free_unpacked (job->accepted, NULL);
+      g_free (job);
+    }
+  g_ptr_array_unref (sim->nodes);
+  g_ptr_array_unref (sim->workers);
+  g_ptr_array_unref (sim->jobs);
+  g_ptr_array_unref (sim->log);
+  g_ptr_array_unref (sim->violations);
+  g_hash_table_unref (sim->done);
+  g_hash_table_unref (sim->started);
+  g_hash_table_unref (sim->noted);
+  g_rand_free (sim->random);
+  g_free (sim);
+}
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,211 @@
+#ifndef BT_TESTS_SIM_H
+#define BT_TESTS_SIM_H
+
+#include "libbamboothread/scheduler/node.h"
+
+/*
+ * A simulated installation on a paused clock: a log, workers, an advice service
+ * and some processes of the scheduler, all in one test process. Messages take
+ * time, and every fault is switched on by the test. Whatever the workers see is
+ * checked as it happens; what breaks a promise is kept in @violations.
+ */
+
+typedef struct sim_t sim_t;
+
+/* Delay of one message, in microseconds. */
+#define SIM_DELAY_US 3000
+/* Bounds of the simulated installation. */
+#define SIM_HOLD_MAX_MS 6000
+#define SIM_STOP_MS 300
+#define SIM_GANG_TIMEOUT_MS 3000
+
+/**
+ * struct sim_run_t - a run on a simulated worker
+ * @left_ms: work that it still has to do; negative for one that lasts
+ */
+typedef struct
+{
+  char *name;
+  guint number;
+  gint64 started_us;
+  gint64 left_ms;
+  gint64 done_ms;
+  gint64 stop_us;
+  gboolean gang;
+  gboolean waiting;
+  gboolean lasts;
+  bts_room_t room;
+  char *spec;
+} sim_run_t;
+
+/**
+ * struct sim_worker_t - a simulated worker
+ * @dark: calls to it get no answer and aren't carried out
+ * @mute: calls to it are carried out and get no answer
+ * @late_us: orders to start are carried out so much later and get no answer
+ * @dead: nothing runs on it any more
+ * @fails: all that it starts fails after a while
+ * @stalls: what runs on it makes no progress
+ * @lapsed_us: when its lease was last seen to be over
+ * @cut_from: number of a process that can't reach it, or -1
+ * @clock_rate: speed of its clock
+ */
+typedef struct
+{
+  sim_t *sim;
+  char *id;
+  char *service;
+  char *rack;
+  bts_room_t capacity;
+  gint64 born_ms;
+  gint64 born_us;
+  double clock_rate;
+  gint64 deadline_ms;
+  gint64 lapsed_us;
+  guint64 fence;
+  guint64 last_end;
+  guint64 acked;
+  GPtrArray *runs;
+  GPtrArray *finished;
+  GHashTable *tombs;
+  GPtrArray *holds;
+  gboolean dark;
+  gboolean mute;
+  gint64 late_us;
+  gboolean dead;
+  gboolean draining;
+  gboolean unlisted;
+  gboolean fails;
+  gboolean stalls;
+  gint cut_from;
+} sim_worker_t;
+
+/**
+ * struct sim_node_t - a process of the scheduler
+ * @frozen: it does nothing until it is thawed
+ * @cut: it can't reach the store
+ * @next: the offset that it reads next
+ */
+typedef struct
+{
+  sim_t *sim;
+  guint index;
+  guint life;
+  char *name;
+  bts_node_t *node;
+  gboolean frozen;
+  gboolean cut;
+  gint64 next;
+  gint64 advice_free_us;
+  GPtrArray *held_back;
+} sim_node_t;
+
+/**
+ * struct sim_t - the installation
+ * @store_down: appends and reads get no answer
+ * @store_refuses: appends and reads are refused
+ * @lose_percent: share of appends that are done and not answered
+ * @append_us: time of an append
+ * @advised: jobs handed in need advice
+ * @violations: what broke a promise
+ * @done: name of a task to when it ended done
+ * @started: name of a task to when it was started last
+ * @noted: tasks whose end of kind done has been taken note of
+ */
+struct sim_t
+{
+  bt_clock_t clock;
+  GRand *random;
+  GPtrArray *log;
+  GPtrArray *nodes;
+  GPtrArray *workers;
+  GPtrArray *jobs;
+  GSequence *events;
+  guint64 event_serial;
+  gint64 unix_offset_ms;
+  gboolean store_down;
+  gboolean store_refuses;
+  guint lose_percent;
+  gint64 append_us;
+  gint64 late_append_us;
+  gboolean advised;
+  guint64 exchange;
+  GPtrArray *violations;
+  GHashTable *answers;
+  GHashTable *done;
+  GHashTable *started;
+  GHashTable *noted;
+  guint starts;
+};
+
+/**
+ * struct sim_job_t - a job that a test has handed in
+ * @accepted_us: when it was accepted; 0 before
+ * @cancelled_us: when its cancelling was confirmed; 0 before
+ */
+typedef struct
+{
+  char id[BTS_ID_LEN + 1];
+  guint64 exchange;
+  guint64 cancel_exchange;
+  gint64 accepted_us;
+  gint64 refused_us;
+  gint64 cancelled_us;
+  Bts__Accepted *accepted;
+} sim_job_t;
+
+/**
+ * struct sim_step_t - a step of a job to hand in; zero fields are left out
+ * @after: number of the step that it waits for, plus one
+ */
+typedef struct
+{
+  guint count;
+  guint cpu;
+  guint memory;
+  guint gpus;
+  guint ms;
+  guint after;
+  gboolean gang;
+  gboolean lasts;
+  gboolean fills;
+  gboolean saves;
+  guint per_worker;
+  guint target_ms;
+} sim_step_t;
+
+/**
+ * struct sim_policy_t - the route of a job to hand in
+ */
+typedef struct
+{
+  const char *service;
+  guint priority;
+  guint attempts;
+  guint objective_ms;
+} sim_policy_t;
+
+sim_t *sim_new (guint nodes, guint workers, guint32 seed);
+void sim_free (sim_t *sim);
+sim_worker_t *sim_worker (sim_t *sim, guint index);
+sim_worker_t *sim_add_worker (sim_t *sim, const char *id, const char *service, bts_room_t room);
+sim_node_t *sim_node (sim_t *sim, guint index);
+gint sim_owner (const sim_t *sim);
+void sim_run_ms (sim_t *sim, gint64 ms);
+sim_job_t *sim_submit (sim_t *sim, guint node, const sim_policy_t *policy, const sim_step_t *steps,
+                       guint n);
+sim_job_t *sim_resubmit (sim_t *sim, guint node, const sim_job_t *job);
+void sim_cancel (sim_t *sim, guint node, sim_job_t *job);
+bts_state_t sim_state (sim_t *sim, const sim_job_t *job);
+guint sim_count_state (sim_t *sim, bts_state_t state);
+void sim_kill (sim_t *sim, guint node);
+void sim_start (sim_t *sim, guint node);
+void sim_freeze (sim_t *sim, guint node);
+void sim_thaw (sim_t *sim, guint node);
+void sim_leave (sim_t *sim, guint node);
+void sim_crash (sim_t *sim, sim_worker_t *worker);
+void sim_reborn (sim_t *sim, sim_worker_t *worker);
+void sim_check (sim_t *sim);
+guint sim_running (const sim_t *sim, const char *prefix);
+
+#endif
--- /dev/null
+++ b/tests/test_cluster.c
@@ -0,0 +1,408 @@
+#include <string.h>
+
+#include "tests/sim.h"
+#include "tests/suite.h"
+
+/*
+ * Several processes, one log, some workers: each case is a kind of trouble. The
+ * simulated workers check every start (TWICE, LIMIT, ORDER, UNASKED); a case
+ * also says what has to have become of the jobs.
+ */
+
+static const sim_policy_t lookup = { "main", 0, 3, 300 };
+static const sim_policy_t batch = { "main", 2, 3, 3000 };
+static const sim_policy_t service = { "main", 1, 4, 2500 };
+
+static const sim_step_t one_step[] = { { .count = 6, .cpu = 3000, .memory = 2000, .ms = 800 } };
+static const sim_step_t two_steps[] = {
+  { .count = 4, .cpu = 3000, .memory = 2000, .ms = 600 },
+  { .count = 6, .cpu = 2000, .memory = 2000, .ms = 500, .after = 1 },
+};
+static const sim_step_t gang[]
+    = { { .count = 3, .cpu = 20000, .memory = 30000, .gpus = 4, .ms = 1500, .gang = TRUE } };
+static const sim_step_t lasting[]
+    = { { .count = 3, .cpu = 8000, .memory = 9000, .lasts = TRUE, .per_worker = 1 } };
+
+/* Hands in one job of each kind at each process by turns. */
+static void
+submit_mix (sim_t *sim, guint rounds)
+{
+  for (guint i = 0; i < rounds; i++)
+    {
+      guint node = i % sim->nodes->len;
+      if (sim_node (sim, node)->node == NULL || sim_node (sim, node)->frozen)
+        node = (node + 1) % sim->nodes->len;
+      sim_submit (sim, node, &lookup, two_steps, G_N_ELEMENTS (two_steps));
+      sim_submit (sim, node, &batch, one_step, G_N_ELEMENTS (one_step));
+      sim_submit (sim, node, &service, gang, G_N_ELEMENTS (gang));
+      sim_run_ms (sim, 100);
+    }
+}
+
+/* All jobs that were accepted are over, and were in time. */
+static void
+expect_all_completed (sim_t *sim)
+{
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const sim_job_t *job = sim->jobs->pdata[i];
+      if (job->accepted_us != 0 && job->cancel_exchange == 0)
+        ck_assert_msg (sim_state (sim, job) == BTS_COMPLETED, "job %s is %s", job->id,
+                       bts_state_name (sim_state (sim, job)));
+    }
+}
+
+static void
+calm (sim_t *sim)
+{
+  submit_mix (sim, 5);
+  sim_run_ms (sim, 8000);
+  expect_all_completed (sim);
+  ck_assert_uint_eq (sim_count_state (sim, BTS_COMPLETED), 15);
+}
+
+static void
+calm_advised (sim_t *sim)
+{
+  sim->advised = TRUE;
+  calm (sim);
+}
+
+static void
+owner_killed (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  gint owner = sim_owner (sim);
+  sim_kill (sim, (guint)owner);
+  sim_run_ms (sim, 2500);
+  ck_assert_int_ne (sim_owner (sim), owner);
+  ck_assert_int_ge (sim_owner (sim), 0);
+  sim_run_ms (sim, 10000);
+  expect_all_completed (sim);
+}
+
+static void
+owner_leaves (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  gint owner = sim_owner (sim);
+  sim_leave (sim, (guint)owner);
+  sim_run_ms (sim, 300);
+  ck_assert_int_ne (sim_owner (sim), owner);
+  ck_assert_int_ge (sim_owner (sim), 0);
+  sim_run_ms (sim, 8000);
+  expect_all_completed (sim);
+}
+
+static void
+owner_frozen_past_its_term (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  gint owner = sim_owner (sim);
+  sim_freeze (sim, (guint)owner);
+  sim_run_ms (sim, 3000);
+  submit_mix (sim, 2);
+  sim_thaw (sim, (guint)owner);
+  sim_run_ms (sim, 10000);
+  expect_all_completed (sim);
+}
+
+static void
+owner_cut_from_the_store (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  gint owner = sim_owner (sim);
+  sim_node (sim, (guint)owner)->cut = TRUE;
+  sim_run_ms (sim, 3000);
+  ck_assert_int_ge (sim_owner (sim), 0);
+  submit_mix (sim, 2);
+  sim_run_ms (sim, 4000);
+  sim_node (sim, (guint)owner)->cut = FALSE;
+  sim_run_ms (sim, 8000);
+  expect_all_completed (sim);
+}
+
+static void
+owner_cut_from_a_worker (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  sim_worker (sim, 0)->cut_from = sim_owner (sim);
+  sim_run_ms (sim, 6000);
+  sim_worker (sim, 0)->cut_from = -1;
+  sim_run_ms (sim, 8000);
+  expect_all_completed (sim);
+}
+
+/* The worker is silent for the new owner, while the old one may have held it to the end. */
+static void
+owner_killed_and_a_worker_dark (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  sim_worker (sim, 1)->dark = TRUE;
+  sim_kill (sim, (guint)sim_owner (sim));
+  sim_run_ms (sim, 14000);
+  sim_worker (sim, 1)->dark = FALSE;
+  sim_run_ms (sim, 8000);
+  expect_all_completed (sim);
+}
+
+static void
+all_killed_after_an_accept (sim_t *sim)
+{
+  sim_job_t *job = sim_submit (sim, 0, &lookup, two_steps, G_N_ELEMENTS (two_steps));
+  while (job->accepted_us == 0)
+    sim_run_ms (sim, 1);
+  for (guint i = 0; i < sim->nodes->len; i++)
+    sim_kill (sim, i);
+  sim_run_ms (sim, 600);
+  for (guint i = 0; i < sim->nodes->len; i++)
+    sim_start (sim, i);
+  sim_run_ms (sim, 9000);
+  expect_all_completed (sim);
+}
+
+/* An append whose answer is lost lands seconds later, its job arriving again elsewhere. */
+static void
+answers_of_the_store_lost (sim_t *sim)
+{
+  sim->lose_percent = 40;
+  sim->late_append_us = 4 * BT_USEC_PER_SEC;
+  for (guint i = 0; i < 8; i++)
+    {
+      sim_job_t *job = sim_submit (sim, 0, &lookup, two_steps, G_N_ELEMENTS (two_steps));
+      sim_run_ms (sim, 400);
+      if (job->accepted_us == 0)
+        sim_resubmit (sim, 1, job);
+    }
+  sim->lose_percent = 0;
+  sim_run_ms (sim, 12000);
+  expect_all_completed (sim);
+  ck_assert_uint_eq (sim_count_state (sim, BTS_COMPLETED), 8);
+}
+
+static void
+store_down_past_the_leases (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  sim->store_down = TRUE;
+  sim_run_ms (sim, 9000);
+  sim->store_down = FALSE;
+  sim_run_ms (sim, 9000);
+  expect_all_completed (sim);
+}
+
+static void
+store_down_and_owner_dead (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  sim->store_down = TRUE;
+  sim_kill (sim, (guint)sim_owner (sim));
+  sim_run_ms (sim, 7000);
+  sim->store_down = FALSE;
+  sim_run_ms (sim, 12000);
+  expect_all_completed (sim);
+}
+
+static void
+store_refuses_and_callers_are_told (sim_t *sim)
+{
+  sim->store_refuses = TRUE;
+  sim_job_t *job = sim_submit (sim, 0, &lookup, one_step, G_N_ELEMENTS (one_step));
+  sim_run_ms (sim, 100);
+  ck_assert_int_ne (job->refused_us, 0);
+  sim->store_refuses = FALSE;
+  sim_run_ms (sim, 5000);
+  ck_assert_uint_eq (sim_running (sim, job->id), 0);
+  ck_assert_uint_eq (sim->starts, 0);
+}
+
+static void
+orders_carried_out_late (sim_t *sim)
+{
+  sim_worker (sim, 0)->late_us = 3 * BT_USEC_PER_SEC;
+  sim_worker (sim, 1)->late_us = 9 * BT_USEC_PER_SEC;
+  submit_mix (sim, 4);
+  sim_run_ms (sim, 4000);
+  sim_worker (sim, 0)->late_us = 0;
+  sim_worker (sim, 1)->late_us = 0;
+  sim_run_ms (sim, 14000);
+  expect_all_completed (sim);
+}
+
+static void
+answers_of_workers_lost (sim_t *sim)
+{
+  submit_mix (sim, 2);
+  sim_worker (sim, 0)->mute = TRUE;
+  submit_mix (sim, 2);
+  sim_run_ms (sim, 2500);
+  sim_worker (sim, 0)->mute = FALSE;
+  sim_run_ms (sim, 9000);
+  expect_all_completed (sim);
+}
+
+static void
+worker_crashes (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  sim_crash (sim, sim_worker (sim, 0));
+  sim_run_ms (sim, 14000);
+  expect_all_completed (sim);
+}
+
+static void
+worker_reborn_under_its_id (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  sim_reborn (sim, sim_worker (sim, 0));
+  sim_run_ms (sim, 10000);
+  expect_all_completed (sim);
+}
+
+static void
+worker_cut_off_and_runs_on (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  sim_worker (sim, 0)->dark = TRUE;
+  sim_worker (sim, 2)->dark = TRUE;
+  sim_worker (sim, 2)->clock_rate = 0.98;
+  sim_run_ms (sim, 5500);
+  sim_worker (sim, 0)->dark = FALSE;
+  sim_run_ms (sim, 3000);
+  sim_worker (sim, 2)->dark = FALSE;
+  sim_run_ms (sim, 9000);
+  expect_all_completed (sim);
+}
+
+static void
+entry_gone_while_it_runs (sim_t *sim)
+{
+  submit_mix (sim, 3);
+  sim_worker (sim, 0)->unlisted = TRUE;
+  sim_run_ms (sim, 9000);
+  expect_all_completed (sim);
+}
+
+static void
+drained_worker_gets_nothing (sim_t *sim)
+{
+  sim_worker (sim, 0)->draining = TRUE;
+  sim_run_ms (sim, 1500);
+  submit_mix (sim, 3);
+  ck_assert_uint_eq (sim_worker (sim, 0)->runs->len, 0);
+  sim_run_ms (sim, 8000);
+  expect_all_completed (sim);
+}
+
+static void
+cancel_stops_what_runs (sim_t *sim)
+{
+  sim_job_t *job = sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 1000);
+  ck_assert_uint_eq (sim_running (sim, job->id), 3);
+  sim_cancel (sim, 1, job);
+  sim_run_ms (sim, 1000);
+  ck_assert_int_ne (job->cancelled_us, 0);
+  ck_assert_uint_eq (sim_running (sim, job->id), 0);
+  ck_assert_int_eq (sim_state (sim, job), BTS_CANCELLED);
+}
+
+/* The record of the job is still on its way when its cancellation comes in elsewhere. */
+static void
+cancel_races_its_accept (sim_t *sim)
+{
+  sim_job_t *job = sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
+  while (job->accepted_us == 0)
+    sim_run_ms (sim, 1);
+  sim_cancel (sim, 2, job);
+  sim_run_ms (sim, 3500);
+  ck_assert_int_ne (job->cancelled_us, 0);
+  ck_assert_uint_eq (sim_running (sim, job->id), 0);
+}
+
+static void
+lasting_tasks_are_kept_up (sim_t *sim)
+{
+  sim_job_t *job = sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 1000);
+  for (guint i = 0; i < sim->workers->len; i++)
+    if (sim_worker (sim, i)->runs->len > 0)
+      {
+        sim_reborn (sim, sim_worker (sim, i));
+        break;
+      }
+  sim_run_ms (sim, 3000);
+  ck_assert_uint_eq (sim_running (sim, job->id), 3);
+}
+
+static void
+failing_worker_is_avoided (sim_t *sim)
+{
+  sim_worker (sim, 0)->fails = TRUE;
+  submit_mix (sim, 4);
+  sim_run_ms (sim, 12000);
+  expect_all_completed (sim);
+}
+
+static void
+hopeless_job_fails (sim_t *sim)
+{
+  for (guint i = 0; i < sim->workers->len; i++)
+    sim_worker (sim, i)->fails = TRUE;
+  sim_job_t *job = sim_submit (sim, 0, &lookup, one_step, G_N_ELEMENTS (one_step));
+  sim_run_ms (sim, 9000);
+  ck_assert_int_eq (sim_state (sim, job), BTS_FAILED);
+  ck_assert_uint_eq (sim_running (sim, job->id), 0);
+}
+
+static const struct
+{
+  const char *name;
+  void (*play) (sim_t *sim);
+} cases[] = {
+  { "calm", calm },
+  { "calm_advised", calm_advised },
+  { "owner_killed", owner_killed },
+  { "owner_leaves", owner_leaves },
+  { "owner_frozen_past_its_term", owner_frozen_past_its_term },
+  { "owner_cut_from_the_store", owner_cut_from_the_store },
+  { "owner_cut_from_a_worker", owner_cut_from_a_worker },
+  { "owner_killed_and_a_worker_dark", owner_killed_and_a_worker_dark },
+  { "all_killed_after_an_accept", all_killed_after_an_accept },
+  { "answers_of_the_store_lost", answers_of_the_store_lost },
+  { "store_down_past_the_leases", store_down_past_the_leases },
+  { "store_down_and_owner_dead", store_down_and_owner_dead },
+  { "store_refuses_and_callers_are_told", store_refuses_and_callers_are_told },
+  { "orders_carried_out_late", orders_carried_out_late },
+  { "answers_of_workers_lost", answers_of_workers_lost },
+  { "worker_crashes", worker_crashes },
+  { "worker_reborn_under_its_id", worker_reborn_under_its_id },
+  { "worker_cut_off_and_runs_on", worker_cut_off_and_runs_on },
+  { "entry_gone_while_it_runs", entry_gone_while_it_runs },
+  { "drained_worker_gets_nothing", drained_worker_gets_nothing },
+  { "cancel_stops_what_runs", cancel_stops_what_runs },
+  { "cancel_races_its_accept", cancel_races_its_accept },
+  { "lasting_tasks_are_kept_up", lasting_tasks_are_kept_up },
+  { "failing_worker_is_avoided", failing_worker_is_avoided },
+  { "hopeless_job_fails", hopeless_job_fails },
+};
+
+START_TEST (installation_keeps_its_promises)
+{
+  sim_t *sim = sim_new (3, 6, (guint32)_i + 1);
+  sim_run_ms (sim, 3000);
+  ck_assert_msg (sim_owner (sim) >= 0, "%s: nobody owns the workers", cases[_i].name);
+  cases[_i].play (sim);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("cluster");
+  tcase_set_timeout (tests, 60);
+  tcase_add_loop_test (tests, installation_keeps_its_promises, 0, G_N_ELEMENTS (cases));
+  return suite_run ("cluster", tests);
+}
