Workers whose address another one took are left; room is made for tasks to be kept up

Cases in tests/test_cluster.c failed before: address_taken_and_owner_killed, lasting_task_finds_workers_full, workers_come_after_the_advice.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -81,7 +81,14 @@
   sched->ops->advise (sched->context, node, stage, workers);
 }
 
-/* All workers of the service if nothing is known yet, else those that may run it. */
+static gboolean
+may_ask_about (const bts_stage_t *stage, const bts_worker_t *worker)
+{
+  return worker->listed && !worker->entry->draining
+         && strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0;
+}
+
+/* All workers of the service that have not been denied. */
 static void
 ask_about (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
 {
@@ -92,9 +99,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < BTS_ADVICE_MAX)
     {
       const bts_worker_t *worker = value;
-      if (worker->listed && !worker->entry->draining
-          && strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0
-          && (stage->advice == NULL || g_hash_table_contains (stage->advice, worker->entry->id)))
+      const bts_ticket_t *known
+          = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker->entry->id);
+      if (may_ask_about (stage, worker) && (known == NULL || known->ticket != NULL))
         g_ptr_array_add (ids, worker->entry->id);
     }
   ask (sched, stage, ids, now_us);
@@ -162,6 +169,31 @@
   return TRUE;
 }
 
+/**
+ * bts_advice_extend() - ask about workers that have come since the last answer
+ * @sched: a leading scheduler
+ * @stage: a stage for whose tasks there is no room on the workers that it may use
+ * @now_us: the time
+ */
+void
+bts_advice_extend (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
+{
+  if (!bts_stage_policy (stage)->advised || stage->advice == NULL || stage->asked_us != 0)
+    return;
+  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < BTS_ADVICE_MAX)
+    {
+      const bts_worker_t *worker = value;
+      if (worker->synced && may_ask_about (stage, worker)
+          && !g_hash_table_contains (stage->advice, worker->entry->id))
+        g_ptr_array_add (ids, worker->entry->id);
+    }
+  ask (sched, stage, ids, now_us);
+}
+
 /**
  * bts_sched_on_advised() - advice on a stage is in the journal
  * @sched: the scheduler
--- a/libbamboothread/scheduler/adviser.c
+++ b/libbamboothread/scheduler/adviser.c
@@ -22,6 +22,7 @@
   g_free (question->job);
   if (question->workers != NULL)
     g_ptr_array_unref (question->workers);
+  g_ptr_array_unref (question->asked);
   g_free (question);
 }
 
@@ -76,6 +77,7 @@
   question->job = g_strdup (bts_job_id (stage->job));
   question->occurrence = stage->occurrence;
   question->step = stage->step;
+  question->asked = g_ptr_array_new_with_free_func (g_free);
   if (workers != NULL)
     {
       question->workers = g_ptr_array_new_with_free_func (g_free);
--- a/libbamboothread/scheduler/adviser.h
+++ b/libbamboothread/scheduler/adviser.h
@@ -12,6 +12,7 @@
 /**
  * struct bts_question_t - which of some workers may run a stage
  * @workers: ids, or NULL for all that are listed when it is asked
+ * @asked: ids that were named in the call
  */
 typedef struct
 {
@@ -19,16 +20,17 @@
   guint occurrence;
   guint step;
   GPtrArray *workers;
+  GPtrArray *asked;
   guint tries;
 } bts_question_t;
 
 /**
  * struct bts_adviser_ops_t - where questions go
- * @ask: answered by bts_adviser_on_answer(); returns FALSE if there is nobody to ask about
+ * @ask: fills in @asked; answered by bts_adviser_on_answer(); returns FALSE if there is nobody to ask about
  */
 typedef struct
 {
-  gboolean (*ask) (void *context, const bts_question_t *question, bts_stage_t *stage);
+  gboolean (*ask) (void *context, bts_question_t *question, bts_stage_t *stage);
 } bts_adviser_ops_t;
 
 bts_adviser_t *bts_adviser_new (bts_ledger_t *ledger, const bts_adviser_ops_t *ops, void *context);
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -73,6 +73,8 @@
   bts_entry_change_t change = entry_same (worker->entry, entry) ? BTS_ENTRY_SAME : BTS_ENTRY_CHANGED;
   if (entry->born_ms > worker->born_ms)
     change = worker->born_ms == 0 ? change : BTS_ENTRY_REBORN;
+  if (change != BTS_ENTRY_SAME)
+    worker->departed = FALSE;
   g_hash_table_steal (fleet->workers, worker->entry->id);
   bts_entry_free (worker->entry);
   worker->entry = entry;
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -100,6 +100,7 @@
  * @entry: what it said of itself last; never NULL
  * @listed: it stands in the list of workers now
  * @unlisted_us: since when not
+ * @departed: its address answers for another worker, so this life is over
  * @born_ms: the life that @runs and @acked belong to; 0 if not known
  * @life: raised when @runs and the rest are forgotten; tells late answers apart
  * @synced: it has listed its runs to this owner
@@ -125,6 +126,7 @@
   bts_entry_t *entry;
   gboolean listed;
   gint64 unlisted_us;
+  gboolean departed;
   gint64 born_ms;
   guint life;
   gboolean synced;
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -270,7 +270,7 @@
  * bts_stage_advise() - keep leave to start a stage on a worker
  * @stage: the stage
  * @worker: id of the worker, or NULL to note only that advice has come
- * @ticket: what a start has to carry
+ * @ticket: what a start has to carry, or NULL if it is denied
  * @now_us: the time
  */
 void
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -50,7 +50,8 @@
 } bts_state_t;
 
 /**
- * struct bts_ticket_t - leave to start a stage on a worker
+ * struct bts_ticket_t - what the advice service said of a worker for a stage
+ * @ticket: leave to start there, or NULL if it was denied
  * @at_us: when it came; 0 once the worker has refused it
  */
 typedef struct
@@ -94,12 +95,14 @@
  * @n_done: tasks with a journaled end of kind done
  * @gang_fails: failed runs of the whole gang
  * @gang_failed_run: the run that @gang_fails counted last
- * @advice: worker id to bts_ticket_t, or NULL while nothing is known
+ * @advice: id of a worker that was asked about to bts_ticket_t; NULL before the first answer
  * @asked_us: when advice was asked for; 0 if none is on its way
  * @answer_us: when it is asked for again
  * @waiting: the stage stands in the owner's queue
  * @due_us: when it should be over for its job to meet its objective
  * @rest_until_us: no attempt to place it before
+ * @short_us: since when tasks of it found no room; 0 if all did
+ * @preempt_us: no room is made for it before
  */
 struct bts_stage_t
 {
@@ -117,6 +120,8 @@
   gboolean waiting;
   gint64 due_us;
   gint64 rest_until_us;
+  gint64 short_us;
+  gint64 preempt_us;
 };
 
 /**
--- a/libbamboothread/scheduler/lead.c
+++ b/libbamboothread/scheduler/lead.c
@@ -6,6 +6,10 @@
 #define JITTER_MAX_US (60 * 1000)
 /* Time after which a claim that hasn't come back is written again, in microseconds. */
 #define CLAIM_RETRY_US (700 * 1000)
+/* How many slow answers of the store in a row don't count as silence. */
+#define LAG_WEIGHT 2
+/* The longest append is forgotten by this part with each faster one. */
+#define LAG_DECAY 8
 /* Reads further apart than this don't show whether the owner was silent. */
 #define READ_GAP_US (2500 * 1000)
 
@@ -26,6 +30,7 @@
 bts_lead_clear (bts_lead_t *lead)
 {
   g_free (lead->node);
+  g_free (lead->owner);
 }
 
 /**
@@ -52,6 +57,20 @@
   lead->sign_us = now_us;
 }
 
+/**
+ * bts_lead_on_append() - an append of this process was answered
+ * @lead: the process
+ * @took_us: how long it took
+ *
+ * The owner's beats are about as slow as this process's own records, so that a
+ * slow store doesn't make it look silent.
+ */
+void
+bts_lead_on_append (bts_lead_t *lead, gint64 took_us)
+{
+  lead->lag_us = MAX (took_us, lead->lag_us - lead->lag_us / LAG_DECAY);
+}
+
 /**
  * bts_lead_mine() - whether this process is the owner
  * @lead: the process
@@ -63,6 +82,40 @@
   return g_strcmp0 (bts_ledger_owner (ledger), lead->node) == 0;
 }
 
+static gboolean same_place (const char *a, const char *b);
+
+/**
+ * bts_lead_on_owner() - the owner has changed
+ * @lead: the process
+ * @ledger: the folded journal
+ * @now_us: the time
+ */
+void
+bts_lead_on_owner (bts_lead_t *lead, const bts_ledger_t *ledger, gint64 now_us)
+{
+  const char *owner = bts_ledger_owner (ledger);
+  /* One that resigned, or whose process has started anew, does nothing any more. */
+  gboolean stopped = lead->owner == NULL || (owner != NULL && same_place (owner, lead->owner));
+  lead->earlier_us = stopped ? 0 : lead->sign_us;
+  lead->sign_us = now_us;
+  g_free (lead->owner);
+  lead->owner = g_strdup (owner);
+}
+
+/**
+ * bts_lead_sure_us() - when every lease of an earlier owner has run out
+ * @lead: the process that owns the workers now
+ * @lease_us: longest lease that an owner asks for, by our clock
+ * @now_us: the time
+ */
+gint64
+bts_lead_sure_us (const bts_lead_t *lead, gint64 lease_us, gint64 now_us)
+{
+  if (lead->earlier_us == 0)
+    return now_us + lease_us;
+  return MAX (lead->earlier_us + BTS_LEAD_UNSURE_US, now_us) + lease_us;
+}
+
 /* The part of a node's name that stays the same over its lives. */
 static gboolean
 same_place (const char *a, const char *b)
@@ -93,7 +146,7 @@
     return FALSE;
   if (lead->claimed_us != 0 && now_us - lead->claimed_us < CLAIM_RETRY_US)
     return FALSE;
-  gint64 wait_us = BTS_LEAD_SILENCE_US + lead->jitter_us;
+  gint64 wait_us = BTS_LEAD_SILENCE_US + lead->jitter_us + LAG_WEIGHT * lead->lag_us;
   if (owner == NULL)
     wait_us = lead->jitter_us;
   else if (same_place (owner, lead->node))
--- a/libbamboothread/scheduler/lead.h
+++ b/libbamboothread/scheduler/lead.h
@@ -23,8 +23,12 @@
 /**
  * struct bts_lead_t - what a process knows of the owner
  * @node: name of this life of this process
+ * @owner: the owner that was known last, or NULL
  * @jitter_us: its own delay before it claims, so that claims seldom meet
  * @sign_us: when the owner last gave a sign, or the log could be read again
+ * @earlier_us: when the owner before the present one last gave a sign; 0 if it
+ *   is known to have stopped
+ * @lag_us: time that appends of this process took lately
  * @read_us: when the log was last read to its end; 0 before the first time
  * @claimed_us: when this process claimed last; 0 for never
  * @leaving: it is about to end and claims no more
@@ -32,8 +36,11 @@
 typedef struct
 {
   char *node;
+  char *owner;
   gint64 jitter_us;
   gint64 sign_us;
+  gint64 earlier_us;
+  gint64 lag_us;
   gint64 read_us;
   gint64 claimed_us;
   gboolean leaving;
@@ -43,6 +50,9 @@
 void bts_lead_clear (bts_lead_t *lead);
 void bts_lead_on_read (bts_lead_t *lead, gint64 now_us);
 void bts_lead_on_sign (bts_lead_t *lead, gint64 now_us);
+void bts_lead_on_owner (bts_lead_t *lead, const bts_ledger_t *ledger, gint64 now_us);
+void bts_lead_on_append (bts_lead_t *lead, gint64 took_us);
+gint64 bts_lead_sure_us (const bts_lead_t *lead, gint64 lease_us, gint64 now_us);
 gboolean bts_lead_mine (const bts_lead_t *lead, const bts_ledger_t *ledger);
 gboolean bts_lead_due (bts_lead_t *lead, const bts_ledger_t *ledger, gint64 now_us);
 
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -262,6 +262,8 @@
   bts_stage_advise (stage, NULL, NULL, at_us);
   for (gsize i = 0; i < advice->n_allowed; i++)
     bts_stage_advise (stage, advice->allowed[i]->worker, advice->allowed[i]->ticket, at_us);
+  for (gsize i = 0; i < advice->n_denied; i++)
+    bts_stage_advise (stage, advice->denied[i], NULL, at_us);
   ledger->ops->advised (ledger->context, stage);
 }
 
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -110,7 +110,7 @@
   const char *owner = bts_ledger_owner (node->ledger);
   bt_log (BT_LOG_NOTICE, "owner", "term=%" G_GUINT64_FORMAT " owner=%s",
           bts_ledger_term (node->ledger), owner == NULL ? "none" : owner);
-  bts_lead_on_sign (&node->lead, now_us);
+  bts_lead_on_owner (&node->lead, node->ledger, now_us);
   bts_sched_end (node->sched);
 }
 
@@ -245,17 +245,18 @@
       const bts_worker_t *worker = value;
       if (worker->listed && !worker->entry->draining
           && strcmp (worker->entry->service, service) == 0)
-        g_ptr_array_add (ids, worker->entry->id);
+        g_ptr_array_add (ids, g_strdup (worker->entry->id));
     }
 }
 
 static gboolean
-adviser_ask (void *context, const bts_question_t *question, bts_stage_t *stage)
+adviser_ask (void *context, bts_question_t *question, bts_stage_t *stage)
 {
   bts_node_t *node = context;
-  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
+  GPtrArray *ids = question->asked;
+  g_ptr_array_set_size (ids, 0);
   for (guint i = 0; question->workers != NULL && i < question->workers->len; i++)
-    g_ptr_array_add (ids, question->workers->pdata[i]);
+    g_ptr_array_add (ids, g_strdup (question->workers->pdata[i]));
   if (question->workers == NULL)
     add_listed (node, bts_stage_policy (stage)->service, ids);
   if (ids->len == 0)
@@ -349,7 +350,9 @@
   if (!bts_lead_mine (&node->lead, node->ledger) || bts_sched_leading (node->sched)
       || node->resigned || node->deposed)
     return;
-  bts_sched_begin (node->sched, bts_ledger_term (node->ledger));
+  gint64 lease_us = (gint64)((double)bts_sched_lease_ms (node->sched) * 1000 / (1 - BTS_CLOCK_SLOW));
+  bts_sched_begin (node->sched, bts_ledger_term (node->ledger),
+                   bts_lead_sure_us (&node->lead, lease_us + BTS_LEASE_MARGIN_US, node_now (node)));
 }
 
 /**
@@ -384,13 +387,37 @@
           from, first);
 }
 
+/**
+ * bts_node_on_append() - what became of a record
+ * @node: the process
+ * @token: as given with it
+ * @stored: what became of it
+ * @took_us: time from the call to its answer
+ */
 void
-bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored)
+bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored, gint64 took_us)
 {
+  if (stored == BTS_STORED)
+    bts_lead_on_append (&node->lead, took_us);
   if (token != TOKEN_NONE)
     bts_gate_on_append (node->gate, token, stored, node_now (node));
 }
 
+static GPtrArray *
+find_denied (const bts_question_t *question, const Bts__Advice *advice)
+{
+  GPtrArray *denied = g_ptr_array_new ();
+  for (guint i = 0; i < question->asked->len; i++)
+    {
+      gboolean allowed = FALSE;
+      for (gsize a = 0; a < advice->n_allowed && !allowed; a++)
+        allowed = strcmp (advice->allowed[a]->worker, question->asked->pdata[i]) == 0;
+      if (!allowed)
+        g_ptr_array_add (denied, question->asked->pdata[i]);
+    }
+  return denied;
+}
+
 /**
  * bts_node_on_advice() - the advice service has answered, or not
  * @node: the process
@@ -402,6 +429,9 @@
 {
   if (advice != NULL)
     {
+      g_autoptr (GPtrArray) denied = find_denied (question, advice);
+      advice->n_denied = denied->len;
+      advice->denied = (char **)denied->pdata;
       advice->job = question->job;
       advice->occurrence = question->occurrence;
       advice->step = question->step;
@@ -413,6 +443,8 @@
       bt_log (BT_LOG_INFO, "advice", "job=%s occurrence=%u step=%u allowed=%zu", question->job,
               question->occurrence, question->step, advice->n_allowed);
       advice->job = NULL;
+      advice->n_denied = 0;
+      advice->denied = NULL;
       advice->node = NULL;
     }
   bts_adviser_on_answer (node->adviser, question, advice != NULL);
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -57,7 +57,7 @@
 void bts_node_on_record (bts_node_t *node, gint64 offset, const guint8 *data, gsize len);
 void bts_node_on_read (bts_node_t *node, gint64 sent_us);
 void bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first);
-void bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored);
+void bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored, gint64 took_us);
 void bts_node_on_advice (bts_node_t *node, const bts_question_t *question, Bts__Advice *advice);
 void bts_node_on_manifest (bts_node_t *node, bts_manifest_t *manifest);
 void bts_node_on_entry (bts_node_t *node, bts_entry_t *entry);
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -70,6 +70,28 @@
          && worker->used.gpus + room->gpus <= worker->entry->gpus;
 }
 
+static gboolean
+allowed (const bts_worker_t *worker, const bts_stage_t *stage)
+{
+  const bts_ticket_t *ticket
+      = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker->entry->id);
+  return ticket != NULL && ticket->ticket != NULL;
+}
+
+/**
+ * bts_place_may_use() - whether tasks of a stage may run on a worker at all
+ * @worker: the worker
+ * @stage: the stage
+ */
+gboolean
+bts_place_may_use (const bts_worker_t *worker, const bts_stage_t *stage)
+{
+  const Bts__Step *step = bts_stage_step (stage);
+  return strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0
+         && (step->label[0] == '\0' || bts_worker_has_label (worker, step->label))
+         && (!bts_stage_policy (stage)->advised || allowed (worker, stage));
+}
+
 /**
  * bts_place_check() - whether a worker can take one more task of a stage now
  * @worker: the worker
@@ -89,8 +111,7 @@
     return BTS_PLACE_AWAY;
   if (step->label[0] != '\0' && !bts_worker_has_label (worker, step->label))
     return BTS_PLACE_LABEL;
-  if (bts_stage_policy (stage)->advised
-      && (stage->advice == NULL || !g_hash_table_contains (stage->advice, worker->entry->id)))
+  if (bts_stage_policy (stage)->advised && !allowed (worker, stage))
     return BTS_PLACE_NOT_ALLOWED;
   bts_room_t room = bts_place_room (step);
   if (!has_room (worker, &room))
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -243,7 +243,7 @@
       sched->ops->deposed (sched->context);
       break;
     case BTS_REPLY_OTHER_LIFE:
-      bts_worker_gone (sched, worker, "other-life");
+      bts_worker_departed (sched, worker);
       break;
     case BTS_REPLY_OLD:
       if (sure)
@@ -299,7 +299,7 @@
   else if (reply == BTS_REPLY_FENCED)
     sched->ops->deposed (sched->context);
   else if (reply == BTS_REPLY_OTHER_LIFE)
-    bts_worker_gone (sched, run->worker, "other-life");
+    bts_worker_departed (sched, run->worker);
   else
     run->next_us = now_us + STOP_RETRY_US;
 }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -6,6 +6,10 @@
 #include "libbamboothread/scheduler/lead.h"
 #include "libbamboothread/scheduler/place.h"
 
+/* Time between two passes over a queue in which nothing has changed, in microseconds:
+   some stages wait for a time to come. */
+#define PASS_IDLE_US (100 * 1000)
+
 /**
  * bts_sched_new() - a scheduler that doesn't lead yet
  * @config: limits; copied
@@ -197,14 +201,16 @@
  * bts_sched_begin() - lead a term
  * @sched: the scheduler
  * @term: the term; the fence of all orders
+ * @sure_us: when every lease of an earlier owner has run out
  */
 void
-bts_sched_begin (bts_sched_t *sched, guint64 term)
+bts_sched_begin (bts_sched_t *sched, guint64 term, gint64 sure_us)
 {
   bts_sched_end (sched);
   sched->term = term;
   sched->began_us = bts_sched_now (sched);
   sched->confirmed_us = 0;
+  sched->sure_us = sure_us;
   sched->settled = FALSE;
   GHashTableIter iter;
   gpointer value;
@@ -272,11 +278,23 @@
   bts_beat_clear (sched);
 }
 
-/* Whether an earlier owner may have started tasks of the job that no list has shown yet. */
+/* Whether an earlier owner may have started tasks of the stage on a worker that has
+   not listed its runs yet. */
 static gboolean
-uncertain (const bts_sched_t *sched, const bts_job_t *job)
+uncertain (const bts_sched_t *sched, const bts_stage_t *stage)
 {
-  return !sched->settled && job->offset < bts_ledger_claim_offset (sched->ledger);
+  if (sched->settled || stage->job->offset > bts_ledger_claim_offset (sched->ledger))
+    return FALSE;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const bts_worker_t *worker = value;
+      if (!worker->synced && !worker->departed && bts_place_may_use (worker, stage))
+        return TRUE;
+    }
+  return g_hash_table_size (sched->fleet->workers) == 0;
 }
 
 static gboolean
@@ -397,6 +415,7 @@
     return;
   sched->dirty = FALSE;
   gint64 now_us = bts_sched_now (sched);
+  sched->pass_us = now_us;
   g_ptr_array_sort (sched->waiting, compare);
   guint kept = 0;
   for (guint i = 0; i < sched->waiting->len; i++)
@@ -406,11 +425,18 @@
       if (bts_job_over (stage->job) || open == 0)
         {
           stage->waiting = FALSE;
+          stage->short_us = 0;
           continue;
         }
-      if (may_place (stage, open) && !uncertain (sched, stage->job)
+      if (may_place (stage, open) && !uncertain (sched, stage)
           && now_us >= stage->rest_until_us && bts_advice_ready (sched, stage, now_us))
         place_stage (sched, stage, open);
+      open = count_open (stage);
+      if (open > 0 && !uncertain (sched, stage))
+        {
+          bts_advice_extend (sched, stage, now_us);
+          bts_preempt_for (sched, stage, open, now_us);
+        }
       sched->waiting->pdata[kept++] = stage;
     }
   g_ptr_array_set_size (sched->waiting, (gint)kept);
@@ -420,8 +446,7 @@
 static gboolean
 find_settled (const bts_sched_t *sched)
 {
-  gint64 since_us = bts_sched_now (sched) - sched->began_us;
-  if (since_us > BTS_LEAD_UNSURE_US + (gint64)((double)sched->config.hold_max_ms * 1000 / (1 - BTS_CLOCK_SLOW)))
+  if (bts_sched_now (sched) >= sched->sure_us)
     return TRUE;
   guint known = 0;
   GHashTableIter iter;
@@ -431,7 +456,7 @@
     {
       const bts_worker_t *worker = value;
       known++;
-      if (!worker->synced)
+      if (!worker->synced && !worker->departed)
         return FALSE;
     }
   return known > 0;
@@ -461,6 +486,8 @@
               sched->term, (bts_sched_now (sched) - sched->began_us) / 1000);
     }
   open_due (sched);
+  if (sched->waiting->len > 0 && bts_sched_now (sched) - sched->pass_us >= PASS_IDLE_US)
+    sched->dirty = TRUE;
   bts_beat_tick (sched);
   bts_sched_pass (sched);
 }
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -148,9 +148,10 @@
                             void *context);
 void bts_sched_free (bts_sched_t *sched);
 
-void bts_sched_begin (bts_sched_t *sched, guint64 term);
+void bts_sched_begin (bts_sched_t *sched, guint64 term, gint64 sure_us);
 void bts_sched_end (bts_sched_t *sched);
 gboolean bts_sched_leading (const bts_sched_t *sched);
+gint64 bts_sched_lease_ms (const bts_sched_t *sched);
 gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
 void bts_sched_tick (bts_sched_t *sched);
 void bts_sched_pass (bts_sched_t *sched);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -50,9 +50,11 @@
  * @beat_open: it hasn't come back yet
  * @confirmed_us: when the newest beat that came back was sent
  * @began_us: when the term began
+ * @sure_us: when every lease of an earlier owner has run out
  * @settled: nothing that an earlier owner started is unknown any more
  * @members: name to bts_member_t of the processes that may ask for advice
  * @dirty: a pass over the queue may place something
+ * @pass_us: when the last one was
  */
 struct bts_sched_t
 {
@@ -76,19 +78,23 @@
   gboolean beat_open;
   gint64 confirmed_us;
   gint64 began_us;
+  gint64 sure_us;
   gboolean settled;
   GHashTable *members;
   gboolean dirty;
+  gint64 pass_us;
 };
 
 const char *bts_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us);
 gboolean bts_advice_ready (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
 gboolean bts_advice_holds (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *runs,
                            gint64 now_us);
+void bts_advice_extend (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
 void bts_advice_expect (bts_sched_t *sched, const bts_job_t *job);
 
 gint64 bts_sched_now (const bts_sched_t *sched);
-gint64 bts_sched_lease_ms (const bts_sched_t *sched);
+void bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
+
 gint64 bts_sched_deadline (bts_sched_t *sched, bts_worker_t *worker);
 void bts_sched_wake (bts_sched_t *sched, bts_stage_t *stage);
 void bts_sched_open_job (bts_sched_t *sched, bts_job_t *job);
@@ -104,6 +110,7 @@
 void bts_gang_break (bts_sched_t *sched, bts_stage_t *stage);
 
 void bts_worker_tick (bts_sched_t *sched, bts_worker_t *worker);
+void bts_worker_departed (bts_sched_t *sched, bts_worker_t *worker);
 void bts_worker_gone (bts_sched_t *sched, bts_worker_t *worker, const char *cause);
 
 void bts_beat_add (bts_sched_t *sched, const bts_worker_t *worker, const bts_finished_t *row,
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -83,6 +83,18 @@
   worker->hold_next_us = bts_sched_now (sched) + HOLD_RETRY_US;
 }
 
+/**
+ * bts_worker_departed() - another worker answers at the address of this one
+ * @sched: the scheduler
+ * @worker: the worker
+ */
+void
+bts_worker_departed (bts_sched_t *sched, bts_worker_t *worker)
+{
+  bts_worker_gone (sched, worker, "departed");
+  worker->departed = TRUE;
+}
+
 static void
 send_hold (bts_sched_t *sched, bts_worker_t *worker, gint64 now_us)
 {
@@ -110,6 +122,8 @@
     lose_runs (sched, worker, "lease-over");
   for (guint i = 0; i < worker->runs->len; i++)
     bts_run_tick (sched, worker->runs->pdata[i]);
+  if (worker->departed)
+    return;
   if (!worker->listed && worker->runs->len == 0 && worker->synced
       && now_us - worker->unlisted_us > UNLISTED_US)
     return;
@@ -258,7 +272,7 @@
     }
   if (reply == BTS_REPLY_OTHER_LIFE)
     {
-      bts_worker_gone (sched, worker, "other-life");
+      bts_worker_departed (sched, worker);
       return;
     }
   if (worker->hold_failures++ == 0)
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1519,7 +1519,7 @@
   (ProtobufCMessageInit) bts__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__advice__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bts__advice__field_descriptors[7] =
 {
   {
     "job",
@@ -1593,9 +1593,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "denied",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bts__Advice, n_denied),
+    offsetof(Bts__Advice, denied),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__advice__field_indices_by_name[] = {
   3,   /* field[3] = allowed */
+  6,   /* field[6] = denied */
   0,   /* field[0] = job */
   5,   /* field[5] = node */
   1,   /* field[1] = occurrence */
@@ -1605,7 +1618,7 @@
 static const ProtobufCIntRange bts__advice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bts__advice__descriptor =
 {
@@ -1615,7 +1628,7 @@
   "Bts__Advice",
   "bts",
   sizeof(Bts__Advice),
-  6,
+  7,
   bts__advice__field_descriptors,
   bts__advice__field_indices_by_name,
   1,  bts__advice__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -196,10 +196,15 @@
    * Who asked; it is alive.
    */
   char *node;
+  /*
+   * Workers that were asked about and may not run the step.
+   */
+  size_t n_denied;
+  char **denied;
 };
 #define BTS__ADVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__advice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -113,6 +113,7 @@
   guint64 token;
   bts_stored_t stored;
   GBytes *record;
+  gint64 sent_us;
 } sim_append_t;
 
 static void
@@ -127,7 +128,8 @@
 append_answered (sim_t *sim, gpointer data)
 {
   sim_append_t *append = data;
-  bts_node_on_append (append->node->node, append->token, append->stored);
+  bts_node_on_append (append->node->node, append->token, append->stored,
+                      now (sim) - append->sent_us);
 }
 
 static void
@@ -151,6 +153,7 @@
   append->node = node;
   append->token = token;
   append->record = g_bytes_ref (record);
+  append->sent_us = now (sim);
   gint64 delay_us = 2 * SIM_DELAY_US + sim->append_us;
   if (store_away (node))
     {
@@ -749,6 +752,12 @@
       give_back (order, CALL_TIMEOUT_US, hold_answered);
       return;
     }
+  if (worker->departed)
+    {
+      order->reply = BTS_REPLY_OTHER_LIFE;
+      give_back (order, SIM_DELAY_US, hold_answered);
+      return;
+    }
   if (order->fence < worker->fence)
     {
       order->reply = BTS_REPLY_FENCED;
@@ -809,7 +818,7 @@
   for (guint i = 0; i < advice->workers->len; i++)
     {
       g_autofree char *key = g_strconcat (advice->step, advice->workers->pdata[i], NULL);
-      if (g_str_hash (key) % 2 == 0)
+      if (sim->advice_denies || g_str_hash (key) % 2 == 0)
         continue;
       Bts__Ticket *ticket = malloc (sizeof *ticket);
       bts__ticket__init (ticket);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -44,6 +44,7 @@
  * @mute: calls to it are carried out and get no answer
  * @late_us: orders to start are carried out so much later and get no answer
  * @dead: nothing runs on it any more
+ * @departed: another worker answers at its address
  * @fails: all that it starts fails after a while
  * @stalls: what runs on it makes no progress
  * @lapsed_us: when its lease was last seen to be over
@@ -73,6 +74,7 @@
   gboolean mute;
   gint64 late_us;
   gboolean dead;
+  gboolean departed;
   gboolean draining;
   gboolean unlisted;
   gboolean fails;
@@ -107,6 +109,7 @@
  * @lose_percent: share of appends that are done and not answered
  * @append_us: time of an append
  * @advised: jobs handed in need advice
+ * @advice_denies: it denies all workers that are there
  * @violations: what broke a promise
  * @done: name of a task to when it ended done
  * @started: name of a task to when it was started last
@@ -129,6 +132,7 @@
   gint64 append_us;
   gint64 late_append_us;
   gboolean advised;
+  gboolean advice_denies;
   guint64 exchange;
   GPtrArray *violations;
   GHashTable *answers;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -355,6 +355,52 @@
   ck_assert_uint_eq (sim_running (sim, job->id), 0);
 }
 
+/* No worker that is there may run the step; the ones that come later are asked about. */
+static void
+workers_come_after_the_advice (sim_t *sim)
+{
+  sim->advised = TRUE;
+  sim->advice_denies = TRUE;
+  sim_job_t *job = sim_submit (sim, 0, &lookup, one_step, G_N_ELEMENTS (one_step));
+  sim_run_ms (sim, 1500);
+  ck_assert_uint_eq (sim->starts, 0);
+  sim->advice_denies = FALSE;
+  for (guint i = 0; i < 4; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("late-%u", i);
+      bts_room_t room = { 32000, 65536, 8 };
+      sim_add_worker (sim, id, "main", room);
+    }
+  sim_run_ms (sim, 6000);
+  ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
+}
+
+/* All workers are full of patient work when a job comes that is to be kept up. */
+static void
+lasting_task_finds_workers_full (sim_t *sim)
+{
+  static const sim_step_t wide[]
+      = { { .count = 60, .cpu = 8000, .memory = 2000, .ms = 20000 } };
+  sim_submit (sim, 0, &batch, wide, G_N_ELEMENTS (wide));
+  sim_run_ms (sim, 1000);
+  sim_job_t *job = sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 6000);
+  ck_assert_uint_eq (sim_running (sim, job->id), 3);
+}
+
+/* A worker that departed for good doesn't hold up the next owner. */
+static void
+address_taken_and_owner_killed (sim_t *sim)
+{
+  sim_worker (sim, 0)->departed = TRUE;
+  sim_worker (sim, 0)->unlisted = TRUE;
+  sim_run_ms (sim, 2000);
+  submit_mix (sim, 1);
+  sim_kill (sim, (guint)sim_owner (sim));
+  sim_run_ms (sim, 9000);
+  expect_all_completed (sim);
+}
+
 static const struct
 {
   const char *name;
@@ -385,6 +431,9 @@
   { "lasting_tasks_are_kept_up", lasting_tasks_are_kept_up },
   { "failing_worker_is_avoided", failing_worker_is_avoided },
   { "hopeless_job_fails", hopeless_job_fails },
+  { "lasting_task_finds_workers_full", lasting_task_finds_workers_full },
+  { "address_taken_and_owner_killed", address_taken_and_owner_killed },
+  { "workers_come_after_the_advice", workers_come_after_the_advice },
 };
 
 START_TEST (installation_keeps_its_promises)
