Short questions to the advice service no longer wait behind long ones

Now every second process takes the long questions, the owner spreads the rest, and later steps are asked about before their turn.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -6,13 +6,17 @@
 
 /*
  * Which workers may run a stage. The service takes one call at a time from each
- * VM, so the owner spreads its questions over all processes: the one that took
- * a job in asks about its first stage, others are told by the journal.
+ * VM, so the owner spreads its questions over all processes and tells them by the
+ * journal. A process that takes a job in asks about its first stage itself if it
+ * has nothing else to ask and the call is short.
  */
 
 /* Time for a question and its answer to pass through the journal, in microseconds,
    beyond the time of the calls; then another process is asked. */
 #define PATIENCE_US (1500 * 1000)
+/* A stage is asked about when the one before it has this part of a ticket's validity
+   left to run, as estimated: estimates are off by up to half. */
+#define FORESEE_PART 2
 /* Part of a ticket's validity kept for the way of the start to the worker. */
 #define TICKET_MARGIN_US (200 * 1000)
 /* A process without a sign for so long isn't asked, in microseconds. */
@@ -43,24 +47,35 @@
   return (gint64)((policy->advice_ms + policy->advice_worker_ms * workers) * 1000.0);
 }
 
-/* The process that will be free first; those that gave no sign lately are left out. */
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+/* The process that will be free first. Every second one is for long calls, which
+   would hold up the short ones; those that gave no sign lately are left out. */
 static const char *
-choose_member (const bts_sched_t *sched, gint64 now_us, bts_member_t **chosen)
+choose_member (const bts_sched_t *sched, gboolean is_long, gint64 now_us, bts_member_t **chosen)
 {
-  const char *best = NULL;
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer key;
   gpointer value;
   g_hash_table_iter_init (&iter, sched->members);
   while (g_hash_table_iter_next (&iter, &key, &value))
+    if (now_us - ((bts_member_t *)value)->seen_us <= MEMBER_SILENT_US)
+      g_ptr_array_add (names, key);
+  g_ptr_array_sort (names, compare_names);
+  const char *best = NULL;
+  for (guint i = 0; i < names->len; i++)
     {
-      bts_member_t *member = value;
-      if (now_us - member->seen_us > MEMBER_SILENT_US)
+      bts_member_t *member = g_hash_table_lookup (sched->members, names->pdata[i]);
+      if (is_long && i % 2 != 0)
         continue;
-      if (best == NULL || member->busy_until_us < (*chosen)->busy_until_us
-          || (member->busy_until_us == (*chosen)->busy_until_us && strcmp (key, best) < 0))
+      if (best == NULL || member->busy_until_us < (*chosen)->busy_until_us)
         {
-          best = key;
+          best = names->pdata[i];
           *chosen = member;
         }
     }
@@ -71,11 +86,12 @@
 ask (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *workers, gint64 now_us)
 {
   bts_member_t *member = NULL;
-  const char *node = choose_member (sched, now_us, &member);
+  gint64 took_us = call_us (bts_stage_policy (stage), workers->len);
+  const char *node
+      = choose_member (sched, took_us > BTS_ADVICE_SHORT_MS * 1000, now_us, &member);
   if (workers->len == 0 || node == NULL)
     return;
-  member->busy_until_us = MAX (member->busy_until_us, now_us)
-                          + call_us (bts_stage_policy (stage), workers->len);
+  member->busy_until_us = MAX (member->busy_until_us, now_us) + took_us;
   stage->asked_us = now_us;
   stage->answer_us = member->busy_until_us + PATIENCE_US;
   sched->ops->advise (sched->context, node, stage, workers);
@@ -108,7 +124,7 @@
 }
 
 /**
- * bts_advice_expect() - a process will ask about the first stage of its job
+ * bts_advice_expect() - a process asks about the first stage of its job itself
  * @sched: a leading scheduler
  * @job: a job just accepted
  */
@@ -117,7 +133,7 @@
 {
   const Bts__Policy *policy = job->accepted->policy;
   bts_member_t *member = g_hash_table_lookup (sched->members, job->accepted->entry);
-  if (!policy->advised || member == NULL)
+  if (!job->accepted->asks || member == NULL)
     return;
   gint64 now_us = bts_sched_now (sched);
   guint workers = MIN (g_hash_table_size (sched->fleet->workers), BTS_ADVICE_MAX);
@@ -194,6 +210,62 @@
   ask (sched, stage, ids, now_us);
 }
 
+/**
+ * bts_advice_foresee() - ask about the stages after one whose tasks all run
+ * @sched: a leading scheduler
+ * @stage: the stage
+ *
+ * The answer is to be there when the stage ends, with tickets that still hold.
+ */
+void
+bts_advice_foresee (bts_sched_t *sched, bts_stage_t *stage)
+{
+  bts_job_t *job = stage->job;
+  if (!job->accepted->policy->advised)
+    return;
+  gint64 end_us = 0;
+  for (guint i = 0; i < stage->n; i++)
+    if (stage->tasks[i].run != NULL)
+      end_us = MAX (end_us, stage->tasks[i].run->created_us
+                                + (gint64)bts_stage_step (stage)->estimate_ms * 1000);
+  gint64 ahead_us = (gint64)job->accepted->policy->advice_validity_ms * 1000 / FORESEE_PART;
+  bts_occurrence_t *occurrence = bts_job_occurrence (job, stage->occurrence);
+  for (gsize i = stage->step + 1; i < job->accepted->n_steps; i++)
+    {
+      bts_stage_t *next = &occurrence->stages[i];
+      const Bts__Step *step = bts_stage_step (next);
+      gboolean follows = FALSE;
+      for (gsize a = 0; a < step->n_after; a++)
+        follows = follows || step->after[a] == stage->step;
+      if (!follows || next->advice != NULL || next->foresee_us != 0)
+        continue;
+      next->foresee_us = MAX (end_us - ahead_us, 1);
+      g_ptr_array_add (sched->foreseen, next);
+    }
+}
+
+/**
+ * bts_advice_tick() - ask about stages that will come soon
+ * @sched: a leading scheduler
+ */
+void
+bts_advice_tick (bts_sched_t *sched)
+{
+  gint64 now_us = bts_sched_now (sched);
+  for (guint i = 0; i < sched->foreseen->len;)
+    {
+      bts_stage_t *stage = sched->foreseen->pdata[i];
+      if (now_us < stage->foresee_us && !bts_job_over (stage->job))
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index_fast (sched->foreseen, i);
+      if (stage->advice == NULL && stage->asked_us == 0 && !bts_job_over (stage->job))
+        ask_about (sched, stage, now_us);
+    }
+}
+
 /**
  * bts_sched_on_advised() - advice on a stage is in the journal
  * @sched: the scheduler
--- a/libbamboothread/scheduler/adviser.c
+++ b/libbamboothread/scheduler/adviser.c
@@ -20,6 +20,7 @@
 {
   bts_question_t *question = data;
   g_free (question->job);
+  g_free (question->service);
   if (question->workers != NULL)
     g_ptr_array_unref (question->workers);
   g_ptr_array_unref (question->asked);
@@ -52,12 +53,9 @@
   while (adviser->open->len < OPEN_MAX && !g_queue_is_empty (&adviser->queue))
     {
       bts_question_t *question = g_queue_pop_head (&adviser->queue);
-      bts_job_t *job = bts_ledger_job (adviser->ledger, question->job);
-      bts_stage_t *stage = job == NULL || bts_job_over (job)
-                               ? NULL
-                               : bts_job_stage (job, question->occurrence, question->step);
+      const bts_job_t *job = bts_ledger_job (adviser->ledger, question->job);
       question->tries++;
-      if (stage != NULL && adviser->ops->ask (adviser->context, question, stage))
+      if ((job == NULL || !bts_job_over (job)) && adviser->ops->ask (adviser->context, question))
         g_ptr_array_add (adviser->open, question);
       else
         question_free (question);
@@ -65,18 +63,22 @@
 }
 
 /**
- * bts_adviser_ask() - ask which workers may run a stage
+ * bts_adviser_ask() - ask which workers may run a step
  * @adviser: the adviser
- * @stage: the stage
+ * @job: the job; it need not be in the journal yet
+ * @occurrence: number of the occurrence
+ * @step: number of the step
  * @workers: ids of the workers, or NULL for all
  */
 void
-bts_adviser_ask (bts_adviser_t *adviser, const bts_stage_t *stage, const GPtrArray *workers)
+bts_adviser_ask (bts_adviser_t *adviser, const Bts__Accepted *job, guint occurrence, guint step,
+                 const GPtrArray *workers)
 {
   bts_question_t *question = g_new0 (bts_question_t, 1);
-  question->job = g_strdup (bts_job_id (stage->job));
-  question->occurrence = stage->occurrence;
-  question->step = stage->step;
+  question->job = g_strdup (job->id);
+  question->service = g_strdup (job->policy->service);
+  question->occurrence = occurrence;
+  question->step = step;
   question->asked = g_ptr_array_new_with_free_func (g_free);
   if (workers != NULL)
     {
@@ -88,6 +90,16 @@
   run_queue (adviser);
 }
 
+/**
+ * bts_adviser_idle() - whether a question would be asked at once
+ * @adviser: the adviser
+ */
+gboolean
+bts_adviser_idle (const bts_adviser_t *adviser)
+{
+  return adviser->open->len == 0 && g_queue_get_length ((GQueue *)&adviser->queue) == 0;
+}
+
 /**
  * bts_adviser_on_answer() - a call has been answered, or not
  * @adviser: the adviser
--- a/libbamboothread/scheduler/adviser.h
+++ b/libbamboothread/scheduler/adviser.h
@@ -10,7 +10,8 @@
 typedef struct bts_adviser_t bts_adviser_t;
 
 /**
- * struct bts_question_t - which of some workers may run a stage
+ * struct bts_question_t - which of some workers may run a step
+ * @service: the pool of the step
  * @workers: ids, or NULL for all that are listed when it is asked
  * @asked: ids that were named in the call
  */
@@ -19,6 +20,7 @@
   char *job;
   guint occurrence;
   guint step;
+  char *service;
   GPtrArray *workers;
   GPtrArray *asked;
   guint tries;
@@ -30,12 +32,14 @@
  */
 typedef struct
 {
-  gboolean (*ask) (void *context, bts_question_t *question, bts_stage_t *stage);
+  gboolean (*ask) (void *context, bts_question_t *question);
 } bts_adviser_ops_t;
 
 bts_adviser_t *bts_adviser_new (bts_ledger_t *ledger, const bts_adviser_ops_t *ops, void *context);
 void bts_adviser_free (bts_adviser_t *adviser);
-void bts_adviser_ask (bts_adviser_t *adviser, const bts_stage_t *stage, const GPtrArray *workers);
+void bts_adviser_ask (bts_adviser_t *adviser, const Bts__Accepted *job, guint occurrence,
+                      guint step, const GPtrArray *workers);
+gboolean bts_adviser_idle (const bts_adviser_t *adviser);
 void bts_adviser_on_answer (bts_adviser_t *adviser, const bts_question_t *question, gboolean ok);
 
 #endif
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -311,6 +311,9 @@
 /**
  * bts_stage_ready() - whether all stages that it waits for are over
  * @stage: the stage
+ *
+ * Ends that are on their way into the journal count: the tasks have ended, and no
+ * later owner can undo that.
  */
 gboolean
 bts_stage_ready (const bts_stage_t *stage)
@@ -318,8 +321,11 @@
   const Bts__Step *step = bts_stage_step (stage);
   const bts_occurrence_t *occurrence = bts_job_occurrence (stage->job, stage->occurrence);
   for (gsize i = 0; i < step->n_after; i++)
-    if (!bts_stage_over (&occurrence->stages[step->after[i]]))
-      return FALSE;
+    {
+      const bts_stage_t *before = &occurrence->stages[step->after[i]];
+      if (before->n_done + before->n_listed < before->n)
+        return FALSE;
+    }
   return TRUE;
 }
 
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -72,6 +72,7 @@
  * @saved: newest checkpoint, or NULL
  * @run: the owner's present run of it, or NULL
  * @ending: its run has ended and the journal doesn't hold the end yet
+ * @listed: that end is one of @n_listed of its stage
  * @avoid: worker on which it failed last, or NULL
  */
 typedef struct
@@ -86,6 +87,7 @@
   char *saved;
   bts_run_t *run;
   gboolean ending;
+  gboolean listed;
   char *avoid;
 } bts_task_t;
 
@@ -93,11 +95,13 @@
  * struct bts_stage_t - one step of one occurrence
  * @tasks: its tasks, @n of them
  * @n_done: tasks with a journaled end of kind done
+ * @n_listed: tasks whose end of kind done is on its way into the journal
  * @gang_fails: failed runs of the whole gang
  * @gang_failed_run: the run that @gang_fails counted last
  * @advice: id of a worker that was asked about to bts_ticket_t; NULL before the first answer
  * @asked_us: when advice was asked for; 0 if none is on its way
  * @answer_us: when it is asked for again
+ * @foresee_us: when advice is asked for ahead of its turn; 0 if it isn't
  * @waiting: the stage stands in the owner's queue
  * @due_us: when it should be over for its job to meet its objective
  * @rest_until_us: no attempt to place it before
@@ -111,12 +115,14 @@
   guint step;
   guint n;
   guint n_done;
+  guint n_listed;
   bts_task_t *tasks;
   guint gang_fails;
   guint gang_failed_run;
   GHashTable *advice;
   gint64 asked_us;
   gint64 answer_us;
+  gint64 foresee_us;
   gboolean waiting;
   gint64 due_us;
   gint64 rest_until_us;
--- a/libbamboothread/scheduler/lead.h
+++ b/libbamboothread/scheduler/lead.h
@@ -17,6 +17,9 @@
 #define BTS_LEAD_UNSURE_US (6000 * 1000)
 /* Numbers of runs kept for each term; no task starts so often in one. */
 #define BTS_RUNS_PER_TERM 1000
+/* Calls to the advice service up to this time are short, in milliseconds: those of
+   urgent work take some 25 ms, those of others 150 ms and more. */
+#define BTS_ADVICE_SHORT_MS 100.0
 /* Most workers in one question to the advice service. */
 #define BTS_ADVICE_MAX 100
 
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -68,10 +68,6 @@
   bts_node_t *node = context;
   bts_gate_on_job (node->gate, job);
   bts_sched_on_accepted (node->sched, job);
-  if (!job->accepted->policy->advised || strcmp (job->accepted->entry, node->name) != 0)
-    return;
-  if (!node->replaying)
-    bts_adviser_ask (node->adviser, bts_job_stage (job, 0, 0), NULL);
 }
 
 static void
@@ -127,7 +123,7 @@
 {
   bts_node_t *node = context;
   if (strcmp (name, node->name) == 0)
-    bts_adviser_ask (node->adviser, stage, workers);
+    bts_adviser_ask (node->adviser, stage->job->accepted, stage->occurrence, stage->step, workers);
 }
 
 static void
@@ -199,7 +195,8 @@
   bts_node_t *node = context;
   if (strcmp (name, node->name) == 0)
     {
-      bts_adviser_ask (node->adviser, stage, workers);
+      bts_adviser_ask (node->adviser, stage->job->accepted, stage->occurrence, stage->step,
+                       workers);
       return;
     }
   Bts__Ask ask = BTS__ASK__INIT;
@@ -267,7 +264,7 @@
 }
 
 static gboolean
-adviser_ask (void *context, bts_question_t *question, bts_stage_t *stage)
+adviser_ask (void *context, bts_question_t *question)
 {
   bts_node_t *node = context;
   GPtrArray *ids = question->asked;
@@ -275,10 +272,10 @@
   for (guint i = 0; question->workers != NULL && i < question->workers->len; i++)
     g_ptr_array_add (ids, g_strdup (question->workers->pdata[i]));
   if (question->workers == NULL)
-    add_listed (node, bts_stage_policy (stage)->service, ids);
+    add_listed (node, question->service, ids);
   if (ids->len == 0)
     return FALSE;
-  node->ops->advise (node->context, question, stage, ids);
+  node->ops->advise (node->context, question);
   return TRUE;
 }
 
@@ -538,6 +535,15 @@
   if (job->entry != protobuf_c_empty_string)
     free (job->entry);
   job->entry = strdup (node->name);
+  const Bts__Policy *policy = job->policy;
+  double call_ms = policy->advice_ms
+                   + policy->advice_worker_ms * g_hash_table_size (node->fleet.workers);
+  /* A long call would hold up the short ones of other jobs. */
+  job->asks = policy->advised && job->repeat == 0 && call_ms <= BTS_ADVICE_SHORT_MS
+              && bts_adviser_idle (node->adviser) && bts_gate_fresh (node->gate, node_now (node))
+              && bts_ledger_job (node->ledger, job->id) == NULL;
+  if (job->asks)
+    bts_adviser_ask (node->adviser, job, 0, 0, NULL);
   bts_gate_submit (node->gate, exchange, job, patience_us, node_now (node));
 }
 
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -19,7 +19,8 @@
  * @append: a record for the journal; answered by bts_node_on_append()
  * @hold, @start, @stop: orders to workers; answered by the functions of the
  *   same names in sched.h on bts_node_sched()
- * @advise: a question to the advice service; answered by bts_node_on_advice()
+ * @advise: a question to the advice service about its asked workers; answered by
+ *   bts_node_on_advice()
  * @answer: tell a caller
  * @now_unix_ms: the time of day
  */
@@ -29,8 +30,7 @@
   void (*hold) (void *context, const bts_worker_t *worker, const bts_hold_order_t *order);
   void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
   void (*stop) (void *context, const bts_run_t *run, guint64 fence);
-  void (*advise) (void *context, const bts_question_t *question, const bts_stage_t *stage,
-                  const GPtrArray *workers);
+  void (*advise) (void *context, const bts_question_t *question);
   void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
   gint64 (*now_unix_ms) (void *context);
 } bts_node_ops_t;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -33,6 +33,7 @@
   sched->runs = g_hash_table_new (g_int64_hash, g_int64_equal);
   sched->waiting = g_ptr_array_new ();
   sched->timed = g_ptr_array_new ();
+  sched->foreseen = g_ptr_array_new ();
   sched->outgoing = g_ptr_array_new_with_free_func (bts_outgoing_free);
   sched->begun = g_ptr_array_new_with_free_func (g_free);
   sched->held = g_ptr_array_new_with_free_func (bts_held_free);
@@ -48,6 +49,7 @@
   g_hash_table_unref (sched->runs);
   g_ptr_array_unref (sched->waiting);
   g_ptr_array_unref (sched->timed);
+  g_ptr_array_unref (sched->foreseen);
   g_ptr_array_unref (sched->outgoing);
   g_ptr_array_unref (sched->begun);
   g_ptr_array_unref (sched->held);
@@ -131,13 +133,19 @@
   return longest;
 }
 
+/* The time that a job may take and still meet its objective, about. */
+static gint64
+allowed_ms (const bts_job_t *job)
+{
+  const Bts__Policy *policy = job->accepted->policy;
+  return (gint64)(policy->stretch * (double)chain_ms (job, 0)) + policy->objective_ms;
+}
+
 static gint64
 stage_due_us (const bts_stage_t *stage)
 {
   const bts_job_t *job = stage->job;
-  const Bts__Policy *policy = job->accepted->policy;
-  gint64 allowed_ms = (gint64)(policy->stretch * (double)chain_ms (job, 0)) + policy->objective_ms;
-  return job->folded_us + allowed_ms * 1000 - chain_ms (job, stage->step) * 1000;
+  return job->folded_us + allowed_ms (job) * 1000 - chain_ms (job, stage->step) * 1000;
 }
 
 /**
@@ -157,6 +165,19 @@
   g_ptr_array_add (sched->waiting, stage);
 }
 
+/**
+ * bts_sched_wake_after() - queue the stages whose turn a stage's end has brought
+ * @sched: a leading scheduler
+ * @stage: the stage that is over
+ */
+void
+bts_sched_wake_after (bts_sched_t *sched, const bts_stage_t *stage)
+{
+  bts_occurrence_t *occurrence = bts_job_occurrence (stage->job, stage->occurrence);
+  for (gsize i = stage->step + 1; i < stage->job->accepted->n_steps; i++)
+    bts_sched_wake (sched, &occurrence->stages[i]);
+}
+
 static void
 open_occurrence (bts_sched_t *sched, bts_job_t *job, guint number)
 {
@@ -238,11 +259,14 @@
           bts_stage_t *stage = &occurrence->stages[i];
           stage->waiting = FALSE;
           stage->asked_us = 0;
+          stage->foresee_us = 0;
+          stage->n_listed = 0;
           stage->rest_until_us = 0;
           for (guint t = 0; t < stage->n; t++)
             {
               stage->tasks[t].run = NULL;
               stage->tasks[t].ending = FALSE;
+              stage->tasks[t].listed = FALSE;
             }
         }
     }
@@ -279,6 +303,7 @@
     forget_owner_state (value);
   g_ptr_array_set_size (sched->waiting, 0);
   g_ptr_array_set_size (sched->timed, 0);
+  g_ptr_array_set_size (sched->foreseen, 0);
   bts_beat_clear (sched);
 }
 
@@ -430,6 +455,8 @@
         {
           stage->waiting = FALSE;
           stage->short_us = 0;
+          if (!bts_job_over (stage->job))
+            bts_advice_foresee (sched, stage);
           continue;
         }
       if (may_place (stage, open) && !uncertain (sched, stage)
@@ -490,6 +517,7 @@
               sched->term, (bts_sched_now (sched) - sched->began_us) / 1000);
     }
   open_due (sched);
+  bts_advice_tick (sched);
   if (sched->waiting->len > 0 && bts_sched_now (sched) - sched->pass_us >= PASS_IDLE_US)
     sched->dirty = TRUE;
   bts_beat_tick (sched);
@@ -515,6 +543,11 @@
 {
   if (sched->term == 0)
     return;
+  const Bts__Policy *policy = job->accepted->policy;
+  bt_log (BT_LOG_INFO, "over",
+          "job=%s route=%s state=%s took_ms=%" G_GINT64_FORMAT " allowed_ms=%" G_GINT64_FORMAT,
+          bts_job_id (job), policy->route, bts_state_name (bts_job_state (job)),
+          (job->ended_us - job->folded_us) / 1000, allowed_ms (job));
   for (guint k = 0; k < job->occurrences->len; k++)
     {
       bts_occurrence_t *occurrence = job->occurrences->pdata[k];
@@ -539,14 +572,27 @@
     return;
   task->ending = FALSE;
   bts_stage_t *stage = task->stage;
+  if (task->listed)
+    stage->n_listed--;
+  task->listed = FALSE;
   if (task->done && task->run != NULL)
     bts_run_stop (sched, task->run);
   bts_sched_wake (sched, stage);
-  if (!bts_stage_over (stage))
-    return;
-  bts_occurrence_t *occurrence = bts_job_occurrence (stage->job, stage->occurrence);
-  for (gsize i = stage->step + 1; i < stage->job->accepted->n_steps; i++)
-    bts_sched_wake (sched, &occurrence->stages[i]);
+  if (bts_stage_over (stage))
+    bts_sched_wake_after (sched, stage);
+}
+
+static void
+forget_stages (GPtrArray *stages, const bts_job_t *job)
+{
+  for (guint i = 0; i < stages->len;)
+    {
+      const bts_stage_t *stage = stages->pdata[i];
+      if (stage->job == job)
+        g_ptr_array_remove_index (stages, i);
+      else
+        i++;
+    }
 }
 
 /**
@@ -558,14 +604,8 @@
 bts_sched_on_forgotten (bts_sched_t *sched, bts_job_t *job)
 {
   g_ptr_array_remove_fast (sched->timed, job);
-  for (guint i = 0; i < sched->waiting->len;)
-    {
-      const bts_stage_t *stage = sched->waiting->pdata[i];
-      if (stage->job == job)
-        g_ptr_array_remove_index (sched->waiting, i);
-      else
-        i++;
-    }
+  forget_stages (sched->waiting, job);
+  forget_stages (sched->foreseen, job);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, sched->runs);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -42,6 +42,7 @@
  * @runs: serial to bts_run_t
  * @waiting: bts_stage_t with tasks to be placed
  * @timed: bts_job_t with occurrences to come
+ * @foreseen: bts_stage_t to ask advice about before their turn
  * @outgoing: bts_outgoing_t in the order of the lists
  * @begun: ids of jobs whose first start isn't in the journal
  * @held: Bts__Held of workers that the journal doesn't tell of yet
@@ -72,6 +73,7 @@
   GHashTable *runs;
   GPtrArray *waiting;
   GPtrArray *timed;
+  GPtrArray *foreseen;
   GPtrArray *outgoing;
   GPtrArray *begun;
   GPtrArray *held;
@@ -97,6 +99,8 @@
 gboolean bts_advice_holds (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *runs,
                            gint64 now_us);
 void bts_advice_extend (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
+void bts_advice_foresee (bts_sched_t *sched, bts_stage_t *stage);
+void bts_advice_tick (bts_sched_t *sched);
 void bts_advice_expect (bts_sched_t *sched, const bts_job_t *job);
 
 gint64 bts_sched_now (const bts_sched_t *sched);
@@ -104,6 +108,7 @@
 
 gint64 bts_sched_deadline (bts_sched_t *sched, bts_worker_t *worker);
 void bts_sched_wake (bts_sched_t *sched, bts_stage_t *stage);
+void bts_sched_wake_after (bts_sched_t *sched, const bts_stage_t *stage);
 void bts_sched_open_job (bts_sched_t *sched, bts_job_t *job);
 
 bts_run_t *bts_run_new (bts_sched_t *sched, bts_task_t *task, const char *name, guint number,
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -218,6 +218,20 @@
   task->avoid = g_strdup (worker->entry->id);
 }
 
+/* The next stage need not wait until the journal holds the end. */
+static void
+count_listed (bts_sched_t *sched, bts_task_t *task)
+{
+  bts_stage_t *stage = task->stage;
+  const Bts__Step *step = bts_stage_step (stage);
+  if (step->gang || step->long_running || task->done)
+    return;
+  task->listed = TRUE;
+  stage->n_listed++;
+  if (stage->n_done + stage->n_listed == stage->n)
+    bts_sched_wake_after (sched, stage);
+}
+
 static void
 take_finished (bts_sched_t *sched, bts_worker_t *worker, const bts_finished_t *row)
 {
@@ -240,6 +254,8 @@
       judge_worker (worker, task, row->how);
     }
   bts_beat_add (sched, worker, row, counts ? task : NULL);
+  if (counts && row->how == BTS_HOW_DONE)
+    count_listed (sched, task);
 }
 
 /* Runs that the worker lists neither as running nor as ended are over, if it was
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1064,7 +1064,7 @@
   (ProtobufCMessageInit) bts__policy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__accepted__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bts__accepted__field_descriptors[9] =
 {
   {
     "id",
@@ -1162,8 +1162,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asks",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Accepted, asks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__accepted__field_indices_by_name[] = {
+  8,   /* field[8] = asks */
   7,   /* field[7] = entry */
   4,   /* field[4] = first_due_ms */
   0,   /* field[0] = id */
@@ -1176,7 +1189,7 @@
 static const ProtobufCIntRange bts__accepted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bts__accepted__descriptor =
 {
@@ -1186,7 +1199,7 @@
   "Bts__Accepted",
   "bts",
   sizeof(Bts__Accepted),
-  8,
+  9,
   bts__accepted__field_descriptors,
   bts__accepted__field_indices_by_name,
   1,  bts__accepted__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -102,10 +102,14 @@
   int64_t interval_ms;
   uint32_t repeat;
   char *entry;
+  /*
+   * The entry asks the advice service about the first step itself.
+   */
+  protobuf_c_boolean asks;
 };
 #define BTS__ACCEPTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__accepted__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Bts__Cancelled
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -834,17 +834,16 @@
 }
 
 static void
-op_advise (void *context, const bts_question_t *question, const bts_stage_t *stage,
-           const GPtrArray *workers)
+op_advise (void *context, const bts_question_t *question)
 {
   sim_node_t *node = context;
   sim_advice_t *advice = g_new0 (sim_advice_t, 1);
   advice->node = node;
   advice->question = question;
-  advice->step = g_strdup_printf ("%s.%u", bts_job_id (stage->job), stage->step);
+  advice->step = g_strdup_printf ("%s.%u", question->job, question->step);
   advice->workers = g_ptr_array_new_with_free_func (g_free);
-  for (guint i = 0; i < workers->len; i++)
-    g_ptr_array_add (advice->workers, g_strdup (workers->pdata[i]));
+  for (guint i = 0; i < question->asked->len; i++)
+    g_ptr_array_add (advice->workers, g_strdup (question->asked->pdata[i]));
   node->advice_free_us = MAX (node->advice_free_us, now (node->sim)) + ADVICE_US;
   post (node, node->advice_free_us - now (node->sim) + 2 * SIM_DELAY_US, advice_answered, advice,
         advice_free);
