--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -13,7 +13,7 @@
 
 /* Time for a question and its answer to pass through the journal, in microseconds,
    beyond the time of the calls; then another process is asked. */
-#define PATIENCE_US (1500 * 1000)
+#define PATIENCE_US (700 * 1000)
 /* A stage is asked about when the one before it has this part of a ticket's validity
    left to run, as estimated: estimates are off by up to half. */
 #define FORESEE_PART 2
@@ -82,6 +82,17 @@
   return best;
 }
 
+/* A process that left a question unanswered isn't asked until it gives a new sign. */
+static void
+doubt_member (bts_sched_t *sched, bts_stage_t *stage)
+{
+  bts_member_t *member
+      = stage->asked == NULL ? NULL : g_hash_table_lookup (sched->members, stage->asked);
+  stage->asked_us = 0;
+  if (member != NULL)
+    member->seen_us = MIN (member->seen_us, bts_sched_now (sched) - MEMBER_SILENT_US - 1);
+}
+
 static void
 ask (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *workers, gint64 now_us)
 {
@@ -94,6 +105,8 @@
   member->busy_until_us = MAX (member->busy_until_us, now_us) + took_us;
   stage->asked_us = now_us;
   stage->answer_us = member->busy_until_us + PATIENCE_US;
+  g_free (stage->asked);
+  stage->asked = g_strdup (node);
   sched->ops->advise (sched->context, node, stage, workers);
 }
 
@@ -156,6 +169,8 @@
     return TRUE;
   if (stage->asked_us != 0 && now_us < stage->answer_us)
     return FALSE;
+  if (stage->asked_us != 0)
+    doubt_member (sched, stage);
   if (stage->advice != NULL)
     return TRUE;
   ask_about (sched, stage, now_us);
@@ -278,6 +293,12 @@
   sched->dirty = TRUE;
 }
 
+static gboolean
+is_earlier_life (gpointer key, gpointer value, gpointer node)
+{
+  return bts_node_same_place (key, node);
+}
+
 /**
  * bts_sched_on_seen() - a process has given a sign
  * @sched: the scheduler
@@ -291,6 +312,7 @@
   bts_member_t *member = g_hash_table_lookup (sched->members, node);
   if (member == NULL)
     {
+      g_hash_table_foreach_remove (sched->members, is_earlier_life, (gpointer)node);
       member = g_new0 (bts_member_t, 1);
       g_hash_table_insert (sched->members, g_strdup (node), member);
     }
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -77,6 +77,7 @@
         }
       g_free (stage->tasks);
       g_clear_pointer (&stage->advice, g_hash_table_unref);
+      g_free (stage->asked);
     }
   g_free (occurrence->stages);
   g_free (occurrence);
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -100,6 +100,7 @@
  * @gang_failed_run: the run that @gang_fails counted last
  * @advice: id of a worker that was asked about to bts_ticket_t; NULL before the first answer
  * @asked_us: when advice was asked for; 0 if none is on its way
+ * @asked: the process that was asked, or NULL
  * @answer_us: when it is asked for again
  * @foresee_us: when advice is asked for ahead of its turn; 0 if it isn't
  * @waiting: the stage stands in the owner's queue
@@ -121,6 +122,7 @@
   guint gang_failed_run;
   GHashTable *advice;
   gint64 asked_us;
+  char *asked;
   gint64 answer_us;
   gint64 foresee_us;
   gboolean waiting;
--- a/libbamboothread/scheduler/lead.c
+++ b/libbamboothread/scheduler/lead.c
@@ -13,6 +13,20 @@
 /* Reads further apart than this don't show whether the owner was silent. */
 #define READ_GAP_US (2500 * 1000)
 
+/**
+ * bts_node_same_place() - whether two names are of lives of a process on one VM
+ * @a: a name, VM and life parted by a slash
+ * @b: another one
+ */
+gboolean
+bts_node_same_place (const char *a, const char *b)
+{
+  const char *slash_a = strchr (a, '/');
+  const char *slash_b = strchr (b, '/');
+  return slash_a != NULL && slash_b != NULL && slash_a - a == slash_b - b
+         && strncmp (a, b, (gsize)(slash_a - a)) == 0;
+}
+
 /**
  * bts_lead_init() - a process that has not read the journal yet
  * @lead: to be filled in
@@ -82,8 +96,6 @@
   return g_strcmp0 (bts_ledger_owner (ledger), lead->node) == 0;
 }
 
-static gboolean same_place (const char *a, const char *b);
-
 /**
  * bts_lead_on_owner() - the owner has changed
  * @lead: the process
@@ -95,7 +107,7 @@
 {
   const char *owner = bts_ledger_owner (ledger);
   /* One that resigned, or whose process has started anew, does nothing any more. */
-  gboolean stopped = lead->owner == NULL || (owner != NULL && same_place (owner, lead->owner));
+  gboolean stopped = lead->owner == NULL || (owner != NULL && bts_node_same_place (owner, lead->owner));
   lead->earlier_us = stopped ? 0 : lead->sign_us;
   lead->sign_us = now_us;
   g_free (lead->owner);
@@ -116,16 +128,6 @@
   return MAX (lead->earlier_us + BTS_LEAD_UNSURE_US, now_us) + lease_us;
 }
 
-/* The part of a node's name that stays the same over its lives. */
-static gboolean
-same_place (const char *a, const char *b)
-{
-  const char *slash_a = strchr (a, '/');
-  const char *slash_b = strchr (b, '/');
-  return slash_a != NULL && slash_b != NULL && slash_a - a == slash_b - b
-         && strncmp (a, b, (gsize)(slash_a - a)) == 0;
-}
-
 /**
  * bts_lead_due() - whether to claim the next term now
  * @lead: the process
@@ -149,7 +151,7 @@
   gint64 wait_us = BTS_LEAD_SILENCE_US + lead->jitter_us + LAG_WEIGHT * lead->lag_us;
   if (owner == NULL)
     wait_us = lead->jitter_us;
-  else if (same_place (owner, lead->node))
+  else if (bts_node_same_place (owner, lead->node))
     wait_us = 0;
   if (now_us - lead->sign_us < wait_us)
     return FALSE;
--- a/libbamboothread/scheduler/lead.h
+++ b/libbamboothread/scheduler/lead.h
@@ -49,6 +49,8 @@
   gboolean leaving;
 } bts_lead_t;
 
+gboolean bts_node_same_place (const char *a, const char *b);
+
 void bts_lead_init (bts_lead_t *lead, const char *node);
 void bts_lead_clear (bts_lead_t *lead);
 void bts_lead_on_read (bts_lead_t *lead, gint64 now_us);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -130,7 +130,9 @@
 on_seen (void *context, const char *name)
 {
   bts_node_t *node = context;
-  bts_sched_on_seen (node->sched, name);
+  /* Signs that are read again may be of processes that are long gone. */
+  if (!node->replaying)
+    bts_sched_on_seen (node->sched, name);
 }
 
 static void
