--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -178,26 +178,21 @@
 }
 
 /**
- * bts_advice_holds() - whether the workers chosen have tickets that hold
+ * bts_advice_renew() - ask for new tickets of a stage
  * @sched: a leading scheduler
- * @stage: the stage; asked about anew if a ticket has run out
- * @runs: the runs to be started
+ * @stage: the stage; nothing is asked while an answer is on its way
+ * @needed_us: when the tickets are needed; asked for no sooner than that takes
  * @now_us: the time
  */
-gboolean
-bts_advice_holds (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *runs, gint64 now_us)
+void
+bts_advice_renew (bts_sched_t *sched, bts_stage_t *stage, gint64 needed_us, gint64 now_us)
 {
-  if (!bts_stage_policy (stage)->advised)
-    return TRUE;
-  for (guint i = 0; i < runs->len; i++)
-    {
-      const bts_run_t *run = runs->pdata[i];
-      if (bts_ticket_now (stage, run->worker->entry->id, now_us) != NULL)
-        continue;
-      ask_about (sched, stage, now_us);
-      return FALSE;
-    }
-  return TRUE;
+  const Bts__Policy *policy = bts_stage_policy (stage);
+  if (!policy->advised || stage->advice == NULL || stage->asked_us != 0)
+    return;
+  guint workers = g_hash_table_size (stage->advice);
+  if (now_us + call_us (policy, workers) >= needed_us)
+    ask_about (sched, stage, now_us);
 }
 
 /**
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -119,6 +119,7 @@
  * @hold_failures: holds in a row without an answer
  * @heard_us: when it answered last
  * @rest_until_us: no starts before, since it refused some
+ * @reserved: pass of the queue in which it was kept free for a gang
  * @faults: failed ends in a row, for choosing others first
  */
 struct bts_worker_t
@@ -145,6 +146,7 @@
   guint hold_failures;
   gint64 heard_us;
   gint64 rest_until_us;
+  guint64 reserved;
   guint faults;
 };
 
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -148,6 +148,7 @@
  * bts_place_choose() - the worker for a task
  * @fleet: the workers
  * @task: the task
+ * @pass: number of the pass over the queue, in which workers may be reserved
  * @now_us: the time
  *
  * Prefers the worker that the task fills best, so that wide tasks still find
@@ -156,7 +157,7 @@
  * Return: a worker that can take it now, or NULL.
  */
 bts_worker_t *
-bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, gint64 now_us)
+bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, guint64 pass, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (task->stage);
   bts_worker_t *best = NULL;
@@ -167,7 +168,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       bts_worker_t *worker = value;
-      if (bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK)
+      if (worker->reserved == pass || bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK)
         continue;
       gint64 found = score (worker, task, step);
       if (best == NULL || found < best_score
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -366,7 +366,8 @@
 static bts_run_t *
 try_task (bts_sched_t *sched, bts_task_t *task, guint number)
 {
-  bts_worker_t *worker = bts_place_choose (sched->fleet, task, bts_sched_now (sched));
+  bts_worker_t *worker
+      = bts_place_choose (sched->fleet, task, sched->pass, bts_sched_now (sched));
   if (worker == NULL)
     return NULL;
   g_autofree char *name = bts_task_name (task);
@@ -380,6 +381,33 @@
     bts_run_drop (sched, runs->pdata[i]);
 }
 
+/* Takes back the runs whose tickets have run out, and all of a gang with them. */
+static void
+drop_without_ticket (bts_sched_t *sched, bts_stage_t *stage, GPtrArray *runs, gint64 now_us)
+{
+  g_autoptr (GPtrArray) without = g_ptr_array_new ();
+  for (guint i = 0; i < runs->len; i++)
+    {
+      bts_run_t *run = runs->pdata[i];
+      if (bts_ticket_now (stage, run->worker->entry->id, now_us) == NULL)
+        g_ptr_array_add (without, run);
+    }
+  if (without->len == 0)
+    return;
+  if (bts_stage_step (stage)->gang)
+    {
+      take_back (sched, runs);
+      g_ptr_array_set_size (runs, 0);
+    }
+  else
+    {
+      for (guint i = 0; i < without->len; i++)
+        g_ptr_array_remove (runs, without->pdata[i]);
+      take_back (sched, without);
+    }
+  bts_advice_renew (sched, stage, now_us, now_us);
+}
+
 /* Places as many open tasks of a stage as there is room for. */
 static void
 place_stage (bts_sched_t *sched, bts_stage_t *stage, guint open)
@@ -399,11 +427,15 @@
     }
   if (runs->len == 0)
     return;
-  if ((gang && runs->len < open) || !bts_advice_holds (sched, stage, runs, now_us))
+  if (gang && runs->len < open)
     {
       take_back (sched, runs);
       return;
     }
+  if (bts_stage_policy (stage)->advised)
+    drop_without_ticket (sched, stage, runs, now_us);
+  if (runs->len == 0)
+    return;
   for (guint i = 0; i < runs->len; i++)
     {
       bts_run_t *run = runs->pdata[i];
@@ -445,6 +477,7 @@
   sched->dirty = FALSE;
   gint64 now_us = bts_sched_now (sched);
   sched->pass_us = now_us;
+  sched->pass++;
   g_ptr_array_sort (sched->waiting, compare);
   guint kept = 0;
   for (guint i = 0; i < sched->waiting->len; i++)
@@ -466,6 +499,7 @@
       if (open > 0 && !uncertain (sched, stage))
         {
           bts_advice_extend (sched, stage, now_us);
+          bts_reserve_for (sched, stage, open, now_us);
           bts_preempt_for (sched, stage, open, now_us);
         }
       sched->waiting->pdata[kept++] = stage;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -59,6 +59,7 @@
  * @members: name to bts_member_t of the processes that may ask for advice
  * @dirty: a pass over the queue may place something
  * @pass_us: when the last one was
+ * @pass: its number
  */
 struct bts_sched_t
 {
@@ -92,18 +93,19 @@
   GHashTable *members;
   gboolean dirty;
   gint64 pass_us;
+  guint64 pass;
 };
 
 const char *bts_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us);
 gboolean bts_advice_ready (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
-gboolean bts_advice_holds (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *runs,
-                           gint64 now_us);
+void bts_advice_renew (bts_sched_t *sched, bts_stage_t *stage, gint64 needed_us, gint64 now_us);
 void bts_advice_extend (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
 void bts_advice_foresee (bts_sched_t *sched, bts_stage_t *stage);
 void bts_advice_tick (bts_sched_t *sched);
 void bts_advice_expect (bts_sched_t *sched, const bts_job_t *job);
 
 gint64 bts_sched_now (const bts_sched_t *sched);
+void bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
 void bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
 
 gint64 bts_sched_deadline (bts_sched_t *sched, bts_worker_t *worker);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -388,6 +388,45 @@
   ck_assert_uint_eq (sim_running (sim, job->id), 3);
 }
 
+/* A stream of small GPU tasks leaves no worker whole, and a gang needs two. */
+static void
+gang_among_small_tasks (sim_t *sim)
+{
+  static const sim_step_t small[]
+      = { { .count = 4, .cpu = 2000, .memory = 2000, .gpus = 1, .ms = 3000 } };
+  static const sim_step_t whole[]
+      = { { .count = 2, .cpu = 20000, .memory = 20000, .gpus = 8, .ms = 1000, .gang = TRUE } };
+  sim_job_t *job = NULL;
+  for (guint i = 0; i < 40; i++)
+    {
+      sim_submit (sim, 0, &batch, small, G_N_ELEMENTS (small));
+      if (i == 15)
+        job = sim_submit (sim, 1, &service, whole, G_N_ELEMENTS (whole));
+      sim_run_ms (sim, 250);
+    }
+  ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
+}
+
+/* The same for a task that needs a whole worker, while tickets run out. */
+static void
+large_task_among_small_ones (sim_t *sim)
+{
+  static const sim_step_t small[]
+      = { { .count = 4, .cpu = 2000, .memory = 2000, .gpus = 1, .ms = 3000 } };
+  static const sim_step_t whole[]
+      = { { .count = 2, .cpu = 20000, .memory = 20000, .gpus = 8, .ms = 1000 } };
+  sim->advised = TRUE;
+  sim_job_t *job = NULL;
+  for (guint i = 0; i < 40; i++)
+    {
+      sim_submit (sim, 0, &batch, small, G_N_ELEMENTS (small));
+      if (i == 15)
+        job = sim_submit (sim, 1, &service, whole, G_N_ELEMENTS (whole));
+      sim_run_ms (sim, 250);
+    }
+  ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
+}
+
 /* A worker that departed for good doesn't hold up the next owner. */
 static void
 address_taken_and_owner_killed (sim_t *sim)
@@ -432,6 +471,8 @@
   { "failing_worker_is_avoided", failing_worker_is_avoided },
   { "hopeless_job_fails", hopeless_job_fails },
   { "lasting_task_finds_workers_full", lasting_task_finds_workers_full },
+  { "gang_among_small_tasks", gang_among_small_tasks },
+  { "large_task_among_small_ones", large_task_among_small_ones },
   { "address_taken_and_owner_killed", address_taken_and_owner_killed },
   { "workers_come_after_the_advice", workers_come_after_the_advice },
 };
