--- a/libbamboothread/scheduler/beat.c
+++ b/libbamboothread/scheduler/beat.c
@@ -13,7 +13,7 @@
 #define BEAT_SPACING_US (40 * 1000)
 /* Time between two beats while nothing happens, well below the silence after
    which others claim. */
-#define BEAT_IDLE_US (250 * 1000)
+#define BEAT_IDLE_US (150 * 1000)
 /* Time after which a beat that hasn't come back is written again, in microseconds;
    folding it twice changes nothing. */
 #define BEAT_RETRY_US (700 * 1000)
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -119,7 +119,9 @@
  * @hold_failures: holds in a row without an answer
  * @heard_us: when it answered last
  * @rest_until_us: no starts before, since it refused some
- * @reserved: pass of the queue in which it was kept free for a gang
+ * @reserved: pass over the queue in which room on it was kept for a stage
+ * @reserved_us: when that room is expected to be free
+ * @reserved_left: what is left of the worker then beside it
  * @faults: failed ends in a row, for choosing others first
  */
 struct bts_worker_t
@@ -147,6 +149,8 @@
   gint64 heard_us;
   gint64 rest_until_us;
   guint64 reserved;
+  gint64 reserved_us;
+  bts_room_t reserved_left;
   guint faults;
 };
 
--- a/libbamboothread/scheduler/gate.c
+++ b/libbamboothread/scheduler/gate.c
@@ -9,6 +9,9 @@
 #define FRESH_US (2200 * 1000)
 /* Part of a caller's patience kept for the way of the answer, in microseconds. */
 #define ANSWER_MARGIN_US (250 * 1000)
+/* Bounds of what a caller is told to wait, in seconds. */
+#define RETRY_MIN_S 1
+#define RETRY_MAX_S 4
 /* Appends for one request; a repeat of a record that is there already has no effect. */
 #define TRIES_MAX 4
 
@@ -93,6 +96,23 @@
   return gate->read_us != 0 && now_us - gate->read_us < FRESH_US;
 }
 
+/**
+ * bts_gate_retry_after_s() - when a caller that was turned away may come back
+ * @gate: the gate
+ * @now_us: the time
+ *
+ * An outage that has lasted for some time is expected to last as long again, so
+ * that a caller with few tries left doesn't spend them all in it.
+ *
+ * Return: seconds.
+ */
+guint
+bts_gate_retry_after_s (const bts_gate_t *gate, gint64 now_us)
+{
+  gint64 away_s = gate->read_us == 0 ? 0 : (now_us - gate->read_us) / G_USEC_PER_SEC;
+  return (guint)CLAMP (away_s, RETRY_MIN_S, RETRY_MAX_S);
+}
+
 guint
 bts_gate_waiting (const bts_gate_t *gate)
 {
--- a/libbamboothread/scheduler/gate.h
+++ b/libbamboothread/scheduler/gate.h
@@ -57,6 +57,7 @@
 bts_answer_t bts_gate_query (const bts_gate_t *gate, const char *id, gint64 now_us,
                              bts_state_t *state);
 gboolean bts_gate_fresh (const bts_gate_t *gate, gint64 now_us);
+guint bts_gate_retry_after_s (const bts_gate_t *gate, gint64 now_us);
 guint bts_gate_waiting (const bts_gate_t *gate);
 void bts_gate_on_append (bts_gate_t *gate, guint64 token, bts_stored_t stored, gint64 now_us);
 void bts_gate_on_read (bts_gate_t *gate, gint64 sent_us, gint64 now_us);
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -105,6 +105,7 @@
  * @foresee_us: when advice is asked for ahead of its turn; 0 if it isn't
  * @waiting: the stage stands in the owner's queue
  * @due_us: when it should be over for its job to meet its objective
+ * @band: part of the queue that it stands in
  * @rest_until_us: no attempt to place it before
  * @short_us: since when tasks of it found no room; 0 if all did
  * @preempt_us: no room is made for it before
@@ -127,6 +128,7 @@
   gint64 foresee_us;
   gboolean waiting;
   gint64 due_us;
+  guint band;
   gint64 rest_until_us;
   gint64 short_us;
   gint64 preempt_us;
--- a/libbamboothread/scheduler/lead.c
+++ b/libbamboothread/scheduler/lead.c
@@ -3,7 +3,11 @@
 #include <string.h>
 
 /* Largest delay between processes that see the same silence, in microseconds. */
-#define JITTER_MAX_US (60 * 1000)
+#define JITTER_MAX_US (30 * 1000)
+/* A process near the store claims first, since each decision of an owner passes
+   through it: so many times its usual append, which counts up to a limit. */
+#define PLACE_WEIGHT 8
+#define PLACE_LAG_US (40 * 1000)
 /* Time after which a claim that hasn't come back is written again, in microseconds. */
 #define CLAIM_RETRY_US (700 * 1000)
 /* How many slow answers of the store in a row don't count as silence. */
@@ -82,7 +86,7 @@
 void
 bts_lead_on_append (bts_lead_t *lead, gint64 took_us)
 {
-  lead->lag_us = MAX (took_us, lead->lag_us - lead->lag_us / LAG_DECAY);
+  lead->lag_us = MAX (MAX (took_us, 1), lead->lag_us - lead->lag_us / LAG_DECAY);
 }
 
 /**
@@ -134,7 +138,7 @@
  * @ledger: the folded journal
  * @now_us: the time
  *
- * A process claims when there is no owner, when the owner was an earlier life of
+ * A process that has written to the store claims when there is no owner, when the owner was an earlier life of
  * itself, or when the owner has been silent while the journal could be read.
  *
  * Return: whether a claim is to be written; the time of it is noted.
@@ -143,14 +147,15 @@
 bts_lead_due (bts_lead_t *lead, const bts_ledger_t *ledger, gint64 now_us)
 {
   const char *owner = bts_ledger_owner (ledger);
-  if (lead->leaving || lead->read_us == 0 || now_us - lead->read_us > READ_GAP_US
+  if (lead->leaving || lead->lag_us == 0 || now_us - lead->read_us > READ_GAP_US
       || bts_lead_mine (lead, ledger))
     return FALSE;
   if (lead->claimed_us != 0 && now_us - lead->claimed_us < CLAIM_RETRY_US)
     return FALSE;
-  gint64 wait_us = BTS_LEAD_SILENCE_US + lead->jitter_us + LAG_WEIGHT * lead->lag_us;
+  gint64 place_us = lead->jitter_us + PLACE_WEIGHT * MIN (lead->lag_us, PLACE_LAG_US);
+  gint64 wait_us = BTS_LEAD_SILENCE_US + place_us + LAG_WEIGHT * lead->lag_us;
   if (owner == NULL)
-    wait_us = lead->jitter_us;
+    wait_us = place_us;
   else if (bts_node_same_place (owner, lead->node))
     wait_us = 0;
   if (now_us - lead->sign_us < wait_us)
--- a/libbamboothread/scheduler/lead.h
+++ b/libbamboothread/scheduler/lead.h
@@ -12,7 +12,7 @@
 /* Silence of the owner after which another process claims, in microseconds: above
    three idle beats and a slow answer of the store. A claim in error costs a round
    of holds. */
-#define BTS_LEAD_SILENCE_US (900 * 1000)
+#define BTS_LEAD_SILENCE_US (600 * 1000)
 /* An owner that hasn't seen its own beats for so long lets leases run out, in
    microseconds: above an outage of the store of 5 s. */
 #define BTS_LEAD_UNSURE_US (6000 * 1000)
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -567,6 +567,12 @@
   return bts_ledger_count_pending (node->ledger, route);
 }
 
+guint
+bts_node_retry_after_s (const bts_node_t *node)
+{
+  return bts_gate_retry_after_s (node->gate, node_now (node));
+}
+
 /**
  * bts_node_ready() - whether new callers are to be sent here
  * @node: the process
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -68,6 +68,7 @@
 bts_answer_t bts_node_query (const bts_node_t *node, const char *id, bts_state_t *state);
 guint bts_node_count_pending (const bts_node_t *node, const char *route);
 
+guint bts_node_retry_after_s (const bts_node_t *node);
 gboolean bts_node_ready (const bts_node_t *node);
 void bts_node_leave (bts_node_t *node);
 gboolean bts_node_idle (const bts_node_t *node);
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -6,6 +6,8 @@
 #define WEIGHT_AVOID 100000
 #define WEIGHT_FAULT 10000
 #define WEIGHT_OTHER_RACK 4000
+/* Tasks may take so much longer than estimated, in percent of the estimate. */
+#define ESTIMATE_PERCENT 130
 /* Faults in a row beyond this don't make a worker look any worse. */
 #define FAULTS_MAX 5
 
@@ -144,6 +146,34 @@
   return against;
 }
 
+/* Whether a task leaves the room alone that is kept on a worker: it is over before
+   that room is free, or fits beside it. */
+static gboolean
+fits_beside (const bts_worker_t *worker, const Bts__Step *step, gint64 now_us)
+{
+  gint64 end_us = now_us + (gint64)step->estimate_ms * 10 * ESTIMATE_PERCENT;
+  const bts_room_t *left = &worker->reserved_left;
+  return end_us <= worker->reserved_us
+         || (step->cpu_millis <= left->cpu_millis && step->memory_mb <= left->memory_mb
+             && step->gpus <= left->gpus);
+}
+
+/**
+ * bts_place_take() - count a task that is placed beside room kept for others
+ * @worker: the worker
+ * @step: the step of the task
+ * @pass: number of the pass over the queue
+ */
+void
+bts_place_take (bts_worker_t *worker, const Bts__Step *step, guint64 pass)
+{
+  if (worker->reserved != pass)
+    return;
+  worker->reserved_left.cpu_millis -= step->cpu_millis;
+  worker->reserved_left.memory_mb -= step->memory_mb;
+  worker->reserved_left.gpus -= step->gpus;
+}
+
 /**
  * bts_place_choose() - the worker for a task
  * @fleet: the workers
@@ -168,7 +198,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       bts_worker_t *worker = value;
-      if (worker->reserved == pass || bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK)
+      if ((worker->reserved == pass && !fits_beside (worker, step, now_us))
+          || bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK)
         continue;
       gint64 found = score (worker, task, step);
       if (best == NULL || found < best_score
--- a/libbamboothread/scheduler/reserve.c
+++ b/libbamboothread/scheduler/reserve.c
@@ -53,9 +53,11 @@
   return (guint)MAX (fitting, 0);
 }
 
-/* When at least one task of a step will fit on a worker, and how many then. */
+/* When at least one task of a step will fit on a worker, how many then, and what is
+   used then beside them. */
 static gint64
-free_us (const bts_worker_t *worker, const Bts__Step *step, gint64 now_us, guint *fitting)
+free_us (const bts_worker_t *worker, const Bts__Step *step, gint64 now_us, guint *fitting,
+         bts_room_t *used_then)
 {
   bts_room_t room = bts_place_room (step);
   bts_room_t used = worker->used;
@@ -72,9 +74,20 @@
       used.memory_mb -= run->room.memory_mb;
       used.gpus -= run->room.gpus;
     }
+  *used_then = used;
   return at_us;
 }
 
+static void
+keep_room (bts_worker_t *worker, const Bts__Step *step, guint count, const bts_room_t *used)
+{
+  bts_room_t room = bts_place_room (step);
+  bts_room_t *left = &worker->reserved_left;
+  left->cpu_millis = worker->entry->cpu_millis - used->cpu_millis - count * room.cpu_millis;
+  left->memory_mb = worker->entry->memory_mb - used->memory_mb - count * room.memory_mb;
+  left->gpus = worker->entry->gpus - used->gpus - count * room.gpus;
+}
+
 static gboolean
 is_large (const bts_worker_t *worker, const Bts__Step *step)
 {
@@ -103,6 +116,7 @@
       bts_worker_t *best = NULL;
       gint64 best_us = G_MAXINT64;
       guint best_fitting = 0;
+      bts_room_t best_used = { 0 };
       GHashTableIter iter;
       gpointer value;
       g_hash_table_iter_init (&iter, sched->fleet->workers);
@@ -110,23 +124,28 @@
         {
           bts_worker_t *worker = value;
           guint fitting = 0;
+          bts_room_t used = { 0 };
           if (worker->reserved == sched->pass || !worker->listed || worker->entry->draining
               || !worker->synced || !bts_place_may_use (worker, stage)
               || !(step->gang || is_large (worker, step)))
             continue;
-          gint64 at_us = free_us (worker, step, now_us, &fitting);
+          gint64 at_us = free_us (worker, step, now_us, &fitting, &used);
           if (at_us < best_us || (at_us == best_us && at_us < G_MAXINT64 && fitting > best_fitting))
             {
               best = worker;
               best_us = at_us;
               best_fitting = fitting;
+              best_used = used;
             }
         }
       if (best == NULL || best_us == G_MAXINT64)
         return;
+      guint taken = MIN (missing, best_fitting);
+      keep_room (best, step, taken, &best_used);
       best->reserved = sched->pass;
+      best->reserved_us = best_us;
       if (bts_ticket_now (stage, best->entry->id, best_us) == NULL)
         bts_advice_renew (sched, stage, best_us - TICKETS_AHEAD_US, now_us);
-      missing -= MIN (missing, best_fitting);
+      missing -= taken;
     }
 }
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -13,7 +13,7 @@
  */
 
 /* Orders to start a run that get no answer before it is stopped instead. */
-#define START_TRIES 3
+#define START_TRIES 5
 /* Time between two orders to stop a run, in microseconds. */
 #define STOP_RETRY_US (400 * 1000)
 /* Time for which a worker that was full or refused gets no new tasks, in microseconds;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -371,6 +371,7 @@
   if (worker == NULL)
     return NULL;
   g_autofree char *name = bts_task_name (task);
+  bts_place_take (worker, bts_stage_step (task->stage), sched->pass);
   return bts_run_new (sched, task, name, number, worker);
 }
 
@@ -445,21 +446,45 @@
   bts_beat_begun (sched, stage->job);
 }
 
-/* Order of the queue: what serves its own users first, then by priority, then by
-   the time at which the stage has to begin for its job to meet its objective. */
+/* Bands of the queue, the first one first. */
+enum
+{
+  BAND_LASTING,
+  BAND_URGENT,
+  BAND_URGENT_LATE,
+  BAND_IN_TIME,
+  BAND_LATE,
+  BAND_HOPELESS,
+};
+
+/* A job that takes so many times what its objective allows is of no use any more. */
+#define HOPELESS_FACTOR 3
+
+/* What can still meet its objective comes before what is late already, and what is
+   of no use any more comes last; urgent work comes before all other. */
+static void
+rank (bts_stage_t *stage, gint64 now_us)
+{
+  const bts_job_t *job = stage->job;
+  gint64 hopeless_us = job->folded_us + HOPELESS_FACTOR * allowed_ms (job) * 1000;
+  gboolean urgent = bts_stage_policy (stage)->priority == 0;
+  if (bts_stage_step (stage)->long_running)
+    stage->band = BAND_LASTING;
+  else if (now_us > hopeless_us)
+    stage->band = BAND_HOPELESS;
+  else if (now_us > stage->due_us)
+    stage->band = urgent ? BAND_URGENT_LATE : BAND_LATE;
+  else
+    stage->band = urgent ? BAND_URGENT : BAND_IN_TIME;
+}
+
 static gint
 compare (gconstpointer a, gconstpointer b)
 {
   const bts_stage_t *left = *(bts_stage_t *const *)a;
   const bts_stage_t *right = *(bts_stage_t *const *)b;
-  gboolean left_lasts = bts_stage_step (left)->long_running;
-  gboolean right_lasts = bts_stage_step (right)->long_running;
-  if (left_lasts != right_lasts)
-    return left_lasts ? -1 : 1;
-  guint left_priority = bts_stage_policy (left)->priority;
-  guint right_priority = bts_stage_policy (right)->priority;
-  if (left_priority != right_priority)
-    return left_priority < right_priority ? -1 : 1;
+  if (left->band != right->band)
+    return left->band < right->band ? -1 : 1;
   if (left->due_us != right->due_us)
     return left->due_us < right->due_us ? -1 : 1;
   return 0;
@@ -478,6 +503,8 @@
   gint64 now_us = bts_sched_now (sched);
   sched->pass_us = now_us;
   sched->pass++;
+  for (guint i = 0; i < sched->waiting->len; i++)
+    rank (sched->waiting->pdata[i], now_us);
   g_ptr_array_sort (sched->waiting, compare);
   guint kept = 0;
   for (guint i = 0; i < sched->waiting->len; i++)
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -10,9 +10,10 @@
  * has surely run out.
  */
 
-/* How long an answer may wait for an end, in milliseconds; shorter than the time
-   after which a silent worker gets no new tasks. */
-#define HOLD_WAIT_MS 1000
+/* How long an answer may wait for an end, in milliseconds. While a hold that was lost
+   is waited for, ends on the worker aren't seen, so that it is shorter than the time
+   that urgent jobs have to spare; each hold is a call. */
+#define HOLD_WAIT_MS 400
 /* Time to the next hold while ends are on their way into the journal: the worker
    would list them again at once. */
 #define HOLD_ENDS_US (250 * 1000)
