--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -148,6 +148,8 @@
  * @accepted: the record that created it, without its spec once the job is over
  * @offset: of that record
  * @folded_us: when this process folded that record
+ * @kept_us: when this process last folded a record that tells all of the job
+ * @kept_try_us: when the owner last wrote such a record
  * @ended_us: when this process saw the job end; 0 before
  * @occurrences: bts_occurrence_t by number; NULL where none has begun
  * @n_tasks: tasks in one occurrence
@@ -160,6 +162,8 @@
   Bts__Accepted *accepted;
   gint64 offset;
   gint64 folded_us;
+  gint64 kept_us;
+  gint64 kept_try_us;
   gint64 ended_us;
   GPtrArray *occurrences;
   guint n_tasks;
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -4,6 +4,9 @@
 
 #include "libbamboothread/base/error.h"
 
+/* Owner of a term whose claim was not read. */
+#define OWNER_UNKNOWN ""
+
 /**
  * struct bts_ledger_t - the fold of the journal
  * @jobs: id to bts_job_t
@@ -116,18 +119,17 @@
   return ledger->claim_offset;
 }
 
-/* Takes the record's message over, so that the job keeps it without a copy. */
+/* Takes the message over, so that the job keeps it without a copy. */
 static gboolean
-fold_accepted (bts_ledger_t *ledger, Bts__Record *record, gint64 offset, gint64 now_us,
+fold_accepted (bts_ledger_t *ledger, Bts__Accepted **accepted, gint64 offset, gint64 now_us,
                GError **error)
 {
-  if (!bts_accepted_check (record->accepted, error))
+  if (*accepted == NULL || !bts_accepted_check (*accepted, error))
     return FALSE;
-  if (g_hash_table_contains (ledger->jobs, record->accepted->id))
+  if (g_hash_table_contains (ledger->jobs, (*accepted)->id))
     return TRUE;
-  bts_job_t *job = bts_job_new (record->accepted, offset, now_us);
-  record->accepted = NULL;
-  record->kind_case = BTS__RECORD__KIND__NOT_SET;
+  bts_job_t *job = bts_job_new (*accepted, offset, now_us);
+  *accepted = NULL;
   g_hash_table_insert (ledger->jobs, job->accepted->id, job);
   ledger->ops->seen (ledger->context, job->accepted->entry);
   ledger->ops->accepted (ledger->context, job);
@@ -155,26 +157,33 @@
   close_job (ledger, job, now_us);
 }
 
+/* Every term begins with a claim, so that a record of a later term than the one known
+   shows that the claim was deleted before this process could read it. */
 static void
-fold_claim (bts_ledger_t *ledger, const Bts__Claim *claim, gint64 offset)
+adopt_term (bts_ledger_t *ledger, guint64 term, const char *owner, gint64 offset)
 {
-  if (claim->term != ledger->term + 1)
-    return;
-  ledger->term = claim->term;
+  ledger->term = term;
   g_free (ledger->owner);
-  ledger->owner = g_strdup (claim->node);
+  ledger->owner = g_strdup (owner);
   ledger->claim_offset = offset;
-  ledger->ops->seen (ledger->context, claim->node);
   ledger->ops->owner (ledger->context);
 }
 
 static void
-fold_resigned (bts_ledger_t *ledger, const Bts__Resigned *resigned)
+fold_claim (bts_ledger_t *ledger, const Bts__Claim *claim, gint64 offset)
 {
-  if (resigned->term != ledger->term || ledger->owner == NULL)
+  if (claim->term <= ledger->term)
     return;
-  g_clear_pointer (&ledger->owner, g_free);
-  ledger->ops->owner (ledger->context);
+  ledger->ops->seen (ledger->context, claim->node);
+  adopt_term (ledger, claim->term, claim->node, offset);
+}
+
+static void
+fold_resigned (bts_ledger_t *ledger, const Bts__Resigned *resigned, gint64 offset)
+{
+  if (resigned->term > ledger->term
+      || (resigned->term == ledger->term && ledger->owner != NULL))
+    adopt_term (ledger, resigned->term, NULL, offset);
 }
 
 /* All members of a gang end together: one done end stands for all, one failed
@@ -249,8 +258,18 @@
 }
 
 static void
-fold_beat (bts_ledger_t *ledger, const Bts__Beat *beat, gint64 now_us)
+add_held (bts_ledger_t *ledger, Bts__Held *const *held, gsize n)
 {
+  for (gsize i = 0; i < n; i++)
+    if (g_hash_table_add (ledger->held, g_strdup (held[i]->worker)))
+      ledger->ops->held (ledger->context, held[i]);
+}
+
+static void
+fold_beat (bts_ledger_t *ledger, const Bts__Beat *beat, gint64 offset, gint64 now_us)
+{
+  if (beat->term > ledger->term)
+    adopt_term (ledger, beat->term, OWNER_UNKNOWN, offset);
   if (beat->term != ledger->term || ledger->owner == NULL)
     return;
   for (gsize i = 0; i < beat->n_begun; i++)
@@ -259,9 +278,7 @@
       if (job != NULL)
         job->begun = TRUE;
     }
-  for (gsize i = 0; i < beat->n_held; i++)
-    if (g_hash_table_add (ledger->held, g_strdup (beat->held[i]->worker)))
-      ledger->ops->held (ledger->context, beat->held[i]);
+  add_held (ledger, beat->held, beat->n_held);
   for (gsize i = 0; i < beat->n_released; i++)
     if (g_hash_table_remove (ledger->held, beat->released[i]))
       ledger->ops->released (ledger->context, beat->released[i]);
@@ -288,6 +305,73 @@
   ledger->ops->advised (ledger->context, stage);
 }
 
+static void
+merge_task (bts_task_t *task, const Bts__TaskState *state)
+{
+  bts_stage_t *stage = task->stage;
+  bts_job_t *job = stage->job;
+  if (state->ended_run > task->ended_run)
+    bts_task_save (task, state->saved);
+  task->ended_run = MAX (task->ended_run, state->ended_run);
+  task->last_run = MAX (task->last_run, state->ended_run);
+  task->fails = MAX (task->fails, state->fails);
+  stage->gang_fails = MAX (stage->gang_fails, state->gang_fails);
+  stage->gang_failed_run = MAX (stage->gang_failed_run, state->gang_failed_run);
+  if (!state->done || task->done)
+    return;
+  bts_occurrence_t *occurrence = bts_job_occurrence (job, stage->occurrence);
+  task->done = TRUE;
+  stage->n_done++;
+  if (++occurrence->n_done == job->n_tasks)
+    job->n_finished++;
+}
+
+/* Only adds to what is known, so that one that is older than other records does no harm. */
+static gboolean
+fold_kept (bts_ledger_t *ledger, Bts__Kept *kept, gint64 offset, gint64 now_us, GError **error)
+{
+  if (kept->accepted == NULL)
+    {
+      g_set_error_literal (error, BT_ERROR, BT_ERROR_INVALID, "a kept job without its record");
+      return FALSE;
+    }
+  g_autofree char *id = g_strdup (kept->accepted->id);
+  if (!fold_accepted (ledger, &kept->accepted, offset, now_us, error))
+    return FALSE;
+  bts_job_t *job = bts_ledger_job (ledger, id);
+  job->kept_us = now_us;
+  if (bts_job_over (job))
+    return TRUE;
+  job->begun = job->begun || kept->begun;
+  for (gsize i = 0; i < kept->n_tasks; i++)
+    {
+      const Bts__TaskState *state = kept->tasks[i];
+      bts_stage_t *stage = bts_job_stage (job, state->occurrence, state->step);
+      if (stage != NULL && state->index < stage->n)
+        merge_task (&stage->tasks[state->index], state);
+    }
+  job->cancelled = job->cancelled || kept->cancelled;
+  job->failed = job->failed || kept->failed;
+  if (bts_job_over (job))
+    close_job (ledger, job, now_us);
+  return TRUE;
+}
+
+static void
+fold_standing (bts_ledger_t *ledger, const Bts__Standing *standing, gint64 offset)
+{
+  if (standing->term < ledger->term)
+    return;
+  add_held (ledger, standing->held, standing->n_held);
+  if (standing->term > ledger->term)
+    adopt_term (ledger, standing->term, standing->node, offset);
+  else if (g_strcmp0 (ledger->owner, OWNER_UNKNOWN) == 0)
+    {
+      g_free (ledger->owner);
+      ledger->owner = g_strdup (standing->node);
+    }
+}
+
 static void
 fold_ask (bts_ledger_t *ledger, const Bts__Ask *ask)
 {
@@ -330,7 +414,7 @@
   switch (record->kind_case)
     {
     case BTS__RECORD__KIND_ACCEPTED:
-      ok = fold_accepted (ledger, record, offset, now_us, error);
+      ok = fold_accepted (ledger, &record->accepted, offset, now_us, error);
       break;
     case BTS__RECORD__KIND_CANCELLED:
       fold_cancelled (ledger, record->cancelled, now_us);
@@ -339,14 +423,20 @@
       fold_claim (ledger, record->claim, offset);
       break;
     case BTS__RECORD__KIND_RESIGNED:
-      fold_resigned (ledger, record->resigned);
+      fold_resigned (ledger, record->resigned, offset);
       break;
     case BTS__RECORD__KIND_BEAT:
-      fold_beat (ledger, record->beat, now_us);
+      fold_beat (ledger, record->beat, offset, now_us);
       break;
     case BTS__RECORD__KIND_ADVICE:
       fold_advice (ledger, record->advice, now_us);
       break;
+    case BTS__RECORD__KIND_KEPT:
+      ok = fold_kept (ledger, record->kept, offset, now_us, error);
+      break;
+    case BTS__RECORD__KIND_STANDING:
+      fold_standing (ledger, record->standing, offset);
+      break;
     case BTS__RECORD__KIND_ASK:
       fold_ask (ledger, record->ask);
       break;
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -399,7 +399,8 @@
 void
 bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first)
 {
-  bt_log (BT_LOG_ERROR, "journal-skipped", "from=%" G_GINT64_FORMAT " first=%" G_GINT64_FORMAT,
+  /* A process that starts begins with what the log still keeps. */
+  bt_log (node->replaying ? BT_LOG_NOTICE : BT_LOG_ERROR, "journal-skipped", "from=%" G_GINT64_FORMAT " first=%" G_GINT64_FORMAT,
           from, first);
 }
 
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -236,6 +236,7 @@
   sched->began_us = bts_sched_now (sched);
   sched->confirmed_us = 0;
   sched->sure_us = sure_us;
+  sched->standing_us = sched->began_us;
   sched->settled = FALSE;
   GHashTableIter iter;
   gpointer value;
@@ -582,6 +583,7 @@
   if (sched->waiting->len > 0 && bts_sched_now (sched) - sched->pass_us >= PASS_IDLE_US)
     sched->dirty = TRUE;
   bts_beat_tick (sched);
+  bts_keep_tick (sched);
   bts_sched_pass (sched);
 }
 
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -135,12 +135,14 @@
  * @hold_max_ms: longest lease that a worker grants
  * @stop_ms: longest time that a stop takes
  * @early_ms: how much before its time an occurrence may start
+ * @keep_ms: how long the log keeps records; 0 for ever
  */
 typedef struct
 {
   guint hold_max_ms;
   guint stop_ms;
   guint early_ms;
+  guint keep_ms;
 } bts_sched_config_t;
 
 bts_sched_t *bts_sched_new (const bts_sched_config_t *config, const bt_clock_t *clock,
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -60,6 +60,8 @@
  * @dirty: a pass over the queue may place something
  * @pass_us: when the last one was
  * @pass: its number
+ * @keep_us: when it was last looked for what the log will delete
+ * @standing_us: when the owner was last written once more
  */
 struct bts_sched_t
 {
@@ -94,6 +96,8 @@
   gboolean dirty;
   gint64 pass_us;
   guint64 pass;
+  gint64 keep_us;
+  gint64 standing_us;
 };
 
 const char *bts_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us);
@@ -130,6 +134,8 @@
 void bts_beat_add (bts_sched_t *sched, const bts_worker_t *worker, const bts_finished_t *row,
                    bts_task_t *task);
 void bts_beat_begun (bts_sched_t *sched, bts_job_t *job);
+void bts_keep_tick (bts_sched_t *sched);
+
 void bts_beat_held (bts_sched_t *sched, const bts_worker_t *worker);
 void bts_beat_released (bts_sched_t *sched, const bts_worker_t *worker);
 void bts_beat_tick (bts_sched_t *sched);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -412,6 +412,141 @@
   assert(message->base.descriptor == &bts__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__task_state__init
+                     (Bts__TaskState         *message)
+{
+  static const Bts__TaskState init_value = BTS__TASK_STATE__INIT;
+  *message = init_value;
+}
+size_t bts__task_state__get_packed_size
+                     (const Bts__TaskState *message)
+{
+  assert(message->base.descriptor == &bts__task_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__task_state__pack
+                     (const Bts__TaskState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__task_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__task_state__pack_to_buffer
+                     (const Bts__TaskState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__task_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__TaskState *
+       bts__task_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__TaskState *)
+     protobuf_c_message_unpack (&bts__task_state__descriptor,
+                                allocator, len, data);
+}
+void   bts__task_state__free_unpacked
+                     (Bts__TaskState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__task_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__kept__init
+                     (Bts__Kept         *message)
+{
+  static const Bts__Kept init_value = BTS__KEPT__INIT;
+  *message = init_value;
+}
+size_t bts__kept__get_packed_size
+                     (const Bts__Kept *message)
+{
+  assert(message->base.descriptor == &bts__kept__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__kept__pack
+                     (const Bts__Kept *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__kept__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__kept__pack_to_buffer
+                     (const Bts__Kept *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__kept__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Kept *
+       bts__kept__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Kept *)
+     protobuf_c_message_unpack (&bts__kept__descriptor,
+                                allocator, len, data);
+}
+void   bts__kept__free_unpacked
+                     (Bts__Kept *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__kept__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__standing__init
+                     (Bts__Standing         *message)
+{
+  static const Bts__Standing init_value = BTS__STANDING__INIT;
+  *message = init_value;
+}
+size_t bts__standing__get_packed_size
+                     (const Bts__Standing *message)
+{
+  assert(message->base.descriptor == &bts__standing__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__standing__pack
+                     (const Bts__Standing *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__standing__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__standing__pack_to_buffer
+                     (const Bts__Standing *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__standing__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Standing *
+       bts__standing__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Standing *)
+     protobuf_c_message_unpack (&bts__standing__descriptor,
+                                allocator, len, data);
+}
+void   bts__standing__free_unpacked
+                     (Bts__Standing *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__standing__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__ticket__init
                      (Bts__Ticket         *message)
 {
@@ -1616,6 +1751,302 @@
   (ProtobufCMessageInit) bts__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bts__task_state__field_descriptors[9] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fails",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, fails),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, ended_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "saved",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, saved),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gang_fails",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, gang_fails),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gang_failed_run",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, gang_failed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__task_state__field_indices_by_name[] = {
+  3,   /* field[3] = done */
+  5,   /* field[5] = ended_run */
+  4,   /* field[4] = fails */
+  8,   /* field[8] = gang_failed_run */
+  7,   /* field[7] = gang_fails */
+  2,   /* field[2] = index */
+  0,   /* field[0] = occurrence */
+  6,   /* field[6] = saved */
+  1,   /* field[1] = step */
+};
+static const ProtobufCIntRange bts__task_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor bts__task_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.TaskState",
+  "TaskState",
+  "Bts__TaskState",
+  "bts",
+  sizeof(Bts__TaskState),
+  9,
+  bts__task_state__field_descriptors,
+  bts__task_state__field_indices_by_name,
+  1,  bts__task_state__number_ranges,
+  (ProtobufCMessageInit) bts__task_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__kept__field_descriptors[5] =
+{
+  {
+    "accepted",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, accepted),
+    &bts__accepted__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancelled",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, cancelled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Kept, n_tasks),
+    offsetof(Bts__Kept, tasks),
+    &bts__task_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__kept__field_indices_by_name[] = {
+  0,   /* field[0] = accepted */
+  1,   /* field[1] = begun */
+  2,   /* field[2] = cancelled */
+  3,   /* field[3] = failed */
+  4,   /* field[4] = tasks */
+};
+static const ProtobufCIntRange bts__kept__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bts__kept__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Kept",
+  "Kept",
+  "Bts__Kept",
+  "bts",
+  sizeof(Bts__Kept),
+  5,
+  bts__kept__field_descriptors,
+  bts__kept__field_indices_by_name,
+  1,  bts__kept__number_ranges,
+  (ProtobufCMessageInit) bts__kept__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__standing__field_descriptors[3] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Standing, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Standing, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Standing, n_held),
+    offsetof(Bts__Standing, held),
+    &bts__held__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__standing__field_indices_by_name[] = {
+  2,   /* field[2] = held */
+  1,   /* field[1] = node */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange bts__standing__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bts__standing__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Standing",
+  "Standing",
+  "Bts__Standing",
+  "bts",
+  sizeof(Bts__Standing),
+  3,
+  bts__standing__field_descriptors,
+  bts__standing__field_indices_by_name,
+  1,  bts__standing__number_ranges,
+  (ProtobufCMessageInit) bts__standing__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bts__ticket__field_descriptors[2] =
 {
   {
@@ -1924,7 +2355,7 @@
   (ProtobufCMessageInit) bts__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bts__record__field_descriptors[10] =
 {
   {
     "accepted",
@@ -2022,6 +2453,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kept",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Record, kind_case),
+    offsetof(Bts__Record, kept),
+    &bts__kept__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standing",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Record, kind_case),
+    offsetof(Bts__Record, standing),
+    &bts__standing__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__record__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
@@ -2031,12 +2486,14 @@
   1,   /* field[1] = cancelled */
   2,   /* field[2] = claim */
   7,   /* field[7] = hello */
+  8,   /* field[8] = kept */
   3,   /* field[3] = resigned */
+  9,   /* field[9] = standing */
 };
 static const ProtobufCIntRange bts__record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bts__record__descriptor =
 {
@@ -2046,7 +2503,7 @@
   "Bts__Record",
   "bts",
   sizeof(Bts__Record),
-  8,
+  10,
   bts__record__field_descriptors,
   bts__record__field_indices_by_name,
   1,  bts__record__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -24,6 +24,9 @@
 typedef struct Bts__End Bts__End;
 typedef struct Bts__Held Bts__Held;
 typedef struct Bts__Beat Bts__Beat;
+typedef struct Bts__TaskState Bts__TaskState;
+typedef struct Bts__Kept Bts__Kept;
+typedef struct Bts__Standing Bts__Standing;
 typedef struct Bts__Ticket Bts__Ticket;
 typedef struct Bts__Advice Bts__Advice;
 typedef struct Bts__Ask Bts__Ask;
@@ -197,6 +200,61 @@
     , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * A task as the owner knows it, for readers that came after its ends were deleted.
+ */
+struct  Bts__TaskState
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  protobuf_c_boolean done;
+  uint32_t fails;
+  uint32_t ended_run;
+  char *saved;
+  uint32_t gang_fails;
+  uint32_t gang_failed_run;
+};
+#define BTS__TASK_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__task_state__descriptor) \
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * A job written once more before the log deletes what told of it.
+ */
+struct  Bts__Kept
+{
+  ProtobufCMessage base;
+  Bts__Accepted *accepted;
+  protobuf_c_boolean begun;
+  protobuf_c_boolean cancelled;
+  protobuf_c_boolean failed;
+  size_t n_tasks;
+  Bts__TaskState **tasks;
+};
+#define BTS__KEPT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__kept__descriptor) \
+    , NULL, 0, 0, 0, 0,NULL }
+
+
+/*
+ * The owner and what it holds, written once more for the same reason.
+ */
+struct  Bts__Standing
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  char *node;
+  size_t n_held;
+  Bts__Held **held;
+};
+#define BTS__STANDING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__standing__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0,NULL }
+
+
 struct  Bts__Ticket
 {
   ProtobufCMessage base;
@@ -274,7 +332,9 @@
   BTS__RECORD__KIND_BEAT = 5,
   BTS__RECORD__KIND_ADVICE = 6,
   BTS__RECORD__KIND_ASK = 7,
-  BTS__RECORD__KIND_HELLO = 8
+  BTS__RECORD__KIND_HELLO = 8,
+  BTS__RECORD__KIND_KEPT = 9,
+  BTS__RECORD__KIND_STANDING = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__RECORD__KIND__CASE)
 } Bts__Record__KindCase;
 
@@ -291,6 +351,8 @@
     Bts__Advice *advice;
     Bts__Ask *ask;
     Bts__Hello *hello;
+    Bts__Kept *kept;
+    Bts__Standing *standing;
   };
 };
 #define BTS__RECORD__INIT \
@@ -469,6 +531,63 @@
 void   bts__beat__free_unpacked
                      (Bts__Beat *message,
                       ProtobufCAllocator *allocator);
+/* Bts__TaskState methods */
+void   bts__task_state__init
+                     (Bts__TaskState         *message);
+size_t bts__task_state__get_packed_size
+                     (const Bts__TaskState   *message);
+size_t bts__task_state__pack
+                     (const Bts__TaskState   *message,
+                      uint8_t             *out);
+size_t bts__task_state__pack_to_buffer
+                     (const Bts__TaskState   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__TaskState *
+       bts__task_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__task_state__free_unpacked
+                     (Bts__TaskState *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Kept methods */
+void   bts__kept__init
+                     (Bts__Kept         *message);
+size_t bts__kept__get_packed_size
+                     (const Bts__Kept   *message);
+size_t bts__kept__pack
+                     (const Bts__Kept   *message,
+                      uint8_t             *out);
+size_t bts__kept__pack_to_buffer
+                     (const Bts__Kept   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Kept *
+       bts__kept__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__kept__free_unpacked
+                     (Bts__Kept *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Standing methods */
+void   bts__standing__init
+                     (Bts__Standing         *message);
+size_t bts__standing__get_packed_size
+                     (const Bts__Standing   *message);
+size_t bts__standing__pack
+                     (const Bts__Standing   *message,
+                      uint8_t             *out);
+size_t bts__standing__pack_to_buffer
+                     (const Bts__Standing   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Standing *
+       bts__standing__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__standing__free_unpacked
+                     (Bts__Standing *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Ticket methods */
 void   bts__ticket__init
                      (Bts__Ticket         *message);
@@ -593,6 +712,15 @@
 typedef void (*Bts__Beat_Closure)
                  (const Bts__Beat *message,
                   void *closure_data);
+typedef void (*Bts__TaskState_Closure)
+                 (const Bts__TaskState *message,
+                  void *closure_data);
+typedef void (*Bts__Kept_Closure)
+                 (const Bts__Kept *message,
+                  void *closure_data);
+typedef void (*Bts__Standing_Closure)
+                 (const Bts__Standing *message,
+                  void *closure_data);
 typedef void (*Bts__Ticket_Closure)
                  (const Bts__Ticket *message,
                   void *closure_data);
@@ -623,6 +751,9 @@
 extern const ProtobufCMessageDescriptor bts__end__descriptor;
 extern const ProtobufCMessageDescriptor bts__held__descriptor;
 extern const ProtobufCMessageDescriptor bts__beat__descriptor;
+extern const ProtobufCMessageDescriptor bts__task_state__descriptor;
+extern const ProtobufCMessageDescriptor bts__kept__descriptor;
+extern const ProtobufCMessageDescriptor bts__standing__descriptor;
 extern const ProtobufCMessageDescriptor bts__ticket__descriptor;
 extern const ProtobufCMessageDescriptor bts__advice__descriptor;
 extern const ProtobufCMessageDescriptor bts__ask__descriptor;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -136,7 +136,12 @@
 static void
 append_landed (sim_t *sim, gpointer data)
 {
+  gint64 at_us = now (sim);
   g_ptr_array_add (sim->log, data);
+  g_array_append_val (sim->log_us, at_us);
+  while (sim->keep_ms > 0
+         && at_us - g_array_index (sim->log_us, gint64, sim->log_first) > sim->keep_ms * 1000)
+    sim->log_first++;
 }
 
 static gboolean
@@ -198,6 +203,11 @@
 {
   sim_read_t *read = data;
   sim_node_t *node = read->node;
+  if (node->next < sim->log_first)
+    {
+      bts_node_on_skipped (node->node, node->next, sim->log_first);
+      node->next = sim->log_first;
+    }
   while (node->next < (gint64)sim->log->len)
     {
       gsize len;
@@ -962,6 +972,7 @@
   config.sched.hold_max_ms = SIM_HOLD_MAX_MS;
   config.sched.stop_ms = SIM_STOP_MS;
   config.sched.early_ms = 250;
+  config.sched.keep_ms = sim->keep_ms;
   node->node = bts_node_new (&config, &sim->clock, &node_ops, node);
   read_again (node, SIM_DELAY_US);
   post (node, TICK_US, node_tick, node, NULL);
@@ -976,6 +987,7 @@
   bt_clock_init_paused (&sim->clock, BT_USEC_PER_SEC);
   sim->random = g_rand_new_with_seed (seed);
   sim->log = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  sim->log_us = g_array_new (FALSE, FALSE, sizeof (gint64));
   sim->nodes = g_ptr_array_new ();
   sim->workers = g_ptr_array_new ();
   sim->jobs = g_ptr_array_new ();
@@ -1304,6 +1316,7 @@
   g_ptr_array_unref (sim->workers);
   g_ptr_array_unref (sim->jobs);
   g_ptr_array_unref (sim->log);
+  g_array_unref (sim->log_us);
   g_ptr_array_unref (sim->violations);
   g_hash_table_unref (sim->done);
   g_hash_table_unref (sim->started);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -108,6 +108,9 @@
  * @store_refuses: appends and reads are refused
  * @lose_percent: share of appends that are done and not answered
  * @append_us: time of an append
+ * @keep_ms: how long the log keeps records, told to processes as they start; 0 for ever
+ * @log_us: when each record landed
+ * @log_first: records before this one have been deleted
  * @advised: jobs handed in need advice
  * @advice_denies: it denies all workers that are there
  * @violations: what broke a promise
@@ -120,6 +123,7 @@
   bt_clock_t clock;
   GRand *random;
   GPtrArray *log;
+  GArray *log_us;
   GPtrArray *nodes;
   GPtrArray *workers;
   GPtrArray *jobs;
@@ -131,6 +135,8 @@
   guint lose_percent;
   gint64 append_us;
   gint64 late_append_us;
+  guint keep_ms;
+  gint64 log_first;
   gboolean advised;
   gboolean advice_denies;
   guint64 exchange;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -427,6 +427,35 @@
   ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
 }
 
+/* The log has deleted all records of the first seconds when all processes start anew. */
+static void
+log_has_deleted_the_beginning (sim_t *sim)
+{
+  static const sim_step_t slow[]
+      = { { .count = 4, .cpu = 3000, .memory = 2000, .ms = 4000 },
+          { .count = 4, .cpu = 3000, .memory = 2000, .ms = 9000, .after = 1 } };
+  sim->keep_ms = 6000;
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      sim_kill (sim, i);
+      sim_start (sim, i);
+    }
+  sim_run_ms (sim, 3000);
+  sim_job_t *kept = sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_job_t *job = sim_submit (sim, 1, &batch, slow, G_N_ELEMENTS (slow));
+  sim_run_ms (sim, 4000);
+  sim_run_ms (sim, 5000);
+  ck_assert_int_gt (sim->log_first, 0);
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      sim_kill (sim, i);
+      sim_start (sim, i);
+    }
+  sim_run_ms (sim, 12000);
+  ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
+  ck_assert_uint_eq (sim_running (sim, kept->id), 3);
+}
+
 /* A worker that departed for good doesn't hold up the next owner. */
 static void
 address_taken_and_owner_killed (sim_t *sim)
@@ -473,6 +502,7 @@
   { "lasting_task_finds_workers_full", lasting_task_finds_workers_full },
   { "gang_among_small_tasks", gang_among_small_tasks },
   { "large_task_among_small_ones", large_task_among_small_ones },
+  { "log_has_deleted_the_beginning", log_has_deleted_the_beginning },
   { "address_taken_and_owner_killed", address_taken_and_owner_killed },
   { "workers_come_after_the_advice", workers_come_after_the_advice },
 };
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -19,6 +19,9 @@
 #define STEP_MS 100
 /* Time for all to come to an end after the last fault. */
 #define CALM_MS 40000
+/* Time after which the log deletes records, on half of the days: above the longest
+   outage of the store, in which nothing can be written once more. */
+#define KEEP_MS 24000
 /* Longest time that a fault lasts. */
 #define FAULT_MS 6000
 
@@ -39,6 +42,7 @@
   32, /* the next owner didn't know a worker that wasn't listed any more */
   37, /* orders on their way reached the next life of a worker */
   38, /* a run of the next life had ended before it was first listed */
+  187, /* a reader that began after a claim was deleted took no later term up */
 };
 
 /**
@@ -297,6 +301,15 @@
   day.sim = sim_new (NODES, WORKERS, seed);
   day.random = g_rand_new_with_seed (seed);
   day.sim->advised = draw (&day, 2) == 0;
+  if (draw (&day, 2) == 0)
+    {
+      day.sim->keep_ms = KEEP_MS;
+      for (guint i = 0; i < NODES; i++)
+        {
+          sim_kill (day.sim, i);
+          sim_start (day.sim, i);
+        }
+    }
   sim_run_ms (day.sim, 3000);
   for (guint ms = 0; ms < DAY_MS; ms += STEP_MS)
     {
