Structured log lines on standard output that never block; metrics in the Prometheus format

Lines gather per turn of the loop; what a reader doesn't take is dropped and counted, refusals and errors last.

--- a/libbamboothread/base/log.h
+++ b/libbamboothread/base/log.h
@@ -3,6 +3,11 @@
 
 #include <glib.h>
 
+/*
+ * Log lines on standard output, one for each event, of key=value pairs. Writing
+ * never blocks: what the reader doesn't take in time is dropped and counted.
+ */
+
 /**
  * enum bt_log_level_t - syslog priorities in use
  */
@@ -17,6 +22,9 @@
 
 void bt_log_set_ident (const char *ident);
 void bt_log_set_level (bt_log_level_t level);
+void bt_log_set_buffered (gboolean buffered);
+void bt_log_set_fd (int fd);
+void bt_log_flush (void);
 void bt_log (bt_log_level_t level, const char *event, const char *format, ...) G_GNUC_PRINTF (3, 4);
 
 #endif
--- /dev/null
+++ b/libbamboothread/base/metrics.c
@@ -0,0 +1,148 @@
+#include "libbamboothread/base/metrics.h"
+
+#include <string.h>
+
+/* Upper bounds of the buckets of all histograms, in milliseconds. */
+static const gint64 bounds_ms[] = { 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000, 30000 };
+
+#define N_BOUNDS G_N_ELEMENTS (bounds_ms)
+
+typedef struct
+{
+  guint64 buckets[N_BOUNDS + 1];
+  guint64 count;
+  gint64 sum_ms;
+} histogram_t;
+
+static guint64 counts[BT_N_COUNTS];
+static gint64 gauges[BT_N_GAUGES];
+static histogram_t histograms[BT_N_HISTS];
+
+static const struct
+{
+  const char *metric;
+  const char *labels;
+} count_names[] = {
+#define BT_METRICS_NAME(name, metric, labels) { metric, labels },
+  BT_METRICS_COUNTERS (BT_METRICS_NAME)
+#undef BT_METRICS_NAME
+};
+
+static const char *const gauge_names[] = {
+#define BT_METRICS_NAME(name, metric) metric,
+  BT_METRICS_GAUGES (BT_METRICS_NAME)
+#undef BT_METRICS_NAME
+};
+
+static const char *const histogram_names[] = {
+#define BT_METRICS_NAME(name, metric) metric,
+  BT_METRICS_HISTOGRAMS (BT_METRICS_NAME)
+#undef BT_METRICS_NAME
+};
+
+/**
+ * bt_metrics_count() - count an event
+ * @count: the counter
+ */
+void
+bt_metrics_count (bt_count_t count)
+{
+  counts[count]++;
+}
+
+/**
+ * bt_metrics_add() - count several events
+ * @count: the counter
+ * @by: how many
+ */
+void
+bt_metrics_add (bt_count_t count, guint64 by)
+{
+  counts[count] += by;
+}
+
+guint64
+bt_metrics_counted (bt_count_t count)
+{
+  return counts[count];
+}
+
+/**
+ * bt_metrics_set() - set a gauge
+ * @gauge: the gauge
+ * @value: its value from now on
+ */
+void
+bt_metrics_set (bt_gauge_t gauge, gint64 value)
+{
+  gauges[gauge] = value;
+}
+
+/**
+ * bt_metrics_observe() - add a time to a histogram
+ * @hist: the histogram
+ * @ms: the time in milliseconds
+ */
+void
+bt_metrics_observe (bt_hist_t hist, gint64 ms)
+{
+  histogram_t *histogram = &histograms[hist];
+  guint i = 0;
+  while (i < N_BOUNDS && ms > bounds_ms[i])
+    i++;
+  histogram->buckets[i]++;
+  histogram->count++;
+  histogram->sum_ms += ms;
+}
+
+static void
+write_counts (GString *text)
+{
+  for (guint i = 0; i < BT_N_COUNTS; i++)
+    {
+      const char *metric = count_names[i].metric;
+      const char *labels = count_names[i].labels;
+      if (i == 0 || strcmp (metric, count_names[i - 1].metric) != 0)
+        g_string_append_printf (text, "# TYPE bamboothread_%s counter\n", metric);
+      g_string_append_printf (text, "bamboothread_%s%s%s%s %" G_GUINT64_FORMAT "\n", metric,
+                              *labels == '\0' ? "" : "{", labels, *labels == '\0' ? "" : "}",
+                              counts[i]);
+    }
+}
+
+static void
+write_histogram (GString *text, const char *name, const histogram_t *histogram)
+{
+  guint64 below = 0;
+  g_string_append_printf (text, "# TYPE bamboothread_%s histogram\n", name);
+  for (guint i = 0; i < N_BOUNDS; i++)
+    {
+      below += histogram->buckets[i];
+      g_string_append_printf (
+          text, "bamboothread_%s_bucket{le=\"%" G_GINT64_FORMAT "\"} %" G_GUINT64_FORMAT "\n", name,
+          bounds_ms[i], below);
+    }
+  g_string_append_printf (text, "bamboothread_%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT "\n", name,
+                          histogram->count);
+  g_string_append_printf (text, "bamboothread_%s_sum %" G_GINT64_FORMAT "\n", name,
+                          histogram->sum_ms);
+  g_string_append_printf (text, "bamboothread_%s_count %" G_GUINT64_FORMAT "\n", name,
+                          histogram->count);
+}
+
+/**
+ * bt_metrics_text() - all metrics in the Prometheus text format
+ */
+char *
+bt_metrics_text (void)
+{
+  GString *text = g_string_new (NULL);
+  write_counts (text);
+  for (guint i = 0; i < BT_N_GAUGES; i++)
+    g_string_append_printf (text,
+                            "# TYPE bamboothread_%s gauge\nbamboothread_%s %" G_GINT64_FORMAT "\n",
+                            gauge_names[i], gauge_names[i], gauges[i]);
+  for (guint i = 0; i < BT_N_HISTS; i++)
+    write_histogram (text, histogram_names[i], &histograms[i]);
+  return g_string_free (text, FALSE);
+}
--- /dev/null
+++ b/libbamboothread/base/metrics.h
@@ -0,0 +1,98 @@
+#ifndef BT_BASE_METRICS_H
+#define BT_BASE_METRICS_H
+
+#include <glib.h>
+
+/*
+ * Counters, gauges and latency histograms of this process, written out in the
+ * Prometheus text format. Names and labels are fixed, so that their number and
+ * the memory that they take are bounded.
+ */
+
+/* Each entry: name in code, metric, labels. Entries of one metric stand together. */
+#define BT_METRICS_COUNTERS(X)                                                                     \
+  X (SUBMIT_OK, "submissions_total", "answer=\"ok\"")                                              \
+  X (SUBMIT_AWAY, "submissions_total", "answer=\"away\"")                                          \
+  X (SUBMIT_UNKNOWN, "submissions_total", "answer=\"unknown\"")                                    \
+  X (SUBMIT_MALFORMED, "submissions_total", "answer=\"malformed\"")                                \
+  X (CANCEL_OK, "cancellations_total", "answer=\"ok\"")                                            \
+  X (CANCEL_OTHER, "cancellations_total", "answer=\"other\"")                                      \
+  X (QUERY, "queries_total", "")                                                                   \
+  X (NO_ROUTE, "requests_without_route_total", "")                                                 \
+  X (JOB_COMPLETED, "jobs_over_total", "state=\"completed\"")                                      \
+  X (JOB_FAILED, "jobs_over_total", "state=\"failed\"")                                            \
+  X (JOB_CANCELLED, "jobs_over_total", "state=\"cancelled\"")                                      \
+  X (JOB_LATE, "jobs_late_total", "")                                                              \
+  X (STARTS, "starts_total", "")                                                                   \
+  X (STARTS_REPEATED, "starts_repeated_total", "")                                                 \
+  X (STARTS_REFUSED, "starts_refused_total", "")                                                   \
+  X (STOPS, "stops_total", "")                                                                     \
+  X (PREEMPTED, "runs_preempted_total", "")                                                        \
+  X (RUNS_LOST, "runs_lost_total", "")                                                             \
+  X (RUNS_FOUND, "runs_found_total", "")                                                           \
+  X (ENDS_DONE, "ends_total", "how=\"done\"")                                                      \
+  X (ENDS_FAILED, "ends_total", "how=\"failed\"")                                                  \
+  X (ENDS_OTHER, "ends_total", "how=\"other\"")                                                    \
+  X (HOLDS, "holds_total", "")                                                                     \
+  X (HOLDS_FAILED, "holds_failed_total", "")                                                       \
+  X (QUESTIONS, "advice_questions_total", "")                                                      \
+  X (QUESTIONS_FAILED, "advice_questions_failed_total", "")                                        \
+  X (APPEND_STORED, "store_appends_total", "outcome=\"stored\"")                                   \
+  X (APPEND_REFUSED, "store_appends_total", "outcome=\"refused\"")                                 \
+  X (APPEND_UNKNOWN, "store_appends_total", "outcome=\"unknown\"")                                 \
+  X (RECORDS, "journal_records_total", "")                                                         \
+  X (READS_FAILED, "journal_reads_failed_total", "")                                               \
+  X (CLAIMS, "claims_total", "")                                                                   \
+  X (DEPOSED, "deposed_total", "")                                                                 \
+  X (LOG_DROPPED, "log_lines_dropped_total", "")
+
+#define BT_METRICS_GAUGES(X)                                                                       \
+  X (TERM, "term")                                                                                 \
+  X (LEADING, "leading")                                                                           \
+  X (JOBS, "jobs")                                                                                 \
+  X (WAITING_STAGES, "waiting_stages")                                                             \
+  X (RUNS, "runs")                                                                                 \
+  X (WORKERS, "workers")                                                                           \
+  X (WORKERS_SILENT, "workers_silent")                                                             \
+  X (TABLES_VERSION, "tables_version")                                                             \
+  X (JOURNAL_AGE_MS, "journal_age_ms")
+
+#define BT_METRICS_HISTOGRAMS(X)                                                                   \
+  X (APPEND_MS, "store_append_ms")                                                                 \
+  X (ACCEPT_MS, "accept_ms")                                                                       \
+  X (FIRST_START_MS, "first_start_ms")                                                             \
+  X (JOB_MS, "job_ms")                                                                             \
+  X (ADVICE_MS, "advice_ms")
+
+typedef enum
+{
+#define BT_METRICS_ENUM(name, metric, labels) BT_COUNT_##name,
+  BT_METRICS_COUNTERS (BT_METRICS_ENUM)
+#undef BT_METRICS_ENUM
+      BT_N_COUNTS,
+} bt_count_t;
+
+typedef enum
+{
+#define BT_METRICS_ENUM(name, metric) BT_GAUGE_##name,
+  BT_METRICS_GAUGES (BT_METRICS_ENUM)
+#undef BT_METRICS_ENUM
+      BT_N_GAUGES,
+} bt_gauge_t;
+
+typedef enum
+{
+#define BT_METRICS_ENUM(name, metric) BT_HIST_##name,
+  BT_METRICS_HISTOGRAMS (BT_METRICS_ENUM)
+#undef BT_METRICS_ENUM
+      BT_N_HISTS,
+} bt_hist_t;
+
+void bt_metrics_count (bt_count_t count);
+void bt_metrics_add (bt_count_t count, guint64 by);
+void bt_metrics_set (bt_gauge_t gauge, gint64 value);
+void bt_metrics_observe (bt_hist_t hist, gint64 ms);
+guint64 bt_metrics_counted (bt_count_t count);
+char *bt_metrics_text (void);
+
+#endif
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -98,8 +98,7 @@
 {
   bts_member_t *member = NULL;
   gint64 took_us = call_us (bts_stage_policy (stage), workers->len);
-  const char *node
-      = choose_member (sched, took_us > BTS_ADVICE_SHORT_MS * 1000, now_us, &member);
+  const char *node = choose_member (sched, took_us > BTS_ADVICE_SHORT_MS * 1000, now_us, &member);
   if (workers->len == 0 || node == NULL)
     return;
   member->busy_until_us = MAX (member->busy_until_us, now_us) + took_us;
--- a/libbamboothread/scheduler/adviser.h
+++ b/libbamboothread/scheduler/adviser.h
@@ -28,7 +28,8 @@
 
 /**
  * struct bts_adviser_ops_t - where questions go
- * @ask: fills in @asked; answered by bts_adviser_on_answer(); returns FALSE if there is nobody to ask about
+ * @ask: fills in @asked; answered by bts_adviser_on_answer(); returns FALSE if there is nobody to
+ * ask about
  */
 typedef struct
 {
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -70,7 +70,8 @@
       g_hash_table_insert (fleet->workers, entry->id, worker);
       return BTS_ENTRY_NEW;
     }
-  bts_entry_change_t change = entry_same (worker->entry, entry) ? BTS_ENTRY_SAME : BTS_ENTRY_CHANGED;
+  bts_entry_change_t change
+      = entry_same (worker->entry, entry) ? BTS_ENTRY_SAME : BTS_ENTRY_CHANGED;
   if (entry->born_ms > worker->born_ms)
     change = worker->born_ms == 0 ? change : BTS_ENTRY_REBORN;
   if (change != BTS_ENTRY_SAME)
@@ -183,7 +184,8 @@
 bts_worker_expiry_us (const bts_worker_t *worker)
 {
   gint64 left_us = MAX (worker->deadline_ms - worker->clock_ms, 0) * 1000;
-  return worker->clock_us + (gint64)((double)left_us / (1.0 - BTS_CLOCK_SLOW)) + BTS_LEASE_MARGIN_US;
+  return worker->clock_us + (gint64)((double)left_us / (1.0 - BTS_CLOCK_SLOW))
+         + BTS_LEASE_MARGIN_US;
 }
 
 gboolean
--- a/libbamboothread/scheduler/gate.c
+++ b/libbamboothread/scheduler/gate.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/base/metrics.h"
 
 /* Without a read of the journal for so long, in microseconds, the store counts as
    away: its waiting reads answer within 1 s. */
@@ -146,6 +147,12 @@
   static const char *const names[] = { "ok", "away", "unknown", "gone" };
   bt_log (BT_LOG_INFO, request->cancels ? "cancel" : "submit", "job=%s answer=%s tries=%u",
           request->id, names[what], request->tries);
+  static const bt_count_t counts[] = { BT_COUNT_SUBMIT_OK, BT_COUNT_SUBMIT_AWAY,
+                                       BT_COUNT_SUBMIT_UNKNOWN, BT_COUNT_SUBMIT_UNKNOWN };
+  if (request->cancels)
+    bt_metrics_count (what == BTS_ANSWER_OK ? BT_COUNT_CANCEL_OK : BT_COUNT_CANCEL_OTHER);
+  else
+    bt_metrics_count (counts[what]);
   guint64 exchange = request->exchange;
   g_ptr_array_remove (gate->requests, request);
   gate->ops->answer (gate->context, exchange, what);
@@ -168,6 +175,7 @@
     {
       bt_log (BT_LOG_INFO, "submit", "job=%s answer=%s read_age_ms=%" G_GINT64_FORMAT, job->id,
               known ? "ok" : "away", (now_us - gate->read_us) / 1000);
+      bt_metrics_count (known ? BT_COUNT_SUBMIT_OK : BT_COUNT_SUBMIT_AWAY);
       bts__accepted__free_unpacked (job, NULL);
       gate->ops->answer (gate->context, exchange, known ? BTS_ANSWER_OK : BTS_ANSWER_AWAY);
       return;
@@ -254,7 +262,10 @@
     return;
   /* A cancellation counts once the fold has met the job. */
   if (stored == BTS_STORED && !request->cancels)
-    answer (gate, request, BTS_ANSWER_OK);
+    {
+      bt_metrics_observe (BT_HIST_ACCEPT_MS, (now_us - request->since_us) / 1000);
+      answer (gate, request, BTS_ANSWER_OK);
+    }
   else if (stored == BTS_STORED_UNKNOWN)
     {
       request->unknown = TRUE;
--- a/libbamboothread/scheduler/lead.c
+++ b/libbamboothread/scheduler/lead.c
@@ -111,7 +111,8 @@
 {
   const char *owner = bts_ledger_owner (ledger);
   /* One that resigned, or whose process has started anew, does nothing any more. */
-  gboolean stopped = lead->owner == NULL || (owner != NULL && bts_node_same_place (owner, lead->owner));
+  gboolean stopped
+      = lead->owner == NULL || (owner != NULL && bts_node_same_place (owner, lead->owner));
   lead->earlier_us = stopped ? 0 : lead->sign_us;
   lead->sign_us = now_us;
   g_free (lead->owner);
@@ -138,8 +139,8 @@
  * @ledger: the folded journal
  * @now_us: the time
  *
- * A process that has written to the store claims when there is no owner, when the owner was an earlier life of
- * itself, or when the owner has been silent while the journal could be read.
+ * A process that has written to the store claims when there is no owner, when the owner was an
+ * earlier life of itself, or when the owner has been silent while the journal could be read.
  *
  * Return: whether a claim is to be written; the time of it is noted.
  */
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -39,8 +39,8 @@
   bts_ledger_t *ledger = g_new0 (bts_ledger_t, 1);
   ledger->ops = ops;
   ledger->context = context;
-  ledger->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                        (GDestroyNotify)bts_job_free);
+  ledger->jobs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)bts_job_free);
   ledger->held = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return ledger;
 }
@@ -181,8 +181,7 @@
 static void
 fold_resigned (bts_ledger_t *ledger, const Bts__Resigned *resigned, gint64 offset)
 {
-  if (resigned->term > ledger->term
-      || (resigned->term == ledger->term && ledger->owner != NULL))
+  if (resigned->term > ledger->term || (resigned->term == ledger->term && ledger->owner != NULL))
     adopt_term (ledger, resigned->term, NULL, offset);
 }
 
@@ -225,8 +224,7 @@
 fold_end (bts_ledger_t *ledger, const Bts__End *end, gint64 now_us)
 {
   bts_job_t *job = bts_ledger_job (ledger, end->job);
-  bts_stage_t *stage
-      = job == NULL ? NULL : bts_job_stage (job, end->occurrence, end->step);
+  bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, end->occurrence, end->step);
   if (stage == NULL || end->index >= stage->n || end->how > BTS_HOW_ALONE)
     return;
   bts_task_t *task = &stage->tasks[end->index];
@@ -250,7 +248,8 @@
   occurrence->n_done += stage->n_done - had;
   if (stage->n_done != had && occurrence->n_done == job->n_tasks)
     job->n_finished++;
-  if (!step->long_running && !task->done && count_failed (task) >= job->accepted->policy->attempts_max)
+  if (!step->long_running && !task->done
+      && count_failed (task) >= job->accepted->policy->attempts_max)
     job->failed = TRUE;
   ledger->ops->ended (ledger->context, task, end->run, how);
   if (bts_job_over (job))
@@ -292,8 +291,7 @@
 {
   ledger->ops->seen (ledger->context, advice->node);
   bts_job_t *job = bts_ledger_job (ledger, advice->job);
-  bts_stage_t *stage
-      = job == NULL ? NULL : bts_job_stage (job, advice->occurrence, advice->step);
+  bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, advice->occurrence, advice->step);
   if (stage == NULL || bts_job_over (job))
     return;
   gint64 at_us = ledger->replaying ? 0 : now_us;
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/base/metrics.h"
 
 /* Appends whose outcome only the fold tells carry this token. */
 #define TOKEN_NONE 0
@@ -159,8 +160,8 @@
 }
 
 static const bts_ledger_ops_t ledger_ops
-    = { on_accepted, on_cancelled, on_ended, on_over, on_advised, on_owner, on_beat, on_ask, on_seen, on_held, on_released,
-        on_forgotten };
+    = { on_accepted, on_cancelled, on_ended, on_over, on_advised,  on_owner,
+        on_beat,     on_ask,       on_seen,  on_held, on_released, on_forgotten };
 
 /* What the scheduler sends. */
 
@@ -229,9 +230,9 @@
   return node->ops->now_unix_ms (node->context);
 }
 
-static const bts_sched_ops_t sched_ops = { sched_hold,    sched_start,  sched_stop,
-                                           sched_append,  sched_advise, sched_deposed,
-                                           sched_now_unix_ms };
+static const bts_sched_ops_t sched_ops
+    = { sched_hold,   sched_start,   sched_stop,       sched_append,
+        sched_advise, sched_deposed, sched_now_unix_ms };
 
 /* What the gate and the adviser send. */
 
@@ -302,8 +303,7 @@
   node->context = context;
   node->ledger = bts_ledger_new (&ledger_ops, node);
   bts_fleet_init (&node->fleet);
-  node->sched
-      = bts_sched_new (&config->sched, clock, node->ledger, &node->fleet, &sched_ops, node);
+  node->sched = bts_sched_new (&config->sched, clock, node->ledger, &node->fleet, &sched_ops, node);
   node->gate = bts_gate_new (node->ledger, &gate_ops, node);
   node->adviser = bts_adviser_new (node->ledger, &adviser_ops, node);
   bts_lead_init (&node->lead, config->name);
@@ -355,6 +355,7 @@
 bts_node_on_record (bts_node_t *node, gint64 offset, const guint8 *data, gsize len)
 {
   g_autoptr (GError) error = NULL;
+  bt_metrics_count (BT_COUNT_RECORDS);
   if (!bts_ledger_fold (node->ledger, offset, data, len, node_now (node), &error))
     bt_log (BT_LOG_ERROR, "record-unreadable", "offset=%" G_GINT64_FORMAT " cause=\"%s\"", offset,
             error->message);
@@ -366,7 +367,8 @@
   if (!bts_lead_mine (&node->lead, node->ledger) || bts_sched_leading (node->sched)
       || node->resigned || node->deposed)
     return;
-  gint64 lease_us = (gint64)((double)bts_sched_lease_ms (node->sched) * 1000 / (1 - BTS_CLOCK_SLOW));
+  gint64 lease_us
+      = (gint64)((double)bts_sched_lease_ms (node->sched) * 1000 / (1 - BTS_CLOCK_SLOW));
   bts_sched_begin (node->sched, bts_ledger_term (node->ledger),
                    bts_lead_sure_us (&node->lead, lease_us + BTS_LEASE_MARGIN_US, node_now (node)));
 }
@@ -400,8 +402,8 @@
 bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first)
 {
   /* A process that starts begins with what the log still keeps. */
-  bt_log (node->replaying ? BT_LOG_NOTICE : BT_LOG_ERROR, "journal-skipped", "from=%" G_GINT64_FORMAT " first=%" G_GINT64_FORMAT,
-          from, first);
+  bt_log (node->replaying ? BT_LOG_NOTICE : BT_LOG_ERROR, "journal-skipped",
+          "from=%" G_GINT64_FORMAT " first=%" G_GINT64_FORMAT, from, first);
 }
 
 /**
@@ -414,6 +416,11 @@
 void
 bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored, gint64 took_us)
 {
+  bt_metrics_count (stored == BTS_STORED       ? BT_COUNT_APPEND_STORED
+                    : stored == BTS_NOT_STORED ? BT_COUNT_APPEND_REFUSED
+                                               : BT_COUNT_APPEND_UNKNOWN);
+  if (stored == BTS_STORED)
+    bt_metrics_observe (BT_HIST_APPEND_MS, took_us / 1000);
   if (stored == BTS_STORED)
     bts_lead_on_append (&node->lead, took_us);
   if (token != TOKEN_NONE)
@@ -499,8 +506,9 @@
   gboolean drained = known != NULL && known->entry->draining;
   bts_entry_change_t change = bts_fleet_enter (&node->fleet, entry);
   if (change == BTS_ENTRY_REBORN || (entry->draining && !drained))
-    bt_log (BT_LOG_INFO, "entry", "worker=%s draining=%d remaining_ms=%" G_GINT64_FORMAT
-            " reborn=%d", id, entry->draining, entry->remaining_ms, change == BTS_ENTRY_REBORN);
+    bt_log (BT_LOG_INFO, "entry",
+            "worker=%s draining=%d remaining_ms=%" G_GINT64_FORMAT " reborn=%d", id,
+            entry->draining, entry->remaining_ms, change == BTS_ENTRY_REBORN);
   bts_sched_on_entry (node->sched, id, change);
 }
 
@@ -532,6 +540,20 @@
     }
 }
 
+/**
+ * bts_node_gauge() - set the gauges of this process
+ * @node: the process
+ */
+void
+bts_node_gauge (const bts_node_t *node)
+{
+  bt_metrics_set (BT_GAUGE_TERM, (gint64)bts_ledger_term (node->ledger));
+  bt_metrics_set (BT_GAUGE_JOBS, g_hash_table_size (bts_ledger_jobs (node->ledger)));
+  bt_metrics_set (BT_GAUGE_TABLES_VERSION, node->manifest == NULL ? 0 : node->manifest->version);
+  bt_metrics_set (BT_GAUGE_JOURNAL_AGE_MS, (node_now (node) - node->lead.read_us) / 1000);
+  bts_sched_gauge (node->sched);
+}
+
 void
 bts_node_submit (bts_node_t *node, guint64 exchange, Bts__Accepted *job, gint64 patience_us)
 {
@@ -539,8 +561,8 @@
     free (job->entry);
   job->entry = strdup (node->name);
   const Bts__Policy *policy = job->policy;
-  double call_ms = policy->advice_ms
-                   + policy->advice_worker_ms * g_hash_table_size (node->fleet.workers);
+  double call_ms
+      = policy->advice_ms + policy->advice_worker_ms * g_hash_table_size (node->fleet.workers);
   /* A long call would hold up the short ones of other jobs. */
   job->asks = policy->advised && job->repeat == 0 && call_ms <= BTS_ADVICE_SHORT_MS
               && bts_adviser_idle (node->adviser) && bts_gate_fresh (node->gate, node_now (node))
@@ -620,6 +642,7 @@
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_CLAIM;
   record.claim = &claim;
+  bt_metrics_count (BT_COUNT_CLAIMS);
   bt_log (BT_LOG_NOTICE, "claim", "term=%" G_GUINT64_FORMAT, claim.term);
   append (node, TOKEN_NONE, &record);
 }
@@ -659,7 +682,12 @@
   gint64 now_us = node_now (node);
   if (node->deposed)
     {
-      bt_log (BT_LOG_WARNING, "deposed", "term=%" G_GUINT64_FORMAT, bts_ledger_term (node->ledger));
+      if (bts_sched_leading (node->sched))
+        {
+          bt_metrics_count (BT_COUNT_DEPOSED);
+          bt_log (BT_LOG_WARNING, "deposed", "term=%" G_GUINT64_FORMAT,
+                  bts_ledger_term (node->ledger));
+        }
       bts_sched_end (node->sched);
     }
   node->deposed = node->deposed && bts_lead_mine (&node->lead, node->ledger);
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -74,5 +74,6 @@
 gboolean bts_node_idle (const bts_node_t *node);
 gboolean bts_node_leading (const bts_node_t *node);
 void bts_node_tick (bts_node_t *node);
+void bts_node_gauge (const bts_node_t *node);
 
 #endif
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -134,9 +134,9 @@
 static gint64
 score (const bts_worker_t *worker, const bts_task_t *task, const Bts__Step *step)
 {
-  gint64 left = step->gpus > 0
-                    ? left_share (worker->entry->gpus, worker->used.gpus + step->gpus)
-                    : left_share (worker->entry->cpu_millis, worker->used.cpu_millis + step->cpu_millis);
+  gint64 left = step->gpus > 0 ? left_share (worker->entry->gpus, worker->used.gpus + step->gpus)
+                               : left_share (worker->entry->cpu_millis,
+                                             worker->used.cpu_millis + step->cpu_millis);
   gint64 against = left;
   if (task->avoid != NULL && strcmp (task->avoid, worker->entry->id) == 0)
     against += WEIGHT_AVOID;
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/place.h"
 
 /*
@@ -173,6 +174,7 @@
         return;
       bt_log (BT_LOG_INFO, "preempt", "job=%s step=%u stopped=%u loss_core_ms=%" G_GINT64_FORMAT,
               bts_job_id (stage->job), stage->step, victims->len, cost);
+      bt_metrics_add (BT_COUNT_PREEMPTED, victims->len);
       for (guint v = 0; v < victims->len; v++)
         bts_run_stop (sched, victims->pdata[v]);
     }
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/place.h"
 
 /*
@@ -100,6 +101,7 @@
 bts_run_start (bts_sched_t *sched, bts_run_t *run)
 {
   run->state = BTS_RUN_STARTING;
+  bt_metrics_count (BT_COUNT_STARTS);
   bt_log (BT_LOG_INFO, "start", "task=%s run=%u worker=%s term=%" G_GUINT64_FORMAT, run->name,
           run->number, run->worker->entry->id, sched->term);
   order_start (sched, run);
@@ -124,6 +126,7 @@
   if (run->state == BTS_RUN_STOPPING)
     return;
   run->state = BTS_RUN_STOPPING;
+  bt_metrics_count (BT_COUNT_STOPS);
   run->confirmed_us = 0;
   bt_log (BT_LOG_INFO, "stop", "task=%s run=%u worker=%s", run->name, run->number,
           run->worker->entry->id);
@@ -155,6 +158,7 @@
   bts_task_t *task = run->task;
   bt_log (BT_LOG_INFO, "lost", "task=%s run=%u worker=%s cause=%s", run->name, run->number,
           run->worker->entry->id, cause);
+  bt_metrics_count (BT_COUNT_RUNS_LOST);
   if (task != NULL)
     task->lost_run = MAX (task->lost_run, run->number);
   bts_run_drop (sched, run);
@@ -170,6 +174,7 @@
 refused (bts_sched_t *sched, bts_run_t *run, const char *cause)
 {
   bts_task_t *task = run->task;
+  bt_metrics_count (BT_COUNT_STARTS_REFUSED);
   bt_log (BT_LOG_INFO, "refused", "task=%s run=%u worker=%s cause=%s", run->name, run->number,
           run->worker->entry->id, cause);
   bts_run_drop (sched, run);
@@ -183,9 +188,10 @@
 static void
 no_ticket (bts_run_t *run)
 {
-  bts_ticket_t *ticket = run->task == NULL || run->task->stage->advice == NULL
-                             ? NULL
-                             : g_hash_table_lookup (run->task->stage->advice, run->worker->entry->id);
+  bts_ticket_t *ticket
+      = run->task == NULL || run->task->stage->advice == NULL
+            ? NULL
+            : g_hash_table_lookup (run->task->stage->advice, run->worker->entry->id);
   if (ticket != NULL)
     ticket->at_us = 0;
 }
@@ -206,7 +212,10 @@
   if (run->state != BTS_RUN_STARTING)
     return;
   if (run->tries < START_TRIES)
-    order_start (sched, run);
+    {
+      bt_metrics_count (BT_COUNT_STARTS_REPEATED);
+      order_start (sched, run);
+    }
   else
     bts_run_stop (sched, run);
 }
@@ -261,11 +270,12 @@
       if (reply == BTS_REPLY_INVALID && run->task != NULL)
         run->task->stage->rest_until_us = now_us + REST_INVALID_US;
       if (sure)
-        refused (sched, run, reply == BTS_REPLY_NO_ROOM  ? "room"
-                             : reply == BTS_REPLY_TICKET ? "ticket"
-                             : reply == BTS_REPLY_LATE   ? "late"
-                             : reply == BTS_REPLY_BUSY   ? "busy"
-                                                         : "invalid");
+        refused (sched, run,
+                 reply == BTS_REPLY_NO_ROOM  ? "room"
+                 : reply == BTS_REPLY_TICKET ? "ticket"
+                 : reply == BTS_REPLY_LATE   ? "late"
+                 : reply == BTS_REPLY_BUSY   ? "busy"
+                                             : "invalid");
       else
         bts_run_stop (sched, run);
       break;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/lead.h"
 #include "libbamboothread/scheduler/place.h"
 
@@ -106,11 +107,9 @@
   gint64 now_us = bts_sched_now (sched);
   if (worker->clock_us == 0)
     return 0;
-  if (worker->hold_failures == 0
-      && now_us - bts_sched_confirmed_us (sched) < BTS_LEAD_UNSURE_US)
-    worker->deadline_ms
-        = MAX (worker->deadline_ms,
-               bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
+  if (worker->hold_failures == 0 && now_us - bts_sched_confirmed_us (sched) < BTS_LEAD_UNSURE_US)
+    worker->deadline_ms = MAX (worker->deadline_ms,
+                               bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
   return worker->deadline_ms;
 }
 
@@ -367,8 +366,7 @@
 static bts_run_t *
 try_task (bts_sched_t *sched, bts_task_t *task, guint number)
 {
-  bts_worker_t *worker
-      = bts_place_choose (sched->fleet, task, sched->pass, bts_sched_now (sched));
+  bts_worker_t *worker = bts_place_choose (sched->fleet, task, sched->pass, bts_sched_now (sched));
   if (worker == NULL)
     return NULL;
   g_autofree char *name = bts_task_name (task);
@@ -444,6 +442,8 @@
       run->task->last_run = run->number;
       bts_run_start (sched, run);
     }
+  if (!stage->job->begun && !stage->job->owner_told)
+    bt_metrics_observe (BT_HIST_FIRST_START_MS, (now_us - stage->job->folded_us) / 1000);
   bts_beat_begun (sched, stage->job);
 }
 
@@ -520,8 +520,8 @@
             bts_advice_foresee (sched, stage);
           continue;
         }
-      if (may_place (stage, open) && !uncertain (sched, stage)
-          && now_us >= stage->rest_until_us && bts_advice_ready (sched, stage, now_us))
+      if (may_place (stage, open) && !uncertain (sched, stage) && now_us >= stage->rest_until_us
+          && bts_advice_ready (sched, stage, now_us))
         place_stage (sched, stage, open);
       open = count_open (stage);
       if (open > 0 && !uncertain (sched, stage))
@@ -555,6 +555,26 @@
   return known > 0;
 }
 
+/**
+ * bts_sched_gauge() - set the gauges of the owner's part
+ * @sched: the scheduler
+ */
+void
+bts_sched_gauge (const bts_sched_t *sched)
+{
+  gint64 silent = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    silent += ((bts_worker_t *)value)->hold_failures > 0;
+  bt_metrics_set (BT_GAUGE_LEADING, sched->term != 0);
+  bt_metrics_set (BT_GAUGE_WAITING_STAGES, sched->waiting->len);
+  bt_metrics_set (BT_GAUGE_RUNS, g_hash_table_size (sched->runs));
+  bt_metrics_set (BT_GAUGE_WORKERS, g_hash_table_size (sched->fleet->workers));
+  bt_metrics_set (BT_GAUGE_WORKERS_SILENT, silent);
+}
+
 /**
  * bts_sched_tick() - do what is due
  * @sched: the scheduler
@@ -596,6 +616,20 @@
   bts_sched_open_job (sched, job);
 }
 
+static void
+count_over (const bts_job_t *job)
+{
+  gint64 took_ms = (job->ended_us - job->folded_us) / 1000;
+  bts_state_t state = bts_job_state (job);
+  bt_metrics_count (state == BTS_COMPLETED ? BT_COUNT_JOB_COMPLETED
+                    : state == BTS_FAILED  ? BT_COUNT_JOB_FAILED
+                                           : BT_COUNT_JOB_CANCELLED);
+  if (state == BTS_COMPLETED)
+    bt_metrics_observe (BT_HIST_JOB_MS, took_ms);
+  if (state == BTS_COMPLETED && took_ms > allowed_ms (job))
+    bt_metrics_count (BT_COUNT_JOB_LATE);
+}
+
 /**
  * bts_sched_on_over() - a job has ended, failed or was cancelled
  * @sched: the scheduler
@@ -611,6 +645,7 @@
           "job=%s route=%s state=%s took_ms=%" G_GINT64_FORMAT " allowed_ms=%" G_GINT64_FORMAT,
           bts_job_id (job), policy->route, bts_state_name (bts_job_state (job)),
           (job->ended_us - job->folded_us) / 1000, allowed_ms (job));
+  count_over (job);
   for (guint k = 0; k < job->occurrences->len; k++)
     {
       bts_occurrence_t *occurrence = job->occurrences->pdata[k];
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -157,6 +157,7 @@
 gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
 void bts_sched_tick (bts_sched_t *sched);
 void bts_sched_pass (bts_sched_t *sched);
+void bts_sched_gauge (const bts_sched_t *sched);
 
 void bts_sched_on_accepted (bts_sched_t *sched, bts_job_t *job);
 void bts_sched_on_over (bts_sched_t *sched, bts_job_t *job);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/base/metrics.h"
 
 /*
  * The owner's hold on one worker: it renews the lease, learns from the lists
@@ -105,6 +106,7 @@
   order.ack = worker->acked;
   order.wait_ms = worker->synced && worker->ends_open == 0 ? HOLD_WAIT_MS : 0;
   worker->hold_open = TRUE;
+  bt_metrics_count (BT_COUNT_HOLDS);
   worker->asked = TRUE;
   worker->hold_sent_us = now_us;
   sched->ops->hold (sched->context, worker, &order);
@@ -172,6 +174,7 @@
     }
   run->state = BTS_RUN_LIVE;
   run->confirmed_us = bts_sched_now (sched);
+  bt_metrics_count (BT_COUNT_RUNS_FOUND);
   if (task != NULL)
     task->last_run = MAX (task->last_run, row->number);
   bt_log (BT_LOG_INFO, "found", "task=%s run=%u worker=%s wanted=%d", row->name, row->number,
@@ -239,12 +242,16 @@
   if (row->end <= worker->seen)
     return;
   worker->seen = row->end;
+  bt_metrics_count (row->how == BTS_HOW_DONE     ? BT_COUNT_ENDS_DONE
+                    : row->how == BTS_HOW_FAILED ? BT_COUNT_ENDS_FAILED
+                                                 : BT_COUNT_ENDS_OTHER);
   worker->ends_open++;
   bts_run_t *run = bts_worker_find (worker, row->name, row->number);
   bts_task_t *task = run != NULL ? run->task : find_task (sched, row->name);
   gboolean counts = run != NULL ? task != NULL : end_counts (task, row);
-  bt_log (BT_LOG_INFO, "end", "task=%s run=%u worker=%s how=%d number=%" G_GUINT64_FORMAT
-          " counts=%d", row->name, row->number, worker->entry->id, row->how, row->end, counts);
+  bt_log (BT_LOG_INFO, "end",
+          "task=%s run=%u worker=%s how=%d number=%" G_GUINT64_FORMAT " counts=%d", row->name,
+          row->number, worker->entry->id, row->how, row->end, counts);
   if (run != NULL)
     bts_run_drop (sched, run);
   if (counts)
@@ -296,6 +303,7 @@
       bts_worker_departed (sched, worker);
       return;
     }
+  bt_metrics_count (BT_COUNT_HOLDS_FAILED);
   if (worker->hold_failures++ == 0)
     bt_log (BT_LOG_NOTICE, "worker-silent", "worker=%s reply=%d runs=%u", worker->entry->id, reply,
             worker->runs->len);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -55,16 +55,14 @@
   g_sequence_insert_sorted (sim->events, event, event_compare, NULL);
 }
 
-static void G_GNUC_PRINTF (2, 3)
-violate (sim_t *sim, const char *format, ...)
+static void G_GNUC_PRINTF (2, 3) violate (sim_t *sim, const char *format, ...)
 {
   va_list args;
   va_start (args, format);
   g_autofree char *text = g_strdup_vprintf (format, args);
   va_end (args);
   bt_log (BT_LOG_INFO, "violation", "at=%.3f %s", (double)now (sim) / 1e6, text);
-  g_ptr_array_add (sim->violations,
-                   g_strdup_printf ("%.3f s: %s", (double)now (sim) / 1e6, text));
+  g_ptr_array_add (sim->violations, g_strdup_printf ("%.3f s: %s", (double)now (sim) / 1e6, text));
 }
 
 /* Messages to a process. Those to a frozen one wait; those to an earlier life are lost. */
@@ -392,8 +390,7 @@
   for (gsize i = 0; step != NULL && i < step->n_after; i++)
     for (guint t = 0; t < job->accepted->steps[step->after[i]]->count; t++)
       {
-        g_autofree char *before
-            = g_strdup_printf ("%s.0.%u.%u", job->id, step->after[i], t);
+        g_autofree char *before = g_strdup_printf ("%s.0.%u.%u", job->id, step->after[i], t);
         if (!g_hash_table_contains (sim->done, before))
           violate (sim, "ORDER %s before %s", run->name, before);
       }
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -379,8 +379,7 @@
 static void
 lasting_task_finds_workers_full (sim_t *sim)
 {
-  static const sim_step_t wide[]
-      = { { .count = 60, .cpu = 8000, .memory = 2000, .ms = 20000 } };
+  static const sim_step_t wide[] = { { .count = 60, .cpu = 8000, .memory = 2000, .ms = 20000 } };
   sim_submit (sim, 0, &batch, wide, G_N_ELEMENTS (wide));
   sim_run_ms (sim, 1000);
   sim_job_t *job = sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -39,9 +39,9 @@
 
 /* Seeds that failed once, each with its cause. */
 static const guint32 regressions[] = {
-  32, /* the next owner didn't know a worker that wasn't listed any more */
-  37, /* orders on their way reached the next life of a worker */
-  38, /* a run of the next life had ended before it was first listed */
+  32,  /* the next owner didn't know a worker that wasn't listed any more */
+  37,  /* orders on their way reached the next life of a worker */
+  38,  /* a run of the next life had ended before it was first listed */
   187, /* a reader that began after a claim was deleted took no later term up */
 };
 
