--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,273 @@
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "libbamboothread/base/error.h"
+#include "platform/json.h"
+#include "platform/settings.h"
+#include "platform/wire.h"
+#include "tests/suite.h"
+
+/* What the platform says, well formed and not, and what is made of it. */
+
+static bts_route_t
+route_new (void)
+{
+  bts_route_t route = { .name = "r",
+                        .host = "a.example",
+                        .prefix = "/q/",
+                        .service = "main",
+                        .priority = 1,
+                        .attempts_max = 3,
+                        .stretch = 2.0,
+                        .objective_ms = 500 };
+  return route;
+}
+
+#define ID "00c0ffee00c0ffee"
+
+static const struct
+{
+  const char *body;
+  gboolean ok;
+} jobs[] = {
+  { "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}", TRUE },
+  { "{\"steps\":[{\"count\":2},{\"count\":1,\"after\":[0],\"gang\":true}]}", TRUE },
+  { "{\"steps\":[{\"count\":1,\"estimate-ms\":12.0}],\"later-field\":{}}", TRUE },
+  { "{\"steps\":[{\"count\":1}],\"repeat-count\":3,\"start-time-ms\":5,\"interval-ms\":9}", TRUE },
+  { "", FALSE },
+  { "{", FALSE },
+  { "[]", FALSE },
+  { "{}", FALSE },
+  { "{\"steps\":[]}", FALSE },
+  { "{\"steps\":{}}", FALSE },
+  { "{\"steps\":[1]}", FALSE },
+  { "{\"steps\":[{\"count\":0}]}", FALSE },
+  { "{\"steps\":[{\"count\":-1}]}", FALSE },
+  { "{\"steps\":[{\"count\":\"2\"}]}", FALSE },
+  { "{\"steps\":[{\"count\":1,\"after\":[0]}]}", FALSE },
+  { "{\"steps\":[{\"count\":1,\"after\":[7]}]}", FALSE },
+  { "{\"steps\":[{\"count\":1,\"after\":\"0\"}]}", FALSE },
+  { "{\"steps\":[{\"count\":1,\"gang\":1}]}", FALSE },
+  { "{\"steps\":[{\"count\":100000}]}", FALSE },
+  { "{\"spec\":7,\"steps\":[{\"count\":1}]}", FALSE },
+  { "{\"steps\":[{\"count\":1}],\"repeat-count\":4000000000}", FALSE },
+};
+
+START_TEST (job_is_read_or_refused)
+{
+  bts_route_t route = route_new ();
+  g_autoptr (GError) error = NULL;
+  Bts__Accepted *job = pf_wire_job (ID, &route, jobs[_i].body, strlen (jobs[_i].body), &error);
+  ck_assert_int_eq (job != NULL, jobs[_i].ok);
+  ck_assert_int_eq (error == NULL, jobs[_i].ok);
+  if (job != NULL)
+    bts__accepted__free_unpacked (job, NULL);
+}
+END_TEST
+
+#define ENTRY(rest)                                                                                \
+  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"capacity\":{\"cpu\":8000," \
+  "\"mem-mb\":100,\"gpu\":0}" rest "}"
+
+static const struct
+{
+  const char *text;
+  gboolean ok;
+} entries[] = {
+  { ENTRY (""), TRUE },
+  { ENTRY (",\"labels\":[\"a\",\"r1\"],\"born\":1700000000000"), TRUE },
+  { ENTRY (",\"labels\":[1,null,\"a\"]"), TRUE },
+  { ENTRY (",\"labels\":\"a\""), FALSE },
+  { ENTRY (",\"born\":\"soon\""), FALSE },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\"}", FALSE },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"state\":\"ready\",\"capacity\":{}}", FALSE },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"odd\",\"capacity\":{}}", FALSE },
+  { "{\"service\":5,\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"capacity\":{}}", FALSE },
+  { "\xff\xfe", FALSE },
+  { "null", FALSE },
+};
+
+START_TEST (entry_is_read_or_passed_over)
+{
+  g_autoptr (GError) error = NULL;
+  bts_entry_t *entry = pf_wire_entry ("w", entries[_i].text, strlen (entries[_i].text), &error);
+  ck_assert_int_eq (entry != NULL, entries[_i].ok);
+  ck_assert_int_eq (error == NULL, entries[_i].ok);
+  if (entry != NULL)
+    bts_entry_free (entry);
+}
+END_TEST
+
+static const struct
+{
+  const char *text;
+  gboolean ok;
+} listings[] = {
+  { "{\"clock-ms\":5,\"running\":[],\"finished\":[]}", TRUE },
+  { "{\"clock-ms\":5}", TRUE },
+  { "{\"clock-ms\":5,\"running\":[[\"" ID ".0.1.2\",2,\"\",41]]}", TRUE },
+  { "{\"clock-ms\":5,\"finished\":[[58,\"" ID ".0.1.9\",1,\"done\",\"\"]]}", TRUE },
+  { "{\"clock-ms\":5,\"finished\":[[58,\"" ID ".0.1.9\",1,\"odd\",\"\"]]}", FALSE },
+  { "{\"clock-ms\":5,\"finished\":[[58]]}", FALSE },
+  { "{\"clock-ms\":5,\"finished\":[7]}", FALSE },
+  { "{\"clock-ms\":5,\"running\":[[1,2]]}", FALSE },
+  { "{\"clock-ms\":5,\"running\":[[\"x\",-2]]}", FALSE },
+  { "{\"clock-ms\":\"5\"}", FALSE },
+  { "{\"clock-ms\":5,\"running\":{}}", FALSE },
+};
+
+START_TEST (listing_is_read_or_refused)
+{
+  g_autoptr (GError) error = NULL;
+  bts_listing_t *listing = pf_wire_listing (listings[_i].text, strlen (listings[_i].text), &error);
+  ck_assert_int_eq (listing != NULL, listings[_i].ok);
+  ck_assert_int_eq (error == NULL, listings[_i].ok);
+  bts_listing_free (listing);
+}
+END_TEST
+
+static const struct
+{
+  int status;
+  const char *body;
+  bts_reply_t reply;
+  gint64 clock_ms;
+} replies[] = {
+  { 200, "{\"clock-ms\":77}", BTS_REPLY_OK, 77 },
+  { 200, "", BTS_REPLY_OK, 0 },
+  { 409, "{\"clock-ms\":77,\"reason\":\"fence\"}", BTS_REPLY_FENCED, 77 },
+  { 409, "{\"clock-ms\":77,\"reason\":\"old\"}", BTS_REPLY_OLD, 77 },
+  { 409, "{\"reason\":\"late\"}", BTS_REPLY_LATE, 0 },
+  { 409, "{\"reason\":\"room\"}", BTS_REPLY_NO_ROOM, 0 },
+  { 409, "{\"reason\":\"ticket\"}", BTS_REPLY_TICKET, 0 },
+  { 409, "{\"reason\":\"odd\"}", BTS_REPLY_INVALID, 0 },
+  { 409, "{\"reason\":5}", BTS_REPLY_INVALID, 0 },
+  { 409, "not json", BTS_REPLY_INVALID, 0 },
+  { 400, "", BTS_REPLY_INVALID, 0 },
+  { 421, "", BTS_REPLY_OTHER_LIFE, 0 },
+  { 429, "", BTS_REPLY_BUSY, 0 },
+  { 503, "", BTS_REPLY_BUSY, 0 },
+  { -1, "", BTS_REPLY_BUSY, 0 },
+  { 0, "", BTS_REPLY_NONE, 0 },
+  { 500, "", BTS_REPLY_NONE, 0 },
+  { 302, "", BTS_REPLY_NONE, 0 },
+};
+
+START_TEST (reply_is_told_apart)
+{
+  gint64 clock_ms = -1;
+  bts_reply_t reply
+      = pf_wire_reply (replies[_i].status, replies[_i].body, strlen (replies[_i].body), &clock_ms);
+  ck_assert_int_eq (reply, replies[_i].reply);
+  ck_assert_int_eq (clock_ms, replies[_i].clock_ms);
+}
+END_TEST
+
+#define ROUTE                                                                                      \
+  "{\"name\":\"r\",\"host\":\"A.Example\",\"path-prefix\":\"/q/\",\"service\":\"s\","              \
+  "\"priority\":2,\"max-attempts\":4,\"stretch\":1.5,\"target-latency-ms\":300"
+
+static const struct
+{
+  const char *text;
+  gboolean ok;
+  guint routes;
+} manifests[] = {
+  { "{\"version\":7,\"routes\":[" ROUTE "}],\"services\":[]}", TRUE, 1 },
+  { "{\"version\":7,\"routes\":[" ROUTE ",\"recommendation\":{\"decision-ms\":1.5}}]}", TRUE, 1 },
+  { "{\"version\":7}", TRUE, 0 },
+  { "{\"routes\":[]}", FALSE, 0 },
+  { "{\"version\":0}", FALSE, 0 },
+  { "{\"version\":7,\"routes\":[{}]}", FALSE, 0 },
+  { "{\"version\":7,\"routes\":[3]}", FALSE, 0 },
+  { "{\"version\":7,\"routes\":{}}", FALSE, 0 },
+  { "{\"version\":7,\"limits\":5}", FALSE, 0 },
+  { "no", FALSE, 0 },
+};
+
+START_TEST (tables_are_read_or_refused)
+{
+  g_autoptr (GError) error = NULL;
+  bts_manifest_t *manifest
+      = pf_wire_manifest (manifests[_i].text, strlen (manifests[_i].text), &error);
+  ck_assert_int_eq (manifest != NULL, manifests[_i].ok);
+  ck_assert_int_eq (error == NULL, manifests[_i].ok);
+  if (manifest != NULL)
+    ck_assert_uint_eq (manifest->routes->len, manifests[_i].routes);
+  bts_manifest_free (manifest);
+}
+END_TEST
+
+static const struct
+{
+  const char *host;
+  const char *path;
+  const char *route;
+} lookups[] = {
+  { "a.example", "/q/" ID, "short" }, { "a.example", "/q/long/" ID, "long" },
+  { "a.example", "/other/", NULL },   { "b.example", "/q/" ID, NULL },
+  { "a.example", "/q", NULL },        { "a.example", "/q/", "short" },
+};
+
+START_TEST (longest_prefix_wins)
+{
+  bts_manifest_t *manifest = bts_manifest_new ();
+  static const char *const prefixes[][2] = { { "short", "/q/" }, { "long", "/q/long/" } };
+  for (guint i = 0; i < G_N_ELEMENTS (prefixes); i++)
+    {
+      bts_route_t *route = g_new0 (bts_route_t, 1);
+      route->name = g_strdup (prefixes[i][0]);
+      route->host = g_strdup ("a.example");
+      route->prefix = g_strdup (prefixes[i][1]);
+      g_ptr_array_add (manifest->routes, route);
+    }
+  const bts_route_t *found = bts_manifest_find (manifest, lookups[_i].host, lookups[_i].path);
+  ck_assert_pstr_eq (found == NULL ? NULL : found->name, lookups[_i].route);
+  bts_manifest_free (manifest);
+}
+END_TEST
+
+static const struct
+{
+  const char *text;
+  gboolean ok;
+} settings_files[] = {
+  { "{\"node\":\"n\",\"listen\":{\"front\":\"1.1.1.1:1\",\"ready\":\"1.1.1.1:2\"},"
+    "\"platform\":{\"address\":\"1.1.1.1:3\"}}",
+    TRUE },
+  { "{\"node\":\"n\",\"listen\":{\"front\":\"1.1.1.1:1\"},\"platform\":{\"address\":\"x:3\"}}",
+    FALSE },
+  { "{\"node\":\"n\",\"listen\":5}", FALSE },
+  { "{\"node\":\"n\",\"heartbeat-ms\":\"often\"}", FALSE },
+  { "", FALSE },
+};
+
+START_TEST (settings_are_checked)
+{
+  g_autofree char *file = NULL;
+  int fd = g_file_open_tmp ("bamboothread-settings-XXXXXX", &file, NULL);
+  ck_assert_int_ge (fd, 0);
+  g_close (fd, NULL);
+  ck_assert (g_file_set_contents (file, settings_files[_i].text, -1, NULL));
+  g_autoptr (GError) error = NULL;
+  pf_settings_t *settings = pf_settings_load (file, &error);
+  ck_assert_int_eq (settings != NULL, settings_files[_i].ok);
+  ck_assert_int_eq (error == NULL, settings_files[_i].ok);
+  pf_settings_free (settings);
+  g_remove (file);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("platform");
+  tcase_add_loop_test (tests, job_is_read_or_refused, 0, G_N_ELEMENTS (jobs));
+  tcase_add_loop_test (tests, entry_is_read_or_passed_over, 0, G_N_ELEMENTS (entries));
+  tcase_add_loop_test (tests, listing_is_read_or_refused, 0, G_N_ELEMENTS (listings));
+  tcase_add_loop_test (tests, reply_is_told_apart, 0, G_N_ELEMENTS (replies));
+  tcase_add_loop_test (tests, tables_are_read_or_refused, 0, G_N_ELEMENTS (manifests));
+  tcase_add_loop_test (tests, longest_prefix_wins, 0, G_N_ELEMENTS (lookups));
+  tcase_add_loop_test (tests, settings_are_checked, 0, G_N_ELEMENTS (settings_files));
+  return suite_run ("platform", tests);
+}
