Learn the speeds of kinds of worker; leases of 3 s; a quicker replay

Pattern: urgent jobs on a pool in which every third worker is 1.3 times slower (tests/test_speed.c); a lost worker's tasks waited 4 s for its lease.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -13,7 +13,7 @@
 
 /* Time for a question and its answer to pass through the journal, in microseconds,
    beyond the time of the calls; then another process is asked. */
-#define PATIENCE_US (700 * 1000)
+#define PATIENCE_US (350 * 1000)
 /* A stage is asked about when the one before it has this part of a ticket's validity
    left to run, as estimated: estimates are off by up to half. */
 #define FORESEE_PART 2
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -122,6 +122,7 @@
  * @reserved: pass over the queue in which room on it was kept for a stage
  * @reserved_us: when that room is expected to be free
  * @reserved_left: what is left of the worker then beside it
+ * @slowness: times that tasks take here against the fastest kind; 0 if not known
  * @faults: failed ends in a row, for choosing others first
  */
 struct bts_worker_t
@@ -151,6 +152,7 @@
   guint64 reserved;
   gint64 reserved_us;
   bts_room_t reserved_left;
+  double slowness;
   guint faults;
 };
 
--- a/libbamboothread/scheduler/lead.c
+++ b/libbamboothread/scheduler/lead.c
@@ -148,7 +148,9 @@
 bts_lead_due (bts_lead_t *lead, const bts_ledger_t *ledger, gint64 now_us)
 {
   const char *owner = bts_ledger_owner (ledger);
-  if (lead->leaving || lead->lag_us == 0 || now_us - lead->read_us > READ_GAP_US
+  gboolean own_earlier = owner != NULL && bts_node_same_place (owner, lead->node);
+  if (lead->leaving || lead->read_us == 0 || (lead->lag_us == 0 && !own_earlier)
+      || now_us - lead->read_us > READ_GAP_US
       || bts_lead_mine (lead, ledger))
     return FALSE;
   if (lead->claimed_us != 0 && now_us - lead->claimed_us < CLAIM_RETRY_US)
@@ -157,7 +159,7 @@
   gint64 wait_us = BTS_LEAD_SILENCE_US + place_us + LAG_WEIGHT * lead->lag_us;
   if (owner == NULL)
     wait_us = place_us;
-  else if (bts_node_same_place (owner, lead->node))
+  else if (own_earlier)
     wait_us = 0;
   if (now_us - lead->sign_us < wait_us)
     return FALSE;
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -385,6 +385,16 @@
   ledger->ops->ask (ledger->context, ask->node, stage, workers);
 }
 
+/* Whether a record, by its first byte, only counts for seconds: tickets and questions
+   of the past need not even be unpacked. */
+static gboolean
+is_short_lived (guint8 tag)
+{
+  guint field = tag >> 3;
+  return field == BTS__RECORD__KIND_ADVICE || field == BTS__RECORD__KIND_ASK
+         || field == BTS__RECORD__KIND_HELLO;
+}
+
 /**
  * bts_ledger_fold() - take up the next record of the journal
  * @ledger: the ledger
@@ -401,6 +411,8 @@
 bts_ledger_fold (bts_ledger_t *ledger, gint64 offset, const guint8 *data, gsize len, gint64 now_us,
                  GError **error)
 {
+  if (ledger->replaying && len > 0 && is_short_lived (data[0]))
+    return TRUE;
   Bts__Record *record = bts__record__unpack (NULL, len, data);
   if (record == NULL)
     {
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -6,6 +6,13 @@
 #define WEIGHT_AVOID 100000
 #define WEIGHT_FAULT 10000
 #define WEIGHT_OTHER_RACK 4000
+#define WEIGHT_OVERDUE 3000
+/* For a kind that takes twice as long as the fastest one. */
+#define WEIGHT_SLOW_URGENT 8000
+#define WEIGHT_SLOW_PATIENT 1500
+/* A run is overdue after so many times its estimate, and this much more. */
+#define OVERDUE_FACTOR 2
+#define OVERDUE_US (500 * 1000)
 /* Tasks may take so much longer than estimated, in percent of the estimate. */
 #define ESTIMATE_PERCENT 130
 /* Faults in a row beyond this don't make a worker look any worse. */
@@ -81,16 +88,27 @@
 }
 
 /**
- * bts_place_may_use() - whether tasks of a stage may run on a worker at all
+ * bts_place_could_use() - whether a worker is of the right pool and kind for a stage
  * @worker: the worker
  * @stage: the stage
  */
 gboolean
-bts_place_may_use (const bts_worker_t *worker, const bts_stage_t *stage)
+bts_place_could_use (const bts_worker_t *worker, const bts_stage_t *stage)
 {
   const Bts__Step *step = bts_stage_step (stage);
   return strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0
-         && (step->label[0] == '\0' || bts_worker_has_label (worker, step->label))
+         && (step->label[0] == '\0' || bts_worker_has_label (worker, step->label));
+}
+
+/**
+ * bts_place_may_use() - whether tasks of a stage may run on a worker at all
+ * @worker: the worker
+ * @stage: the stage
+ */
+gboolean
+bts_place_may_use (const bts_worker_t *worker, const bts_stage_t *stage)
+{
+  return bts_place_could_use (worker, stage)
          && (!bts_stage_policy (stage)->advised || allowed (worker, stage));
 }
 
@@ -131,13 +149,41 @@
   return capacity == 0 ? 0 : (capacity - used) * 1000 / capacity;
 }
 
+/* Tasks that take far longer than estimated: the worker may be slow or stand still. */
+static guint
+count_overdue (const bts_worker_t *worker, gint64 now_us)
+{
+  guint count = 0;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const bts_run_t *run = worker->runs->pdata[i];
+      const Bts__Step *step = run->task == NULL ? NULL : bts_stage_step (run->task->stage);
+      count += step != NULL && !step->long_running && run->state == BTS_RUN_LIVE
+               && now_us - run->created_us
+                      > (gint64)step->estimate_ms * 1000 * OVERDUE_FACTOR + OVERDUE_US;
+    }
+  return count;
+}
+
+/* Urgent work goes to the fastest kind, patient work leaves it free. */
+static gint64
+speed_score (const bts_worker_t *worker, guint priority)
+{
+  double beyond = worker->slowness > 1.0 ? worker->slowness - 1.0 : 0.0;
+  if (priority == 0)
+    return (gint64)(beyond * WEIGHT_SLOW_URGENT);
+  return priority == 1 ? 0 : -(gint64)(beyond * WEIGHT_SLOW_PATIENT);
+}
+
 static gint64
-score (const bts_worker_t *worker, const bts_task_t *task, const Bts__Step *step)
+score (const bts_worker_t *worker, const bts_task_t *task, const Bts__Step *step, gint64 now_us)
 {
   gint64 left = step->gpus > 0 ? left_share (worker->entry->gpus, worker->used.gpus + step->gpus)
                                : left_share (worker->entry->cpu_millis,
                                              worker->used.cpu_millis + step->cpu_millis);
   gint64 against = left;
+  against += speed_score (worker, bts_stage_policy (task->stage)->priority);
+  against += WEIGHT_OVERDUE * (gint64)MIN (count_overdue (worker, now_us), FAULTS_MAX);
   if (task->avoid != NULL && strcmp (task->avoid, worker->entry->id) == 0)
     against += WEIGHT_AVOID;
   against += WEIGHT_FAULT * (gint64)MIN (worker->faults, FAULTS_MAX);
@@ -201,7 +247,7 @@
       if ((worker->reserved == pass && !fits_beside (worker, step, now_us))
           || bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK)
         continue;
-      gint64 found = score (worker, task, step);
+      gint64 found = score (worker, task, step, now_us);
       if (best == NULL || found < best_score
           || (found == best_score && strcmp (worker->entry->id, best->entry->id) < 0))
         {
--- a/libbamboothread/scheduler/place.h
+++ b/libbamboothread/scheduler/place.h
@@ -29,6 +29,7 @@
 bts_room_t bts_place_room (const Bts__Step *step);
 bts_place_why_t bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage,
                                  gint64 now_us);
+gboolean bts_place_could_use (const bts_worker_t *worker, const bts_stage_t *stage);
 gboolean bts_place_may_use (const bts_worker_t *worker, const bts_stage_t *stage);
 bts_worker_t *bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, guint64 pass,
                                 gint64 now_us);
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -7,6 +7,8 @@
 #include "libbamboothread/scheduler/lead.h"
 #include "libbamboothread/scheduler/place.h"
 
+/* Time between two applications of what was learned of speeds, in microseconds. */
+#define SPEED_US (500 * 1000)
 /* Time between two passes over a queue in which nothing has changed, in microseconds:
    some stages wait for a time to come. */
 #define PASS_IDLE_US (100 * 1000)
@@ -39,6 +41,7 @@
   sched->begun = g_ptr_array_new_with_free_func (g_free);
   sched->held = g_ptr_array_new_with_free_func (bts_held_free);
   sched->released = g_ptr_array_new_with_free_func (g_free);
+  sched->speed = bts_speed_new ();
   sched->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return sched;
 }
@@ -56,6 +59,7 @@
   g_ptr_array_unref (sched->held);
   g_ptr_array_unref (sched->released);
   g_hash_table_unref (sched->members);
+  bts_speed_free (sched->speed);
   g_free (sched);
 }
 
@@ -320,7 +324,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const bts_worker_t *worker = value;
-      if (!worker->synced && !worker->departed && bts_place_may_use (worker, stage))
+      if (!worker->synced && !worker->departed
+          && (stage->advice == NULL ? bts_place_could_use (worker, stage)
+                                    : bts_place_may_use (worker, stage)))
         return TRUE;
     }
   return g_hash_table_size (sched->fleet->workers) == 0;
@@ -555,6 +561,20 @@
   return known > 0;
 }
 
+static void
+apply_speed (bts_sched_t *sched)
+{
+  gint64 now_us = bts_sched_now (sched);
+  if (now_us - sched->speed_us < SPEED_US)
+    return;
+  sched->speed_us = now_us;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((bts_worker_t *)value)->slowness = bts_speed_slowness (sched->speed, value);
+}
+
 /**
  * bts_sched_gauge() - set the gauges of the owner's part
  * @sched: the scheduler
@@ -602,6 +622,7 @@
   bts_advice_tick (sched);
   if (sched->waiting->len > 0 && bts_sched_now (sched) - sched->pass_us >= PASS_IDLE_US)
     sched->dirty = TRUE;
+  apply_speed (sched);
   bts_beat_tick (sched);
   bts_keep_tick (sched);
   bts_sched_pass (sched);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -2,11 +2,12 @@
 #define BTS_SCHED_PRIVATE_H
 
 #include "libbamboothread/scheduler/sched.h"
+#include "libbamboothread/scheduler/speed.h"
 
 /* Lease asked for at workers, in milliseconds: outlives the takeover after a kill
    (BTS_LEAD_SILENCE_US and one round of holds) and still frees a lost worker's
    tasks soon. */
-#define BTS_LEASE_MS 4000
+#define BTS_LEASE_MS 3000
 
 /**
  * struct bts_outgoing_t - an end on its way into the journal
@@ -57,6 +58,8 @@
  * @sure_us: when every lease of an earlier owner has run out
  * @settled: nothing that an earlier owner started is unknown any more
  * @members: name to bts_member_t of the processes that may ask for advice
+ * @speed: how fast the kinds of worker are
+ * @speed_us: when that was last applied to the workers
  * @dirty: a pass over the queue may place something
  * @pass_us: when the last one was
  * @pass: its number
@@ -93,6 +96,8 @@
   gint64 sure_us;
   gboolean settled;
   GHashTable *members;
+  bts_speed_t *speed;
+  gint64 speed_us;
   gboolean dirty;
   gint64 pass_us;
   guint64 pass;
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -252,6 +252,9 @@
   bt_log (BT_LOG_INFO, "end",
           "task=%s run=%u worker=%s how=%d number=%" G_GUINT64_FORMAT " counts=%d", row->name,
           row->number, worker->entry->id, row->how, row->end, counts);
+  gint64 took_ms = run == NULL || run->tries > 0 || run->saved != NULL
+                       ? -1
+                       : (bts_sched_now (sched) - run->created_us) / 1000;
   if (run != NULL)
     bts_run_drop (sched, run);
   if (counts)
@@ -260,6 +263,9 @@
       task->last_run = MAX (task->last_run, row->number);
       bts_task_save (task, row->saved);
       judge_worker (worker, task, row->how);
+      if (row->how == BTS_HOW_DONE && took_ms >= 0)
+        bts_speed_learn (sched->speed, worker, took_ms,
+                         bts_stage_step (task->stage)->estimate_ms);
     }
   bts_beat_add (sched, worker, row, counts ? task : NULL);
   if (counts && row->how == BTS_HOW_DONE)
