--- a/libbamboothread/base/clock.c
+++ b/libbamboothread/base/clock.c
@@ -1,5 +1,7 @@
 #include "libbamboothread/base/clock.h"
 
+#include <time.h>
+
 /**
  * bt_clock_init() - set up a running clock
  * @clock: the clock
@@ -27,12 +29,17 @@
  * bt_clock_now() - the time
  * @clock: the clock
  *
- * Return: monotonic time in microseconds.
+ * Return: steady time in microseconds. It goes on while the machine is suspended, as
+ * leases do at those who granted them.
  */
 gint64
 bt_clock_now (const bt_clock_t *clock)
 {
-  return clock->paused ? clock->now_us : g_get_monotonic_time ();
+  if (clock->paused)
+    return clock->now_us;
+  struct timespec now;
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (gint64)now.tv_sec * BT_USEC_PER_SEC + now.tv_nsec / 1000;
 }
 
 /**
--- a/libbamboothread/base/clock.h
+++ b/libbamboothread/base/clock.h
@@ -9,7 +9,7 @@
 /**
  * struct bt_clock_t - the one source of time of a process
  *
- * A running clock follows the monotonic clock. A paused clock stands still
+ * A running clock follows the boot-time clock. A paused clock stands still
  * until bt_clock_advance(), which is how the tests drive time.
  */
 typedef struct
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -67,8 +67,8 @@
  * @fails: ends of kind failed in the journal
  * @ended_run: the highest run whose end is in the journal; 0 for none
  * @last_run: the highest run number known to have been used; 0 for none
- * @lost_run: the highest run given up because its worker's lease ran out; an
- *   end of it that shows up later doesn't count
+ * @lost_run: the highest run that this owner gave up because its worker's lease
+ *   ran out; an end of it that shows up later doesn't count
  * @saved: newest checkpoint, or NULL
  * @run: the owner's present run of it, or NULL
  * @ending: its run has ended and the journal doesn't hold the end yet
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -12,6 +12,9 @@
 #define ENTRIES_GRACE_US (2500 * 1000)
 /* A list of entries older than this was away, in microseconds. */
 #define ENTRIES_GAP_US (2500 * 1000)
+/* A process that wasn't run for so long, in microseconds, may have missed cancellations
+   and a change of the owner; it looks at what is due every 10 to 50 ms. */
+#define PAUSE_US (400 * 1000)
 /* Time between two signs of a process, in microseconds; see MEMBER_SILENT_US. */
 #define HELLO_US (3 * BT_USEC_PER_SEC)
 /* Time between two sweeps of jobs that ended long ago, in microseconds. */
@@ -20,6 +23,9 @@
 /**
  * struct bts_node_t - one process
  * @deposed: a worker knows a later owner; to be acted on at the next tick
+ * @tick_us: when it was last looked at what is due
+ * @paused_us: when this process last woke after it had stood still; 0 once it has
+ *   read the journal since
  * @replaying: the journal has not been read to its end yet
  * @hello_us: when this process last said that it is there
  * @entries_us: when the list of entries was read last
@@ -41,6 +47,8 @@
   bts_manifest_t *manifest;
   gboolean deposed;
   gboolean resigned;
+  gint64 tick_us;
+  gint64 paused_us;
   gboolean replaying;
   gint64 hello_us;
   gint64 entries_us;
@@ -387,6 +395,9 @@
   gint64 now_us = node_now (node);
   bts_lead_on_read (&node->lead, now_us);
   node->replaying = FALSE;
+  if (sent_us > node->paused_us)
+    node->paused_us = 0;
+  bts_sched_set_blind (node->sched, node->paused_us != 0);
   bts_ledger_set_replaying (node->ledger, FALSE);
   bts_gate_on_read (node->gate, sent_us, now_us);
   begin_if_owner (node);
@@ -680,6 +691,13 @@
 bts_node_tick (bts_node_t *node)
 {
   gint64 now_us = node_now (node);
+  if (node->tick_us != 0 && now_us - node->tick_us > PAUSE_US)
+    {
+      bt_log (BT_LOG_WARNING, "paused", "for_ms=%" G_GINT64_FORMAT, (now_us - node->tick_us) / 1000);
+      node->paused_us = now_us;
+      bts_sched_set_blind (node->sched, TRUE);
+    }
+  node->tick_us = now_us;
   if (node->deposed)
     {
       if (bts_sched_leading (node->sched))
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -7,6 +7,8 @@
 #include "libbamboothread/scheduler/lead.h"
 #include "libbamboothread/scheduler/place.h"
 
+/* How far the time of day may differ between VMs, in milliseconds, and some more. */
+#define YOUNG_MARGIN_MS 6000
 /* Time between two applications of what was learned of speeds, in microseconds. */
 #define SPEED_US (500 * 1000)
 /* Time between two passes over a queue in which nothing has changed, in microseconds:
@@ -270,6 +272,8 @@
             {
               stage->tasks[t].run = NULL;
               stage->tasks[t].ending = FALSE;
+              /* A later owner may have kept up what this one gave up. */
+              stage->tasks[t].lost_run = 0;
               stage->tasks[t].listed = FALSE;
             }
         }
@@ -311,6 +315,22 @@
   bts_beat_clear (sched);
 }
 
+/* Whether tasks that an earlier owner started may still run on a worker that has not
+   listed its runs yet. Orders that were on their way when the worker started anew
+   asked for leases by the clock of its earlier life, which are cut to the longest
+   one, so that a young worker may run them for longer. */
+static gboolean
+may_run_unlisted (const bts_sched_t *sched, const bts_worker_t *worker)
+{
+  if (worker->synced || worker->departed)
+    return FALSE;
+  gint64 longer_us = (gint64)((double)sched->config.hold_max_ms * 1000 / (1 - BTS_CLOCK_SLOW));
+  gint64 age_ms = sched->ops->now_unix_ms (sched->context) - worker->entry->born_ms;
+  gboolean young = age_ms < sched->config.hold_max_ms + YOUNG_MARGIN_MS;
+  gint64 until_us = young ? MAX (sched->sure_us, sched->began_us + longer_us) : sched->sure_us;
+  return bts_sched_now (sched) < until_us;
+}
+
 /* Whether an earlier owner may have started tasks of the stage on a worker that has
    not listed its runs yet. */
 static gboolean
@@ -324,7 +344,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const bts_worker_t *worker = value;
-      if (!worker->synced && !worker->departed
+      if (may_run_unlisted (sched, worker)
           && (stage->advice == NULL ? bts_place_could_use (worker, stage)
                                     : bts_place_may_use (worker, stage)))
         return TRUE;
@@ -497,6 +517,17 @@
   return 0;
 }
 
+/**
+ * bts_sched_set_blind() - say whether the journal may tell more than is known
+ * @sched: the scheduler
+ * @blind: nothing is started while this holds
+ */
+void
+bts_sched_set_blind (bts_sched_t *sched, gboolean blind)
+{
+  sched->blind = blind;
+}
+
 /**
  * bts_sched_pass() - place what waits, if anything has changed
  * @sched: the scheduler
@@ -504,7 +535,7 @@
 void
 bts_sched_pass (bts_sched_t *sched)
 {
-  if (sched->term == 0 || !sched->dirty)
+  if (sched->term == 0 || !sched->dirty || sched->blind)
     return;
   sched->dirty = FALSE;
   gint64 now_us = bts_sched_now (sched);
@@ -545,8 +576,6 @@
 static gboolean
 find_settled (const bts_sched_t *sched)
 {
-  if (bts_sched_now (sched) >= sched->sure_us)
-    return TRUE;
   guint known = 0;
   GHashTableIter iter;
   gpointer value;
@@ -555,10 +584,10 @@
     {
       const bts_worker_t *worker = value;
       known++;
-      if (!worker->synced && !worker->departed)
+      if (may_run_unlisted (sched, worker))
         return FALSE;
     }
-  return known > 0;
+  return known > 0 || bts_sched_now (sched) >= sched->sure_us;
 }
 
 static void
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -155,6 +155,7 @@
 gboolean bts_sched_leading (const bts_sched_t *sched);
 gint64 bts_sched_lease_ms (const bts_sched_t *sched);
 gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
+void bts_sched_set_blind (bts_sched_t *sched, gboolean blind);
 void bts_sched_tick (bts_sched_t *sched);
 void bts_sched_pass (bts_sched_t *sched);
 void bts_sched_gauge (const bts_sched_t *sched);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -57,6 +57,7 @@
  * @began_us: when the term began
  * @sure_us: when every lease of an earlier owner has run out
  * @settled: nothing that an earlier owner started is unknown any more
+ * @blind: nothing is started before the journal has been read again
  * @members: name to bts_member_t of the processes that may ask for advice
  * @speed: how fast the kinds of worker are
  * @speed_us: when that was last applied to the workers
@@ -95,6 +96,7 @@
   gint64 began_us;
   gint64 sure_us;
   gboolean settled;
+  gboolean blind;
   GHashTable *members;
   bts_speed_t *speed;
   gint64 speed_us;
