--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -135,6 +135,8 @@
   worker->clock_us = 0;
   worker->deadline_ms = 0;
   worker->acked = 0;
+  worker->told = 0;
+  worker->hold_ack = 0;
   worker->seen = 0;
   worker->ends_open = 0;
   worker->hold_open = FALSE;
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -111,6 +111,8 @@
  * @clock_us: our time then
  * @deadline_ms: the longest lease sent to it, by its clock
  * @acked: number of the newest end that is in the journal
+ * @told: number up to which it has been told to forget ends
+ * @hold_ack: number that the hold on its way tells it; 0 if none
  * @seen: number of the newest end that it has listed
  * @ends_open: ends that are being journaled
  * @hold_open: a hold is on its way
@@ -141,6 +143,8 @@
   gint64 clock_us;
   gint64 deadline_ms;
   guint64 acked;
+  guint64 told;
+  guint64 hold_ack;
   guint64 seen;
   guint ends_open;
   gboolean hold_open;
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -71,7 +71,8 @@
  *   ran out; an end of it that shows up later doesn't count
  * @saved: newest checkpoint, or NULL
  * @run: the owner's present run of it, or NULL
- * @ending: its run has ended and the journal doesn't hold the end yet
+ * @ending: the highest run that has ended while the journal doesn't hold that end
+ *   yet; 0 if there is none
  * @listed: that end is one of @n_listed of its stage
  * @avoid: worker on which it failed last, or NULL
  */
@@ -86,7 +87,7 @@
   guint lost_run;
   char *saved;
   bts_run_t *run;
-  gboolean ending;
+  guint ending;
   gboolean listed;
   char *avoid;
 } bts_task_t;
@@ -148,7 +149,8 @@
  * @accepted: the record that created it, without its spec once the job is over
  * @offset: of that record
  * @folded_us: when this process folded that record
- * @kept_us: when this process last folded a record that tells all of the job
+ * @kept_us: when this process last folded a record that tells all of the job; 0 if
+ *   that was one of the past
  * @kept_try_us: when the owner last wrote such a record
  * @ended_us: when this process saw the job end; 0 before
  * @occurrences: bts_occurrence_t by number; NULL where none has begun
--- a/libbamboothread/scheduler/keep.c
+++ b/libbamboothread/scheduler/keep.c
@@ -106,7 +106,7 @@
   if (sched->config.keep_ms == 0 || now_us - sched->keep_us < LOOK_US)
     return;
   sched->keep_us = now_us;
-  if (now_us - sched->standing_us >= age_us)
+  if (sched->standing_us < sched->began_us || now_us - sched->standing_us >= age_us)
     {
       sched->standing_us = now_us;
       write_standing (sched);
@@ -118,7 +118,9 @@
   while (written < JOBS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
     {
       bts_job_t *job = value;
-      if (now_us - job->kept_us < age_us || now_us - job->kept_try_us < RETRY_US)
+      /* What was read again may be older; half the time is left to be safe. */
+      gint64 kept_us = job->kept_us == 0 ? sched->began_us - age_us / 2 : job->kept_us;
+      if (now_us - kept_us < age_us || now_us - job->kept_try_us < RETRY_US)
         continue;
       job->kept_try_us = now_us;
       write_job (sched, job);
--- a/libbamboothread/scheduler/lead.c
+++ b/libbamboothread/scheduler/lead.c
@@ -113,7 +113,8 @@
   /* One that resigned, or whose process has started anew, does nothing any more. */
   gboolean stopped
       = lead->owner == NULL || (owner != NULL && bts_node_same_place (owner, lead->owner));
-  lead->earlier_us = stopped ? 0 : lead->sign_us;
+  if (!stopped)
+    lead->grants_us = MAX (lead->grants_us, lead->sign_us + BTS_LEAD_UNSURE_US);
   lead->sign_us = now_us;
   g_free (lead->owner);
   lead->owner = g_strdup (owner);
@@ -128,9 +129,7 @@
 gint64
 bts_lead_sure_us (const bts_lead_t *lead, gint64 lease_us, gint64 now_us)
 {
-  if (lead->earlier_us == 0)
-    return now_us + lease_us;
-  return MAX (lead->earlier_us + BTS_LEAD_UNSURE_US, now_us) + lease_us;
+  return MAX (lead->grants_us, now_us) + lease_us;
 }
 
 /**
@@ -150,8 +149,7 @@
   const char *owner = bts_ledger_owner (ledger);
   gboolean own_earlier = owner != NULL && bts_node_same_place (owner, lead->node);
   if (lead->leaving || lead->read_us == 0 || (lead->lag_us == 0 && !own_earlier)
-      || now_us - lead->read_us > READ_GAP_US
-      || bts_lead_mine (lead, ledger))
+      || now_us - lead->read_us > READ_GAP_US || bts_lead_mine (lead, ledger))
     return FALSE;
   if (lead->claimed_us != 0 && now_us - lead->claimed_us < CLAIM_RETRY_US)
     return FALSE;
--- a/libbamboothread/scheduler/lead.h
+++ b/libbamboothread/scheduler/lead.h
@@ -30,8 +30,7 @@
  * @owner: the owner that was known last, or NULL
  * @jitter_us: its own delay before it claims, so that claims seldom meet
  * @sign_us: when the owner last gave a sign, or the log could be read again
- * @earlier_us: when the owner before the present one last gave a sign; 0 if it
- *   is known to have stopped
+ * @grants_us: until when an owner that was replaced may still extend leases
  * @lag_us: time that appends of this process took lately
  * @read_us: when the log was last read to its end; 0 before the first time
  * @claimed_us: when this process claimed last; 0 for never
@@ -43,7 +42,7 @@
   char *owner;
   gint64 jitter_us;
   gint64 sign_us;
-  gint64 earlier_us;
+  gint64 grants_us;
   gint64 lag_us;
   gint64 read_us;
   gint64 claimed_us;
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -130,6 +130,8 @@
     return TRUE;
   bts_job_t *job = bts_job_new (*accepted, offset, now_us);
   *accepted = NULL;
+  if (ledger->replaying)
+    job->kept_us = 0;
   g_hash_table_insert (ledger->jobs, job->accepted->id, job);
   ledger->ops->seen (ledger->context, job->accepted->entry);
   ledger->ops->accepted (ledger->context, job);
@@ -337,7 +339,7 @@
   if (!fold_accepted (ledger, &kept->accepted, offset, now_us, error))
     return FALSE;
   bts_job_t *job = bts_ledger_job (ledger, id);
-  job->kept_us = now_us;
+  job->kept_us = ledger->replaying ? 0 : now_us;
   if (bts_job_over (job))
     return TRUE;
   job->begun = job->begun || kept->begun;
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -693,7 +693,8 @@
   gint64 now_us = node_now (node);
   if (node->tick_us != 0 && now_us - node->tick_us > PAUSE_US)
     {
-      bt_log (BT_LOG_WARNING, "paused", "for_ms=%" G_GINT64_FORMAT, (now_us - node->tick_us) / 1000);
+      bt_log (BT_LOG_WARNING, "paused", "for_ms=%" G_GINT64_FORMAT,
+              (now_us - node->tick_us) / 1000);
       node->paused_us = now_us;
       bts_sched_set_blind (node->sched, TRUE);
     }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -241,7 +241,6 @@
   sched->began_us = bts_sched_now (sched);
   sched->confirmed_us = 0;
   sched->sure_us = sure_us;
-  sched->standing_us = sched->began_us;
   sched->settled = FALSE;
   GHashTableIter iter;
   gpointer value;
@@ -271,7 +270,7 @@
           for (guint t = 0; t < stage->n; t++)
             {
               stage->tasks[t].run = NULL;
-              stage->tasks[t].ending = FALSE;
+              stage->tasks[t].ending = 0;
               /* A later owner may have kept up what this one gave up. */
               stage->tasks[t].lost_run = 0;
               stage->tasks[t].listed = FALSE;
@@ -315,20 +314,34 @@
   bts_beat_clear (sched);
 }
 
+/**
+ * bts_sched_granted_ms() - the longest lease that an earlier owner may have got
+ * @sched: the scheduler
+ * @worker: the worker
+ *
+ * Orders that were on their way when a worker started anew asked for leases by the
+ * clock of its earlier life, which are cut to the longest one; so a young worker may
+ * have granted more than an owner asks for.
+ */
+gint64
+bts_sched_granted_ms (const bts_sched_t *sched, const bts_worker_t *worker)
+{
+  gint64 born_ms = MAX (worker->entry->born_ms, worker->born_ms);
+  gint64 age_ms = sched->ops->now_unix_ms (sched->context) - born_ms;
+  gboolean young = age_ms < sched->config.hold_max_ms + YOUNG_MARGIN_MS;
+  return young ? sched->config.hold_max_ms : bts_sched_lease_ms (sched);
+}
+
 /* Whether tasks that an earlier owner started may still run on a worker that has not
-   listed its runs yet. Orders that were on their way when the worker started anew
-   asked for leases by the clock of its earlier life, which are cut to the longest
-   one, so that a young worker may run them for longer. */
+   listed its runs yet. */
 static gboolean
 may_run_unlisted (const bts_sched_t *sched, const bts_worker_t *worker)
 {
   if (worker->synced || worker->departed)
     return FALSE;
-  gint64 longer_us = (gint64)((double)sched->config.hold_max_ms * 1000 / (1 - BTS_CLOCK_SLOW));
-  gint64 age_ms = sched->ops->now_unix_ms (sched->context) - worker->entry->born_ms;
-  gboolean young = age_ms < sched->config.hold_max_ms + YOUNG_MARGIN_MS;
-  gint64 until_us = young ? MAX (sched->sure_us, sched->began_us + longer_us) : sched->sure_us;
-  return bts_sched_now (sched) < until_us;
+  gint64 granted_ms = bts_sched_granted_ms (sched, worker);
+  gint64 granted_us = (gint64)((double)granted_ms * 1000 / (1 - BTS_CLOCK_SLOW));
+  return bts_sched_now (sched) < MAX (sched->sure_us, sched->began_us + granted_us);
 }
 
 /* Whether an earlier owner may have started tasks of the stage on a worker that has
@@ -355,7 +368,7 @@
 static gboolean
 task_open (const bts_task_t *task)
 {
-  return !task->done && task->run == NULL && !task->ending;
+  return !task->done && task->run == NULL && task->ending == 0;
 }
 
 static guint
@@ -718,7 +731,8 @@
 {
   if (sched->term == 0)
     return;
-  task->ending = FALSE;
+  if (run >= task->ending)
+    task->ending = 0;
   bts_stage_t *stage = task->stage;
   if (task->listed)
     stage->n_listed--;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -119,6 +119,7 @@
 void bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
 void bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
 
+gint64 bts_sched_granted_ms (const bts_sched_t *sched, const bts_worker_t *worker);
 gint64 bts_sched_deadline (bts_sched_t *sched, bts_worker_t *worker);
 void bts_sched_wake (bts_sched_t *sched, bts_stage_t *stage);
 void bts_sched_wake_after (bts_sched_t *sched, const bts_stage_t *stage);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -103,7 +103,10 @@
   bts_hold_order_t order = { 0 };
   order.fence = sched->term;
   order.deadline_ms = bts_sched_deadline (sched, worker);
-  order.ack = worker->acked;
+  /* A worker that has started anew under its id numbers its ends from 1 again, so
+     that it is only told what is new, and nothing while it doesn't answer. */
+  worker->hold_ack = worker->acked > worker->told && worker->hold_failures == 0 ? worker->acked : 0;
+  order.ack = worker->hold_ack;
   order.wait_ms = worker->synced && worker->ends_open == 0 ? HOLD_WAIT_MS : 0;
   worker->hold_open = TRUE;
   bt_metrics_count (BT_COUNT_HOLDS);
@@ -157,7 +160,7 @@
 adopt (bts_sched_t *sched, bts_worker_t *worker, const bts_running_t *row)
 {
   bts_task_t *task = find_task (sched, row->name);
-  gboolean wanted = task != NULL && !task->done && !task->ending && task->run == NULL
+  gboolean wanted = task != NULL && !task->done && row->number > task->ending && task->run == NULL
                     && row->number > task->ended_run && row->number > task->lost_run
                     && !bts_job_over (task->stage->job);
   gboolean keeps = task != NULL && task->run == NULL;
@@ -206,8 +209,9 @@
 static gboolean
 end_counts (const bts_task_t *task, const bts_finished_t *row)
 {
-  return task != NULL && task->run == NULL && !task->ending && row->number > task->ended_run
-         && row->number > task->lost_run && row->number >= task->last_run;
+  return task != NULL && task->run == NULL && row->number > task->ending
+         && row->number > task->ended_run && row->number > task->lost_run
+         && row->number >= task->last_run;
 }
 
 static void
@@ -259,13 +263,12 @@
     bts_run_drop (sched, run);
   if (counts)
     {
-      task->ending = TRUE;
+      task->ending = MAX (task->ending, row->number);
       task->last_run = MAX (task->last_run, row->number);
       bts_task_save (task, row->saved);
       judge_worker (worker, task, row->how);
       if (row->how == BTS_HOW_DONE && took_ms >= 0)
-        bts_speed_learn (sched->speed, worker, took_ms,
-                         bts_stage_step (task->stage)->estimate_ms);
+        bts_speed_learn (sched->speed, worker, took_ms, bts_stage_step (task->stage)->estimate_ms);
     }
   bts_beat_add (sched, worker, row, counts ? task : NULL);
   if (counts && row->how == BTS_HOW_DONE)
@@ -387,10 +390,11 @@
     begin_life (sched, worker, listing);
   worker->born_ms = listing->born_ms;
   worker->hold_failures = 0;
+  worker->told = MAX (worker->told, worker->hold_ack);
   bts_worker_heard (worker, listing->clock_ms, now_us);
   /* An earlier owner may have granted as much. */
   if (worker->deadline_ms == 0)
-    worker->deadline_ms = listing->clock_ms + bts_sched_lease_ms (sched);
+    worker->deadline_ms = listing->clock_ms + bts_sched_granted_ms (sched, worker);
   for (guint i = 0; i < listing->finished->len; i++)
     take_finished (sched, worker, listing->finished->pdata[i]);
   for (guint i = 0; i < listing->running->len; i++)
