--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -133,6 +133,7 @@
   worker->asked = FALSE;
   worker->clock_ms = 0;
   worker->clock_us = 0;
+  worker->asked_ms = 0;
   worker->deadline_ms = 0;
   worker->acked = 0;
   worker->told = 0;
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -109,7 +109,8 @@
  * @used: room that @runs take
  * @clock_ms: its clock when it answered last
  * @clock_us: our time then
- * @deadline_ms: the longest lease sent to it, by its clock
+ * @asked_ms: the longest lease that this owner asked for, by the worker's clock
+ * @deadline_ms: the longest lease that it may have granted to any owner
  * @acked: number of the newest end that is in the journal
  * @told: number up to which it has been told to forget ends
  * @hold_ack: number that the hold on its way tells it; 0 if none
@@ -141,6 +142,7 @@
   bts_room_t used;
   gint64 clock_ms;
   gint64 clock_us;
+  gint64 asked_ms;
   gint64 deadline_ms;
   guint64 acked;
   guint64 told;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -114,9 +114,10 @@
   if (worker->clock_us == 0)
     return 0;
   if (worker->hold_failures == 0 && now_us - bts_sched_confirmed_us (sched) < BTS_LEAD_UNSURE_US)
-    worker->deadline_ms = MAX (worker->deadline_ms,
-                               bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
-  return worker->deadline_ms;
+    worker->asked_ms
+        = MAX (worker->asked_ms, bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
+  worker->deadline_ms = MAX (worker->deadline_ms, worker->asked_ms);
+  return worker->asked_ms;
 }
 
 /* The longest chain of estimates from the beginning of a stage to the end of its job. */
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -39,10 +39,18 @@
 
 /* Seeds that failed once, each with its cause. */
 static const guint32 regressions[] = {
-  32,  /* the next owner didn't know a worker that wasn't listed any more */
-  37,  /* orders on their way reached the next life of a worker */
-  38,  /* a run of the next life had ended before it was first listed */
-  187, /* a reader that began after a claim was deleted took no later term up */
+  32,   /* the next owner didn't know a worker that wasn't listed any more */
+  37,   /* orders on their way reached the next life of a worker */
+  38,   /* a run of the next life had ended before it was first listed */
+  54,   /* an order to the next life of a worker asked for a lease by the old clock */
+  274,  /* what an owner gave up counted when it led again */
+  402,  /* a young worker may have granted more than an owner asks for */
+  486,  /* owners that followed each other quickly forgot a held worker */
+  1289, /* a hold told the next life of a worker to forget its ends */
+  1305, /* an owner asked for the longest lease that it had to reckon with */
+  1336, /* the end of an older run hid the end of a newer one */
+  1420, /* a thawed owner started what had been cancelled */
+  187,  /* a reader that began after a claim was deleted took no later term up */
 };
 
 /**
