--- a/libbamboothread/scheduler/keep.c
+++ b/libbamboothread/scheduler/keep.c
@@ -11,6 +11,8 @@
 /* Records are written again after this part of the time that the log keeps them: a
    reader that begins anywhere finds two of each job. */
 #define KEEP_PART 3
+/* Part of that time after which an owner writes jobs of which it doesn't know the age. */
+#define UNKNOWN_PART 10
 /* Jobs written in one look at what is due; spreads them over time. */
 #define JOBS_MAX 20
 /* Time after which a record that hasn't come back is written again, in microseconds. */
@@ -111,6 +113,8 @@
       sched->standing_us = now_us;
       write_standing (sched);
     }
+  /* What was read again may be of any age, and owners may follow each other quickly. */
+  gint64 unknown_us = sched->began_us - age_us + age_us / UNKNOWN_PART;
   guint written = 0;
   GHashTableIter iter;
   gpointer value;
@@ -118,8 +122,7 @@
   while (written < JOBS_MAX && g_hash_table_iter_next (&iter, NULL, &value))
     {
       bts_job_t *job = value;
-      /* What was read again may be older; half the time is left to be safe. */
-      gint64 kept_us = job->kept_us == 0 ? sched->began_us - age_us / 2 : job->kept_us;
+      gint64 kept_us = job->kept_us == 0 ? unknown_us : job->kept_us;
       if (now_us - kept_us < age_us || now_us - job->kept_try_us < RETRY_US)
         continue;
       job->kept_try_us = now_us;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -114,7 +114,8 @@
  * @advised: jobs handed in need advice
  * @advice_denies: it denies all workers that are there
  * @violations: what broke a promise
- * @done: name of a task to when it ended done
+ * @done: tasks of which a run has ended done
+ * @done_us: run to when it ended done
  * @started: name of a task to when it was started last
  * @noted: tasks whose end of kind done has been taken note of
  */
@@ -143,6 +144,7 @@
   GPtrArray *violations;
   GHashTable *answers;
   GHashTable *done;
+  GHashTable *done_us;
   GHashTable *started;
   GHashTable *noted;
   guint starts;
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -49,6 +49,7 @@
   1289, /* a hold told the next life of a worker to forget its ends */
   1305, /* an owner asked for the longest lease that it had to reckon with */
   1336, /* the end of an older run hid the end of a newer one */
+  2975, /* an owner that had just started wrote old jobs once more too late */
   1420, /* a thawed owner started what had been cancelled */
   187,  /* a reader that began after a claim was deleted took no later term up */
 };
