--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -211,6 +211,12 @@
   run->tries++;
   if (run->state != BTS_RUN_STARTING)
     return;
+  /* Nothing is sent to a worker whose lease is over: it may have started anew. */
+  if (bts_sched_now (sched) > bts_worker_expiry_us (run->worker))
+    {
+      bts_run_lost (sched, run, "lease-over");
+      return;
+    }
   if (run->tries < START_TRIES)
     {
       bt_metrics_count (BT_COUNT_STARTS_REPEATED);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -20,6 +20,8 @@
 #define HOLD_ENDS_US (250 * 1000)
 /* Time to the next hold after one that got no answer. */
 #define HOLD_RETRY_US (150 * 1000)
+/* Answers of one life overtake each other by less than this, in microseconds. */
+#define OVERTAKEN_US (50 * 1000)
 /* Time for which a worker that left the list is still asked, in microseconds: above
    the longest lease. */
 #define UNLISTED_US (20 * BT_USEC_PER_SEC)
@@ -115,6 +117,36 @@
   sched->ops->hold (sched->context, worker, &order);
 }
 
+/* Whether a run may be in the next life of its worker: its order is on its way, or
+   was answered by a clock that is not ahead of the one known. The lists will tell;
+   no life grants more than the longest lease. */
+static gboolean
+may_be_in_next_life (const bts_sched_t *sched, const bts_run_t *run, gint64 now_us)
+{
+  gint64 longest_us = (gint64)((double)sched->config.hold_max_ms * 1000 / (1 - BTS_CLOCK_SLOW));
+  return run->order_open
+         || (run->confirmed_us > run->worker->clock_us + OVERTAKEN_US
+             && now_us < run->confirmed_us + longest_us + BTS_LEASE_MARGIN_US);
+}
+
+/* Gives up what ran under a lease that is over. */
+static void
+lose_expired (bts_sched_t *sched, bts_worker_t *worker, gint64 now_us)
+{
+  for (guint i = 0; i < worker->runs->len;)
+    {
+      bts_run_t *run = worker->runs->pdata[i];
+      if (may_be_in_next_life (sched, run, now_us))
+        {
+          worker->hold_next_us = MIN (worker->hold_next_us, now_us);
+          i++;
+          continue;
+        }
+      bts_run_lost (sched, run, "lease-over");
+      i = 0;
+    }
+}
+
 /**
  * bts_worker_tick() - do what is due at a worker
  * @sched: the scheduler
@@ -125,7 +157,7 @@
 {
   gint64 now_us = bts_sched_now (sched);
   if (worker->runs->len > 0 && worker->clock_us != 0 && now_us > bts_worker_expiry_us (worker))
-    lose_runs (sched, worker, "lease-over");
+    lose_expired (sched, worker, now_us);
   for (guint i = 0; i < worker->runs->len; i++)
     bts_run_tick (sched, worker->runs->pdata[i]);
   if (worker->departed
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -50,6 +50,7 @@
   1305, /* an owner asked for the longest lease that it had to reckon with */
   1336, /* the end of an older run hid the end of a newer one */
   2975, /* an owner that had just started wrote old jobs once more too late */
+  2257, /* a start on its way when the lease ran out ran in the worker's next life */
   1420, /* a thawed owner started what had been cancelled */
   187,  /* a reader that began after a claim was deleted took no later term up */
 };
