--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -24,6 +24,19 @@
 /* Time before a stage whose start was refused for its form is tried again. */
 #define REST_INVALID_US (2000 * 1000)
 
+/* The members of a gang go on from one checkpoint; that of any member is valid for all. */
+static const char *
+checkpoint (const bts_task_t *task)
+{
+  const bts_stage_t *stage = task->stage;
+  if (!bts_stage_step (stage)->gang)
+    return task->saved;
+  for (guint i = 0; i < stage->n; i++)
+    if (stage->tasks[i].saved != NULL)
+      return stage->tasks[i].saved;
+  return NULL;
+}
+
 /**
  * bts_run_new() - count a run as on a worker
  * @sched: the scheduler
@@ -45,7 +58,7 @@
   if (task != NULL)
     {
       run->room = bts_place_room (bts_stage_step (task->stage));
-      run->saved = g_strdup (task->saved);
+      run->saved = g_strdup (checkpoint (task));
       task->run = run;
     }
   bts_worker_add (worker, run);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -259,6 +259,7 @@
   sim_run_t *run = data;
   g_free (run->name);
   g_free (run->spec);
+  g_free (run->saved);
   g_free (run);
 }
 
@@ -367,6 +368,7 @@
     violate (sim, "TWICE %s had ended done", run->name);
   gint64 at_us = now (sim);
   g_hash_table_replace (sim->started, g_strdup (run->name), g_memdup2 (&at_us, sizeof at_us));
+  g_autofree char *prefix = stage_prefix (run->name);
   bts_room_t used = { 0 };
   for (guint w = 0; w < sim->workers->len; w++)
     {
@@ -376,6 +378,9 @@
           const sim_run_t *there = other->runs->pdata[i];
           if (there != run && strcmp (there->name, run->name) == 0)
             violate (sim, "TWICE %s runs on %s and %s", run->name, other->id, worker->id);
+          if (run->gang && there != run && there->number == run->number
+              && g_str_has_prefix (there->name, prefix) && strcmp (there->saved, run->saved) != 0)
+            violate (sim, "UNASKED %s and %s have other checkpoints", there->name, run->name);
           if (other != worker)
             continue;
           used.cpu_millis += there->room.cpu_millis;
@@ -471,6 +476,7 @@
   guint number;
   char *spec;
   char *ticket;
+  char *saved;
   guint64 fence;
   gint64 deadline_ms;
   guint64 ack;
@@ -488,6 +494,7 @@
   g_free (order->name);
   g_free (order->spec);
   g_free (order->ticket);
+  g_free (order->saved);
   bts_listing_free (order->listing);
   g_free (order);
 }
@@ -571,6 +578,7 @@
   run->number = order->number;
   run->started_us = now (sim);
   run->spec = g_strdup (order->spec);
+  run->saved = g_strdup (order->saved);
   if (step != NULL)
     {
       run->left_ms = step->estimate_ms;
@@ -615,6 +623,7 @@
       late->name = g_strdup (order->name);
       late->spec = g_strdup (order->spec);
       late->ticket = g_strdup (order->ticket);
+      late->saved = g_strdup (order->saved);
       late->listing = NULL;
       after (sim, worker->late_us, start_late, late);
       give_back (order, CALL_TIMEOUT_US, start_answered);
@@ -637,6 +646,7 @@
   order->number = run->number;
   order->spec = g_strndup ((const char *)spec->data, spec->len);
   order->ticket = g_strdup (start->ticket);
+  order->saved = g_strdup (run->saved == NULL ? "" : run->saved);
   order->fence = start->fence;
   order->deadline_ms = start->deadline_ms;
   after (node->sim, SIM_DELAY_US, start_arrived, order);
@@ -701,6 +711,15 @@
                      order->reply, order->listing);
 }
 
+/* Each run has a checkpoint of its own once it has worked for some time. */
+static char *
+checkpoint_of (const sim_run_t *run)
+{
+  if (run->done_ms < 500)
+    return g_strdup (run->saved);
+  return g_strdup_printf ("%s@%" G_GINT64_FORMAT, run->name, run->done_ms / 500);
+}
+
 static void
 list_runs (const sim_worker_t *worker, sim_order_t *order)
 {
@@ -713,7 +732,7 @@
       bts_running_t *row = g_new0 (bts_running_t, 1);
       row->name = g_strdup (run->name);
       row->number = run->number;
-      row->saved = g_strdup ("");
+      row->saved = checkpoint_of (run);
       g_ptr_array_add (order->listing->running, row);
     }
   for (guint i = 0; i < worker->finished->len; i++)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -21,6 +21,7 @@
 
 /**
  * struct sim_run_t - a run on a simulated worker
+ * @saved: checkpoint that it started from, or empty
  * @left_ms: work that it still has to do; negative for one that lasts
  */
 typedef struct
@@ -36,6 +37,7 @@
   gboolean lasts;
   bts_room_t room;
   char *spec;
+  char *saved;
 } sim_run_t;
 
 /**
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -455,6 +455,30 @@
   ck_assert_uint_eq (sim_running (sim, kept->id), 3);
 }
 
+/* Members of a gang have checkpoints of their own; the next run goes on from one. */
+static void
+gang_goes_on_from_one_checkpoint (sim_t *sim)
+{
+  static const sim_step_t saving[] = { { .count = 3,
+                                         .cpu = 20000,
+                                         .memory = 30000,
+                                         .gpus = 4,
+                                         .ms = 4000,
+                                         .gang = TRUE,
+                                         .saves = TRUE } };
+  sim_job_t *job = sim_submit (sim, 0, &service, saving, G_N_ELEMENTS (saving));
+  sim_run_ms (sim, 2500);
+  ck_assert_uint_eq (sim_running (sim, job->id), 3);
+  for (guint i = 0; i < sim->workers->len; i++)
+    if (sim_worker (sim, i)->runs->len > 0)
+      {
+        sim_reborn (sim, sim_worker (sim, i));
+        break;
+      }
+  sim_run_ms (sim, 12000);
+  ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
+}
+
 /* A worker that departed for good doesn't hold up the next owner. */
 static void
 address_taken_and_owner_killed (sim_t *sim)
@@ -502,6 +526,7 @@
   { "gang_among_small_tasks", gang_among_small_tasks },
   { "large_task_among_small_ones", large_task_among_small_ones },
   { "log_has_deleted_the_beginning", log_has_deleted_the_beginning },
+  { "gang_goes_on_from_one_checkpoint", gang_goes_on_from_one_checkpoint },
   { "address_taken_and_owner_killed", address_taken_and_owner_killed },
   { "workers_come_after_the_advice", workers_come_after_the_advice },
 };
