--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -33,8 +33,7 @@
 const char *
 bts_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us)
 {
-  const bts_ticket_t *ticket
-      = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker);
+  const bts_ticket_t *ticket = bts_stage_ticket (stage, worker);
   gint64 valid_us = (gint64)bts_stage_policy (stage)->advice_validity_ms * 1000 - TICKET_MARGIN_US;
   if (ticket == NULL || ticket->at_us == 0 || now_us - ticket->at_us >= valid_us)
     return NULL;
@@ -127,8 +126,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < BTS_ADVICE_MAX)
     {
       const bts_worker_t *worker = value;
-      const bts_ticket_t *known
-          = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker->entry->id);
+      const bts_ticket_t *known = bts_stage_ticket (stage, worker->entry->id);
       if (may_ask_about (stage, worker) && (known == NULL || known->ticket != NULL))
         g_ptr_array_add (ids, worker->entry->id);
     }
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -2,6 +2,32 @@
 
 #include <string.h>
 
+/**
+ * bts_room_add() - add an amount of each resource
+ * @room: the sum so far
+ * @other: what is added
+ */
+void
+bts_room_add (bts_room_t *room, const bts_room_t *other)
+{
+  room->cpu_millis += other->cpu_millis;
+  room->memory_mb += other->memory_mb;
+  room->gpus += other->gpus;
+}
+
+/**
+ * bts_room_subtract() - take an amount of each resource away
+ * @room: what is left so far
+ * @other: what is taken
+ */
+void
+bts_room_subtract (bts_room_t *room, const bts_room_t *other)
+{
+  room->cpu_millis -= other->cpu_millis;
+  room->memory_mb -= other->memory_mb;
+  room->gpus -= other->gpus;
+}
+
 void
 bts_entry_free (bts_entry_t *entry)
 {
@@ -130,7 +156,6 @@
   memset (&worker->used, 0, sizeof worker->used);
   worker->life++;
   worker->synced = FALSE;
-  worker->asked = FALSE;
   worker->clock_ms = 0;
   worker->clock_us = 0;
   worker->asked_ms = 0;
@@ -179,6 +204,18 @@
   return worker->clock_ms + (now_us - worker->clock_us) / 1000;
 }
 
+/**
+ * bts_lease_longest_us() - how long a lease may last by our clock
+ * @lease_ms: its length by the worker's clock, in milliseconds
+ *
+ * Return: microseconds.
+ */
+gint64
+bts_lease_longest_us (gint64 lease_ms)
+{
+  return (gint64)((double)lease_ms * 1000 / (1 - BTS_CLOCK_SLOW));
+}
+
 /**
  * bts_worker_expiry_us() - when its lease has surely run out
  * @worker: the worker
@@ -186,9 +223,35 @@
 gint64
 bts_worker_expiry_us (const bts_worker_t *worker)
 {
-  gint64 left_us = MAX (worker->deadline_ms - worker->clock_ms, 0) * 1000;
-  return worker->clock_us + (gint64)((double)left_us / (1.0 - BTS_CLOCK_SLOW))
-         + BTS_LEASE_MARGIN_US;
+  gint64 left_ms = MAX (worker->deadline_ms - worker->clock_ms, 0);
+  return worker->clock_us + bts_lease_longest_us (left_ms) + BTS_LEASE_MARGIN_US;
+}
+
+/**
+ * bts_worker_capacity() - all that a worker has
+ * @worker: the worker
+ */
+bts_room_t
+bts_worker_capacity (const bts_worker_t *worker)
+{
+  const bts_entry_t *entry = worker->entry;
+  bts_room_t capacity = { entry->cpu_millis, entry->memory_mb, entry->gpus };
+  return capacity;
+}
+
+/**
+ * bts_worker_has_room() - whether some more fits into a worker
+ * @worker: the worker
+ * @used: what is taken of it
+ * @room: what is to fit beside that
+ */
+gboolean
+bts_worker_has_room (const bts_worker_t *worker, const bts_room_t *used, const bts_room_t *room)
+{
+  bts_room_t capacity = bts_worker_capacity (worker);
+  return used->cpu_millis + room->cpu_millis <= capacity.cpu_millis
+         && used->memory_mb + room->memory_mb <= capacity.memory_mb
+         && used->gpus + room->gpus <= capacity.gpus;
 }
 
 gboolean
@@ -225,9 +288,7 @@
 {
   run->worker = worker;
   g_ptr_array_add (worker->runs, run);
-  worker->used.cpu_millis += run->room.cpu_millis;
-  worker->used.memory_mb += run->room.memory_mb;
-  worker->used.gpus += run->room.gpus;
+  bts_room_add (&worker->used, &run->room);
 }
 
 /**
@@ -240,7 +301,5 @@
 {
   if (!g_ptr_array_remove_fast (worker->runs, run))
     return;
-  worker->used.cpu_millis -= run->room.cpu_millis;
-  worker->used.memory_mb -= run->room.memory_mb;
-  worker->used.gpus -= run->room.gpus;
+  bts_room_subtract (&worker->used, &run->room);
 }
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -45,6 +45,9 @@
   gint64 gpus;
 } bts_room_t;
 
+void bts_room_add (bts_room_t *room, const bts_room_t *other);
+void bts_room_subtract (bts_room_t *room, const bts_room_t *other);
+
 /**
  * enum bts_run_state_t - what is known of a run
  * @BTS_RUN_STARTING: ordered, no answer yet
@@ -104,7 +107,6 @@
  * @born_ms: the life that @runs and @acked belong to; 0 if not known
  * @life: raised when @runs and the rest are forgotten; tells late answers apart
  * @synced: it has listed its runs to this owner
- * @asked: it has been asked for its lists at least once in this term
  * @runs: bts_run_t that may be on it
  * @used: room that @runs take
  * @clock_ms: its clock when it answered last
@@ -137,7 +139,6 @@
   gint64 born_ms;
   guint life;
   gboolean synced;
-  gboolean asked;
   GPtrArray *runs;
   bts_room_t used;
   gint64 clock_ms;
@@ -193,7 +194,11 @@
 void bts_worker_reset (bts_worker_t *worker);
 void bts_worker_heard (bts_worker_t *worker, gint64 clock_ms, gint64 now_us);
 gint64 bts_worker_clock_ms (const bts_worker_t *worker, gint64 now_us);
+gint64 bts_lease_longest_us (gint64 lease_ms);
 gint64 bts_worker_expiry_us (const bts_worker_t *worker);
+bts_room_t bts_worker_capacity (const bts_worker_t *worker);
+gboolean bts_worker_has_room (const bts_worker_t *worker, const bts_room_t *used,
+                              const bts_room_t *room);
 gboolean bts_worker_has_label (const bts_worker_t *worker, const char *label);
 bts_run_t *bts_worker_find (const bts_worker_t *worker, const char *name, guint number);
 void bts_worker_add (bts_worker_t *worker, bts_run_t *run);
--- a/libbamboothread/scheduler/gate.h
+++ b/libbamboothread/scheduler/gate.h
@@ -40,6 +40,9 @@
 
 /**
  * enum bts_stored_t - what became of an append
+ * @BTS_STORED: the records are in the log
+ * @BTS_NOT_STORED: they aren't and won't be
+ * @BTS_STORED_UNKNOWN: no answer; they may be, or may be later
  */
 typedef enum
 {
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -268,6 +268,19 @@
   g_free (ticket);
 }
 
+/**
+ * bts_stage_ticket() - what the advice service said of a worker
+ * @stage: the stage
+ * @worker: id of the worker
+ *
+ * Return: its answer, or NULL if it wasn't asked.
+ */
+bts_ticket_t *
+bts_stage_ticket (const bts_stage_t *stage, const char *worker)
+{
+  return stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker);
+}
+
 /**
  * bts_stage_advise() - keep leave to start a stage on a worker
  * @stage: the stage
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -105,6 +105,7 @@
  * @answer_us: when it is asked for again
  * @foresee_us: when advice is asked for ahead of its turn; 0 if it isn't
  * @waiting: the stage stands in the owner's queue
+ * @hopeless_us: when its job is of no use any more
  * @due_us: when it should be over for its job to meet its objective
  * @band: part of the queue that it stands in
  * @rest_until_us: no attempt to place it before
@@ -129,6 +130,7 @@
   gint64 foresee_us;
   gboolean waiting;
   gint64 due_us;
+  gint64 hopeless_us;
   guint band;
   gint64 rest_until_us;
   gint64 short_us;
@@ -190,6 +192,7 @@
 bts_stage_t *bts_job_stage (bts_job_t *job, guint occurrence, guint step);
 void bts_job_shrink (bts_job_t *job);
 
+bts_ticket_t *bts_stage_ticket (const bts_stage_t *stage, const char *worker);
 void bts_stage_advise (bts_stage_t *stage, const char *worker, const char *ticket, gint64 now_us);
 const Bts__Step *bts_stage_step (const bts_stage_t *stage);
 const Bts__Policy *bts_stage_policy (const bts_stage_t *stage);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -375,8 +375,7 @@
   if (!bts_lead_mine (&node->lead, node->ledger) || bts_sched_leading (node->sched)
       || node->resigned || node->deposed)
     return;
-  gint64 lease_us
-      = (gint64)((double)bts_sched_lease_ms (node->sched) * 1000 / (1 - BTS_CLOCK_SLOW));
+  gint64 lease_us = bts_lease_longest_us (bts_sched_lease_ms (node->sched));
   bts_sched_begin (node->sched, bts_ledger_term (node->ledger),
                    bts_lead_sure_us (&node->lead, lease_us + BTS_LEASE_MARGIN_US, node_now (node)));
 }
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -71,19 +71,10 @@
   return FALSE;
 }
 
-static gboolean
-has_room (const bts_worker_t *worker, const bts_room_t *room)
-{
-  return worker->used.cpu_millis + room->cpu_millis <= worker->entry->cpu_millis
-         && worker->used.memory_mb + room->memory_mb <= worker->entry->memory_mb
-         && worker->used.gpus + room->gpus <= worker->entry->gpus;
-}
-
 static gboolean
 allowed (const bts_worker_t *worker, const bts_stage_t *stage)
 {
-  const bts_ticket_t *ticket
-      = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker->entry->id);
+  const bts_ticket_t *ticket = bts_stage_ticket (stage, worker->entry->id);
   return ticket != NULL && ticket->ticket != NULL;
 }
 
@@ -134,7 +125,7 @@
   if (bts_stage_policy (stage)->advised && !allowed (worker, stage))
     return BTS_PLACE_NOT_ALLOWED;
   bts_room_t room = bts_place_room (step);
-  if (!has_room (worker, &room))
+  if (!bts_worker_has_room (worker, &worker->used, &room))
     return BTS_PLACE_NO_ROOM;
   if (step->per_worker_max > 0 && count_stage (worker, stage) >= step->per_worker_max)
     return BTS_PLACE_PER_WORKER;
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -41,9 +41,9 @@
 static gboolean
 enough (const bts_worker_t *worker, const bts_room_t *freed, const bts_room_t *room)
 {
-  return worker->used.cpu_millis - freed->cpu_millis + room->cpu_millis <= worker->entry->cpu_millis
-         && worker->used.memory_mb - freed->memory_mb + room->memory_mb <= worker->entry->memory_mb
-         && worker->used.gpus - freed->gpus + room->gpus <= worker->entry->gpus;
+  bts_room_t used = worker->used;
+  bts_room_subtract (&used, freed);
+  return bts_worker_has_room (worker, &used, room);
 }
 
 static gint
@@ -75,8 +75,7 @@
       g_ptr_array_add (must ? victims : runs, run);
       if (!must)
         continue;
-      freed.memory_mb += run->room.memory_mb;
-      freed.gpus += run->room.gpus;
+      bts_room_add (&freed, &run->room);
       *cost += loss (run, now_us);
     }
   g_ptr_array_sort_with_data (runs, compare_loss, &now_us);
@@ -84,9 +83,7 @@
     {
       bts_run_t *run = runs->pdata[i];
       g_ptr_array_add (victims, run);
-      freed.cpu_millis += run->room.cpu_millis;
-      freed.memory_mb += run->room.memory_mb;
-      freed.gpus += run->room.gpus;
+      bts_room_add (&freed, &run->room);
       *cost += loss (run, now_us);
     }
   if (victims->len > 0 && enough (worker, &freed, &room))
@@ -106,9 +103,7 @@
       const bts_run_t *run = worker->runs->pdata[i];
       if (run->state != BTS_RUN_STOPPING)
         continue;
-      freed.cpu_millis += run->room.cpu_millis;
-      freed.memory_mb += run->room.memory_mb;
-      freed.gpus += run->room.gpus;
+      bts_room_add (&freed, &run->room);
     }
   return enough (worker, &freed, &room);
 }
--- a/libbamboothread/scheduler/reserve.c
+++ b/libbamboothread/scheduler/reserve.c
@@ -70,9 +70,7 @@
         return G_MAXINT64;
       const bts_run_t *run = runs->pdata[i];
       at_us = expected_end_us (run, now_us);
-      used.cpu_millis -= run->room.cpu_millis;
-      used.memory_mb -= run->room.memory_mb;
-      used.gpus -= run->room.gpus;
+      bts_room_subtract (&used, &run->room);
     }
   *used_then = used;
   return at_us;
@@ -82,10 +80,10 @@
 keep_room (bts_worker_t *worker, const Bts__Step *step, guint count, const bts_room_t *used)
 {
   bts_room_t room = bts_place_room (step);
-  bts_room_t *left = &worker->reserved_left;
-  left->cpu_millis = worker->entry->cpu_millis - used->cpu_millis - count * room.cpu_millis;
-  left->memory_mb = worker->entry->memory_mb - used->memory_mb - count * room.memory_mb;
-  left->gpus = worker->entry->gpus - used->gpus - count * room.gpus;
+  worker->reserved_left = bts_worker_capacity (worker);
+  bts_room_subtract (&worker->reserved_left, used);
+  for (guint i = 0; i < count; i++)
+    bts_room_subtract (&worker->reserved_left, &room);
 }
 
 static gboolean
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -43,21 +43,22 @@
  * @task: the task, or NULL if its job isn't known
  * @name: its name
  * @number: number of the run
+ * @room: what it takes of the worker
  * @worker: the worker
  */
 bts_run_t *
 bts_run_new (bts_sched_t *sched, bts_task_t *task, const char *name, guint number,
-             bts_worker_t *worker)
+             const bts_room_t *room, bts_worker_t *worker)
 {
   bts_run_t *run = g_new0 (bts_run_t, 1);
   run->serial = ++sched->serial;
   run->task = task;
   run->name = g_strdup (name);
   run->number = number;
+  run->room = *room;
   run->created_us = bts_sched_now (sched);
   if (task != NULL)
     {
-      run->room = bts_place_room (bts_stage_step (task->stage));
       run->saved = g_strdup (checkpoint (task));
       task->run = run;
     }
@@ -94,8 +95,7 @@
 order_start (bts_sched_t *sched, bts_run_t *run)
 {
   const bts_stage_t *stage = run->task->stage;
-  const bts_ticket_t *ticket
-      = stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, run->worker->entry->id);
+  const bts_ticket_t *ticket = bts_stage_ticket (stage, run->worker->entry->id);
   bts_start_order_t order = { 0 };
   order.fence = sched->term;
   order.deadline_ms = bts_sched_deadline (sched, run->worker);
@@ -159,6 +159,19 @@
       bts_run_stop (sched, stage->tasks[i].run);
 }
 
+/* Drops a run and has its task, or its whole gang, placed anew. */
+static void
+queue_again (bts_sched_t *sched, bts_run_t *run)
+{
+  bts_task_t *task = run->task;
+  bts_run_drop (sched, run);
+  if (task == NULL)
+    return;
+  if (bts_stage_step (task->stage)->gang)
+    bts_gang_break (sched, task->stage);
+  bts_sched_wake (sched, task->stage);
+}
+
 /**
  * bts_run_lost() - a run is over and no end of it will count
  * @sched: the scheduler
@@ -174,37 +187,24 @@
   bt_metrics_count (BT_COUNT_RUNS_LOST);
   if (task != NULL)
     task->lost_run = MAX (task->lost_run, run->number);
-  bts_run_drop (sched, run);
-  if (task == NULL)
-    return;
-  if (bts_stage_step (task->stage)->gang)
-    bts_gang_break (sched, task->stage);
-  bts_sched_wake (sched, task->stage);
+  queue_again (sched, run);
 }
 
 /* An order that was surely not carried out. */
 static void
 refused (bts_sched_t *sched, bts_run_t *run, const char *cause)
 {
-  bts_task_t *task = run->task;
   bt_metrics_count (BT_COUNT_STARTS_REFUSED);
   bt_log (BT_LOG_INFO, "refused", "task=%s run=%u worker=%s cause=%s", run->name, run->number,
           run->worker->entry->id, cause);
-  bts_run_drop (sched, run);
-  if (task == NULL)
-    return;
-  if (bts_stage_step (task->stage)->gang)
-    bts_gang_break (sched, task->stage);
-  bts_sched_wake (sched, task->stage);
+  queue_again (sched, run);
 }
 
 static void
 no_ticket (bts_run_t *run)
 {
   bts_ticket_t *ticket
-      = run->task == NULL || run->task->stage->advice == NULL
-            ? NULL
-            : g_hash_table_lookup (run->task->stage->advice, run->worker->entry->id);
+      = run->task == NULL ? NULL : bts_stage_ticket (run->task->stage, run->worker->entry->id);
   if (ticket != NULL)
     ticket->at_us = 0;
 }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -9,6 +9,8 @@
 
 /* How far the time of day may differ between VMs, in milliseconds, and some more. */
 #define YOUNG_MARGIN_MS 6000
+/* A job that takes so many times what its objective allows is of no use any more. */
+#define HOPELESS_FACTOR 3
 /* Time between two applications of what was learned of speeds, in microseconds. */
 #define SPEED_US (500 * 1000)
 /* Time between two passes over a queue in which nothing has changed, in microseconds:
@@ -77,14 +79,10 @@
   return sched->term != 0;
 }
 
-/**
- * bts_sched_confirmed_us() - when the owner last knew that it is the owner
- * @sched: a leading scheduler
- *
- * Return: when the newest beat that came back was sent, or when the term began.
- */
-gint64
-bts_sched_confirmed_us (const bts_sched_t *sched)
+/* When the owner last knew that it is the owner: the newest beat that came back was
+   sent then, or the term began. */
+static gint64
+confirmed_us (const bts_sched_t *sched)
 {
   return MAX (sched->confirmed_us, sched->began_us);
 }
@@ -113,7 +111,7 @@
   gint64 now_us = bts_sched_now (sched);
   if (worker->clock_us == 0)
     return 0;
-  if (worker->hold_failures == 0 && now_us - bts_sched_confirmed_us (sched) < BTS_LEAD_UNSURE_US)
+  if (worker->hold_failures == 0 && now_us - confirmed_us (sched) < BTS_LEAD_UNSURE_US)
     worker->asked_ms
         = MAX (worker->asked_ms, bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
   worker->deadline_ms = MAX (worker->deadline_ms, worker->asked_ms);
@@ -168,6 +166,7 @@
     return;
   stage->waiting = TRUE;
   stage->due_us = stage_due_us (stage);
+  stage->hopeless_us = stage->job->folded_us + HOPELESS_FACTOR * allowed_ms (stage->job) * 1000;
   g_ptr_array_add (sched->waiting, stage);
 }
 
@@ -340,8 +339,7 @@
 {
   if (worker->synced || worker->departed)
     return FALSE;
-  gint64 granted_ms = bts_sched_granted_ms (sched, worker);
-  gint64 granted_us = (gint64)((double)granted_ms * 1000 / (1 - BTS_CLOCK_SLOW));
+  gint64 granted_us = bts_lease_longest_us (bts_sched_granted_ms (sched, worker));
   return bts_sched_now (sched) < MAX (sched->sure_us, sched->began_us + granted_us);
 }
 
@@ -410,8 +408,10 @@
   if (worker == NULL)
     return NULL;
   g_autofree char *name = bts_task_name (task);
-  bts_place_take (worker, bts_stage_step (task->stage), sched->pass);
-  return bts_run_new (sched, task, name, number, worker);
+  const Bts__Step *step = bts_stage_step (task->stage);
+  bts_room_t room = bts_place_room (step);
+  bts_place_take (worker, step, sched->pass);
+  return bts_run_new (sched, task, name, number, &room, worker);
 }
 
 static void
@@ -498,20 +498,15 @@
   BAND_HOPELESS,
 };
 
-/* A job that takes so many times what its objective allows is of no use any more. */
-#define HOPELESS_FACTOR 3
-
 /* What can still meet its objective comes before what is late already, and what is
    of no use any more comes last; urgent work comes before all other. */
 static void
 rank (bts_stage_t *stage, gint64 now_us)
 {
-  const bts_job_t *job = stage->job;
-  gint64 hopeless_us = job->folded_us + HOPELESS_FACTOR * allowed_ms (job) * 1000;
   gboolean urgent = bts_stage_policy (stage)->priority == 0;
   if (bts_stage_step (stage)->long_running)
     stage->band = BAND_LASTING;
-  else if (now_us > hopeless_us)
+  else if (now_us > stage->hopeless_us)
     stage->band = BAND_HOPELESS;
   else if (now_us > stage->due_us)
     stage->band = urgent ? BAND_URGENT_LATE : BAND_LATE;
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -133,14 +133,12 @@
 /**
  * struct bts_sched_config_t - limits of the owner
  * @hold_max_ms: longest lease that a worker grants
- * @stop_ms: longest time that a stop takes
  * @early_ms: how much before its time an occurrence may start
  * @keep_ms: how long the log keeps records; 0 for ever
  */
 typedef struct
 {
   guint hold_max_ms;
-  guint stop_ms;
   guint early_ms;
   guint keep_ms;
 } bts_sched_config_t;
@@ -154,7 +152,6 @@
 void bts_sched_end (bts_sched_t *sched);
 gboolean bts_sched_leading (const bts_sched_t *sched);
 gint64 bts_sched_lease_ms (const bts_sched_t *sched);
-gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
 void bts_sched_set_blind (bts_sched_t *sched, gboolean blind);
 void bts_sched_tick (bts_sched_t *sched);
 void bts_sched_pass (bts_sched_t *sched);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -126,7 +126,7 @@
 void bts_sched_open_job (bts_sched_t *sched, bts_job_t *job);
 
 bts_run_t *bts_run_new (bts_sched_t *sched, bts_task_t *task, const char *name, guint number,
-                        bts_worker_t *worker);
+                        const bts_room_t *room, bts_worker_t *worker);
 void bts_run_free (bts_run_t *run);
 void bts_run_drop (bts_sched_t *sched, bts_run_t *run);
 void bts_run_start (bts_sched_t *sched, bts_run_t *run);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -4,6 +4,7 @@
 
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/place.h"
 
 /*
  * The owner's hold on one worker: it renews the lease, learns from the lists
@@ -112,7 +113,6 @@
   order.wait_ms = worker->synced && worker->ends_open == 0 ? HOLD_WAIT_MS : 0;
   worker->hold_open = TRUE;
   bt_metrics_count (BT_COUNT_HOLDS);
-  worker->asked = TRUE;
   worker->hold_sent_us = now_us;
   sched->ops->hold (sched->context, worker, &order);
 }
@@ -123,7 +123,7 @@
 static gboolean
 may_be_in_next_life (const bts_sched_t *sched, const bts_run_t *run, gint64 now_us)
 {
-  gint64 longest_us = (gint64)((double)sched->config.hold_max_ms * 1000 / (1 - BTS_CLOCK_SLOW));
+  gint64 longest_us = bts_lease_longest_us (sched->config.hold_max_ms);
   return run->order_open
          || (run->confirmed_us > run->worker->clock_us + OVERTAKEN_US
              && now_us < run->confirmed_us + longest_us + BTS_LEASE_MARGIN_US);
@@ -196,17 +196,10 @@
                     && row->number > task->ended_run && row->number > task->lost_run
                     && !bts_job_over (task->stage->job);
   gboolean keeps = task != NULL && task->run == NULL;
-  bts_run_t *run = bts_run_new (sched, keeps ? task : NULL, row->name, row->number, worker);
-  if (!keeps && task != NULL)
-    {
-      const Bts__Step *step = bts_stage_step (task->stage);
-      run->room.cpu_millis = step->fills ? 0 : step->cpu_millis;
-      run->room.memory_mb = step->memory_mb;
-      run->room.gpus = step->gpus;
-      worker->used.cpu_millis += run->room.cpu_millis;
-      worker->used.memory_mb += run->room.memory_mb;
-      worker->used.gpus += run->room.gpus;
-    }
+  bts_room_t room = { 0 };
+  if (task != NULL)
+    room = bts_place_room (bts_stage_step (task->stage));
+  bts_run_t *run = bts_run_new (sched, keeps ? task : NULL, row->name, row->number, &room, worker);
   run->state = BTS_RUN_LIVE;
   run->confirmed_us = bts_sched_now (sched);
   bt_metrics_count (BT_COUNT_RUNS_FOUND);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -996,7 +996,6 @@
   config.name = node->name;
   config.status_ms = 120000;
   config.sched.hold_max_ms = SIM_HOLD_MAX_MS;
-  config.sched.stop_ms = SIM_STOP_MS;
   config.sched.early_ms = 250;
   config.sched.keep_ms = sim->keep_ms;
   node->node = bts_node_new (&config, &sim->clock, &node_ops, node);
