--- /dev/null
+++ b/bench/owner.c
@@ -0,0 +1,562 @@
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libbamboothread/base/log.h"
+#include "libbamboothread/scheduler/node.h"
+
+/*
+ * Processor time of one owner under a load of short tasks, batch and gangs, on a
+ * paused clock and without sockets: the log, the workers and the advice service
+ * answer after fixed delays. Only the time inside the node's own functions counts.
+ */
+
+#define STEP_US 1000
+#define LOG_DELAY_US (8 * 1000)
+#define ORDER_DELAY_US (3 * 1000)
+#define TICK_US (10 * 1000)
+#define READ_US (20 * 1000)
+#define ADVICE_US (100 * 1000)
+#define HELLO_US (3 * BT_USEC_PER_SEC)
+/* Processes that ask the advice service for the owner. */
+#define PROCESSES 31
+
+/**
+ * struct kind_t - jobs of one kind
+ * @advice_us: time of a call to the advice service
+ * @good: part of the workers that it allows, in percent
+ */
+typedef struct
+{
+  const char *service;
+  double per_s;
+  guint steps;
+  guint width;
+  guint cpu;
+  guint memory;
+  guint gpus;
+  guint ms;
+  guint priority;
+  guint objective_ms;
+  double stretch;
+  gboolean gang;
+  guint advice_ms;
+  double advice_worker_ms;
+  guint good;
+} kind_t;
+
+/* The kinds of request of a site of 350 workers at its usual rate. */
+static const kind_t kinds[] = {
+  { "cpu", 41.1, 2, 8, 5300, 15000, 0, 700, 0, 300, 1.5, FALSE, 21, 0.3, 70 },
+  { "cpu", 2.43, 2, 28, 9000, 32000, 0, 3600, 2, 3000, 4.0, FALSE, 195, 2.86, 45 },
+  { "gpu", 4.45, 1, 4, 31000, 130000, 4, 4500, 1, 1200, 2.2, TRUE, 715, 10.27, 30 },
+  { "gpu", 5.05, 1, 20, 5600, 16000, 1, 2400, 2, 3000, 4.0, FALSE, 195, 2.73, 45 },
+};
+
+typedef struct
+{
+  char *name;
+  guint number;
+  gint64 end_us;
+} task_t;
+
+typedef struct
+{
+  char *id;
+  guint life;
+  GPtrArray *tasks;
+  GPtrArray *ends;
+  guint64 last;
+  gboolean hold_open;
+  gint64 hold_until_us;
+} machine_t;
+
+typedef struct
+{
+  bt_clock_t clock;
+  bts_node_t *node;
+  GHashTable *machines;
+  GPtrArray *workers;
+  GQueue records;
+  GQueue starts;
+  GQueue questions;
+  gint64 offset;
+  guint64 jobs;
+  guint64 started;
+  guint64 ended;
+  guint64 holds;
+  double busy_s;
+  GRand *random;
+} bench_t;
+
+typedef struct
+{
+  gint64 at_us;
+  GBytes *bytes;
+  guint64 token;
+} record_t;
+
+typedef struct
+{
+  gint64 at_us;
+  guint64 serial;
+} start_t;
+
+/**
+ * struct asked_t - a question on its way to the advice service
+ * @question: by the owner itself, or NULL
+ * @ask: by another process, or NULL
+ */
+typedef struct
+{
+  gint64 at_us;
+  bts_question_t *question;
+  Bts__Record *ask;
+} asked_t;
+
+static double
+cpu_s (void)
+{
+  struct timespec at;
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &at);
+  return (double)at.tv_sec + (double)at.tv_nsec / 1e9;
+}
+
+static gint64
+now (const bench_t *bench)
+{
+  return bt_clock_now (&bench->clock);
+}
+
+static void
+op_append (void *context, guint64 token, GBytes *record)
+{
+  bench_t *bench = context;
+  record_t *item = g_new0 (record_t, 1);
+  item->at_us = now (bench) + LOG_DELAY_US;
+  item->bytes = g_bytes_ref (record);
+  item->token = token;
+  g_queue_push_tail (&bench->records, item);
+}
+
+static void
+op_hold (void *context, const bts_worker_t *worker, const bts_hold_order_t *order)
+{
+  bench_t *bench = context;
+  machine_t *machine = g_hash_table_lookup (bench->machines, worker->entry->id);
+  machine->hold_open = TRUE;
+  machine->life = worker->life;
+  machine->hold_until_us = now (bench) + ORDER_DELAY_US + (gint64)order->wait_ms * 1000;
+  while (machine->ends->len > 0 && ((bts_finished_t *)machine->ends->pdata[0])->end <= order->ack)
+    g_ptr_array_remove_index (machine->ends, 0);
+  bench->holds++;
+}
+
+static void
+op_start (void *context, const bts_run_t *run, const bts_start_order_t *order)
+{
+  bench_t *bench = context;
+  machine_t *machine = g_hash_table_lookup (bench->machines, run->worker->entry->id);
+  task_t *task = g_new0 (task_t, 1);
+  task->name = g_strdup (run->name);
+  task->number = run->number;
+  double off = 0.6 + 0.8 * g_rand_double (bench->random);
+  task->end_us
+      = now (bench) + (gint64)(bts_stage_step (run->task->stage)->estimate_ms * 1000.0 * off);
+  g_ptr_array_add (machine->tasks, task);
+  start_t *start = g_new0 (start_t, 1);
+  start->at_us = now (bench) + ORDER_DELAY_US;
+  start->serial = run->serial;
+  g_queue_push_tail (&bench->starts, start);
+  bench->started++;
+}
+
+static void
+op_stop (void *context, const bts_run_t *run, guint64 fence)
+{
+}
+
+static void
+op_advise (void *context, const bts_question_t *question)
+{
+  bench_t *bench = context;
+  asked_t *asked = g_new0 (asked_t, 1);
+  asked->at_us = now (bench) + ADVICE_US;
+  asked->question = (bts_question_t *)question;
+  g_queue_push_tail (&bench->questions, asked);
+}
+
+static void
+op_answer (void *context, guint64 exchange, bts_answer_t answer)
+{
+}
+
+static gint64
+op_now_unix_ms (void *context)
+{
+  return now (context) / 1000 + G_GINT64_CONSTANT (1700000000000);
+}
+
+static const bts_node_ops_t ops
+    = { op_append, op_hold, op_start, op_stop, op_advise, op_answer, op_now_unix_ms };
+
+static void
+add_workers (bench_t *bench, const char *service, guint n, bts_room_t room)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      machine_t *machine = g_new0 (machine_t, 1);
+      machine->id = g_strdup_printf ("i-%s-%04u", service, i);
+      machine->tasks = g_ptr_array_new ();
+      machine->ends = g_ptr_array_new ();
+      g_ptr_array_add (bench->workers, machine);
+      g_hash_table_insert (bench->machines, machine->id, machine);
+      bts_entry_t *entry = g_new0 (bts_entry_t, 1);
+      entry->id = g_strdup (machine->id);
+      entry->address = g_strdup_printf ("10.0.%u.%u:80", i / 250, i % 250);
+      entry->service = g_strdup (service);
+      entry->zone = g_strdup ("z");
+      entry->labels = g_new0 (char *, 3);
+      entry->labels[0] = g_strdup (i % 3 == 0 ? "kind-a" : "kind-b");
+      entry->labels[1] = g_strdup_printf ("rack-%u", i / 8);
+      entry->cpu_millis = (guint)room.cpu_millis;
+      entry->memory_mb = (guint)room.memory_mb;
+      entry->gpus = (guint)room.gpus;
+      bts_node_on_entry (bench->node, entry);
+    }
+}
+
+static Bts__Accepted *
+job_new (bench_t *bench, const kind_t *kind)
+{
+  Bts__Accepted *job = malloc (sizeof *job);
+  bts__accepted__init (job);
+  g_autofree char *id = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", ++bench->jobs);
+  job->id = strdup (id);
+  job->entry = strdup ("");
+  job->spec.data = calloc (1, 1000);
+  job->spec.len = 1000;
+  Bts__Policy *policy = malloc (sizeof *policy);
+  bts__policy__init (policy);
+  policy->route = strdup (kind->service);
+  policy->service = strdup (kind->service);
+  policy->priority = kind->priority;
+  policy->attempts_max = 4;
+  policy->stretch = kind->stretch;
+  policy->objective_ms = kind->objective_ms;
+  policy->advised = kind->good > 0;
+  policy->advice_validity_ms = 2000;
+  policy->advice_ms = kind->advice_ms;
+  policy->advice_worker_ms = kind->advice_worker_ms;
+  job->policy = policy;
+  job->steps = calloc (kind->steps, sizeof *job->steps);
+  for (guint i = 0; i < kind->steps; i++)
+    {
+      Bts__Step *step = malloc (sizeof *step);
+      bts__step__init (step);
+      step->count = kind->width;
+      step->cpu_millis = kind->cpu;
+      step->memory_mb = kind->memory;
+      step->gpus = kind->gpus;
+      step->estimate_ms = kind->ms;
+      step->gang = kind->gang;
+      step->label = strdup ("");
+      step->rack = strdup ("");
+      step->image = strdup ("");
+      if (i > 0)
+        {
+          step->after = calloc (1, sizeof *step->after);
+          step->after[0] = i - 1;
+          step->n_after = 1;
+        }
+      job->steps[job->n_steps++] = step;
+    }
+  return job;
+}
+
+/* Ends what is due on a worker and answers its hold. */
+static void
+play_worker (bench_t *bench, machine_t *machine)
+{
+  gint64 now_us = now (bench);
+  for (guint i = 0; i < machine->tasks->len;)
+    {
+      task_t *task = machine->tasks->pdata[i];
+      if (task->end_us > now_us)
+        {
+          i++;
+          continue;
+        }
+      bts_finished_t *row = g_new0 (bts_finished_t, 1);
+      row->end = ++machine->last;
+      row->name = task->name;
+      row->number = task->number;
+      row->how = BTS_HOW_DONE;
+      row->saved = g_strdup ("");
+      g_ptr_array_add (machine->ends, row);
+      g_ptr_array_remove_index_fast (machine->tasks, i);
+      g_free (task);
+      bench->ended++;
+    }
+  if (!machine->hold_open || (machine->ends->len == 0 && now_us < machine->hold_until_us))
+    return;
+  machine->hold_open = FALSE;
+  bts_listing_t *listing = bts_listing_new ();
+  listing->clock_ms = now_us / 1000;
+  listing->born_ms = 1;
+  for (guint i = 0; i < machine->ends->len; i++)
+    {
+      const bts_finished_t *end = machine->ends->pdata[i];
+      bts_finished_t *row = g_memdup2 (end, sizeof *end);
+      row->name = g_strdup (end->name);
+      row->saved = g_strdup ("");
+      g_ptr_array_add (listing->finished, row);
+    }
+  for (guint i = 0; i < machine->tasks->len; i++)
+    {
+      const task_t *task = machine->tasks->pdata[i];
+      bts_running_t *row = g_new0 (bts_running_t, 1);
+      row->name = g_strdup (task->name);
+      row->number = task->number;
+      row->saved = g_strdup ("");
+      row->percent = 100;
+      g_ptr_array_add (listing->running, row);
+    }
+  double from_s = cpu_s ();
+  bts_sched_on_hold (bts_node_sched (bench->node), machine->id, machine->life, BTS_REPLY_OK,
+                     listing);
+  bench->busy_s += cpu_s () - from_s;
+  bts_listing_free (listing);
+}
+
+/* Takes the questions for other processes out of the log. */
+static void
+note_ask (bench_t *bench, const guint8 *data, gsize len)
+{
+  Bts__Record *record = bts__record__unpack (NULL, len, data);
+  if (record->kind_case != BTS__RECORD__KIND_ASK)
+    {
+      bts__record__free_unpacked (record, NULL);
+      return;
+    }
+  asked_t *asked = g_new0 (asked_t, 1);
+  asked->at_us = now (bench) + ADVICE_US;
+  asked->ask = record;
+  g_queue_push_tail (&bench->questions, asked);
+}
+
+static void
+play_log (bench_t *bench)
+{
+  record_t *item;
+  while ((item = g_queue_peek_head (&bench->records)) != NULL && item->at_us <= now (bench))
+    {
+      g_queue_pop_head (&bench->records);
+      gsize len;
+      const guint8 *data = g_bytes_get_data (item->bytes, &len);
+      double from_s = cpu_s ();
+      bts_node_on_append (bench->node, item->token, BTS_STORED, LOG_DELAY_US);
+      bts_node_on_record (bench->node, bench->offset++, data, len);
+      bench->busy_s += cpu_s () - from_s;
+      note_ask (bench, data, len);
+      g_bytes_unref (item->bytes);
+      g_free (item);
+    }
+}
+
+static guint
+good_percent (const char *worker)
+{
+  return g_str_has_prefix (worker, "i-cpu") ? 70 : 40;
+}
+
+static void
+allow (Bts__Advice *advice, const char *job, char *const *workers, gsize n)
+{
+  advice->allowed = calloc (n, sizeof *advice->allowed);
+  advice->denied = calloc (n, sizeof *advice->denied);
+  for (gsize i = 0; i < n; i++)
+    {
+      g_autofree char *pair = g_strdup_printf ("%s%s", job, workers[i]);
+      if (g_str_hash (pair) % 100 >= good_percent (workers[i]))
+        {
+          advice->denied[advice->n_denied++] = strdup (workers[i]);
+          continue;
+        }
+      Bts__Ticket *ticket = malloc (sizeof *ticket);
+      bts__ticket__init (ticket);
+      ticket->worker = strdup (workers[i]);
+      ticket->ticket = strdup ("0123456789abcdef0123");
+      advice->allowed[advice->n_allowed++] = ticket;
+    }
+}
+
+static void
+answer_own (bench_t *bench, const bts_question_t *question)
+{
+  Bts__Advice *advice = malloc (sizeof *advice);
+  bts__advice__init (advice);
+  const GPtrArray *ids = question->asked;
+  allow (advice, question->job, (char **)ids->pdata, ids->len);
+  for (gsize i = 0; i < advice->n_denied; i++)
+    free (advice->denied[i]);
+  g_clear_pointer (&advice->denied, free);
+  advice->n_denied = 0;
+  double from_s = cpu_s ();
+  bts_node_on_advice (bench->node, question, advice);
+  bench->busy_s += cpu_s () - from_s;
+  bts__advice__free_unpacked (advice, NULL);
+}
+
+static void
+append_record (bench_t *bench, Bts__Record *record)
+{
+  g_autoptr (GBytes) bytes = bts_record_pack (record);
+  op_append (bench, 0, bytes);
+}
+
+static void
+answer_other (bench_t *bench, const Bts__Ask *ask)
+{
+  Bts__Advice *advice = malloc (sizeof *advice);
+  bts__advice__init (advice);
+  advice->job = strdup (ask->job);
+  advice->occurrence = ask->occurrence;
+  advice->step = ask->step;
+  advice->node = strdup (ask->node);
+  allow (advice, ask->job, ask->workers, ask->n_workers);
+  Bts__Record record = BTS__RECORD__INIT;
+  record.kind_case = BTS__RECORD__KIND_ADVICE;
+  record.advice = advice;
+  append_record (bench, &record);
+  bts__advice__free_unpacked (advice, NULL);
+}
+
+static void
+play_advice (bench_t *bench)
+{
+  asked_t *asked;
+  while ((asked = g_queue_peek_head (&bench->questions)) != NULL && asked->at_us <= now (bench))
+    {
+      g_queue_pop_head (&bench->questions);
+      if (asked->question != NULL)
+        answer_own (bench, asked->question);
+      else
+        answer_other (bench, asked->ask->ask);
+      if (asked->ask != NULL)
+        bts__record__free_unpacked (asked->ask, NULL);
+      g_free (asked);
+    }
+}
+
+static void
+say_hello (bench_t *bench)
+{
+  for (guint i = 0; i < PROCESSES; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("other-%u/1", i);
+      Bts__Hello hello = BTS__HELLO__INIT;
+      hello.node = name;
+      Bts__Record record = BTS__RECORD__INIT;
+      record.kind_case = BTS__RECORD__KIND_HELLO;
+      record.hello = &hello;
+      append_record (bench, &record);
+    }
+}
+
+static void
+play (bench_t *bench, double load, guint seconds)
+{
+  gint64 end_us = now (bench) + (gint64)seconds * BT_USEC_PER_SEC;
+  gint64 tick_us = 0;
+  gint64 hello_us = 0;
+  gint64 read_us = 0;
+  double due[G_N_ELEMENTS (kinds)] = { 0 };
+  while (now (bench) < end_us)
+    {
+      bt_clock_advance (&bench->clock, STEP_US);
+      for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+        for (due[i] += kinds[i].per_s * load * STEP_US / 1e6; due[i] >= 1; due[i]--)
+          bts_node_submit (bench->node, 0, job_new (bench, &kinds[i]), 3 * BT_USEC_PER_SEC);
+      if (now (bench) - hello_us >= HELLO_US)
+        {
+          say_hello (bench);
+          hello_us = now (bench);
+        }
+      play_log (bench);
+      play_advice (bench);
+      start_t *start;
+      double from_s = cpu_s ();
+      while ((start = g_queue_peek_head (&bench->starts)) != NULL && start->at_us <= now (bench))
+        {
+          g_queue_pop_head (&bench->starts);
+          bts_sched_on_start (bts_node_sched (bench->node), start->serial, BTS_REPLY_OK,
+                              now (bench) / 1000);
+          g_free (start);
+        }
+      bench->busy_s += cpu_s () - from_s;
+      for (guint i = 0; i < bench->workers->len; i++)
+        play_worker (bench, bench->workers->pdata[i]);
+      from_s = cpu_s ();
+      bts_sched_pass (bts_node_sched (bench->node));
+      if (now (bench) - read_us >= READ_US)
+        {
+          bts_node_on_read (bench->node, now (bench));
+          read_us = now (bench);
+        }
+      if (now (bench) - tick_us >= TICK_US)
+        {
+          bts_node_tick (bench->node);
+          tick_us = now (bench);
+        }
+      bench->busy_s += cpu_s () - from_s;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  int seconds = 10;
+  double load = 1.0;
+  int workers = 350;
+  const struct poptOption options[]
+      = { { "seconds", 's', POPT_ARG_INT, &seconds, 0, "simulated time", "SECONDS" },
+          { "load", 'l', POPT_ARG_DOUBLE, &load, 0, "times the usual rate", "X" },
+          { "workers", 'w', POPT_ARG_INT, &workers, 0, "number of workers", "N" },
+          POPT_AUTOHELP POPT_TABLEEND };
+  poptContext context = poptGetContext (NULL, argc, (const char **)argv, options, 0);
+  int next = poptGetNextOpt (context);
+  poptFreeContext (context);
+  if (next < -1)
+    {
+      fprintf (stderr, "bench-owner: %s\n", poptStrerror (next));
+      return 2;
+    }
+  bt_log_set_level (BT_LOG_ERROR);
+  bench_t bench = { 0 };
+  bt_clock_init_paused (&bench.clock, BT_USEC_PER_SEC);
+  bench.random = g_rand_new_with_seed (1);
+  bench.machines = g_hash_table_new (g_str_hash, g_str_equal);
+  bench.workers = g_ptr_array_new ();
+  bts_node_config_t config = { 0 };
+  config.name = "vm/1";
+  config.status_ms = 120000;
+  config.sched.hold_max_ms = 6000;
+  config.sched.early_ms = 250;
+  bench.node = bts_node_new (&config, &bench.clock, &ops, &bench);
+  bts_room_t cpu = { 32000, 131072, 0 };
+  bts_room_t gpu = { 64000, 262144, 8 };
+  add_workers (&bench, "cpu", (guint)workers * 72 / 100, cpu);
+  add_workers (&bench, "gpu", (guint)workers * 28 / 100, gpu);
+  play (&bench, 0, 2);
+  bench.busy_s = 0;
+  bench.started = bench.ended = bench.holds = 0;
+  play (&bench, load, (guint)seconds);
+  printf ("%d workers, %.1f times the usual rate: %.0f starts/s, %.0f ends/s, %.0f holds/s, "
+          "%.3f core, %.0f us a start\n",
+          workers, load, (double)bench.started / seconds, (double)bench.ended / seconds,
+          (double)bench.holds / seconds, bench.busy_s / seconds,
+          bench.busy_s * 1e6 / (double)MAX (bench.started, 1));
+  return EXIT_SUCCESS;
+}
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -201,19 +201,20 @@
 void
 bts_advice_extend (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
 {
-  if (!bts_stage_policy (stage)->advised || stage->advice == NULL || stage->asked_us != 0)
+  if (!bts_stage_policy (stage)->advised || stage->advice == NULL || stage->asked_us != 0
+      || stage->extended == sched->fleet->version)
     return;
   g_autoptr (GPtrArray) ids = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < BTS_ADVICE_MAX)
+  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
+  for (guint i = 0; i < pool->len && ids->len < BTS_ADVICE_MAX; i++)
     {
-      const bts_worker_t *worker = value;
+      const bts_worker_t *worker = pool->pdata[i];
       if (worker->synced && may_ask_about (stage, worker)
           && !g_hash_table_contains (stage->advice, worker->entry->id))
         g_ptr_array_add (ids, worker->entry->id);
     }
+  if (ids->len == 0)
+    stage->extended = sched->fleet->version;
   ask (sched, stage, ids, now_us);
 }
 
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -52,11 +52,14 @@
 {
   fleet->workers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)worker_free);
+  fleet->pools = g_hash_table_new_full (NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
+  fleet->version = 1;
 }
 
 void
 bts_fleet_clear (bts_fleet_t *fleet)
 {
+  g_hash_table_unref (fleet->pools);
   g_hash_table_unref (fleet->workers);
 }
 
@@ -66,6 +69,43 @@
   return g_hash_table_lookup (fleet->workers, id);
 }
 
+static GPtrArray *
+find_pool (const bts_fleet_t *fleet, const char *service)
+{
+  GPtrArray *pool = g_hash_table_lookup (fleet->pools, service);
+  if (pool != NULL)
+    return pool;
+  pool = g_ptr_array_new ();
+  g_hash_table_insert (fleet->pools, (gpointer)service, pool);
+  return pool;
+}
+
+/**
+ * bts_fleet_pool() - the workers of a service
+ * @fleet: the workers
+ * @service: the service, interned
+ *
+ * Return: bts_worker_t in no particular order.
+ */
+const GPtrArray *
+bts_fleet_pool (const bts_fleet_t *fleet, const char *service)
+{
+  return find_pool (fleet, service);
+}
+
+/* Moves a worker to the pool that its entry names. */
+static void
+join_pool (bts_fleet_t *fleet, bts_worker_t *worker)
+{
+  const char *service = g_intern_string (worker->entry->service);
+  if (worker->service == service)
+    return;
+  if (worker->service != NULL)
+    g_ptr_array_remove_fast (find_pool (fleet, worker->service), worker);
+  worker->service = service;
+  g_ptr_array_add (find_pool (fleet, service), worker);
+}
+
 static gboolean
 entry_same (const bts_entry_t *a, const bts_entry_t *b)
 {
@@ -94,6 +134,8 @@
       worker->born_ms = entry->born_ms;
       worker->runs = g_ptr_array_new ();
       g_hash_table_insert (fleet->workers, entry->id, worker);
+      join_pool (fleet, worker);
+      fleet->version++;
       return BTS_ENTRY_NEW;
     }
   bts_entry_change_t change
@@ -105,8 +147,10 @@
   g_hash_table_steal (fleet->workers, worker->entry->id);
   bts_entry_free (worker->entry);
   worker->entry = entry;
+  fleet->version += change != BTS_ENTRY_SAME || !worker->listed;
   worker->listed = TRUE;
   g_hash_table_insert (fleet->workers, entry->id, worker);
+  join_pool (fleet, worker);
   return change;
 }
 
@@ -118,6 +162,10 @@
 void
 bts_fleet_remove (bts_fleet_t *fleet, const char *id)
 {
+  bts_worker_t *worker = bts_fleet_worker (fleet, id);
+  if (worker == NULL)
+    return;
+  g_ptr_array_remove_fast (find_pool (fleet, worker->service), worker);
   g_hash_table_remove (fleet->workers, id);
 }
 
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -74,6 +74,7 @@
  * @created_us: when it was first ordered or found
  * @confirmed_us: when the worker last said that it knows it; 0 before
  * @tries: orders to start it that got no answer
+ * @listed_us: when the newest hold that listed a run of its task was sent
  * @order_open: an order to start it is on its way
  * @stop_open: an order to stop it is on its way
  * @stopped: an order to stop it was answered
@@ -91,6 +92,7 @@
   bts_room_t room;
   gint64 created_us;
   gint64 confirmed_us;
+  gint64 listed_us;
   guint tries;
   gboolean order_open;
   gboolean stop_open;
@@ -101,6 +103,7 @@
 /**
  * struct bts_worker_t - a worker
  * @entry: what it said of itself last; never NULL
+ * @service: the entry's service, interned, so that pools compare by pointer
  * @listed: it stands in the list of workers now
  * @unlisted_us: since when not
  * @departed: its address answers for another worker, so this life is over
@@ -127,12 +130,15 @@
  * @reserved: pass over the queue in which room on it was kept for a stage
  * @reserved_us: when that room is expected to be free
  * @reserved_left: what is left of the worker then beside it
+ * @overdue_pass: pass over the queue in which @overdue was counted
+ * @overdue: its runs that take far longer than estimated
  * @slowness: times that tasks take here against the fastest kind; 0 if not known
  * @faults: failed ends in a row, for choosing others first
  */
 struct bts_worker_t
 {
   bts_entry_t *entry;
+  const char *service;
   gboolean listed;
   gint64 unlisted_us;
   gboolean departed;
@@ -159,6 +165,8 @@
   guint64 reserved;
   gint64 reserved_us;
   bts_room_t reserved_left;
+  guint64 overdue_pass;
+  guint overdue;
   double slowness;
   guint faults;
 };
@@ -166,10 +174,14 @@
 /**
  * struct bts_fleet_t - all workers
  * @workers: id to bts_worker_t
+ * @pools: interned service to a GPtrArray of its bts_worker_t
+ * @version: raised when a worker comes, changes or can be used
  */
 typedef struct
 {
   GHashTable *workers;
+  GHashTable *pools;
+  guint64 version;
 } bts_fleet_t;
 
 /**
@@ -186,6 +198,7 @@
 void bts_fleet_init (bts_fleet_t *fleet);
 void bts_fleet_clear (bts_fleet_t *fleet);
 bts_worker_t *bts_fleet_worker (const bts_fleet_t *fleet, const char *id);
+const GPtrArray *bts_fleet_pool (const bts_fleet_t *fleet, const char *service);
 bts_entry_change_t bts_fleet_enter (bts_fleet_t *fleet, bts_entry_t *entry);
 
 void bts_fleet_remove (bts_fleet_t *fleet, const char *id);
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -54,6 +54,7 @@
 {
   bts_job_t *job = g_new0 (bts_job_t, 1);
   job->accepted = accepted;
+  job->service = g_intern_string (accepted->policy->service);
   job->offset = offset;
   job->folded_us = now_us;
   job->kept_us = now_us;
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -100,6 +100,7 @@
  * @gang_fails: failed runs of the whole gang
  * @gang_failed_run: the run that @gang_fails counted last
  * @advice: id of a worker that was asked about to bts_ticket_t; NULL before the first answer
+ * @extended: version of the fleet when no worker was left to ask about
  * @asked_us: when advice was asked for; 0 if none is on its way
  * @asked: the process that was asked, or NULL
  * @answer_us: when it is asked for again
@@ -124,6 +125,7 @@
   guint gang_fails;
   guint gang_failed_run;
   GHashTable *advice;
+  guint64 extended;
   gint64 asked_us;
   char *asked;
   gint64 answer_us;
@@ -149,6 +151,7 @@
 /**
  * struct bts_job_t - a job that the journal holds
  * @accepted: the record that created it, without its spec once the job is over
+ * @service: the service of its policy, interned
  * @offset: of that record
  * @folded_us: when this process folded that record
  * @kept_us: when this process last folded a record that tells all of the job; 0 if
@@ -164,6 +167,7 @@
 struct bts_job_t
 {
   Bts__Accepted *accepted;
+  const char *service;
   gint64 offset;
   gint64 folded_us;
   gint64 kept_us;
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -87,7 +87,7 @@
 bts_place_could_use (const bts_worker_t *worker, const bts_stage_t *stage)
 {
   const Bts__Step *step = bts_stage_step (stage);
-  return strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0
+  return worker->service == stage->job->service
          && (step->label[0] == '\0' || bts_worker_has_label (worker, step->label));
 }
 
@@ -115,7 +115,7 @@
 bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (stage);
-  if (strcmp (worker->entry->service, bts_stage_policy (stage)->service) != 0)
+  if (worker->service != stage->job->service)
     return BTS_PLACE_OTHER_SERVICE;
   if (!worker->synced || !worker->listed || worker->entry->draining || worker->hold_failures > 0
       || now_us - worker->heard_us > BTS_SILENCE_US || now_us < worker->rest_until_us)
@@ -140,10 +140,13 @@
   return capacity == 0 ? 0 : (capacity - used) * 1000 / capacity;
 }
 
-/* Tasks that take far longer than estimated: the worker may be slow or stand still. */
+/* Tasks that take far longer than estimated: the worker may be slow or stand still.
+   Counted once in a pass, since each task of a stage looks at all workers. */
 static guint
-count_overdue (const bts_worker_t *worker, gint64 now_us)
+count_overdue (bts_worker_t *worker, guint64 pass, gint64 now_us)
 {
+  if (worker->overdue_pass == pass)
+    return worker->overdue;
   guint count = 0;
   for (guint i = 0; i < worker->runs->len; i++)
     {
@@ -153,6 +156,8 @@
                && now_us - run->created_us
                       > (gint64)step->estimate_ms * 1000 * OVERDUE_FACTOR + OVERDUE_US;
     }
+  worker->overdue_pass = pass;
+  worker->overdue = count;
   return count;
 }
 
@@ -167,14 +172,15 @@
 }
 
 static gint64
-score (const bts_worker_t *worker, const bts_task_t *task, const Bts__Step *step, gint64 now_us)
+score (bts_worker_t *worker, const bts_task_t *task, const Bts__Step *step, guint64 pass,
+       gint64 now_us)
 {
   gint64 left = step->gpus > 0 ? left_share (worker->entry->gpus, worker->used.gpus + step->gpus)
                                : left_share (worker->entry->cpu_millis,
                                              worker->used.cpu_millis + step->cpu_millis);
   gint64 against = left;
   against += speed_score (worker, bts_stage_policy (task->stage)->priority);
-  against += WEIGHT_OVERDUE * (gint64)MIN (count_overdue (worker, now_us), FAULTS_MAX);
+  against += WEIGHT_OVERDUE * (gint64)MIN (count_overdue (worker, pass, now_us), FAULTS_MAX);
   if (task->avoid != NULL && strcmp (task->avoid, worker->entry->id) == 0)
     against += WEIGHT_AVOID;
   against += WEIGHT_FAULT * (gint64)MIN (worker->faults, FAULTS_MAX);
@@ -227,18 +233,19 @@
 bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, guint64 pass, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (task->stage);
+  const GPtrArray *pool = bts_fleet_pool (fleet, task->stage->job->service);
+  bts_room_t room = bts_place_room (step);
   bts_worker_t *best = NULL;
   gint64 best_score = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < pool->len; i++)
     {
-      bts_worker_t *worker = value;
-      if ((worker->reserved == pass && !fits_beside (worker, step, now_us))
+      bts_worker_t *worker = pool->pdata[i];
+      /* Room is the cheapest question, and most workers of a full pool have none. */
+      if (!bts_worker_has_room (worker, &worker->used, &room)
+          || (worker->reserved == pass && !fits_beside (worker, step, now_us))
           || bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK)
         continue;
-      gint64 found = score (worker, task, step, now_us);
+      gint64 found = score (worker, task, step, pass, now_us);
       if (best == NULL || found < best_score
           || (found == best_score && strcmp (worker->entry->id, best->entry->id) < 0))
         {
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -116,12 +116,10 @@
 {
   GPtrArray *best = NULL;
   *coming = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
+  for (guint i = 0; i < pool->len; i++)
     {
-      const bts_worker_t *worker = value;
+      const bts_worker_t *worker = pool->pdata[i];
       bts_place_why_t why = bts_place_check (worker, stage, now_us);
       if (why != BTS_PLACE_NO_ROOM && why != BTS_PLACE_DISTURBS)
         continue;
--- a/libbamboothread/scheduler/reserve.c
+++ b/libbamboothread/scheduler/reserve.c
@@ -95,6 +95,53 @@
          || (step->gpus > 0 && (gint64)step->gpus * 100 >= (gint64)entry->gpus * LARGE_PERCENT);
 }
 
+/**
+ * struct chance_t - a worker on which tasks of a stage will fit
+ * @at_us: when
+ * @fitting: how many of them then
+ * @used: what is taken of it then beside them
+ */
+typedef struct
+{
+  bts_worker_t *worker;
+  gint64 at_us;
+  guint fitting;
+  bts_room_t used;
+} chance_t;
+
+static gint
+compare_chances (gconstpointer a, gconstpointer b)
+{
+  const chance_t *left = a;
+  const chance_t *right = b;
+  if (left->at_us != right->at_us)
+    return left->at_us < right->at_us ? -1 : 1;
+  return left->fitting > right->fitting ? -1 : left->fitting < right->fitting;
+}
+
+/* The workers on which tasks of a stage will fit, the soonest first. */
+static GArray *
+find_chances (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+{
+  const Bts__Step *step = bts_stage_step (stage);
+  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
+  GArray *chances = g_array_new (FALSE, FALSE, sizeof (chance_t));
+  for (guint i = 0; i < pool->len; i++)
+    {
+      bts_worker_t *worker = pool->pdata[i];
+      if (worker->reserved == sched->pass || !worker->listed || worker->entry->draining
+          || !worker->synced || !(step->gang || is_large (worker, step))
+          || !bts_place_may_use (worker, stage))
+        continue;
+      chance_t chance = { worker };
+      chance.at_us = free_us (worker, step, now_us, &chance.fitting, &chance.used);
+      if (chance.at_us < G_MAXINT64)
+        g_array_append_val (chances, chance);
+    }
+  g_array_sort (chances, compare_chances);
+  return chances;
+}
+
 /**
  * bts_reserve_for() - keep workers free for a stage that found no room
  * @sched: a leading scheduler
@@ -103,47 +150,26 @@
  * @now_us: the time
  *
  * Holds for the rest of the pass over the queue, that is for less urgent stages.
+ *
+ * Return: whether any room is kept for it.
  */
-void
+gboolean
 bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (stage);
+  g_autoptr (GArray) chances = find_chances (sched, stage, now_us);
   guint missing = open;
-  while (missing > 0)
+  for (guint i = 0; i < chances->len && missing > 0; i++)
     {
-      bts_worker_t *best = NULL;
-      gint64 best_us = G_MAXINT64;
-      guint best_fitting = 0;
-      bts_room_t best_used = { 0 };
-      GHashTableIter iter;
-      gpointer value;
-      g_hash_table_iter_init (&iter, sched->fleet->workers);
-      while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          bts_worker_t *worker = value;
-          guint fitting = 0;
-          bts_room_t used = { 0 };
-          if (worker->reserved == sched->pass || !worker->listed || worker->entry->draining
-              || !worker->synced || !bts_place_may_use (worker, stage)
-              || !(step->gang || is_large (worker, step)))
-            continue;
-          gint64 at_us = free_us (worker, step, now_us, &fitting, &used);
-          if (at_us < best_us || (at_us == best_us && at_us < G_MAXINT64 && fitting > best_fitting))
-            {
-              best = worker;
-              best_us = at_us;
-              best_fitting = fitting;
-              best_used = used;
-            }
-        }
-      if (best == NULL || best_us == G_MAXINT64)
-        return;
-      guint taken = MIN (missing, best_fitting);
-      keep_room (best, step, taken, &best_used);
-      best->reserved = sched->pass;
-      best->reserved_us = best_us;
-      if (bts_ticket_now (stage, best->entry->id, best_us) == NULL)
-        bts_advice_renew (sched, stage, best_us - TICKETS_AHEAD_US, now_us);
+      const chance_t *chance = &g_array_index (chances, chance_t, i);
+      bts_worker_t *worker = chance->worker;
+      guint taken = MIN (missing, chance->fitting);
+      keep_room (worker, step, taken, &chance->used);
+      worker->reserved = sched->pass;
+      worker->reserved_us = chance->at_us;
+      if (bts_ticket_now (stage, worker->entry->id, chance->at_us) == NULL)
+        bts_advice_renew (sched, stage, chance->at_us - TICKETS_AHEAD_US, now_us);
       missing -= taken;
     }
+  return chances->len > 0;
 }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -16,6 +16,13 @@
 /* Time between two passes over a queue in which nothing has changed, in microseconds:
    some stages wait for a time to come. */
 #define PASS_IDLE_US (100 * 1000)
+/* Shortest time between two passes over a queue of more than this many stages, in
+   microseconds: a pass looks at each stage that waits. */
+#define PASS_SPACING_US (10 * 1000)
+#define PASS_LONG 32
+/* Stages in one pass for which room is kept on workers: those further back in the
+   queue will be reached in a later pass. */
+#define RESERVE_STAGES_MAX 8
 
 /**
  * bts_sched_new() - a scheduler that doesn't lead yet
@@ -46,6 +53,7 @@
   sched->held = g_ptr_array_new_with_free_func (bts_held_free);
   sched->released = g_ptr_array_new_with_free_func (g_free);
   sched->speed = bts_speed_new ();
+  sched->unlisted = g_ptr_array_new ();
   sched->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return sched;
 }
@@ -62,6 +70,7 @@
   g_ptr_array_unref (sched->begun);
   g_ptr_array_unref (sched->held);
   g_ptr_array_unref (sched->released);
+  g_ptr_array_unref (sched->unlisted);
   g_hash_table_unref (sched->members);
   bts_speed_free (sched->speed);
   g_free (sched);
@@ -350,20 +359,31 @@
 {
   if (sched->settled || stage->job->offset > bts_ledger_claim_offset (sched->ledger))
     return FALSE;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < sched->unlisted->len; i++)
     {
-      const bts_worker_t *worker = value;
-      if (may_run_unlisted (sched, worker)
-          && (stage->advice == NULL ? bts_place_could_use (worker, stage)
-                                    : bts_place_may_use (worker, stage)))
+      const bts_worker_t *worker = sched->unlisted->pdata[i];
+      if (stage->advice == NULL ? bts_place_could_use (worker, stage)
+                                : bts_place_may_use (worker, stage))
         return TRUE;
     }
   return g_hash_table_size (sched->fleet->workers) == 0;
 }
 
+/* Collects for a pass the workers that uncertain() asks about. */
+static void
+find_unlisted (bts_sched_t *sched)
+{
+  g_ptr_array_set_size (sched->unlisted, 0);
+  if (sched->settled)
+    return;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (may_run_unlisted (sched, value))
+      g_ptr_array_add (sched->unlisted, value);
+}
+
 static gboolean
 task_open (const bts_task_t *task)
 {
@@ -544,16 +564,19 @@
 void
 bts_sched_pass (bts_sched_t *sched)
 {
-  if (sched->term == 0 || !sched->dirty || sched->blind)
+  gint64 now_us = bts_sched_now (sched);
+  if (sched->term == 0 || !sched->dirty || sched->blind
+      || (sched->waiting->len > PASS_LONG && now_us - sched->pass_us < PASS_SPACING_US))
     return;
   sched->dirty = FALSE;
-  gint64 now_us = bts_sched_now (sched);
   sched->pass_us = now_us;
   sched->pass++;
   for (guint i = 0; i < sched->waiting->len; i++)
     rank (sched->waiting->pdata[i], now_us);
   g_ptr_array_sort (sched->waiting, compare);
+  find_unlisted (sched);
   guint kept = 0;
+  guint reserving = 0;
   for (guint i = 0; i < sched->waiting->len; i++)
     {
       bts_stage_t *stage = sched->waiting->pdata[i];
@@ -566,14 +589,18 @@
             bts_advice_foresee (sched, stage);
           continue;
         }
-      if (may_place (stage, open) && !uncertain (sched, stage) && now_us >= stage->rest_until_us
+      gboolean sure = !uncertain (sched, stage);
+      if (sure && may_place (stage, open) && now_us >= stage->rest_until_us
           && bts_advice_ready (sched, stage, now_us))
-        place_stage (sched, stage, open);
-      open = count_open (stage);
-      if (open > 0 && !uncertain (sched, stage))
+        {
+          place_stage (sched, stage, open);
+          open = count_open (stage);
+        }
+      if (open > 0 && sure)
         {
           bts_advice_extend (sched, stage, now_us);
-          bts_reserve_for (sched, stage, open, now_us);
+          if (reserving < RESERVE_STAGES_MAX)
+            reserving += bts_reserve_for (sched, stage, open, now_us);
           bts_preempt_for (sched, stage, open, now_us);
         }
       sched->waiting->pdata[kept++] = stage;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -64,6 +64,7 @@
  * @dirty: a pass over the queue may place something
  * @pass_us: when the last one was
  * @pass: its number
+ * @unlisted: in a pass, the workers on which unknown runs of earlier owners may be
  * @keep_us: when it was last looked for what the log will delete
  * @standing_us: when the owner was last written once more
  */
@@ -103,6 +104,7 @@
   gboolean dirty;
   gint64 pass_us;
   guint64 pass;
+  GPtrArray *unlisted;
   gint64 keep_us;
   gint64 standing_us;
 };
@@ -116,7 +118,7 @@
 void bts_advice_expect (bts_sched_t *sched, const bts_job_t *job);
 
 gint64 bts_sched_now (const bts_sched_t *sched);
-void bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
+gboolean bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
 void bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
 
 gint64 bts_sched_granted_ms (const bts_sched_t *sched, const bts_worker_t *worker);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -213,10 +213,27 @@
     bts_beat_begun (sched, task->stage->job);
 }
 
+/* Notes on all runs of a listed task that it is listed, and finds the one listed. */
+static bts_run_t *
+mark_listed (bts_worker_t *worker, const bts_running_t *row)
+{
+  bts_run_t *found = NULL;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      bts_run_t *run = worker->runs->pdata[i];
+      if (strcmp (run->name, row->name) != 0)
+        continue;
+      run->listed_us = worker->hold_sent_us;
+      if (run->number == row->number)
+        found = run;
+    }
+  return found;
+}
+
 static void
 take_running (bts_sched_t *sched, bts_worker_t *worker, const bts_running_t *row)
 {
-  bts_run_t *run = bts_worker_find (worker, row->name, row->number);
+  bts_run_t *run = mark_listed (worker, row);
   if (run == NULL)
     {
       adopt (sched, worker, row);
@@ -303,17 +320,14 @@
 /* Runs that the worker lists neither as running nor as ended are over, if it was
    asked after it had confirmed the last order for them. */
 static void
-drop_vanished (bts_sched_t *sched, bts_worker_t *worker, const bts_listing_t *listing)
+drop_vanished (bts_sched_t *sched, bts_worker_t *worker)
 {
-  g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
-  for (guint i = 0; i < listing->running->len; i++)
-    g_hash_table_add (listed, ((bts_running_t *)listing->running->pdata[i])->name);
   for (guint i = 0; i < worker->runs->len;)
     {
       bts_run_t *run = worker->runs->pdata[i];
       gboolean answered = run->state == BTS_RUN_STOPPING ? run->stopped : !run->order_open;
       if (answered && run->confirmed_us != 0 && run->confirmed_us < worker->hold_sent_us
-          && !g_hash_table_contains (listed, run->name))
+          && run->listed_us != worker->hold_sent_us)
         {
           bts_run_lost (sched, run, "not-listed");
           i = 0;
@@ -424,9 +438,13 @@
     take_finished (sched, worker, listing->finished->pdata[i]);
   for (guint i = 0; i < listing->running->len; i++)
     take_running (sched, worker, listing->running->pdata[i]);
-  drop_vanished (sched, worker, listing);
+  drop_vanished (sched, worker);
   worker->hold_next_us = worker->ends_open > 0 ? now_us + HOLD_ENDS_US : now_us;
-  sched->dirty = sched->dirty || !worker->synced;
+  if (!worker->synced)
+    {
+      sched->dirty = TRUE;
+      sched->fleet->version++;
+    }
   worker->synced = TRUE;
   bts_beat_held (sched, worker);
 }
