--- a/bench/owner.c
+++ b/bench/owner.c
@@ -104,15 +104,12 @@
 } start_t;
 
 /**
- * struct asked_t - a question on its way to the advice service
- * @question: by the owner itself, or NULL
- * @ask: by another process, or NULL
+ * struct asked_t - a question to the advice service on its way to another process
  */
 typedef struct
 {
   gint64 at_us;
-  bts_question_t *question;
-  Bts__Record *ask;
+  GBytes *message;
 } asked_t;
 
 static double
@@ -177,16 +174,29 @@
 {
 }
 
+/* The owner asks nothing itself: it has enough helpers. */
 static void
 op_advise (void *context, const bts_question_t *question)
+{
+  g_assert_not_reached ();
+}
+
+static void
+op_send (void *context, const char *address, GBytes *message)
 {
   bench_t *bench = context;
   asked_t *asked = g_new0 (asked_t, 1);
   asked->at_us = now (bench) + ADVICE_US;
-  asked->question = (bts_question_t *)question;
+  asked->message = g_bytes_ref (message);
   g_queue_push_tail (&bench->questions, asked);
 }
 
+static void
+op_reply (void *context, guint64 exchange, GBytes *reply)
+{
+  g_assert_not_reached ();
+}
+
 static void
 op_answer (void *context, guint64 exchange, bts_answer_t answer)
 {
@@ -198,8 +208,8 @@
   return now (context) / 1000 + G_GINT64_CONSTANT (1700000000000);
 }
 
-static const bts_node_ops_t ops
-    = { op_append, op_hold, op_start, op_stop, op_advise, op_answer, op_now_unix_ms };
+static const bts_node_ops_t ops = { op_append, op_hold,  op_start,  op_stop,       op_advise,
+                                    op_send,   op_reply, op_answer, op_now_unix_ms };
 
 static void
 add_workers (bench_t *bench, const char *service, guint n, bts_room_t room)
@@ -330,22 +340,6 @@
   bts_listing_free (listing);
 }
 
-/* Takes the questions for other processes out of the log. */
-static void
-note_ask (bench_t *bench, const guint8 *data, gsize len)
-{
-  Bts__Record *record = bts__record__unpack (NULL, len, data);
-  if (record->kind_case != BTS__RECORD__KIND_ASK)
-    {
-      bts__record__free_unpacked (record, NULL);
-      return;
-    }
-  asked_t *asked = g_new0 (asked_t, 1);
-  asked->at_us = now (bench) + ADVICE_US;
-  asked->ask = record;
-  g_queue_push_tail (&bench->questions, asked);
-}
-
 static void
 play_log (bench_t *bench)
 {
@@ -359,7 +353,6 @@
       bts_node_on_append (bench->node, item->token, BTS_STORED, LOG_DELAY_US);
       bts_node_on_record (bench->node, bench->offset++, data, len);
       bench->busy_s += cpu_s () - from_s;
-      note_ask (bench, data, len);
       g_bytes_unref (item->bytes);
       g_free (item);
     }
@@ -372,65 +365,33 @@
 }
 
 static void
-allow (Bts__Advice *advice, const char *job, char *const *workers, gsize n)
+answer (bench_t *bench, GBytes *message)
 {
-  advice->allowed = calloc (n, sizeof *advice->allowed);
-  advice->denied = calloc (n, sizeof *advice->denied);
-  for (gsize i = 0; i < n; i++)
+  gsize len;
+  const guint8 *data = g_bytes_get_data (message, &len);
+  Bts__Ask *ask = bts__ask__unpack (NULL, len, data);
+  Bts__Advice advice = BTS__ADVICE__INIT;
+  g_autofree Bts__Ticket *tickets = g_new0 (Bts__Ticket, ask->n_workers);
+  g_autofree Bts__Ticket **allowed = g_new0 (Bts__Ticket *, ask->n_workers);
+  for (gsize i = 0; i < ask->n_workers; i++)
     {
-      g_autofree char *pair = g_strdup_printf ("%s%s", job, workers[i]);
-      if (g_str_hash (pair) % 100 >= good_percent (workers[i]))
-        {
-          advice->denied[advice->n_denied++] = strdup (workers[i]);
-          continue;
-        }
-      Bts__Ticket *ticket = malloc (sizeof *ticket);
+      g_autofree char *pair = g_strdup_printf ("%s%s", ask->job, ask->workers[i]);
+      if (g_str_hash (pair) % 100 >= good_percent (ask->workers[i]))
+        continue;
+      Bts__Ticket *ticket = &tickets[advice.n_allowed];
       bts__ticket__init (ticket);
-      ticket->worker = strdup (workers[i]);
-      ticket->ticket = strdup ("0123456789abcdef0123");
-      advice->allowed[advice->n_allowed++] = ticket;
+      ticket->worker = ask->workers[i];
+      ticket->ticket = (char *)"0123456789abcdef0123";
+      allowed[advice.n_allowed++] = ticket;
     }
-}
-
-static void
-answer_own (bench_t *bench, const bts_question_t *question)
-{
-  Bts__Advice *advice = malloc (sizeof *advice);
-  bts__advice__init (advice);
-  const GPtrArray *ids = question->asked;
-  allow (advice, question->job, (char **)ids->pdata, ids->len);
-  for (gsize i = 0; i < advice->n_denied; i++)
-    free (advice->denied[i]);
-  g_clear_pointer (&advice->denied, free);
-  advice->n_denied = 0;
+  advice.allowed = allowed;
+  gsize packed = bts__advice__get_packed_size (&advice);
+  g_autofree guint8 *reply = g_malloc (MAX (packed, 1));
+  bts__advice__pack (&advice, reply);
   double from_s = cpu_s ();
-  bts_node_on_advice (bench->node, question, advice);
+  bts_node_on_reply (bench->node, message, reply, packed);
   bench->busy_s += cpu_s () - from_s;
-  bts__advice__free_unpacked (advice, NULL);
-}
-
-static void
-append_record (bench_t *bench, Bts__Record *record)
-{
-  g_autoptr (GBytes) bytes = bts_record_pack (record);
-  op_append (bench, 0, bytes);
-}
-
-static void
-answer_other (bench_t *bench, const Bts__Ask *ask)
-{
-  Bts__Advice *advice = malloc (sizeof *advice);
-  bts__advice__init (advice);
-  advice->job = strdup (ask->job);
-  advice->occurrence = ask->occurrence;
-  advice->step = ask->step;
-  advice->node = strdup (ask->node);
-  allow (advice, ask->job, ask->workers, ask->n_workers);
-  Bts__Record record = BTS__RECORD__INIT;
-  record.kind_case = BTS__RECORD__KIND_ADVICE;
-  record.advice = advice;
-  append_record (bench, &record);
-  bts__advice__free_unpacked (advice, NULL);
+  bts__ask__free_unpacked (ask, NULL);
 }
 
 static void
@@ -440,16 +401,19 @@
   while ((asked = g_queue_peek_head (&bench->questions)) != NULL && asked->at_us <= now (bench))
     {
       g_queue_pop_head (&bench->questions);
-      if (asked->question != NULL)
-        answer_own (bench, asked->question);
-      else
-        answer_other (bench, asked->ask->ask);
-      if (asked->ask != NULL)
-        bts__record__free_unpacked (asked->ask, NULL);
+      answer (bench, asked->message);
+      g_bytes_unref (asked->message);
       g_free (asked);
     }
 }
 
+static void
+append_record (bench_t *bench, Bts__Record *record)
+{
+  g_autoptr (GBytes) bytes = bts_record_pack (record);
+  op_append (bench, 0, bytes);
+}
+
 static void
 say_hello (bench_t *bench)
 {
@@ -458,6 +422,7 @@
       g_autofree char *name = g_strdup_printf ("other-%u/1", i);
       Bts__Hello hello = BTS__HELLO__INIT;
       hello.node = name;
+      hello.address = name;
       Bts__Record record = BTS__RECORD__INIT;
       record.kind_case = BTS__RECORD__KIND_HELLO;
       record.hello = &hello;
--- /dev/null
+++ b/libbamboothread/connection/mailbox.c
@@ -0,0 +1,131 @@
+#include "libbamboothread/connection/mailbox.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include "libbamboothread/base/error.h"
+#include "libbamboothread/base/log.h"
+
+/* Most bytes of a message: a question names 100 workers at most. */
+#define MESSAGE_MAX (64 * 1024)
+#define HEADER_MAX 4096
+/* Time after which a connection without a message is closed, in seconds. */
+#define IDLE_S 30
+
+/**
+ * struct letter_t - a message without a reply yet
+ * @request: NULL once its connection is closed
+ */
+typedef struct
+{
+  guint64 exchange;
+  struct evhttp_request *request;
+} letter_t;
+
+struct bt_mailbox_t
+{
+  struct evhttp *server;
+  bt_mailbox_f message;
+  void *context;
+  GHashTable *letters;
+  guint64 exchange;
+};
+
+static void
+on_closed (struct evhttp_connection *connection, void *context)
+{
+  letter_t *letter = context;
+  letter->request = NULL;
+}
+
+static void
+on_message (struct evhttp_request *request, void *context)
+{
+  bt_mailbox_t *mailbox = context;
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  gsize len = evbuffer_get_length (input);
+  const guint8 *data = len == 0 ? (const guint8 *)"" : evbuffer_pullup (input, -1);
+  letter_t *letter = g_new0 (letter_t, 1);
+  letter->exchange = ++mailbox->exchange;
+  letter->request = request;
+  guint64 exchange = letter->exchange;
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_closed, letter);
+  g_hash_table_insert (mailbox->letters, &letter->exchange, letter);
+  if (mailbox->message (mailbox->context, exchange, data, len))
+    return;
+  bt_log (BT_LOG_WARNING, "message-unreadable", "bytes=%zu", len);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request), NULL, NULL);
+  g_hash_table_remove (mailbox->letters, &exchange);
+  evhttp_send_reply (request, HTTP_BADREQUEST, NULL, NULL);
+}
+
+/**
+ * bt_mailbox_new() - take messages
+ * @base: the loop
+ * @address: IP:port to listen on
+ * @message: told of each message
+ * @context: handed to @message
+ * @error: %BT_ERROR_IO
+ */
+bt_mailbox_t *
+bt_mailbox_new (struct event_base *base, const char *address, bt_mailbox_f message, void *context,
+                GError **error)
+{
+  const char *colon = strrchr (address, ':');
+  g_autofree char *host = g_strndup (address, colon == NULL ? 0 : (gsize)(colon - address));
+  struct evhttp *server = evhttp_new (base);
+  evhttp_set_allowed_methods (server, EVHTTP_REQ_POST);
+  evhttp_set_max_headers_size (server, HEADER_MAX);
+  evhttp_set_max_body_size (server, MESSAGE_MAX);
+  evhttp_set_timeout (server, IDLE_S);
+  if (colon == NULL
+      || evhttp_bind_socket (server, host, (guint16)g_ascii_strtoull (colon + 1, NULL, 10)) != 0)
+    {
+      evhttp_free (server);
+      g_set_error (error, BT_ERROR, BT_ERROR_IO, "can't listen on %s", address);
+      return NULL;
+    }
+  bt_mailbox_t *mailbox = g_new0 (bt_mailbox_t, 1);
+  mailbox->server = server;
+  mailbox->message = message;
+  mailbox->context = context;
+  mailbox->letters = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  evhttp_set_gencb (server, on_message, mailbox);
+  return mailbox;
+}
+
+void
+bt_mailbox_free (bt_mailbox_t *mailbox)
+{
+  if (mailbox == NULL)
+    return;
+  evhttp_free (mailbox->server);
+  g_hash_table_unref (mailbox->letters);
+  g_free (mailbox);
+}
+
+/**
+ * bt_mailbox_reply() - reply to a message
+ * @mailbox: the mailbox
+ * @exchange: of the message; one whose sender has gone is passed over
+ * @reply: the reply, or NULL if there is none to be had
+ */
+void
+bt_mailbox_reply (bt_mailbox_t *mailbox, guint64 exchange, GBytes *reply)
+{
+  letter_t *letter = g_hash_table_lookup (mailbox->letters, &exchange);
+  if (letter == NULL)
+    return;
+  if (letter->request != NULL)
+    {
+      struct evbuffer *out = evbuffer_new ();
+      gsize len = 0;
+      const void *data = reply == NULL ? NULL : g_bytes_get_data (reply, &len);
+      if (data != NULL)
+        evbuffer_add (out, data, len);
+      evhttp_connection_set_closecb (evhttp_request_get_connection (letter->request), NULL, NULL);
+      evhttp_send_reply (letter->request, reply == NULL ? HTTP_SERVUNAVAIL : HTTP_OK, NULL, out);
+      evbuffer_free (out);
+    }
+  g_hash_table_remove (mailbox->letters, &exchange);
+}
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -3,24 +3,30 @@
 #include <string.h>
 
 #include "libbamboothread/scheduler/lead.h"
+#include "libbamboothread/scheduler/place.h"
 
 /*
  * Which workers may run a stage. The service takes one call at a time from each
- * VM, so the owner spreads its questions over all processes and tells them by the
- * journal. A process that takes a job in asks about its first stage itself if it
- * has nothing else to ask and the call is short.
+ * VM, and a call takes longer the more workers it names, so the owner spreads its
+ * questions over all processes and names workers that have room.
  */
 
-/* Time for a question and its answer to pass through the journal, in microseconds,
+/* Time for a question and its answer to pass between two processes, in microseconds,
    beyond the time of the calls; then another process is asked. */
-#define PATIENCE_US (350 * 1000)
+#define PATIENCE_US (200 * 1000)
 /* A stage is asked about when the one before it has this part of a ticket's validity
    left to run, as estimated: estimates are off by up to half. */
 #define FORESEE_PART 2
 /* Part of a ticket's validity kept for the way of the start to the worker. */
 #define TICKET_MARGIN_US (200 * 1000)
-/* A process without a sign for so long isn't asked, in microseconds. */
-#define MEMBER_SILENT_US (8 * BT_USEC_PER_SEC)
+/* Workers that a question names at least, if there are so many: the objectives of jobs
+   allow for a call about so many. */
+#define WORKERS_USUAL 30
+/* Part of the workers of a question that is thought to be allowed, in percent: the
+   services' policies allow 30 to 70. */
+#define ALLOWED_PERCENT 40
+/* Processes beside the owner from which on the owner asks none of its own questions. */
+#define HELPERS_MIN 2
 
 /**
  * bts_ticket_now() - leave to start a stage on a worker
@@ -46,31 +52,19 @@
   return (gint64)((policy->advice_ms + policy->advice_worker_ms * workers) * 1000.0);
 }
 
-static gint
-compare_names (gconstpointer a, gconstpointer b)
-{
-  return strcmp (*(char *const *)a, *(char *const *)b);
-}
-
 /* The process that will be free first. Every second one is for long calls, which
-   would hold up the short ones; those that gave no sign lately are left out. */
+   would hold up the short ones. */
 static const char *
 choose_member (const bts_sched_t *sched, gboolean is_long, gint64 now_us, bts_member_t **chosen)
 {
-  g_autoptr (GPtrArray) names = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->members);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    if (now_us - ((bts_member_t *)value)->seen_us <= MEMBER_SILENT_US)
-      g_ptr_array_add (names, key);
-  g_ptr_array_sort (names, compare_names);
+  g_autoptr (GPtrArray) names = bts_members_live (sched->members, now_us);
+  const char *self = bts_ledger_owner (sched->ledger);
   const char *best = NULL;
   for (guint i = 0; i < names->len; i++)
     {
-      bts_member_t *member = g_hash_table_lookup (sched->members, names->pdata[i]);
-      if (is_long && i % 2 != 0)
+      bts_member_t *member = bts_members_find (sched->members, names->pdata[i]);
+      gboolean is_self = g_strcmp0 (names->pdata[i], self) == 0;
+      if ((is_long && i % 2 != 0) || (is_self ? names->len > HELPERS_MIN : member->address == NULL))
         continue;
       if (best == NULL || member->busy_until_us < (*chosen)->busy_until_us)
         {
@@ -85,11 +79,9 @@
 static void
 doubt_member (bts_sched_t *sched, bts_stage_t *stage)
 {
-  bts_member_t *member
-      = stage->asked == NULL ? NULL : g_hash_table_lookup (sched->members, stage->asked);
   stage->asked_us = 0;
-  if (member != NULL)
-    member->seen_us = MIN (member->seen_us, bts_sched_now (sched) - MEMBER_SILENT_US - 1);
+  if (stage->asked != NULL)
+    bts_members_doubt (sched->members, stage->asked);
 }
 
 static void
@@ -105,52 +97,73 @@
   stage->answer_us = member->busy_until_us + PATIENCE_US;
   g_free (stage->asked);
   stage->asked = g_strdup (node);
-  sched->ops->advise (sched->context, node, stage, workers);
+  Bts__Ask question = BTS__ASK__INIT;
+  question.job = (char *)bts_job_id (stage->job);
+  question.occurrence = stage->occurrence;
+  question.step = stage->step;
+  question.n_workers = workers->len;
+  question.workers = (char **)workers->pdata;
+  sched->ops->advise (sched->context, node, member->address, &question);
 }
 
 static gboolean
-may_ask_about (const bts_stage_t *stage, const bts_worker_t *worker)
+may_ask_about (const bts_stage_t *stage, const bts_worker_t *worker, gboolean known)
 {
-  return worker->listed && !worker->entry->draining
-         && strcmp (worker->entry->service, bts_stage_policy (stage)->service) == 0;
+  const bts_ticket_t *ticket = bts_stage_ticket (stage, worker->entry->id);
+  return worker->listed && !worker->entry->draining && bts_place_could_use (worker, stage)
+         && (known ? ticket != NULL && ticket->ticket != NULL : ticket == NULL);
 }
 
-/* All workers of the service that have not been denied. */
-static void
-ask_about (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
+/* How many of the missing tasks of a stage the workers named so far will take. */
+static guint
+count_taken (const bts_worker_t *worker, const Bts__Step *step)
+{
+  bts_room_t room = bts_place_room (step);
+  guint fitting = bts_worker_count_fitting (worker, &worker->used, &room);
+  return step->per_worker_max == 0 ? fitting : MIN (fitting, step->per_worker_max);
+}
+
+/* Workers to ask about: those with room first, until they will do for all tasks.
+   @known: those that were allowed before, for new tickets, or else those of which
+   nothing is known. */
+static GPtrArray *
+choose_workers (bts_sched_t *sched, const bts_stage_t *stage, gboolean known, gint64 now_us)
 {
-  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < BTS_ADVICE_MAX)
+  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
+  const Bts__Step *step = bts_stage_step (stage);
+  GPtrArray *ids = g_ptr_array_new ();
+  g_autoptr (GPtrArray) full = g_ptr_array_new ();
+  /* Questions begin at different workers, so that the jobs spread over all of them. */
+  guint first = pool->len == 0 ? 0 : ++sched->asked % pool->len;
+  guint percent = known ? 100 : ALLOWED_PERCENT;
+  guint taken = 0;
+  for (guint i = 0; i < pool->len && ids->len < BTS_ADVICE_MAX; i++)
     {
-      const bts_worker_t *worker = value;
-      const bts_ticket_t *known = bts_stage_ticket (stage, worker->entry->id);
-      if (may_ask_about (stage, worker) && (known == NULL || known->ticket != NULL))
-        g_ptr_array_add (ids, worker->entry->id);
+      const bts_worker_t *worker = pool->pdata[(first + i) % pool->len];
+      if (!may_ask_about (stage, worker, known))
+        continue;
+      if (bts_place_open (worker, stage, now_us) != BTS_PLACE_OK)
+        {
+          g_ptr_array_add (full, worker->entry->id);
+          continue;
+        }
+      g_ptr_array_add (ids, worker->entry->id);
+      taken += count_taken (worker, step);
+      if (ids->len >= WORKERS_USUAL && (guint64)taken * percent >= (guint64)stage->n * 100)
+        return ids;
     }
-  ask (sched, stage, ids, now_us);
+  for (guint i = 0; i < full->len && ids->len < WORKERS_USUAL; i++)
+    g_ptr_array_add (ids, full->pdata[i]);
+  return ids;
 }
 
-/**
- * bts_advice_expect() - a process asks about the first stage of its job itself
- * @sched: a leading scheduler
- * @job: a job just accepted
- */
-void
-bts_advice_expect (bts_sched_t *sched, const bts_job_t *job)
+/* Asks for the first time, or for workers that were not asked about. */
+static guint
+ask_unknown (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
 {
-  const Bts__Policy *policy = job->accepted->policy;
-  bts_member_t *member = g_hash_table_lookup (sched->members, job->accepted->entry);
-  if (!job->accepted->asks || member == NULL)
-    return;
-  gint64 now_us = bts_sched_now (sched);
-  guint workers = MIN (g_hash_table_size (sched->fleet->workers), BTS_ADVICE_MAX);
-  member->busy_until_us = MAX (member->busy_until_us, now_us) + call_us (policy, workers);
-  bts_stage_t *stage = bts_job_stage ((bts_job_t *)job, 0, 0);
-  stage->asked_us = now_us;
-  stage->answer_us = member->busy_until_us + PATIENCE_US;
+  g_autoptr (GPtrArray) ids = choose_workers (sched, stage, FALSE, now_us);
+  ask (sched, stage, ids, now_us);
+  return ids->len;
 }
 
 /**
@@ -170,7 +183,7 @@
     doubt_member (sched, stage);
   if (stage->advice != NULL)
     return TRUE;
-  ask_about (sched, stage, now_us);
+  ask_unknown (sched, stage, now_us);
   return FALSE;
 }
 
@@ -187,9 +200,10 @@
   const Bts__Policy *policy = bts_stage_policy (stage);
   if (!policy->advised || stage->advice == NULL || stage->asked_us != 0)
     return;
-  guint workers = g_hash_table_size (stage->advice);
-  if (now_us + call_us (policy, workers) >= needed_us)
-    ask_about (sched, stage, now_us);
+  if (now_us + call_us (policy, WORKERS_USUAL) < needed_us)
+    return;
+  g_autoptr (GPtrArray) ids = choose_workers (sched, stage, TRUE, now_us);
+  ask (sched, stage, ids, now_us);
 }
 
 /**
@@ -204,18 +218,8 @@
   if (!bts_stage_policy (stage)->advised || stage->advice == NULL || stage->asked_us != 0
       || stage->extended == sched->fleet->version)
     return;
-  g_autoptr (GPtrArray) ids = g_ptr_array_new ();
-  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
-  for (guint i = 0; i < pool->len && ids->len < BTS_ADVICE_MAX; i++)
-    {
-      const bts_worker_t *worker = pool->pdata[i];
-      if (worker->synced && may_ask_about (stage, worker)
-          && !g_hash_table_contains (stage->advice, worker->entry->id))
-        g_ptr_array_add (ids, worker->entry->id);
-    }
-  if (ids->len == 0)
+  if (ask_unknown (sched, stage, now_us) == 0)
     stage->extended = sched->fleet->version;
-  ask (sched, stage, ids, now_us);
 }
 
 /**
@@ -270,44 +274,37 @@
         }
       g_ptr_array_remove_index_fast (sched->foreseen, i);
       if (stage->advice == NULL && stage->asked_us == 0 && !bts_job_over (stage->job))
-        ask_about (sched, stage, now_us);
+        ask_unknown (sched, stage, now_us);
     }
 }
 
 /**
- * bts_sched_on_advised() - advice on a stage is in the journal
+ * bts_sched_on_advice() - the advice service has answered about a stage
  * @sched: the scheduler
- * @stage: the stage
+ * @advice: the answer, or NULL if there is none
+ * @asked: what was asked
  */
 void
-bts_sched_on_advised (bts_sched_t *sched, bts_stage_t *stage)
+bts_sched_on_advice (bts_sched_t *sched, const Bts__Ask *asked, const Bts__Advice *advice)
 {
-  stage->asked_us = 0;
-  sched->dirty = TRUE;
-}
-
-static gboolean
-is_earlier_life (gpointer key, gpointer value, gpointer node)
-{
-  return bts_node_same_place (key, node);
-}
-
-/**
- * bts_sched_on_seen() - a process has given a sign
- * @sched: the scheduler
- * @node: the process
- */
-void
-bts_sched_on_seen (bts_sched_t *sched, const char *node)
-{
-  if (*node == '\0')
+  bts_job_t *job = sched->term == 0 ? NULL : bts_ledger_job (sched->ledger, asked->job);
+  bts_stage_t *stage = job == NULL || bts_job_over (job)
+                           ? NULL
+                           : bts_job_stage (job, asked->occurrence, asked->step);
+  if (stage == NULL)
     return;
-  bts_member_t *member = g_hash_table_lookup (sched->members, node);
-  if (member == NULL)
+  gint64 now_us = bts_sched_now (sched);
+  sched->dirty = TRUE;
+  if (advice == NULL)
     {
-      g_hash_table_foreach_remove (sched->members, is_earlier_life, (gpointer)node);
-      member = g_new0 (bts_member_t, 1);
-      g_hash_table_insert (sched->members, g_strdup (node), member);
+      /* Another process is asked with the next pass. */
+      stage->answer_us = MIN (stage->answer_us, now_us);
+      return;
     }
-  member->seen_us = bts_sched_now (sched);
+  stage->asked_us = 0;
+  bts_stage_advise (stage, NULL, NULL, now_us);
+  for (gsize i = 0; i < asked->n_workers; i++)
+    bts_stage_advise (stage, asked->workers[i], NULL, now_us);
+  for (gsize i = 0; i < advice->n_allowed; i++)
+    bts_stage_advise (stage, advice->allowed[i]->worker, advice->allowed[i]->ticket, now_us);
 }
--- a/libbamboothread/scheduler/adviser.c
+++ b/libbamboothread/scheduler/adviser.c
@@ -20,10 +20,7 @@
 {
   bts_question_t *question = data;
   g_free (question->job);
-  g_free (question->service);
-  if (question->workers != NULL)
-    g_ptr_array_unref (question->workers);
-  g_ptr_array_unref (question->asked);
+  g_ptr_array_unref (question->workers);
   g_free (question);
 }
 
@@ -47,6 +44,13 @@
   g_free (adviser);
 }
 
+static void
+give_up (bts_adviser_t *adviser, bts_question_t *question)
+{
+  adviser->ops->given_up (adviser->context, question);
+  question_free (question);
+}
+
 static void
 run_queue (bts_adviser_t *adviser)
 {
@@ -54,52 +58,39 @@
     {
       bts_question_t *question = g_queue_pop_head (&adviser->queue);
       const bts_job_t *job = bts_ledger_job (adviser->ledger, question->job);
+      /* A question may come before the journal has told of its job. */
+      if (job != NULL && bts_job_over (job))
+        {
+          give_up (adviser, question);
+          continue;
+        }
       question->tries++;
-      if ((job == NULL || !bts_job_over (job)) && adviser->ops->ask (adviser->context, question))
-        g_ptr_array_add (adviser->open, question);
-      else
-        question_free (question);
+      g_ptr_array_add (adviser->open, question);
+      adviser->ops->ask (adviser->context, question);
     }
 }
 
 /**
  * bts_adviser_ask() - ask which workers may run a step
  * @adviser: the adviser
- * @job: the job; it need not be in the journal yet
- * @occurrence: number of the occurrence
- * @step: number of the step
- * @workers: ids of the workers, or NULL for all
+ * @exchange: of the message that asked, or 0
+ * @ask: the step and the workers
  */
 void
-bts_adviser_ask (bts_adviser_t *adviser, const Bts__Accepted *job, guint occurrence, guint step,
-                 const GPtrArray *workers)
+bts_adviser_ask (bts_adviser_t *adviser, guint64 exchange, const Bts__Ask *ask)
 {
   bts_question_t *question = g_new0 (bts_question_t, 1);
-  question->job = g_strdup (job->id);
-  question->service = g_strdup (job->policy->service);
-  question->occurrence = occurrence;
-  question->step = step;
-  question->asked = g_ptr_array_new_with_free_func (g_free);
-  if (workers != NULL)
-    {
-      question->workers = g_ptr_array_new_with_free_func (g_free);
-      for (guint i = 0; i < workers->len; i++)
-        g_ptr_array_add (question->workers, g_strdup (workers->pdata[i]));
-    }
+  question->exchange = exchange;
+  question->job = g_strdup (ask->job);
+  question->occurrence = ask->occurrence;
+  question->step = ask->step;
+  question->workers = g_ptr_array_new_with_free_func (g_free);
+  for (gsize i = 0; i < ask->n_workers; i++)
+    g_ptr_array_add (question->workers, g_strdup (ask->workers[i]));
   g_queue_push_tail (&adviser->queue, question);
   run_queue (adviser);
 }
 
-/**
- * bts_adviser_idle() - whether a question would be asked at once
- * @adviser: the adviser
- */
-gboolean
-bts_adviser_idle (const bts_adviser_t *adviser)
-{
-  return adviser->open->len == 0 && g_queue_get_length ((GQueue *)&adviser->queue) == 0;
-}
-
 /**
  * bts_adviser_on_answer() - a call has been answered, or not
  * @adviser: the adviser
@@ -113,9 +104,11 @@
   if (!g_ptr_array_find (adviser->open, question, &i))
     return;
   bts_question_t *closed = g_ptr_array_steal_index (adviser->open, i);
-  if (!ok && closed->tries < TRIES_MAX)
+  if (ok)
+    question_free (closed);
+  else if (closed->tries < TRIES_MAX)
     g_queue_push_tail (&adviser->queue, closed);
   else
-    question_free (closed);
+    give_up (adviser, closed);
   run_queue (adviser);
 }
--- a/libbamboothread/scheduler/adviser.h
+++ b/libbamboothread/scheduler/adviser.h
@@ -11,36 +11,34 @@
 
 /**
  * struct bts_question_t - which of some workers may run a step
- * @service: the pool of the step
- * @workers: ids, or NULL for all that are listed when it is asked
- * @asked: ids that were named in the call
+ * @exchange: of the message that asked; 0 if this process itself wants to know
+ * @workers: ids of the workers
+ * @tries: calls so far
  */
 typedef struct
 {
+  guint64 exchange;
   char *job;
   guint occurrence;
   guint step;
-  char *service;
   GPtrArray *workers;
-  GPtrArray *asked;
   guint tries;
 } bts_question_t;
 
 /**
  * struct bts_adviser_ops_t - where questions go
- * @ask: fills in @asked; answered by bts_adviser_on_answer(); returns FALSE if there is nobody to
- * ask about
+ * @ask: answered by bts_adviser_on_answer()
+ * @given_up: there will be no answer to a question
  */
 typedef struct
 {
-  gboolean (*ask) (void *context, bts_question_t *question);
+  void (*ask) (void *context, const bts_question_t *question);
+  void (*given_up) (void *context, const bts_question_t *question);
 } bts_adviser_ops_t;
 
 bts_adviser_t *bts_adviser_new (bts_ledger_t *ledger, const bts_adviser_ops_t *ops, void *context);
 void bts_adviser_free (bts_adviser_t *adviser);
-void bts_adviser_ask (bts_adviser_t *adviser, const Bts__Accepted *job, guint occurrence,
-                      guint step, const GPtrArray *workers);
-gboolean bts_adviser_idle (const bts_adviser_t *adviser);
+void bts_adviser_ask (bts_adviser_t *adviser, guint64 exchange, const Bts__Ask *ask);
 void bts_adviser_on_answer (bts_adviser_t *adviser, const bts_question_t *question, gboolean ok);
 
 #endif
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -302,6 +302,28 @@
          && used->gpus + room->gpus <= capacity.gpus;
 }
 
+/**
+ * bts_worker_count_fitting() - how many tasks fit into what is left of a worker
+ * @worker: the worker
+ * @used: what is taken of it
+ * @room: what one task takes
+ */
+guint
+bts_worker_count_fitting (const bts_worker_t *worker, const bts_room_t *used,
+                          const bts_room_t *room)
+{
+  bts_room_t left = bts_worker_capacity (worker);
+  bts_room_subtract (&left, used);
+  gint64 fitting = G_MAXINT16;
+  if (room->cpu_millis > 0)
+    fitting = MIN (fitting, left.cpu_millis / room->cpu_millis);
+  if (room->memory_mb > 0)
+    fitting = MIN (fitting, left.memory_mb / room->memory_mb);
+  if (room->gpus > 0)
+    fitting = MIN (fitting, left.gpus / room->gpus);
+  return (guint)MAX (fitting, 0);
+}
+
 gboolean
 bts_worker_has_label (const bts_worker_t *worker, const char *label)
 {
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -212,6 +212,8 @@
 bts_room_t bts_worker_capacity (const bts_worker_t *worker);
 gboolean bts_worker_has_room (const bts_worker_t *worker, const bts_room_t *used,
                               const bts_room_t *room);
+guint bts_worker_count_fitting (const bts_worker_t *worker, const bts_room_t *used,
+                                const bts_room_t *room);
 gboolean bts_worker_has_label (const bts_worker_t *worker, const char *label);
 bts_run_t *bts_worker_find (const bts_worker_t *worker, const char *name, guint number);
 void bts_worker_add (bts_worker_t *worker, bts_run_t *run);
--- a/libbamboothread/scheduler/lead.c
+++ b/libbamboothread/scheduler/lead.c
@@ -8,6 +8,9 @@
    through it: so many times its usual append, which counts up to a limit. */
 #define PLACE_WEIGHT 8
 #define PLACE_LAG_US (40 * 1000)
+/* A process on a small VM leaves the larger ones so much time to claim first, in
+   microseconds: above their own delays. */
+#define WEAK_WAIT_US (500 * 1000)
 /* Time after which a claim that hasn't come back is written again, in microseconds. */
 #define CLAIM_RETRY_US (700 * 1000)
 /* How many slow answers of the store in a row don't count as silence. */
@@ -136,6 +139,7 @@
  * bts_lead_due() - whether to claim the next term now
  * @lead: the process
  * @ledger: the folded journal
+ * @weak: another process is on a much larger VM
  * @now_us: the time
  *
  * A process that has written to the store claims when there is no owner, when the owner was an
@@ -144,7 +148,7 @@
  * Return: whether a claim is to be written; the time of it is noted.
  */
 gboolean
-bts_lead_due (bts_lead_t *lead, const bts_ledger_t *ledger, gint64 now_us)
+bts_lead_due (bts_lead_t *lead, const bts_ledger_t *ledger, gboolean weak, gint64 now_us)
 {
   const char *owner = bts_ledger_owner (ledger);
   gboolean own_earlier = owner != NULL && bts_node_same_place (owner, lead->node);
@@ -159,6 +163,8 @@
     wait_us = place_us;
   else if (own_earlier)
     wait_us = 0;
+  if (weak)
+    wait_us += WEAK_WAIT_US;
   if (now_us - lead->sign_us < wait_us)
     return FALSE;
   lead->claimed_us = now_us;
--- a/libbamboothread/scheduler/lead.h
+++ b/libbamboothread/scheduler/lead.h
@@ -59,6 +59,6 @@
 void bts_lead_on_append (bts_lead_t *lead, gint64 took_us);
 gint64 bts_lead_sure_us (const bts_lead_t *lead, gint64 lease_us, gint64 now_us);
 gboolean bts_lead_mine (const bts_lead_t *lead, const bts_ledger_t *ledger);
-gboolean bts_lead_due (bts_lead_t *lead, const bts_ledger_t *ledger, gint64 now_us);
+gboolean bts_lead_due (bts_lead_t *lead, const bts_ledger_t *ledger, gboolean weak, gint64 now_us);
 
 #endif
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -288,23 +288,6 @@
   ledger->ops->beat (ledger->context, beat->number);
 }
 
-static void
-fold_advice (bts_ledger_t *ledger, const Bts__Advice *advice, gint64 now_us)
-{
-  ledger->ops->seen (ledger->context, advice->node);
-  bts_job_t *job = bts_ledger_job (ledger, advice->job);
-  bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, advice->occurrence, advice->step);
-  if (stage == NULL || bts_job_over (job))
-    return;
-  gint64 at_us = ledger->replaying ? 0 : now_us;
-  bts_stage_advise (stage, NULL, NULL, at_us);
-  for (gsize i = 0; i < advice->n_allowed; i++)
-    bts_stage_advise (stage, advice->allowed[i]->worker, advice->allowed[i]->ticket, at_us);
-  for (gsize i = 0; i < advice->n_denied; i++)
-    bts_stage_advise (stage, advice->denied[i], NULL, at_us);
-  ledger->ops->advised (ledger->context, stage);
-}
-
 static void
 merge_task (bts_task_t *task, const Bts__TaskState *state)
 {
@@ -372,29 +355,12 @@
     }
 }
 
-static void
-fold_ask (bts_ledger_t *ledger, const Bts__Ask *ask)
-{
-  bts_job_t *job = bts_ledger_job (ledger, ask->job);
-  bts_stage_t *stage = job == NULL || bts_job_over (job) || ask->term != ledger->term
-                           ? NULL
-                           : bts_job_stage (job, ask->occurrence, ask->step);
-  if (stage == NULL || ledger->replaying)
-    return;
-  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
-  for (gsize i = 0; i < ask->n_workers; i++)
-    g_ptr_array_add (workers, ask->workers[i]);
-  ledger->ops->ask (ledger->context, ask->node, stage, workers);
-}
-
-/* Whether a record, by its first byte, only counts for seconds: tickets and questions
-   of the past need not even be unpacked. */
+/* Whether a record, by its first byte, only counts for seconds: signs of the past need
+   not even be unpacked. */
 static gboolean
 is_short_lived (guint8 tag)
 {
-  guint field = tag >> 3;
-  return field == BTS__RECORD__KIND_ADVICE || field == BTS__RECORD__KIND_ASK
-         || field == BTS__RECORD__KIND_HELLO;
+  return tag >> 3 == BTS__RECORD__KIND_HELLO;
 }
 
 /**
@@ -440,20 +406,14 @@
     case BTS__RECORD__KIND_BEAT:
       fold_beat (ledger, record->beat, offset, now_us);
       break;
-    case BTS__RECORD__KIND_ADVICE:
-      fold_advice (ledger, record->advice, now_us);
-      break;
     case BTS__RECORD__KIND_KEPT:
       ok = fold_kept (ledger, record->kept, offset, now_us, error);
       break;
     case BTS__RECORD__KIND_STANDING:
       fold_standing (ledger, record->standing, offset);
       break;
-    case BTS__RECORD__KIND_ASK:
-      fold_ask (ledger, record->ask);
-      break;
     case BTS__RECORD__KIND_HELLO:
-      ledger->ops->seen (ledger->context, record->hello->node);
+      ledger->ops->hello (ledger->context, record->hello);
       break;
     default:
       break;
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -17,11 +17,10 @@
  * @cancelled: a job was cancelled
  * @ended: an end was taken up for the first time; @task has the new state
  * @over: a job has ended or failed
- * @advised: a stage got answers of the advice service
  * @owner: a claim or resignation was taken up
  * @beat: a beat of the present owner
- * @ask: the owner wants @node to ask about a stage
  * @seen: a process has given a sign
+ * @hello: a process has said what it is
  * @held: the owner holds a worker, as it was listed then
  * @released: it holds it no longer
  * @forgotten: the job is about to be freed
@@ -32,11 +31,10 @@
   void (*cancelled) (void *context, bts_job_t *job);
   void (*ended) (void *context, bts_task_t *task, guint run, bts_how_t how);
   void (*over) (void *context, bts_job_t *job);
-  void (*advised) (void *context, bts_stage_t *stage);
   void (*owner) (void *context);
   void (*beat) (void *context, guint64 number);
-  void (*ask) (void *context, const char *node, bts_stage_t *stage, const GPtrArray *workers);
   void (*seen) (void *context, const char *node);
+  void (*hello) (void *context, const Bts__Hello *hello);
   void (*held) (void *context, const Bts__Held *held);
   void (*released) (void *context, const char *worker);
   void (*forgotten) (void *context, bts_job_t *job);
--- /dev/null
+++ b/libbamboothread/scheduler/members.h
@@ -0,0 +1,38 @@
+#ifndef BTS_MEMBERS_H
+#define BTS_MEMBERS_H
+
+#include <glib.h>
+
+#include "proto/record.pb-c.h"
+
+/*
+ * The processes of the installation, as their signs in the journal tell of them.
+ */
+
+/**
+ * struct bts_member_t - a process
+ * @address: IP:port for messages between processes, or NULL if not known
+ * @cpu_millis: its share of a processor, in thousandths of a core; 0 if not known
+ * @seen_us: its last sign
+ * @busy_until_us: when it will have got through the questions that it has, about
+ */
+typedef struct
+{
+  char *address;
+  guint cpu_millis;
+  gint64 seen_us;
+  gint64 busy_until_us;
+} bts_member_t;
+
+typedef struct bts_members_t bts_members_t;
+
+bts_members_t *bts_members_new (void);
+void bts_members_free (bts_members_t *members);
+void bts_members_seen (bts_members_t *members, const char *node, gint64 now_us);
+void bts_members_hello (bts_members_t *members, const Bts__Hello *hello, gint64 now_us);
+void bts_members_doubt (bts_members_t *members, const char *node);
+bts_member_t *bts_members_find (const bts_members_t *members, const char *node);
+GPtrArray *bts_members_live (const bts_members_t *members, gint64 now_us);
+guint bts_members_strongest (const bts_members_t *members, gint64 now_us);
+
+#endif
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -10,13 +10,22 @@
 /* How long entries may still come back after the list could not be read, in
    microseconds; the platform says about two seconds. */
 #define ENTRIES_GRACE_US (2500 * 1000)
-/* A list of entries older than this was away, in microseconds. */
-#define ENTRIES_GAP_US (2500 * 1000)
+/* The store was away if the journal wasn't read to its end for so long, in
+   microseconds: waiting reads answer within 1 s. */
+#define AWAY_US (2500 * 1000)
 /* A process that wasn't run for so long, in microseconds, may have missed cancellations
    and a change of the owner; it looks at what is due every 10 to 50 ms. */
 #define PAUSE_US (400 * 1000)
-/* Time between two signs of a process, in microseconds; see MEMBER_SILENT_US. */
+/* Time between two signs of a process, in microseconds; members.c takes one that misses
+   two of them as gone. */
 #define HELLO_US (3 * BT_USEC_PER_SEC)
+/* A process is weak if another one has so many times its share of a processor. */
+#define WEAK_FACTOR 2
+/* A weak owner hands on when it has led for so long, in microseconds, and nothing of
+   the owner before it is unknown. */
+#define YIELD_US (1500 * 1000)
+/* It does so only while its own beats come back: others could not claim else. */
+#define YIELD_SIGN_US (300 * 1000)
 /* Time between two sweeps of jobs that ended long ago, in microseconds. */
 #define FORGET_US (5 * BT_USEC_PER_SEC)
 
@@ -28,18 +37,20 @@
  *   read the journal since
  * @replaying: the journal has not been read to its end yet
  * @hello_us: when this process last said that it is there
- * @entries_us: when the list of entries was read last
- * @entries_back_us: when it could be read again after it was away
+ * @entries_away: the list of entries could not be read since it was read last
+ * @entries_back_us: when the store was last found back after it was away
  */
 struct bts_node_t
 {
   bts_node_config_t config;
   char *name;
+  char *address;
   const bt_clock_t *clock;
   const bts_node_ops_t *ops;
   void *context;
   bts_ledger_t *ledger;
   bts_fleet_t fleet;
+  bts_members_t *members;
   bts_sched_t *sched;
   bts_gate_t *gate;
   bts_adviser_t *adviser;
@@ -51,7 +62,7 @@
   gint64 paused_us;
   gboolean replaying;
   gint64 hello_us;
-  gint64 entries_us;
+  gboolean entries_away;
   gint64 entries_back_us;
   gint64 forgot_us;
 };
@@ -100,13 +111,6 @@
   bts_sched_on_over (node->sched, job);
 }
 
-static void
-on_advised (void *context, bts_stage_t *stage)
-{
-  bts_node_t *node = context;
-  bts_sched_on_advised (node->sched, stage);
-}
-
 static void
 on_owner (void *context)
 {
@@ -128,20 +132,19 @@
 }
 
 static void
-on_ask (void *context, const char *name, bts_stage_t *stage, const GPtrArray *workers)
+on_seen (void *context, const char *name)
 {
   bts_node_t *node = context;
-  if (strcmp (name, node->name) == 0)
-    bts_adviser_ask (node->adviser, stage->job->accepted, stage->occurrence, stage->step, workers);
+  /* Signs that are read again may be of processes that are long gone. */
+  if (!node->replaying)
+    bts_members_seen (node->members, name, node_now (node));
 }
 
 static void
-on_seen (void *context, const char *name)
+on_hello (void *context, const Bts__Hello *hello)
 {
   bts_node_t *node = context;
-  /* Signs that are read again may be of processes that are long gone. */
-  if (!node->replaying)
-    bts_sched_on_seen (node->sched, name);
+  bts_members_hello (node->members, hello, node_now (node));
 }
 
 static void
@@ -168,8 +171,8 @@
 }
 
 static const bts_ledger_ops_t ledger_ops
-    = { on_accepted, on_cancelled, on_ended, on_over, on_advised,  on_owner,
-        on_beat,     on_ask,       on_seen,  on_held, on_released, on_forgotten };
+    = { on_accepted, on_cancelled, on_ended, on_over,     on_owner,    on_beat,
+        on_seen,     on_hello,     on_held,  on_released, on_forgotten };
 
 /* What the scheduler sends. */
 
@@ -200,28 +203,26 @@
   append (context, TOKEN_NONE, record);
 }
 
+static GBytes *
+message_pack (const ProtobufCMessage *message)
+{
+  gsize len = protobuf_c_message_get_packed_size (message);
+  guint8 *data = g_malloc (MAX (len, 1));
+  protobuf_c_message_pack (message, data);
+  return g_bytes_new_take (data, len);
+}
+
 static void
-sched_advise (void *context, const char *name, const bts_stage_t *stage, const GPtrArray *workers)
+sched_advise (void *context, const char *name, const char *address, const Bts__Ask *ask)
 {
   bts_node_t *node = context;
   if (strcmp (name, node->name) == 0)
     {
-      bts_adviser_ask (node->adviser, stage->job->accepted, stage->occurrence, stage->step,
-                       workers);
+      bts_adviser_ask (node->adviser, 0, ask);
       return;
     }
-  Bts__Ask ask = BTS__ASK__INIT;
-  ask.term = bts_ledger_term (node->ledger);
-  ask.node = (char *)name;
-  ask.job = (char *)bts_job_id (stage->job);
-  ask.occurrence = stage->occurrence;
-  ask.step = stage->step;
-  ask.n_workers = workers->len;
-  ask.workers = (char **)workers->pdata;
-  Bts__Record record = BTS__RECORD__INIT;
-  record.kind_case = BTS__RECORD__KIND_ASK;
-  record.ask = &ask;
-  append (node, TOKEN_NONE, &record);
+  g_autoptr (GBytes) message = message_pack (&ask->base);
+  node->ops->send (node->context, address, message);
 }
 
 static void
@@ -260,37 +261,36 @@
 static const bts_gate_ops_t gate_ops = { gate_append, gate_answer };
 
 static void
-add_listed (const bts_node_t *node, const char *service, GPtrArray *ids)
+adviser_ask (void *context, const bts_question_t *question)
 {
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, node->fleet.workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && ids->len < BTS_ADVICE_MAX)
-    {
-      const bts_worker_t *worker = value;
-      if (worker->listed && !worker->entry->draining
-          && strcmp (worker->entry->service, service) == 0)
-        g_ptr_array_add (ids, g_strdup (worker->entry->id));
-    }
+  bts_node_t *node = context;
+  node->ops->advise (node->context, question);
 }
 
-static gboolean
-adviser_ask (void *context, bts_question_t *question)
+static void
+fill_ask (Bts__Ask *ask, const bts_question_t *question)
+{
+  bts__ask__init (ask);
+  ask->job = question->job;
+  ask->occurrence = question->occurrence;
+  ask->step = question->step;
+  ask->n_workers = question->workers->len;
+  ask->workers = (char **)question->workers->pdata;
+}
+
+static void
+adviser_given_up (void *context, const bts_question_t *question)
 {
   bts_node_t *node = context;
-  GPtrArray *ids = question->asked;
-  g_ptr_array_set_size (ids, 0);
-  for (guint i = 0; question->workers != NULL && i < question->workers->len; i++)
-    g_ptr_array_add (ids, g_strdup (question->workers->pdata[i]));
-  if (question->workers == NULL)
-    add_listed (node, question->service, ids);
-  if (ids->len == 0)
-    return FALSE;
-  node->ops->advise (node->context, question);
-  return TRUE;
+  Bts__Ask ask;
+  fill_ask (&ask, question);
+  if (question->exchange == 0)
+    bts_sched_on_advice (node->sched, &ask, NULL);
+  else
+    node->ops->reply (node->context, question->exchange, NULL);
 }
 
-static const bts_adviser_ops_t adviser_ops = { adviser_ask };
+static const bts_adviser_ops_t adviser_ops = { adviser_ask, adviser_given_up };
 
 /**
  * bts_node_new() - a process that knows nothing yet
@@ -306,12 +306,15 @@
   bts_node_t *node = g_new0 (bts_node_t, 1);
   node->config = *config;
   node->name = g_strdup (config->name);
+  node->address = g_strdup (config->address);
   node->clock = clock;
   node->ops = ops;
   node->context = context;
   node->ledger = bts_ledger_new (&ledger_ops, node);
   bts_fleet_init (&node->fleet);
-  node->sched = bts_sched_new (&config->sched, clock, node->ledger, &node->fleet, &sched_ops, node);
+  node->members = bts_members_new ();
+  node->sched = bts_sched_new (&config->sched, clock, node->ledger, &node->fleet, node->members,
+                               &sched_ops, node);
   node->gate = bts_gate_new (node->ledger, &gate_ops, node);
   node->adviser = bts_adviser_new (node->ledger, &adviser_ops, node);
   bts_lead_init (&node->lead, config->name);
@@ -330,7 +333,9 @@
   bts_fleet_clear (&node->fleet);
   bts_lead_clear (&node->lead);
   bts_manifest_free (node->manifest);
+  bts_members_free (node->members);
   g_free (node->name);
+  g_free (node->address);
   g_free (node);
 }
 
@@ -392,6 +397,8 @@
 bts_node_on_read (bts_node_t *node, gint64 sent_us)
 {
   gint64 now_us = node_now (node);
+  if (now_us - node->lead.read_us > AWAY_US)
+    node->entries_back_us = now_us;
   bts_lead_on_read (&node->lead, now_us);
   node->replaying = FALSE;
   if (sent_us > node->paused_us)
@@ -437,53 +444,80 @@
     bts_gate_on_append (node->gate, token, stored, node_now (node));
 }
 
-static GPtrArray *
-find_denied (const bts_question_t *question, const Bts__Advice *advice)
-{
-  GPtrArray *denied = g_ptr_array_new ();
-  for (guint i = 0; i < question->asked->len; i++)
-    {
-      gboolean allowed = FALSE;
-      for (gsize a = 0; a < advice->n_allowed && !allowed; a++)
-        allowed = strcmp (advice->allowed[a]->worker, question->asked->pdata[i]) == 0;
-      if (!allowed)
-        g_ptr_array_add (denied, question->asked->pdata[i]);
-    }
-  return denied;
-}
-
 /**
  * bts_node_on_advice() - the advice service has answered, or not
  * @node: the process
  * @question: what was asked
- * @advice: the answer, its job and step not filled in; NULL if there is none
+ * @advice: the answer; NULL if there is none
  */
 void
-bts_node_on_advice (bts_node_t *node, const bts_question_t *question, Bts__Advice *advice)
+bts_node_on_advice (bts_node_t *node, const bts_question_t *question, const Bts__Advice *advice)
 {
   if (advice != NULL)
     {
-      g_autoptr (GPtrArray) denied = find_denied (question, advice);
-      advice->n_denied = denied->len;
-      advice->denied = (char **)denied->pdata;
-      advice->job = question->job;
-      advice->occurrence = question->occurrence;
-      advice->step = question->step;
-      advice->node = node->name;
-      Bts__Record record = BTS__RECORD__INIT;
-      record.kind_case = BTS__RECORD__KIND_ADVICE;
-      record.advice = advice;
-      append (node, TOKEN_NONE, &record);
-      bt_log (BT_LOG_INFO, "advice", "job=%s occurrence=%u step=%u allowed=%zu", question->job,
-              question->occurrence, question->step, advice->n_allowed);
-      advice->job = NULL;
-      advice->n_denied = 0;
-      advice->denied = NULL;
-      advice->node = NULL;
+      bt_log (BT_LOG_INFO, "advice", "job=%s occurrence=%u step=%u asked=%u allowed=%zu",
+              question->job, question->occurrence, question->step, question->workers->len,
+              advice->n_allowed);
+      if (question->exchange == 0)
+        {
+          Bts__Ask ask;
+          fill_ask (&ask, question);
+          bts_sched_on_advice (node->sched, &ask, advice);
+        }
+      else
+        {
+          g_autoptr (GBytes) reply = message_pack (&advice->base);
+          node->ops->reply (node->context, question->exchange, reply);
+        }
     }
   bts_adviser_on_answer (node->adviser, question, advice != NULL);
 }
 
+/**
+ * bts_node_on_message() - another process asks about a step
+ * @node: the process
+ * @exchange: names the message for its reply
+ * @data: the message, @len bytes
+ * @len: number of bytes
+ *
+ * Return: FALSE if it can't be read.
+ */
+gboolean
+bts_node_on_message (bts_node_t *node, guint64 exchange, const guint8 *data, gsize len)
+{
+  Bts__Ask *ask = bts__ask__unpack (NULL, len, data);
+  if (ask == NULL)
+    return FALSE;
+  gboolean usable = ask->n_workers > 0 && ask->n_workers <= BTS_ADVICE_MAX && *ask->job != '\0';
+  if (usable)
+    bts_adviser_ask (node->adviser, exchange, ask);
+  bts__ask__free_unpacked (ask, NULL);
+  return usable;
+}
+
+/**
+ * bts_node_on_reply() - what became of a message to another process
+ * @node: the process
+ * @message: the message
+ * @data: the reply, @len bytes; NULL if there is none
+ * @len: number of bytes
+ */
+void
+bts_node_on_reply (bts_node_t *node, GBytes *message, const guint8 *data, gsize len)
+{
+  gsize ask_len;
+  const guint8 *ask_data = g_bytes_get_data (message, &ask_len);
+  Bts__Ask *ask = bts__ask__unpack (NULL, ask_len, ask_data);
+  Bts__Advice *advice = data == NULL ? NULL : bts__advice__unpack (NULL, len, data);
+  if (advice == NULL)
+    bt_log (BT_LOG_NOTICE, "advice-missing", "job=%s step=%u readable=%d", ask->job, ask->step,
+            data == NULL);
+  bts_sched_on_advice (node->sched, ask, advice);
+  bts__ask__free_unpacked (ask, NULL);
+  if (advice != NULL)
+    bts__advice__free_unpacked (advice, NULL);
+}
+
 /**
  * bts_node_on_manifest() - a version of the tables was read
  * @node: the process
@@ -525,16 +559,16 @@
 /**
  * bts_node_on_entries() - all entries have been read
  * @node: the process
- * @ids: the workers that have one
+ * @ids: the workers that have one; NULL if they could not be read
  */
 void
 bts_node_on_entries (bts_node_t *node, GHashTable *ids)
 {
   gint64 now_us = node_now (node);
-  if (now_us - node->entries_us > ENTRIES_GAP_US)
+  if (node->entries_away && ids != NULL)
     node->entries_back_us = now_us;
-  node->entries_us = now_us;
-  if (now_us - node->entries_back_us < ENTRIES_GRACE_US)
+  node->entries_away = ids == NULL;
+  if (ids == NULL || now_us - node->entries_back_us < ENTRIES_GRACE_US)
     return;
   GHashTableIter iter;
   gpointer value;
@@ -570,15 +604,6 @@
   if (job->entry != protobuf_c_empty_string)
     free (job->entry);
   job->entry = strdup (node->name);
-  const Bts__Policy *policy = job->policy;
-  double call_ms
-      = policy->advice_ms + policy->advice_worker_ms * g_hash_table_size (node->fleet.workers);
-  /* A long call would hold up the short ones of other jobs. */
-  job->asks = policy->advised && job->repeat == 0 && call_ms <= BTS_ADVICE_SHORT_MS
-              && bts_adviser_idle (node->adviser) && bts_gate_fresh (node->gate, node_now (node))
-              && bts_ledger_job (node->ledger, job->id) == NULL;
-  if (job->asks)
-    bts_adviser_ask (node->adviser, job, 0, 0, NULL);
   bts_gate_submit (node->gate, exchange, job, patience_us, node_now (node));
 }
 
@@ -675,6 +700,8 @@
 {
   Bts__Hello hello = BTS__HELLO__INIT;
   hello.node = node->name;
+  hello.address = node->address == NULL ? (char *)protobuf_c_empty_string : node->address;
+  hello.cpu_millis = node->config.cpu_millis;
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_HELLO;
   record.hello = &hello;
@@ -682,6 +709,29 @@
   node->hello_us = now_us;
 }
 
+/* Whether a process on a much larger VM is there. */
+static gboolean
+is_weak (const bts_node_t *node, gint64 now_us)
+{
+  return bts_members_strongest (node->members, now_us)
+         >= (guint64)node->config.cpu_millis * WEAK_FACTOR;
+}
+
+/* Hands the workers on to a process on a larger VM. It ends its term at once, so that
+   it grants no lease that the next owner doesn't reckon with. */
+static void
+yield_if_weak (bts_node_t *node, gint64 now_us)
+{
+  if (!bts_sched_leading (node->sched) || node->lead.leaving
+      || now_us - node->lead.sign_us > YIELD_SIGN_US || !bts_sched_settled (node->sched, YIELD_US)
+      || !is_weak (node, now_us))
+    return;
+  resign (node);
+  node->resigned = FALSE;
+  node->deposed = TRUE;
+  bts_sched_end (node->sched);
+}
+
 /**
  * bts_node_tick() - do what is due
  * @node: the process
@@ -711,7 +761,8 @@
   node->deposed = node->deposed && bts_lead_mine (&node->lead, node->ledger);
   if (node->lead.leaving && !node->resigned && bts_sched_leading (node->sched))
     resign (node);
-  if (bts_lead_due (&node->lead, node->ledger, now_us))
+  yield_if_weak (node, now_us);
+  if (bts_lead_due (&node->lead, node->ledger, is_weak (node, now_us), now_us))
     claim (node);
   if (!node->replaying && !node->lead.leaving && bts_gate_fresh (node->gate, now_us)
       && now_us - node->hello_us >= HELLO_US)
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -19,8 +19,9 @@
  * @append: a record for the journal; answered by bts_node_on_append()
  * @hold, @start, @stop: orders to workers; answered by the functions of the
  *   same names in sched.h on bts_node_sched()
- * @advise: a question to the advice service about its asked workers; answered by
- *   bts_node_on_advice()
+ * @advise: a question to the advice service; answered by bts_node_on_advice()
+ * @send: a message to the process at @address; answered by bts_node_on_reply()
+ * @reply: the reply to a message; NULL if there is none to be had
  * @answer: tell a caller
  * @now_unix_ms: the time of day
  */
@@ -31,6 +32,8 @@
   void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
   void (*stop) (void *context, const bts_run_t *run, guint64 fence);
   void (*advise) (void *context, const bts_question_t *question);
+  void (*send) (void *context, const char *address, GBytes *message);
+  void (*reply) (void *context, guint64 exchange, GBytes *reply);
   void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
   gint64 (*now_unix_ms) (void *context);
 } bts_node_ops_t;
@@ -38,11 +41,15 @@
 /**
  * struct bts_node_config_t - how a process is told to work
  * @name: of this life of it, VM and life parted by a slash
+ * @address: IP:port at which it takes messages of other processes
+ * @cpu_millis: its share of a processor, in thousandths of a core
  * @status_ms: how long an ended job is known
  */
 typedef struct
 {
   const char *name;
+  const char *address;
+  guint cpu_millis;
   guint status_ms;
   bts_sched_config_t sched;
 } bts_node_config_t;
@@ -58,7 +65,10 @@
 void bts_node_on_read (bts_node_t *node, gint64 sent_us);
 void bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first);
 void bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored, gint64 took_us);
-void bts_node_on_advice (bts_node_t *node, const bts_question_t *question, Bts__Advice *advice);
+void bts_node_on_advice (bts_node_t *node, const bts_question_t *question,
+                         const Bts__Advice *advice);
+gboolean bts_node_on_message (bts_node_t *node, guint64 exchange, const guint8 *data, gsize len);
+void bts_node_on_reply (bts_node_t *node, GBytes *message, const guint8 *data, gsize len);
 void bts_node_on_manifest (bts_node_t *node, bts_manifest_t *manifest);
 void bts_node_on_entry (bts_node_t *node, bts_entry_t *entry);
 void bts_node_on_entries (bts_node_t *node, GHashTable *ids);
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -104,15 +104,17 @@
 }
 
 /**
- * bts_place_check() - whether a worker can take one more task of a stage now
+ * bts_place_open() - whether a worker could take one more task of a stage now
  * @worker: the worker
  * @stage: the stage
  * @now_us: the time
  *
+ * Doesn't look at what the advice service said.
+ *
  * Return: %BTS_PLACE_OK, or the first reason against it.
  */
 bts_place_why_t
-bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
+bts_place_open (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (stage);
   if (worker->service != stage->job->service)
@@ -122,8 +124,6 @@
     return BTS_PLACE_AWAY;
   if (step->label[0] != '\0' && !bts_worker_has_label (worker, step->label))
     return BTS_PLACE_LABEL;
-  if (bts_stage_policy (stage)->advised && !allowed (worker, stage))
-    return BTS_PLACE_NOT_ALLOWED;
   bts_room_t room = bts_place_room (step);
   if (!bts_worker_has_room (worker, &worker->used, &room))
     return BTS_PLACE_NO_ROOM;
@@ -134,6 +134,26 @@
   return BTS_PLACE_OK;
 }
 
+/**
+ * bts_place_check() - whether a worker can take one more task of a stage now
+ * @worker: the worker
+ * @stage: the stage
+ * @now_us: the time
+ *
+ * Return: %BTS_PLACE_OK, or a reason against it; one about room only if nothing else
+ * speaks against the worker.
+ */
+bts_place_why_t
+bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
+{
+  bts_place_why_t why = bts_place_open (worker, stage, now_us);
+  gboolean is_right
+      = why != BTS_PLACE_OTHER_SERVICE && why != BTS_PLACE_AWAY && why != BTS_PLACE_LABEL;
+  if (is_right && bts_stage_policy (stage)->advised && !allowed (worker, stage))
+    return BTS_PLACE_NOT_ALLOWED;
+  return why;
+}
+
 static gint64
 left_share (gint64 capacity, gint64 used)
 {
--- a/libbamboothread/scheduler/place.h
+++ b/libbamboothread/scheduler/place.h
@@ -27,6 +27,8 @@
 } bts_place_why_t;
 
 bts_room_t bts_place_room (const Bts__Step *step);
+bts_place_why_t bts_place_open (const bts_worker_t *worker, const bts_stage_t *stage,
+                                gint64 now_us);
 bts_place_why_t bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage,
                                  gint64 now_us);
 gboolean bts_place_could_use (const bts_worker_t *worker, const bts_stage_t *stage);
--- a/libbamboothread/scheduler/reserve.c
+++ b/libbamboothread/scheduler/reserve.c
@@ -39,20 +39,6 @@
   return left < right ? -1 : left > right;
 }
 
-/* How many tasks of a step fit into what is left of a worker. */
-static guint
-count_fitting (const bts_worker_t *worker, const bts_room_t *used, const bts_room_t *room)
-{
-  gint64 fitting = G_MAXINT16;
-  if (room->cpu_millis > 0)
-    fitting = MIN (fitting, (worker->entry->cpu_millis - used->cpu_millis) / room->cpu_millis);
-  if (room->memory_mb > 0)
-    fitting = MIN (fitting, (worker->entry->memory_mb - used->memory_mb) / room->memory_mb);
-  if (room->gpus > 0)
-    fitting = MIN (fitting, (worker->entry->gpus - used->gpus) / room->gpus);
-  return (guint)MAX (fitting, 0);
-}
-
 /* When at least one task of a step will fit on a worker, how many then, and what is
    used then beside them. */
 static gint64
@@ -64,7 +50,7 @@
   g_autoptr (GPtrArray) runs = g_ptr_array_copy (worker->runs, NULL, NULL);
   g_ptr_array_sort_with_data (runs, compare_end, &now_us);
   gint64 at_us = now_us;
-  for (guint i = 0; (*fitting = count_fitting (worker, &used, &room)) == 0; i++)
+  for (guint i = 0; (*fitting = bts_worker_count_fitting (worker, &used, &room)) == 0; i++)
     {
       if (i == runs->len)
         return G_MAXINT64;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -30,12 +30,14 @@
  * @clock: the process's clock
  * @ledger: the folded journal
  * @fleet: the workers
+ * @members: the processes
  * @ops: where orders go
  * @context: handed to @ops
  */
 bts_sched_t *
 bts_sched_new (const bts_sched_config_t *config, const bt_clock_t *clock, bts_ledger_t *ledger,
-               bts_fleet_t *fleet, const bts_sched_ops_t *ops, void *context)
+               bts_fleet_t *fleet, bts_members_t *members, const bts_sched_ops_t *ops,
+               void *context)
 {
   bts_sched_t *sched = g_new0 (bts_sched_t, 1);
   sched->config = *config;
@@ -54,7 +56,7 @@
   sched->released = g_ptr_array_new_with_free_func (g_free);
   sched->speed = bts_speed_new ();
   sched->unlisted = g_ptr_array_new ();
-  sched->members = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sched->members = members;
   return sched;
 }
 
@@ -71,7 +73,6 @@
   g_ptr_array_unref (sched->held);
   g_ptr_array_unref (sched->released);
   g_ptr_array_unref (sched->unlisted);
-  g_hash_table_unref (sched->members);
   bts_speed_free (sched->speed);
   g_free (sched);
 }
@@ -96,6 +97,17 @@
   return MAX (sched->confirmed_us, sched->began_us);
 }
 
+/**
+ * bts_sched_settled() - whether it has led for some time and knows all that runs
+ * @sched: the scheduler
+ * @for_us: how long, in microseconds
+ */
+gboolean
+bts_sched_settled (const bts_sched_t *sched, gint64 for_us)
+{
+  return sched->term != 0 && sched->settled && bts_sched_now (sched) - sched->began_us >= for_us;
+}
+
 gint64
 bts_sched_lease_ms (const bts_sched_t *sched)
 {
@@ -660,6 +672,21 @@
   bt_metrics_set (BT_GAUGE_WORKERS_SILENT, silent);
 }
 
+/**
+ * bts_sched_look() - act on answers that have come in
+ * @sched: the scheduler
+ *
+ * What is due at workers waits for bts_sched_tick(), which looks at all of them.
+ */
+void
+bts_sched_look (bts_sched_t *sched)
+{
+  if (sched->term == 0)
+    return;
+  bts_beat_tick (sched);
+  bts_sched_pass (sched);
+}
+
 /**
  * bts_sched_tick() - do what is due
  * @sched: the scheduler
@@ -698,7 +725,6 @@
 {
   if (sched->term == 0)
     return;
-  bts_advice_expect (sched, job);
   bts_sched_open_job (sched, job);
 }
 
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -4,6 +4,7 @@
 #include "libbamboothread/base/clock.h"
 #include "libbamboothread/scheduler/fleet.h"
 #include "libbamboothread/scheduler/ledger.h"
+#include "libbamboothread/scheduler/members.h"
 
 /*
  * The owner's part: holds the workers, starts and stops runs, journals ends.
@@ -112,7 +113,8 @@
  * @start: answered by bts_sched_on_start()
  * @stop: answered by bts_sched_on_stop()
  * @append: a record for the journal; it may be lost, and comes back by the ledger
- * @advise: have a process ask which of some workers may run a stage; @workers holds ids
+ * @advise: have a process, which takes messages at @address, ask which of some workers
+ *   may run a stage; answered by bts_sched_on_advice()
  * @deposed: a worker or the journal knows a later owner
  * @now_unix_ms: the time of day
  *
@@ -124,8 +126,7 @@
   void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
   void (*stop) (void *context, const bts_run_t *run, guint64 fence);
   void (*append) (void *context, const Bts__Record *record);
-  void (*advise) (void *context, const char *node, const bts_stage_t *stage,
-                  const GPtrArray *workers);
+  void (*advise) (void *context, const char *node, const char *address, const Bts__Ask *ask);
   void (*deposed) (void *context);
   gint64 (*now_unix_ms) (void *context);
 } bts_sched_ops_t;
@@ -144,15 +145,17 @@
 } bts_sched_config_t;
 
 bts_sched_t *bts_sched_new (const bts_sched_config_t *config, const bt_clock_t *clock,
-                            bts_ledger_t *ledger, bts_fleet_t *fleet, const bts_sched_ops_t *ops,
-                            void *context);
+                            bts_ledger_t *ledger, bts_fleet_t *fleet, bts_members_t *members,
+                            const bts_sched_ops_t *ops, void *context);
 void bts_sched_free (bts_sched_t *sched);
 
 void bts_sched_begin (bts_sched_t *sched, guint64 term, gint64 sure_us);
 void bts_sched_end (bts_sched_t *sched);
 gboolean bts_sched_leading (const bts_sched_t *sched);
+gboolean bts_sched_settled (const bts_sched_t *sched, gint64 for_us);
 gint64 bts_sched_lease_ms (const bts_sched_t *sched);
 void bts_sched_set_blind (bts_sched_t *sched, gboolean blind);
+void bts_sched_look (bts_sched_t *sched);
 void bts_sched_tick (bts_sched_t *sched);
 void bts_sched_pass (bts_sched_t *sched);
 void bts_sched_gauge (const bts_sched_t *sched);
@@ -160,8 +163,7 @@
 void bts_sched_on_accepted (bts_sched_t *sched, bts_job_t *job);
 void bts_sched_on_over (bts_sched_t *sched, bts_job_t *job);
 void bts_sched_on_ended (bts_sched_t *sched, bts_task_t *task, guint run, bts_how_t how);
-void bts_sched_on_advised (bts_sched_t *sched, bts_stage_t *stage);
-void bts_sched_on_seen (bts_sched_t *sched, const char *node);
+void bts_sched_on_advice (bts_sched_t *sched, const Bts__Ask *asked, const Bts__Advice *advice);
 void bts_sched_on_beat (bts_sched_t *sched, guint64 number);
 void bts_sched_on_forgotten (bts_sched_t *sched, bts_job_t *job);
 void bts_sched_on_entry (bts_sched_t *sched, const char *worker, bts_entry_change_t change);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -26,17 +26,6 @@
   guint64 beat;
 } bts_outgoing_t;
 
-/**
- * struct bts_member_t - a process that may ask the advice service
- * @seen_us: its last sign
- * @busy_until_us: when it will have got through the questions that it has, about
- */
-typedef struct
-{
-  gint64 seen_us;
-  gint64 busy_until_us;
-} bts_member_t;
-
 /**
  * struct bts_sched_t - the owner's part of a process
  * @term: the term that it leads; 0 if it doesn't
@@ -58,7 +47,8 @@
  * @sure_us: when every lease of an earlier owner has run out
  * @settled: nothing that an earlier owner started is unknown any more
  * @blind: nothing is started before the journal has been read again
- * @members: name to bts_member_t of the processes that may ask for advice
+ * @members: the processes, which may ask for advice
+ * @asked: questions to the advice service so far
  * @speed: how fast the kinds of worker are
  * @speed_us: when that was last applied to the workers
  * @dirty: a pass over the queue may place something
@@ -98,7 +88,8 @@
   gint64 sure_us;
   gboolean settled;
   gboolean blind;
-  GHashTable *members;
+  bts_members_t *members;
+  guint asked;
   bts_speed_t *speed;
   gint64 speed_us;
   gboolean dirty;
@@ -115,7 +106,6 @@
 void bts_advice_extend (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
 void bts_advice_foresee (bts_sched_t *sched, bts_stage_t *stage);
 void bts_advice_tick (bts_sched_t *sched);
-void bts_advice_expect (bts_sched_t *sched, const bts_job_t *job);
 
 gint64 bts_sched_now (const bts_sched_t *sched);
 gboolean bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1199,7 +1199,7 @@
   (ProtobufCMessageInit) bts__policy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__accepted__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bts__accepted__field_descriptors[8] =
 {
   {
     "id",
@@ -1297,21 +1297,8 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "asks",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Bts__Accepted, asks),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned bts__accepted__field_indices_by_name[] = {
-  8,   /* field[8] = asks */
   7,   /* field[7] = entry */
   4,   /* field[4] = first_due_ms */
   0,   /* field[0] = id */
@@ -1324,7 +1311,7 @@
 static const ProtobufCIntRange bts__accepted__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bts__accepted__descriptor =
 {
@@ -1334,7 +1321,7 @@
   "Bts__Accepted",
   "bts",
   sizeof(Bts__Accepted),
-  9,
+  8,
   bts__accepted__field_descriptors,
   bts__accepted__field_indices_by_name,
   1,  bts__accepted__number_ranges,
@@ -2098,7 +2085,7 @@
   (ProtobufCMessageInit) bts__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__advice__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bts__advice__field_descriptors[6] =
 {
   {
     "job",
@@ -2160,18 +2147,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "node",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bts__Advice, node),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "denied",
     7,
@@ -2187,17 +2162,17 @@
 };
 static const unsigned bts__advice__field_indices_by_name[] = {
   3,   /* field[3] = allowed */
-  6,   /* field[6] = denied */
+  5,   /* field[5] = denied */
   0,   /* field[0] = job */
-  5,   /* field[5] = node */
   1,   /* field[1] = occurrence */
   2,   /* field[2] = step */
   4,   /* field[4] = validity_ms */
 };
-static const ProtobufCIntRange bts__advice__number_ranges[1 + 1] =
+static const ProtobufCIntRange bts__advice__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 7, 5 },
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bts__advice__descriptor =
 {
@@ -2207,39 +2182,15 @@
   "Bts__Advice",
   "bts",
   sizeof(Bts__Advice),
-  7,
+  6,
   bts__advice__field_descriptors,
   bts__advice__field_indices_by_name,
-  1,  bts__advice__number_ranges,
+  2,  bts__advice__number_ranges,
   (ProtobufCMessageInit) bts__advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__ask__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bts__ask__field_descriptors[4] =
 {
-  {
-    "term",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Bts__Ask, term),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "node",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bts__Ask, node),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "job",
     3,
@@ -2290,17 +2241,15 @@
   },
 };
 static const unsigned bts__ask__field_indices_by_name[] = {
-  2,   /* field[2] = job */
-  1,   /* field[1] = node */
-  3,   /* field[3] = occurrence */
-  4,   /* field[4] = step */
-  0,   /* field[0] = term */
-  5,   /* field[5] = workers */
+  0,   /* field[0] = job */
+  1,   /* field[1] = occurrence */
+  2,   /* field[2] = step */
+  3,   /* field[3] = workers */
 };
 static const ProtobufCIntRange bts__ask__number_ranges[1 + 1] =
 {
-  { 1, 0 },
-  { 0, 6 }
+  { 3, 0 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bts__ask__descriptor =
 {
@@ -2310,14 +2259,14 @@
   "Bts__Ask",
   "bts",
   sizeof(Bts__Ask),
-  6,
+  4,
   bts__ask__field_descriptors,
   bts__ask__field_indices_by_name,
   1,  bts__ask__number_ranges,
   (ProtobufCMessageInit) bts__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__hello__field_descriptors[1] =
+static const ProtobufCFieldDescriptor bts__hello__field_descriptors[3] =
 {
   {
     "node",
@@ -2331,14 +2280,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Hello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millis",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Hello, cpu_millis),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__hello__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = cpu_millis */
   0,   /* field[0] = node */
 };
 static const ProtobufCIntRange bts__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bts__hello__descriptor =
 {
@@ -2348,14 +2323,14 @@
   "Bts__Hello",
   "bts",
   sizeof(Bts__Hello),
-  1,
+  3,
   bts__hello__field_descriptors,
   bts__hello__field_indices_by_name,
   1,  bts__hello__number_ranges,
   (ProtobufCMessageInit) bts__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bts__record__field_descriptors[8] =
 {
   {
     "accepted",
@@ -2417,30 +2392,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "advice",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bts__Record, kind_case),
-    offsetof(Bts__Record, advice),
-    &bts__advice__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ask",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bts__Record, kind_case),
-    offsetof(Bts__Record, ask),
-    &bts__ask__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "hello",
     8,
@@ -2480,20 +2431,19 @@
 };
 static const unsigned bts__record__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
-  5,   /* field[5] = advice */
-  6,   /* field[6] = ask */
   4,   /* field[4] = beat */
   1,   /* field[1] = cancelled */
   2,   /* field[2] = claim */
-  7,   /* field[7] = hello */
-  8,   /* field[8] = kept */
+  5,   /* field[5] = hello */
+  6,   /* field[6] = kept */
   3,   /* field[3] = resigned */
-  9,   /* field[9] = standing */
+  7,   /* field[7] = standing */
 };
-static const ProtobufCIntRange bts__record__number_ranges[1 + 1] =
+static const ProtobufCIntRange bts__record__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 8, 5 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bts__record__descriptor =
 {
@@ -2503,10 +2453,10 @@
   "Bts__Record",
   "bts",
   sizeof(Bts__Record),
-  10,
+  8,
   bts__record__field_descriptors,
   bts__record__field_indices_by_name,
-  1,  bts__record__number_ranges,
+  2,  bts__record__number_ranges,
   (ProtobufCMessageInit) bts__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -105,14 +105,10 @@
   int64_t interval_ms;
   uint32_t repeat;
   char *entry;
-  /*
-   * The entry asks the advice service about the first step itself.
-   */
-  protobuf_c_boolean asks;
 };
 #define BTS__ACCEPTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__accepted__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Bts__Cancelled
@@ -266,6 +262,9 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * What the advice service answered about a step.
+ */
 struct  Bts__Advice
 {
   ProtobufCMessage base;
@@ -275,10 +274,6 @@
   size_t n_allowed;
   Bts__Ticket **allowed;
   uint32_t validity_ms;
-  /*
-   * Who asked; it is alive.
-   */
-  char *node;
   /*
    * Workers that were asked about and may not run the step.
    */
@@ -287,18 +282,16 @@
 };
 #define BTS__ADVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__advice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
- * The owner has another process ask the advice service, which takes one call at
- * a time from each VM.
+ * A message between processes: the owner has another one ask the advice service,
+ * which takes one call at a time from each VM. The reply is an Advice.
  */
 struct  Bts__Ask
 {
   ProtobufCMessage base;
-  uint64_t term;
-  char *node;
   char *job;
   uint32_t occurrence;
   uint32_t step;
@@ -307,7 +300,7 @@
 };
 #define BTS__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 /*
@@ -317,10 +310,18 @@
 {
   ProtobufCMessage base;
   char *node;
+  /*
+   * IP:port for messages between processes.
+   */
+  char *address;
+  /*
+   * Its share of a processor, in thousandths of a core.
+   */
+  uint32_t cpu_millis;
 };
 #define BTS__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__hello__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 typedef enum {
@@ -330,8 +331,6 @@
   BTS__RECORD__KIND_CLAIM = 3,
   BTS__RECORD__KIND_RESIGNED = 4,
   BTS__RECORD__KIND_BEAT = 5,
-  BTS__RECORD__KIND_ADVICE = 6,
-  BTS__RECORD__KIND_ASK = 7,
   BTS__RECORD__KIND_HELLO = 8,
   BTS__RECORD__KIND_KEPT = 9,
   BTS__RECORD__KIND_STANDING = 10
@@ -348,8 +347,6 @@
     Bts__Claim *claim;
     Bts__Resigned *resigned;
     Bts__Beat *beat;
-    Bts__Advice *advice;
-    Bts__Ask *ask;
     Bts__Hello *hello;
     Bts__Kept *kept;
     Bts__Standing *standing;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -878,13 +878,92 @@
   advice->question = question;
   advice->step = g_strdup_printf ("%s.%u", question->job, question->step);
   advice->workers = g_ptr_array_new_with_free_func (g_free);
-  for (guint i = 0; i < question->asked->len; i++)
-    g_ptr_array_add (advice->workers, g_strdup (question->asked->pdata[i]));
+  for (guint i = 0; i < question->workers->len; i++)
+    g_ptr_array_add (advice->workers, g_strdup (question->workers->pdata[i]));
   node->advice_free_us = MAX (node->advice_free_us, now (node->sim)) + ADVICE_US;
   post (node, node->advice_free_us - now (node->sim) + 2 * SIM_DELAY_US, advice_answered, advice,
         advice_free);
 }
 
+/* Messages between processes; the address of one is its number. */
+
+/**
+ * struct sim_message_t - a message
+ * @number: names the exchange
+ * @reply: NULL before the reply, or if there is none
+ */
+typedef struct
+{
+  guint64 number;
+  sim_node_t *from;
+  guint from_life;
+  sim_node_t *to;
+  GBytes *message;
+  GBytes *reply;
+} sim_message_t;
+
+static void
+message_free (gpointer data)
+{
+  sim_message_t *message = data;
+  if (message == NULL)
+    return;
+  g_bytes_unref (message->message);
+  g_clear_pointer (&message->reply, g_bytes_unref);
+  g_free (message);
+}
+
+static void
+reply_arrived (sim_t *sim, gpointer data)
+{
+  sim_message_t *message = data;
+  gsize len = 0;
+  const guint8 *bytes = message->reply == NULL ? NULL : g_bytes_get_data (message->reply, &len);
+  bts_node_on_reply (message->from->node, message->message, bytes, len);
+}
+
+static void
+send_back (sim_message_t *message, GBytes *reply)
+{
+  message->reply = reply == NULL ? NULL : g_bytes_ref (reply);
+  if (message->from->life == message->from_life && message->from->node != NULL)
+    post (message->from, SIM_DELAY_US, reply_arrived, message, NULL);
+}
+
+static void
+message_arrived (sim_t *sim, gpointer data)
+{
+  sim_message_t *message = data;
+  gsize len;
+  const guint8 *bytes = g_bytes_get_data (message->message, &len);
+  ck_assert (bts_node_on_message (message->to->node, message->number, bytes, len));
+}
+
+/* A message to a process that isn't there is lost, and the sender is told. */
+static void
+op_send (void *context, const char *address, GBytes *bytes)
+{
+  sim_node_t *node = context;
+  sim_message_t *message = g_new0 (sim_message_t, 1);
+  message->from = node;
+  message->from_life = node->life;
+  message->to = sim_node (node->sim, (guint)strtoul (address, NULL, 10));
+  message->message = g_bytes_ref (bytes);
+  message->number = node->sim->messages->len;
+  g_ptr_array_add (node->sim->messages, message);
+  if (message->to->node == NULL)
+    post (node, SIM_DELAY_US, reply_arrived, message, NULL);
+  else
+    post (message->to, SIM_DELAY_US, message_arrived, message, NULL);
+}
+
+static void
+op_reply (void *context, guint64 exchange, GBytes *reply)
+{
+  sim_node_t *node = context;
+  send_back (node->sim->messages->pdata[exchange], reply);
+}
+
 static void
 op_answer (void *context, guint64 exchange, bts_answer_t answer)
 {
@@ -909,8 +988,8 @@
   return UNIX_START_MS + now (node->sim) / 1000 + node->sim->unix_offset_ms;
 }
 
-static const bts_node_ops_t node_ops
-    = { op_append, op_hold, op_start, op_stop, op_advise, op_answer, op_now_unix_ms };
+static const bts_node_ops_t node_ops = { op_append, op_hold,  op_start,  op_stop,       op_advise,
+                                         op_send,   op_reply, op_answer, op_now_unix_ms };
 
 static void
 node_tick (sim_t *sim, gpointer data)
@@ -994,6 +1073,9 @@
   node->name = g_strdup_printf ("node-%u/%u", index, node->life);
   bts_node_config_t config = { 0 };
   config.name = node->name;
+  g_autofree char *address = g_strdup_printf ("%u", index);
+  config.address = address;
+  config.cpu_millis = node->cpu_millis;
   config.status_ms = 120000;
   config.sched.hold_max_ms = SIM_HOLD_MAX_MS;
   config.sched.early_ms = 250;
@@ -1022,6 +1104,9 @@
   sim->done_us = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->started = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->noted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sim->messages = g_ptr_array_new_with_free_func (message_free);
+  /* Exchange 0 is none. */
+  g_ptr_array_add (sim->messages, NULL);
   sim->append_us = 2000;
   for (guint i = 0; i < workers; i++)
     {
@@ -1034,6 +1119,7 @@
       sim_node_t *node = g_new0 (sim_node_t, 1);
       node->sim = sim;
       node->index = i;
+      node->cpu_millis = 250;
       node->held_back = g_ptr_array_new ();
       g_ptr_array_add (sim->nodes, node);
       sim_start (sim, i);
@@ -1338,6 +1424,7 @@
       bts__accepted__free_unpacked (job->accepted, NULL);
       g_free (job);
     }
+  g_ptr_array_unref (sim->messages);
   g_ptr_array_unref (sim->nodes);
   g_ptr_array_unref (sim->workers);
   g_ptr_array_unref (sim->jobs);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -89,6 +89,7 @@
  * @frozen: it does nothing until it is thawed
  * @cut: it can't reach the store
  * @next: the offset that it reads next
+ * @cpu_millis: its share of a processor, told as it starts
  */
 typedef struct
 {
@@ -100,6 +101,7 @@
   gboolean frozen;
   gboolean cut;
   gint64 next;
+  guint cpu_millis;
   gint64 advice_free_us;
   GPtrArray *held_back;
 } sim_node_t;
@@ -115,6 +117,7 @@
  * @log_first: records before this one have been deleted
  * @advised: jobs handed in need advice
  * @advice_denies: it denies all workers that are there
+ * @messages: all messages between processes, by number
  * @violations: what broke a promise
  * @done: tasks of which a run has ended done
  * @done_us: run to when it ended done
@@ -143,6 +146,7 @@
   gboolean advised;
   gboolean advice_denies;
   guint64 exchange;
+  GPtrArray *messages;
   GPtrArray *violations;
   GHashTable *answers;
   GHashTable *done;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -492,6 +492,55 @@
   expect_all_completed (sim);
 }
 
+/* Restarts all processes, one of them on a VM that is four times as large. */
+static void
+give_large_vm (sim_t *sim, guint large)
+{
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      sim_kill (sim, i);
+      sim_node (sim, i)->cpu_millis = i == large ? 500 : 120;
+    }
+  for (guint i = 0; i < sim->nodes->len; i++)
+    if (i != large)
+      sim_start (sim, i);
+}
+
+/* A load that a small VM can't carry: the owner moves to a large one when it comes. */
+static void
+owner_on_a_small_vm_hands_on (sim_t *sim)
+{
+  give_large_vm (sim, 2);
+  sim_run_ms (sim, 3000);
+  ck_assert_int_ge (sim_owner (sim), 0);
+  ck_assert_int_ne (sim_owner (sim), 2);
+  submit_mix (sim, 2);
+  sim_start (sim, 2);
+  sim_run_ms (sim, 4000);
+  ck_assert_int_eq (sim_owner (sim), 2);
+  submit_mix (sim, 2);
+  sim_kill (sim, 2);
+  sim_run_ms (sim, 2000);
+  ck_assert_int_ge (sim_owner (sim), 0);
+  sim_run_ms (sim, 10000);
+  expect_all_completed (sim);
+}
+
+/* The process that was asked about a step dies with the question. */
+static void
+asked_process_killed (sim_t *sim)
+{
+  sim->advised = TRUE;
+  guint owner = (guint)sim_owner (sim);
+  for (guint i = 0; i < 8; i++)
+    sim_submit (sim, owner, &lookup, two_steps, G_N_ELEMENTS (two_steps));
+  sim_run_ms (sim, 30);
+  sim_kill (sim, (owner + 1) % 3);
+  sim_run_ms (sim, 6000);
+  expect_all_completed (sim);
+  ck_assert_uint_eq (sim_count_state (sim, BTS_COMPLETED), 8);
+}
+
 static const struct
 {
   const char *name;
@@ -529,6 +578,8 @@
   { "gang_goes_on_from_one_checkpoint", gang_goes_on_from_one_checkpoint },
   { "address_taken_and_owner_killed", address_taken_and_owner_killed },
   { "workers_come_after_the_advice", workers_come_after_the_advice },
+  { "owner_on_a_small_vm_hands_on", owner_on_a_small_vm_hands_on },
+  { "asked_process_killed", asked_process_killed },
 };
 
 START_TEST (installation_keeps_its_promises)
