Questions wait at the owner until a process is free to ask them

The service fell behind by seconds, tickets were too old when they came (2 s), nothing started and all was asked again: up to 340 questions without an answer a second, still 16 s after the burst. Ruled out: processor time (0.19 of 0.5 core at most).

Change: a question is sent only to a process that is free within 60 ms, so that the queue's order decides whose is next; further workers are asked about only if they have room; workers with a current ticket are preferred.

Test burst_of_advised_jobs fails without the limit.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -17,46 +17,35 @@
 /* A stage is asked about when the one before it has this part of a ticket's validity
    left to run, as estimated: estimates are off by up to half. */
 #define FORESEE_PART 2
-/* Part of a ticket's validity kept for the way of the start to the worker. */
-#define TICKET_MARGIN_US (200 * 1000)
 /* Workers that a question names at least, if there are so many: the objectives of jobs
    allow for a call about so many. */
 #define WORKERS_USUAL 30
 /* Part of the workers of a question that is thought to be allowed, in percent: the
    services' policies allow 30 to 70. */
 #define ALLOWED_PERCENT 40
+/* Time between two looks for workers with room about which nothing is known, in
+   microseconds. */
+#define EXTEND_US (40 * 1000)
+/* A question goes to a process that will be free so soon, in microseconds, or waits in
+   the order of the queue until there is one: more questions than the service can answer
+   would be answered when the tickets are of no use any more. */
+#define AHEAD_US (60 * 1000)
 /* Processes beside the owner from which on the owner asks none of its own questions. */
 #define HELPERS_MIN 2
 
-/**
- * bts_ticket_now() - leave to start a stage on a worker
- * @stage: the stage
- * @worker: id of the worker
- * @now_us: the time
- *
- * Return: the ticket, or NULL if there is none that holds long enough.
- */
-const char *
-bts_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us)
-{
-  const bts_ticket_t *ticket = bts_stage_ticket (stage, worker);
-  gint64 valid_us = (gint64)bts_stage_policy (stage)->advice_validity_ms * 1000 - TICKET_MARGIN_US;
-  if (ticket == NULL || ticket->at_us == 0 || now_us - ticket->at_us >= valid_us)
-    return NULL;
-  return ticket->ticket;
-}
-
 static gint64
 call_us (const Bts__Policy *policy, guint workers)
 {
   return (gint64)((policy->advice_ms + policy->advice_worker_ms * workers) * 1000.0);
 }
 
-/* The process that will be free first. Every second one is for long calls, which
-   would hold up the short ones. */
+/* The process that will be free first, or NULL if none will be soon. Every second one is
+   for long calls, which would hold up the short ones. */
 static const char *
-choose_member (const bts_sched_t *sched, gboolean is_long, gint64 now_us, bts_member_t **chosen)
+choose_member (bts_sched_t *sched, gboolean is_long, gint64 now_us, bts_member_t **chosen)
 {
+  if (sched->helpers_busy_us[is_long] > now_us)
+    return NULL;
   g_autoptr (GPtrArray) names = bts_members_live (sched->members, now_us);
   const char *self = bts_ledger_owner (sched->ledger);
   const char *best = NULL;
@@ -72,7 +61,10 @@
           *chosen = member;
         }
     }
-  return best;
+  if (best == NULL || (*chosen)->busy_until_us <= now_us + AHEAD_US)
+    return best;
+  sched->helpers_busy_us[is_long] = (*chosen)->busy_until_us - AHEAD_US;
+  return NULL;
 }
 
 /* A process that left a question unanswered isn't asked until it gives a new sign. */
@@ -84,20 +76,24 @@
     bts_members_doubt (sched->members, stage->asked);
 }
 
+static gboolean
+is_long (const bts_stage_t *stage)
+{
+  return call_us (bts_stage_policy (stage), WORKERS_USUAL) > BTS_ADVICE_SHORT_MS * 1000;
+}
+
 static void
-ask (bts_sched_t *sched, bts_stage_t *stage, const GPtrArray *workers, gint64 now_us)
+ask (bts_sched_t *sched, bts_stage_t *stage, const char *node, const bts_member_t *member,
+     const GPtrArray *workers, gint64 now_us)
 {
-  bts_member_t *member = NULL;
-  gint64 took_us = call_us (bts_stage_policy (stage), workers->len);
-  const char *node = choose_member (sched, took_us > BTS_ADVICE_SHORT_MS * 1000, now_us, &member);
-  if (workers->len == 0 || node == NULL)
-    return;
-  member->busy_until_us = MAX (member->busy_until_us, now_us) + took_us;
+  bts_members_asked (sched->members, node, call_us (bts_stage_policy (stage), workers->len),
+                     now_us);
   stage->asked_us = now_us;
   stage->answer_us = member->busy_until_us + PATIENCE_US;
   g_free (stage->asked);
   stage->asked = g_strdup (node);
   Bts__Ask question = BTS__ASK__INIT;
+  question.node = (char *)node;
   question.job = (char *)bts_job_id (stage->job);
   question.occurrence = stage->occurrence;
   question.step = stage->step;
@@ -125,9 +121,10 @@
 
 /* Workers to ask about: those with room first, until they will do for all tasks.
    @known: those that were allowed before, for new tickets, or else those of which
-   nothing is known. */
+   nothing is known. @room: only those with room. */
 static GPtrArray *
-choose_workers (bts_sched_t *sched, const bts_stage_t *stage, gboolean known, gint64 now_us)
+choose_workers (bts_sched_t *sched, const bts_stage_t *stage, gboolean known, gboolean room,
+                gint64 now_us)
 {
   const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
   const Bts__Step *step = bts_stage_step (stage);
@@ -152,18 +149,22 @@
       if (ids->len >= WORKERS_USUAL && (guint64)taken * percent >= (guint64)stage->n * 100)
         return ids;
     }
-  for (guint i = 0; i < full->len && ids->len < WORKERS_USUAL; i++)
+  for (guint i = 0; !room && i < full->len && ids->len < WORKERS_USUAL; i++)
     g_ptr_array_add (ids, full->pdata[i]);
   return ids;
 }
 
-/* Asks for the first time, or for workers that were not asked about. */
-static guint
-ask_unknown (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
+/* Asks about a stage, if a process is free to ask and there are workers to ask about. */
+static void
+ask_about (bts_sched_t *sched, bts_stage_t *stage, gboolean known, gboolean room, gint64 now_us)
 {
-  g_autoptr (GPtrArray) ids = choose_workers (sched, stage, FALSE, now_us);
-  ask (sched, stage, ids, now_us);
-  return ids->len;
+  bts_member_t *member = NULL;
+  const char *node = choose_member (sched, is_long (stage), now_us, &member);
+  if (node == NULL)
+    return;
+  g_autoptr (GPtrArray) ids = choose_workers (sched, stage, known, room, now_us);
+  if (ids->len > 0)
+    ask (sched, stage, node, member, ids, now_us);
 }
 
 /**
@@ -183,7 +184,7 @@
     doubt_member (sched, stage);
   if (stage->advice != NULL)
     return TRUE;
-  ask_unknown (sched, stage, now_us);
+  ask_about (sched, stage, FALSE, FALSE, now_us);
   return FALSE;
 }
 
@@ -200,10 +201,8 @@
   const Bts__Policy *policy = bts_stage_policy (stage);
   if (!policy->advised || stage->advice == NULL || stage->asked_us != 0)
     return;
-  if (now_us + call_us (policy, WORKERS_USUAL) < needed_us)
-    return;
-  g_autoptr (GPtrArray) ids = choose_workers (sched, stage, TRUE, now_us);
-  ask (sched, stage, ids, now_us);
+  if (now_us + call_us (policy, WORKERS_USUAL) >= needed_us)
+    ask_about (sched, stage, TRUE, FALSE, now_us);
 }
 
 /**
@@ -216,10 +215,10 @@
 bts_advice_extend (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
 {
   if (!bts_stage_policy (stage)->advised || stage->advice == NULL || stage->asked_us != 0
-      || stage->extended == sched->fleet->version)
+      || now_us < stage->extend_us)
     return;
-  if (ask_unknown (sched, stage, now_us) == 0)
-    stage->extended = sched->fleet->version;
+  stage->extend_us = now_us + EXTEND_US;
+  ask_about (sched, stage, FALSE, TRUE, now_us);
 }
 
 /**
@@ -274,7 +273,7 @@
         }
       g_ptr_array_remove_index_fast (sched->foreseen, i);
       if (stage->advice == NULL && stage->asked_us == 0 && !bts_job_over (stage->job))
-        ask_unknown (sched, stage, now_us);
+        ask_about (sched, stage, FALSE, FALSE, now_us);
     }
 }
 
@@ -287,14 +286,17 @@
 void
 bts_sched_on_advice (bts_sched_t *sched, const Bts__Ask *asked, const Bts__Advice *advice)
 {
+  gint64 now_us = bts_sched_now (sched);
+  bts_members_replied (sched->members, asked->node, now_us);
+  sched->helpers_busy_us[FALSE] = 0;
+  sched->helpers_busy_us[TRUE] = 0;
+  sched->dirty = TRUE;
   bts_job_t *job = sched->term == 0 ? NULL : bts_ledger_job (sched->ledger, asked->job);
   bts_stage_t *stage = job == NULL || bts_job_over (job)
                            ? NULL
                            : bts_job_stage (job, asked->occurrence, asked->step);
   if (stage == NULL)
     return;
-  gint64 now_us = bts_sched_now (sched);
-  sched->dirty = TRUE;
   if (advice == NULL)
     {
       /* Another process is asked with the next pass. */
--- a/libbamboothread/scheduler/adviser.c
+++ b/libbamboothread/scheduler/adviser.c
@@ -19,6 +19,7 @@
 question_free (gpointer data)
 {
   bts_question_t *question = data;
+  g_free (question->node);
   g_free (question->job);
   g_ptr_array_unref (question->workers);
   g_free (question);
@@ -81,6 +82,7 @@
 {
   bts_question_t *question = g_new0 (bts_question_t, 1);
   question->exchange = exchange;
+  question->node = g_strdup (ask->node);
   question->job = g_strdup (ask->job);
   question->occurrence = ask->occurrence;
   question->step = ask->step;
--- a/libbamboothread/scheduler/adviser.h
+++ b/libbamboothread/scheduler/adviser.h
@@ -12,12 +12,14 @@
 /**
  * struct bts_question_t - which of some workers may run a step
  * @exchange: of the message that asked; 0 if this process itself wants to know
+ * @node: name of this process, as the question gave it
  * @workers: ids of the workers
  * @tries: calls so far
  */
 typedef struct
 {
   guint64 exchange;
+  char *node;
   char *job;
   guint occurrence;
   guint step;
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -4,6 +4,9 @@
 
 #include "libbamboothread/base/error.h"
 
+/* Part of a ticket's validity kept for the way of the start to the worker. */
+#define TICKET_MARGIN_US (200 * 1000)
+
 /* Most occurrences of one job, which bounds what it can take in memory. */
 #define REPEAT_MAX 100000
 
@@ -302,6 +305,24 @@
   g_hash_table_replace (stage->advice, g_strdup (worker), kept);
 }
 
+/**
+ * bts_stage_ticket_now() - leave to start a stage on a worker
+ * @stage: the stage
+ * @worker: id of the worker
+ * @now_us: the time
+ *
+ * Return: the ticket, or NULL if there is none that holds long enough.
+ */
+const char *
+bts_stage_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us)
+{
+  const bts_ticket_t *ticket = bts_stage_ticket (stage, worker);
+  gint64 valid_us = (gint64)bts_stage_policy (stage)->advice_validity_ms * 1000 - TICKET_MARGIN_US;
+  if (ticket == NULL || ticket->at_us == 0 || now_us - ticket->at_us >= valid_us)
+    return NULL;
+  return ticket->ticket;
+}
+
 const Bts__Step *
 bts_stage_step (const bts_stage_t *stage)
 {
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -100,7 +100,7 @@
  * @gang_fails: failed runs of the whole gang
  * @gang_failed_run: the run that @gang_fails counted last
  * @advice: id of a worker that was asked about to bts_ticket_t; NULL before the first answer
- * @extended: version of the fleet when no worker was left to ask about
+ * @extend_us: no look for further workers to ask about before
  * @asked_us: when advice was asked for; 0 if none is on its way
  * @asked: the process that was asked, or NULL
  * @answer_us: when it is asked for again
@@ -125,7 +125,7 @@
   guint gang_fails;
   guint gang_failed_run;
   GHashTable *advice;
-  guint64 extended;
+  gint64 extend_us;
   gint64 asked_us;
   char *asked;
   gint64 answer_us;
@@ -197,6 +197,7 @@
 void bts_job_shrink (bts_job_t *job);
 
 bts_ticket_t *bts_stage_ticket (const bts_stage_t *stage, const char *worker);
+const char *bts_stage_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us);
 void bts_stage_advise (bts_stage_t *stage, const char *worker, const char *ticket, gint64 now_us);
 const Bts__Step *bts_stage_step (const bts_stage_t *stage);
 const Bts__Policy *bts_stage_policy (const bts_stage_t *stage);
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -85,6 +85,37 @@
   member->cpu_millis = hello->cpu_millis;
 }
 
+/**
+ * bts_members_asked() - a process was sent a question
+ * @members: the processes
+ * @node: its name
+ * @took_us: how long the call takes, about
+ * @now_us: the time
+ */
+void
+bts_members_asked (bts_members_t *members, const char *node, gint64 took_us, gint64 now_us)
+{
+  bts_member_t *member = bts_members_find (members, node);
+  member->open++;
+  member->busy_until_us = MAX (member->busy_until_us, now_us) + took_us;
+}
+
+/**
+ * bts_members_replied() - a question to a process is over
+ * @members: the processes
+ * @node: its name
+ * @now_us: the time
+ */
+void
+bts_members_replied (bts_members_t *members, const char *node, gint64 now_us)
+{
+  bts_member_t *member = bts_members_find (members, node);
+  if (member == NULL || member->open == 0)
+    return;
+  if (--member->open == 0)
+    member->busy_until_us = MIN (member->busy_until_us, now_us);
+}
+
 /**
  * bts_members_doubt() - a process has left a message unanswered
  * @members: the processes
--- a/libbamboothread/scheduler/members.h
+++ b/libbamboothread/scheduler/members.h
@@ -15,6 +15,7 @@
  * @cpu_millis: its share of a processor, in thousandths of a core; 0 if not known
  * @seen_us: its last sign
  * @busy_until_us: when it will have got through the questions that it has, about
+ * @open: questions that it has not answered
  */
 typedef struct
 {
@@ -22,6 +23,7 @@
   guint cpu_millis;
   gint64 seen_us;
   gint64 busy_until_us;
+  guint open;
 } bts_member_t;
 
 typedef struct bts_members_t bts_members_t;
@@ -30,6 +32,8 @@
 void bts_members_free (bts_members_t *members);
 void bts_members_seen (bts_members_t *members, const char *node, gint64 now_us);
 void bts_members_hello (bts_members_t *members, const Bts__Hello *hello, gint64 now_us);
+void bts_members_asked (bts_members_t *members, const char *node, gint64 took_us, gint64 now_us);
+void bts_members_replied (bts_members_t *members, const char *node, gint64 now_us);
 void bts_members_doubt (bts_members_t *members, const char *node);
 bts_member_t *bts_members_find (const bts_members_t *members, const char *node);
 GPtrArray *bts_members_live (const bts_members_t *members, gint64 now_us);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -271,6 +271,7 @@
 fill_ask (Bts__Ask *ask, const bts_question_t *question)
 {
   bts__ask__init (ask);
+  ask->node = question->node;
   ask->job = question->job;
   ask->occurrence = question->occurrence;
   ask->step = question->step;
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -6,6 +6,8 @@
 #define WEIGHT_AVOID 100000
 #define WEIGHT_FAULT 10000
 #define WEIGHT_OTHER_RACK 4000
+/* A new ticket takes a call, in which the room may go to others. */
+#define WEIGHT_OLD_TICKET 3500
 #define WEIGHT_OVERDUE 3000
 /* For a kind that takes twice as long as the fastest one. */
 #define WEIGHT_SLOW_URGENT 8000
@@ -204,6 +206,9 @@
   if (task->avoid != NULL && strcmp (task->avoid, worker->entry->id) == 0)
     against += WEIGHT_AVOID;
   against += WEIGHT_FAULT * (gint64)MIN (worker->faults, FAULTS_MAX);
+  if (bts_stage_policy (task->stage)->advised
+      && bts_stage_ticket_now (task->stage, worker->entry->id, now_us) == NULL)
+    against += WEIGHT_OLD_TICKET;
   if (step->rack[0] != '\0' && !bts_worker_has_label (worker, step->rack))
     against += WEIGHT_OTHER_RACK;
   return against;
--- a/libbamboothread/scheduler/reserve.c
+++ b/libbamboothread/scheduler/reserve.c
@@ -153,7 +153,7 @@
       keep_room (worker, step, taken, &chance->used);
       worker->reserved = sched->pass;
       worker->reserved_us = chance->at_us;
-      if (bts_ticket_now (stage, worker->entry->id, chance->at_us) == NULL)
+      if (bts_stage_ticket_now (stage, worker->entry->id, chance->at_us) == NULL)
         bts_advice_renew (sched, stage, chance->at_us - TICKETS_AHEAD_US, now_us);
       missing -= taken;
     }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -461,7 +461,7 @@
   for (guint i = 0; i < runs->len; i++)
     {
       bts_run_t *run = runs->pdata[i];
-      if (bts_ticket_now (stage, run->worker->entry->id, now_us) == NULL)
+      if (bts_stage_ticket_now (stage, run->worker->entry->id, now_us) == NULL)
         g_ptr_array_add (without, run);
     }
   if (without->len == 0)
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -49,6 +49,7 @@
  * @blind: nothing is started before the journal has been read again
  * @members: the processes, which may ask for advice
  * @asked: questions to the advice service so far
+ * @helpers_busy_us: until when no process is free for a short or a long question
  * @speed: how fast the kinds of worker are
  * @speed_us: when that was last applied to the workers
  * @dirty: a pass over the queue may place something
@@ -90,6 +91,7 @@
   gboolean blind;
   bts_members_t *members;
   guint asked;
+  gint64 helpers_busy_us[2];
   bts_speed_t *speed;
   gint64 speed_us;
   gboolean dirty;
@@ -100,7 +102,6 @@
   gint64 standing_us;
 };
 
-const char *bts_ticket_now (const bts_stage_t *stage, const char *worker, gint64 now_us);
 gboolean bts_advice_ready (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
 void bts_advice_renew (bts_sched_t *sched, bts_stage_t *stage, gint64 needed_us, gint64 now_us);
 void bts_advice_extend (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -2189,8 +2189,20 @@
   (ProtobufCMessageInit) bts__advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bts__ask__field_descriptors[5] =
 {
+  {
+    "node",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Ask, node),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "job",
     3,
@@ -2241,15 +2253,16 @@
   },
 };
 static const unsigned bts__ask__field_indices_by_name[] = {
-  0,   /* field[0] = job */
-  1,   /* field[1] = occurrence */
-  2,   /* field[2] = step */
-  3,   /* field[3] = workers */
+  1,   /* field[1] = job */
+  0,   /* field[0] = node */
+  2,   /* field[2] = occurrence */
+  3,   /* field[3] = step */
+  4,   /* field[4] = workers */
 };
 static const ProtobufCIntRange bts__ask__number_ranges[1 + 1] =
 {
-  { 3, 0 },
-  { 0, 4 }
+  { 2, 0 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bts__ask__descriptor =
 {
@@ -2259,7 +2272,7 @@
   "Bts__Ask",
   "bts",
   sizeof(Bts__Ask),
-  4,
+  5,
   bts__ask__field_descriptors,
   bts__ask__field_indices_by_name,
   1,  bts__ask__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -292,6 +292,10 @@
 struct  Bts__Ask
 {
   ProtobufCMessage base;
+  /*
+   * The process that is asked.
+   */
+  char *node;
   char *job;
   uint32_t occurrence;
   uint32_t step;
@@ -300,7 +304,7 @@
 };
 #define BTS__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 /*
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -9,6 +9,9 @@
  * also says what has to have become of the jobs.
  */
 
+/* Most work that may wait at the advice service for one process: five of its calls. */
+#define ADVICE_BACKLOG_US (150 * 1000)
+
 static const sim_policy_t lookup = { "main", 0, 3, 300 };
 static const sim_policy_t batch = { "main", 2, 3, 3000 };
 static const sim_policy_t service = { "main", 1, 4, 2500 };
@@ -541,6 +544,25 @@
   ck_assert_uint_eq (sim_count_state (sim, BTS_COMPLETED), 8);
 }
 
+/* A burst of jobs of which each step needs advice: questions wait at the owner, in the
+   order of the queue, and not at the advice service, where tickets would grow old. */
+static void
+burst_of_advised_jobs (sim_t *sim)
+{
+  sim->advised = TRUE;
+  for (guint i = 0; i < 60; i++)
+    sim_submit (sim, i % 3, &lookup, two_steps, G_N_ELEMENTS (two_steps));
+  for (guint i = 0; i < 40; i++)
+    {
+      sim_run_ms (sim, 50);
+      for (guint n = 0; n < sim->nodes->len; n++)
+        ck_assert_int_le (sim_node (sim, n)->advice_free_us - bt_clock_now (&sim->clock),
+                          ADVICE_BACKLOG_US);
+    }
+  sim_run_ms (sim, 15000);
+  ck_assert_uint_eq (sim_count_state (sim, BTS_COMPLETED), 60);
+}
+
 static const struct
 {
   const char *name;
@@ -580,6 +602,7 @@
   { "workers_come_after_the_advice", workers_come_after_the_advice },
   { "owner_on_a_small_vm_hands_on", owner_on_a_small_vm_hands_on },
   { "asked_process_killed", asked_process_killed },
+  { "burst_of_advised_jobs", burst_of_advised_jobs },
 };
 
 START_TEST (installation_keeps_its_promises)
