A process claims only when a read has shown that the owner is silent

Change: silence counts only up to the last read that came back; at most 3 questions are at one process.

reads_hang_for_a_moment fails before (owner 1 instead of 0).

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -30,6 +30,9 @@
    the order of the queue until there is one: more questions than the service can answer
    would be answered when the tickets are of no use any more. */
 #define AHEAD_US (60 * 1000)
+/* Most questions that a process has at once: one that it asks, the next one, and one on
+   its way. Calls that take longer than expected don't pile up then. */
+#define OPEN_MAX 3
 /* Processes beside the owner from which on the owner asks none of its own questions. */
 #define HELPERS_MIN 2
 
@@ -53,7 +56,8 @@
     {
       bts_member_t *member = bts_members_find (sched->members, names->pdata[i]);
       gboolean is_self = g_strcmp0 (names->pdata[i], self) == 0;
-      if ((is_long && i % 2 != 0) || (is_self ? names->len > HELPERS_MIN : member->address == NULL))
+      if (member->open >= OPEN_MAX || (is_long && i % 2 != 0)
+          || (is_self ? names->len > HELPERS_MIN : member->address == NULL))
         continue;
       if (best == NULL || member->busy_until_us < (*chosen)->busy_until_us)
         {
@@ -61,7 +65,9 @@
           *chosen = member;
         }
     }
-  if (best == NULL || (*chosen)->busy_until_us <= now_us + AHEAD_US)
+  if (best == NULL)
+    return NULL;
+  if ((*chosen)->busy_until_us <= now_us + AHEAD_US)
     return best;
   sched->helpers_busy_us[is_long] = (*chosen)->busy_until_us - AHEAD_US;
   return NULL;
--- a/libbamboothread/scheduler/lead.c
+++ b/libbamboothread/scheduler/lead.c
@@ -167,6 +167,10 @@
     wait_us += WEAK_WAIT_US;
   if (now_us - lead->sign_us < wait_us)
     return FALSE;
+  /* Only a read that came back since then shows that the owner was silent, and not
+     just this process's reads. */
+  if (owner != NULL && !own_earlier && lead->read_us < lead->sign_us + wait_us)
+    return FALSE;
   lead->claimed_us = now_us;
   return TRUE;
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -224,7 +224,7 @@
   sim_node_t *node = read->node;
   sim_read_t *next = g_new0 (sim_read_t, 1);
   *next = *read;
-  if (store_away (node) || sim->store_refuses)
+  if (store_away (node) || node->deaf || sim->store_refuses)
     {
       g_free (next);
       read_again (node, READ_WAIT_US);
@@ -936,6 +936,7 @@
   sim_message_t *message = data;
   gsize len;
   const guint8 *bytes = g_bytes_get_data (message->message, &len);
+  message->to->questions_open++;
   ck_assert (bts_node_on_message (message->to->node, message->number, bytes, len));
 }
 
@@ -961,6 +962,7 @@
 op_reply (void *context, guint64 exchange, GBytes *reply)
 {
   sim_node_t *node = context;
+  node->questions_open--;
   send_back (node->sim->messages->pdata[exchange], reply);
 }
 
@@ -1069,6 +1071,7 @@
   node->next = 0;
   node->frozen = FALSE;
   node->advice_free_us = 0;
+  node->questions_open = 0;
   g_free (node->name);
   node->name = g_strdup_printf ("node-%u/%u", index, node->life);
   bts_node_config_t config = { 0 };
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -88,7 +88,9 @@
  * struct sim_node_t - a process of the scheduler
  * @frozen: it does nothing until it is thawed
  * @cut: it can't reach the store
+ * @deaf: its reads of the log get no answer
  * @next: the offset that it reads next
+ * @questions_open: messages of others that it has not replied to
  * @cpu_millis: its share of a processor, told as it starts
  */
 typedef struct
@@ -100,7 +102,9 @@
   bts_node_t *node;
   gboolean frozen;
   gboolean cut;
+  gboolean deaf;
   gint64 next;
+  guint questions_open;
   guint cpu_millis;
   gint64 advice_free_us;
   GPtrArray *held_back;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -9,8 +9,9 @@
  * also says what has to have become of the jobs.
  */
 
-/* Most work that may wait at the advice service for one process: five of its calls. */
-#define ADVICE_BACKLOG_US (150 * 1000)
+/* Most questions at one process: one that is asked, one that is next and one that is on
+   its way. */
+#define QUESTIONS_MAX 3
 
 static const sim_policy_t lookup = { "main", 0, 3, 300 };
 static const sim_policy_t batch = { "main", 2, 3, 3000 };
@@ -556,13 +557,31 @@
     {
       sim_run_ms (sim, 50);
       for (guint n = 0; n < sim->nodes->len; n++)
-        ck_assert_int_le (sim_node (sim, n)->advice_free_us - bt_clock_now (&sim->clock),
-                          ADVICE_BACKLOG_US);
+        ck_assert_uint_le (sim_node (sim, n)->questions_open, QUESTIONS_MAX);
     }
   sim_run_ms (sim, 15000);
   ck_assert_uint_eq (sim_count_state (sim, BTS_COMPLETED), 60);
 }
 
+/* A process whose reads hang for a moment has not seen that the owner is silent. */
+static void
+reads_hang_for_a_moment (sim_t *sim)
+{
+  gint owner = sim_owner (sim);
+  for (guint i = 0; i < 4; i++)
+    {
+      guint other = ((guint)owner + 1 + i % 2) % 3;
+      sim_node (sim, other)->deaf = TRUE;
+      sim_run_ms (sim, 900);
+      sim_node (sim, other)->deaf = FALSE;
+      submit_mix (sim, 1);
+      sim_run_ms (sim, 1500);
+      ck_assert_int_eq (sim_owner (sim), owner);
+    }
+  sim_run_ms (sim, 6000);
+  expect_all_completed (sim);
+}
+
 static const struct
 {
   const char *name;
@@ -603,6 +622,7 @@
   { "owner_on_a_small_vm_hands_on", owner_on_a_small_vm_hands_on },
   { "asked_process_killed", asked_process_killed },
   { "burst_of_advised_jobs", burst_of_advised_jobs },
+  { "reads_hang_for_a_moment", reads_hang_for_a_moment },
 };
 
 START_TEST (installation_keeps_its_promises)
