Specs stand in a log of their own that only the owner reads; shorter ends

Ends name their job by number and carry no checkpoint when done.

A late run now counts as about to end.

The simulated workers check specs.

--- a/bench/owner.c
+++ b/bench/owner.c
@@ -208,8 +208,31 @@
   return now (context) / 1000 + G_GINT64_CONSTANT (1700000000000);
 }
 
-static const bts_node_ops_t ops = { op_append, op_hold,  op_start,  op_stop,       op_advise,
-                                    op_send,   op_reply, op_answer, op_now_unix_ms };
+/* Specs are short enough to stand in the jobs' records. */
+static void
+op_append_spec (void *context, guint64 token, GBytes *record)
+{
+  g_assert_not_reached ();
+}
+
+static void
+op_read_specs (void *context, gint64 from)
+{
+}
+
+static const bts_node_ops_t ops = {
+  .append = op_append,
+  .append_spec = op_append_spec,
+  .read_specs = op_read_specs,
+  .hold = op_hold,
+  .start = op_start,
+  .stop = op_stop,
+  .advise = op_advise,
+  .send = op_send,
+  .reply = op_reply,
+  .answer = op_answer,
+  .now_unix_ms = op_now_unix_ms,
+};
 
 static void
 add_workers (bench_t *bench, const char *service, guint n, bts_room_t room)
@@ -244,9 +267,8 @@
   bts__accepted__init (job);
   g_autofree char *id = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", ++bench->jobs);
   job->id = strdup (id);
-  job->entry = strdup ("");
-  job->spec.data = calloc (1, 1000);
-  job->spec.len = 1000;
+  job->spec.data = calloc (1, 100);
+  job->spec.len = 100;
   Bts__Policy *policy = malloc (sizeof *policy);
   bts__policy__init (policy);
   policy->route = strdup (kind->service);
--- a/libbamboothread/scheduler/beat.c
+++ b/libbamboothread/scheduler/beat.c
@@ -35,13 +35,13 @@
 {
   Bts__End *end = malloc (sizeof *end);
   bts__end__init (end);
-  end->job = strdup (bts_job_id (task->stage->job));
+  end->job = bts_job_number (task->stage->job);
   end->occurrence = task->stage->occurrence;
   end->step = task->stage->step;
   end->index = task->index;
   end->run = row->number;
   end->how = row->how;
-  end->saved = strdup (row->saved);
+  end->saved = strdup (row->how == BTS_HOW_DONE ? "" : row->saved);
   return end;
 }
 
@@ -75,7 +75,8 @@
   if (job->begun || job->owner_told)
     return;
   job->owner_told = TRUE;
-  g_ptr_array_add (sched->begun, g_strdup (bts_job_id (job)));
+  guint64 number = bts_job_number (job);
+  g_array_append_val (sched->begun, number);
 }
 
 void
@@ -137,7 +138,7 @@
   beat.n_ends = ends->len;
   beat.ends = (Bts__End **)ends->pdata;
   beat.n_begun = sched->begun->len;
-  beat.begun = (char **)sched->begun->pdata;
+  beat.begun = (guint64 *)(gpointer)sched->begun->data;
   sched->begun_beat = sched->beat;
   sched->begun_sent = sched->begun->len;
   beat.n_held = sched->held->len;
@@ -217,7 +218,9 @@
     g_ptr_array_remove_range (sched->outgoing, 0, n);
   if (sched->begun_beat != number)
     return;
-  drop_sent (sched->begun, &sched->begun_sent);
+  if (sched->begun_sent > 0)
+    g_array_remove_range (sched->begun, 0, sched->begun_sent);
+  sched->begun_sent = 0;
   drop_sent (sched->held, &sched->held_sent);
   drop_sent (sched->released, &sched->released_sent);
 }
@@ -230,7 +233,7 @@
 bts_beat_clear (bts_sched_t *sched)
 {
   g_ptr_array_set_size (sched->outgoing, 0);
-  g_ptr_array_set_size (sched->begun, 0);
+  g_array_set_size (sched->begun, 0);
   g_ptr_array_set_size (sched->held, 0);
   g_ptr_array_set_size (sched->released, 0);
   sched->begun_beat = 0;
--- a/libbamboothread/scheduler/gate.c
+++ b/libbamboothread/scheduler/gate.c
@@ -13,12 +13,16 @@
 /* Bounds of what a caller is told to wait, in seconds. */
 #define RETRY_MIN_S 1
 #define RETRY_MAX_S 4
+/* Specs up to this length stand in the job's own record, in bytes: an append of their
+   own would cost more than they do. */
+#define SPEC_SHORT 128
 /* Appends for one request; a repeat of a record that is there already has no effect. */
 #define TRIES_MAX 4
 
 /**
  * struct request_t - a caller that waits
- * @record: what is to be in the journal; packed
+ * @record: what is to be in the journal
+ * @spec: what is to be in the log of specs before that, or NULL
  * @cancels: a cancellation, else a new job
  * @until_us: when the caller has to be told that it isn't known
  * @tries: appends so far
@@ -32,6 +36,7 @@
   guint64 token;
   char *id;
   Bts__Record record;
+  Bts__Spec *spec;
   gboolean cancels;
   gint64 until_us;
   guint tries;
@@ -58,6 +63,8 @@
     bts__accepted__free_unpacked (request->record.accepted, NULL);
   else if (request->record.kind_case == BTS__RECORD__KIND_CANCELLED)
     bts__cancelled__free_unpacked (request->record.cancelled, NULL);
+  if (request->spec != NULL)
+    bts__spec__free_unpacked (request->spec, NULL);
   g_free (request->id);
   g_free (request);
 }
@@ -125,7 +132,10 @@
 {
   request->tries++;
   request->token = ++gate->token;
-  gate->ops->append (gate->context, request->token, &request->record);
+  if (request->spec != NULL)
+    gate->ops->append_spec (gate->context, request->token, request->spec);
+  else
+    gate->ops->append (gate->context, request->token, &request->record);
 }
 
 static request_t *
@@ -158,6 +168,19 @@
   gate->ops->answer (gate->context, exchange, what);
 }
 
+/* Moves a long spec out of the job's record. */
+static void
+part_spec (request_t *request)
+{
+  Bts__Accepted *job = request->record.accepted;
+  request->spec = malloc (sizeof *request->spec);
+  bts__spec__init (request->spec);
+  request->spec->id = strdup (job->id);
+  request->spec->spec = job->spec;
+  job->spec.data = NULL;
+  job->spec.len = 0;
+}
+
 /**
  * bts_gate_submit() - a caller hands in a job
  * @gate: the gate
@@ -183,6 +206,8 @@
   request_t *request = request_new (gate, exchange, job->id, patience_us, now_us);
   request->record.kind_case = BTS__RECORD__KIND_ACCEPTED;
   request->record.accepted = job;
+  if (job->spec.len > SPEC_SHORT)
+    part_spec (request);
   append (gate, request);
 }
 
@@ -276,6 +301,39 @@
     answer (gate, request, BTS_ANSWER_AWAY);
 }
 
+/**
+ * bts_gate_on_spec() - what became of a job's spec
+ * @gate: the gate
+ * @token: of the append
+ * @stored: what became of it
+ * @offset: where it stands if it is stored
+ * @now_us: the time
+ *
+ * The job isn't in the journal before its spec is known to be stored, so that a
+ * caller can be told for certain that it wasn't accepted.
+ */
+void
+bts_gate_on_spec (bts_gate_t *gate, guint64 token, bts_stored_t stored, gint64 offset,
+                  gint64 now_us)
+{
+  request_t *request = find (gate, token);
+  if (request == NULL || request->spec == NULL)
+    return;
+  if (stored != BTS_STORED)
+    {
+      if (stored == BTS_STORED_UNKNOWN && request->tries < TRIES_MAX && now_us < request->until_us)
+        append (gate, request);
+      else
+        answer (gate, request, BTS_ANSWER_AWAY);
+      return;
+    }
+  bts__spec__free_unpacked (request->spec, NULL);
+  request->spec = NULL;
+  request->tries = 0;
+  request->record.accepted->spec_at = (guint64)offset + 1;
+  append (gate, request);
+}
+
 /**
  * bts_gate_on_read() - the journal was read to its end
  * @gate: the gate
@@ -335,7 +393,7 @@
     {
       request_t *request = gate->requests->pdata[i];
       if (now_us >= request->until_us)
-        answer (gate, request, BTS_ANSWER_UNKNOWN);
+        answer (gate, request, request->spec != NULL ? BTS_ANSWER_AWAY : BTS_ANSWER_UNKNOWN);
       else
         i++;
     }
--- a/libbamboothread/scheduler/gate.h
+++ b/libbamboothread/scheduler/gate.h
@@ -30,11 +30,13 @@
 /**
  * struct bts_gate_ops_t - where the gate's messages go
  * @append: a record for the journal; answered by bts_gate_on_append() with @token
+ * @append_spec: a record for the log of specs; answered by bts_gate_on_spec() with @token
  * @answer: tell a caller; each exchange is answered once
  */
 typedef struct
 {
   void (*append) (void *context, guint64 token, const Bts__Record *record);
+  void (*append_spec) (void *context, guint64 token, const Bts__Spec *spec);
   void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
 } bts_gate_ops_t;
 
@@ -63,6 +65,8 @@
 guint bts_gate_retry_after_s (const bts_gate_t *gate, gint64 now_us);
 guint bts_gate_waiting (const bts_gate_t *gate);
 void bts_gate_on_append (bts_gate_t *gate, guint64 token, bts_stored_t stored, gint64 now_us);
+void bts_gate_on_spec (bts_gate_t *gate, guint64 token, bts_stored_t stored, gint64 offset,
+                       gint64 now_us);
 void bts_gate_on_read (bts_gate_t *gate, gint64 sent_us, gint64 now_us);
 void bts_gate_on_job (bts_gate_t *gate, const bts_job_t *job);
 void bts_gate_tick (bts_gate_t *gate, gint64 now_us);
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -108,6 +108,37 @@
   return job->accepted->id;
 }
 
+/**
+ * bts_job_number() - a job's id as a number, which is shorter
+ * @job: the job
+ */
+guint64
+bts_job_number (const bts_job_t *job)
+{
+  return g_ascii_strtoull (job->accepted->id, NULL, 16);
+}
+
+/**
+ * bts_id_from_number() - the id of which bts_job_number() is the number
+ * @number: the number
+ * @id: gets the id
+ */
+void
+bts_id_from_number (guint64 number, char id[BTS_ID_LEN + 1])
+{
+  g_snprintf (id, BTS_ID_LEN + 1, "%016" G_GINT64_MODIFIER "x", number);
+}
+
+/**
+ * bts_job_has_spec() - whether it is known here what the job runs
+ * @job: the job
+ */
+gboolean
+bts_job_has_spec (const bts_job_t *job)
+{
+  return job->accepted->spec_at == 0 || job->accepted->spec.len > 0;
+}
+
 /**
  * bts_job_repeat() - how many times its steps run
  * @job: the job
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -185,6 +185,9 @@
 bts_job_t *bts_job_new (Bts__Accepted *accepted, gint64 offset, gint64 now_us);
 void bts_job_free (bts_job_t *job);
 const char *bts_job_id (const bts_job_t *job);
+guint64 bts_job_number (const bts_job_t *job);
+void bts_id_from_number (guint64 number, char id[BTS_ID_LEN + 1]);
+gboolean bts_job_has_spec (const bts_job_t *job);
 bts_state_t bts_job_state (const bts_job_t *job);
 const char *bts_state_name (bts_state_t state);
 gboolean bts_job_over (const bts_job_t *job);
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -133,7 +133,6 @@
   if (ledger->replaying)
     job->kept_us = 0;
   g_hash_table_insert (ledger->jobs, job->accepted->id, job);
-  ledger->ops->seen (ledger->context, job->accepted->entry);
   ledger->ops->accepted (ledger->context, job);
   return TRUE;
 }
@@ -225,7 +224,9 @@
 static void
 fold_end (bts_ledger_t *ledger, const Bts__End *end, gint64 now_us)
 {
-  bts_job_t *job = bts_ledger_job (ledger, end->job);
+  char id[BTS_ID_LEN + 1];
+  bts_id_from_number (end->job, id);
+  bts_job_t *job = bts_ledger_job (ledger, id);
   bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, end->occurrence, end->step);
   if (stage == NULL || end->index >= stage->n || end->how > BTS_HOW_ALONE)
     return;
@@ -275,7 +276,9 @@
     return;
   for (gsize i = 0; i < beat->n_begun; i++)
     {
-      bts_job_t *job = bts_ledger_job (ledger, beat->begun[i]);
+      char id[BTS_ID_LEN + 1];
+      bts_id_from_number (beat->begun[i], id);
+      bts_job_t *job = bts_ledger_job (ledger, id);
       if (job != NULL)
         job->begun = TRUE;
     }
@@ -309,6 +312,17 @@
     job->n_finished++;
 }
 
+/* A kept job has its spec with it: the log of specs may have deleted it. */
+static void
+take_spec (bts_job_t *job, Bts__Accepted *kept)
+{
+  if (job->accepted->spec.len > 0)
+    return;
+  job->accepted->spec = kept->spec;
+  kept->spec.data = NULL;
+  kept->spec.len = 0;
+}
+
 /* Only adds to what is known, so that one that is older than other records does no harm. */
 static gboolean
 fold_kept (bts_ledger_t *ledger, Bts__Kept *kept, gint64 offset, gint64 now_us, GError **error)
@@ -322,6 +336,8 @@
   if (!fold_accepted (ledger, &kept->accepted, offset, now_us, error))
     return FALSE;
   bts_job_t *job = bts_ledger_job (ledger, id);
+  if (kept->accepted != NULL && !bts_job_over (job))
+    take_spec (job, kept->accepted);
   job->kept_us = ledger->replaying ? 0 : now_us;
   if (bts_job_over (job))
     return TRUE;
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -54,6 +54,7 @@
   bts_sched_t *sched;
   bts_gate_t *gate;
   bts_adviser_t *adviser;
+  bts_specs_t *specs;
   bts_lead_t lead;
   bts_manifest_t *manifest;
   gboolean deposed;
@@ -87,6 +88,8 @@
 {
   bts_node_t *node = context;
   bts_gate_on_job (node->gate, job);
+  if (bts_sched_leading (node->sched))
+    bts_specs_want (node->specs, job);
   bts_sched_on_accepted (node->sched, job);
 }
 
@@ -258,7 +261,24 @@
   node->ops->answer (node->context, exchange, answer);
 }
 
-static const bts_gate_ops_t gate_ops = { gate_append, gate_answer };
+static void
+gate_append_spec (void *context, guint64 token, const Bts__Spec *spec)
+{
+  bts_node_t *node = context;
+  g_autoptr (GBytes) bytes = message_pack (&spec->base);
+  node->ops->append_spec (node->context, token, bytes);
+}
+
+static const bts_gate_ops_t gate_ops = { gate_append, gate_append_spec, gate_answer };
+
+static void
+specs_read (void *context, gint64 from)
+{
+  bts_node_t *node = context;
+  node->ops->read_specs (node->context, from);
+}
+
+static const bts_specs_ops_t specs_ops = { specs_read };
 
 static void
 adviser_ask (void *context, const bts_question_t *question)
@@ -317,6 +337,7 @@
   node->sched = bts_sched_new (&config->sched, clock, node->ledger, &node->fleet, node->members,
                                &sched_ops, node);
   node->gate = bts_gate_new (node->ledger, &gate_ops, node);
+  node->specs = bts_specs_new (node->ledger, &specs_ops, node);
   node->adviser = bts_adviser_new (node->ledger, &adviser_ops, node);
   bts_lead_init (&node->lead, config->name);
   node->replaying = TRUE;
@@ -330,6 +351,7 @@
   bts_sched_free (node->sched);
   bts_gate_free (node->gate);
   bts_adviser_free (node->adviser);
+  bts_specs_free (node->specs);
   bts_ledger_free (node->ledger);
   bts_fleet_clear (&node->fleet);
   bts_lead_clear (&node->lead);
@@ -384,6 +406,37 @@
   gint64 lease_us = bts_lease_longest_us (bts_sched_lease_ms (node->sched));
   bts_sched_begin (node->sched, bts_ledger_term (node->ledger),
                    bts_lead_sure_us (&node->lead, lease_us + BTS_LEASE_MARGIN_US, node_now (node)));
+  bts_specs_begin (node->specs, node_now (node));
+}
+
+/**
+ * bts_node_on_spec() - the next record of the log of specs
+ * @node: the process
+ * @offset: of the record
+ * @data: its bytes, @len of them
+ * @len: number of bytes
+ */
+void
+bts_node_on_spec (bts_node_t *node, gint64 offset, const guint8 *data, gsize len)
+{
+  g_autoptr (GError) error = NULL;
+  if (!bts_specs_on_record (node->specs, offset, data, len, &error))
+    bt_log (BT_LOG_ERROR, "spec-unreadable", "offset=%" G_GINT64_FORMAT " cause=\"%s\"", offset,
+            error->message);
+  bts_sched_changed (node->sched);
+}
+
+/**
+ * bts_node_on_spec_append() - what became of a record for the log of specs
+ * @node: the process
+ * @token: as given with it
+ * @stored: what became of it
+ * @offset: where it stands if it is stored
+ */
+void
+bts_node_on_spec_append (bts_node_t *node, guint64 token, bts_stored_t stored, gint64 offset)
+{
+  bts_gate_on_spec (node->gate, token, stored, offset, node_now (node));
 }
 
 /**
@@ -602,9 +655,6 @@
 void
 bts_node_submit (bts_node_t *node, guint64 exchange, Bts__Accepted *job, gint64 patience_us)
 {
-  if (job->entry != protobuf_c_empty_string)
-    free (job->entry);
-  job->entry = strdup (node->name);
   bts_gate_submit (node->gate, exchange, job, patience_us, node_now (node));
 }
 
@@ -768,6 +818,10 @@
   if (!node->replaying && !node->lead.leaving && bts_gate_fresh (node->gate, now_us)
       && now_us - node->hello_us >= HELLO_US)
     say_hello (node, now_us);
+  if (bts_sched_leading (node->sched))
+    bts_specs_tick (node->specs, now_us);
+  else
+    bts_specs_end (node->specs);
   bts_sched_tick (node->sched);
   bts_gate_tick (node->gate, now_us);
   if (now_us - node->forgot_us < FORGET_US)
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -6,6 +6,7 @@
 #include "libbamboothread/scheduler/lead.h"
 #include "libbamboothread/scheduler/manifest.h"
 #include "libbamboothread/scheduler/sched.h"
+#include "libbamboothread/scheduler/specs.h"
 
 /*
  * One process of the scheduler, without sockets: every process takes callers
@@ -17,6 +18,9 @@
 /**
  * struct bts_node_ops_t - where a process's messages go
  * @append: a record for the journal; answered by bts_node_on_append()
+ * @append_spec: a record for the log of specs; answered by bts_node_on_spec_append()
+ * @read_specs: follow the log of specs from an offset on, told by bts_node_on_spec();
+ *   a negative one ends it
  * @hold, @start, @stop: orders to workers; answered by the functions of the
  *   same names in sched.h on bts_node_sched()
  * @advise: a question to the advice service; answered by bts_node_on_advice()
@@ -28,6 +32,8 @@
 typedef struct
 {
   void (*append) (void *context, guint64 token, GBytes *record);
+  void (*append_spec) (void *context, guint64 token, GBytes *spec);
+  void (*read_specs) (void *context, gint64 from);
   void (*hold) (void *context, const bts_worker_t *worker, const bts_hold_order_t *order);
   void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
   void (*stop) (void *context, const bts_run_t *run, guint64 fence);
@@ -62,6 +68,8 @@
 const bts_manifest_t *bts_node_manifest (const bts_node_t *node);
 
 void bts_node_on_record (bts_node_t *node, gint64 offset, const guint8 *data, gsize len);
+void bts_node_on_spec (bts_node_t *node, gint64 offset, const guint8 *data, gsize len);
+void bts_node_on_spec_append (bts_node_t *node, guint64 token, bts_stored_t stored, gint64 offset);
 void bts_node_on_read (bts_node_t *node, gint64 sent_us);
 void bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first);
 void bts_node_on_append (bts_node_t *node, guint64 token, bts_stored_t stored, gint64 took_us);
--- a/libbamboothread/scheduler/reserve.c
+++ b/libbamboothread/scheduler/reserve.c
@@ -14,9 +14,11 @@
    beyond the time of the call: estimates are rough. */
 #define TICKETS_AHEAD_US (400 * 1000)
 
-/* A run that takes longer than estimated is thought to end after this time, in
-   microseconds. */
-#define OVERDUE_US (1000 * 1000)
+/* A run that takes longer than estimated is thought to take as much longer as it is late
+   already, between these bounds, in microseconds: an end that is only on its way to us
+   doesn't make room be kept elsewhere. */
+#define OVERDUE_MIN_US (50 * 1000)
+#define OVERDUE_MAX_US (1000 * 1000)
 
 static gint64
 expected_end_us (const bts_run_t *run, gint64 now_us)
@@ -27,7 +29,8 @@
   if (step->long_running)
     return G_MAXINT64;
   gint64 end_us = run->created_us + (gint64)step->estimate_ms * 1000;
-  return end_us > now_us ? end_us : now_us + OVERDUE_US;
+  return end_us > now_us ? end_us
+                         : now_us + CLAMP (now_us - end_us, OVERDUE_MIN_US, OVERDUE_MAX_US);
 }
 
 static gint
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -51,7 +51,7 @@
   sched->timed = g_ptr_array_new ();
   sched->foreseen = g_ptr_array_new ();
   sched->outgoing = g_ptr_array_new_with_free_func (bts_outgoing_free);
-  sched->begun = g_ptr_array_new_with_free_func (g_free);
+  sched->begun = g_array_new (FALSE, FALSE, sizeof (guint64));
   sched->held = g_ptr_array_new_with_free_func (bts_held_free);
   sched->released = g_ptr_array_new_with_free_func (g_free);
   sched->speed = bts_speed_new ();
@@ -69,7 +69,7 @@
   g_ptr_array_unref (sched->timed);
   g_ptr_array_unref (sched->foreseen);
   g_ptr_array_unref (sched->outgoing);
-  g_ptr_array_unref (sched->begun);
+  g_array_unref (sched->begun);
   g_ptr_array_unref (sched->held);
   g_ptr_array_unref (sched->released);
   g_ptr_array_unref (sched->unlisted);
@@ -603,7 +603,7 @@
         }
       gboolean sure = !uncertain (sched, stage);
       if (sure && may_place (stage, open) && now_us >= stage->rest_until_us
-          && bts_advice_ready (sched, stage, now_us))
+          && bts_advice_ready (sched, stage, now_us) && bts_job_has_spec (stage->job))
         {
           place_stage (sched, stage, open);
           open = count_open (stage);
@@ -672,6 +672,16 @@
   bt_metrics_set (BT_GAUGE_WORKERS_SILENT, silent);
 }
 
+/**
+ * bts_sched_changed() - something that placement looks at has changed
+ * @sched: the scheduler
+ */
+void
+bts_sched_changed (bts_sched_t *sched)
+{
+  sched->dirty = TRUE;
+}
+
 /**
  * bts_sched_look() - act on answers that have come in
  * @sched: the scheduler
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -34,7 +34,7 @@
  * @timed: bts_job_t with occurrences to come
  * @foreseen: bts_stage_t to ask advice about before their turn
  * @outgoing: bts_outgoing_t in the order of the lists
- * @begun: ids of jobs whose first start isn't in the journal
+ * @begun: numbers of jobs whose first start isn't in the journal
  * @held: Bts__Held of workers that the journal doesn't tell of yet
  * @released: ids of workers that aren't held any longer
  * @begun_beat: the beat that carried the first @begun_sent, @held_sent and
@@ -74,7 +74,7 @@
   GPtrArray *timed;
   GPtrArray *foreseen;
   GPtrArray *outgoing;
-  GPtrArray *begun;
+  GArray *begun;
   GPtrArray *held;
   GPtrArray *released;
   guint64 begun_beat;
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &bts__policy__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__spec__init
+                     (Bts__Spec         *message)
+{
+  static const Bts__Spec init_value = BTS__SPEC__INIT;
+  *message = init_value;
+}
+size_t bts__spec__get_packed_size
+                     (const Bts__Spec *message)
+{
+  assert(message->base.descriptor == &bts__spec__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__spec__pack
+                     (const Bts__Spec *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__spec__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__spec__pack_to_buffer
+                     (const Bts__Spec *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__spec__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Spec *
+       bts__spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Spec *)
+     protobuf_c_message_unpack (&bts__spec__descriptor,
+                                allocator, len, data);
+}
+void   bts__spec__free_unpacked
+                     (Bts__Spec *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__spec__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__accepted__init
                      (Bts__Accepted         *message)
 {
@@ -1199,6 +1244,57 @@
   (ProtobufCMessageInit) bts__policy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bts__spec__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Spec, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Spec, spec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__spec__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = spec */
+};
+static const ProtobufCIntRange bts__spec__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bts__spec__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Spec",
+  "Spec",
+  "Bts__Spec",
+  "bts",
+  sizeof(Bts__Spec),
+  2,
+  bts__spec__field_descriptors,
+  bts__spec__field_indices_by_name,
+  1,  bts__spec__number_ranges,
+  (ProtobufCMessageInit) bts__spec__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bts__accepted__field_descriptors[8] =
 {
   {
@@ -1286,31 +1382,32 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "entry",
-    8,
+    "spec_at",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Bts__Accepted, entry),
+    offsetof(Bts__Accepted, spec_at),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned bts__accepted__field_indices_by_name[] = {
-  7,   /* field[7] = entry */
   4,   /* field[4] = first_due_ms */
   0,   /* field[0] = id */
   5,   /* field[5] = interval_ms */
   1,   /* field[1] = policy */
   6,   /* field[6] = repeat */
   2,   /* field[2] = spec */
+  7,   /* field[7] = spec_at */
   3,   /* field[3] = steps */
 };
-static const ProtobufCIntRange bts__accepted__number_ranges[1 + 1] =
+static const ProtobufCIntRange bts__accepted__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 10, 7 },
   { 0, 8 }
 };
 const ProtobufCMessageDescriptor bts__accepted__descriptor =
@@ -1324,7 +1421,7 @@
   8,
   bts__accepted__field_descriptors,
   bts__accepted__field_indices_by_name,
-  1,  bts__accepted__number_ranges,
+  2,  bts__accepted__number_ranges,
   (ProtobufCMessageInit) bts__accepted__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1461,11 +1558,11 @@
     "job",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
     offsetof(Bts__End, job),
     NULL,
-    &protobuf_c_empty_string,
+    NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
@@ -1665,12 +1762,12 @@
     "begun",
     3,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     offsetof(Bts__Beat, n_begun),
     offsetof(Bts__Beat, begun),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Bts__Step Bts__Step;
 typedef struct Bts__Policy Bts__Policy;
+typedef struct Bts__Spec Bts__Spec;
 typedef struct Bts__Accepted Bts__Accepted;
 typedef struct Bts__Cancelled Bts__Cancelled;
 typedef struct Bts__Claim Bts__Claim;
@@ -90,11 +91,28 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What a job runs, in the log of specs, which only the owner reads.
+ */
+struct  Bts__Spec
+{
+  ProtobufCMessage base;
+  char *id;
+  ProtobufCBinaryData spec;
+};
+#define BTS__SPEC__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__spec__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL} }
+
+
 struct  Bts__Accepted
 {
   ProtobufCMessage base;
   char *id;
   Bts__Policy *policy;
+  /*
+   * Empty if it stands in the log of specs.
+   */
   ProtobufCBinaryData spec;
   size_t n_steps;
   Bts__Step **steps;
@@ -104,11 +122,14 @@
   int64_t first_due_ms;
   int64_t interval_ms;
   uint32_t repeat;
-  char *entry;
+  /*
+   * Offset in the log of specs, plus one; 0 if the spec stands here.
+   */
+  uint64_t spec_at;
 };
 #define BTS__ACCEPTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__accepted__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Bts__Cancelled
@@ -145,7 +166,10 @@
 struct  Bts__End
 {
   ProtobufCMessage base;
-  char *job;
+  /*
+   * The job's id as a number.
+   */
+  uint64_t job;
   uint32_t occurrence;
   uint32_t step;
   uint32_t index;
@@ -155,7 +179,7 @@
 };
 #define BTS__END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__end__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -182,8 +206,11 @@
   ProtobufCMessage base;
   uint64_t term;
   uint64_t number;
+  /*
+   * Ids of jobs as numbers.
+   */
   size_t n_begun;
-  char **begun;
+  uint64_t *begun;
   size_t n_ends;
   Bts__End **ends;
   size_t n_held;
@@ -399,6 +426,25 @@
 void   bts__policy__free_unpacked
                      (Bts__Policy *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Spec methods */
+void   bts__spec__init
+                     (Bts__Spec         *message);
+size_t bts__spec__get_packed_size
+                     (const Bts__Spec   *message);
+size_t bts__spec__pack
+                     (const Bts__Spec   *message,
+                      uint8_t             *out);
+size_t bts__spec__pack_to_buffer
+                     (const Bts__Spec   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Spec *
+       bts__spec__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__spec__free_unpacked
+                     (Bts__Spec *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Accepted methods */
 void   bts__accepted__init
                      (Bts__Accepted         *message);
@@ -692,6 +738,9 @@
 typedef void (*Bts__Policy_Closure)
                  (const Bts__Policy *message,
                   void *closure_data);
+typedef void (*Bts__Spec_Closure)
+                 (const Bts__Spec *message,
+                  void *closure_data);
 typedef void (*Bts__Accepted_Closure)
                  (const Bts__Accepted *message,
                   void *closure_data);
@@ -745,6 +794,7 @@
 
 extern const ProtobufCMessageDescriptor bts__step__descriptor;
 extern const ProtobufCMessageDescriptor bts__policy__descriptor;
+extern const ProtobufCMessageDescriptor bts__spec__descriptor;
 extern const ProtobufCMessageDescriptor bts__accepted__descriptor;
 extern const ProtobufCMessageDescriptor bts__cancelled__descriptor;
 extern const ProtobufCMessageDescriptor bts__claim__descriptor;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -364,6 +364,9 @@
     }
   if (job->cancelled_us != 0 && now (sim) - job->cancelled_us > CANCEL_US)
     violate (sim, "UNASKED %s was cancelled", run->name);
+  const ProtobufCBinaryData *spec = &job->accepted->spec;
+  if (strlen (run->spec) != spec->len || memcmp (run->spec, spec->data, spec->len) != 0)
+    violate (sim, "UNASKED %s with another spec", run->name);
   if (g_hash_table_contains (sim->noted, run->name))
     violate (sim, "TWICE %s had ended done", run->name);
   gint64 at_us = now (sim);
@@ -990,8 +993,90 @@
   return UNIX_START_MS + now (node->sim) / 1000 + node->sim->unix_offset_ms;
 }
 
-static const bts_node_ops_t node_ops = { op_append, op_hold,  op_start,  op_stop,       op_advise,
-                                         op_send,   op_reply, op_answer, op_now_unix_ms };
+/* The log of specs. */
+
+/**
+ * struct sim_spec_t - a record of the log of specs on its way
+ */
+typedef struct
+{
+  sim_node_t *node;
+  guint64 token;
+  bts_stored_t stored;
+  gint64 offset;
+} sim_spec_t;
+
+static void
+spec_answered (sim_t *sim, gpointer data)
+{
+  sim_spec_t *spec = data;
+  bts_node_on_spec_append (spec->node->node, spec->token, spec->stored, spec->offset);
+}
+
+static void
+op_append_spec (void *context, guint64 token, GBytes *record)
+{
+  sim_node_t *node = context;
+  sim_t *sim = node->sim;
+  sim_spec_t *spec = g_new0 (sim_spec_t, 1);
+  spec->node = node;
+  spec->token = token;
+  gboolean lost = (guint)g_rand_int_range (sim->random, 0, 100) < sim->lose_percent;
+  spec->stored = sim->store_refuses          ? BTS_NOT_STORED
+                 : store_away (node) || lost ? BTS_STORED_UNKNOWN
+                                             : BTS_STORED;
+  if (!store_away (node) && !sim->store_refuses)
+    {
+      spec->offset = sim->specs->len;
+      g_ptr_array_add (sim->specs, g_bytes_ref (record));
+    }
+  post (node,
+        spec->stored == BTS_STORED_UNKNOWN ? APPEND_TIMEOUT_US : 2 * SIM_DELAY_US + sim->append_us,
+        spec_answered, spec, g_free);
+}
+
+static void
+specs_polled (sim_t *sim, gpointer data)
+{
+  sim_node_t *node = data;
+  while (!store_away (node) && !sim->store_refuses && node->spec_next >= 0
+         && node->spec_next < (gint64)sim->specs->len)
+    {
+      gint64 offset = node->spec_next++;
+      gsize len;
+      const guint8 *bytes = g_bytes_get_data (sim->specs->pdata[offset], &len);
+      bts_node_on_spec (node->node, offset, bytes, len);
+    }
+  if (node->spec_next >= 0)
+    post (node, READ_SPACING_US, specs_polled, node, NULL);
+  else
+    node->specs_polled = FALSE;
+}
+
+static void
+op_read_specs (void *context, gint64 from)
+{
+  sim_node_t *node = context;
+  node->spec_next = from;
+  if (from < 0 || node->specs_polled)
+    return;
+  node->specs_polled = TRUE;
+  post (node, READ_SPACING_US, specs_polled, node, NULL);
+}
+
+static const bts_node_ops_t node_ops = {
+  .append = op_append,
+  .append_spec = op_append_spec,
+  .read_specs = op_read_specs,
+  .hold = op_hold,
+  .start = op_start,
+  .stop = op_stop,
+  .advise = op_advise,
+  .send = op_send,
+  .reply = op_reply,
+  .answer = op_answer,
+  .now_unix_ms = op_now_unix_ms,
+};
 
 static void
 node_tick (sim_t *sim, gpointer data)
@@ -1072,6 +1157,8 @@
   node->frozen = FALSE;
   node->advice_free_us = 0;
   node->questions_open = 0;
+  node->spec_next = -1;
+  node->specs_polled = FALSE;
   g_free (node->name);
   node->name = g_strdup_printf ("node-%u/%u", index, node->life);
   bts_node_config_t config = { 0 };
@@ -1107,6 +1194,7 @@
   sim->done_us = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->started = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->noted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sim->specs = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   sim->messages = g_ptr_array_new_with_free_func (message_free);
   /* Exchange 0 is none. */
   g_ptr_array_add (sim->messages, NULL);
@@ -1237,9 +1325,10 @@
   Bts__Accepted *job = malloc (sizeof *job);
   bts__accepted__init (job);
   job->id = strdup (id);
-  job->entry = strdup ("");
-  job->spec.data = (guint8 *)strdup ("spec");
-  job->spec.len = 4;
+  /* Every second one is too long to stand in the job's own record. */
+  g_autofree char *spec = g_strnfill (sim->jobs->len % 2 == 0 ? 4 : 400, 's');
+  job->spec.data = (guint8 *)strdup (spec);
+  job->spec.len = strlen (spec);
   Bts__Policy *kept = malloc (sizeof *kept);
   bts__policy__init (kept);
   kept->route = strdup ("route");
@@ -1427,6 +1516,7 @@
       bts__accepted__free_unpacked (job->accepted, NULL);
       g_free (job);
     }
+  g_ptr_array_unref (sim->specs);
   g_ptr_array_unref (sim->messages);
   g_ptr_array_unref (sim->nodes);
   g_ptr_array_unref (sim->workers);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -90,6 +90,8 @@
  * @cut: it can't reach the store
  * @deaf: its reads of the log get no answer
  * @next: the offset that it reads next
+ * @spec_next: the offset that it reads next of the log of specs; -1 if it doesn't
+ * @specs_polled: it looks for new ones
  * @questions_open: messages of others that it has not replied to
  * @cpu_millis: its share of a processor, told as it starts
  */
@@ -104,6 +106,8 @@
   gboolean cut;
   gboolean deaf;
   gint64 next;
+  gint64 spec_next;
+  gboolean specs_polled;
   guint questions_open;
   guint cpu_millis;
   gint64 advice_free_us;
@@ -121,6 +125,7 @@
  * @log_first: records before this one have been deleted
  * @advised: jobs handed in need advice
  * @advice_denies: it denies all workers that are there
+ * @specs: the log of specs
  * @messages: all messages between processes, by number
  * @violations: what broke a promise
  * @done: tasks of which a run has ended done
@@ -150,6 +155,7 @@
   gboolean advised;
   gboolean advice_denies;
   guint64 exchange;
+  GPtrArray *specs;
   GPtrArray *messages;
   GPtrArray *violations;
   GHashTable *answers;
