Workers that weren't asked about may run what an earlier owner started

A step whose turn showed in the first lists was asked about ahead, for workers with room, while the workers on which it ran hadn't answered.

Change: only workers that were denied are sure not to run it. Patient work is asked about on the fullest workers with room, which leaves whole ones to gangs.

owner_killed_and_advice_on_other_workers fails before (4 violations, TWICE) and passes.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -125,7 +125,27 @@
   return step->per_worker_max == 0 ? fitting : MIN (fitting, step->per_worker_max);
 }
 
-/* Workers to ask about: those with room first, until they will do for all tasks.
+/**
+ * struct candidate_t - a worker to ask about
+ * @left: part of it that stays free beside one more task, in thousandths; 0 if that
+ *   doesn't matter
+ */
+typedef struct
+{
+  const bts_worker_t *worker;
+  gint64 left;
+} candidate_t;
+
+static gint
+compare_left (gconstpointer a, gconstpointer b)
+{
+  const candidate_t *left = a;
+  const candidate_t *right = b;
+  return left->left < right->left ? -1 : left->left > right->left;
+}
+
+/* Workers to ask about: those with room first, until they will do for all tasks. Patient
+   work is asked about on the fullest of them, which leaves whole workers to gangs.
    @known: those that were allowed before, for new tickets, or else those of which
    nothing is known. @room: only those with room. */
 static GPtrArray *
@@ -134,22 +154,29 @@
 {
   const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
   const Bts__Step *step = bts_stage_step (stage);
+  gboolean patient = bts_stage_policy (stage)->priority > 0;
   GPtrArray *ids = g_ptr_array_new ();
+  g_autoptr (GArray) with_room = g_array_new (FALSE, FALSE, sizeof (candidate_t));
   g_autoptr (GPtrArray) full = g_ptr_array_new ();
   /* Questions begin at different workers, so that the jobs spread over all of them. */
   guint first = pool->len == 0 ? 0 : ++sched->asked % pool->len;
   guint percent = known ? 100 : ALLOWED_PERCENT;
   guint taken = 0;
-  for (guint i = 0; i < pool->len && ids->len < BTS_ADVICE_MAX; i++)
+  for (guint i = 0; i < pool->len; i++)
     {
       const bts_worker_t *worker = pool->pdata[(first + i) % pool->len];
       if (!may_ask_about (stage, worker, known))
         continue;
-      if (bts_place_open (worker, stage, now_us) != BTS_PLACE_OK)
-        {
-          g_ptr_array_add (full, worker->entry->id);
-          continue;
-        }
+      candidate_t candidate = { worker, patient ? bts_place_left (worker, step) : 0 };
+      if (bts_place_open (worker, stage, now_us) == BTS_PLACE_OK)
+        g_array_append_val (with_room, candidate);
+      else
+        g_ptr_array_add (full, worker->entry->id);
+    }
+  g_array_sort (with_room, compare_left);
+  for (guint i = 0; i < with_room->len && ids->len < BTS_ADVICE_MAX; i++)
+    {
+      const bts_worker_t *worker = g_array_index (with_room, candidate_t, i).worker;
       g_ptr_array_add (ids, worker->entry->id);
       taken += count_taken (worker, step);
       if (ids->len >= WORKERS_USUAL && (guint64)taken * percent >= (guint64)stage->n * 100)
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -162,6 +162,21 @@
   return capacity == 0 ? 0 : (capacity - used) * 1000 / capacity;
 }
 
+/**
+ * bts_place_left() - what stays free of a worker beside one more task of a step
+ * @worker: the worker
+ * @step: the step
+ *
+ * Return: thousandths of its GPUs if the task needs some, else of its processors.
+ */
+gint64
+bts_place_left (const bts_worker_t *worker, const Bts__Step *step)
+{
+  return step->gpus > 0
+             ? left_share (worker->entry->gpus, worker->used.gpus + step->gpus)
+             : left_share (worker->entry->cpu_millis, worker->used.cpu_millis + step->cpu_millis);
+}
+
 /* Tasks that take far longer than estimated: the worker may be slow or stand still.
    Counted once in a pass, since each task of a stage looks at all workers. */
 static guint
@@ -197,10 +212,7 @@
 score (bts_worker_t *worker, const bts_task_t *task, const Bts__Step *step, guint64 pass,
        gint64 now_us)
 {
-  gint64 left = step->gpus > 0 ? left_share (worker->entry->gpus, worker->used.gpus + step->gpus)
-                               : left_share (worker->entry->cpu_millis,
-                                             worker->used.cpu_millis + step->cpu_millis);
-  gint64 against = left;
+  gint64 against = bts_place_left (worker, step);
   against += speed_score (worker, bts_stage_policy (task->stage)->priority);
   against += WEIGHT_OVERDUE * (gint64)MIN (count_overdue (worker, pass, now_us), FAULTS_MAX);
   if (task->avoid != NULL && strcmp (task->avoid, worker->entry->id) == 0)
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -374,8 +374,10 @@
   for (guint i = 0; i < sched->unlisted->len; i++)
     {
       const bts_worker_t *worker = sched->unlisted->pdata[i];
-      if (stage->advice == NULL ? bts_place_could_use (worker, stage)
-                                : bts_place_may_use (worker, stage))
+      /* Workers that this owner didn't ask about may have been allowed to an earlier one. */
+      const bts_ticket_t *ticket = bts_stage_ticket (stage, worker->entry->id);
+      gboolean denied = ticket != NULL && ticket->ticket == NULL;
+      if (!denied && bts_place_could_use (worker, stage))
         return TRUE;
     }
   return g_hash_table_size (sched->fleet->workers) == 0;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -582,6 +582,54 @@
   expect_all_completed (sim);
 }
 
+/* The next owner hasn't heard of the workers on which a step runs. It learns that the
+   step's turn has come, and asks for advice only on others, which have room. */
+static void
+owner_killed_and_advice_on_other_workers (sim_t *sim)
+{
+  static const sim_step_t steps[] = {
+    { .count = 1, .cpu = 3000, .memory = 2000, .ms = 1500 },
+    { .count = 6, .cpu = 3000, .memory = 2000, .ms = 6000, .after = 1, .per_worker = 1 },
+  };
+  /* The last process is the owner, so that the next one asks a process that lives. */
+  for (guint i = 0; i < 2; i++)
+    sim_kill (sim, i);
+  sim_run_ms (sim, 2500);
+  for (guint i = 0; i < 2; i++)
+    sim_start (sim, i);
+  sim_run_ms (sim, 4000);
+  ck_assert_int_eq (sim_owner (sim), 2);
+  sim->advised = TRUE;
+  sim_job_t *job = sim_submit (sim, 0, &lookup, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 500);
+  const sim_worker_t *first = NULL;
+  for (guint i = 0; i < 6; i++)
+    if (sim_worker (sim, i)->runs->len > 0)
+      first = sim_worker (sim, i);
+  ck_assert_ptr_nonnull (first);
+  guint owner = (guint)sim_owner (sim);
+  /* The end of the first step isn't in the journal when the second one runs. */
+  sim_run_ms (sim, 1000);
+  sim_node (sim, owner)->cut = TRUE;
+  sim_run_ms (sim, 400);
+  ck_assert_uint_gt (sim_running (sim, job->id), 1);
+  sim_kill (sim, owner);
+  sim_node (sim, owner)->cut = FALSE;
+  for (guint i = 0; i < 40; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("new-%u", i);
+      bts_room_t room = { 32000, 65536, 8 };
+      sim_add_worker (sim, id, "main", room);
+    }
+  for (guint i = 0; i < 6; i++)
+    sim_worker (sim, i)->mute = sim_worker (sim, i) != first;
+  sim_run_ms (sim, 2500);
+  for (guint i = 0; i < 6; i++)
+    sim_worker (sim, i)->mute = FALSE;
+  sim_run_ms (sim, 15000);
+  expect_all_completed (sim);
+}
+
 static const struct
 {
   const char *name;
@@ -623,6 +671,7 @@
   { "asked_process_killed", asked_process_killed },
   { "burst_of_advised_jobs", burst_of_advised_jobs },
   { "reads_hang_for_a_moment", reads_hang_for_a_moment },
+  { "owner_killed_and_advice_on_other_workers", owner_killed_and_advice_on_other_workers },
 };
 
 START_TEST (installation_keeps_its_promises)
