--- a/bench/owner.c
+++ b/bench/owner.c
@@ -182,7 +182,7 @@
 }
 
 static void
-op_send (void *context, const char *address, GBytes *message)
+op_send (void *context, const char *address, GBytes *message, guint timeout_ms)
 {
   bench_t *bench = context;
   asked_t *asked = g_new0 (asked_t, 1);
@@ -391,7 +391,8 @@
 {
   gsize len;
   const guint8 *data = g_bytes_get_data (message, &len);
-  Bts__Ask *ask = bts__ask__unpack (NULL, len, data);
+  Bts__Message *sent = bts__message__unpack (NULL, len, data);
+  const Bts__Ask *ask = sent->ask;
   Bts__Advice advice = BTS__ADVICE__INIT;
   g_autofree Bts__Ticket *tickets = g_new0 (Bts__Ticket, ask->n_workers);
   g_autofree Bts__Ticket **allowed = g_new0 (Bts__Ticket *, ask->n_workers);
@@ -407,13 +408,16 @@
       allowed[advice.n_allowed++] = ticket;
     }
   advice.allowed = allowed;
-  gsize packed = bts__advice__get_packed_size (&advice);
+  Bts__Reply wrapped = BTS__REPLY__INIT;
+  wrapped.kind_case = BTS__REPLY__KIND_ADVICE;
+  wrapped.advice = &advice;
+  gsize packed = bts__reply__get_packed_size (&wrapped);
   g_autofree guint8 *reply = g_malloc (MAX (packed, 1));
-  bts__advice__pack (&advice, reply);
+  bts__reply__pack (&wrapped, reply);
   double from_s = cpu_s ();
   bts_node_on_reply (bench->node, message, reply, packed);
   bench->busy_s += cpu_s () - from_s;
-  bts__ask__free_unpacked (ask, NULL);
+  bts__message__free_unpacked (sent, NULL);
 }
 
 static void
--- a/libbamboothread/scheduler/beat.c
+++ b/libbamboothread/scheduler/beat.c
@@ -135,6 +135,7 @@
   Bts__Beat beat = BTS__BEAT__INIT;
   beat.term = sched->term;
   beat.number = sched->beat;
+  beat.append_ms = sched->append_ms;
   beat.n_ends = ends->len;
   beat.ends = (Bts__End **)ends->pdata;
   beat.n_begun = sched->begun->len;
--- a/libbamboothread/scheduler/gate.c
+++ b/libbamboothread/scheduler/gate.c
@@ -55,6 +55,12 @@
   gint64 read_us;
 };
 
+static void
+spec_free (Bts__Spec *spec)
+{
+  bts__spec__free_unpacked (spec, NULL);
+}
+
 static void
 request_free (gpointer data)
 {
@@ -63,8 +69,7 @@
     bts__accepted__free_unpacked (request->record.accepted, NULL);
   else if (request->record.kind_case == BTS__RECORD__KIND_CANCELLED)
     bts__cancelled__free_unpacked (request->record.cancelled, NULL);
-  if (request->spec != NULL)
-    bts__spec__free_unpacked (request->spec, NULL);
+  g_clear_pointer (&request->spec, spec_free);
   g_free (request->id);
   g_free (request);
 }
@@ -151,18 +156,19 @@
   return request;
 }
 
+static const char *const answer_names[] = { "ok", "away", "unknown", "gone" };
+static const bt_count_t submit_counts[] = { BT_COUNT_SUBMIT_OK, BT_COUNT_SUBMIT_AWAY,
+                                            BT_COUNT_SUBMIT_UNKNOWN, BT_COUNT_SUBMIT_UNKNOWN };
+
 static void
 answer (bts_gate_t *gate, request_t *request, bts_answer_t what)
 {
-  static const char *const names[] = { "ok", "away", "unknown", "gone" };
   bt_log (BT_LOG_INFO, request->cancels ? "cancel" : "submit", "job=%s answer=%s tries=%u",
-          request->id, names[what], request->tries);
-  static const bt_count_t counts[] = { BT_COUNT_SUBMIT_OK, BT_COUNT_SUBMIT_AWAY,
-                                       BT_COUNT_SUBMIT_UNKNOWN, BT_COUNT_SUBMIT_UNKNOWN };
+          request->id, answer_names[what], request->tries);
   if (request->cancels)
     bt_metrics_count (what == BTS_ANSWER_OK ? BT_COUNT_CANCEL_OK : BT_COUNT_CANCEL_OTHER);
   else
-    bt_metrics_count (counts[what]);
+    bt_metrics_count (submit_counts[what]);
   guint64 exchange = request->exchange;
   g_ptr_array_remove (gate->requests, request);
   gate->ops->answer (gate->context, exchange, what);
@@ -181,31 +187,56 @@
   job->spec.len = 0;
 }
 
+/* The store refused this process and may serve another one. */
+static gboolean
+pass_on (bts_gate_t *gate, request_t *request, gint64 now_us)
+{
+  if (request->cancels || request->unknown || now_us >= request->until_us)
+    return FALSE;
+  Bts__Accepted *job = request->record.accepted;
+  if (request->spec != NULL)
+    {
+      job->spec = request->spec->spec;
+      request->spec->spec.data = NULL;
+      request->spec->spec.len = 0;
+      g_clear_pointer (&request->spec, spec_free);
+    }
+  if (!gate->ops->pass_on (gate->context, request->exchange, job, request->until_us - now_us))
+    return FALSE;
+  request->record.kind_case = BTS__RECORD__KIND__NOT_SET;
+  g_ptr_array_remove (gate->requests, request);
+  return TRUE;
+}
+
 /**
  * bts_gate_submit() - a caller hands in a job
  * @gate: the gate
  * @exchange: names the caller's request
  * @job: the job, checked; the gate takes it
+ * @unknown: another process may have appended it, so that the caller can't be told that
+ *   it wasn't accepted
  * @patience_us: how long the caller waits
  * @now_us: the time
  */
 void
-bts_gate_submit (bts_gate_t *gate, guint64 exchange, Bts__Accepted *job, gint64 patience_us,
-                 gint64 now_us)
+bts_gate_submit (bts_gate_t *gate, guint64 exchange, Bts__Accepted *job, gboolean unknown,
+                 gint64 patience_us, gint64 now_us)
 {
   gboolean known = bts_ledger_job (gate->ledger, job->id) != NULL;
   if (known || !bts_gate_fresh (gate, now_us))
     {
+      bts_answer_t what = known ? BTS_ANSWER_OK : unknown ? BTS_ANSWER_UNKNOWN : BTS_ANSWER_AWAY;
       bt_log (BT_LOG_INFO, "submit", "job=%s answer=%s read_age_ms=%" G_GINT64_FORMAT, job->id,
-              known ? "ok" : "away", (now_us - gate->read_us) / 1000);
-      bt_metrics_count (known ? BT_COUNT_SUBMIT_OK : BT_COUNT_SUBMIT_AWAY);
+              answer_names[what], (now_us - gate->read_us) / 1000);
+      bt_metrics_count (submit_counts[what]);
       bts__accepted__free_unpacked (job, NULL);
-      gate->ops->answer (gate->context, exchange, known ? BTS_ANSWER_OK : BTS_ANSWER_AWAY);
+      gate->ops->answer (gate->context, exchange, what);
       return;
     }
   request_t *request = request_new (gate, exchange, job->id, patience_us, now_us);
   request->record.kind_case = BTS__RECORD__KIND_ACCEPTED;
   request->record.accepted = job;
+  request->unknown = unknown;
   if (job->spec.len > SPEC_SHORT)
     part_spec (request);
   append (gate, request);
@@ -297,7 +328,7 @@
       if (request->tries < TRIES_MAX && now_us < request->until_us)
         append (gate, request);
     }
-  else if (stored == BTS_NOT_STORED && !request->unknown)
+  else if (stored == BTS_NOT_STORED && !request->unknown && !pass_on (gate, request, now_us))
     answer (gate, request, BTS_ANSWER_AWAY);
 }
 
@@ -323,12 +354,11 @@
     {
       if (stored == BTS_STORED_UNKNOWN && request->tries < TRIES_MAX && now_us < request->until_us)
         append (gate, request);
-      else
-        answer (gate, request, BTS_ANSWER_AWAY);
+      else if (!pass_on (gate, request, now_us))
+        answer (gate, request, request->unknown ? BTS_ANSWER_UNKNOWN : BTS_ANSWER_AWAY);
       return;
     }
-  bts__spec__free_unpacked (request->spec, NULL);
-  request->spec = NULL;
+  g_clear_pointer (&request->spec, spec_free);
   request->tries = 0;
   request->record.accepted->spec_at = (guint64)offset + 1;
   append (gate, request);
@@ -393,7 +423,8 @@
     {
       request_t *request = gate->requests->pdata[i];
       if (now_us >= request->until_us)
-        answer (gate, request, request->spec != NULL ? BTS_ANSWER_AWAY : BTS_ANSWER_UNKNOWN);
+        answer (gate, request,
+                request->spec != NULL && !request->unknown ? BTS_ANSWER_AWAY : BTS_ANSWER_UNKNOWN);
       else
         i++;
     }
--- a/libbamboothread/scheduler/gate.h
+++ b/libbamboothread/scheduler/gate.h
@@ -31,12 +31,15 @@
  * struct bts_gate_ops_t - where the gate's messages go
  * @append: a record for the journal; answered by bts_gate_on_append() with @token
  * @append_spec: a record for the log of specs; answered by bts_gate_on_spec() with @token
+ * @pass_on: hand a job that the store refused here to another process, which answers its
+ *   caller; returns FALSE, and leaves the job, if there is none
  * @answer: tell a caller; each exchange is answered once
  */
 typedef struct
 {
   void (*append) (void *context, guint64 token, const Bts__Record *record);
   void (*append_spec) (void *context, guint64 token, const Bts__Spec *spec);
+  gboolean (*pass_on) (void *context, guint64 exchange, Bts__Accepted *job, gint64 patience_us);
   void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
 } bts_gate_ops_t;
 
@@ -55,8 +58,8 @@
 
 bts_gate_t *bts_gate_new (bts_ledger_t *ledger, const bts_gate_ops_t *ops, void *context);
 void bts_gate_free (bts_gate_t *gate);
-void bts_gate_submit (bts_gate_t *gate, guint64 exchange, Bts__Accepted *job, gint64 patience_us,
-                      gint64 now_us);
+void bts_gate_submit (bts_gate_t *gate, guint64 exchange, Bts__Accepted *job, gboolean unknown,
+                      gint64 patience_us, gint64 now_us);
 void bts_gate_cancel (bts_gate_t *gate, guint64 exchange, const char *id, gint64 patience_us,
                       gint64 now_us);
 bts_answer_t bts_gate_query (const bts_gate_t *gate, const char *id, gint64 now_us,
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -288,7 +288,7 @@
       ledger->ops->released (ledger->context, beat->released[i]);
   for (gsize i = 0; i < beat->n_ends; i++)
     fold_end (ledger, beat->ends[i], now_us);
-  ledger->ops->beat (ledger->context, beat->number);
+  ledger->ops->beat (ledger->context, beat->number, beat->append_ms);
 }
 
 static void
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -18,7 +18,7 @@
  * @ended: an end was taken up for the first time; @task has the new state
  * @over: a job has ended or failed
  * @owner: a claim or resignation was taken up
- * @beat: a beat of the present owner
+ * @beat: a beat of the present owner, whose last append took @append_ms
  * @seen: a process has given a sign
  * @hello: a process has said what it is
  * @held: the owner holds a worker, as it was listed then
@@ -32,7 +32,7 @@
   void (*ended) (void *context, bts_task_t *task, guint run, bts_how_t how);
   void (*over) (void *context, bts_job_t *job);
   void (*owner) (void *context);
-  void (*beat) (void *context, guint64 number);
+  void (*beat) (void *context, guint64 number, guint append_ms);
   void (*seen) (void *context, const char *node);
   void (*hello) (void *context, const Bts__Hello *hello);
   void (*held) (void *context, const Bts__Held *held);
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -5,8 +5,8 @@
 #include "libbamboothread/scheduler/lead.h"
 
 /* A process without a sign for so long counts as gone, in microseconds: more than
-   two of the signs that each one gives every three seconds. */
-#define SILENT_US (8 * G_USEC_PER_SEC)
+   two of the signs that each one gives every four seconds. */
+#define SILENT_US (10 * G_USEC_PER_SEC)
 
 /**
  * struct bts_members_t - all processes that have given a sign
@@ -169,6 +169,16 @@
   return names;
 }
 
+/**
+ * bts_members_count() - how many processes have given a sign
+ * @members: the processes
+ */
+guint
+bts_members_count (const bts_members_t *members)
+{
+  return g_hash_table_size (members->table);
+}
+
 /**
  * bts_members_strongest() - the largest share of a processor that a live process has
  * @members: the processes
--- a/libbamboothread/scheduler/members.h
+++ b/libbamboothread/scheduler/members.h
@@ -37,6 +37,7 @@
 void bts_members_doubt (bts_members_t *members, const char *node);
 bts_member_t *bts_members_find (const bts_members_t *members, const char *node);
 GPtrArray *bts_members_live (const bts_members_t *members, gint64 now_us);
+guint bts_members_count (const bts_members_t *members);
 guint bts_members_strongest (const bts_members_t *members, gint64 now_us);
 
 #endif
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -17,8 +17,25 @@
    and a change of the owner; it looks at what is due every 10 to 50 ms. */
 #define PAUSE_US (400 * 1000)
 /* Time between two signs of a process, in microseconds; members.c takes one that misses
-   two of them as gone. */
-#define HELLO_US (3 * BT_USEC_PER_SEC)
+   two of them as gone. A slow log is left alone for one of them. */
+#define HELLO_US (4 * BT_USEC_PER_SEC)
+#define HELLO_SLOW_US (8 * BT_USEC_PER_SEC)
+/* An append that takes so long, in microseconds, shows that the log is slow: jobs go
+   through the owner then. Usual are 6 to 25 ms. */
+#define FORWARD_US (60 * 1000)
+/* For so long the time of an append shows how the log is, in microseconds. */
+#define APPENDED_US (2 * BT_USEC_PER_SEC)
+/* Time for the owner's answer to a forwarded job, in milliseconds: two appends of a slow
+   log, and enough is left of a caller's patience to append it here. */
+#define FORWARD_TIMEOUT_MS 1500
+/* Time for the reply to a question, in milliseconds: the owner asks elsewhere long
+   before, and a connection that has gone silent is closed by it. */
+#define ASK_TIMEOUT_MS 3500
+/* With more entries jobs always go through the owner: a slow log takes some ten appends a
+   second and refuses those that would wait for two. */
+#define CROWD 12
+/* Exchanges of the gate that stand for messages of other processes. */
+#define FORWARDED (G_GUINT64_CONSTANT (1) << 63)
 /* A process is weak if another one has so many times its share of a processor. */
 #define WEAK_FACTOR 2
 /* A weak owner hands on when it has led for so long, in microseconds, and nothing of
@@ -31,6 +48,12 @@
 
 /**
  * struct bts_node_t - one process
+ * @append_us: time that the newest append took
+ * @appended_us: when that was answered
+ * @owner_append_us: time that the owner's newest append took, as its beats tell
+ * @forwarded: exchange to the message by which its job was handed to the owner, while
+ *   there is no answer
+ * @owner_new: the owner has changed since it was last looked at what is due
  * @deposed: a worker knows a later owner; to be acted on at the next tick
  * @tick_us: when it was last looked at what is due
  * @paused_us: when this process last woke after it had stood still; 0 once it has
@@ -57,6 +80,11 @@
   bts_specs_t *specs;
   bts_lead_t lead;
   bts_manifest_t *manifest;
+  gint64 append_us;
+  gint64 appended_us;
+  gint64 owner_append_us;
+  GHashTable *forwarded;
+  gboolean owner_new;
   gboolean deposed;
   gboolean resigned;
   gint64 tick_us;
@@ -124,12 +152,14 @@
           bts_ledger_term (node->ledger), owner == NULL ? "none" : owner);
   bts_lead_on_owner (&node->lead, node->ledger, now_us);
   bts_sched_end (node->sched);
+  node->owner_new = TRUE;
 }
 
 static void
-on_beat (void *context, guint64 number)
+on_beat (void *context, guint64 number, guint append_ms)
 {
   bts_node_t *node = context;
+  node->owner_append_us = (gint64)append_ms * 1000;
   bts_lead_on_sign (&node->lead, node_now (node));
   bts_sched_on_beat (node->sched, number);
 }
@@ -224,8 +254,11 @@
       bts_adviser_ask (node->adviser, 0, ask);
       return;
     }
-  g_autoptr (GBytes) message = message_pack (&ask->base);
-  node->ops->send (node->context, address, message);
+  Bts__Message message = BTS__MESSAGE__INIT;
+  message.kind_case = BTS__MESSAGE__KIND_ASK;
+  message.ask = (Bts__Ask *)ask;
+  g_autoptr (GBytes) bytes = message_pack (&message.base);
+  node->ops->send (node->context, address, bytes, ASK_TIMEOUT_MS);
 }
 
 static void
@@ -258,7 +291,74 @@
 gate_answer (void *context, guint64 exchange, bts_answer_t answer)
 {
   bts_node_t *node = context;
-  node->ops->answer (node->context, exchange, answer);
+  if ((exchange & FORWARDED) == 0)
+    {
+      node->ops->answer (node->context, exchange, answer);
+      return;
+    }
+  Bts__Reply reply = BTS__REPLY__INIT;
+  reply.kind_case = BTS__REPLY__KIND_ANSWER;
+  reply.answer = answer;
+  g_autoptr (GBytes) bytes = message_pack (&reply.base);
+  node->ops->reply (node->context, exchange & ~FORWARDED, bytes);
+}
+
+/* Whether the owner's appends, or one of this process of late, took long. */
+static gboolean
+is_log_slow (const bts_node_t *node)
+{
+  return node->owner_append_us >= FORWARD_US
+         || (node->append_us >= FORWARD_US && node_now (node) - node->appended_us < APPENDED_US);
+}
+
+/* Whether so many entries are there that a log that turns slow would take their appends
+   for seconds before they know. */
+static gboolean
+is_crowded (const bts_node_t *node)
+{
+  return bts_members_count (node->members) > CROWD;
+}
+
+/* Where the owner takes messages, if that is another process. */
+static const char *
+owner_address (const bts_node_t *node)
+{
+  const char *owner = bts_ledger_owner (node->ledger);
+  if (owner == NULL || bts_lead_mine (&node->lead, node->ledger))
+    return NULL;
+  const bts_member_t *member = bts_members_find (node->members, owner);
+  return member == NULL ? NULL : member->address;
+}
+
+static void
+forward (bts_node_t *node, const char *address, guint64 exchange, Bts__Accepted *job,
+         gint64 patience_us)
+{
+  Bts__Forward forwarded = BTS__FORWARD__INIT;
+  forwarded.job = job;
+  forwarded.patience_ms = (guint32)(MAX (patience_us, 0) / 1000);
+  forwarded.exchange = exchange;
+  forwarded.sent_us = node_now (node);
+  Bts__Message message = BTS__MESSAGE__INIT;
+  message.kind_case = BTS__MESSAGE__KIND_FORWARD;
+  message.forward = &forwarded;
+  g_autoptr (GBytes) bytes = message_pack (&message.base);
+  bts__accepted__free_unpacked (job, NULL);
+  guint64 *key = g_new (guint64, 1);
+  *key = exchange;
+  g_hash_table_replace (node->forwarded, key, g_bytes_ref (bytes));
+  node->ops->send (node->context, address, bytes, FORWARD_TIMEOUT_MS);
+}
+
+static gboolean
+gate_pass_on (void *context, guint64 exchange, Bts__Accepted *job, gint64 patience_us)
+{
+  bts_node_t *node = context;
+  const char *address = (exchange & FORWARDED) != 0 ? NULL : owner_address (node);
+  if (address == NULL)
+    return FALSE;
+  forward (node, address, exchange, job, patience_us);
+  return TRUE;
 }
 
 static void
@@ -269,7 +369,7 @@
   node->ops->append_spec (node->context, token, bytes);
 }
 
-static const bts_gate_ops_t gate_ops = { gate_append, gate_append_spec, gate_answer };
+static const bts_gate_ops_t gate_ops = { gate_append, gate_append_spec, gate_pass_on, gate_answer };
 
 static void
 specs_read (void *context, gint64 from)
@@ -334,6 +434,8 @@
   node->ledger = bts_ledger_new (&ledger_ops, node);
   bts_fleet_init (&node->fleet);
   node->members = bts_members_new ();
+  node->forwarded
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_bytes_unref);
   node->sched = bts_sched_new (&config->sched, clock, node->ledger, &node->fleet, node->members,
                                &sched_ops, node);
   node->gate = bts_gate_new (node->ledger, &gate_ops, node);
@@ -357,6 +459,7 @@
   bts_lead_clear (&node->lead);
   bts_manifest_free (node->manifest);
   bts_members_free (node->members);
+  g_hash_table_unref (node->forwarded);
   g_free (node->name);
   g_free (node->address);
   g_free (node);
@@ -494,6 +597,9 @@
     bt_metrics_observe (BT_HIST_APPEND_MS, took_us / 1000);
   if (stored == BTS_STORED)
     bts_lead_on_append (&node->lead, took_us);
+  node->append_us = stored == BTS_STORED ? took_us : MAX (took_us, FORWARD_US);
+  node->appended_us = node_now (node);
+  bts_sched_set_append_ms (node->sched, (guint)(node->append_us / 1000));
   if (token != TOKEN_NONE)
     bts_gate_on_append (node->gate, token, stored, node_now (node));
 }
@@ -520,15 +626,46 @@
         }
       else
         {
-          g_autoptr (GBytes) reply = message_pack (&advice->base);
-          node->ops->reply (node->context, question->exchange, reply);
+          Bts__Reply reply = BTS__REPLY__INIT;
+          reply.kind_case = BTS__REPLY__KIND_ADVICE;
+          reply.advice = (Bts__Advice *)advice;
+          g_autoptr (GBytes) bytes = message_pack (&reply.base);
+          node->ops->reply (node->context, question->exchange, bytes);
         }
     }
   bts_adviser_on_answer (node->adviser, question, advice != NULL);
 }
 
+static gboolean
+take_ask (bts_node_t *node, guint64 exchange, const Bts__Ask *ask)
+{
+  if (ask->n_workers == 0 || ask->n_workers > BTS_ADVICE_MAX || *ask->job == '\0')
+    return FALSE;
+  bts_adviser_ask (node->adviser, exchange, ask);
+  return TRUE;
+}
+
+static gboolean
+take_forward (bts_node_t *node, guint64 exchange, Bts__Forward *forward)
+{
+  g_autoptr (GError) error = NULL;
+  if (forward->job == NULL || !bts_accepted_check (forward->job, &error))
+    return FALSE;
+  /* The entry appends the job itself if there is no owner here any more. */
+  if (!bts_sched_leading (node->sched))
+    {
+      node->ops->reply (node->context, exchange, NULL);
+      return TRUE;
+    }
+  Bts__Accepted *job = forward->job;
+  forward->job = NULL;
+  bts_gate_submit (node->gate, exchange | FORWARDED, job, FALSE,
+                   (gint64)forward->patience_ms * 1000, node_now (node));
+  return TRUE;
+}
+
 /**
- * bts_node_on_message() - another process asks about a step
+ * bts_node_on_message() - a message of another process
  * @node: the process
  * @exchange: names the message for its reply
  * @data: the message, @len bytes
@@ -539,37 +676,100 @@
 gboolean
 bts_node_on_message (bts_node_t *node, guint64 exchange, const guint8 *data, gsize len)
 {
-  Bts__Ask *ask = bts__ask__unpack (NULL, len, data);
-  if (ask == NULL)
+  Bts__Message *message = bts__message__unpack (NULL, len, data);
+  if (message == NULL)
     return FALSE;
-  gboolean usable = ask->n_workers > 0 && ask->n_workers <= BTS_ADVICE_MAX && *ask->job != '\0';
-  if (usable)
-    bts_adviser_ask (node->adviser, exchange, ask);
-  bts__ask__free_unpacked (ask, NULL);
+  gboolean usable = FALSE;
+  if (message->kind_case == BTS__MESSAGE__KIND_ASK)
+    usable = take_ask (node, exchange, message->ask);
+  else if (message->kind_case == BTS__MESSAGE__KIND_FORWARD)
+    usable = take_forward (node, exchange, message->forward);
+  bts__message__free_unpacked (message, NULL);
   return usable;
 }
 
+static void
+append_forwarded (bts_node_t *node, Bts__Forward *forward)
+{
+  gint64 now_us = node_now (node);
+  gint64 left_us = (gint64)forward->patience_ms * 1000 - (now_us - forward->sent_us);
+  Bts__Accepted *job = forward->job;
+  forward->job = NULL;
+  bts_gate_submit (node->gate, forward->exchange, job, TRUE, left_us, now_us);
+}
+
+static void
+on_asked (bts_node_t *node, const Bts__Ask *ask, const Bts__Reply *reply)
+{
+  const Bts__Advice *advice
+      = reply != NULL && reply->kind_case == BTS__REPLY__KIND_ADVICE ? reply->advice : NULL;
+  if (advice == NULL)
+    bt_log (BT_LOG_NOTICE, "advice-missing", "job=%s step=%u", ask->job, ask->step);
+  bts_sched_on_advice (node->sched, ask, advice);
+}
+
+/* Jobs that an earlier owner was handed may have been lost with it. */
+static void
+append_all_forwarded (bts_node_t *node)
+{
+  g_autoptr (GPtrArray) messages = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, node->forwarded);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (messages, g_bytes_ref (value));
+  g_hash_table_remove_all (node->forwarded);
+  for (guint i = 0; i < messages->len; i++)
+    {
+      gsize len;
+      const guint8 *data = g_bytes_get_data (messages->pdata[i], &len);
+      Bts__Message *message = bts__message__unpack (NULL, len, data);
+      append_forwarded (node, message->forward);
+      bts__message__free_unpacked (message, NULL);
+    }
+}
+
+/* Without an answer the entry appends the job itself: a record that is there twice
+   counts once. */
+static void
+on_forwarded (bts_node_t *node, Bts__Forward *forward, const Bts__Reply *reply)
+{
+  gint64 now_us = node_now (node);
+  gboolean answered = reply != NULL && reply->kind_case == BTS__REPLY__KIND_ANSWER
+                      && reply->answer <= BTS_ANSWER_GONE;
+  if (!g_hash_table_remove (node->forwarded, &forward->exchange))
+    return;
+  bt_log (BT_LOG_INFO, "forwarded", "job=%s answered=%d took_ms=%" G_GINT64_FORMAT,
+          forward->job->id, answered, (now_us - forward->sent_us) / 1000);
+  if (answered)
+    {
+      node->ops->answer (node->context, forward->exchange, (bts_answer_t)reply->answer);
+      return;
+    }
+  append_forwarded (node, forward);
+}
+
 /**
  * bts_node_on_reply() - what became of a message to another process
  * @node: the process
- * @message: the message
+ * @sent: the message
  * @data: the reply, @len bytes; NULL if there is none
  * @len: number of bytes
  */
 void
-bts_node_on_reply (bts_node_t *node, GBytes *message, const guint8 *data, gsize len)
+bts_node_on_reply (bts_node_t *node, GBytes *sent, const guint8 *data, gsize len)
 {
-  gsize ask_len;
-  const guint8 *ask_data = g_bytes_get_data (message, &ask_len);
-  Bts__Ask *ask = bts__ask__unpack (NULL, ask_len, ask_data);
-  Bts__Advice *advice = data == NULL ? NULL : bts__advice__unpack (NULL, len, data);
-  if (advice == NULL)
-    bt_log (BT_LOG_NOTICE, "advice-missing", "job=%s step=%u readable=%d", ask->job, ask->step,
-            data == NULL);
-  bts_sched_on_advice (node->sched, ask, advice);
-  bts__ask__free_unpacked (ask, NULL);
-  if (advice != NULL)
-    bts__advice__free_unpacked (advice, NULL);
+  gsize sent_len;
+  const guint8 *sent_data = g_bytes_get_data (sent, &sent_len);
+  Bts__Message *message = bts__message__unpack (NULL, sent_len, sent_data);
+  Bts__Reply *reply = data == NULL ? NULL : bts__reply__unpack (NULL, len, data);
+  if (message->kind_case == BTS__MESSAGE__KIND_ASK)
+    on_asked (node, message->ask, reply);
+  else
+    on_forwarded (node, message->forward, reply);
+  bts__message__free_unpacked (message, NULL);
+  if (reply != NULL)
+    bts__reply__free_unpacked (reply, NULL);
 }
 
 /**
@@ -652,10 +852,26 @@
   bts_sched_gauge (node->sched);
 }
 
+/**
+ * bts_node_submit() - a caller hands in a job
+ * @node: the process
+ * @exchange: names the caller's request
+ * @job: the job, checked; the process takes it
+ * @patience_us: how long the caller waits
+ */
 void
 bts_node_submit (bts_node_t *node, guint64 exchange, Bts__Accepted *job, gint64 patience_us)
 {
-  bts_gate_submit (node->gate, exchange, job, patience_us, node_now (node));
+  /* The log works on one append at a time: a slow one takes few of them, and those of
+     the owner carry the jobs of all entries. The owner may also reach the store where
+     this process doesn't. */
+  gboolean direct
+      = bts_gate_fresh (node->gate, node_now (node)) && !is_log_slow (node) && !is_crowded (node);
+  const char *address = direct ? NULL : owner_address (node);
+  if (address != NULL && bts_ledger_job (node->ledger, job->id) == NULL)
+    forward (node, address, exchange, job, patience_us);
+  else
+    bts_gate_submit (node->gate, exchange, job, FALSE, patience_us, node_now (node));
 }
 
 void
@@ -710,7 +926,7 @@
 gboolean
 bts_node_idle (const bts_node_t *node)
 {
-  return bts_gate_waiting (node->gate) == 0;
+  return bts_gate_waiting (node->gate) == 0 && g_hash_table_size (node->forwarded) == 0;
 }
 
 gboolean
@@ -799,6 +1015,9 @@
       bts_sched_set_blind (node->sched, TRUE);
     }
   node->tick_us = now_us;
+  if (node->owner_new && !node->replaying)
+    append_all_forwarded (node);
+  node->owner_new = FALSE;
   if (node->deposed)
     {
       if (bts_sched_leading (node->sched))
@@ -815,8 +1034,9 @@
   yield_if_weak (node, now_us);
   if (bts_lead_due (&node->lead, node->ledger, is_weak (node, now_us), now_us))
     claim (node);
+  gint64 hello_us = is_log_slow (node) ? HELLO_SLOW_US : HELLO_US;
   if (!node->replaying && !node->lead.leaving && bts_gate_fresh (node->gate, now_us)
-      && now_us - node->hello_us >= HELLO_US)
+      && (node->hello_us == 0 || now_us - node->hello_us >= hello_us))
     say_hello (node, now_us);
   if (bts_sched_leading (node->sched))
     bts_specs_tick (node->specs, now_us);
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -38,7 +38,7 @@
   void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
   void (*stop) (void *context, const bts_run_t *run, guint64 fence);
   void (*advise) (void *context, const bts_question_t *question);
-  void (*send) (void *context, const char *address, GBytes *message);
+  void (*send) (void *context, const char *address, GBytes *message, guint timeout_ms);
   void (*reply) (void *context, guint64 exchange, GBytes *reply);
   void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
   gint64 (*now_unix_ms) (void *context);
@@ -76,7 +76,7 @@
 void bts_node_on_advice (bts_node_t *node, const bts_question_t *question,
                          const Bts__Advice *advice);
 gboolean bts_node_on_message (bts_node_t *node, guint64 exchange, const guint8 *data, gsize len);
-void bts_node_on_reply (bts_node_t *node, GBytes *message, const guint8 *data, gsize len);
+void bts_node_on_reply (bts_node_t *node, GBytes *sent, const guint8 *data, gsize len);
 void bts_node_on_manifest (bts_node_t *node, bts_manifest_t *manifest);
 void bts_node_on_entry (bts_node_t *node, bts_entry_t *entry);
 void bts_node_on_entries (bts_node_t *node, GHashTable *ids);
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -674,6 +674,17 @@
   bt_metrics_set (BT_GAUGE_WORKERS_SILENT, silent);
 }
 
+/**
+ * bts_sched_set_append_ms() - say how long appends take
+ * @sched: the scheduler
+ * @append_ms: time of the newest one, in milliseconds
+ */
+void
+bts_sched_set_append_ms (bts_sched_t *sched, guint append_ms)
+{
+  sched->append_ms = append_ms;
+}
+
 /**
  * bts_sched_changed() - something that placement looks at has changed
  * @sched: the scheduler
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -155,6 +155,7 @@
 gboolean bts_sched_settled (const bts_sched_t *sched, gint64 for_us);
 gint64 bts_sched_lease_ms (const bts_sched_t *sched);
 void bts_sched_set_blind (bts_sched_t *sched, gboolean blind);
+void bts_sched_set_append_ms (bts_sched_t *sched, guint append_ms);
 void bts_sched_changed (bts_sched_t *sched);
 void bts_sched_look (bts_sched_t *sched);
 void bts_sched_tick (bts_sched_t *sched);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -39,6 +39,7 @@
  * @released: ids of workers that aren't held any longer
  * @begun_beat: the beat that carried the first @begun_sent, @held_sent and
  *   @released_sent of them last
+ * @append_ms: time that the newest append took, told in beats
  * @beat: number of the newest beat
  * @beat_us: when it was sent
  * @beat_open: it hasn't come back yet
@@ -77,6 +78,7 @@
   GArray *begun;
   GPtrArray *held;
   GPtrArray *released;
+  guint append_ms;
   guint64 begun_beat;
   guint begun_sent;
   guint held_sent;
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -727,6 +727,141 @@
   assert(message->base.descriptor == &bts__ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__forward__init
+                     (Bts__Forward         *message)
+{
+  static const Bts__Forward init_value = BTS__FORWARD__INIT;
+  *message = init_value;
+}
+size_t bts__forward__get_packed_size
+                     (const Bts__Forward *message)
+{
+  assert(message->base.descriptor == &bts__forward__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__forward__pack
+                     (const Bts__Forward *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__forward__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__forward__pack_to_buffer
+                     (const Bts__Forward *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__forward__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Forward *
+       bts__forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Forward *)
+     protobuf_c_message_unpack (&bts__forward__descriptor,
+                                allocator, len, data);
+}
+void   bts__forward__free_unpacked
+                     (Bts__Forward *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__forward__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__message__init
+                     (Bts__Message         *message)
+{
+  static const Bts__Message init_value = BTS__MESSAGE__INIT;
+  *message = init_value;
+}
+size_t bts__message__get_packed_size
+                     (const Bts__Message *message)
+{
+  assert(message->base.descriptor == &bts__message__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__message__pack
+                     (const Bts__Message *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__message__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__message__pack_to_buffer
+                     (const Bts__Message *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__message__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Message *
+       bts__message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Message *)
+     protobuf_c_message_unpack (&bts__message__descriptor,
+                                allocator, len, data);
+}
+void   bts__message__free_unpacked
+                     (Bts__Message *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__message__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__reply__init
+                     (Bts__Reply         *message)
+{
+  static const Bts__Reply init_value = BTS__REPLY__INIT;
+  *message = init_value;
+}
+size_t bts__reply__get_packed_size
+                     (const Bts__Reply *message)
+{
+  assert(message->base.descriptor == &bts__reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__reply__pack
+                     (const Bts__Reply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__reply__pack_to_buffer
+                     (const Bts__Reply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Reply *
+       bts__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Reply *)
+     protobuf_c_message_unpack (&bts__reply__descriptor,
+                                allocator, len, data);
+}
+void   bts__reply__free_unpacked
+                     (Bts__Reply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__hello__init
                      (Bts__Hello         *message)
 {
@@ -1732,7 +1867,7 @@
   (ProtobufCMessageInit) bts__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__beat__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bts__beat__field_descriptors[7] =
 {
   {
     "term",
@@ -1806,8 +1941,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "append_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Beat, append_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__beat__field_indices_by_name[] = {
+  6,   /* field[6] = append_ms */
   2,   /* field[2] = begun */
   3,   /* field[3] = ends */
   4,   /* field[4] = held */
@@ -1818,7 +1966,7 @@
 static const ProtobufCIntRange bts__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bts__beat__descriptor =
 {
@@ -1828,7 +1976,7 @@
   "Bts__Beat",
   "bts",
   sizeof(Bts__Beat),
-  6,
+  7,
   bts__beat__field_descriptors,
   bts__beat__field_indices_by_name,
   1,  bts__beat__number_ranges,
@@ -2376,6 +2524,185 @@
   (ProtobufCMessageInit) bts__ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bts__forward__field_descriptors[4] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Forward, job),
+    &bts__accepted__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "patience_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Forward, patience_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "exchange",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Forward, exchange),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Forward, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__forward__field_indices_by_name[] = {
+  2,   /* field[2] = exchange */
+  0,   /* field[0] = job */
+  1,   /* field[1] = patience_ms */
+  3,   /* field[3] = sent_us */
+};
+static const ProtobufCIntRange bts__forward__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bts__forward__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Forward",
+  "Forward",
+  "Bts__Forward",
+  "bts",
+  sizeof(Bts__Forward),
+  4,
+  bts__forward__field_descriptors,
+  bts__forward__field_indices_by_name,
+  1,  bts__forward__number_ranges,
+  (ProtobufCMessageInit) bts__forward__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__message__field_descriptors[2] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Message, kind_case),
+    offsetof(Bts__Message, ask),
+    &bts__ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Message, kind_case),
+    offsetof(Bts__Message, forward),
+    &bts__forward__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__message__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  1,   /* field[1] = forward */
+};
+static const ProtobufCIntRange bts__message__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bts__message__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Message",
+  "Message",
+  "Bts__Message",
+  "bts",
+  sizeof(Bts__Message),
+  2,
+  bts__message__field_descriptors,
+  bts__message__field_indices_by_name,
+  1,  bts__message__number_ranges,
+  (ProtobufCMessageInit) bts__message__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__reply__field_descriptors[2] =
+{
+  {
+    "advice",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Reply, kind_case),
+    offsetof(Bts__Reply, advice),
+    &bts__advice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Bts__Reply, kind_case),
+    offsetof(Bts__Reply, answer),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__reply__field_indices_by_name[] = {
+  0,   /* field[0] = advice */
+  1,   /* field[1] = answer */
+};
+static const ProtobufCIntRange bts__reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bts__reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Reply",
+  "Reply",
+  "Bts__Reply",
+  "bts",
+  sizeof(Bts__Reply),
+  2,
+  bts__reply__field_descriptors,
+  bts__reply__field_indices_by_name,
+  1,  bts__reply__number_ranges,
+  (ProtobufCMessageInit) bts__reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bts__hello__field_descriptors[3] =
 {
   {
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -31,6 +31,9 @@
 typedef struct Bts__Ticket Bts__Ticket;
 typedef struct Bts__Advice Bts__Advice;
 typedef struct Bts__Ask Bts__Ask;
+typedef struct Bts__Forward Bts__Forward;
+typedef struct Bts__Message Bts__Message;
+typedef struct Bts__Reply Bts__Reply;
 typedef struct Bts__Hello Bts__Hello;
 typedef struct Bts__Record Bts__Record;
 
@@ -217,10 +220,14 @@
   Bts__Held **held;
   size_t n_released;
   char **released;
+  /*
+   * Time that the owner's last append took, in milliseconds.
+   */
+  uint32_t append_ms;
 };
 #define BTS__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__beat__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -313,8 +320,8 @@
 
 
 /*
- * A message between processes: the owner has another one ask the advice service,
- * which takes one call at a time from each VM. The reply is an Advice.
+ * The owner has another process ask the advice service, which takes one call at a
+ * time from each VM.
  */
 struct  Bts__Ask
 {
@@ -334,6 +341,79 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
+/*
+ * A job that its entry hands to the owner, while the log takes few appends.
+ */
+struct  Bts__Forward
+{
+  ProtobufCMessage base;
+  Bts__Accepted *job;
+  /*
+   * How long the caller waits, in milliseconds.
+   */
+  uint32_t patience_ms;
+  /*
+   * The entry's own number of the exchange, and its clock as it sent this.
+   */
+  uint64_t exchange;
+  int64_t sent_us;
+};
+#define BTS__FORWARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__forward__descriptor) \
+    , NULL, 0, 0, 0 }
+
+
+typedef enum {
+  BTS__MESSAGE__KIND__NOT_SET = 0,
+  BTS__MESSAGE__KIND_ASK = 1,
+  BTS__MESSAGE__KIND_FORWARD = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__MESSAGE__KIND__CASE)
+} Bts__Message__KindCase;
+
+/*
+ * A message between processes.
+ */
+struct  Bts__Message
+{
+  ProtobufCMessage base;
+  Bts__Message__KindCase kind_case;
+  union {
+    Bts__Ask *ask;
+    Bts__Forward *forward;
+  };
+};
+#define BTS__MESSAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__message__descriptor) \
+    , BTS__MESSAGE__KIND__NOT_SET, {0} }
+
+
+typedef enum {
+  BTS__REPLY__KIND__NOT_SET = 0,
+  BTS__REPLY__KIND_ADVICE = 1,
+  BTS__REPLY__KIND_ANSWER = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__REPLY__KIND__CASE)
+} Bts__Reply__KindCase;
+
+/*
+ * The reply to a message.
+ */
+struct  Bts__Reply
+{
+  ProtobufCMessage base;
+  Bts__Reply__KindCase kind_case;
+  union {
+    Bts__Advice *advice;
+    /*
+     * What the caller of a forwarded job is told; see bts_answer_t.
+     */
+    uint32_t answer;
+  };
+};
+#define BTS__REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__reply__descriptor) \
+    , BTS__REPLY__KIND__NOT_SET, {0} }
+
+
 /*
  * A process is there and may be asked.
  */
@@ -692,6 +772,63 @@
 void   bts__ask__free_unpacked
                      (Bts__Ask *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Forward methods */
+void   bts__forward__init
+                     (Bts__Forward         *message);
+size_t bts__forward__get_packed_size
+                     (const Bts__Forward   *message);
+size_t bts__forward__pack
+                     (const Bts__Forward   *message,
+                      uint8_t             *out);
+size_t bts__forward__pack_to_buffer
+                     (const Bts__Forward   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Forward *
+       bts__forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__forward__free_unpacked
+                     (Bts__Forward *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Message methods */
+void   bts__message__init
+                     (Bts__Message         *message);
+size_t bts__message__get_packed_size
+                     (const Bts__Message   *message);
+size_t bts__message__pack
+                     (const Bts__Message   *message,
+                      uint8_t             *out);
+size_t bts__message__pack_to_buffer
+                     (const Bts__Message   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Message *
+       bts__message__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__message__free_unpacked
+                     (Bts__Message *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Reply methods */
+void   bts__reply__init
+                     (Bts__Reply         *message);
+size_t bts__reply__get_packed_size
+                     (const Bts__Reply   *message);
+size_t bts__reply__pack
+                     (const Bts__Reply   *message,
+                      uint8_t             *out);
+size_t bts__reply__pack_to_buffer
+                     (const Bts__Reply   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Reply *
+       bts__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__reply__free_unpacked
+                     (Bts__Reply *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Hello methods */
 void   bts__hello__init
                      (Bts__Hello         *message);
@@ -780,6 +917,15 @@
 typedef void (*Bts__Ask_Closure)
                  (const Bts__Ask *message,
                   void *closure_data);
+typedef void (*Bts__Forward_Closure)
+                 (const Bts__Forward *message,
+                  void *closure_data);
+typedef void (*Bts__Message_Closure)
+                 (const Bts__Message *message,
+                  void *closure_data);
+typedef void (*Bts__Reply_Closure)
+                 (const Bts__Reply *message,
+                  void *closure_data);
 typedef void (*Bts__Hello_Closure)
                  (const Bts__Hello *message,
                   void *closure_data);
@@ -808,6 +954,9 @@
 extern const ProtobufCMessageDescriptor bts__ticket__descriptor;
 extern const ProtobufCMessageDescriptor bts__advice__descriptor;
 extern const ProtobufCMessageDescriptor bts__ask__descriptor;
+extern const ProtobufCMessageDescriptor bts__forward__descriptor;
+extern const ProtobufCMessageDescriptor bts__message__descriptor;
+extern const ProtobufCMessageDescriptor bts__reply__descriptor;
 extern const ProtobufCMessageDescriptor bts__hello__descriptor;
 extern const ProtobufCMessageDescriptor bts__record__descriptor;
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -12,6 +12,8 @@
 #define CALL_TIMEOUT_US (400 * 1000)
 #define APPEND_TIMEOUT_US (1200 * 1000)
 #define ENTRIES_US (900 * 1000)
+/* A call that would wait for longer at a serial log is refused. */
+#define APPEND_QUEUE_US (2000 * 1000)
 #define TICKET_MS 2000
 #define ADVICE_US (30 * 1000)
 /* Time from a confirmed cancellation after which no task of the job may start. */
@@ -148,6 +150,65 @@
   return node->sim->store_down || node->cut;
 }
 
+/* The log works on one call at a time. */
+
+/**
+ * struct sim_call_t - records of one call
+ */
+typedef struct
+{
+  sim_node_t *node;
+  guint life;
+  gboolean refused;
+  GPtrArray *appends;
+} sim_call_t;
+
+static void send_batch (sim_node_t *node);
+
+static void
+call_landed (sim_t *sim, gpointer data)
+{
+  sim_call_t *call = data;
+  sim_node_t *node = call->node;
+  for (guint i = 0; i < call->appends->len; i++)
+    {
+      sim_append_t *append = call->appends->pdata[i];
+      append->stored = call->refused ? BTS_NOT_STORED : BTS_STORED;
+      if (!call->refused)
+        append_landed (sim, g_bytes_ref (append->record));
+      if (node->life == call->life)
+        post (node, SIM_DELAY_US, append_answered, append, append_free);
+      else
+        append_free (append);
+    }
+  g_ptr_array_unref (call->appends);
+  if (node->life == call->life)
+    {
+      node->batch_open = FALSE;
+      send_batch (node);
+    }
+  g_free (call);
+}
+
+static void
+send_batch (sim_node_t *node)
+{
+  sim_t *sim = node->sim;
+  if (node->batch_open || node->batch->len == 0)
+    return;
+  sim_call_t *call = g_new0 (sim_call_t, 1);
+  call->node = node;
+  call->life = node->life;
+  call->appends = node->batch;
+  node->batch = g_ptr_array_new ();
+  node->batch_open = TRUE;
+  gint64 begin_us = MAX (sim->append_free_us, now (sim));
+  call->refused = begin_us - now (sim) > APPEND_QUEUE_US;
+  if (!call->refused)
+    sim->append_free_us = begin_us + sim->append_us;
+  after (sim, call->refused ? SIM_DELAY_US : sim->append_free_us - now (sim), call_landed, call);
+}
+
 static void
 op_append (void *context, guint64 token, GBytes *record)
 {
@@ -158,6 +219,12 @@
   append->token = token;
   append->record = g_bytes_ref (record);
   append->sent_us = now (sim);
+  if (sim->append_serial)
+    {
+      g_ptr_array_add (node->batch, append);
+      send_batch (node);
+      return;
+    }
   gint64 delay_us = 2 * SIM_DELAY_US + sim->append_us;
   if (store_away (node))
     {
@@ -945,7 +1012,7 @@
 
 /* A message to a process that isn't there is lost, and the sender is told. */
 static void
-op_send (void *context, const char *address, GBytes *bytes)
+op_send (void *context, const char *address, GBytes *bytes, guint timeout_ms)
 {
   sim_node_t *node = context;
   sim_message_t *message = g_new0 (sim_message_t, 1);
@@ -1157,6 +1224,8 @@
   node->frozen = FALSE;
   node->advice_free_us = 0;
   node->questions_open = 0;
+  node->batch_open = FALSE;
+  g_ptr_array_set_size (node->batch, 0);
   node->spec_next = -1;
   node->specs_polled = FALSE;
   g_free (node->name);
@@ -1211,6 +1280,7 @@
       node->sim = sim;
       node->index = i;
       node->cpu_millis = 250;
+      node->batch = g_ptr_array_new ();
       node->held_back = g_ptr_array_new ();
       g_ptr_array_add (sim->nodes, node);
       sim_start (sim, i);
@@ -1504,6 +1574,7 @@
           g_free (mail);
         }
       g_ptr_array_unref (node->held_back);
+      g_ptr_array_unref (node->batch);
       g_clear_pointer (&node->node, bts_node_free);
       g_free (node->name);
       g_free (node);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -92,6 +92,8 @@
  * @next: the offset that it reads next
  * @spec_next: the offset that it reads next of the log of specs; -1 if it doesn't
  * @specs_polled: it looks for new ones
+ * @batch: records that wait for the next call, if the log is serial
+ * @batch_open: a call is on its way
  * @questions_open: messages of others that it has not replied to
  * @cpu_millis: its share of a processor, told as it starts
  */
@@ -108,6 +110,8 @@
   gint64 next;
   gint64 spec_next;
   gboolean specs_polled;
+  GPtrArray *batch;
+  gboolean batch_open;
   guint questions_open;
   guint cpu_millis;
   gint64 advice_free_us;
@@ -120,6 +124,9 @@
  * @store_refuses: appends and reads are refused
  * @lose_percent: share of appends that are done and not answered
  * @append_us: time of an append
+ * @append_free_us: when the log will have got through its appends, if @append_serial
+ * @append_serial: the log works on one call at a time and refuses those that would wait
+ *   for too long; a process has one call open, and further records go with its next one
  * @keep_ms: how long the log keeps records, told to processes as they start; 0 for ever
  * @log_us: when each record landed
  * @log_first: records before this one have been deleted
@@ -149,6 +156,8 @@
   gboolean store_refuses;
   guint lose_percent;
   gint64 append_us;
+  gboolean append_serial;
+  gint64 append_free_us;
   gint64 late_append_us;
   guint keep_ms;
   gint64 log_first;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -685,11 +685,38 @@
 }
 END_TEST
 
+/* Many entries and a log that takes 10 calls a second: each entry's own calls would wait
+   for seconds behind those of the others. */
+START_TEST (slow_log_and_many_entries)
+{
+  sim_t *sim = sim_new (30, 10, 1);
+  sim_run_ms (sim, 3000);
+  sim->append_serial = TRUE;
+  sim->append_us = 100 * 1000;
+  for (guint i = 0; i < 120; i++)
+    {
+      sim_submit (sim, i % 30, &lookup, one_step, G_N_ELEMENTS (one_step));
+      sim_run_ms (sim, 25);
+    }
+  sim->append_serial = FALSE;
+  sim->append_us = 2000;
+  sim_run_ms (sim, 6000);
+  guint refused = 0;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    refused += ((sim_job_t *)sim->jobs->pdata[i])->accepted_us == 0;
+  ck_assert_uint_eq (refused, 0);
+  expect_all_completed (sim);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("cluster");
   tcase_set_timeout (tests, 60);
   tcase_add_loop_test (tests, installation_keeps_its_promises, 0, G_N_ELEMENTS (cases));
+  tcase_add_test (tests, slow_log_and_many_entries);
   return suite_run ("cluster", tests);
 }
