Gangs and urgent work get room from runs that save; narrow steps ask about more workers

A question named 30 workers, 8 to 12 were allowed, and further ones were asked about only if they had room at that moment, so that a gang of 4 to 8 whole workers waited for nearly all of its few to be empty at once, while the ones reserved stood idle. Urgent tasks waited behind batch that could have gone on later.

Change: a step that is allowed on workers for fewer than three times its tasks asks about others, with room or not. In time and with tickets in hand, a gang after 0.3 s and urgent work at once stop patient runs that save their work, where that makes room.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -33,6 +33,9 @@
 /* Most questions that a process has at once: one that it asks, the next one, and one on
    its way. Calls that take longer than expected don't pile up then. */
 #define OPEN_MAX 3
+/* A stage should be allowed on workers that could take so many times its tasks, so that
+   it needn't wait for particular ones. */
+#define CHOICE 3
 /* Processes beside the owner from which on the owner asks none of its own questions. */
 #define HELPERS_MIN 2
 
@@ -116,15 +119,35 @@
          && (known ? ticket != NULL && ticket->ticket != NULL : ticket == NULL);
 }
 
-/* How many of the missing tasks of a stage the workers named so far will take. */
+/* How many tasks of a step a worker takes beside what is used of it. */
 static guint
-count_taken (const bts_worker_t *worker, const Bts__Step *step)
+count_taken (const bts_worker_t *worker, const bts_room_t *used, const Bts__Step *step)
 {
   bts_room_t room = bts_place_room (step);
-  guint fitting = bts_worker_count_fitting (worker, &worker->used, &room);
+  guint fitting = bts_worker_count_fitting (worker, used, &room);
   return step->per_worker_max == 0 ? fitting : MIN (fitting, step->per_worker_max);
 }
 
+static guint
+count_if_empty (const bts_worker_t *worker, const Bts__Step *step)
+{
+  bts_room_t nothing = { 0 };
+  return count_taken (worker, &nothing, step);
+}
+
+/* Whether the workers that a stage may use are so few that it would wait for nearly all
+   of them to be empty at once. */
+static gboolean
+is_narrow (const bts_sched_t *sched, const bts_stage_t *stage)
+{
+  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
+  guint64 taken = 0;
+  for (guint i = 0; i < pool->len; i++)
+    if (bts_place_may_use (pool->pdata[i], stage))
+      taken += count_if_empty (pool->pdata[i], bts_stage_step (stage));
+  return taken < (guint64)stage->n * CHOICE;
+}
+
 /**
  * struct candidate_t - a worker to ask about
  * @left: part of it that stays free beside one more task, in thousandths; 0 if that
@@ -171,19 +194,26 @@
       if (bts_place_open (worker, stage, now_us) == BTS_PLACE_OK)
         g_array_append_val (with_room, candidate);
       else
-        g_ptr_array_add (full, worker->entry->id);
+        g_ptr_array_add (full, (gpointer)worker);
     }
   g_array_sort (with_room, compare_left);
   for (guint i = 0; i < with_room->len && ids->len < BTS_ADVICE_MAX; i++)
     {
       const bts_worker_t *worker = g_array_index (with_room, candidate_t, i).worker;
       g_ptr_array_add (ids, worker->entry->id);
-      taken += count_taken (worker, step);
+      taken += count_taken (worker, &worker->used, step);
       if (ids->len >= WORKERS_USUAL && (guint64)taken * percent >= (guint64)stage->n * 100)
         return ids;
     }
-  for (guint i = 0; !room && i < full->len && ids->len < WORKERS_USUAL; i++)
-    g_ptr_array_add (ids, full->pdata[i]);
+  guint64 wanted = (guint64)stage->n * CHOICE * 100;
+  for (guint i = 0; !room && i < full->len && ids->len < BTS_ADVICE_MAX; i++)
+    {
+      const bts_worker_t *worker = full->pdata[i];
+      if (ids->len >= WORKERS_USUAL && (guint64)taken * percent >= wanted)
+        break;
+      g_ptr_array_add (ids, worker->entry->id);
+      taken += count_if_empty (worker, step);
+    }
   return ids;
 }
 
@@ -239,7 +269,7 @@
 }
 
 /**
- * bts_advice_extend() - ask about workers that have come since the last answer
+ * bts_advice_extend() - ask about further workers
  * @sched: a leading scheduler
  * @stage: a stage for whose tasks there is no room on the workers that it may use
  * @now_us: the time
@@ -251,7 +281,7 @@
       || now_us < stage->extend_us)
     return;
   stage->extend_us = now_us + EXTEND_US;
-  ask_about (sched, stage, FALSE, TRUE, now_us);
+  ask_about (sched, stage, FALSE, !is_narrow (sched, stage), now_us);
 }
 
 /**
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -7,9 +7,10 @@
 #include "libbamboothread/scheduler/place.h"
 
 /*
- * Room for tasks that are to be kept up: less urgent runs are stopped on one
- * worker, those that lose least. What is stopped starts again from its newest
- * checkpoint.
+ * Room by stopping less urgent runs. Tasks that are to be kept up get it at any
+ * price. Gangs, for which whole workers would stand idle until the last one is free,
+ * and urgent work get it from runs that save their work: a stop saves as well, so
+ * that it costs no more than a restart from the checkpoint.
  */
 
 /* Time that a task that is to be kept up waits for room of itself, in microseconds;
@@ -18,6 +19,15 @@
 /* Time between two rounds for one stage: a stop has to end and be listed. */
 #define SPACING_US (1500 * 1000)
 
+/* Time between two rounds for a stage whose tasks end by themselves, in microseconds: a
+   stop takes up to a second. */
+#define SAVED_SPACING_US (1000 * 1000)
+/* Time that a gang waits for room of itself, in microseconds. */
+#define GANG_PATIENCE_US (300 * 1000)
+/* Validity that tickets need to have left when room is made, in microseconds: the stops
+   have to end first. */
+#define TICKETS_LEFT_US (700 * 1000)
+
 static gboolean
 may_stop (const bts_run_t *run)
 {
@@ -142,21 +152,159 @@
 }
 
 /**
- * bts_preempt_for() - make room for the tasks of a stage that is to be kept up
+ * struct place_t - a worker on which room can be made
+ * @victims: the runs to stop
+ * @count: tasks that fit then
+ */
+typedef struct
+{
+  bts_worker_t *worker;
+  GPtrArray *victims;
+  guint count;
+} place_t;
+
+static void
+place_clear (gpointer data)
+{
+  g_ptr_array_unref (((place_t *)data)->victims);
+}
+
+/* Places where little is stopped for much room come first. */
+static gint
+compare_places (gconstpointer a, gconstpointer b)
+{
+  const place_t *left = a;
+  const place_t *right = b;
+  guint64 x = (guint64)left->victims->len * right->count;
+  guint64 y = (guint64)right->victims->len * left->count;
+  return x < y ? -1 : x > y;
+}
+
+/* A run that is less urgent than a stage and saves its work. */
+static gboolean
+gives_way (const bts_run_t *run, const bts_stage_t *stage)
+{
+  return may_stop (run) && run->task->saved != NULL
+         && bts_stage_step (run->task->stage)->checkpoints
+         && bts_stage_policy (run->task->stage)->priority > bts_stage_policy (stage)->priority;
+}
+
+/* The fewest runs that give way to one more task of a stage, the largest first, and how
+   many tasks fit then. Room that is being freed already counts. */
+static gboolean
+make_place (bts_worker_t *worker, const bts_stage_t *stage, place_t *place)
+{
+  const Bts__Step *step = bts_stage_step (stage);
+  bts_room_t room = bts_place_room (step);
+  bts_room_t used = worker->used;
+  place->worker = worker;
+  place->victims = g_ptr_array_new ();
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      bts_run_t *run = worker->runs->pdata[i];
+      if (run->state == BTS_RUN_STOPPING)
+        bts_room_subtract (&used, &run->room);
+    }
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      bts_run_t *run = worker->runs->pdata[i];
+      place->count = bts_worker_count_fitting (worker, &used, &room);
+      if (place->count > 0)
+        break;
+      if (!gives_way (run, stage))
+        continue;
+      bts_room_subtract (&used, &run->room);
+      g_ptr_array_add (place->victims, run);
+    }
+  place->count = bts_worker_count_fitting (worker, &used, &room);
+  if (step->per_worker_max > 0)
+    place->count = MIN (place->count, step->per_worker_max);
+  return place->count > 0;
+}
+
+static GArray *
+find_places (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+{
+  gboolean advised = bts_stage_policy (stage)->advised;
+  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
+  GArray *places = g_array_new (FALSE, FALSE, sizeof (place_t));
+  g_array_set_clear_func (places, place_clear);
+  for (guint i = 0; i < pool->len; i++)
+    {
+      bts_worker_t *worker = pool->pdata[i];
+      bts_place_why_t why = bts_place_check (worker, stage, now_us);
+      if ((why != BTS_PLACE_OK && why != BTS_PLACE_NO_ROOM) || worker->reserved == sched->pass
+          || (advised
+              && bts_stage_ticket_now (stage, worker->entry->id, now_us + TICKETS_LEFT_US) == NULL))
+        continue;
+      place_t place = { 0 };
+      if (make_place (worker, stage, &place))
+        g_array_append_val (places, place);
+      else
+        place_clear (&place);
+    }
+  g_array_sort (places, compare_places);
+  return places;
+}
+
+/* Stops runs that save their work where that makes room for all tasks of a gang, or for
+   as many tasks of urgent work as can be. */
+static gboolean
+preempt_saved (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us)
+{
+  const Bts__Step *step = bts_stage_step (stage);
+  g_autoptr (GArray) places = find_places (sched, stage, now_us);
+  guint room = 0;
+  guint n = 0;
+  for (; n < places->len && room < open; n++)
+    room += g_array_index (places, place_t, n).count;
+  if (room == 0 || (step->gang && room < open))
+    return FALSE;
+  stage->preempt_us = now_us + SAVED_SPACING_US;
+  guint stopped = 0;
+  for (guint i = 0; i < n; i++)
+    {
+      const place_t *place = &g_array_index (places, place_t, i);
+      place->worker->reserved = sched->pass;
+      place->worker->reserved_us = now_us;
+      memset (&place->worker->reserved_left, 0, sizeof place->worker->reserved_left);
+      for (guint v = 0; v < place->victims->len; v++)
+        bts_run_stop (sched, place->victims->pdata[v]);
+      stopped += place->victims->len;
+    }
+  bt_metrics_add (BT_COUNT_PREEMPTED, stopped);
+  bt_log (BT_LOG_INFO, "preempt", "job=%s step=%u stopped=%u workers=%u open=%u saved=1",
+          bts_job_id (stage->job), stage->step, stopped, n, open);
+  return TRUE;
+}
+
+/**
+ * bts_preempt_for() - make room for the tasks of a stage
  * @sched: a leading scheduler
  * @stage: a stage with tasks that found no room
  * @open: how many
  * @now_us: the time
+ *
+ * Return: whether workers are kept for it in this pass because room is made on them.
  */
-void
+gboolean
 bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us)
 {
-  if (!bts_stage_step (stage)->long_running)
-    return;
+  const Bts__Step *step = bts_stage_step (stage);
+  gboolean urgent = bts_stage_policy (stage)->priority == 0;
+  if (!step->long_running)
+    {
+      if (stage->short_us == 0)
+        stage->short_us = now_us;
+      if ((step->gang || urgent) && now_us <= stage->due_us && now_us >= stage->preempt_us
+          && (urgent || now_us - stage->short_us >= GANG_PATIENCE_US))
+        return preempt_saved (sched, stage, open, now_us);
+      return FALSE;
+    }
   if (stage->short_us == 0)
     stage->short_us = now_us;
   if (now_us - stage->short_us < PATIENCE_US || now_us < stage->preempt_us)
-    return;
+    return FALSE;
   stage->preempt_us = now_us + SPACING_US;
   for (guint i = 0; i < open; i++)
     {
@@ -164,11 +312,12 @@
       gint64 cost = 0;
       g_autoptr (GPtrArray) victims = find_best (sched, stage, now_us, &coming, &cost);
       if (victims == NULL || coming >= open)
-        return;
+        return FALSE;
       bt_log (BT_LOG_INFO, "preempt", "job=%s step=%u stopped=%u loss_core_ms=%" G_GINT64_FORMAT,
               bts_job_id (stage->job), stage->step, victims->len, cost);
       bt_metrics_add (BT_COUNT_PREEMPTED, victims->len);
       for (guint v = 0; v < victims->len; v++)
         bts_run_stop (sched, victims->pdata[v]);
     }
+  return FALSE;
 }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -613,9 +613,8 @@
       if (open > 0 && sure)
         {
           bts_advice_extend (sched, stage, now_us);
-          if (reserving < RESERVE_STAGES_MAX)
+          if (!bts_preempt_for (sched, stage, open, now_us) && reserving < RESERVE_STAGES_MAX)
             reserving += bts_reserve_for (sched, stage, open, now_us);
-          bts_preempt_for (sched, stage, open, now_us);
         }
       sched->waiting->pdata[kept++] = stage;
     }
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -112,7 +112,7 @@
 
 gint64 bts_sched_now (const bts_sched_t *sched);
 gboolean bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
-void bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
+gboolean bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us);
 
 gint64 bts_sched_granted_ms (const bts_sched_t *sched, const bts_worker_t *worker);
 gint64 bts_sched_deadline (bts_sched_t *sched, bts_worker_t *worker);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -630,6 +630,44 @@
   expect_all_completed (sim);
 }
 
+/* Patient tasks that save their work fill all workers for 8 s. Whoever is more urgent gets
+   room as soon as they are stopped, and they go on later. */
+static void
+fill_with_saving_tasks (sim_t *sim)
+{
+  static const sim_step_t saving[] = {
+    { .count = 12, .cpu = 4000, .memory = 2000, .gpus = 1, .ms = 8000, .saves = TRUE },
+  };
+  for (guint i = 0; i < 4; i++)
+    sim_submit (sim, 0, &batch, saving, G_N_ELEMENTS (saving));
+  sim_run_ms (sim, 2500);
+}
+
+static void
+gang_finds_workers_full_of_saving_tasks (sim_t *sim)
+{
+  static const sim_step_t whole[]
+      = { { .count = 2, .cpu = 20000, .memory = 20000, .gpus = 8, .ms = 1000, .gang = TRUE } };
+  fill_with_saving_tasks (sim);
+  sim_job_t *job = sim_submit (sim, 1, &service, whole, G_N_ELEMENTS (whole));
+  sim_run_ms (sim, 3000);
+  ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
+  sim_run_ms (sim, 15000);
+  expect_all_completed (sim);
+}
+
+static void
+urgent_finds_workers_full_of_saving_tasks (sim_t *sim)
+{
+  static const sim_step_t urgent[] = { { .count = 8, .cpu = 4000, .memory = 2000, .ms = 500 } };
+  fill_with_saving_tasks (sim);
+  sim_job_t *job = sim_submit (sim, 1, &lookup, urgent, G_N_ELEMENTS (urgent));
+  sim_run_ms (sim, 1500);
+  ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
+  sim_run_ms (sim, 15000);
+  expect_all_completed (sim);
+}
+
 static const struct
 {
   const char *name;
@@ -671,6 +709,8 @@
   { "asked_process_killed", asked_process_killed },
   { "burst_of_advised_jobs", burst_of_advised_jobs },
   { "reads_hang_for_a_moment", reads_hang_for_a_moment },
+  { "gang_finds_workers_full_of_saving_tasks", gang_finds_workers_full_of_saving_tasks },
+  { "urgent_finds_workers_full_of_saving_tasks", urgent_finds_workers_full_of_saving_tasks },
   { "owner_killed_and_advice_on_other_workers", owner_killed_and_advice_on_other_workers },
 };
 
