--- a/bench/owner.c
+++ b/bench/owner.c
@@ -533,6 +533,7 @@
   bts_node_config_t config = { 0 };
   config.name = "vm/1";
   config.status_ms = 120000;
+  config.crowd = BTS_CROWD;
   config.sched.hold_max_ms = 6000;
   config.sched.early_ms = 250;
   bench.node = bts_node_new (&config, &bench.clock, &ops, &bench);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -31,9 +31,6 @@
 /* Time for the reply to a question, in milliseconds: the owner asks elsewhere long
    before, and a connection that has gone silent is closed by it. */
 #define ASK_TIMEOUT_MS 3500
-/* With more entries jobs always go through the owner: a slow log takes some ten appends a
-   second and refuses those that would wait for two. */
-#define CROWD 12
 /* Exchanges of the gate that stand for messages of other processes. */
 #define FORWARDED (G_GUINT64_CONSTANT (1) << 63)
 /* A process is weak if another one has so many times its share of a processor. */
@@ -316,7 +313,7 @@
 static gboolean
 is_crowded (const bts_node_t *node)
 {
-  return bts_members_count (node->members) > CROWD;
+  return bts_members_count (node->members) > node->config.crowd;
 }
 
 /* Where the owner takes messages, if that is another process. */
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -15,6 +15,10 @@
 
 typedef struct bts_node_t bts_node_t;
 
+/* With more entries jobs always go through the owner: a slow log takes some ten appends a
+   second and refuses those that would wait for two. */
+#define BTS_CROWD 12
+
 /**
  * struct bts_node_ops_t - where a process's messages go
  * @append: a record for the journal; answered by bts_node_on_append()
@@ -49,6 +53,7 @@
  * @name: of this life of it, VM and life parted by a slash
  * @address: IP:port at which it takes messages of other processes
  * @cpu_millis: its share of a processor, in thousandths of a core
+ * @crowd: with more processes than this, jobs go through the owner; usually BTS_CROWD
  * @status_ms: how long an ended job is known
  */
 typedef struct
@@ -56,6 +61,7 @@
   const char *name;
   const char *address;
   guint cpu_millis;
+  guint crowd;
   guint status_ms;
   bts_sched_config_t sched;
 } bts_node_config_t;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -423,12 +423,15 @@
 check_start (sim_worker_t *worker, const sim_run_t *run)
 {
   sim_t *sim = worker->sim;
-  const sim_job_t *job = find_job (sim, run->name);
+  sim_job_t *job = find_job (sim, run->name);
   if (job == NULL)
     {
       violate (sim, "UNASKED %s", run->name);
       return;
     }
+  job->started = TRUE;
+  if (job->tries == 1 && job->refused_us != 0)
+    violate (sim, "REFUSED %s was not accepted", run->name);
   if (job->cancelled_us != 0 && now (sim) - job->cancelled_us > CANCEL_US)
     violate (sim, "UNASKED %s was cancelled", run->name);
   const ProtobufCBinaryData *spec = &job->accepted->spec;
@@ -1047,7 +1050,11 @@
       if (job->exchange == exchange && answer == BTS_ANSWER_OK)
         job->accepted_us = now (sim);
       if (job->exchange == exchange && answer == BTS_ANSWER_AWAY)
-        job->refused_us = now (sim);
+        {
+          job->refused_us = now (sim);
+          if (job->tries == 1 && job->started)
+            violate (sim, "REFUSED %s has started", job->id);
+        }
       if (job->cancel_exchange == exchange && answer == BTS_ANSWER_OK)
         job->cancelled_us = now (sim);
     }
@@ -1235,6 +1242,7 @@
   g_autofree char *address = g_strdup_printf ("%u", index);
   config.address = address;
   config.cpu_millis = node->cpu_millis;
+  config.crowd = sim->crowd;
   config.status_ms = 120000;
   config.sched.hold_max_ms = SIM_HOLD_MAX_MS;
   config.sched.early_ms = 250;
@@ -1268,6 +1276,7 @@
   /* Exchange 0 is none. */
   g_ptr_array_add (sim->messages, NULL);
   sim->append_us = 2000;
+  sim->crowd = BTS_CROWD;
   for (guint i = 0; i < workers; i++)
     {
       g_autofree char *id = g_strdup_printf ("w-%u", i);
@@ -1456,6 +1465,7 @@
   sim_job_t *job = g_new0 (sim_job_t, 1);
   g_snprintf (job->id, sizeof job->id, "%016x", sim->jobs->len + 1);
   job->exchange = ++sim->exchange;
+  job->tries = 1;
   job->accepted = accepted_new (sim, job->id, policy, steps, n);
   g_ptr_array_add (sim->jobs, job);
   bts_node_submit (sim_node (sim, node)->node, job->exchange, accepted_copy (job->accepted),
@@ -1465,11 +1475,12 @@
 
 /* The same job again, as a caller does that got no answer. */
 sim_job_t *
-sim_resubmit (sim_t *sim, guint node, const sim_job_t *job)
+sim_resubmit (sim_t *sim, guint node, sim_job_t *job)
 {
+  job->tries++;
   bts_node_submit (sim_node (sim, node)->node, job->exchange, accepted_copy (job->accepted),
                    3 * BT_USEC_PER_SEC);
-  return (sim_job_t *)job;
+  return job;
 }
 
 void
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -130,6 +130,7 @@
  * @keep_ms: how long the log keeps records, told to processes as they start; 0 for ever
  * @log_us: when each record landed
  * @log_first: records before this one have been deleted
+ * @crowd: with more processes jobs go through the owner; for processes that start from now
  * @advised: jobs handed in need advice
  * @advice_denies: it denies all workers that are there
  * @specs: the log of specs
@@ -161,6 +162,7 @@
   gint64 late_append_us;
   guint keep_ms;
   gint64 log_first;
+  guint crowd;
   gboolean advised;
   gboolean advice_denies;
   guint64 exchange;
@@ -179,6 +181,8 @@
  * struct sim_job_t - a job that a test has handed in
  * @accepted_us: when it was accepted; 0 before
  * @cancelled_us: when its cancelling was confirmed; 0 before
+ * @tries: how often it was handed in
+ * @started: a task of it has started
  */
 typedef struct
 {
@@ -188,6 +192,8 @@
   gint64 accepted_us;
   gint64 refused_us;
   gint64 cancelled_us;
+  guint tries;
+  gboolean started;
   Bts__Accepted *accepted;
 } sim_job_t;
 
@@ -231,7 +237,7 @@
 void sim_run_ms (sim_t *sim, gint64 ms);
 sim_job_t *sim_submit (sim_t *sim, guint node, const sim_policy_t *policy, const sim_step_t *steps,
                        guint n);
-sim_job_t *sim_resubmit (sim_t *sim, guint node, const sim_job_t *job);
+sim_job_t *sim_resubmit (sim_t *sim, guint node, sim_job_t *job);
 void sim_cancel (sim_t *sim, guint node, sim_job_t *job);
 bts_state_t sim_state (sim_t *sim, const sim_job_t *job);
 guint sim_count_state (sim_t *sim, bts_state_t state);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -668,6 +668,39 @@
   expect_all_completed (sim);
 }
 
+/* Entries hand their jobs to an owner that dies, and append them themselves: no caller is
+   told that a job wasn't accepted which runs. */
+static void
+owner_killed_with_jobs_on_their_way (sim_t *sim)
+{
+  sim->crowd = 0;
+  for (guint i = 0; i < 3; i++)
+    {
+      sim_kill (sim, i);
+      sim_start (sim, i);
+    }
+  sim_run_ms (sim, 6000);
+  for (guint round = 0; round < 3; round++)
+    {
+      guint owner = (guint)sim_owner (sim);
+      for (guint i = 0; i < 12; i++)
+        {
+          if (i == 6)
+            sim_node (sim, owner)->cut = TRUE;
+          sim_submit (sim, (owner + 1 + i % 2) % 3, &lookup, one_step, G_N_ELEMENTS (one_step));
+          sim_run_ms (sim, 5);
+        }
+      sim_kill (sim, owner);
+      sim_run_ms (sim, 3000);
+      sim_node (sim, owner)->cut = FALSE;
+      sim_start (sim, owner);
+      sim_run_ms (sim, 6000);
+    }
+  for (guint i = 0; i < sim->jobs->len; i++)
+    ck_assert_int_ne (((sim_job_t *)sim->jobs->pdata[i])->accepted_us, 0);
+  expect_all_completed (sim);
+}
+
 static const struct
 {
   const char *name;
@@ -709,6 +742,7 @@
   { "asked_process_killed", asked_process_killed },
   { "burst_of_advised_jobs", burst_of_advised_jobs },
   { "reads_hang_for_a_moment", reads_hang_for_a_moment },
+  { "owner_killed_with_jobs_on_their_way", owner_killed_with_jobs_on_their_way },
   { "gang_finds_workers_full_of_saving_tasks", gang_finds_workers_full_of_saving_tasks },
   { "urgent_finds_workers_full_of_saving_tasks", urgent_finds_workers_full_of_saving_tasks },
   { "owner_killed_and_advice_on_other_workers", owner_killed_and_advice_on_other_workers },
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -313,9 +313,12 @@
   day.sim = sim_new (NODES, WORKERS, seed);
   day.random = g_rand_new_with_seed (seed);
   day.sim->advised = draw (&day, 2) == 0;
+  /* On every second day entries hand all jobs to the owner. */
+  day.sim->crowd = seed % 2 == 0 ? BTS_CROWD : 0;
   if (draw (&day, 2) == 0)
+    day.sim->keep_ms = KEEP_MS;
+  if (day.sim->keep_ms > 0 || seed % 2 != 0)
     {
-      day.sim->keep_ms = KEEP_MS;
       for (guint i = 0; i < NODES; i++)
         {
           sim_kill (day.sim, i);
