--- a/tests/sim.c
+++ b/tests/sim.c
@@ -964,6 +964,7 @@
  * struct sim_message_t - a message
  * @number: names the exchange
  * @reply: NULL before the reply, or if there is none
+ * @over: the sender has been told what became of it
  */
 typedef struct
 {
@@ -973,6 +974,7 @@
   sim_node_t *to;
   GBytes *message;
   GBytes *reply;
+  gboolean over;
 } sim_message_t;
 
 static void
@@ -990,6 +992,9 @@
 reply_arrived (sim_t *sim, gpointer data)
 {
   sim_message_t *message = data;
+  if (message->over)
+    return;
+  message->over = TRUE;
   gsize len = 0;
   const guint8 *bytes = message->reply == NULL ? NULL : g_bytes_get_data (message->reply, &len);
   bts_node_on_reply (message->from->node, message->message, bytes, len);
@@ -1028,7 +1033,10 @@
   if (message->to->node == NULL)
     post (node, SIM_DELAY_US, reply_arrived, message, NULL);
   else
-    post (message->to, SIM_DELAY_US, message_arrived, message, NULL);
+    {
+      post (message->to, SIM_DELAY_US, message_arrived, message, NULL);
+      post (node, (gint64)timeout_ms * 1000, reply_arrived, message, NULL);
+    }
 }
 
 static void
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -701,6 +701,34 @@
   expect_all_completed (sim);
 }
 
+/* An owner appends a job that it was handed, and dies; the store then refuses the entry,
+   which can't tell whether the job was accepted. */
+static void
+owner_dies_with_a_job_and_store_refuses (sim_t *sim)
+{
+  sim->crowd = 0;
+  for (guint i = 0; i < 3; i++)
+    {
+      sim_kill (sim, i);
+      sim_start (sim, i);
+    }
+  sim_run_ms (sim, 6000);
+  guint owner = (guint)sim_owner (sim);
+  guint entry = (owner + 1) % 3;
+  sim_job_t *job = sim_submit (sim, entry, &lookup, one_step, G_N_ELEMENTS (one_step));
+  sim_node (sim, entry)->deaf = TRUE;
+  sim_run_ms (sim, 10);
+  sim_kill (sim, owner);
+  sim->store_refuses = TRUE;
+  sim_run_ms (sim, 2600);
+  /* It is handed on once, and not again and again. */
+  ck_assert_uint_eq (sim->messages->len, 2);
+  sim->store_refuses = FALSE;
+  sim_node (sim, entry)->deaf = FALSE;
+  sim_run_ms (sim, 8000);
+  ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
+}
+
 static const struct
 {
   const char *name;
@@ -743,6 +771,7 @@
   { "burst_of_advised_jobs", burst_of_advised_jobs },
   { "reads_hang_for_a_moment", reads_hang_for_a_moment },
   { "owner_killed_with_jobs_on_their_way", owner_killed_with_jobs_on_their_way },
+  { "owner_dies_with_a_job_and_store_refuses", owner_dies_with_a_job_and_store_refuses },
   { "gang_finds_workers_full_of_saving_tasks", gang_finds_workers_full_of_saving_tasks },
   { "urgent_finds_workers_full_of_saving_tasks", urgent_finds_workers_full_of_saving_tasks },
   { "owner_killed_and_advice_on_other_workers", owner_killed_and_advice_on_other_workers },
