--- /dev/null
+++ b/tests/test_mailbox.c
@@ -0,0 +1,146 @@
+#include <string.h>
+
+#include "libbamboothread/connection/channel.h"
+#include "libbamboothread/connection/mailbox.h"
+#include "tests/suite.h"
+
+/*
+ * Messages between processes over loopback sockets: a message has one reply, and what
+ * can't be read, has no reply or comes from a sender that has gone harms nothing else.
+ */
+
+#define ADDRESS "127.0.0.1:17391"
+#define TIMEOUT_MS 300
+
+/**
+ * enum how_t - what the receiver does with a message
+ */
+typedef enum
+{
+  HOW_REPLY,
+  HOW_NOTHING_TO_SAY,
+  HOW_UNREADABLE,
+  HOW_NO_REPLY,
+} how_t;
+
+typedef struct
+{
+  struct event_base *base;
+  bt_mailbox_t *mailbox;
+  how_t how;
+  guint64 exchange;
+  GString *taken;
+  int status;
+  GString *reply;
+  guint replies;
+} scene_t;
+
+static gboolean
+on_message (void *context, guint64 exchange, const guint8 *data, gsize len)
+{
+  scene_t *scene = context;
+  g_string_append_len (scene->taken, (const char *)data, (gssize)len);
+  scene->exchange = exchange;
+  g_autoptr (GBytes) reply = g_bytes_new_static ("answer", 6);
+  if (scene->how == HOW_REPLY)
+    bt_mailbox_reply (scene->mailbox, exchange, reply);
+  else if (scene->how == HOW_NOTHING_TO_SAY)
+    bt_mailbox_reply (scene->mailbox, exchange, NULL);
+  return scene->how != HOW_UNREADABLE;
+}
+
+static void
+on_reply (void *context, int status, const char *body, gsize len)
+{
+  scene_t *scene = context;
+  scene->status = status;
+  g_string_append_len (scene->reply, body, (gssize)len);
+  scene->replies++;
+  event_base_loopbreak (scene->base);
+}
+
+static void
+send_message (scene_t *scene, bt_channels_t *channels, const char *text)
+{
+  bt_call_t call = { 0 };
+  call.method = "POST";
+  call.address = ADDRESS;
+  call.target = BT_MAILBOX_TARGET;
+  call.body = text;
+  call.body_len = strlen (text);
+  call.type = BT_MAILBOX_TYPE;
+  call.timeout_ms = TIMEOUT_MS;
+  bt_channels_call (channels, &call, on_reply, scene);
+  event_base_dispatch (scene->base);
+}
+
+static const struct
+{
+  how_t how;
+  int status;
+  const char *reply;
+} cases[] = {
+  { HOW_REPLY, 200, "answer" },
+  { HOW_NOTHING_TO_SAY, 503, "" },
+  { HOW_UNREADABLE, 400, "" },
+  { HOW_NO_REPLY, BT_CHANNEL_NO_ANSWER, "" },
+};
+
+START_TEST (a_message_has_one_reply)
+{
+  scene_t scene = { 0 };
+  scene.base = event_base_new ();
+  scene.taken = g_string_new (NULL);
+  scene.reply = g_string_new (NULL);
+  g_autoptr (GError) error = NULL;
+  scene.mailbox = bt_mailbox_new (scene.base, ADDRESS, on_message, &scene, &error);
+  ck_assert_ptr_nonnull (scene.mailbox);
+  bt_channels_t *channels = bt_channels_new (scene.base, 2);
+
+  scene.how = cases[_i].how;
+  send_message (&scene, channels, "question");
+  ck_assert_str_eq (scene.taken->str, "question");
+  ck_assert_int_eq (scene.status, cases[_i].status);
+  if (cases[_i].status == 200)
+    ck_assert_str_eq (scene.reply->str, cases[_i].reply);
+  ck_assert_uint_eq (scene.replies, 1);
+
+  /* A reply for a sender that has gone, or a second one, is passed over. */
+  g_autoptr (GBytes) late = g_bytes_new_static ("late", 4);
+  bt_mailbox_reply (scene.mailbox, scene.exchange, late);
+  scene.how = HOW_REPLY;
+  g_string_truncate (scene.reply, 0);
+  send_message (&scene, channels, "another");
+  ck_assert_int_eq (scene.status, 200);
+  ck_assert_str_eq (scene.reply->str, "answer");
+
+  bt_channels_free (channels);
+  bt_mailbox_free (scene.mailbox);
+  event_base_free (scene.base);
+  g_string_free (scene.taken, TRUE);
+  g_string_free (scene.reply, TRUE);
+}
+END_TEST
+
+static const char *const addresses[] = { "", "127.0.0.1", "no-address:1", "127.0.0.1:17391x:" };
+
+START_TEST (a_bad_address_is_an_error)
+{
+  struct event_base *base = event_base_new ();
+  scene_t scene = { 0 };
+  GError *error = NULL;
+  ck_assert_ptr_null (bt_mailbox_new (base, addresses[_i], on_message, &scene, &error));
+  ck_assert_ptr_nonnull (error);
+  g_error_free (error);
+  event_base_free (base);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("mailbox");
+  tcase_add_loop_test (tests, a_message_has_one_reply, 0, G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, a_bad_address_is_an_error, 0, G_N_ELEMENTS (addresses));
+  return suite_run ("mailbox", tests);
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -227,14 +227,26 @@
 }
 END_TEST
 
+/* What settings can't lack. */
+#define NEEDED                                                                                     \
+  "{\"node\":\"n\",\"listen\":{\"front\":\"1.1.1.1:1\",\"ready\":\"1.1.1.1:2\"},"                  \
+  "\"platform\":{\"address\":\"1.1.1.1:3\"}"
+
 static const struct
 {
   const char *text;
   gboolean ok;
+  const char *messages;
+  guint cpu_millis;
 } settings_files[] = {
-  { "{\"node\":\"n\",\"listen\":{\"front\":\"1.1.1.1:1\",\"ready\":\"1.1.1.1:2\"},"
-    "\"platform\":{\"address\":\"1.1.1.1:3\"}}",
-    TRUE },
+  { NEEDED "}", TRUE, NULL, 1000 },
+  { NEEDED ",\"ip\":\"1.1.1.1\",\"port-range\":[7380,7395],"
+           "\"limits\":{\"cpu-share\":0.12,\"cores\":1}}",
+    TRUE, "1.1.1.1:7380", 120 },
+  { NEEDED ",\"ip\":\"1.1.1.1\",\"port-range\":[],\"limits\":{\"cpu-share\":0.5,\"cores\":4}}",
+    TRUE, NULL, 2000 },
+  { NEEDED ",\"limits\":{\"cpu-share\":\"half\"}}", FALSE },
+  { NEEDED ",\"port-range\":7380}", FALSE },
   { "{\"node\":\"n\",\"listen\":{\"front\":\"1.1.1.1:1\"},\"platform\":{\"address\":\"x:3\"}}",
     FALSE },
   { "{\"node\":\"n\",\"listen\":5}", FALSE },
@@ -253,6 +265,11 @@
   pf_settings_t *settings = pf_settings_load (file, &error);
   ck_assert_int_eq (settings != NULL, settings_files[_i].ok);
   ck_assert_int_eq (error == NULL, settings_files[_i].ok);
+  if (settings != NULL)
+    {
+      ck_assert_pstr_eq (settings->messages, settings_files[_i].messages);
+      ck_assert_uint_eq (settings->cpu_millis, settings_files[_i].cpu_millis);
+    }
   pf_settings_free (settings);
   g_remove (file);
 }
