--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -20,14 +20,6 @@
    two of them as gone. A slow log is left alone for one of them. */
 #define HELLO_US (4 * BT_USEC_PER_SEC)
 #define HELLO_SLOW_US (8 * BT_USEC_PER_SEC)
-/* An append that takes so long, in microseconds, shows that the log is slow: jobs go
-   through the owner then. Usual are 6 to 25 ms. */
-#define FORWARD_US (60 * 1000)
-/* For so long the time of an append shows how the log is, in microseconds. */
-#define APPENDED_US (2 * BT_USEC_PER_SEC)
-/* Time for the owner's answer to a forwarded job, in milliseconds: two appends of a slow
-   log, and enough is left of a caller's patience to append it here. */
-#define FORWARD_TIMEOUT_MS 1500
 /* Time for the reply to a question, in milliseconds: the owner asks elsewhere long
    before, and a connection that has gone silent is closed by it. */
 #define ASK_TIMEOUT_MS 3500
@@ -45,11 +37,6 @@
 
 /**
  * struct bts_node_t - one process
- * @append_us: time that the newest append took
- * @appended_us: when that was answered
- * @owner_append_us: time that the owner's newest append took, as its beats tell
- * @forwarded: exchange to the message by which its job was handed to the owner, while
- *   there is no answer
  * @owner_new: the owner has changed since it was last looked at what is due
  * @deposed: a worker knows a later owner; to be acted on at the next tick
  * @tick_us: when it was last looked at what is due
@@ -77,10 +64,7 @@
   bts_specs_t *specs;
   bts_lead_t lead;
   bts_manifest_t *manifest;
-  gint64 append_us;
-  gint64 appended_us;
-  gint64 owner_append_us;
-  GHashTable *forwarded;
+  bts_relay_t *relay;
   gboolean owner_new;
   gboolean deposed;
   gboolean resigned;
@@ -156,7 +140,7 @@
 on_beat (void *context, guint64 number, guint append_ms)
 {
   bts_node_t *node = context;
-  node->owner_append_us = (gint64)append_ms * 1000;
+  bts_relay_on_beat (node->relay, append_ms);
   bts_lead_on_sign (&node->lead, node_now (node));
   bts_sched_on_beat (node->sched, number);
 }
@@ -300,14 +284,6 @@
   node->ops->reply (node->context, exchange & ~FORWARDED, bytes);
 }
 
-/* Whether the owner's appends, or one of this process of late, took long. */
-static gboolean
-is_log_slow (const bts_node_t *node)
-{
-  return node->owner_append_us >= FORWARD_US
-         || (node->append_us >= FORWARD_US && node_now (node) - node->appended_us < APPENDED_US);
-}
-
 /* Whether so many entries are there that a log that turns slow would take their appends
    for seconds before they know. */
 static gboolean
@@ -327,26 +303,6 @@
   return member == NULL ? NULL : member->address;
 }
 
-static void
-forward (bts_node_t *node, const char *address, guint64 exchange, Bts__Accepted *job,
-         gint64 patience_us)
-{
-  Bts__Forward forwarded = BTS__FORWARD__INIT;
-  forwarded.job = job;
-  forwarded.patience_ms = (guint32)(MAX (patience_us, 0) / 1000);
-  forwarded.exchange = exchange;
-  forwarded.sent_us = node_now (node);
-  Bts__Message message = BTS__MESSAGE__INIT;
-  message.kind_case = BTS__MESSAGE__KIND_FORWARD;
-  message.forward = &forwarded;
-  g_autoptr (GBytes) bytes = message_pack (&message.base);
-  bts__accepted__free_unpacked (job, NULL);
-  guint64 *key = g_new (guint64, 1);
-  *key = exchange;
-  g_hash_table_replace (node->forwarded, key, g_bytes_ref (bytes));
-  node->ops->send (node->context, address, bytes, FORWARD_TIMEOUT_MS);
-}
-
 static gboolean
 gate_pass_on (void *context, guint64 exchange, Bts__Accepted *job, gint64 patience_us)
 {
@@ -354,7 +310,7 @@
   const char *address = (exchange & FORWARDED) != 0 ? NULL : owner_address (node);
   if (address == NULL)
     return FALSE;
-  forward (node, address, exchange, job, patience_us);
+  bts_relay_hand (node->relay, address, exchange, job, patience_us, node_now (node));
   return TRUE;
 }
 
@@ -368,6 +324,30 @@
 
 static const bts_gate_ops_t gate_ops = { gate_append, gate_append_spec, gate_pass_on, gate_answer };
 
+static void
+relay_send (void *context, const char *address, const Bts__Message *message, guint timeout_ms)
+{
+  bts_node_t *node = context;
+  g_autoptr (GBytes) bytes = message_pack (&message->base);
+  node->ops->send (node->context, address, bytes, timeout_ms);
+}
+
+static void
+relay_answer (void *context, guint64 exchange, bts_answer_t answer)
+{
+  bts_node_t *node = context;
+  node->ops->answer (node->context, exchange, answer);
+}
+
+static void
+relay_append (void *context, guint64 exchange, Bts__Accepted *job, gint64 patience_us)
+{
+  bts_node_t *node = context;
+  bts_gate_submit (node->gate, exchange, job, TRUE, patience_us, node_now (node));
+}
+
+static const bts_relay_ops_t relay_ops = { relay_send, relay_answer, relay_append };
+
 static void
 specs_read (void *context, gint64 from)
 {
@@ -431,8 +411,7 @@
   node->ledger = bts_ledger_new (&ledger_ops, node);
   bts_fleet_init (&node->fleet);
   node->members = bts_members_new ();
-  node->forwarded
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)g_bytes_unref);
+  node->relay = bts_relay_new (&relay_ops, node);
   node->sched = bts_sched_new (&config->sched, clock, node->ledger, &node->fleet, node->members,
                                &sched_ops, node);
   node->gate = bts_gate_new (node->ledger, &gate_ops, node);
@@ -456,7 +435,7 @@
   bts_lead_clear (&node->lead);
   bts_manifest_free (node->manifest);
   bts_members_free (node->members);
-  g_hash_table_unref (node->forwarded);
+  bts_relay_free (node->relay);
   g_free (node->name);
   g_free (node->address);
   g_free (node);
@@ -594,9 +573,8 @@
     bt_metrics_observe (BT_HIST_APPEND_MS, took_us / 1000);
   if (stored == BTS_STORED)
     bts_lead_on_append (&node->lead, took_us);
-  node->append_us = stored == BTS_STORED ? took_us : MAX (took_us, FORWARD_US);
-  node->appended_us = node_now (node);
-  bts_sched_set_append_ms (node->sched, (guint)(node->append_us / 1000));
+  bts_relay_on_append (node->relay, stored, took_us, node_now (node));
+  bts_sched_set_append_ms (node->sched, (guint)(bts_relay_append_us (node->relay) / 1000));
   if (token != TOKEN_NONE)
     bts_gate_on_append (node->gate, token, stored, node_now (node));
 }
@@ -685,16 +663,6 @@
   return usable;
 }
 
-static void
-append_forwarded (bts_node_t *node, Bts__Forward *forward)
-{
-  gint64 now_us = node_now (node);
-  gint64 left_us = (gint64)forward->patience_ms * 1000 - (now_us - forward->sent_us);
-  Bts__Accepted *job = forward->job;
-  forward->job = NULL;
-  bts_gate_submit (node->gate, forward->exchange, job, TRUE, left_us, now_us);
-}
-
 static void
 on_asked (bts_node_t *node, const Bts__Ask *ask, const Bts__Reply *reply)
 {
@@ -705,47 +673,6 @@
   bts_sched_on_advice (node->sched, ask, advice);
 }
 
-/* Jobs that an earlier owner was handed may have been lost with it. */
-static void
-append_all_forwarded (bts_node_t *node)
-{
-  g_autoptr (GPtrArray) messages = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, node->forwarded);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    g_ptr_array_add (messages, g_bytes_ref (value));
-  g_hash_table_remove_all (node->forwarded);
-  for (guint i = 0; i < messages->len; i++)
-    {
-      gsize len;
-      const guint8 *data = g_bytes_get_data (messages->pdata[i], &len);
-      Bts__Message *message = bts__message__unpack (NULL, len, data);
-      append_forwarded (node, message->forward);
-      bts__message__free_unpacked (message, NULL);
-    }
-}
-
-/* Without an answer the entry appends the job itself: a record that is there twice
-   counts once. */
-static void
-on_forwarded (bts_node_t *node, Bts__Forward *forward, const Bts__Reply *reply)
-{
-  gint64 now_us = node_now (node);
-  gboolean answered = reply != NULL && reply->kind_case == BTS__REPLY__KIND_ANSWER
-                      && reply->answer <= BTS_ANSWER_GONE;
-  if (!g_hash_table_remove (node->forwarded, &forward->exchange))
-    return;
-  bt_log (BT_LOG_INFO, "forwarded", "job=%s answered=%d took_ms=%" G_GINT64_FORMAT,
-          forward->job->id, answered, (now_us - forward->sent_us) / 1000);
-  if (answered)
-    {
-      node->ops->answer (node->context, forward->exchange, (bts_answer_t)reply->answer);
-      return;
-    }
-  append_forwarded (node, forward);
-}
-
 /**
  * bts_node_on_reply() - what became of a message to another process
  * @node: the process
@@ -763,7 +690,7 @@
   if (message->kind_case == BTS__MESSAGE__KIND_ASK)
     on_asked (node, message->ask, reply);
   else
-    on_forwarded (node, message->forward, reply);
+    bts_relay_on_reply (node->relay, message->forward, reply, node_now (node));
   bts__message__free_unpacked (message, NULL);
   if (reply != NULL)
     bts__reply__free_unpacked (reply, NULL);
@@ -862,11 +789,11 @@
   /* The log works on one append at a time: a slow one takes few of them, and those of
      the owner carry the jobs of all entries. The owner may also reach the store where
      this process doesn't. */
-  gboolean direct
-      = bts_gate_fresh (node->gate, node_now (node)) && !is_log_slow (node) && !is_crowded (node);
+  gboolean direct = bts_gate_fresh (node->gate, node_now (node))
+                    && !bts_relay_log_slow (node->relay, node_now (node)) && !is_crowded (node);
   const char *address = direct ? NULL : owner_address (node);
   if (address != NULL && bts_ledger_job (node->ledger, job->id) == NULL)
-    forward (node, address, exchange, job, patience_us);
+    bts_relay_hand (node->relay, address, exchange, job, patience_us, node_now (node));
   else
     bts_gate_submit (node->gate, exchange, job, FALSE, patience_us, node_now (node));
 }
@@ -923,7 +850,7 @@
 gboolean
 bts_node_idle (const bts_node_t *node)
 {
-  return bts_gate_waiting (node->gate) == 0 && g_hash_table_size (node->forwarded) == 0;
+  return bts_gate_waiting (node->gate) == 0 && bts_relay_waiting (node->relay) == 0;
 }
 
 gboolean
@@ -1013,7 +940,7 @@
     }
   node->tick_us = now_us;
   if (node->owner_new && !node->replaying)
-    append_all_forwarded (node);
+    bts_relay_append_all (node->relay, now_us);
   node->owner_new = FALSE;
   if (node->deposed)
     {
@@ -1031,7 +958,7 @@
   yield_if_weak (node, now_us);
   if (bts_lead_due (&node->lead, node->ledger, is_weak (node, now_us), now_us))
     claim (node);
-  gint64 hello_us = is_log_slow (node) ? HELLO_SLOW_US : HELLO_US;
+  gint64 hello_us = bts_relay_log_slow (node->relay, now_us) ? HELLO_SLOW_US : HELLO_US;
   if (!node->replaying && !node->lead.leaving && bts_gate_fresh (node->gate, now_us)
       && (node->hello_us == 0 || now_us - node->hello_us >= hello_us))
     say_hello (node, now_us);
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -5,6 +5,7 @@
 #include "libbamboothread/scheduler/gate.h"
 #include "libbamboothread/scheduler/lead.h"
 #include "libbamboothread/scheduler/manifest.h"
+#include "libbamboothread/scheduler/relay.h"
 #include "libbamboothread/scheduler/sched.h"
 #include "libbamboothread/scheduler/specs.h"
 
