--- /dev/null
+++ b/libbamboothread/connection/listener.c
@@ -0,0 +1,36 @@
+#include "libbamboothread/connection/listener.h"
+
+#include <string.h>
+
+#include "libbamboothread/base/error.h"
+
+/**
+ * bt_listener_open() - serve an address
+ * @base: the loop
+ * @address: IP:port
+ * @listener: what the server takes
+ * @request: told of each request
+ * @context: handed to @request
+ * @error: %BT_ERROR_IO
+ *
+ * Return: the server, or NULL.
+ */
+struct evhttp *
+bt_listener_open (struct event_base *base, const char *address, const bt_listener_t *listener,
+                  void (*request) (struct evhttp_request *, void *), void *context, GError **error)
+{
+  const char *colon = strrchr (address, ':');
+  g_autofree char *host = g_strndup (address, colon == NULL ? 0 : (gsize)(colon - address));
+  struct evhttp *server = evhttp_new (base);
+  evhttp_set_allowed_methods (server, listener->methods);
+  evhttp_set_max_headers_size (server, listener->header_max);
+  evhttp_set_max_body_size (server, listener->body_max);
+  evhttp_set_timeout (server, listener->idle_s);
+  evhttp_set_gencb (server, request, context);
+  if (colon != NULL
+      && evhttp_bind_socket (server, host, (guint16)g_ascii_strtoull (colon + 1, NULL, 10)) == 0)
+    return server;
+  evhttp_free (server);
+  g_set_error (error, BT_ERROR, BT_ERROR_IO, "can't listen on %s", address);
+  return NULL;
+}
--- /dev/null
+++ b/libbamboothread/connection/listener.h
@@ -0,0 +1,32 @@
+#ifndef BT_CONNECTION_LISTENER_H
+#define BT_CONNECTION_LISTENER_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+
+/*
+ * HTTP servers on libevent's loop.
+ */
+
+/**
+ * struct bt_listener_t - what a server takes
+ * @methods: EVHTTP_REQ_ flags of the methods that it knows
+ * @header_max: most bytes of a request's header
+ * @body_max: most bytes of its body
+ * @idle_s: time after which a connection without a request is closed, in seconds
+ */
+typedef struct
+{
+  guint16 methods;
+  gssize header_max;
+  gssize body_max;
+  int idle_s;
+} bt_listener_t;
+
+struct evhttp *bt_listener_open (struct event_base *base, const char *address,
+                                 const bt_listener_t *listener,
+                                 void (*request) (struct evhttp_request *, void *), void *context,
+                                 GError **error);
+
+#endif
--- a/libbamboothread/connection/mailbox.c
+++ b/libbamboothread/connection/mailbox.c
@@ -1,10 +1,9 @@
 #include "libbamboothread/connection/mailbox.h"
 
 #include <event2/buffer.h>
-#include <event2/http.h>
 
-#include "libbamboothread/base/error.h"
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/connection/listener.h"
 
 /* Most bytes of a message: a question names 100 workers at most. */
 #define MESSAGE_MAX (64 * 1024)
@@ -71,26 +70,17 @@
 bt_mailbox_new (struct event_base *base, const char *address, bt_mailbox_f message, void *context,
                 GError **error)
 {
-  const char *colon = strrchr (address, ':');
-  g_autofree char *host = g_strndup (address, colon == NULL ? 0 : (gsize)(colon - address));
-  struct evhttp *server = evhttp_new (base);
-  evhttp_set_allowed_methods (server, EVHTTP_REQ_POST);
-  evhttp_set_max_headers_size (server, HEADER_MAX);
-  evhttp_set_max_body_size (server, MESSAGE_MAX);
-  evhttp_set_timeout (server, IDLE_S);
-  if (colon == NULL
-      || evhttp_bind_socket (server, host, (guint16)g_ascii_strtoull (colon + 1, NULL, 10)) != 0)
+  const bt_listener_t listener = { EVHTTP_REQ_POST, HEADER_MAX, MESSAGE_MAX, IDLE_S };
+  bt_mailbox_t *mailbox = g_new0 (bt_mailbox_t, 1);
+  mailbox->server = bt_listener_open (base, address, &listener, on_message, mailbox, error);
+  if (mailbox->server == NULL)
     {
-      evhttp_free (server);
-      g_set_error (error, BT_ERROR, BT_ERROR_IO, "can't listen on %s", address);
+      g_free (mailbox);
       return NULL;
     }
-  bt_mailbox_t *mailbox = g_new0 (bt_mailbox_t, 1);
-  mailbox->server = server;
   mailbox->message = message;
   mailbox->context = context;
   mailbox->letters = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  evhttp_set_gencb (server, on_message, mailbox);
   return mailbox;
 }
 
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -152,7 +152,7 @@
 }
 
 /**
- * struct place_t - a worker on which room can be made
+ * struct clearing_t - a worker on which room can be made
  * @victims: the runs to stop
  * @count: tasks that fit then
  */
@@ -161,20 +161,20 @@
   bts_worker_t *worker;
   GPtrArray *victims;
   guint count;
-} place_t;
+} clearing_t;
 
 static void
-place_clear (gpointer data)
+clearing_clear (gpointer data)
 {
-  g_ptr_array_unref (((place_t *)data)->victims);
+  g_ptr_array_unref (((clearing_t *)data)->victims);
 }
 
-/* Places where little is stopped for much room come first. */
+/* Workers where little is stopped for much room come first. */
 static gint
-compare_places (gconstpointer a, gconstpointer b)
+compare_clearings (gconstpointer a, gconstpointer b)
 {
-  const place_t *left = a;
-  const place_t *right = b;
+  const clearing_t *left = a;
+  const clearing_t *right = b;
   guint64 x = (guint64)left->victims->len * right->count;
   guint64 y = (guint64)right->victims->len * left->count;
   return x < y ? -1 : x > y;
@@ -189,10 +189,10 @@
          && bts_stage_policy (run->task->stage)->priority > bts_stage_policy (stage)->priority;
 }
 
-/* The fewest runs that give way to one more task of a stage, the largest first, and how
-   many tasks fit then. Room that is being freed already counts. */
+/* Runs that give way until one more task of a stage fits, and how many tasks fit then.
+   Room that is being freed already counts. */
 static gboolean
-make_place (bts_worker_t *worker, const bts_stage_t *stage, place_t *place)
+make_clearing (bts_worker_t *worker, const bts_stage_t *stage, clearing_t *place)
 {
   const Bts__Step *step = bts_stage_step (stage);
   bts_room_t room = bts_place_room (step);
@@ -223,12 +223,12 @@
 }
 
 static GArray *
-find_places (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+find_clearings (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
 {
   gboolean advised = bts_stage_policy (stage)->advised;
   const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
-  GArray *places = g_array_new (FALSE, FALSE, sizeof (place_t));
-  g_array_set_clear_func (places, place_clear);
+  GArray *clearings = g_array_new (FALSE, FALSE, sizeof (clearing_t));
+  g_array_set_clear_func (clearings, clearing_clear);
   for (guint i = 0; i < pool->len; i++)
     {
       bts_worker_t *worker = pool->pdata[i];
@@ -237,14 +237,14 @@
           || (advised
               && bts_stage_ticket_now (stage, worker->entry->id, now_us + TICKETS_LEFT_US) == NULL))
         continue;
-      place_t place = { 0 };
-      if (make_place (worker, stage, &place))
-        g_array_append_val (places, place);
+      clearing_t place = { 0 };
+      if (make_clearing (worker, stage, &place))
+        g_array_append_val (clearings, place);
       else
-        place_clear (&place);
+        clearing_clear (&place);
     }
-  g_array_sort (places, compare_places);
-  return places;
+  g_array_sort (clearings, compare_clearings);
+  return clearings;
 }
 
 /* Stops runs that save their work where that makes room for all tasks of a gang, or for
@@ -253,18 +253,18 @@
 preempt_saved (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (stage);
-  g_autoptr (GArray) places = find_places (sched, stage, now_us);
+  g_autoptr (GArray) clearings = find_clearings (sched, stage, now_us);
   guint room = 0;
   guint n = 0;
-  for (; n < places->len && room < open; n++)
-    room += g_array_index (places, place_t, n).count;
+  for (; n < clearings->len && room < open; n++)
+    room += g_array_index (clearings, clearing_t, n).count;
   if (room == 0 || (step->gang && room < open))
     return FALSE;
   stage->preempt_us = now_us + SAVED_SPACING_US;
   guint stopped = 0;
   for (guint i = 0; i < n; i++)
     {
-      const place_t *place = &g_array_index (places, place_t, i);
+      const clearing_t *place = &g_array_index (clearings, clearing_t, i);
       place->worker->reserved = sched->pass;
       place->worker->reserved_us = now_us;
       memset (&place->worker->reserved_left, 0, sizeof place->worker->reserved_left);
