Read once more: one copy of what was written twice, and no work for nothing

What a reading of the whole change found, without a change of behaviour: - bts_record_pack and node.c's own packing are one bts_message_pack; messages, replies and answers of the advice service go out by one function each; - how many tasks a worker takes was counted in advice.c and preempt.c (bts_place_count), what is left after stops twice in preempt.c (used_after_stops), and all members of a fleet of processes were started again by hand in five tests (sim_restart); - who a question is about was two booleans, of which the second was worked out, over the whole pool, before it was known whether anybody could ask; - with nobody free to ask, each stage of a pass sorted the list of processes anew; - fleet->version and bts_node_fleet had no reader left; sched->unlisted meant something else than worker->unlisted_us and is now unheard.

--- a/bench/owner.c
+++ b/bench/owner.c
@@ -436,7 +436,7 @@
 static void
 append_record (bench_t *bench, Bts__Record *record)
 {
-  g_autoptr (GBytes) bytes = bts_record_pack (record);
+  g_autoptr (GBytes) bytes = bts_message_pack (&record->base);
   op_append (bench, 0, bytes);
 }
 
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -68,11 +68,10 @@
           *chosen = member;
         }
     }
-  if (best == NULL)
-    return NULL;
-  if ((*chosen)->busy_until_us <= now_us + AHEAD_US)
+  if (best != NULL && (*chosen)->busy_until_us <= now_us + AHEAD_US)
     return best;
-  sched->helpers_busy_us[is_long] = (*chosen)->busy_until_us - AHEAD_US;
+  /* Without anybody to ask, the rest of this pass need not look for one again. */
+  sched->helpers_busy_us[is_long] = best == NULL ? now_us + 1 : (*chosen)->busy_until_us - AHEAD_US;
   return NULL;
 }
 
@@ -92,11 +91,10 @@
 }
 
 static void
-ask (bts_sched_t *sched, bts_stage_t *stage, const char *node, const bts_member_t *member,
+ask (bts_sched_t *sched, bts_stage_t *stage, const char *node, bts_member_t *member,
      const GPtrArray *workers, gint64 now_us)
 {
-  bts_members_asked (sched->members, node, call_us (bts_stage_policy (stage), workers->len),
-                     now_us);
+  bts_member_asked (member, call_us (bts_stage_policy (stage), workers->len), now_us);
   stage->asked_us = now_us;
   stage->answer_us = member->busy_until_us + PATIENCE_US;
   g_free (stage->asked);
@@ -111,28 +109,32 @@
   sched->ops->advise (sched->context, node, member->address, &question);
 }
 
+/**
+ * enum about_t - which workers a question is about
+ * @ABOUT_UNKNOWN: those of which nothing is known
+ * @ABOUT_FURTHER: of those the ones with room, or any for a stage that may use few
+ * @ABOUT_ALLOWED: those that were allowed before, for new tickets
+ */
+typedef enum
+{
+  ABOUT_UNKNOWN,
+  ABOUT_FURTHER,
+  ABOUT_ALLOWED,
+} about_t;
+
 static gboolean
-may_ask_about (const bts_stage_t *stage, const bts_worker_t *worker, gboolean known)
+may_ask_about (const bts_stage_t *stage, const bts_worker_t *worker, about_t about)
 {
   const bts_ticket_t *ticket = bts_stage_ticket (stage, worker->entry->id);
   return worker->listed && !worker->entry->draining && bts_place_could_use (worker, stage)
-         && (known ? ticket != NULL && ticket->ticket != NULL : ticket == NULL);
-}
-
-/* How many tasks of a step a worker takes beside what is used of it. */
-static guint
-count_taken (const bts_worker_t *worker, const bts_room_t *used, const Bts__Step *step)
-{
-  bts_room_t room = bts_place_room (step);
-  guint fitting = bts_worker_count_fitting (worker, used, &room);
-  return step->per_worker_max == 0 ? fitting : MIN (fitting, step->per_worker_max);
+         && (about == ABOUT_ALLOWED ? ticket != NULL && ticket->ticket != NULL : ticket == NULL);
 }
 
 static guint
 count_if_empty (const bts_worker_t *worker, const Bts__Step *step)
 {
   bts_room_t nothing = { 0 };
-  return count_taken (worker, &nothing, step);
+  return bts_place_count (worker, &nothing, step);
 }
 
 /* Whether the workers that a stage may use are so few that it would wait for nearly all
@@ -168,12 +170,9 @@
 }
 
 /* Workers to ask about: those with room first, until they will do for all tasks. Patient
-   work is asked about on the fullest of them, which leaves whole workers to gangs.
-   @known: those that were allowed before, for new tickets, or else those of which
-   nothing is known. @room: only those with room. */
+   work is asked about on the fullest of them, which leaves whole workers to gangs. */
 static GPtrArray *
-choose_workers (bts_sched_t *sched, const bts_stage_t *stage, gboolean known, gboolean room,
-                gint64 now_us)
+choose_workers (bts_sched_t *sched, const bts_stage_t *stage, about_t about, gint64 now_us)
 {
   const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
   const Bts__Step *step = bts_stage_step (stage);
@@ -183,12 +182,12 @@
   g_autoptr (GPtrArray) full = g_ptr_array_new ();
   /* Questions begin at different workers, so that the jobs spread over all of them. */
   guint first = pool->len == 0 ? 0 : ++sched->asked % pool->len;
-  guint percent = known ? 100 : ALLOWED_PERCENT;
+  guint percent = about == ABOUT_ALLOWED ? 100 : ALLOWED_PERCENT;
   guint taken = 0;
   for (guint i = 0; i < pool->len; i++)
     {
       const bts_worker_t *worker = pool->pdata[(first + i) % pool->len];
-      if (!may_ask_about (stage, worker, known))
+      if (!may_ask_about (stage, worker, about))
         continue;
       candidate_t candidate = { worker, patient ? bts_place_left (worker, step) : 0 };
       if (bts_place_open (worker, stage, now_us) == BTS_PLACE_OK)
@@ -201,12 +200,14 @@
     {
       const bts_worker_t *worker = g_array_index (with_room, candidate_t, i).worker;
       g_ptr_array_add (ids, worker->entry->id);
-      taken += count_taken (worker, &worker->used, step);
+      taken += bts_place_count (worker, &worker->used, step);
       if (ids->len >= WORKERS_USUAL && (guint64)taken * percent >= (guint64)stage->n * 100)
         return ids;
     }
+  if (about == ABOUT_FURTHER && !is_narrow (sched, stage))
+    return ids;
   guint64 wanted = (guint64)stage->n * CHOICE * 100;
-  for (guint i = 0; !room && i < full->len && ids->len < BTS_ADVICE_MAX; i++)
+  for (guint i = 0; i < full->len && ids->len < BTS_ADVICE_MAX; i++)
     {
       const bts_worker_t *worker = full->pdata[i];
       if (ids->len >= WORKERS_USUAL && (guint64)taken * percent >= wanted)
@@ -219,13 +220,13 @@
 
 /* Asks about a stage, if a process is free to ask and there are workers to ask about. */
 static void
-ask_about (bts_sched_t *sched, bts_stage_t *stage, gboolean known, gboolean room, gint64 now_us)
+ask_about (bts_sched_t *sched, bts_stage_t *stage, about_t about, gint64 now_us)
 {
   bts_member_t *member = NULL;
   const char *node = choose_member (sched, is_long (stage), now_us, &member);
   if (node == NULL)
     return;
-  g_autoptr (GPtrArray) ids = choose_workers (sched, stage, known, room, now_us);
+  g_autoptr (GPtrArray) ids = choose_workers (sched, stage, about, now_us);
   if (ids->len > 0)
     ask (sched, stage, node, member, ids, now_us);
 }
@@ -247,7 +248,7 @@
     doubt_member (sched, stage);
   if (stage->advice != NULL)
     return TRUE;
-  ask_about (sched, stage, FALSE, FALSE, now_us);
+  ask_about (sched, stage, ABOUT_UNKNOWN, now_us);
   return FALSE;
 }
 
@@ -265,7 +266,7 @@
   if (!policy->advised || stage->advice == NULL || stage->asked_us != 0)
     return;
   if (now_us + call_us (policy, WORKERS_USUAL) >= needed_us)
-    ask_about (sched, stage, TRUE, FALSE, now_us);
+    ask_about (sched, stage, ABOUT_ALLOWED, now_us);
 }
 
 /**
@@ -281,7 +282,7 @@
       || now_us < stage->extend_us)
     return;
   stage->extend_us = now_us + EXTEND_US;
-  ask_about (sched, stage, FALSE, !is_narrow (sched, stage), now_us);
+  ask_about (sched, stage, ABOUT_FURTHER, now_us);
 }
 
 /**
@@ -336,7 +337,7 @@
         }
       g_ptr_array_remove_index_fast (sched->foreseen, i);
       if (stage->advice == NULL && stage->asked_us == 0 && !bts_job_over (stage->job))
-        ask_about (sched, stage, FALSE, FALSE, now_us);
+        ask_about (sched, stage, ABOUT_UNKNOWN, now_us);
     }
 }
 
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -53,7 +53,6 @@
   fleet->workers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)worker_free);
   fleet->pools = g_hash_table_new_full (NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
-  fleet->version = 1;
 }
 
 void
@@ -135,7 +134,6 @@
       worker->runs = g_ptr_array_new ();
       g_hash_table_insert (fleet->workers, entry->id, worker);
       join_pool (fleet, worker);
-      fleet->version++;
       return BTS_ENTRY_NEW;
     }
   bts_entry_change_t change
@@ -147,7 +145,6 @@
   g_hash_table_steal (fleet->workers, worker->entry->id);
   bts_entry_free (worker->entry);
   worker->entry = entry;
-  fleet->version += change != BTS_ENTRY_SAME || !worker->listed;
   worker->listed = TRUE;
   g_hash_table_insert (fleet->workers, entry->id, worker);
   join_pool (fleet, worker);
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -175,13 +175,11 @@
  * struct bts_fleet_t - all workers
  * @workers: id to bts_worker_t
  * @pools: interned service to a GPtrArray of its bts_worker_t
- * @version: raised when a worker comes, changes or can be used
  */
 typedef struct
 {
   GHashTable *workers;
   GHashTable *pools;
-  guint64 version;
 } bts_fleet_t;
 
 /**
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -481,14 +481,14 @@
 }
 
 /**
- * bts_record_pack() - the bytes of a record
- * @record: the record
+ * bts_message_pack() - the bytes of a record or a message
+ * @message: its base
  */
 GBytes *
-bts_record_pack (const Bts__Record *record)
+bts_message_pack (const ProtobufCMessage *message)
 {
-  gsize len = bts__record__get_packed_size (record);
+  gsize len = protobuf_c_message_get_packed_size (message);
   guint8 *data = g_malloc (MAX (len, 1));
-  bts__record__pack (record, data);
+  protobuf_c_message_pack (message, data);
   return g_bytes_new_take (data, len);
 }
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -54,6 +54,6 @@
 guint bts_ledger_count_pending (const bts_ledger_t *ledger, const char *route);
 void bts_ledger_forget (bts_ledger_t *ledger, gint64 before_us);
 
-GBytes *bts_record_pack (const Bts__Record *record);
+GBytes *bts_message_pack (const ProtobufCMessage *message);
 
 #endif
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -86,16 +86,14 @@
 }
 
 /**
- * bts_members_asked() - a process was sent a question
- * @members: the processes
- * @node: its name
+ * bts_member_asked() - a process was sent a question
+ * @member: the process
  * @took_us: how long the call takes, about
  * @now_us: the time
  */
 void
-bts_members_asked (bts_members_t *members, const char *node, gint64 took_us, gint64 now_us)
+bts_member_asked (bts_member_t *member, gint64 took_us, gint64 now_us)
 {
-  bts_member_t *member = bts_members_find (members, node);
   member->open++;
   member->busy_until_us = MAX (member->busy_until_us, now_us) + took_us;
 }
--- a/libbamboothread/scheduler/members.h
+++ b/libbamboothread/scheduler/members.h
@@ -32,7 +32,7 @@
 void bts_members_free (bts_members_t *members);
 void bts_members_seen (bts_members_t *members, const char *node, gint64 now_us);
 void bts_members_hello (bts_members_t *members, const Bts__Hello *hello, gint64 now_us);
-void bts_members_asked (bts_members_t *members, const char *node, gint64 took_us, gint64 now_us);
+void bts_member_asked (bts_member_t *member, gint64 took_us, gint64 now_us);
 void bts_members_replied (bts_members_t *members, const char *node, gint64 now_us);
 void bts_members_doubt (bts_members_t *members, const char *node);
 bts_member_t *bts_members_find (const bts_members_t *members, const char *node);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -86,7 +86,7 @@
 static void
 append (bts_node_t *node, guint64 token, const Bts__Record *record)
 {
-  g_autoptr (GBytes) bytes = bts_record_pack (record);
+  g_autoptr (GBytes) bytes = bts_message_pack (&record->base);
   node->ops->append (node->context, token, bytes);
 }
 
@@ -217,13 +217,21 @@
   append (context, TOKEN_NONE, record);
 }
 
-static GBytes *
-message_pack (const ProtobufCMessage *message)
+/* Messages to other processes and replies to theirs. */
+
+static void
+send_message (void *context, const char *address, const Bts__Message *message, guint timeout_ms)
 {
-  gsize len = protobuf_c_message_get_packed_size (message);
-  guint8 *data = g_malloc (MAX (len, 1));
-  protobuf_c_message_pack (message, data);
-  return g_bytes_new_take (data, len);
+  bts_node_t *node = context;
+  g_autoptr (GBytes) bytes = bts_message_pack (&message->base);
+  node->ops->send (node->context, address, bytes, timeout_ms);
+}
+
+static void
+send_reply (bts_node_t *node, guint64 exchange, const Bts__Reply *reply)
+{
+  g_autoptr (GBytes) bytes = bts_message_pack (&reply->base);
+  node->ops->reply (node->context, exchange, bytes);
 }
 
 static void
@@ -238,8 +246,7 @@
   Bts__Message message = BTS__MESSAGE__INIT;
   message.kind_case = BTS__MESSAGE__KIND_ASK;
   message.ask = (Bts__Ask *)ask;
-  g_autoptr (GBytes) bytes = message_pack (&message.base);
-  node->ops->send (node->context, address, bytes, ASK_TIMEOUT_MS);
+  send_message (node, address, &message, ASK_TIMEOUT_MS);
 }
 
 static void
@@ -280,8 +287,7 @@
   Bts__Reply reply = BTS__REPLY__INIT;
   reply.kind_case = BTS__REPLY__KIND_ANSWER;
   reply.answer = answer;
-  g_autoptr (GBytes) bytes = message_pack (&reply.base);
-  node->ops->reply (node->context, exchange & ~FORWARDED, bytes);
+  send_reply (node, exchange & ~FORWARDED, &reply);
 }
 
 /* Whether so many entries are there that a log that turns slow would take their appends
@@ -318,20 +324,12 @@
 gate_append_spec (void *context, guint64 token, const Bts__Spec *spec)
 {
   bts_node_t *node = context;
-  g_autoptr (GBytes) bytes = message_pack (&spec->base);
+  g_autoptr (GBytes) bytes = bts_message_pack (&spec->base);
   node->ops->append_spec (node->context, token, bytes);
 }
 
 static const bts_gate_ops_t gate_ops = { gate_append, gate_append_spec, gate_pass_on, gate_answer };
 
-static void
-relay_send (void *context, const char *address, const Bts__Message *message, guint timeout_ms)
-{
-  bts_node_t *node = context;
-  g_autoptr (GBytes) bytes = message_pack (&message->base);
-  node->ops->send (node->context, address, bytes, timeout_ms);
-}
-
 static void
 relay_answer (void *context, guint64 exchange, bts_answer_t answer)
 {
@@ -346,7 +344,7 @@
   bts_gate_submit (node->gate, exchange, job, TRUE, patience_us, node_now (node));
 }
 
-static const bts_relay_ops_t relay_ops = { relay_send, relay_answer, relay_append };
+static const bts_relay_ops_t relay_ops = { send_message, relay_answer, relay_append };
 
 static void
 specs_read (void *context, gint64 from)
@@ -364,28 +362,37 @@
   node->ops->advise (node->context, question);
 }
 
+/* Tells whoever asked what the advice service answered; NULL if there is no answer. */
 static void
-fill_ask (Bts__Ask *ask, const bts_question_t *question)
+tell_advice (bts_node_t *node, const bts_question_t *question, const Bts__Advice *advice)
 {
-  bts__ask__init (ask);
-  ask->node = question->node;
-  ask->job = question->job;
-  ask->occurrence = question->occurrence;
-  ask->step = question->step;
-  ask->n_workers = question->workers->len;
-  ask->workers = (char **)question->workers->pdata;
+  if (question->exchange == 0)
+    {
+      Bts__Ask ask = BTS__ASK__INIT;
+      ask.node = question->node;
+      ask.job = question->job;
+      ask.occurrence = question->occurrence;
+      ask.step = question->step;
+      ask.n_workers = question->workers->len;
+      ask.workers = (char **)question->workers->pdata;
+      bts_sched_on_advice (node->sched, &ask, advice);
+      return;
+    }
+  if (advice == NULL)
+    {
+      node->ops->reply (node->context, question->exchange, NULL);
+      return;
+    }
+  Bts__Reply reply = BTS__REPLY__INIT;
+  reply.kind_case = BTS__REPLY__KIND_ADVICE;
+  reply.advice = (Bts__Advice *)advice;
+  send_reply (node, question->exchange, &reply);
 }
 
 static void
 adviser_given_up (void *context, const bts_question_t *question)
 {
-  bts_node_t *node = context;
-  Bts__Ask ask;
-  fill_ask (&ask, question);
-  if (question->exchange == 0)
-    bts_sched_on_advice (node->sched, &ask, NULL);
-  else
-    node->ops->reply (node->context, question->exchange, NULL);
+  tell_advice (context, question, NULL);
 }
 
 static const bts_adviser_ops_t adviser_ops = { adviser_ask, adviser_given_up };
@@ -447,12 +454,6 @@
   return node->sched;
 }
 
-bts_fleet_t *
-bts_node_fleet (bts_node_t *node)
-{
-  return &node->fleet;
-}
-
 const bts_manifest_t *
 bts_node_manifest (const bts_node_t *node)
 {
@@ -593,20 +594,7 @@
       bt_log (BT_LOG_INFO, "advice", "job=%s occurrence=%u step=%u asked=%u allowed=%zu",
               question->job, question->occurrence, question->step, question->workers->len,
               advice->n_allowed);
-      if (question->exchange == 0)
-        {
-          Bts__Ask ask;
-          fill_ask (&ask, question);
-          bts_sched_on_advice (node->sched, &ask, advice);
-        }
-      else
-        {
-          Bts__Reply reply = BTS__REPLY__INIT;
-          reply.kind_case = BTS__REPLY__KIND_ADVICE;
-          reply.advice = (Bts__Advice *)advice;
-          g_autoptr (GBytes) bytes = message_pack (&reply.base);
-          node->ops->reply (node->context, question->exchange, bytes);
-        }
+      tell_advice (node, question, advice);
     }
   bts_adviser_on_answer (node->adviser, question, advice != NULL);
 }
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -71,7 +71,6 @@
                           const bts_node_ops_t *ops, void *context);
 void bts_node_free (bts_node_t *node);
 bts_sched_t *bts_node_sched (const bts_node_t *node);
-bts_fleet_t *bts_node_fleet (bts_node_t *node);
 const bts_manifest_t *bts_node_manifest (const bts_node_t *node);
 
 void bts_node_on_record (bts_node_t *node, gint64 offset, const guint8 *data, gsize len);
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -162,6 +162,20 @@
   return capacity == 0 ? 0 : (capacity - used) * 1000 / capacity;
 }
 
+/**
+ * bts_place_count() - how many tasks of a step a worker takes
+ * @worker: the worker
+ * @used: what is taken of it
+ * @step: the step
+ */
+guint
+bts_place_count (const bts_worker_t *worker, const bts_room_t *used, const Bts__Step *step)
+{
+  bts_room_t room = bts_place_room (step);
+  guint fitting = bts_worker_count_fitting (worker, used, &room);
+  return step->per_worker_max == 0 ? fitting : MIN (fitting, step->per_worker_max);
+}
+
 /**
  * bts_place_left() - what stays free of a worker beside one more task of a step
  * @worker: the worker
--- a/libbamboothread/scheduler/place.h
+++ b/libbamboothread/scheduler/place.h
@@ -35,6 +35,7 @@
 gboolean bts_place_may_use (const bts_worker_t *worker, const bts_stage_t *stage);
 bts_worker_t *bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, guint64 pass,
                                 gint64 now_us);
+guint bts_place_count (const bts_worker_t *worker, const bts_room_t *used, const Bts__Step *step);
 gint64 bts_place_left (const bts_worker_t *worker, const Bts__Step *step);
 void bts_place_take (bts_worker_t *worker, const Bts__Step *step, guint64 pass);
 gboolean bts_place_serves (const Bts__Step *step);
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -102,20 +102,35 @@
   return NULL;
 }
 
-/* Whether room that is being freed on a worker already suffices. */
-static gboolean
-room_coming (const bts_worker_t *worker, const bts_stage_t *stage)
+/* What is used of a worker once the stops on their way have ended. */
+static bts_room_t
+used_after_stops (const bts_worker_t *worker)
 {
-  bts_room_t room = bts_place_room (bts_stage_step (stage));
-  bts_room_t freed = { 0 };
+  bts_room_t used = worker->used;
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const bts_run_t *run = worker->runs->pdata[i];
-      if (run->state != BTS_RUN_STOPPING)
-        continue;
-      bts_room_add (&freed, &run->room);
+      if (run->state == BTS_RUN_STOPPING)
+        bts_room_subtract (&used, &run->room);
     }
-  return enough (worker, &freed, &room);
+  return used;
+}
+
+/* Whether room that is being freed on a worker already suffices. */
+static gboolean
+room_coming (const bts_worker_t *worker, const bts_stage_t *stage)
+{
+  bts_room_t room = bts_place_room (bts_stage_step (stage));
+  bts_room_t used = used_after_stops (worker);
+  return bts_worker_has_room (worker, &used, &room);
+}
+
+static void
+stop_all (bts_sched_t *sched, const GPtrArray *victims)
+{
+  bt_metrics_add (BT_COUNT_PREEMPTED, victims->len);
+  for (guint i = 0; i < victims->len; i++)
+    bts_run_stop (sched, victims->pdata[i]);
 }
 
 /* The worker on which room for one more task costs least; counts in @coming the
@@ -195,30 +210,19 @@
 make_clearing (bts_worker_t *worker, const bts_stage_t *stage, clearing_t *place)
 {
   const Bts__Step *step = bts_stage_step (stage);
-  bts_room_t room = bts_place_room (step);
-  bts_room_t used = worker->used;
+  bts_room_t used = used_after_stops (worker);
   place->worker = worker;
   place->victims = g_ptr_array_new ();
-  for (guint i = 0; i < worker->runs->len; i++)
+  place->count = bts_place_count (worker, &used, step);
+  for (guint i = 0; i < worker->runs->len && place->count == 0; i++)
     {
       bts_run_t *run = worker->runs->pdata[i];
-      if (run->state == BTS_RUN_STOPPING)
-        bts_room_subtract (&used, &run->room);
-    }
-  for (guint i = 0; i < worker->runs->len; i++)
-    {
-      bts_run_t *run = worker->runs->pdata[i];
-      place->count = bts_worker_count_fitting (worker, &used, &room);
-      if (place->count > 0)
-        break;
       if (!gives_way (run, stage))
         continue;
       bts_room_subtract (&used, &run->room);
       g_ptr_array_add (place->victims, run);
+      place->count = bts_place_count (worker, &used, step);
     }
-  place->count = bts_worker_count_fitting (worker, &used, &room);
-  if (step->per_worker_max > 0)
-    place->count = MIN (place->count, step->per_worker_max);
   return place->count > 0;
 }
 
@@ -268,16 +272,32 @@
       place->worker->reserved = sched->pass;
       place->worker->reserved_us = now_us;
       memset (&place->worker->reserved_left, 0, sizeof place->worker->reserved_left);
-      for (guint v = 0; v < place->victims->len; v++)
-        bts_run_stop (sched, place->victims->pdata[v]);
+      stop_all (sched, place->victims);
       stopped += place->victims->len;
     }
-  bt_metrics_add (BT_COUNT_PREEMPTED, stopped);
   bt_log (BT_LOG_INFO, "preempt", "job=%s step=%u stopped=%u workers=%u open=%u saved=1",
           bts_job_id (stage->job), stage->step, stopped, n, open);
   return TRUE;
 }
 
+/* Stops what loses least on one worker after the other, for tasks that are to be kept up. */
+static void
+preempt_lasting (bts_sched_t *sched, bts_stage_t *stage, guint open, gint64 now_us)
+{
+  stage->preempt_us = now_us + SPACING_US;
+  for (guint i = 0; i < open; i++)
+    {
+      guint coming;
+      gint64 cost = 0;
+      g_autoptr (GPtrArray) victims = find_best (sched, stage, now_us, &coming, &cost);
+      if (victims == NULL || coming >= open)
+        return;
+      bt_log (BT_LOG_INFO, "preempt", "job=%s step=%u stopped=%u loss_core_ms=%" G_GINT64_FORMAT,
+              bts_job_id (stage->job), stage->step, victims->len, cost);
+      stop_all (sched, victims);
+    }
+}
+
 /**
  * bts_preempt_for() - make room for the tasks of a stage
  * @sched: a leading scheduler
@@ -292,32 +312,18 @@
 {
   const Bts__Step *step = bts_stage_step (stage);
   gboolean urgent = bts_stage_policy (stage)->priority == 0;
-  if (!step->long_running)
-    {
-      if (stage->short_us == 0)
-        stage->short_us = now_us;
-      if ((step->gang || urgent) && now_us <= stage->due_us && now_us >= stage->preempt_us
-          && (urgent || now_us - stage->short_us >= GANG_PATIENCE_US))
-        return preempt_saved (sched, stage, open, now_us);
-      return FALSE;
-    }
   if (stage->short_us == 0)
     stage->short_us = now_us;
-  if (now_us - stage->short_us < PATIENCE_US || now_us < stage->preempt_us)
+  gint64 short_us = now_us - stage->short_us;
+  if (now_us < stage->preempt_us)
     return FALSE;
-  stage->preempt_us = now_us + SPACING_US;
-  for (guint i = 0; i < open; i++)
+  if (step->long_running)
     {
-      guint coming;
-      gint64 cost = 0;
-      g_autoptr (GPtrArray) victims = find_best (sched, stage, now_us, &coming, &cost);
-      if (victims == NULL || coming >= open)
-        return FALSE;
-      bt_log (BT_LOG_INFO, "preempt", "job=%s step=%u stopped=%u loss_core_ms=%" G_GINT64_FORMAT,
-              bts_job_id (stage->job), stage->step, victims->len, cost);
-      bt_metrics_add (BT_COUNT_PREEMPTED, victims->len);
-      for (guint v = 0; v < victims->len; v++)
-        bts_run_stop (sched, victims->pdata[v]);
+      if (short_us >= PATIENCE_US)
+        preempt_lasting (sched, stage, open, now_us);
+      return FALSE;
     }
-  return FALSE;
+  if (now_us > stage->due_us || !(urgent || (step->gang && short_us >= GANG_PATIENCE_US)))
+    return FALSE;
+  return preempt_saved (sched, stage, open, now_us);
 }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -55,7 +55,7 @@
   sched->held = g_ptr_array_new_with_free_func (bts_held_free);
   sched->released = g_ptr_array_new_with_free_func (g_free);
   sched->speed = bts_speed_new ();
-  sched->unlisted = g_ptr_array_new ();
+  sched->unheard = g_ptr_array_new ();
   sched->members = members;
   return sched;
 }
@@ -72,7 +72,7 @@
   g_array_unref (sched->begun);
   g_ptr_array_unref (sched->held);
   g_ptr_array_unref (sched->released);
-  g_ptr_array_unref (sched->unlisted);
+  g_ptr_array_unref (sched->unheard);
   bts_speed_free (sched->speed);
   g_free (sched);
 }
@@ -356,7 +356,7 @@
 /* Whether tasks that an earlier owner started may still run on a worker that has not
    listed its runs yet. */
 static gboolean
-may_run_unlisted (const bts_sched_t *sched, const bts_worker_t *worker)
+may_run_unheard (const bts_sched_t *sched, const bts_worker_t *worker)
 {
   if (worker->synced || worker->departed)
     return FALSE;
@@ -371,9 +371,9 @@
 {
   if (sched->settled || stage->job->offset > bts_ledger_claim_offset (sched->ledger))
     return FALSE;
-  for (guint i = 0; i < sched->unlisted->len; i++)
+  for (guint i = 0; i < sched->unheard->len; i++)
     {
-      const bts_worker_t *worker = sched->unlisted->pdata[i];
+      const bts_worker_t *worker = sched->unheard->pdata[i];
       /* Workers that this owner didn't ask about may have been allowed to an earlier one. */
       const bts_ticket_t *ticket = bts_stage_ticket (stage, worker->entry->id);
       gboolean denied = ticket != NULL && ticket->ticket == NULL;
@@ -385,17 +385,17 @@
 
 /* Collects for a pass the workers that uncertain() asks about. */
 static void
-find_unlisted (bts_sched_t *sched)
+find_unheard (bts_sched_t *sched)
 {
-  g_ptr_array_set_size (sched->unlisted, 0);
+  g_ptr_array_set_size (sched->unheard, 0);
   if (sched->settled)
     return;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, sched->fleet->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (may_run_unlisted (sched, value))
-      g_ptr_array_add (sched->unlisted, value);
+    if (may_run_unheard (sched, value))
+      g_ptr_array_add (sched->unheard, value);
 }
 
 static gboolean
@@ -588,7 +588,7 @@
   for (guint i = 0; i < sched->waiting->len; i++)
     rank (sched->waiting->pdata[i], now_us);
   g_ptr_array_sort (sched->waiting, compare);
-  find_unlisted (sched);
+  find_unheard (sched);
   guint kept = 0;
   guint reserving = 0;
   for (guint i = 0; i < sched->waiting->len; i++)
@@ -633,7 +633,7 @@
     {
       const bts_worker_t *worker = value;
       known++;
-      if (may_run_unlisted (sched, worker))
+      if (may_run_unheard (sched, worker))
         return FALSE;
     }
   return known > 0 || bts_sched_now (sched) >= sched->sure_us;
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -104,6 +104,7 @@
   GPtrArray *finished;
 } bts_listing_t;
 
+void bts_finished_free (gpointer data);
 bts_listing_t *bts_listing_new (void);
 void bts_listing_free (bts_listing_t *listing);
 
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -56,7 +56,7 @@
  * @dirty: a pass over the queue may place something
  * @pass_us: when the last one was
  * @pass: its number
- * @unlisted: in a pass, the workers on which unknown runs of earlier owners may be
+ * @unheard: in a pass, the workers on which unknown runs of earlier owners may be
  * @keep_us: when it was last looked for what the log will delete
  * @standing_us: when the owner was last written once more
  */
@@ -99,7 +99,7 @@
   gboolean dirty;
   gint64 pass_us;
   guint64 pass;
-  GPtrArray *unlisted;
+  GPtrArray *unheard;
   gint64 keep_us;
   gint64 standing_us;
 };
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -36,8 +36,8 @@
   g_free (row);
 }
 
-static void
-listing_finished_free (gpointer data)
+void
+bts_finished_free (gpointer data)
 {
   bts_finished_t *row = data;
   g_free (row->name);
@@ -50,7 +50,7 @@
 {
   bts_listing_t *listing = g_new0 (bts_listing_t, 1);
   listing->running = g_ptr_array_new_with_free_func (listing_running_free);
-  listing->finished = g_ptr_array_new_with_free_func (listing_finished_free);
+  listing->finished = g_ptr_array_new_with_free_func (bts_finished_free);
   return listing;
 }
 
@@ -440,11 +440,7 @@
     take_running (sched, worker, listing->running->pdata[i]);
   drop_vanished (sched, worker);
   worker->hold_next_us = worker->ends_open > 0 ? now_us + HOLD_ENDS_US : now_us;
-  if (!worker->synced)
-    {
-      sched->dirty = TRUE;
-      sched->fleet->version++;
-    }
+  sched->dirty = sched->dirty || !worker->synced;
   worker->synced = TRUE;
   bts_beat_held (sched, worker);
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -330,15 +330,6 @@
   g_free (run);
 }
 
-static void
-finished_free (gpointer data)
-{
-  bts_finished_t *row = data;
-  g_free (row->name);
-  g_free (row->saved);
-  g_free (row);
-}
-
 static sim_run_t *
 find_run (const sim_worker_t *worker, const char *name)
 {
@@ -1222,7 +1213,7 @@
   worker->clock_rate = 1.0;
   worker->cut_from = -1;
   worker->runs = g_ptr_array_new_with_free_func (sim_run_free);
-  worker->finished = g_ptr_array_new_with_free_func (finished_free);
+  worker->finished = g_ptr_array_new_with_free_func (bts_finished_free);
   worker->holds = g_ptr_array_new ();
   worker->tombs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_ptr_array_add (sim->workers, worker);
@@ -1314,6 +1305,17 @@
   node->frozen = FALSE;
 }
 
+/* Kills all processes and starts them again, with what has been set up since. */
+void
+sim_restart (sim_t *sim)
+{
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      sim_kill (sim, i);
+      sim_start (sim, i);
+    }
+}
+
 void
 sim_freeze (sim_t *sim, guint index)
 {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -243,6 +243,7 @@
 guint sim_count_state (sim_t *sim, bts_state_t state);
 void sim_kill (sim_t *sim, guint node);
 void sim_start (sim_t *sim, guint node);
+void sim_restart (sim_t *sim);
 void sim_freeze (sim_t *sim, guint node);
 void sim_thaw (sim_t *sim, guint node);
 void sim_leave (sim_t *sim, guint node);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -438,22 +438,14 @@
       = { { .count = 4, .cpu = 3000, .memory = 2000, .ms = 4000 },
           { .count = 4, .cpu = 3000, .memory = 2000, .ms = 9000, .after = 1 } };
   sim->keep_ms = 6000;
-  for (guint i = 0; i < sim->nodes->len; i++)
-    {
-      sim_kill (sim, i);
-      sim_start (sim, i);
-    }
+  sim_restart (sim);
   sim_run_ms (sim, 3000);
   sim_job_t *kept = sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
   sim_job_t *job = sim_submit (sim, 1, &batch, slow, G_N_ELEMENTS (slow));
   sim_run_ms (sim, 4000);
   sim_run_ms (sim, 5000);
   ck_assert_int_gt (sim->log_first, 0);
-  for (guint i = 0; i < sim->nodes->len; i++)
-    {
-      sim_kill (sim, i);
-      sim_start (sim, i);
-    }
+  sim_restart (sim);
   sim_run_ms (sim, 12000);
   ck_assert_int_eq (sim_state (sim, job), BTS_COMPLETED);
   ck_assert_uint_eq (sim_running (sim, kept->id), 3);
@@ -674,11 +666,7 @@
 owner_killed_with_jobs_on_their_way (sim_t *sim)
 {
   sim->crowd = 0;
-  for (guint i = 0; i < 3; i++)
-    {
-      sim_kill (sim, i);
-      sim_start (sim, i);
-    }
+  sim_restart (sim);
   sim_run_ms (sim, 6000);
   for (guint round = 0; round < 3; round++)
     {
@@ -707,11 +695,7 @@
 owner_dies_with_a_job_and_store_refuses (sim_t *sim)
 {
   sim->crowd = 0;
-  for (guint i = 0; i < 3; i++)
-    {
-      sim_kill (sim, i);
-      sim_start (sim, i);
-    }
+  sim_restart (sim);
   sim_run_ms (sim, 6000);
   guint owner = (guint)sim_owner (sim);
   guint entry = (owner + 1) % 3;
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -318,13 +318,7 @@
   if (draw (&day, 2) == 0)
     day.sim->keep_ms = KEEP_MS;
   if (day.sim->keep_ms > 0 || seed % 2 != 0)
-    {
-      for (guint i = 0; i < NODES; i++)
-        {
-          sim_kill (day.sim, i);
-          sim_start (day.sim, i);
-        }
-    }
+    sim_restart (day.sim);
   sim_run_ms (day.sim, 3000);
   for (guint ms = 0; ms < DAY_MS; ms += STEP_MS)
     {
