The owner looks at allowed workers only, and at stages whose outlook has changed

Change: a stage keeps its tickets by the worker's number, with a bit for each worker asked about; a walk over candidates visits only workers that the advice service allowed. A stage is tried again when a run has ended on one of them and its task fits there, or after 100 ms. The next pass waits for three times the duration of the last. The queue is sorted only when a band has changed. bench-owner has a second load, of many short jobs beside gangs, and calls to the advice service take their time.

--- a/bench/owner.c
+++ b/bench/owner.c
@@ -17,7 +17,8 @@
 #define ORDER_DELAY_US (3 * 1000)
 #define TICK_US (10 * 1000)
 #define READ_US (20 * 1000)
-#define ADVICE_US (100 * 1000)
+/* Time of a message to another process and of its reply. */
+#define MESSAGE_US (4 * 1000)
 #define HELLO_US (3 * BT_USEC_PER_SEC)
 /* Processes that ask the advice service for the owner. */
 #define PROCESSES 31
@@ -46,14 +47,48 @@
   guint good;
 } kind_t;
 
-/* The kinds of request of a site of 350 workers at its usual rate. */
-static const kind_t kinds[] = {
-  { "cpu", 41.1, 2, 8, 5300, 15000, 0, 700, 0, 300, 1.5, FALSE, 21, 0.3, 70 },
-  { "cpu", 2.43, 2, 28, 9000, 32000, 0, 3600, 2, 3000, 4.0, FALSE, 195, 2.86, 45 },
-  { "gpu", 4.45, 1, 4, 31000, 130000, 4, 4500, 1, 1200, 2.2, TRUE, 715, 10.27, 30 },
-  { "gpu", 5.05, 1, 20, 5600, 16000, 1, 2400, 2, 3000, 4.0, FALSE, 195, 2.73, 45 },
+#define KINDS_MAX 4
+
+/**
+ * struct site_t - the load of a site at its usual rate, for 350 workers
+ * @cpu_workers_percent: share of the workers that are of the service "cpu"; the others are of
+ *   "gpu"
+ */
+typedef struct
+{
+  const char *name;
+  guint cpu_workers_percent;
+  kind_t kinds[KINDS_MAX];
+} site_t;
+
+static const site_t sites[] = {
+  { "mixed",
+    72,
+    {
+        { "cpu", 41.1, 2, 8, 5300, 15000, 0, 700, 0, 300, 1.5, FALSE, 21, 0.3, 70 },
+        { "cpu", 2.43, 2, 28, 9000, 32000, 0, 3600, 2, 3000, 4.0, FALSE, 195, 2.86, 45 },
+        { "gpu", 4.45, 1, 4, 31000, 130000, 4, 4500, 1, 1200, 2.2, TRUE, 715, 10.27, 30 },
+        { "gpu", 5.05, 1, 20, 5600, 16000, 1, 2400, 2, 3000, 4.0, FALSE, 195, 2.73, 45 },
+    } },
+  /* Many short jobs beside gangs, in one pool that is nearly full. */
+  { "short",
+    100,
+    {
+        { "cpu", 138, 1, 3, 5000, 7100, 0, 640, 0, 400, 1.5, FALSE, 9.36, 0.13, 70 },
+        { "cpu", 12.3, 2, 19, 3500, 6400, 0, 2200, 2, 3000, 4.0, FALSE, 104, 1.43, 45 },
+        { "cpu", 4.77, 1, 24, 9000, 9000, 0, 5000, 1, 1200, 2.2, TRUE, 559, 8.06, 30 },
+    } },
 };
 
+static const site_t *
+find_site (const char *name)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (sites); i++)
+    if (strcmp (sites[i].name, name) == 0)
+      return &sites[i];
+  return NULL;
+}
+
 typedef struct
 {
   char *name;
@@ -88,6 +123,7 @@
   guint64 holds;
   double busy_s;
   GRand *random;
+  const site_t *site;
 } bench_t;
 
 typedef struct
@@ -175,6 +211,21 @@
 {
 }
 
+/* The kind of a job stands in the first digit of its id. */
+static const kind_t *
+find_kind (const bench_t *bench, const char *job)
+{
+  return &bench->site->kinds[job[0] - '0'];
+}
+
+static gint
+compare_asked (gconstpointer a, gconstpointer b, gpointer context)
+{
+  const asked_t *left = a;
+  const asked_t *right = b;
+  return left->at_us < right->at_us ? -1 : left->at_us > right->at_us;
+}
+
 /* The owner asks nothing itself: it has enough helpers. */
 static void
 op_advise (void *context, const bts_advice_request_t *question)
@@ -187,9 +238,15 @@
 {
   bench_t *bench = context;
   asked_t *asked = g_new0 (asked_t, 1);
-  asked->at_us = now (bench) + ADVICE_US;
+  gsize len;
+  const guint8 *data = g_bytes_get_data (message, &len);
+  Bts__Message *sent = bts__message__unpack (NULL, len, data);
+  const kind_t *kind = find_kind (bench, sent->ask->job);
+  double call_ms = kind->advice_ms + kind->advice_worker_ms * (double)sent->ask->n_workers;
+  bts__message__free_unpacked (sent, NULL);
+  asked->at_us = now (bench) + MESSAGE_US + (gint64)(call_ms * 1000);
   asked->message = g_bytes_ref (message);
-  g_queue_push_tail (&bench->questions, asked);
+  g_queue_insert_sorted (&bench->questions, asked, compare_asked, NULL);
 }
 
 static void
@@ -266,7 +323,8 @@
 {
   Bts__Accepted *job = malloc (sizeof *job);
   bts__accepted__init (job);
-  g_autofree char *id = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", ++bench->jobs);
+  g_autofree char *id = g_strdup_printf ("%x%015" G_GINT64_MODIFIER "x",
+                                         (guint)(kind - bench->site->kinds), ++bench->jobs);
   job->id = strdup (id);
   job->spec.data = calloc (1, 100);
   job->spec.len = 100;
@@ -381,12 +439,6 @@
     }
 }
 
-static guint
-good_percent (const char *worker)
-{
-  return g_str_has_prefix (worker, "i-cpu") ? 70 : 40;
-}
-
 static void
 answer (bench_t *bench, GBytes *message)
 {
@@ -400,7 +452,7 @@
   for (gsize i = 0; i < ask->n_workers; i++)
     {
       g_autofree char *pair = g_strdup_printf ("%s%s", ask->job, ask->workers[i]);
-      if (g_str_hash (pair) % 100 >= good_percent (ask->workers[i]))
+      if (g_str_hash (pair) % 100 >= find_kind (bench, ask->job)->good)
         continue;
       Bts__Ticket *ticket = &tickets[advice.n_allowed];
       bts__ticket__init (ticket);
@@ -464,11 +516,12 @@
   gint64 tick_us = 0;
   gint64 hello_us = 0;
   gint64 read_us = 0;
-  double due[G_N_ELEMENTS (kinds)] = { 0 };
+  double due[KINDS_MAX] = { 0 };
+  const kind_t *kinds = bench->site->kinds;
   while (now (bench) < end_us)
     {
       bt_clock_advance (&bench->clock, STEP_US);
-      for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+      for (guint i = 0; i < KINDS_MAX && kinds[i].service != NULL; i++)
         for (due[i] += kinds[i].per_s * load * STEP_US / 1e6; due[i] >= 1; due[i]--)
           bts_node_submit (bench->node, 0, job_new (bench, &kinds[i]), 3 * BT_USEC_PER_SEC);
       if (now (bench) - hello_us >= HELLO_US)
@@ -512,10 +565,12 @@
   int seconds = 10;
   double load = 1.0;
   int workers = 350;
+  const char *site = "mixed";
   const struct poptOption options[]
       = { { "seconds", 's', POPT_ARG_INT, &seconds, 0, "simulated time", "SECONDS" },
           { "load", 'l', POPT_ARG_DOUBLE, &load, 0, "times the usual rate", "X" },
           { "workers", 'w', POPT_ARG_INT, &workers, 0, "number of workers", "N" },
+          { "site", 'S', POPT_ARG_STRING, &site, 0, "load: mixed or short", "NAME" },
           POPT_AUTOHELP POPT_TABLEEND };
   poptContext context = poptGetContext (NULL, argc, (const char **)argv, options, 0);
   int next = poptGetNextOpt (context);
@@ -527,6 +582,12 @@
     }
   bt_log_set_level (BT_LOG_ERROR);
   bench_t bench = { 0 };
+  bench.site = find_site (site);
+  if (bench.site == NULL)
+    {
+      fprintf (stderr, "bench-owner: no load named %s\n", site);
+      return 2;
+    }
   bt_clock_init_paused (&bench.clock, BT_USEC_PER_SEC);
   bench.random = g_rand_new_with_seed (1);
   bench.machines = g_hash_table_new (g_str_hash, g_str_equal);
@@ -540,15 +601,16 @@
   bench.node = bts_node_new (&config, &bench.clock, &ops, &bench);
   bts_resources_t cpu = { 32000, 131072, 0 };
   bts_resources_t gpu = { 64000, 262144, 8 };
-  add_workers (&bench, "cpu", (guint)workers * 72 / 100, cpu);
-  add_workers (&bench, "gpu", (guint)workers * 28 / 100, gpu);
+  guint cpu_workers = (guint)workers * bench.site->cpu_workers_percent / 100;
+  add_workers (&bench, "cpu", cpu_workers, cpu);
+  add_workers (&bench, "gpu", (guint)workers - cpu_workers, gpu);
   play (&bench, 0, 2);
   bench.busy_s = 0;
   bench.started = bench.ended = bench.holds = 0;
   play (&bench, load, (guint)seconds);
-  printf ("%d workers, %.1f times the usual rate: %.0f starts/s, %.0f ends/s, %.0f holds/s, "
+  printf ("%s, %d workers, %.1f times the usual rate: %.0f starts/s, %.0f ends/s, %.0f holds/s, "
           "%.3f core, %.0f us a start\n",
-          workers, load, (double)bench.started / seconds, (double)bench.ended / seconds,
+          site, workers, load, (double)bench.started / seconds, (double)bench.ended / seconds,
           (double)bench.holds / seconds, bench.busy_s / seconds,
           bench.busy_s * 1e6 / (double)MAX (bench.started, 1));
   return EXIT_SUCCESS;
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -130,9 +130,10 @@
 static gboolean
 is_in_scope (const bts_stage_t *stage, const bts_worker_t *worker, request_scope_t scope)
 {
-  const bts_ticket_t *ticket = bts_stage_ticket (stage, worker->entry->id);
-  return worker->registered && !worker->entry->draining && bts_place_matches (worker, stage)
-         && (scope == SCOPE_ALLOWED ? ticket != NULL && ticket->ticket != NULL : ticket == NULL);
+  return worker->registered && !worker->entry->draining
+         && (scope == SCOPE_ALLOWED ? bts_stage_ticket (stage, worker->number) != NULL
+                                    : !bts_stage_was_asked (stage, worker->number))
+         && bts_place_matches (worker, stage);
 }
 
 static guint
@@ -147,11 +148,12 @@
 static gboolean
 has_few_eligible (const bts_sched_t *sched, const bts_stage_t *stage)
 {
-  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
   guint64 n_fitting = 0;
-  for (guint i = 0; i < pool->len; i++)
-    if (bts_place_is_eligible (pool->pdata[i], stage))
-      n_fitting += count_fitting_if_empty (pool->pdata[i], bts_stage_step (stage));
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, sched->fleet, stage);
+  const bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
+    n_fitting += count_fitting_if_empty (worker, bts_stage_step (stage));
   return n_fitting < (guint64)stage->n_tasks * CAPACITY_FACTOR;
 }
 
@@ -197,7 +199,7 @@
       if (!is_in_scope (stage, worker, scope))
         continue;
       candidate_t candidate = { worker, low_priority ? bts_place_free_permille (worker, step) : 0 };
-      if (bts_place_check_without_advice (worker, stage, now_us) == BTS_PLACE_OK)
+      if (bts_place_check (worker, stage, now_us) == BTS_PLACE_OK)
         g_array_append_val (feasible, candidate);
       else
         g_ptr_array_add (infeasible, (gpointer)worker);
@@ -382,9 +384,19 @@
       return;
     }
   stage->advice_asked_us = 0;
-  bts_stage_record_advice (stage, NULL, NULL, now_us);
+  stage->retry_us = 0;
+  bts_stage_begin_advice (stage);
   for (gsize i = 0; i < asked->n_workers; i++)
-    bts_stage_record_advice (stage, asked->workers[i], NULL, now_us);
+    {
+      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, asked->workers[i]);
+      if (worker != NULL)
+        bts_stage_record_denied (stage, worker->number);
+    }
   for (gsize i = 0; i < advice->n_allowed; i++)
-    bts_stage_record_advice (stage, advice->allowed[i]->worker, advice->allowed[i]->ticket, now_us);
+    {
+      const Bts__Ticket *ticket = advice->allowed[i];
+      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, ticket->worker);
+      if (worker != NULL)
+        bts_stage_record_allowed (stage, worker->number, ticket->ticket, now_us);
+    }
 }
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -53,11 +53,13 @@
   fleet->workers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)worker_free);
   fleet->pools = g_hash_table_new_full (NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
+  fleet->numbered = g_ptr_array_new ();
 }
 
 void
 bts_fleet_clear (bts_fleet_t *fleet)
 {
+  g_ptr_array_unref (fleet->numbered);
   g_hash_table_unref (fleet->pools);
   g_hash_table_unref (fleet->workers);
 }
@@ -68,6 +70,19 @@
   return g_hash_table_lookup (fleet->workers, id);
 }
 
+/**
+ * bts_fleet_worker() - the worker with a number
+ * @fleet: the fleet
+ * @number: the number
+ *
+ * Return: the worker, or NULL if it was removed.
+ */
+bts_worker_t *
+bts_fleet_worker (const bts_fleet_t *fleet, guint number)
+{
+  return number < fleet->numbered->len ? fleet->numbered->pdata[number] : NULL;
+}
+
 static GPtrArray *
 find_pool (const bts_fleet_t *fleet, const char *service)
 {
@@ -128,6 +143,8 @@
   if (worker == NULL)
     {
       worker = g_new0 (bts_worker_t, 1);
+      worker->number = fleet->numbered->len;
+      g_ptr_array_add (fleet->numbered, worker);
       worker->entry = entry;
       worker->registered = TRUE;
       worker->started_ms = entry->started_ms;
@@ -163,6 +180,7 @@
   if (worker == NULL)
     return;
   g_ptr_array_remove_fast (find_pool (fleet, worker->service), worker);
+  fleet->numbered->pdata[worker->number] = NULL;
   g_hash_table_remove (fleet->workers, id);
 }
 
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -104,6 +104,7 @@
 
 /**
  * struct bts_worker_t - a worker
+ * @number: identifies it in this process; small, and never reused
  * @entry: its newest registry entry; never NULL
  * @service: the entry's service, interned, so that pools compare by pointer
  * @registered: it is in the registry now
@@ -131,6 +132,7 @@
  * @hold_failures: failed holds in a row
  * @last_reply_us: when it last replied
  * @backoff_until_us: no tasks are placed on it before this time, since it refused a start
+ * @freed_pass: last pass over the queue before a run of it was removed
  * @reserved_pass: pass over the queue in which it was reserved for a stage
  * @reserved_free_us: when the reserved resources are expected to be free
  * @backfill_resources: resources that will be left beside the reservation at that time
@@ -142,6 +144,7 @@
  */
 struct bts_worker_t
 {
+  guint number;
   bts_worker_entry_t *entry;
   const char *service;
   gboolean registered;
@@ -167,6 +170,7 @@
   guint hold_failures;
   gint64 last_reply_us;
   gint64 backoff_until_us;
+  guint64 freed_pass;
   guint64 reserved_pass;
   gint64 reserved_free_us;
   bts_resources_t backfill_resources;
@@ -180,11 +184,13 @@
  * struct bts_fleet_t - all workers
  * @workers: id to bts_worker_t
  * @pools: interned service to a GPtrArray of its bts_worker_t
+ * @numbered: bts_worker_t by number; NULL for those that were removed
  */
 typedef struct
 {
   GHashTable *workers;
   GHashTable *pools;
+  GPtrArray *numbered;
 } bts_fleet_t;
 
 /**
@@ -205,6 +211,7 @@
 void bts_fleet_init (bts_fleet_t *fleet);
 void bts_fleet_clear (bts_fleet_t *fleet);
 bts_worker_t *bts_fleet_find_worker (const bts_fleet_t *fleet, const char *id);
+bts_worker_t *bts_fleet_worker (const bts_fleet_t *fleet, guint number);
 const GPtrArray *bts_fleet_pool (const bts_fleet_t *fleet, const char *service);
 bts_entry_change_t bts_fleet_update_entry (bts_fleet_t *fleet, bts_worker_entry_t *entry);
 
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -69,6 +69,20 @@
   return job;
 }
 
+static void
+ticket_clear (gpointer data)
+{
+  g_free (((bts_ticket_t *)data)->ticket);
+}
+
+static void
+advice_free (bts_advice_t *advice)
+{
+  g_byte_array_unref (advice->asked);
+  g_array_unref (advice->allowed);
+  g_free (advice);
+}
+
 static void
 occurrence_free (bts_occurrence_t *occurrence, gsize n_steps)
 {
@@ -83,7 +97,7 @@
           g_free (stage->tasks[t].avoid_worker);
         }
       g_free (stage->tasks);
-      g_clear_pointer (&stage->advice, g_hash_table_unref);
+      g_clear_pointer (&stage->advice, advice_free);
       g_free (stage->advice_node);
     }
   g_free (occurrence->stages);
@@ -294,61 +308,121 @@
     {
       bts_occurrence_t *occurrence = job->occurrences->pdata[k];
       for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        g_clear_pointer (&occurrence->stages[i].advice, g_hash_table_unref);
+        g_clear_pointer (&occurrence->stages[i].advice, advice_free);
     }
 }
 
+/**
+ * bts_stage_begin_advice() - record that the advice service has answered for a stage
+ * @stage: the stage
+ */
+void
+bts_stage_begin_advice (bts_stage_t *stage)
+{
+  if (stage->advice != NULL)
+    return;
+  stage->advice = g_new0 (bts_advice_t, 1);
+  stage->advice->asked = g_byte_array_new ();
+  stage->advice->allowed = g_array_new (FALSE, FALSE, sizeof (bts_ticket_t));
+  g_array_set_clear_func (stage->advice->allowed, ticket_clear);
+}
+
 static void
-ticket_free (gpointer data)
+mark_asked (bts_advice_t *advice, guint worker)
 {
-  bts_ticket_t *ticket = data;
-  g_free (ticket->ticket);
-  g_free (ticket);
+  guint byte = worker / 8;
+  if (advice->asked->len <= byte)
+    {
+      guint old_len = advice->asked->len;
+      g_byte_array_set_size (advice->asked, byte + 1);
+      memset (advice->asked->data + old_len, 0, byte + 1 - old_len);
+    }
+  advice->asked->data[byte] |= (guint8)(1 << worker % 8);
 }
 
 /**
- * bts_stage_ticket() - the advice service's answer about a worker
- * @stage: the stage
- * @worker: id of the worker
- *
- * Return: the answer, which may be a denial, or NULL if there is none.
+ * bts_stage_record_denied() - record that a stage may not run on a worker
+ * @stage: a stage for which the advice service has answered
+ * @worker: number of the worker
  */
-bts_ticket_t *
-bts_stage_ticket (const bts_stage_t *stage, const char *worker)
+void
+bts_stage_record_denied (bts_stage_t *stage, guint worker)
 {
-  return stage->advice == NULL ? NULL : g_hash_table_lookup (stage->advice, worker);
+  mark_asked (stage->advice, worker);
+  bts_ticket_t *ticket = bts_stage_ticket (stage, worker);
+  if (ticket != NULL)
+    g_array_remove_index (stage->advice->allowed,
+                          (guint)(ticket - (bts_ticket_t *)(void *)stage->advice->allowed->data));
 }
 
 /**
- * bts_stage_record_advice() - record the advice service's answer about a worker
- * @stage: the stage
- * @worker: id of the worker, or NULL to record only that there was an answer
- * @ticket: ticket that start orders have to carry, or NULL if it was denied
+ * bts_stage_record_allowed() - record that a stage may run on a worker
+ * @stage: a stage for which the advice service has answered
+ * @worker: number of the worker
+ * @ticket: ticket that start orders have to carry
  * @now_us: the time
  */
 void
-bts_stage_record_advice (bts_stage_t *stage, const char *worker, const char *ticket, gint64 now_us)
+bts_stage_record_allowed (bts_stage_t *stage, guint worker, const char *ticket, gint64 now_us)
 {
-  if (stage->advice == NULL)
-    stage->advice = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, ticket_free);
-  if (worker == NULL)
-    return;
-  bts_ticket_t *answer = g_new0 (bts_ticket_t, 1);
-  answer->ticket = g_strdup (ticket);
-  answer->received_us = now_us;
-  g_hash_table_replace (stage->advice, g_strdup (worker), answer);
+  mark_asked (stage->advice, worker);
+  bts_ticket_t *known = bts_stage_ticket (stage, worker);
+  if (known == NULL)
+    {
+      bts_ticket_t added = { .worker = worker };
+      g_array_append_val (stage->advice->allowed, added);
+      known
+          = &g_array_index (stage->advice->allowed, bts_ticket_t, stage->advice->allowed->len - 1);
+    }
+  g_free (known->ticket);
+  known->ticket = g_strdup (ticket);
+  known->received_us = now_us;
+}
+
+/**
+ * bts_stage_was_asked() - whether the advice service has answered about a worker
+ * @stage: the stage
+ * @worker: number of the worker
+ */
+gboolean
+bts_stage_was_asked (const bts_stage_t *stage, guint worker)
+{
+  const bts_advice_t *advice = stage->advice;
+  return advice != NULL && worker / 8 < advice->asked->len
+         && (advice->asked->data[worker / 8] & 1 << worker % 8) != 0;
+}
+
+/**
+ * bts_stage_ticket() - the advice service's permission for a worker
+ * @stage: the stage
+ * @worker: number of the worker
+ *
+ * Return: the ticket, or NULL if the worker wasn't asked about or was denied.
+ */
+bts_ticket_t *
+bts_stage_ticket (const bts_stage_t *stage, guint worker)
+{
+  if (!bts_stage_was_asked (stage, worker))
+    return NULL;
+  for (guint i = 0; i < stage->advice->allowed->len; i++)
+    {
+      bts_ticket_t *ticket = &g_array_index (stage->advice->allowed, bts_ticket_t, i);
+      if (ticket->worker == worker)
+        return ticket;
+    }
+  return NULL;
 }
 
 /**
  * bts_stage_valid_ticket() - the ticket to start tasks of a stage on a worker
  * @stage: the stage
- * @worker: id of the worker
- * @now_us: the time
+ * @worker: number of the worker
+ * @now_us: the current time
  *
  * Return: the ticket, or NULL if there is none or it would expire before a start order arrives.
  */
 const char *
-bts_stage_valid_ticket (const bts_stage_t *stage, const char *worker, gint64 now_us)
+bts_stage_valid_ticket (const bts_stage_t *stage, guint worker, gint64 now_us)
 {
   const bts_ticket_t *ticket = bts_stage_ticket (stage, worker);
   gint64 valid_us = (gint64)bts_stage_policy (stage)->advice_validity_ms * 1000 - TICKET_MARGIN_US;
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -51,16 +51,29 @@
 } bts_job_state_t;
 
 /**
- * struct bts_ticket_t - the advice service's answer about one worker for a stage
- * @ticket: permission to start tasks on the worker, or NULL if it was denied
- * @received_us: when the answer came; 0 once the worker has refused the ticket
+ * struct bts_ticket_t - permission of the advice service to run a stage on one worker
+ * @worker: number of the worker
+ * @ticket: what start orders have to carry
+ * @received_us: when it came; 0 once the worker has refused it
  */
 typedef struct
 {
+  guint worker;
   char *ticket;
   gint64 received_us;
 } bts_ticket_t;
 
+/**
+ * struct bts_advice_t - answers of the advice service for one stage
+ * @asked: one bit for each worker number, set if the service has answered about it
+ * @allowed: bts_ticket_t of the workers that the stage may use, in the order of the answers
+ */
+typedef struct
+{
+  GByteArray *asked;
+  GArray *allowed;
+} bts_advice_t;
+
 /**
  * struct bts_task_t - a task, the unit of placement on workers
  * @index: its number in its step
@@ -100,14 +113,16 @@
  * @n_done_pending: tasks with outcome "done" that isn't in the journal yet
  * @gang_fails: failed runs of the whole gang
  * @gang_failed_run: the newest run counted in @gang_fails
- * @advice: worker id to bts_ticket_t, for the workers in the requests for advice; NULL
- *   before the first answer
+ * @advice: what the advice service has answered; NULL before the first answer
  * @next_extend_us: no request about further workers before this time
  * @advice_asked_us: when advice was requested; 0 if no request is in flight
  * @advice_node: the process that was last asked to call the advice service, or NULL
  * @advice_deadline_us: when that process is given up and another one asked
  * @prefetch_us: when to request advice ahead of the stage's start; 0 if that isn't planned
  * @queued: whether the stage is in the owner's queue
+ * @tried_pass: last pass over the queue in which placement was attempted and left tasks pending
+ * @retry_us: when that is to be repeated although no room has appeared
+ * @reserving: that pass reserved workers for it
  * @obsolete_us: when the job's result is assumed to be of no use any more
  * @latest_start_us: estimate of the latest start with which the job meets its objective
  * @band: its priority band in the queue
@@ -126,13 +141,16 @@
   bts_task_t *tasks;
   guint gang_fails;
   guint gang_failed_run;
-  GHashTable *advice;
+  bts_advice_t *advice;
   gint64 next_extend_us;
   gint64 advice_asked_us;
   char *advice_node;
   gint64 advice_deadline_us;
   gint64 prefetch_us;
   gboolean queued;
+  guint64 tried_pass;
+  gint64 retry_us;
+  gboolean reserving;
   gint64 latest_start_us;
   gint64 obsolete_us;
   guint band;
@@ -205,10 +223,12 @@
 bts_stage_t *bts_job_stage (bts_job_t *job, guint occurrence, guint step);
 void bts_job_free_start_data (bts_job_t *job);
 
-bts_ticket_t *bts_stage_ticket (const bts_stage_t *stage, const char *worker);
-const char *bts_stage_valid_ticket (const bts_stage_t *stage, const char *worker, gint64 now_us);
-void bts_stage_record_advice (bts_stage_t *stage, const char *worker, const char *ticket,
-                              gint64 now_us);
+void bts_stage_begin_advice (bts_stage_t *stage);
+void bts_stage_record_denied (bts_stage_t *stage, guint worker);
+void bts_stage_record_allowed (bts_stage_t *stage, guint worker, const char *ticket, gint64 now_us);
+gboolean bts_stage_was_asked (const bts_stage_t *stage, guint worker);
+bts_ticket_t *bts_stage_ticket (const bts_stage_t *stage, guint worker);
+const char *bts_stage_valid_ticket (const bts_stage_t *stage, guint worker, gint64 now_us);
 const Bts__Step *bts_stage_step (const bts_stage_t *stage);
 const Bts__Policy *bts_stage_policy (const bts_stage_t *stage);
 gboolean bts_stage_is_ready (const bts_stage_t *stage);
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "libbamboothread/base/metrics.h"
+
 /* Penalties are added to bts_place_free_permille(), so they are in thousandths of a worker. Each
    from PENALTY_AVOID_WORKER to PENALTY_OVERDUE_RUN outweighs any difference in free resources. */
 #define PENALTY_AVOID_WORKER 100000
@@ -77,13 +79,6 @@
   return FALSE;
 }
 
-static gboolean
-is_allowed (const bts_worker_t *worker, const bts_stage_t *stage)
-{
-  const bts_ticket_t *ticket = bts_stage_ticket (stage, worker->entry->id);
-  return ticket != NULL && ticket->ticket != NULL;
-}
-
 /**
  * bts_place_matches() - whether a worker has the service and the label that a stage requires
  * @worker: the worker
@@ -98,28 +93,68 @@
 }
 
 /**
- * bts_place_is_eligible() - whether a worker matches a stage and, if the advice service decides
- * about the stage, has been allowed for it so far
- * @worker: the worker
- * @stage: the stage
+ * bts_candidates_init() - begin to walk the workers that a stage may use
+ * @candidates: the walk
+ * @fleet: the workers; none may be added or removed during the walk
+ * @stage: the stage; its advice must not change during the walk
+ *
+ * If the advice service decides about the stage, these are the few workers that it has allowed, so
+ * that the cost of a walk doesn't grow with the pool.
  */
-gboolean
-bts_place_is_eligible (const bts_worker_t *worker, const bts_stage_t *stage)
+void
+bts_candidates_init (bts_candidates_t *candidates, const bts_fleet_t *fleet,
+                     const bts_stage_t *stage)
 {
-  return bts_place_matches (worker, stage)
-         && (!bts_stage_policy (stage)->advised || is_allowed (worker, stage));
+  candidates->fleet = fleet;
+  candidates->stage = stage;
+  candidates->pool
+      = bts_stage_policy (stage)->advised ? NULL : bts_fleet_pool (fleet, stage->job->service);
+  candidates->next = 0;
+  candidates->n_examined = 0;
 }
 
 /**
- * bts_place_check_without_advice() - as bts_place_check(), but ignore the advice
+ * bts_candidates_next() - the next worker that a stage may use
+ * @candidates: the walk
+ *
+ * Return: a worker that matches the stage and was allowed for it, or NULL at the end.
+ */
+bts_worker_t *
+bts_candidates_next (bts_candidates_t *candidates)
+{
+  const bts_advice_t *advice = candidates->stage->advice;
+  guint n = candidates->pool != NULL ? candidates->pool->len
+            : advice != NULL         ? advice->allowed->len
+                                     : 0;
+  while (candidates->next < n)
+    {
+      guint i = candidates->next++;
+      bts_worker_t *worker
+          = candidates->pool != NULL
+                ? candidates->pool->pdata[i]
+                : bts_fleet_worker (candidates->fleet,
+                                    g_array_index (advice->allowed, bts_ticket_t, i).worker);
+      candidates->n_examined++;
+      if (worker != NULL && bts_place_matches (worker, candidates->stage))
+        return worker;
+    }
+  bt_metrics_add (BT_COUNT_CANDIDATES, candidates->n_examined);
+  return NULL;
+}
+
+/**
+ * bts_place_check() - whether a worker can take one more task of a stage now, if the advice
+ * service allows it
  * @worker: the worker
  * @stage: the stage
  * @now_us: the current time
  *
- * Return: %BTS_PLACE_OK, or the first reason found against the worker.
+ * Return: %BTS_PLACE_OK, or the first reason found against the worker. %BTS_PLACE_NO_ROOM,
+ * %BTS_PLACE_PER_WORKER_MAX and %BTS_PLACE_INTERFERES are returned only if the worker is available
+ * and matches the stage.
  */
 bts_place_result_t
-bts_place_check_without_advice (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
+bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (stage);
   if (worker->service != stage->job->service)
@@ -140,27 +175,6 @@
   return BTS_PLACE_OK;
 }
 
-/**
- * bts_place_check() - whether a worker can take one more task of a stage now
- * @worker: the worker
- * @stage: the stage
- * @now_us: the current time
- *
- * Return: %BTS_PLACE_OK, or a reason against the worker. %BTS_PLACE_NO_ROOM,
- * %BTS_PLACE_PER_WORKER_MAX and %BTS_PLACE_INTERFERES are returned only if the worker is
- * available and eligible for the stage.
- */
-bts_place_result_t
-bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
-{
-  bts_place_result_t result = bts_place_check_without_advice (worker, stage, now_us);
-  gboolean is_candidate = result != BTS_PLACE_OTHER_SERVICE && result != BTS_PLACE_UNAVAILABLE
-                          && result != BTS_PLACE_NO_LABEL;
-  if (is_candidate && bts_stage_policy (stage)->advised && !is_allowed (worker, stage))
-    return BTS_PLACE_NOT_ALLOWED;
-  return result;
-}
-
 static gint64
 free_permille (gint64 capacity, gint64 used)
 {
@@ -240,7 +254,7 @@
     penalty += PENALTY_AVOID_WORKER;
   penalty += PENALTY_FAILURE * (gint64)MIN (worker->consecutive_failures, PENALTY_COUNT_MAX);
   if (bts_stage_policy (task->stage)->advised
-      && bts_stage_valid_ticket (task->stage, worker->entry->id, now_us) == NULL)
+      && bts_stage_valid_ticket (task->stage, worker->number, now_us) == NULL)
     penalty += PENALTY_NO_TICKET;
   if (step->rack[0] != '\0' && !bts_worker_has_label (worker, step->rack))
     penalty += PENALTY_OTHER_RACK;
@@ -293,13 +307,14 @@
 bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, guint64 pass, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (task->stage);
-  const GPtrArray *pool = bts_fleet_pool (fleet, task->stage->job->service);
   bts_resources_t demand = bts_place_demand (step);
   bts_worker_t *best = NULL;
   gint64 best_penalty = 0;
-  for (guint i = 0; i < pool->len; i++)
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, fleet, task->stage);
+  bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
     {
-      bts_worker_t *worker = pool->pdata[i];
       /* The check for room is the cheapest one and rules out most workers of a full pool. */
       if (!bts_worker_has_room (worker, &worker->used, &demand)
           || (worker->reserved_pass == pass && !can_backfill (worker, step, now_us))
--- a/libbamboothread/scheduler/place.h
+++ b/libbamboothread/scheduler/place.h
@@ -18,7 +18,6 @@
  * @BTS_PLACE_UNAVAILABLE: it is unregistered, not synced, draining, silent or in backoff
  * @BTS_PLACE_OTHER_SERVICE: it belongs to the pool of another service
  * @BTS_PLACE_NO_LABEL: it lacks the label that the step requires
- * @BTS_PLACE_NOT_ALLOWED: the advice service hasn't allowed it for the stage
  * @BTS_PLACE_PER_WORKER_MAX: it runs as many tasks of the stage as the step permits on one worker
  * @BTS_PLACE_INTERFERES: filling tasks and tasks with a latency target would share it
  * @BTS_PLACE_NO_ROOM: it lacks free resources
@@ -29,19 +28,34 @@
   BTS_PLACE_UNAVAILABLE,
   BTS_PLACE_OTHER_SERVICE,
   BTS_PLACE_NO_LABEL,
-  BTS_PLACE_NOT_ALLOWED,
   BTS_PLACE_PER_WORKER_MAX,
   BTS_PLACE_INTERFERES,
   BTS_PLACE_NO_ROOM,
 } bts_place_result_t;
 
+/**
+ * struct bts_candidates_t - walk over the workers that a stage may use
+ * @pool: the workers of its service, or NULL if the advice service decides about the stage
+ * @next: index of the next one in @pool, or among the workers that were allowed
+ * @n_examined: workers examined so far; counted in the metrics at the end of the walk
+ */
+typedef struct
+{
+  const bts_fleet_t *fleet;
+  const bts_stage_t *stage;
+  const GPtrArray *pool;
+  guint next;
+  guint n_examined;
+} bts_candidates_t;
+
+void bts_candidates_init (bts_candidates_t *candidates, const bts_fleet_t *fleet,
+                          const bts_stage_t *stage);
+bts_worker_t *bts_candidates_next (bts_candidates_t *candidates);
+
 bts_resources_t bts_place_demand (const Bts__Step *step);
-bts_place_result_t bts_place_check_without_advice (const bts_worker_t *worker,
-                                                   const bts_stage_t *stage, gint64 now_us);
 bts_place_result_t bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage,
                                     gint64 now_us);
 gboolean bts_place_matches (const bts_worker_t *worker, const bts_stage_t *stage);
-gboolean bts_place_is_eligible (const bts_worker_t *worker, const bts_stage_t *stage);
 bts_worker_t *bts_place_choose (const bts_fleet_t *fleet, const bts_task_t *task, guint64 pass,
                                 gint64 now_us);
 guint bts_place_count_fitting (const bts_worker_t *worker, const bts_resources_t *used,
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -148,10 +148,11 @@
 {
   GPtrArray *best = NULL;
   *n_being_freed = 0;
-  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
-  for (guint i = 0; i < pool->len; i++)
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, sched->fleet, stage);
+  const bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
     {
-      const bts_worker_t *worker = pool->pdata[i];
       bts_place_result_t result = bts_place_check (worker, stage, now_us);
       if (result != BTS_PLACE_NO_ROOM && result != BTS_PLACE_INTERFERES)
         continue;
@@ -240,17 +241,18 @@
 find_plans (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
 {
   gboolean advised = bts_stage_policy (stage)->advised;
-  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
   GArray *plans = g_array_new (FALSE, FALSE, sizeof (plan_t));
   g_array_set_clear_func (plans, plan_clear);
-  for (guint i = 0; i < pool->len; i++)
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, sched->fleet, stage);
+  bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
     {
-      bts_worker_t *worker = pool->pdata[i];
       bts_place_result_t result = bts_place_check (worker, stage, now_us);
       if ((result != BTS_PLACE_OK && result != BTS_PLACE_NO_ROOM)
           || worker->reserved_pass == sched->pass_number
           || (advised
-              && bts_stage_valid_ticket (stage, worker->entry->id, now_us + TICKET_VALIDITY_MIN_US)
+              && bts_stage_valid_ticket (stage, worker->number, now_us + TICKET_VALIDITY_MIN_US)
                      == NULL))
         continue;
       plan_t plan = { 0 };
--- a/libbamboothread/scheduler/reserve.c
+++ b/libbamboothread/scheduler/reserve.c
@@ -119,23 +119,23 @@
 find_candidates (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
 {
   const Bts__Step *step = bts_stage_step (stage);
-  const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
-  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (candidate_t));
-  for (guint i = 0; i < pool->len; i++)
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, sched->fleet, stage);
+  bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
     {
-      bts_worker_t *worker = pool->pdata[i];
       if (worker->reserved_pass == sched->pass_number || !worker->registered
-          || worker->entry->draining || !worker->synced || !(step->gang || is_large (worker, step))
-          || !bts_place_is_eligible (worker, stage))
+          || worker->entry->draining || !worker->synced || !(step->gang || is_large (worker, step)))
         continue;
       candidate_t candidate = { worker };
       candidate.fit_us
           = earliest_fit_us (worker, step, now_us, &candidate.n_fitting, &candidate.used);
       if (candidate.fit_us < G_MAXINT64)
-        g_array_append_val (candidates, candidate);
+        g_array_append_val (found, candidate);
     }
-  g_array_sort (candidates, compare_candidates);
-  return candidates;
+  g_array_sort (found, compare_candidates);
+  return found;
 }
 
 /**
@@ -164,7 +164,7 @@
       set_backfill_resources (worker, step, n_reserved, &candidate->used);
       worker->reserved_pass = sched->pass_number;
       worker->reserved_free_us = candidate->fit_us;
-      if (bts_stage_valid_ticket (stage, worker->entry->id, candidate->fit_us) == NULL)
+      if (bts_stage_valid_ticket (stage, worker->number, candidate->fit_us) == NULL)
         bts_advice_renew (sched, stage, candidate->fit_us - TICKET_LEAD_US, now_us);
       n_missing -= n_reserved;
     }
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -89,6 +89,7 @@
   if (run->task != NULL && run->task->run == run)
     run->task->run = NULL;
   bts_worker_remove_run (run->worker, run);
+  run->worker->freed_pass = sched->pass_number;
   g_hash_table_remove (sched->runs, &run->serial);
   bts_run_free (run);
   sched->dirty = TRUE;
@@ -98,7 +99,7 @@
 send_start (bts_sched_t *sched, bts_run_t *run)
 {
   const bts_stage_t *stage = run->task->stage;
-  const bts_ticket_t *ticket = bts_stage_ticket (stage, run->worker->entry->id);
+  const bts_ticket_t *ticket = bts_stage_ticket (stage, run->worker->number);
   bts_start_order_t order = { 0 };
   order.fence = sched->term;
   order.deadline_ms = bts_sched_renew_lease (sched, run->worker);
@@ -207,7 +208,7 @@
 invalidate_ticket (bts_run_t *run)
 {
   bts_ticket_t *ticket
-      = run->task == NULL ? NULL : bts_stage_ticket (run->task->stage, run->worker->entry->id);
+      = run->task == NULL ? NULL : bts_stage_ticket (run->task->stage, run->worker->number);
   if (ticket != NULL)
     ticket->received_us = 0;
 }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -21,6 +21,13 @@
    microseconds: each pass examines every queued stage. */
 #define LONG_QUEUE_PASS_INTERVAL_US (10 * 1000)
 #define LONG_QUEUE_STAGES 32
+/* Time between two passes, as a multiple of the duration of the first: passes over a queue of
+   thousands of stages must leave most of the processor for holds, which keep runs alive. */
+#define PASS_PAUSE_FACTOR 3
+/* Interval at which placement of a stage is attempted again although no run has ended on the
+   workers that it may use, in microseconds: a worker may have come back, a ticket may have been
+   renewed, or preemption may be due. */
+#define RETRY_INTERVAL_US (100 * 1000)
 /* Most stages for which one pass makes reservations; stages further back in the queue get
    theirs in a later pass. */
 #define RESERVE_STAGES_MAX 8
@@ -200,6 +207,7 @@
 bts_sched_enqueue (bts_sched_t *sched, bts_stage_t *stage)
 {
   sched->dirty = TRUE;
+  stage->retry_us = 0;
   if (stage->queued || bts_job_has_ended (stage->job) || bts_stage_is_done (stage)
       || !bts_stage_is_ready (stage))
     return;
@@ -207,6 +215,7 @@
   stage->latest_start_us = latest_start_us (stage);
   stage->obsolete_us = stage->job->folded_us + OBSOLETE_FACTOR * allowed_ms (stage->job) * 1000;
   g_ptr_array_add (sched->queue, stage);
+  sched->queue_unsorted = TRUE;
 }
 
 /**
@@ -303,6 +312,8 @@
         {
           bts_stage_t *stage = &occurrence->stages[i];
           stage->queued = FALSE;
+          stage->retry_us = 0;
+          stage->reserving = FALSE;
           stage->advice_asked_us = 0;
           stage->prefetch_us = 0;
           stage->n_done_pending = 0;
@@ -397,8 +408,8 @@
       const bts_worker_t *worker = sched->unsynced->pdata[i];
       /* The advice service may have allowed an earlier owner to use a worker that this owner hasn't
          asked about. */
-      const bts_ticket_t *ticket = bts_stage_ticket (stage, worker->entry->id);
-      gboolean denied = ticket != NULL && ticket->ticket == NULL;
+      gboolean denied = bts_stage_was_asked (stage, worker->number)
+                        && bts_stage_ticket (stage, worker->number) == NULL;
       if (!denied && bts_place_matches (worker, stage))
         return TRUE;
     }
@@ -488,7 +499,7 @@
   for (guint i = 0; i < runs->len; i++)
     {
       bts_run_t *run = runs->pdata[i];
-      if (bts_stage_valid_ticket (stage, run->worker->entry->id, now_us) == NULL)
+      if (bts_stage_valid_ticket (stage, run->worker->number, now_us) == NULL)
         g_ptr_array_add (without_ticket, run);
     }
   if (without_ticket->len == 0)
@@ -557,12 +568,14 @@
   BAND_OBSOLETE,
 };
 
-/* Long-running stages come first, then urgent work, then other work. Within the latter two,
+/* Updates the band of a stage, and returns whether it has changed.
+   Long-running stages come first, then urgent work, then other work. Within the latter two,
    stages that can still meet their objective come before those that are late. Stages whose
    result is of no use any more come last. */
-static void
+static gboolean
 update_band (bts_stage_t *stage, gint64 now_us)
 {
+  guint old_band = stage->band;
   gboolean urgent = bts_stage_policy (stage)->priority == 0;
   if (bts_stage_step (stage)->long_running)
     stage->band = BAND_LONG_RUNNING;
@@ -572,6 +585,7 @@
     stage->band = urgent ? BAND_URGENT_LATE : BAND_LATE;
   else
     stage->band = urgent ? BAND_URGENT : BAND_ON_TIME;
+  return stage->band != old_band;
 }
 
 static gint
@@ -597,6 +611,64 @@
   sched->journal_stale = stale;
 }
 
+static void
+sort_queue (bts_sched_t *sched, gint64 now_us)
+{
+  for (guint i = 0; i < sched->queue->len; i++)
+    sched->queue_unsorted |= update_band (sched->queue->pdata[i], now_us);
+  if (sched->queue_unsorted)
+    g_ptr_array_sort (sched->queue, compare_stages);
+  sched->queue_unsorted = FALSE;
+}
+
+/* Whether a task of a stage fits on a worker on which a run has ended since placement of the stage
+   was last attempted. */
+static gboolean
+has_room_appeared (const bts_sched_t *sched, const bts_stage_t *stage)
+{
+  bts_resources_t demand = bts_place_demand (bts_stage_step (stage));
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, sched->fleet, stage);
+  const bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
+    if (worker->freed_pass >= stage->tried_pass
+        && bts_worker_has_room (worker, &worker->used, &demand))
+      return TRUE;
+  return FALSE;
+}
+
+/* Whether an attempt to place a stage could end other than the last one. Stages for which workers
+   are reserved are always due, since reservations last for one pass only. */
+static gboolean
+is_due (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+{
+  return now_us >= stage->retry_us || stage->reserving || has_room_appeared (sched, stage);
+}
+
+/* Tries to place the pending tasks of a stage, and otherwise to make room for them. */
+static void
+try_stage (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, guint *n_reserving,
+           gint64 now_us)
+{
+  stage->reserving = FALSE;
+  if (may_run_on_unsynced_worker (sched, stage))
+    return;
+  if (can_place (stage, n_pending) && now_us >= stage->backoff_until_us
+      && bts_advice_ensure (sched, stage, now_us) && bts_job_has_spec (stage->job))
+    {
+      place_stage (sched, stage, n_pending);
+      n_pending = count_pending (stage);
+    }
+  if (n_pending == 0)
+    return;
+  bts_advice_extend (sched, stage, now_us);
+  if (!bts_preempt_for (sched, stage, n_pending, now_us) && *n_reserving < RESERVE_STAGES_MAX)
+    stage->reserving = bts_reserve_for (sched, stage, n_pending, now_us);
+  *n_reserving += stage->reserving;
+  stage->tried_pass = sched->pass_number;
+  stage->retry_us = now_us + RETRY_INTERVAL_US;
+}
+
 /**
  * bts_sched_run_pass() - place queued stages if anything has changed
  * @sched: the scheduler
@@ -605,22 +677,23 @@
 bts_sched_run_pass (bts_sched_t *sched)
 {
   gint64 now_us = bts_sched_now (sched);
-  if (sched->term == 0 || !sched->dirty || sched->journal_stale
-      || (sched->queue->len > LONG_QUEUE_STAGES
-          && now_us - sched->last_pass_us < LONG_QUEUE_PASS_INTERVAL_US))
+  if (sched->term == 0 || !sched->dirty || sched->journal_stale || now_us < sched->next_pass_us)
     return;
   sched->dirty = FALSE;
   sched->last_pass_us = now_us;
   sched->pass_number++;
-  for (guint i = 0; i < sched->queue->len; i++)
-    update_band (sched->queue->pdata[i], now_us);
-  g_ptr_array_sort (sched->queue, compare_stages);
+  sort_queue (sched, now_us);
   find_unsynced (sched);
   guint n_queued = 0;
   guint n_reserving = 0;
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
+      if (!bts_job_has_ended (stage->job) && !is_due (sched, stage, now_us))
+        {
+          sched->queue->pdata[n_queued++] = stage;
+          continue;
+        }
       guint n_pending = count_pending (stage);
       if (bts_job_has_ended (stage->job) || n_pending == 0)
         {
@@ -630,23 +703,14 @@
             bts_advice_prefetch (sched, stage);
           continue;
         }
-      gboolean runs_known = !may_run_on_unsynced_worker (sched, stage);
-      if (runs_known && can_place (stage, n_pending) && now_us >= stage->backoff_until_us
-          && bts_advice_ensure (sched, stage, now_us) && bts_job_has_spec (stage->job))
-        {
-          place_stage (sched, stage, n_pending);
-          n_pending = count_pending (stage);
-        }
-      if (n_pending > 0 && runs_known)
-        {
-          bts_advice_extend (sched, stage, now_us);
-          if (!bts_preempt_for (sched, stage, n_pending, now_us)
-              && n_reserving < RESERVE_STAGES_MAX)
-            n_reserving += bts_reserve_for (sched, stage, n_pending, now_us);
-        }
+      try_stage (sched, stage, n_pending, &n_reserving, now_us);
       sched->queue->pdata[n_queued++] = stage;
     }
   g_ptr_array_set_size (sched->queue, (gint)n_queued);
+  gint64 end_us = bts_sched_now (sched);
+  gint64 pause_us = MAX ((end_us - now_us) * PASS_PAUSE_FACTOR,
+                         n_queued > LONG_QUEUE_STAGES ? LONG_QUEUE_PASS_INTERVAL_US : 0);
+  sched->next_pass_us = end_us + pause_us;
 }
 
 /* Whether each run that an earlier owner may have started has been listed or has surely ended. */
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -62,7 +62,9 @@
  * @speed_applied_us: when the workers' slowness was last updated from @speed
  * @dirty: something has changed, so that a pass over the queue may place tasks
  * @last_pass_us: when the last pass ran
+ * @next_pass_us: no pass before this time
  * @pass_number: number of the last pass
+ * @queue_unsorted: a stage was queued or has changed its band since the queue was last sorted
  * @unsynced: during a pass, the workers that may run tasks of earlier owners and haven't
  *   listed their runs to this owner yet
  * @snapshot_checked_us: when the owner last checked which snapshots are due
@@ -106,7 +108,9 @@
   gint64 speed_applied_us;
   gboolean dirty;
   gint64 last_pass_us;
+  gint64 next_pass_us;
   guint64 pass_number;
+  gboolean queue_unsorted;
   GPtrArray *unsynced;
   gint64 snapshot_checked_us;
   gint64 standing_written_us;
--- /dev/null
+++ b/tests/test_scale.c
@@ -0,0 +1,73 @@
+#include "libbamboothread/base/metrics.h"
+#include "tests/sim.h"
+#include "tests/suite.h"
+
+/*
+ * The work of an owner on sites of different sizes, counted in workers examined for placement, and
+ * not in time, so that the result doesn't depend on the machine.
+ */
+
+static const sim_policy_t lookup = { "main", 0, 3, 300 };
+static const sim_policy_t batch = { "main", 2, 3, 3000 };
+static const sim_step_t urgent_step[] = { { .count = 3, .cpu = 5000, .memory = 2000, .ms = 600 } };
+static const sim_step_t wide_step[]
+    = { { .count = 20, .cpu = 3500, .memory = 2000, .ms = 2000, .saves = TRUE } };
+
+/* Workers examined for each start on the larger site, relative to the smaller one. The owner may
+   not examine more for each start because the site is larger. */
+#define GROWTH_MAX 1.25
+
+/* Hands in jobs at a rate in proportion to the workers, for some seconds, and returns how many
+   workers were examined for each start. */
+static double
+examined_per_start (guint n_workers, double load)
+{
+  sim_t *sim = sim_new (8, n_workers, 1);
+  sim->advised = TRUE;
+  sim_run_ms (sim, 3000);
+  guint64 examined = bt_metrics_get_count (BT_COUNT_CANDIDATES);
+  guint64 starts = bt_metrics_get_count (BT_COUNT_STARTS);
+  double n_urgent = 0;
+  double n_wide = 0;
+  for (guint step = 0; step < 60; step++)
+    {
+      for (n_urgent += 0.04 * n_workers * load; n_urgent >= 1; n_urgent--)
+        sim_submit (sim, step % 8, &lookup, urgent_step, G_N_ELEMENTS (urgent_step));
+      for (n_wide += 0.004 * n_workers * load; n_wide >= 1; n_wide--)
+        sim_submit (sim, step % 8, &batch, wide_step, G_N_ELEMENTS (wide_step));
+      sim_run_ms (sim, 100);
+    }
+  examined = bt_metrics_get_count (BT_COUNT_CANDIDATES) - examined;
+  starts = bt_metrics_get_count (BT_COUNT_STARTS) - starts;
+  sim_check (sim);
+  sim_free (sim);
+  ck_assert_uint_gt (starts, 0);
+  return (double)examined / (double)starts;
+}
+
+static const struct
+{
+  const char *name;
+  double load;
+} cases[] = {
+  { "usual_load", 0.5 },
+  { "overload", 2.0 },
+};
+
+START_TEST (work_of_a_start_is_independent_of_the_site)
+{
+  double small = examined_per_start (40, cases[_i].load);
+  double large = examined_per_start (240, cases[_i].load);
+  ck_assert_msg (large <= small * GROWTH_MAX, "%s: %.0f workers examined a start, then %.0f",
+                 cases[_i].name, small, large);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("scale");
+  tcase_set_timeout (tests, 120);
+  tcase_add_loop_test (tests, work_of_a_start_is_independent_of_the_site, 0, G_N_ELEMENTS (cases));
+  return suite_run ("scale", tests);
+}
