Only the owner and six processes ready to replace it read the registry of workers

Each of 147 processes read all entries of the registry every 5 s: 73 of them over the link between the regions, about 0.7 MB each, 50 MB or 2.8 s of the link's 150 Mbit/s, in which holds and starts beyond it run into their time limit.

Change: bts_node_needs_entries() is true for the owner and for the six processes preferred to replace it: larger VMs first, then in an order that mixes data centres. Others leave a claim to them for 0.1 s. A new owner starts nothing before the registry was read in its term, since what it knows may be old: a worker that has left must not be used again. The simulated installation reads the registry as the agent does.

--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -10,9 +10,6 @@
    most the maximum below counts, in microseconds. */
 #define PROXIMITY_LATENCY_FACTOR 8
 #define PROXIMITY_LATENCY_MAX_US (40 * 1000)
-/* A process on a small VM gives processes on larger ones this long to claim first, in
-   microseconds: longer than the jitter and the latency delay of a claim together. */
-#define SMALL_VM_DELAY_US (500 * 1000)
 /* A claim that hasn't been read back after this long is repeated, in microseconds. */
 #define CLAIM_RETRY_US (700 * 1000)
 /* The election timeout allows for this many slow answers of the store in a row. */
@@ -145,7 +142,7 @@
  * bts_election_is_claim_due() - whether to claim the next term now
  * @election: the election
  * @ledger: the folded journal
- * @has_larger_peer: another process is on a much larger VM
+ * @yield_us: additional delay that leaves the claim to processes preferred as the owner
  * @now_us: current time
  *
  * A claim is due if there is no owner, if the owner is an earlier incarnation of this process,
@@ -155,8 +152,8 @@
  * Return: TRUE if a claim is to be written; its time is recorded.
  */
 gboolean
-bts_election_is_claim_due (bts_election_t *election, const bts_ledger_t *ledger,
-                           gboolean has_larger_peer, gint64 now_us)
+bts_election_is_claim_due (bts_election_t *election, const bts_ledger_t *ledger, gint64 yield_us,
+                           gint64 now_us)
 {
   const char *owner = bts_ledger_owner (ledger);
   gboolean is_own_predecessor = owner != NULL && bts_node_same_vm (owner, election->node);
@@ -176,8 +173,7 @@
     timeout_us = claim_delay_us;
   else if (is_own_predecessor)
     timeout_us = 0;
-  if (has_larger_peer)
-    timeout_us += SMALL_VM_DELAY_US;
+  timeout_us += yield_us;
   if (now_us - election->heard_us < timeout_us)
     return FALSE;
   /* Only a read that returned after the timeout shows that the owner was silent, rather than
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -7,6 +7,9 @@
 /* A process not heard from for this long counts as dead, in microseconds: more than two
    intervals of the Hello records, which each process writes every four seconds. */
 #define MEMBER_TIMEOUT_US (10 * G_USEC_PER_SEC)
+/* Processes that are ready to become the owner: enough for several to fail at once, and few enough
+   that what they read doesn't grow with the number of VMs. */
+#define STANDBYS_MAX 6
 
 /**
  * struct bts_members_t - all processes that have been heard from
@@ -179,6 +182,42 @@
   return g_hash_table_size (members->table);
 }
 
+/* Whether a process is preferred as the owner: those with a larger CPU share, and among equal ones
+   in an order that mixes data centres. */
+static gboolean
+is_preferred (const char *node, const bts_member_t *member, const char *other,
+              const bts_member_t *other_member)
+{
+  if (member->cpu_millis != other_member->cpu_millis)
+    return member->cpu_millis > other_member->cpu_millis;
+  return g_str_hash (node) < g_str_hash (other);
+}
+
+/**
+ * bts_members_is_standby() - whether a process should be ready to become the owner
+ * @members: the processes
+ * @node: name of the process
+ * @now_us: the time
+ *
+ * Return: whether it is among the %STANDBYS_MAX live processes preferred as the owner. FALSE until
+ * it has been heard from.
+ */
+gboolean
+bts_members_is_standby (const bts_members_t *members, const char *node, gint64 now_us)
+{
+  const bts_member_t *member = bts_members_find (members, node);
+  if (member == NULL)
+    return FALSE;
+  guint n_preferred = 0;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iter, members->table);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    n_preferred += is_live (value, now_us) && is_preferred (key, value, node, member);
+  return n_preferred < STANDBYS_MAX;
+}
+
 /**
  * bts_members_max_cpu_millis() - largest CPU share of a live process
  * @members: the processes
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -26,6 +26,11 @@
 #define ASK_TIMEOUT_MS 3500
 /* Bit that marks the exchange of a client request that another process has forwarded. */
 #define FORWARDED_EXCHANGE (G_GUINT64_CONSTANT (1) << 63)
+/* How long a claim is left to processes on much larger VMs, and to those that are ready to become
+   the owner, in microseconds: longer than the jitter of claims, and for larger VMs than the part of
+   their delay that depends on the latency of the store. */
+#define SMALL_VM_YIELD_US (500 * 1000)
+#define NOT_STANDBY_YIELD_US (100 * 1000)
 /* Another process is on a much larger VM if its CPU share is at least this many times that of
    this process. */
 #define LARGER_VM_FACTOR 2
@@ -750,6 +755,7 @@
   if (node->entries_unreadable && ids != NULL)
     node->store_recovered_us = now_us;
   node->entries_unreadable = ids == NULL;
+  bts_sched_on_entries (node->sched);
   if (ids == NULL || now_us - node->store_recovered_us < ENTRIES_GRACE_US)
     return;
   GHashTableIter iter;
@@ -868,6 +874,21 @@
   return bts_sched_is_leading (node->sched);
 }
 
+/**
+ * bts_node_needs_entries() - whether this process has to read the registry of workers
+ * @node: the process
+ *
+ * Only the owner uses the entries. Those that are ready to replace it read them too, so that they
+ * know the workers if the store fails right after a takeover. That all processes read all entries
+ * would cost the store and the links the product of both numbers.
+ */
+gboolean
+bts_node_needs_entries (const bts_node_t *node)
+{
+  return bts_node_is_leading (node)
+         || bts_members_is_standby (node->members, node->name, node_now (node));
+}
+
 static void
 append_claim (bts_node_t *node)
 {
@@ -917,6 +938,15 @@
          >= (guint64)node->config.cpu_millis * LARGER_VM_FACTOR;
 }
 
+/* How long this process leaves a claim to others that are preferred as the owner. */
+static gint64
+claim_yield_us (const bts_node_t *node, gint64 now_us)
+{
+  if (has_larger_peer (node, now_us))
+    return SMALL_VM_YIELD_US;
+  return bts_members_is_standby (node->members, node->name, now_us) ? 0 : NOT_STANDBY_YIELD_US;
+}
+
 /* Resigns if a live process is on a much larger VM, so that it can become the owner. The term ends
    at once, so that no lease is granted that the next owner doesn't account for. */
 static void
@@ -966,7 +996,7 @@
   if (node->election.leaving && !node->resigned && bts_sched_is_leading (node->sched))
     append_resignation (node);
   hand_over_if_larger_peer (node, now_us);
-  if (bts_election_is_claim_due (&node->election, node->ledger, has_larger_peer (node, now_us),
+  if (bts_election_is_claim_due (&node->election, node->ledger, claim_yield_us (node, now_us),
                                  now_us))
     append_claim (node);
   gint64 interval_us = bts_forwarder_is_log_slow (node->forwarder, now_us)
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -291,6 +291,7 @@
   sched->confirmed_us = 0;
   sched->earlier_leases_end_us = earlier_leases_end_us;
   sched->settled = FALSE;
+  sched->entries_stale = TRUE;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, sched->fleet->workers);
@@ -677,7 +678,8 @@
 bts_sched_run_pass (bts_sched_t *sched)
 {
   gint64 now_us = bts_sched_now (sched);
-  if (sched->term == 0 || !sched->dirty || sched->journal_stale || now_us < sched->next_pass_us)
+  if (sched->term == 0 || !sched->dirty || sched->journal_stale || sched->entries_stale
+      || now_us < sched->next_pass_us)
     return;
   sched->dirty = FALSE;
   sched->last_pass_us = now_us;
@@ -943,6 +945,19 @@
     }
 }
 
+/**
+ * bts_sched_on_entries() - a read of the registry has completed, or has failed
+ * @sched: the scheduler
+ *
+ * After a failure, the entries read before are used: a worker that has left doesn't answer.
+ */
+void
+bts_sched_on_entries (bts_sched_t *sched)
+{
+  sched->entries_stale = FALSE;
+  sched->dirty = TRUE;
+}
+
 /**
  * bts_sched_on_worker_entry() - a worker's entry in the registry was read
  * @sched: the scheduler
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -172,6 +172,7 @@
 gboolean bts_sched_is_settled (const bts_sched_t *sched, gint64 for_us);
 gint64 bts_sched_lease_ms (const bts_sched_t *sched);
 void bts_sched_set_journal_stale (bts_sched_t *sched, gboolean stale);
+void bts_sched_on_entries (bts_sched_t *sched);
 void bts_sched_set_append_ms (bts_sched_t *sched, guint append_ms);
 void bts_sched_mark_dirty (bts_sched_t *sched);
 void bts_sched_flush (bts_sched_t *sched);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -54,6 +54,8 @@
  * @earlier_leases_end_us: when all leases of earlier owners have expired
  * @settled: all runs of earlier owners are known or have surely ended
  * @journal_stale: the journal has to be read to its end before anything is started
+ * @entries_stale: no read of the registry has completed or failed in this term yet; nothing is
+ *   started, since an entry may be of a worker that has left
  * @members: the processes, any of which may ask for advice
  * @advice_requests: counts requests for advice; each begins with another worker of the pool
  * @advice_nodes_busy_us: until when no process has capacity for a short (index 0) or a long
@@ -101,6 +103,7 @@
   gint64 earlier_leases_end_us;
   gboolean settled;
   gboolean journal_stale;
+  gboolean entries_stale;
   bts_members_t *members;
   guint advice_requests;
   gint64 advice_nodes_busy_us[2];
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1151,14 +1151,6 @@
   .now_unix_ms = op_now_unix_ms,
 };
 
-static void
-node_tick (sim_t *sim, gpointer data)
-{
-  sim_node_t *node = data;
-  bts_node_tick (node->node);
-  post (node, TICK_US, node_tick, node, NULL);
-}
-
 static bts_worker_entry_t *
 entry_of (const sim_worker_t *worker)
 {
@@ -1178,23 +1170,46 @@
 }
 
 static void
-entries_read (sim_t *sim, gpointer data)
+read_entries (sim_node_t *node)
 {
-  sim_node_t *node = data;
-  if (!store_away (node) && !sim->store_refuses)
+  sim_t *sim = node->sim;
+  if (store_away (node) || sim->store_refuses)
     {
-      g_autoptr (GHashTable) ids = g_hash_table_new (g_str_hash, g_str_equal);
-      for (guint i = 0; i < sim->workers->len; i++)
-        {
-          sim_worker_t *worker = sim->workers->pdata[i];
-          if (worker->unlisted)
-            continue;
-          g_hash_table_add (ids, worker->id);
-          bts_node_on_entry (node->node, entry_of (worker));
-        }
-      bts_node_on_entries (node->node, ids);
+      bts_node_on_entries (node->node, NULL);
+      return;
+    }
+  g_autoptr (GHashTable) ids = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < sim->workers->len; i++)
+    {
+      sim_worker_t *worker = sim->workers->pdata[i];
+      if (worker->unlisted)
+        continue;
+      g_hash_table_add (ids, worker->id);
+      bts_node_on_entry (node->node, entry_of (worker));
     }
-  post (node, ENTRIES_US, entries_read, node, NULL);
+  bts_node_on_entries (node->node, ids);
+}
+
+static void
+entries_timer (sim_t *sim, gpointer data)
+{
+  sim_node_t *node = data;
+  if (bts_node_needs_entries (node->node))
+    read_entries (node);
+  post (node, ENTRIES_US, entries_timer, node, NULL);
+}
+
+/* As the agent does, a process reads the entries as soon as it has become the owner. */
+static void
+node_tick (sim_t *sim, gpointer data)
+{
+  sim_node_t *node = data;
+  bts_node_tick (node->node);
+  gboolean leading = bts_node_is_leading (node->node);
+  if (leading && !node->was_leading)
+    read_entries (node);
+  node->was_leading = leading;
+  post (node, TICK_US, node_tick, node, NULL);
 }
 
 /* What tests call. */
@@ -1247,9 +1262,10 @@
   config.sched.early_ms = 250;
   config.sched.retention_ms = sim->keep_ms;
   node->node = bts_node_new (&config, &sim->clock, &node_ops, node);
+  node->was_leading = FALSE;
   read_again (node, SIM_DELAY_US);
   post (node, TICK_US, node_tick, node, NULL);
-  post (node, SIM_DELAY_US, entries_read, node, NULL);
+  post (node, SIM_DELAY_US, entries_timer, node, NULL);
 }
 
 sim_t *
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -86,6 +86,7 @@
 
 /**
  * struct sim_node_t - a process of the scheduler
+ * @was_leading: it was the owner at its last tick
  * @frozen: it does nothing until it is thawed
  * @cut: it can't reach the store
  * @deaf: its reads of the log get no answer
@@ -104,6 +105,7 @@
   guint life;
   char *name;
   bts_node_t *node;
+  gboolean was_leading;
   gboolean frozen;
   gboolean cut;
   gboolean deaf;
--- a/tests/test_scale.c
+++ b/tests/test_scale.c
@@ -3,8 +3,8 @@
 #include "tests/suite.h"
 
 /*
- * The work of an owner on sites of different sizes, counted in workers examined for placement, and
- * not in time, so that the result doesn't depend on the machine.
+ * What processes do on sites of different sizes, counted in workers examined and in readers of the
+ * registry, and not in time, so that the result doesn't depend on the machine.
  */
 
 static const sim_policy_t lookup = { "main", 0, 3, 300 };
@@ -63,11 +63,54 @@
 }
 END_TEST
 
+/* Processes that read all entries of the registry, with the owner. */
+#define ENTRY_READERS_MAX 7
+
+static guint
+count_entry_readers (sim_t *sim)
+{
+  guint n = 0;
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      const sim_node_t *node = sim_node (sim, i);
+      n += node->node != NULL && bts_node_needs_entries (node->node);
+    }
+  return n;
+}
+
+static const guint sites[] = { 2, 6, 30 };
+
+/* The number of processes that read the registry doesn't grow with the site, and another owner
+   starts tasks soon after any owner was killed, also one that hasn't read the registry before. */
+START_TEST (few_processes_read_the_registry)
+{
+  sim_t *sim = sim_new (sites[_i], 10, 1);
+  sim_run_ms (sim, 8000);
+  for (guint i = 0; i + 1 < sites[_i] && i < 8; i++)
+    {
+      guint n_readers = count_entry_readers (sim);
+      ck_assert_uint_le (n_readers, ENTRY_READERS_MAX);
+      ck_assert_uint_ge (n_readers, MIN (2, sites[_i] - i));
+      sim_kill (sim, (guint)sim_owner (sim));
+      sim_run_ms (sim, 2000);
+      ck_assert_int_ge (sim_owner (sim), 0);
+      guint node = (guint)sim_owner (sim);
+      const sim_job_t *job
+          = sim_submit (sim, node, &lookup, urgent_step, G_N_ELEMENTS (urgent_step));
+      sim_run_ms (sim, 3000);
+      ck_assert_int_eq (sim_state (sim, job), BTS_JOB_COMPLETED);
+    }
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("scale");
   tcase_set_timeout (tests, 120);
   tcase_add_loop_test (tests, work_of_a_start_is_independent_of_the_site, 0, G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, few_processes_read_the_registry, 0, G_N_ELEMENTS (sites));
   return suite_run ("scale", tests);
 }
