Lists of workers are read in place, and entries that say nothing new aren't parsed

An entry that differs from the last one only in its sequence is passed over while the worker is registered. A worker with a hold in flight is examined at each fifth tick. The line 'cancelled' is logged by the owner alone, no longer by each process.

--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -117,7 +117,9 @@
 static void
 on_job_cancelled (void *context, bts_job_t *job)
 {
-  bt_log (BT_LOG_INFO, "cancelled", "job=%s", bts_job_id (job));
+  const bts_node_t *node = context;
+  if (bts_sched_is_leading (node->sched))
+    bt_log (BT_LOG_INFO, "cancelled", "job=%s", bts_job_id (job));
 }
 
 static void
@@ -743,6 +745,18 @@
   bts_sched_on_worker_entry (node->sched, id, change);
 }
 
+/**
+ * bts_node_is_registered() - whether a worker is known and in the registry
+ * @node: the process
+ * @worker: id of the worker
+ */
+gboolean
+bts_node_is_registered (const bts_node_t *node, const char *worker)
+{
+  const bts_worker_t *known = bts_fleet_find_worker (&node->fleet, worker);
+  return known != NULL && known->registered;
+}
+
 /**
  * bts_node_on_entries() - a read of all entries of the registry completed
  * @node: the process
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -100,6 +100,7 @@
 gboolean bts_node_is_ready (const bts_node_t *node);
 void bts_node_leave (bts_node_t *node);
 gboolean bts_node_is_idle (const bts_node_t *node);
+gboolean bts_node_is_registered (const bts_node_t *node, const char *worker);
 gboolean bts_node_needs_entries (const bts_node_t *node);
 gboolean bts_node_is_leading (const bts_node_t *node);
 void bts_node_tick (bts_node_t *node);
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -24,6 +24,9 @@
 /* Time between two passes, as a multiple of the duration of the first: passes over a queue of
    thousands of stages must leave most of the processor for holds, which keep runs alive. */
 #define PASS_PAUSE_FACTOR 3
+/* A worker with a hold in flight is examined at each such tick only: there is nothing to send to
+   it but stop orders to repeat. */
+#define BUSY_WORKER_TICKS 5
 /* Interval at which placement of a stage is attempted again although no run has ended on the
    workers that it may use, in microseconds: a worker may have come back, a ticket may have been
    renewed, or preemption may be due. */
@@ -804,6 +807,20 @@
   bts_sched_run_pass (sched);
 }
 
+static void
+tick_workers (bts_sched_t *sched)
+{
+  const GPtrArray *workers = sched->fleet->numbered;
+  sched->ticks++;
+  for (guint i = 0; i < workers->len; i++)
+    {
+      bts_worker_t *worker = workers->pdata[i];
+      if (worker != NULL
+          && (!worker->hold_in_flight || (sched->ticks + i) % BUSY_WORKER_TICKS == 0))
+        bts_worker_tick (sched, worker);
+    }
+}
+
 /**
  * bts_sched_tick() - do everything that is due
  * @sched: the scheduler
@@ -815,11 +832,7 @@
 {
   if (sched->term == 0)
     return;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    bts_worker_tick (sched, value);
+  tick_workers (sched);
   if (!sched->settled && are_earlier_runs_known (sched))
     {
       sched->settled = TRUE;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -64,6 +64,7 @@
  * @speed_applied_us: when the workers' slowness was last updated from @speed
  * @dirty: something has changed, so that a pass over the queue may place tasks
  * @last_pass_us: when the last pass ran
+ * @ticks: counts the ticks
  * @next_pass_us: no pass before this time
  * @pass_number: number of the last pass
  * @queue_unsorted: a stage was queued or has changed its band since the queue was last sorted
@@ -111,6 +112,7 @@
   gint64 speed_applied_us;
   gboolean dirty;
   gint64 last_pass_us;
+  guint ticks;
   gint64 next_pass_us;
   guint64 pass_number;
   gboolean queue_unsorted;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -100,6 +100,32 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *a;
+  const char *b;
+  gboolean same;
+} entry_pairs[] = {
+  { "{\"state\":\"ready\",\"sequence\":7,\"x\":1}",
+    "{\"state\":\"ready\",\"sequence\":108,\"x\":1}", TRUE },
+  { "{\"sequence\":7}", "{\"sequence\":8}", TRUE },
+  { "{\"sequence\":7,\"x\":1}", "{\"sequence\":7,\"x\":2}", FALSE },
+  { "{\"state\":\"ready\",\"sequence\":7}", "{\"state\":\"draining\",\"sequence\":8}", FALSE },
+  { "{\"sequence\":7}", "{\"sequence\":7,\"x\":1}", FALSE },
+  { "{\"x\":1}", "{\"x\":1}", TRUE },
+  { "{\"x\":1}", "{\"x\":12}", FALSE },
+  { "{\"x\":1}", "{\"x\":1,\"sequence\":4}", FALSE },
+  { "", "{}", FALSE },
+};
+
+START_TEST (entry_is_known_but_for_its_sequence)
+{
+  ck_assert_int_eq (pf_wire_is_same_entry (entry_pairs[_i].a, strlen (entry_pairs[_i].a),
+                                           entry_pairs[_i].b, strlen (entry_pairs[_i].b)),
+                    entry_pairs[_i].same);
+}
+END_TEST
+
 static const struct
 {
   const char *text;
@@ -116,8 +142,65 @@
   { "{\"clock-ms\":5,\"running\":[[\"x\",-2]]}", FALSE },
   { "{\"clock-ms\":\"5\"}", FALSE },
   { "{\"clock-ms\":5,\"running\":{}}", FALSE },
+  { "{\"clock-ms\":5,\"finished\":[[58,\"" ID ".0.1.9\",1]]}", FALSE },
+  { "{\"clock-ms\":5,\"finished\":[[58,[1],1,\"done\",\"\"]]}", FALSE },
+  { "{\"clock-ms\":5,\"running\":[[\"" ID ".0.1.2\",2,\"\",41,0.5]]}", TRUE },
+  { "{\"clock-ms\":5,\"other\":{\"running\":[7]},\"running\":[]}", TRUE },
+  { "{\"clock-ms\":5,\"running\":[[\"" ID ".0.1.2\",2,\"\",41]", FALSE },
+  { "[]", FALSE },
+  { "", FALSE },
+};
+
+/* A listing with an escape in it is read by the general parser; the same listing without, in
+   place. */
+static const struct
+{
+  const char *members;
+} same_listings[] = {
+  { "\"clock-ms\":482113,\"born\":1700000000123" },
+  { "\"clock-ms\":5,\"running\":[[\"" ID ".0.1.2\",2,\"\",41],[\"" ID
+    ".7.1.30\",3001,\"00000bb87a21d94b\",100,1250]],\"finished\":[]" },
+  { "\"finished\":[[58,\"" ID ".0.1.9\",1,\"done\",\"\"],[59,\"" ID
+    ".0.2.0\",7,\"lapsed\",\"ab\"]],\"clock-ms\":9,\"more\":[1,{\"a\":[2]}]" },
 };
 
+START_TEST (listing_is_the_same_in_place)
+{
+  g_autofree char *plain = g_strdup_printf ("{%s}", same_listings[_i].members);
+  g_autofree char *escaped
+      = g_strdup_printf ("{%s,\"note\":\"\\u0041\"}", same_listings[_i].members);
+  bts_listing_t *left = pf_wire_parse_listing (plain, strlen (plain), NULL);
+  bts_listing_t *right = pf_wire_parse_listing (escaped, strlen (escaped), NULL);
+  ck_assert_ptr_nonnull (left);
+  ck_assert_ptr_nonnull (right);
+  ck_assert_int_eq (left->clock_ms, right->clock_ms);
+  ck_assert_int_eq (left->started_ms, right->started_ms);
+  ck_assert_uint_eq (left->running->len, right->running->len);
+  ck_assert_uint_eq (left->finished->len, right->finished->len);
+  for (guint i = 0; i < left->running->len; i++)
+    {
+      const bts_listed_run_t *a = left->running->pdata[i];
+      const bts_listed_run_t *b = right->running->pdata[i];
+      ck_assert_str_eq (a->name, b->name);
+      ck_assert_str_eq (a->checkpoint, b->checkpoint);
+      ck_assert_uint_eq (a->number, b->number);
+      ck_assert_uint_eq (a->percent, b->percent);
+    }
+  for (guint i = 0; i < left->finished->len; i++)
+    {
+      const bts_listed_end_t *a = left->finished->pdata[i];
+      const bts_listed_end_t *b = right->finished->pdata[i];
+      ck_assert_str_eq (a->name, b->name);
+      ck_assert_str_eq (a->checkpoint, b->checkpoint);
+      ck_assert_uint_eq (a->number, b->number);
+      ck_assert_uint_eq (a->seq, b->seq);
+      ck_assert_int_eq (a->outcome, b->outcome);
+    }
+  bts_listing_free (left);
+  bts_listing_free (right);
+}
+END_TEST
+
 START_TEST (listing_is_read_or_refused)
 {
   g_autoptr (GError) error = NULL;
@@ -284,7 +367,9 @@
   TCase *tests = tcase_create ("platform");
   tcase_add_loop_test (tests, job_is_read_or_refused, 0, G_N_ELEMENTS (jobs));
   tcase_add_loop_test (tests, entry_is_read_or_passed_over, 0, G_N_ELEMENTS (entries));
+  tcase_add_loop_test (tests, entry_is_known_but_for_its_sequence, 0, G_N_ELEMENTS (entry_pairs));
   tcase_add_loop_test (tests, listing_is_read_or_refused, 0, G_N_ELEMENTS (listings));
+  tcase_add_loop_test (tests, listing_is_the_same_in_place, 0, G_N_ELEMENTS (same_listings));
   tcase_add_loop_test (tests, reply_is_told_apart, 0, G_N_ELEMENTS (replies));
   tcase_add_loop_test (tests, tables_are_read_or_refused, 0, G_N_ELEMENTS (manifests));
   tcase_add_loop_test (tests, longest_prefix_wins, 0, G_N_ELEMENTS (lookups));
