--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -16,6 +16,10 @@
 #define TIMEOUT_LATENCY_FACTOR 2
 /* With each faster append, the recorded append latency decays by itself divided by this. */
 #define LATENCY_DECAY_DIVISOR 8
+/* After an outage of the store, the owner gets the time of one election timeout to write a
+   heartbeat. Reads that fail by turns must not put claims off for ever, so there is at least this
+   time between two such respites, in microseconds. */
+#define RESPITE_INTERVAL_US (5000 * 1000)
 /* Reads that are further apart than this don't show whether the owner was silent, in
    microseconds. */
 #define READ_GAP_MAX_US (2500 * 1000)
@@ -67,6 +71,23 @@
   election->caught_up_us = now_us;
 }
 
+/**
+ * bts_election_on_readable() - the journal could be read again after reads of it have failed
+ * @election: the election
+ * @now_us: current time
+ *
+ * The owner can't have written heartbeats during the outage either, so its silence counts from now
+ * on. If that was wrong, a takeover of hundreds of workers would follow each short outage.
+ */
+void
+bts_election_on_readable (bts_election_t *election, gint64 now_us)
+{
+  if (election->readable_us != 0 && now_us - election->readable_us < RESPITE_INTERVAL_US)
+    return;
+  election->readable_us = now_us;
+  election->heard_us = now_us;
+}
+
 /**
  * bts_election_on_heartbeat() - the owner has written a heartbeat
  * @election: the election
--- a/libbamboothread/scheduler/election.h
+++ b/libbamboothread/scheduler/election.h
@@ -34,6 +34,7 @@
  * @append_latency_us: recent append latency of this process; 0 before an append was stored
  * @caught_up_us: when the log was last read to its end; 0 before the first time
  * @claimed_us: when this process last claimed; 0 for never
+ * @readable_us: when the log last became readable again after failed reads; 0 for never
  * @leaving: the process is shutting down and claims no more
  */
 typedef struct
@@ -46,6 +47,7 @@
   gint64 append_latency_us;
   gint64 caught_up_us;
   gint64 claimed_us;
+  gint64 readable_us;
   gboolean leaving;
 } bts_election_t;
 
@@ -54,6 +56,7 @@
 void bts_election_init (bts_election_t *election, const char *node);
 void bts_election_clear (bts_election_t *election);
 void bts_election_on_caught_up (bts_election_t *election, gint64 now_us);
+void bts_election_on_readable (bts_election_t *election, gint64 now_us);
 void bts_election_on_heartbeat (bts_election_t *election, gint64 now_us);
 void bts_election_on_owner (bts_election_t *election, const bts_ledger_t *ledger, gint64 now_us);
 void bts_election_on_append (bts_election_t *election, gint64 took_us);
--- a/libbamboothread/scheduler/heartbeat.c
+++ b/libbamboothread/scheduler/heartbeat.c
@@ -178,6 +178,20 @@
     send_heartbeat (sched, now_us);
 }
 
+/**
+ * bts_sched_on_readable() - the journal could be read again after reads of it have failed
+ * @sched: the scheduler
+ *
+ * A heartbeat that was sent during the outage is repeated at once, before others claim.
+ */
+void
+bts_sched_on_readable (bts_sched_t *sched)
+{
+  if (sched->term != 0 && sched->heartbeat_in_flight)
+    sched->heartbeat_sent_us
+        = MIN (sched->heartbeat_sent_us, bts_sched_now (sched) - HEARTBEAT_RETRY_US);
+}
+
 static void
 mark_end_journaled (bts_sched_t *sched, const bts_pending_end_t *item)
 {
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -106,6 +106,16 @@
   return ledger->owner;
 }
 
+/**
+ * bts_ledger_count_held() - number of workers on which the owner has recorded a lease
+ * @ledger: the ledger
+ */
+guint
+bts_ledger_count_held (const bts_ledger_t *ledger)
+{
+  return g_hash_table_size (ledger->held);
+}
+
 /**
  * bts_ledger_is_worker_held() - whether the owner has recorded a lease on a worker
  * @ledger: the ledger
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -50,6 +50,7 @@
 guint64 bts_ledger_term (const bts_ledger_t *ledger);
 const char *bts_ledger_owner (const bts_ledger_t *ledger);
 gint64 bts_ledger_claim_offset (const bts_ledger_t *ledger);
+guint bts_ledger_count_held (const bts_ledger_t *ledger);
 gboolean bts_ledger_is_worker_held (const bts_ledger_t *ledger, const char *worker);
 guint bts_ledger_count_pending (const bts_ledger_t *ledger, const char *route);
 void bts_ledger_remove_ended (bts_ledger_t *ledger, gint64 before_us);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -30,6 +30,12 @@
    the owner, in microseconds: longer than the jitter of claims, and for larger VMs than the part of
    their delay that depends on the latency of the store. */
 #define SMALL_VM_YIELD_US (500 * 1000)
+/* A VM whose processor can't carry the workers leaves a claim to larger ones for longer: the
+   workers would be without an owner for as long all the same, and its term would end in a
+   hand-over. */
+#define UNFIT_VM_YIELD_US (3000 * 1000)
+/* Workers that an owner carries for each thousandth of a core. */
+#define WORKERS_PER_CPU_MILLI 3
 #define NOT_STANDBY_YIELD_US (100 * 1000)
 /* Another process is on a much larger VM if its CPU share is at least this many times that of
    this process. */
@@ -540,6 +546,17 @@
   bts_requests_on_spec_append (node->requests, token, result, offset, node_now (node));
 }
 
+/**
+ * bts_node_on_readable() - the journal could be read again after reads of it have failed
+ * @node: the process
+ */
+void
+bts_node_on_readable (bts_node_t *node)
+{
+  bts_election_on_readable (&node->election, node_now (node));
+  bts_sched_on_readable (node->sched);
+}
+
 /**
  * bts_node_on_caught_up() - the journal was read to its end
  * @node: the process
@@ -956,8 +973,10 @@
 static gint64
 claim_yield_us (const bts_node_t *node, gint64 now_us)
 {
+  guint n_workers = bts_ledger_count_held (node->ledger);
   if (has_larger_peer (node, now_us))
-    return SMALL_VM_YIELD_US;
+    return node->config.cpu_millis * WORKERS_PER_CPU_MILLI < n_workers ? UNFIT_VM_YIELD_US
+                                                                       : SMALL_VM_YIELD_US;
   return bts_members_is_standby (node->members, node->name, now_us) ? 0 : NOT_STANDBY_YIELD_US;
 }
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -279,6 +279,9 @@
       const guint8 *bytes = g_bytes_get_data (sim->log->pdata[node->next], &len);
       bts_node_on_record (node->node, node->next++, bytes, len);
     }
+  if (node->read_failed)
+    bts_node_on_readable (node->node);
+  node->read_failed = FALSE;
   bts_node_on_caught_up (node->node, read->sent_us);
   read_again (node, READ_SPACING_US);
 }
@@ -294,6 +297,7 @@
   if (store_away (node) || node->deaf || sim->store_refuses)
     {
       g_free (next);
+      node->read_failed = TRUE;
       read_again (node, READ_WAIT_US);
     }
   else if (node->next < (gint64)sim->log->len || now (sim) - read->sent_us >= READ_WAIT_US)
@@ -1263,6 +1267,7 @@
   config.sched.retention_ms = sim->keep_ms;
   node->node = bts_node_new (&config, &sim->clock, &node_ops, node);
   node->was_leading = FALSE;
+  node->read_failed = FALSE;
   read_again (node, SIM_DELAY_US);
   post (node, TICK_US, node_tick, node, NULL);
   post (node, SIM_DELAY_US, entries_timer, node, NULL);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -86,6 +86,7 @@
 
 /**
  * struct sim_node_t - a process of the scheduler
+ * @read_failed: its last read of the log failed
  * @was_leading: it was the owner at its last tick
  * @frozen: it does nothing until it is thawed
  * @cut: it can't reach the store
@@ -106,6 +107,7 @@
   char *name;
   bts_node_t *node;
   gboolean was_leading;
+  gboolean read_failed;
   gboolean frozen;
   gboolean cut;
   gboolean deaf;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "libbamboothread/base/metrics.h"
 #include "tests/sim.h"
 #include "tests/suite.h"
 
@@ -195,6 +196,26 @@
   expect_all_completed (sim);
 }
 
+/* The owner is alive, so it stays the owner after an outage that is shorter than leases. */
+static void
+owner_stays_after_a_short_outage (sim_t *sim)
+{
+  for (guint i = 0; i < 16; i++)
+    {
+      submit_mix (sim, 1);
+      gint owner = sim_owner (sim);
+      guint64 n_claims = bt_metrics_get_count (BT_COUNT_CLAIMS);
+      sim->store_down = TRUE;
+      sim_run_ms (sim, 700 + 110 * i);
+      sim->store_down = FALSE;
+      sim_run_ms (sim, 5000);
+      ck_assert_int_eq (sim_owner (sim), owner);
+      ck_assert_uint_eq (bt_metrics_get_count (BT_COUNT_CLAIMS), n_claims);
+    }
+  sim_run_ms (sim, 6000);
+  expect_all_completed (sim);
+}
+
 static void
 store_down_and_owner_dead (sim_t *sim)
 {
@@ -729,6 +750,7 @@
   { "all_killed_after_an_accept", all_killed_after_an_accept },
   { "answers_of_the_store_lost", answers_of_the_store_lost },
   { "store_down_past_the_leases", store_down_past_the_leases },
+  { "owner_stays_after_a_short_outage", owner_stays_after_a_short_outage },
   { "store_down_and_owner_dead", store_down_and_owner_dead },
   { "store_refuses_and_callers_are_told", store_refuses_and_callers_are_told },
   { "orders_carried_out_late", orders_carried_out_late },
