An owner of more than 400 workers lets holds wait for 1 s

Change: with more than 400 workers a hold waits for up to 1 s, one after a failed hold not at all. A process without a known CPU share sees no larger peer.

--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -961,12 +961,14 @@
   node->last_hello_us = now_us;
 }
 
-/* Whether a live process is on a much larger VM. */
+/* Whether a live process is on a much larger VM. A process that doesn't know its own CPU share
+   can't tell. */
 static gboolean
 has_larger_peer (const bts_node_t *node, gint64 now_us)
 {
-  return bts_members_max_cpu_millis (node->members, now_us)
-         >= (guint64)node->config.cpu_millis * LARGER_VM_FACTOR;
+  return node->config.cpu_millis > 0
+         && bts_members_max_cpu_millis (node->members, now_us)
+                >= (guint64)node->config.cpu_millis * LARGER_VM_FACTOR;
 }
 
 /* How long this process leaves a claim to others that are preferred as the owner. */
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -16,6 +16,9 @@
    While the reply to a lost hold is awaited, ends on the worker go unnoticed, so this is
    below the slack of urgent jobs. A shorter wait costs more calls. */
 #define HOLD_WAIT_MS 400
+/* The same for an owner of many workers, whose processor is for the most part taken by holds. */
+#define HOLD_WAIT_LONG_MS 1000
+#define MANY_WORKERS 400
 /* Time to the next hold while ends are being journaled, in microseconds: the worker
    would list the same ends again at once. */
 #define HOLD_JOURNALING_US (250 * 1000)
@@ -102,6 +105,17 @@
   worker->replaced = TRUE;
 }
 
+/* A worker that has left a hold unanswered is asked to reply at once, so that several more tries
+   fit into its lease. */
+static guint
+hold_wait_ms (const bts_sched_t *sched, const bts_worker_t *worker)
+{
+  if (!worker->synced || worker->ends_in_flight > 0 || worker->hold_failures > 0)
+    return 0;
+  return g_hash_table_size (sched->fleet->workers) > MANY_WORKERS ? HOLD_WAIT_LONG_MS
+                                                                  : HOLD_WAIT_MS;
+}
+
 static void
 send_hold (bts_sched_t *sched, bts_worker_t *worker, gint64 now_us)
 {
@@ -114,7 +128,7 @@
                          ? worker->journaled_seq
                          : 0;
   order.ack_seq = worker->hold_ack;
-  order.wait_ms = worker->synced && worker->ends_in_flight == 0 ? HOLD_WAIT_MS : 0;
+  order.wait_ms = hold_wait_ms (sched, worker);
   worker->hold_in_flight = TRUE;
   bt_metrics_count (BT_COUNT_HOLD_ORDERS_SENT);
   worker->hold_sent_us = now_us;
