The largest late gang of each service is served as if it were on time

Change: the largest late gang of each service joins the work that is on time. A gang's first request names as many workers as suffice if a fifth is allowed.

Test: late_gangs_among_small_tasks in tests/test_cluster.c; without the change the gang is pending at the end.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -24,6 +24,9 @@
 /* Expected part of a request's workers that the advice allows, in percent: the services'
    policies allow 30 to 70. */
 #define EXPECTED_ALLOWED_PERCENT 40
+/* The same for gangs, which can't start on some of the workers that they need: a second call costs
+   them more time than a longer first one. */
+#define EXPECTED_ALLOWED_GANG_PERCENT 20
 /* Least time between two searches for further workers to request advice about, for one
    stage, in microseconds. */
 #define EXTEND_INTERVAL_US (40 * 1000)
@@ -191,7 +194,9 @@
   g_autoptr (GPtrArray) infeasible = g_ptr_array_new ();
   /* Each request starts at another worker, so that jobs spread over all of them. */
   guint first = pool->len == 0 ? 0 : ++sched->advice_requests % pool->len;
-  guint allowed_percent = scope == SCOPE_ALLOWED ? 100 : EXPECTED_ALLOWED_PERCENT;
+  guint allowed_percent = scope == SCOPE_ALLOWED ? 100
+                          : step->gang            ? EXPECTED_ALLOWED_GANG_PERCENT
+                                                  : EXPECTED_ALLOWED_PERCENT;
   guint n_fitting = 0;
   for (guint i = 0; i < pool->len; i++)
     {
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -618,13 +618,45 @@
   sched->journal_stale = stale;
 }
 
+static gint64
+total_cpu (const bts_stage_t *stage)
+{
+  return (gint64)stage->n_tasks * bts_stage_step (stage)->cpu_millis;
+}
+
+/* Serves the largest late gang of each service as if it were on time. Behind all other work, a wide
+   gang would wait for as long as there is any: small tasks fit into the room between others, while a
+   wide gang starts on reserved workers only. One gang at a time takes little from the others. */
+static void
+promote_late_gangs (bts_sched_t *sched)
+{
+  g_autoptr (GHashTable) largest = g_hash_table_new (NULL, NULL);
+  for (guint i = 0; i < sched->queue->len; i++)
+    {
+      bts_stage_t *stage = sched->queue->pdata[i];
+      if (stage->band != BAND_LATE || !bts_stage_step (stage)->gang)
+        continue;
+      const bts_stage_t *other = g_hash_table_lookup (largest, stage->job->service);
+      if (other == NULL || total_cpu (stage) > total_cpu (other))
+        g_hash_table_insert (largest, (gpointer)stage->job->service, stage);
+    }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, largest);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((bts_stage_t *)value)->band = BAND_ON_TIME;
+}
+
 static void
 sort_queue (bts_sched_t *sched, gint64 now_us)
 {
   for (guint i = 0; i < sched->queue->len; i++)
     sched->queue_unsorted |= update_band (sched->queue->pdata[i], now_us);
   if (sched->queue_unsorted)
-    g_ptr_array_sort (sched->queue, compare_stages);
+    {
+      promote_late_gangs (sched);
+      g_ptr_array_sort (sched->queue, compare_stages);
+    }
   sched->queue_unsorted = FALSE;
 }
 
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -431,6 +431,26 @@
   ck_assert_int_eq (sim_state (sim, job), BTS_JOB_COMPLETED);
 }
 
+/* The same for gangs that are late as soon as they have waited for a moment. */
+static void
+late_gangs_among_small_tasks (sim_t *sim)
+{
+  static const sim_policy_t hurried = { "main", 1, 4, 1 };
+  static const sim_step_t small[]
+      = { { .count = 8, .cpu = 2000, .memory = 2000, .gpus = 1, .ms = 4000 } };
+  static const sim_step_t whole[]
+      = { { .count = 3, .cpu = 20000, .memory = 20000, .gpus = 8, .ms = 1500, .gang = TRUE } };
+  sim_job_t *job = NULL;
+  for (guint i = 0; i < 40; i++)
+    {
+      sim_submit (sim, 0, &batch, small, G_N_ELEMENTS (small));
+      if (i == 8)
+        job = sim_submit (sim, 1, &hurried, whole, G_N_ELEMENTS (whole));
+      sim_run_ms (sim, 250);
+    }
+  ck_assert_int_eq (sim_state (sim, job), BTS_JOB_COMPLETED);
+}
+
 /* The same for a task that needs a whole worker, while tickets run out. */
 static void
 large_task_among_small_ones (sim_t *sim)
@@ -767,6 +787,7 @@
   { "hopeless_job_fails", hopeless_job_fails },
   { "lasting_task_finds_workers_full", lasting_task_finds_workers_full },
   { "gang_among_small_tasks", gang_among_small_tasks },
+  { "late_gangs_among_small_tasks", late_gangs_among_small_tasks },
   { "large_task_among_small_ones", large_task_among_small_ones },
   { "log_has_deleted_the_beginning", log_has_deleted_the_beginning },
   { "gang_goes_on_from_one_checkpoint", gang_goes_on_from_one_checkpoint },
