--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -195,8 +195,8 @@
   /* Each request starts at another worker, so that jobs spread over all of them. */
   guint first = pool->len == 0 ? 0 : ++sched->advice_requests % pool->len;
   guint allowed_percent = scope == SCOPE_ALLOWED ? 100
-                          : step->gang            ? EXPECTED_ALLOWED_GANG_PERCENT
-                                                  : EXPECTED_ALLOWED_PERCENT;
+                          : step->gang           ? EXPECTED_ALLOWED_GANG_PERCENT
+                                                 : EXPECTED_ALLOWED_PERCENT;
   guint n_fitting = 0;
   for (guint i = 0; i < pool->len; i++)
     {
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -625,8 +625,8 @@
 }
 
 /* Serves the largest late gang of each service as if it were on time. Behind all other work, a wide
-   gang would wait for as long as there is any: small tasks fit into the room between others, while a
-   wide gang starts on reserved workers only. One gang at a time takes little from the others. */
+   gang would wait for as long as there is any: small tasks fit into the room between others, while
+   a wide gang starts on reserved workers only. One gang at a time takes little from the others. */
 static void
 promote_late_gangs (bts_sched_t *sched)
 {
