--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1203,6 +1203,12 @@
   post (node, ENTRIES_US, entries_timer, node, NULL);
 }
 
+static void
+first_entries_read (sim_t *sim, gpointer data)
+{
+  read_entries (data);
+}
+
 /* As the agent does, a process reads the entries as soon as it has become the owner. */
 static void
 node_tick (sim_t *sim, gpointer data)
@@ -1210,8 +1216,10 @@
   sim_node_t *node = data;
   bts_node_tick (node->node);
   gboolean leading = bts_node_is_leading (node->node);
-  if (leading && !node->was_leading)
+  if (leading && !node->was_leading && sim->entries_us == 0)
     read_entries (node);
+  else if (leading && !node->was_leading)
+    post (node, sim->entries_us, first_entries_read, node, NULL);
   node->was_leading = leading;
   post (node, TICK_US, node_tick, node, NULL);
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -138,6 +138,7 @@
  * from now
  * @advised: jobs handed in need advice
  * @advice_denies: it denies all workers that are there
+ * @entries_us: time of the first read of the registry by a new owner
  * @specs: the log of specs
  * @messages: all messages between processes, by number
  * @violations: what broke a promise
@@ -170,6 +171,7 @@
   guint max_direct_appenders;
   gboolean advised;
   gboolean advice_denies;
+  gint64 entries_us;
   guint64 exchange;
   GPtrArray *specs;
   GPtrArray *messages;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -319,6 +319,36 @@
   expect_all_completed (sim);
 }
 
+/* Workers begin to drain at the moment of a takeover, so that the new owner knows their old entries
+   only. */
+static void
+workers_drain_at_a_takeover (sim_t *sim)
+{
+  sim->entries_us = 700 * 1000;
+  submit_mix (sim, 2);
+  sim_kill (sim, (guint)sim_owner (sim));
+  while (sim_owner (sim) < 0)
+    sim_run_ms (sim, 1);
+  for (guint i = 1; i < sim->workers->len; i++)
+    sim_worker (sim, i)->draining = TRUE;
+  gint64 taken_over_us = bt_clock_now (&sim->clock);
+  for (guint i = 0; i < 10; i++)
+    {
+      sim_submit (sim, (guint)sim_owner (sim), &lookup, one_step, G_N_ELEMENTS (one_step));
+      sim_run_ms (sim, 100);
+      for (guint w = 1; w < sim->workers->len; w++)
+        for (guint r = 0; r < sim_worker (sim, w)->runs->len; r++)
+          {
+            const sim_run_t *run = sim_worker (sim, w)->runs->pdata[r];
+            ck_assert_int_lt (run->started_us, taken_over_us);
+          }
+    }
+  for (guint i = 1; i < sim->workers->len; i++)
+    sim_worker (sim, i)->draining = FALSE;
+  sim_run_ms (sim, 15000);
+  expect_all_completed (sim);
+}
+
 static void
 cancel_stops_what_runs (sim_t *sim)
 {
@@ -780,6 +810,7 @@
   { "worker_cut_off_and_runs_on", worker_cut_off_and_runs_on },
   { "entry_gone_while_it_runs", entry_gone_while_it_runs },
   { "drained_worker_gets_nothing", drained_worker_gets_nothing },
+  { "workers_drain_at_a_takeover", workers_drain_at_a_takeover },
   { "cancel_stops_what_runs", cancel_stops_what_runs },
   { "cancel_races_its_accept", cancel_races_its_accept },
   { "lasting_tasks_are_kept_up", lasting_tasks_are_kept_up },
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -201,6 +201,45 @@
 }
 END_TEST
 
+/* Bytes replaced, removed and cut off at random. Whatever comes of it, the process goes on, and it
+   is either a listing or an error. */
+START_TEST (damaged_listing_is_read_or_refused)
+{
+  GRand *random = g_rand_new_with_seed ((guint32)_i + 1);
+  for (guint round = 0; round < 4000; round++)
+    {
+      const char *members = same_listings[round % G_N_ELEMENTS (same_listings)].members;
+      g_autoptr (GString) text = g_string_new ("{");
+      g_string_append_printf (text, "%s}", members);
+      guint n_changes = (guint)g_rand_int_range (random, 1, 6);
+      for (guint i = 0; i < n_changes && text->len > 1; i++)
+        {
+          gint at = g_rand_int_range (random, 0, (gint32)text->len);
+          switch (g_rand_int_range (random, 0, 4))
+            {
+            case 0:
+              text->str[at] = "[]{},:\"\\019-.etf\n\x80"[g_rand_int_range (random, 0, 20)];
+              break;
+            case 1:
+              g_string_erase (text, at, 1);
+              break;
+            case 2:
+              g_string_truncate (text, (gsize)at);
+              break;
+            default:
+              g_string_insert_c (text, at, text->str[g_rand_int_range (random, 0, 3) % text->len]);
+            }
+        }
+      g_autoptr (GError) error = NULL;
+      g_autofree char *exact = g_memdup2 (text->str, MAX (text->len, 1));
+      bts_listing_t *listing = pf_wire_parse_listing (exact, text->len, &error);
+      ck_assert_int_eq (listing == NULL, error != NULL);
+      bts_listing_free (listing);
+    }
+  g_rand_free (random);
+}
+END_TEST
+
 START_TEST (listing_is_read_or_refused)
 {
   g_autoptr (GError) error = NULL;
@@ -369,6 +408,7 @@
   tcase_add_loop_test (tests, entry_is_read_or_passed_over, 0, G_N_ELEMENTS (entries));
   tcase_add_loop_test (tests, entry_is_known_but_for_its_sequence, 0, G_N_ELEMENTS (entry_pairs));
   tcase_add_loop_test (tests, listing_is_read_or_refused, 0, G_N_ELEMENTS (listings));
+  tcase_add_loop_test (tests, damaged_listing_is_read_or_refused, 0, 8);
   tcase_add_loop_test (tests, listing_is_the_same_in_place, 0, G_N_ELEMENTS (same_listings));
   tcase_add_loop_test (tests, reply_is_told_apart, 0, G_N_ELEMENTS (replies));
   tcase_add_loop_test (tests, tables_are_read_or_refused, 0, G_N_ELEMENTS (manifests));
