A short request that failed and can't be tried again in time is answered at once

Its owner leaves as planned, and the next one, which knows of no failures, tells 'unknown' at the deadline where 'failed' is known. Ruled out: the hand-over itself; the entry does send the request to the next owner.

Change: where the backoff ends after the deadline, a short request isn't tried again: 'failed' is told at once, with that reason. No token of the retry budget is taken for it.

Conclusion: what can't be served is told at once; the next owner has nothing to guess.

--- a/libbamboothread/process/result.c
+++ b/libbamboothread/process/result.c
@@ -84,8 +84,14 @@
   bt_health_on_attempt_ended (core, worker, attempt, TRUE);
   job->n_failures++;
   gboolean retry = may_retry (job);
-  gboolean has_token = retry && bt_estimate_take_retry_token (core, job->route);
-  if (has_token || (retry && job->durable))
+  /* A retry of a short request that can't begin before the deadline isn't waited for: the caller
+     learns at once that it has failed, and an owner that takes over meanwhile couldn't know. */
+  gint64 wait_us = backoff_us (core, job->n_failures);
+  gboolean in_time = job->durable || core->now + wait_us < job->deadline_at;
+  gboolean has_token = retry && in_time && bt_estimate_take_retry_token (core, job->route);
+  if (!has_token)
+    wait_us = backoff_us (core, BACKOFF_MAX_DOUBLINGS);
+  if (in_time && (has_token || (retry && job->durable)))
     {
       bt_trace_add (core, job->id, "retry", job->route, "task %u failed on %s, failure %u%s",
                     attempt->task, worker->name, job->n_failures,
@@ -93,8 +99,7 @@
                               : "; the route's retry budget is spent, so the backoff is longest");
       bt_owner_ack (core, worker, attempt->id);
       bt_attempt_remove (core, attempt, BT_TASK_WAITING);
-      job->not_before
-          = core->now + backoff_us (core, has_token ? job->n_failures : BACKOFF_MAX_DOUBLINGS);
+      job->not_before = core->now + wait_us;
       bt_sched_requeue (core, job);
       return;
     }
@@ -104,9 +109,12 @@
   g_autofree char *detail
       = g_strdup_printf ("a task failed, last on %s; failures %u, on %u workers%s", worker->name,
                          job->n_failures, job->failed_on != NULL ? job->failed_on->len : 1,
-                         retry ? "; the route's retry budget is spent" : "");
+                         !retry     ? ""
+                         : !in_time ? "; the next try would come after the deadline"
+                                    : "; the route's retry budget is spent");
   bt_sched_end_job (core, job, BT_STATUS_FAILED,
-                    retry ? BT_REASON_RETRIES_SPENT : BT_REASON_TASK_FAILED, answer, detail);
+                    retry && in_time ? BT_REASON_RETRIES_SPENT : BT_REASON_TASK_FAILED, answer,
+                    detail);
 }
 
 static void
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -7,6 +7,9 @@
 #define SEED_LAST 40
 /* The first seed by which a job that is taken back though it may be recorded is caught. */
 #define SEED_TAKEN_BACK 211
+/* The seed by which a failed request whose next try would come after its deadline is caught when
+   its owner leaves. */
+#define SEED_LAST_TRY_TOO_LATE 2010
 
 START_TEST (seed_violates_nothing)
 {
@@ -27,5 +30,7 @@
   tcase_set_timeout (tests, 60);
   tcase_add_loop_test (tests, seed_violates_nothing, SEED_FIRST, SEED_LAST + 1);
   tcase_add_loop_test (tests, seed_violates_nothing, SEED_TAKEN_BACK, SEED_TAKEN_BACK + 1);
+  tcase_add_loop_test (tests, seed_violates_nothing, SEED_LAST_TRY_TOO_LATE,
+                       SEED_LAST_TRY_TOO_LATE + 1);
   return suite_run ("fuzz", tests);
 }
