While the log is slow, processes claim one after the other

Change: while the log is slow, a process adds 0.4 s to its claim for itself and each live process that is preferred as the owner, and as much to a repeated claim.

--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -183,7 +183,7 @@
       || now_us - election->caught_up_us > READ_GAP_MAX_US
       || bts_election_is_owner (election, ledger))
     return FALSE;
-  if (election->claimed_us != 0 && now_us - election->claimed_us < CLAIM_RETRY_US)
+  if (election->claimed_us != 0 && now_us - election->claimed_us < CLAIM_RETRY_US + yield_us)
     return FALSE;
   gint64 claim_delay_us
       = election->jitter_us
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -194,20 +194,19 @@
 }
 
 /**
- * bts_members_is_standby() - whether a process should be ready to become the owner
+ * bts_members_rank() - place of a process in the order of preference as the owner
  * @members: the processes
  * @node: name of the process
  * @now_us: the time
  *
- * Return: whether it is among the %STANDBYS_MAX live processes preferred as the owner. FALSE until
- * it has been heard from.
+ * Return: number of live processes that are preferred; %G_MAXUINT until it has been heard from.
  */
-gboolean
-bts_members_is_standby (const bts_members_t *members, const char *node, gint64 now_us)
+guint
+bts_members_rank (const bts_members_t *members, const char *node, gint64 now_us)
 {
   const bts_member_t *member = bts_members_find (members, node);
   if (member == NULL)
-    return FALSE;
+    return G_MAXUINT;
   guint n_preferred = 0;
   GHashTableIter iter;
   gpointer key;
@@ -215,7 +214,21 @@
   g_hash_table_iter_init (&iter, members->table);
   while (g_hash_table_iter_next (&iter, &key, &value))
     n_preferred += is_live (value, now_us) && is_preferred (key, value, node, member);
-  return n_preferred < STANDBYS_MAX;
+  return n_preferred;
+}
+
+/**
+ * bts_members_is_standby() - whether a process should be ready to become the owner
+ * @members: the processes
+ * @node: name of the process
+ * @now_us: the time
+ *
+ * Return: whether it is among the %STANDBYS_MAX live processes preferred as the owner.
+ */
+gboolean
+bts_members_is_standby (const bts_members_t *members, const char *node, gint64 now_us)
+{
+  return bts_members_rank (members, node, now_us) < STANDBYS_MAX;
 }
 
 /**
--- a/libbamboothread/scheduler/members.h
+++ b/libbamboothread/scheduler/members.h
@@ -38,6 +38,7 @@
 bts_member_t *bts_members_find (const bts_members_t *members, const char *node);
 GPtrArray *bts_members_list_live (const bts_members_t *members, gint64 now_us);
 guint bts_members_count (const bts_members_t *members);
+guint bts_members_rank (const bts_members_t *members, const char *node, gint64 now_us);
 gboolean bts_members_is_standby (const bts_members_t *members, const char *node, gint64 now_us);
 guint bts_members_max_cpu_millis (const bts_members_t *members, gint64 now_us);
 
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -34,6 +34,11 @@
    workers would be without an owner for as long all the same, and its term would end in a
    hand-over. */
 #define UNFIT_VM_YIELD_US (3000 * 1000)
+/* Time between the claims of two processes in the order of preference while the log is slow, in
+   microseconds: an append takes up to a tenth of a second then, and is read soon after. The order
+   counts up to the highest rank below. */
+#define SLOW_LOG_YIELD_US (400 * 1000)
+#define SLOW_LOG_RANK_MAX 15
 /* Workers that an owner carries for each thousandth of a core. */
 #define WORKERS_PER_CPU_MILLI 3
 #define NOT_STANDBY_YIELD_US (100 * 1000)
@@ -971,15 +976,30 @@
                 >= (guint64)node->config.cpu_millis * LARGER_VM_FACTOR;
 }
 
+/* While the log is slow, processes claim one after the other in their order of preference: each
+   claim is an append that the heartbeats of the next owner wait for. */
+static gint64
+slow_log_yield_us (const bts_node_t *node, gint64 now_us)
+{
+  if (!bts_forwarder_is_log_slow (node->forwarder, now_us))
+    return 0;
+  guint rank = bts_members_rank (node->members, node->name, now_us);
+  return SLOW_LOG_YIELD_US * (1 + (gint64)MIN (rank, SLOW_LOG_RANK_MAX));
+}
+
 /* How long this process leaves a claim to others that are preferred as the owner. */
 static gint64
 claim_yield_us (const bts_node_t *node, gint64 now_us)
 {
-  guint n_workers = bts_ledger_count_held (node->ledger);
+  gint64 slow_us = slow_log_yield_us (node, now_us);
   if (has_larger_peer (node, now_us))
-    return node->config.cpu_millis * WORKERS_PER_CPU_MILLI < n_workers ? UNFIT_VM_YIELD_US
-                                                                       : SMALL_VM_YIELD_US;
-  return bts_members_is_standby (node->members, node->name, now_us) ? 0 : NOT_STANDBY_YIELD_US;
+    {
+      guint n_workers = bts_ledger_count_held (node->ledger);
+      gboolean is_fit = node->config.cpu_millis * WORKERS_PER_CPU_MILLI >= n_workers;
+      return slow_us + (is_fit ? SMALL_VM_YIELD_US : UNFIT_VM_YIELD_US);
+    }
+  return slow_us
+         + (bts_members_is_standby (node->members, node->name, now_us) ? 0 : NOT_STANDBY_YIELD_US);
 }
 
 /* Resigns if a live process is on a much larger VM, so that it can become the owner. The term ends
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -872,6 +872,38 @@
 }
 END_TEST
 
+/* Most claims for one term while each append takes a tenth of a second: each claim is an append,
+   and the next owner's heartbeats wait behind all of them. */
+#define SLOW_CLAIMS_MAX 6
+
+/* The owner of many processes dies while the log is slow. */
+START_TEST (slow_log_and_a_dead_owner)
+{
+  sim_t *sim = sim_new (30, 10, (guint32)_i + 1);
+  sim_run_ms (sim, 6000);
+  sim->append_serial = TRUE;
+  sim->append_us = 100 * 1000;
+  for (guint i = 0; i < 30; i++)
+    {
+      sim_submit (sim, i, &lookup, one_step, G_N_ELEMENTS (one_step));
+      sim_run_ms (sim, 100);
+    }
+  guint64 n_claims = bt_metrics_get_count (BT_COUNT_CLAIMS);
+  sim_kill (sim, (guint)sim_owner (sim));
+  for (guint i = 0; i < 60 && sim_owner (sim) < 0; i++)
+    sim_run_ms (sim, 100);
+  ck_assert_int_ge (sim_owner (sim), 0);
+  sim_run_ms (sim, 3000);
+  ck_assert_uint_le (bt_metrics_get_count (BT_COUNT_CLAIMS) - n_claims, SLOW_CLAIMS_MAX);
+  sim->append_serial = FALSE;
+  sim->append_us = 2000;
+  sim_run_ms (sim, 8000);
+  expect_all_completed (sim);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -879,5 +911,6 @@
   tcase_set_timeout (tests, 60);
   tcase_add_loop_test (tests, installation_keeps_its_promises, 0, G_N_ELEMENTS (cases));
   tcase_add_test (tests, slow_log_and_many_entries);
+  tcase_add_loop_test (tests, slow_log_and_a_dead_owner, 0, 4);
   return suite_run ("cluster", tests);
 }
