--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -30,6 +30,8 @@
 /* Most workers to which a tick sends the first hold of a term: the replies to hundreds at once
    would come in faster than they can be handled, and run into the time limit of their calls. */
 #define FIRST_HOLDS_PER_TICK 20
+/* Workers of a pool for each late gang that is served as if it were on time, beside the first. */
+#define WORKERS_PER_LATE_GANG 100
 /* Interval at which placement of a stage is attempted again although no run has ended on the
    workers that it may use, in microseconds: a worker may have come back, a ticket may have been
    renewed, or preemption may be due. */
@@ -624,27 +626,40 @@
   return (gint64)stage->n_tasks * bts_stage_step (stage)->cpu_millis;
 }
 
-/* Serves the largest late gang of each service as if it were on time. Behind all other work, a wide
-   gang would wait for as long as there is any: small tasks fit into the room between others, while
-   a wide gang starts on reserved workers only. One gang at a time takes little from the others. */
+static gint
+compare_total_cpu (gconstpointer a, gconstpointer b)
+{
+  gint64 left = total_cpu (*(bts_stage_t *const *)a);
+  gint64 right = total_cpu (*(bts_stage_t *const *)b);
+  return left > right ? -1 : left < right;
+}
+
+/* Serves the largest late gangs of each service as if they were on time. Behind all other work, a
+   wide gang would wait for as long as there is any: small tasks fit into the room between others,
+   while a wide gang starts on reserved workers only. One gang at a time in each part of a pool
+   takes little from the others. */
 static void
 promote_late_gangs (bts_sched_t *sched)
 {
-  g_autoptr (GHashTable) largest = g_hash_table_new (NULL, NULL);
+  g_autoptr (GPtrArray) gangs = g_ptr_array_new ();
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
-      if (stage->band != BAND_LATE || !bts_stage_step (stage)->gang)
+      if (stage->band == BAND_LATE && bts_stage_step (stage)->gang)
+        g_ptr_array_add (gangs, stage);
+    }
+  g_ptr_array_sort (gangs, compare_total_cpu);
+  g_autoptr (GHashTable) n_promoted = g_hash_table_new (NULL, NULL);
+  for (guint i = 0; i < gangs->len; i++)
+    {
+      bts_stage_t *stage = gangs->pdata[i];
+      gpointer service = (gpointer)stage->job->service;
+      guint n = GPOINTER_TO_UINT (g_hash_table_lookup (n_promoted, service));
+      if (n > bts_fleet_pool (sched->fleet, service)->len / WORKERS_PER_LATE_GANG)
         continue;
-      const bts_stage_t *other = g_hash_table_lookup (largest, stage->job->service);
-      if (other == NULL || total_cpu (stage) > total_cpu (other))
-        g_hash_table_insert (largest, (gpointer)stage->job->service, stage);
+      stage->band = BAND_ON_TIME;
+      g_hash_table_insert (n_promoted, service, GUINT_TO_POINTER (n + 1));
     }
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, largest);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((bts_stage_t *)value)->band = BAND_ON_TIME;
 }
 
 static void
