Late gangs are promoted in pools of a hundred workers and more only

One gang takes a large part of a small pool.

Change: one promoted gang for each full hundred workers of a pool.

--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -30,7 +30,8 @@
 /* Most workers to which a tick sends the first hold of a term: the replies to hundreds at once
    would come in faster than they can be handled, and run into the time limit of their calls. */
 #define FIRST_HOLDS_PER_TICK 20
-/* Workers of a pool for each late gang that is served as if it were on time, beside the first. */
+/* Workers of a pool for each late gang that is served as if it were on time: of a smaller pool, one
+   gang would take a large part. */
 #define WORKERS_PER_LATE_GANG 100
 /* Interval at which placement of a stage is attempted again although no run has ended on the
    workers that it may use, in microseconds: a worker may have come back, a ticket may have been
@@ -655,7 +656,7 @@
       bts_stage_t *stage = gangs->pdata[i];
       gpointer service = (gpointer)stage->job->service;
       guint n = GPOINTER_TO_UINT (g_hash_table_lookup (n_promoted, service));
-      if (n > bts_fleet_pool (sched->fleet, service)->len / WORKERS_PER_LATE_GANG)
+      if (n >= bts_fleet_pool (sched->fleet, service)->len / WORKERS_PER_LATE_GANG)
         continue;
       stage->band = BAND_ON_TIME;
       g_hash_table_insert (n_promoted, service, GUINT_TO_POINTER (n + 1));
