--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -22,8 +22,11 @@
 #define LONG_QUEUE_PASS_INTERVAL_US (10 * 1000)
 #define LONG_QUEUE_STAGES 32
 /* Time between two passes, as a multiple of the duration of the first: passes over a queue of
-   thousands of stages must leave most of the processor for holds, which keep runs alive. */
+   thousands of stages must leave most of the processor for holds, which keep runs alive. A pass
+   during which the process was suspended counts as longer than it was, so there is a longest pause,
+   in microseconds. */
 #define PASS_PAUSE_FACTOR 3
+#define PASS_PAUSE_MAX_US (200 * 1000)
 /* A worker with a hold in flight is examined at each such tick only: there is nothing to send to
    it but stop orders to repeat. */
 #define BUSY_WORKER_TICKS 5
@@ -578,10 +581,10 @@
   BAND_OBSOLETE,
 };
 
-/* Updates the band of a stage, and returns whether it has changed.
-   Long-running stages come first, then urgent work, then other work. Within the latter two,
-   stages that can still meet their objective come before those that are late. Stages whose
-   result is of no use any more come last. */
+/* Updates the band of a stage, and returns whether it has changed. Long-running stages come first,
+   then urgent work, then other work. Within the latter two, stages that can still meet their
+   objective come before those that are late. Stages whose result is of no use any more come last.
+ */
 static gboolean
 update_band (bts_stage_t *stage, gint64 now_us)
 {
@@ -764,9 +767,9 @@
     }
   g_ptr_array_set_size (sched->queue, (gint)n_queued);
   gint64 end_us = bts_sched_now (sched);
-  gint64 pause_us = MAX ((end_us - now_us) * PASS_PAUSE_FACTOR,
-                         n_queued > LONG_QUEUE_STAGES ? LONG_QUEUE_PASS_INTERVAL_US : 0);
-  sched->next_pass_us = end_us + pause_us;
+  gint64 least_us = n_queued > LONG_QUEUE_STAGES ? LONG_QUEUE_PASS_INTERVAL_US : 0;
+  sched->next_pass_us
+      = end_us + CLAMP ((end_us - now_us) * PASS_PAUSE_FACTOR, least_us, PASS_PAUSE_MAX_US);
 }
 
 /* Whether each run that an earlier owner may have started has been listed or has surely ended. */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -707,6 +707,9 @@
 op_start (void *context, const bts_run_t *run, const bts_start_order_t *start)
 {
   sim_node_t *node = context;
+  if (node->sim->start_stall_us > 0)
+    bt_clock_advance (&node->sim->clock, node->sim->start_stall_us);
+  node->sim->start_stall_us = 0;
   sim_order_t *order = order_new (node, run->worker);
   const ProtobufCBinaryData *spec = &run->task->stage->job->accepted->spec;
   order->serial = run->serial;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -138,6 +138,7 @@
  * from now
  * @advised: jobs handed in need advice
  * @advice_denies: it denies all workers that are there
+ * @start_stall_us: how long the machine is suspended while the next start order is sent
  * @entries_us: time of the first read of the registry by a new owner
  * @specs: the log of specs
  * @messages: all messages between processes, by number
@@ -172,6 +173,7 @@
   gboolean advised;
   gboolean advice_denies;
   gint64 entries_us;
+  gint64 start_stall_us;
   guint64 exchange;
   GPtrArray *specs;
   GPtrArray *messages;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -349,6 +349,20 @@
   expect_all_completed (sim);
 }
 
+/* All machines are suspended for 5 s while the owner is in a pass over its queue. The length of
+   that pass is no reason to put off the next one. */
+static void
+suspended_during_a_pass (sim_t *sim)
+{
+  sim->start_stall_us = 5 * BT_USEC_PER_SEC;
+  sim_submit (sim, 0, &lookup, one_step, G_N_ELEMENTS (one_step));
+  sim_run_ms (sim, 6000);
+  ck_assert_int_eq (sim->start_stall_us, 0);
+  submit_mix (sim, 1);
+  sim_run_ms (sim, 6000);
+  expect_all_completed (sim);
+}
+
 static void
 cancel_stops_what_runs (sim_t *sim)
 {
@@ -819,6 +833,7 @@
   { "entry_gone_while_it_runs", entry_gone_while_it_runs },
   { "drained_worker_gets_nothing", drained_worker_gets_nothing },
   { "workers_drain_at_a_takeover", workers_drain_at_a_takeover },
+  { "suspended_during_a_pass", suspended_during_a_pass },
   { "cancel_stops_what_runs", cancel_stops_what_runs },
   { "cancel_races_its_accept", cancel_races_its_accept },
   { "lasting_tasks_are_kept_up", lasting_tasks_are_kept_up },
