--- /dev/null
+++ b/tests/test_retention.c
@@ -0,0 +1,143 @@
+#include <string.h>
+
+#include "tests/sim.h"
+#include "tests/suite.h"
+
+/*
+ * A log that deletes records after its retention, and processes that start later or that
+ * couldn't read it for that long. What was accepted and what has ended must stay known.
+ */
+
+#define KEEP_MS 20000
+/* Jobs that end soon, for each second. */
+#define JOBS_PER_S 54
+/* Jobs that run for longer than the log keeps their records. */
+#define LONG_JOBS 20
+
+static const sim_policy_t lookup = { "main", 0, 3, 300 };
+static const sim_policy_t batch = { "main", 2, 3, 3000 };
+static const sim_policy_t service = { "main", 1, 4, 2500 };
+
+static const sim_step_t quick[] = { { .count = 1, .cpu = 500, .memory = 200, .ms = 300 } };
+static const sim_step_t slow[] = { { .count = 2, .cpu = 200, .memory = 200, .ms = 30000 } };
+static const sim_step_t lasting[]
+    = { { .count = 1, .cpu = 500, .memory = 200, .lasts = TRUE, .per_worker = 1 } };
+
+static sim_t *
+sim_with_retention (guint n_nodes)
+{
+  sim_t *sim = sim_new (n_nodes, 10, 1);
+  sim->keep_ms = KEEP_MS;
+  sim_restart (sim);
+  sim_run_ms (sim, 3000);
+  ck_assert_int_ge (sim_owner (sim), 0);
+  return sim;
+}
+
+/* A process that lives. */
+static guint
+entry (sim_t *sim)
+{
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      const sim_node_t *node = sim_node (sim, i);
+      if (node->node != NULL && !node->frozen && !node->cut && !node->deaf)
+        return i;
+    }
+  return 0;
+}
+
+/* Hands in quick jobs for some seconds, and a slow one at the interval @slow_ms; 0 for none. */
+static void
+submit_quick_jobs (sim_t *sim, guint seconds, guint slow_ms)
+{
+  for (guint i = 0; i < seconds * JOBS_PER_S; i++)
+    {
+      guint slow_jobs = slow_ms == 0 ? 0 : JOBS_PER_S * slow_ms / 1000;
+      if (slow_jobs > 0 && i % slow_jobs == 0)
+        sim_submit (sim, entry (sim), &batch, slow, G_N_ELEMENTS (slow));
+      sim_submit (sim, entry (sim), &lookup, quick, G_N_ELEMENTS (quick));
+      sim_run_ms (sim, 1000 / JOBS_PER_S);
+    }
+}
+
+static guint
+other_than_owner (sim_t *sim)
+{
+  return ((guint)sim_owner (sim) + 1) % sim->nodes->len;
+}
+
+/* Accepted jobs that a process doesn't know. */
+static guint
+count_unknown (sim_t *sim, guint node)
+{
+  guint n = 0;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const sim_job_t *job = sim->jobs->pdata[i];
+      bts_job_state_t state;
+      n += job->accepted_us != 0
+           && bts_node_query (sim_node (sim, node)->node, job->id, &state) != BTS_ANSWER_OK;
+    }
+  return n;
+}
+
+static const gboolean restart_all[] = { FALSE, TRUE };
+
+/* Guards against jobs whose snapshots starve: callers are told that an accepted job is unknown. */
+START_TEST (process_started_later_knows_all_jobs)
+{
+  sim_t *sim = sim_with_retention (3);
+  for (guint i = 0; i < LONG_JOBS; i++)
+    sim_submit (sim, i % 3, &service, lasting, G_N_ELEMENTS (lasting));
+  submit_quick_jobs (sim, 45, 0);
+  guint node = other_than_owner (sim);
+  if (restart_all[_i])
+    sim_restart (sim);
+  else
+    {
+      sim_kill (sim, node);
+      sim_start (sim, node);
+    }
+  sim_run_ms (sim, 2000);
+  ck_assert_msg (count_unknown (sim, node) == 0, "%u of %u jobs are unknown",
+                 count_unknown (sim, node), sim->jobs->len);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against an owner that doesn't know a job and takes note of its end without recording
+   it: the next owner runs the task again. */
+START_TEST (owner_started_later_records_all_ends)
+{
+  sim_t *sim = sim_with_retention (3);
+  submit_quick_jobs (sim, 60, 100);
+  guint first = (guint)sim_owner (sim);
+  guint late = (first + 1) % 3;
+  guint away = (first + 2) % 3;
+  sim_kill (sim, late);
+  sim_start (sim, late);
+  sim_run_ms (sim, 5000);
+  sim_freeze (sim, away);
+  sim_kill (sim, first);
+  sim_run_ms (sim, 4000);
+  ck_assert_int_eq (sim_owner (sim), (gint)late);
+  sim_kill (sim, late);
+  sim_thaw (sim, away);
+  sim_run_ms (sim, 10000);
+  ck_assert_int_eq (sim_owner (sim), (gint)away);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("retention");
+  tcase_set_timeout (tests, 240);
+  tcase_add_loop_test (tests, process_started_later_knows_all_jobs, 0, G_N_ELEMENTS (restart_all));
+  tcase_add_test (tests, owner_started_later_records_all_ends);
+  return suite_run ("retention", tests);
+}
