--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -132,6 +132,52 @@
 }
 END_TEST
 
+/**
+ * Cases of a process that can't read the log for some time and becomes the owner right after.
+ * @keep_ms: how long the log keeps records then; a full partition keeps them for less
+ * @quick_s: seconds for which quick jobs are handed in before
+ * @then_ms: how long it reads the log before it becomes the owner
+ */
+static const struct
+{
+  const char *name;
+  guint keep_ms;
+  guint quick_s;
+  gint64 away_ms;
+  gint64 then_ms;
+} gaps[] = {
+  { "shorter than retention", KEEP_MS, 2, 15000, 1500 },
+  { "longer than retention", KEEP_MS, 2, 25000, 1500 },
+  { "longer than retention, many jobs", KEEP_MS, 30, 25000, 1500 },
+  { "log keeps few seconds", 3000, 2, 5500, 100 },
+  { "longer than ended jobs are known", KEEP_MS, 2, 160000, 1500 },
+};
+
+/* Guards against an owner that has skipped records and runs tasks again that have ended in them. */
+START_TEST (owner_after_skipped_records)
+{
+  sim_t *sim = sim_with_retention (3);
+  submit_quick_jobs (sim, gaps[_i].quick_s, 0);
+  static const sim_step_t steps[] = { { .count = 4, .cpu = 500, .memory = 200, .ms = 2000 } };
+  for (guint i = 0; i < 40; i++)
+    sim_submit (sim, entry (sim), &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 1000);
+  guint away = other_than_owner (sim);
+  sim_node (sim, away)->deaf = TRUE;
+  sim->keep_ms = gaps[_i].keep_ms;
+  sim_run_ms (sim, gaps[_i].away_ms);
+  sim_node (sim, away)->deaf = FALSE;
+  sim_run_ms (sim, gaps[_i].then_ms);
+  for (guint i = 0; i < 3; i++)
+    if (i != away)
+      sim_kill (sim, i);
+  sim_run_ms (sim, 15000);
+  ck_assert_msg (sim_owner (sim) == (gint)away, "%s: nobody owns the workers", gaps[_i].name);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -139,5 +185,6 @@
   tcase_set_timeout (tests, 240);
   tcase_add_loop_test (tests, process_started_later_knows_all_jobs, 0, G_N_ELEMENTS (restart_all));
   tcase_add_test (tests, owner_started_later_records_all_ends);
+  tcase_add_loop_test (tests, owner_after_skipped_records, 0, G_N_ELEMENTS (gaps));
   return suite_run ("retention", tests);
 }
