Add failing tests of an owner that starts tasks again which the next owner has kept

An owner that is cut from the store and from some workers counts the leases on these as over after 3 s, and starts their tasks again on workers that it reaches. The next owner, on the other side, has found the runs meanwhile and renewed their leases: 4 tasks run on w-1 and w-4 at once. One partition between two parts of a site is enough. The same happens when the owner leaves and can't read its resignation.

The leases that a leaving owner renews are counted by the next one, since the resignation itself is a change of the owner that counts 6 s from the last heartbeat.

--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -806,6 +806,56 @@
   ck_assert_int_eq (sim_state (sim, job), BTS_JOB_COMPLETED);
 }
 
+/* Parts the workers between the owner and another process: none can be reached by both. All of them
+   run tasks, and have room for more. Long after their start no worker grants longer leases than an
+   owner asks for. */
+static guint
+part_workers (sim_t *sim)
+{
+  static const sim_step_t steps[]
+      = { { .count = 12, .cpu = 3000, .memory = 2000, .ms = 12000, .per_worker = 4 } };
+  sim_kill (sim, ((guint)sim_owner (sim) + 1) % 3);
+  sim_run_ms (sim, 3 * SIM_HOLD_MAX_MS);
+  sim_submit (sim, (guint)sim_owner (sim), &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 1500);
+  guint owner = (guint)sim_owner (sim);
+  for (guint i = 0; i < sim->workers->len; i++)
+    sim_worker (sim, i)->cut_from = (gint)(i % 2 == 0 ? (owner + 2) % 3 : owner);
+  return owner;
+}
+
+/* Guards against tasks started again by an owner whose lease on their worker is over, although the
+   next owner has renewed it. */
+static void
+owner_and_some_workers_cut_off (sim_t *sim)
+{
+  guint owner = part_workers (sim);
+  sim_node (sim, owner)->cut = TRUE;
+  sim_run_ms (sim, 10000);
+  sim_node (sim, owner)->cut = FALSE;
+  for (guint i = 0; i < sim->workers->len; i++)
+    sim_worker (sim, i)->cut_from = -1;
+  sim_run_ms (sim, 20000);
+  expect_all_completed (sim);
+}
+
+/* Guards against the same by an owner that leaves and can't read that it has resigned, and against
+   leases that it renews although the next owner counts them as over. */
+static void
+owner_leaves_and_cannot_read (sim_t *sim)
+{
+  guint owner = part_workers (sim);
+  sim_node (sim, owner)->deaf = TRUE;
+  sim_run_ms (sim, 100);
+  sim_leave (sim, owner);
+  sim_run_ms (sim, 5000);
+  sim_kill (sim, owner);
+  for (guint i = 0; i < sim->workers->len; i++)
+    sim_worker (sim, i)->cut_from = -1;
+  sim_run_ms (sim, 25000);
+  expect_all_completed (sim);
+}
+
 static const struct
 {
   const char *name;
@@ -856,6 +906,8 @@
   { "gang_finds_workers_full_of_saving_tasks", gang_finds_workers_full_of_saving_tasks },
   { "urgent_finds_workers_full_of_saving_tasks", urgent_finds_workers_full_of_saving_tasks },
   { "owner_killed_and_advice_on_other_workers", owner_killed_and_advice_on_other_workers },
+  { "owner_and_some_workers_cut_off", owner_and_some_workers_cut_off },
+  { "owner_leaves_and_cannot_read", owner_leaves_and_cannot_read },
 };
 
 START_TEST (installation_keeps_its_promises)
