Give up runs on a silent worker only while no later owner can have kept them

Callers saw a task that must run once run twice at the same time.

Cause: an owner counts a lease that it couldn't renew as over after 3 s and starts the worker's tasks again. If it is cut from the store as well, another process has become the owner after 0.6 s, has found these runs and renewed their leases. The starts go to workers that the later owner can't reach, so no fence rejects them. One partition between two parts of a site is enough.

The owner now gives runs up only once a heartbeat that it sent after the lease's end was read back: there was no later claim before it then. The other causes for giving a run up (not listed, restarted, address replaced) come from an answer of the worker itself.

Ruled out: the later owner's own starts wait for each worker that it can't reach, for 6 s from the last heartbeat and a lease; the leases that a leaving owner renews are counted in that.

--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -229,13 +229,11 @@
   run->unanswered_starts++;
   if (run->state != BTS_RUN_STARTING)
     return;
-  /* No order goes to a worker whose lease has expired: it may have restarted. */
-  if (bts_sched_now (sched) > bts_worker_lease_expiry_us (run->worker))
-    {
-      bts_run_mark_lost (sched, run, "lease-over");
-      return;
-    }
-  if (run->unanswered_starts < START_ATTEMPTS_MAX)
+  gint64 expiry_us = bts_worker_lease_expiry_us (run->worker);
+  if (bts_sched_confirmed_us (sched) > expiry_us)
+    bts_run_mark_lost (sched, run, "lease-over");
+  /* No start order goes to a worker whose lease has expired: it may have restarted. */
+  else if (bts_sched_now (sched) <= expiry_us && run->unanswered_starts < START_ATTEMPTS_MAX)
     {
       bt_metrics_count (BT_COUNT_STARTS_REPEATED);
       send_start (sched, run);
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -115,10 +115,16 @@
   return sched->term != 0;
 }
 
-/* When this process was last certain to be the owner: the send time of the newest heartbeat
-   that was read back, or the beginning of the term. */
-static gint64
-last_confirmed_us (const bts_sched_t *sched)
+/**
+ * bts_sched_confirmed_us() - when this process was last certain to be the owner
+ * @sched: a leading scheduler
+ *
+ * A lease that expired before that time wasn't renewed by a later owner.
+ *
+ * Return: the send time of the newest heartbeat that was read back, or the beginning of the term.
+ */
+gint64
+bts_sched_confirmed_us (const bts_sched_t *sched)
 {
   return MAX (sched->confirmed_us, sched->term_began_us);
 }
@@ -167,7 +173,7 @@
   gint64 now_us = bts_sched_now (sched);
   if (worker->clock_at_us == 0)
     return 0;
-  if (worker->hold_failures == 0 && now_us - last_confirmed_us (sched) < BTS_RENEWAL_CUTOFF_US)
+  if (worker->hold_failures == 0 && now_us - bts_sched_confirmed_us (sched) < BTS_RENEWAL_CUTOFF_US)
     worker->requested_deadline_ms
         = MAX (worker->requested_deadline_ms,
                bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -128,6 +128,7 @@
 void bts_advice_tick (bts_sched_t *sched);
 
 gint64 bts_sched_now (const bts_sched_t *sched);
+gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
 gboolean bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, gint64 now_us);
 gboolean bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, gint64 now_us);
 
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -148,8 +148,8 @@
              && now_us < run->confirmed_us + lease_max_us + BTS_LEASE_MARGIN_US);
 }
 
-/* Gives up the runs of a worker whose lease has expired, except those that may have started on its
-   next incarnation: for them, the worker is asked for its lists at once. */
+/* Gives up the runs of a worker whose lease has certainly expired, except those that may have
+   started on its next incarnation: for them, the worker is asked for its lists at once. */
 static void
 mark_expired_lost (bts_sched_t *sched, bts_worker_t *worker, gint64 now_us)
 {
@@ -177,7 +177,7 @@
 {
   gint64 now_us = bts_sched_now (sched);
   if (worker->runs->len > 0 && worker->clock_at_us != 0
-      && now_us > bts_worker_lease_expiry_us (worker))
+      && bts_sched_confirmed_us (sched) > bts_worker_lease_expiry_us (worker))
     mark_expired_lost (sched, worker, now_us);
   for (guint i = 0; i < worker->runs->len; i++)
     bts_run_tick (sched, worker->runs->pdata[i]);
