--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -69,6 +69,38 @@
   return job;
 }
 
+/**
+ * bts_job_new_ended() - create a job of which only its end is known
+ * @id: its id
+ * @offset: offset of the record that says so
+ * @now_us: the time of folding, in microseconds
+ *
+ * Return: a job without steps; bts_job_set_ended() gives it its state.
+ */
+bts_job_t *
+bts_job_new_ended (const char *id, gint64 offset, gint64 now_us)
+{
+  Bts__Accepted *accepted = malloc (sizeof *accepted);
+  bts__accepted__init (accepted);
+  accepted->id = strdup (id);
+  accepted->policy = malloc (sizeof *accepted->policy);
+  bts__policy__init (accepted->policy);
+  return bts_job_new (accepted, offset, now_us);
+}
+
+/**
+ * bts_job_set_ended() - set the state that an ended job has according to a snapshot
+ * @job: the job
+ * @state: completed, failed or cancelled
+ */
+void
+bts_job_set_ended (bts_job_t *job, bts_job_state_t state)
+{
+  job->completed = job->completed || state == BTS_JOB_COMPLETED;
+  job->failed = job->failed || state == BTS_JOB_FAILED;
+  job->cancelled = job->cancelled || state == BTS_JOB_CANCELLED;
+}
+
 static void
 ticket_clear (gpointer data)
 {
@@ -193,6 +225,12 @@
   return FALSE;
 }
 
+static gboolean
+is_completed (const bts_job_t *job)
+{
+  return job->completed || job->n_occurrences_done == bts_job_count_occurrences (job);
+}
+
 /**
  * bts_job_has_ended() - whether the job is completed, failed or cancelled
  * @job: the job
@@ -200,8 +238,7 @@
 gboolean
 bts_job_has_ended (const bts_job_t *job)
 {
-  return job->cancelled || job->failed
-         || job->n_occurrences_done == bts_job_count_occurrences (job);
+  return job->cancelled || job->failed || is_completed (job);
 }
 
 /**
@@ -211,7 +248,7 @@
 bts_job_state_t
 bts_job_state (const bts_job_t *job)
 {
-  if (job->n_occurrences_done == bts_job_count_occurrences (job))
+  if (is_completed (job))
     return BTS_JOB_COMPLETED;
   if (job->cancelled)
     return BTS_JOB_CANCELLED;
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -185,6 +185,7 @@
  * @n_occurrences_done: number of occurrences whose tasks are all done
  * @begun: whether a task was started, according to the journal
  * @begun_reported: whether the owner has queued or sent a heartbeat item that the job has begun
+ * @completed: whether a snapshot says that all its tasks are done
  * @cancelled: whether it was cancelled
  * @failed: whether a task or gang has failed as often as the job's policy allows
  */
@@ -202,11 +203,14 @@
   guint n_occurrences_done;
   gboolean begun;
   gboolean begun_reported;
+  gboolean completed;
   gboolean cancelled;
   gboolean failed;
 };
 
 bts_job_t *bts_job_new (Bts__Accepted *accepted, gint64 offset, gint64 now_us);
+bts_job_t *bts_job_new_ended (const char *id, gint64 offset, gint64 now_us);
+void bts_job_set_ended (bts_job_t *job, bts_job_state_t state);
 void bts_job_free (bts_job_t *job);
 const char *bts_job_id (const bts_job_t *job);
 guint64 bts_job_number (const bts_job_t *job);
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -374,6 +374,35 @@
   return TRUE;
 }
 
+static void
+fold_ended_jobs (bts_ledger_t *ledger, const guint64 *numbers, gsize n, bts_job_state_t state,
+                 gint64 offset, gint64 now_us)
+{
+  for (gsize i = 0; i < n; i++)
+    {
+      char id[BTS_JOB_ID_LEN + 1];
+      bts_job_id_from_number (numbers[i], id);
+      bts_job_t *job = bts_ledger_job (ledger, id);
+      if (job == NULL)
+        {
+          job = bts_job_new_ended (id, offset, now_us);
+          g_hash_table_insert (ledger->jobs, job->accepted->id, job);
+        }
+      job->snapshot_us = ledger->replaying ? 0 : now_us;
+      if (!bts_job_has_ended (job))
+        bts_job_set_ended (job, state);
+      end_job (ledger, job, now_us);
+    }
+}
+
+static void
+fold_ended_snapshot (bts_ledger_t *ledger, const Bts__Ended *ended, gint64 offset, gint64 now_us)
+{
+  fold_ended_jobs (ledger, ended->completed, ended->n_completed, BTS_JOB_COMPLETED, offset, now_us);
+  fold_ended_jobs (ledger, ended->failed, ended->n_failed, BTS_JOB_FAILED, offset, now_us);
+  fold_ended_jobs (ledger, ended->cancelled, ended->n_cancelled, BTS_JOB_CANCELLED, offset, now_us);
+}
+
 static void
 fold_owner_snapshot (bts_ledger_t *ledger, const Bts__Standing *snapshot, gint64 offset)
 {
@@ -443,6 +472,9 @@
     case BTS__RECORD__KIND_KEPT:
       ok = fold_job_snapshot (ledger, record->kept, offset, now_us, error);
       break;
+    case BTS__RECORD__KIND_ENDED:
+      fold_ended_snapshot (ledger, record->ended, offset, now_us);
+      break;
     case BTS__RECORD__KIND_STANDING:
       fold_owner_snapshot (ledger, record->standing, offset);
       break;
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -4,10 +4,11 @@
 
 /*
  * Snapshots of jobs and of the owner. The log deletes records after its retention
- * time. Before that the owner appends the state of each job (a Kept record) and
- * of itself with the workers that it holds (a Standing record) again, so that a
- * process that starts later still reads them. A snapshot changes nothing in a
- * process that has folded the earlier records.
+ * time. Before that the owner appends the state of each job (a Kept record, or an
+ * Ended record with many jobs that have ended) and of itself with the workers that
+ * it holds (a Standing record) again, so that a process that starts later still
+ * reads them. A snapshot changes nothing in a process that has folded the earlier
+ * records.
  */
 
 /* Snapshots of a job in one retention time of the log: a reader that starts at the oldest record
@@ -16,13 +17,21 @@
 /* Jobs whose last snapshot has an unknown age are due once the snapshot interval divided by
    this has passed in the owner's term. */
 #define UNKNOWN_AGE_DIVISOR 10
-/* Most job snapshots per check; spreads them over time. */
-#define JOBS_PER_CHECK_MAX 20
+/* Snapshots that are overdue are spread over the snapshot interval divided by this. */
+#define CATCH_UP_DIVISOR 2
+/* Most ended jobs in one record; keeps it far below the store's size limit of a record. */
+#define ENDED_PER_RECORD_MAX 1000
 /* Time after which a snapshot that wasn't read back is appended again, in microseconds. */
 #define SNAPSHOT_RETRY_US (1000 * 1000)
 /* Time between two checks for snapshots that are due, in microseconds. */
 #define CHECK_INTERVAL_US (200 * 1000)
 
+static gint64
+snapshot_interval_us (const bts_sched_t *sched)
+{
+  return (gint64)sched->config.retention_ms * 1000 / SNAPSHOTS_PER_RETENTION;
+}
+
 static void
 add_task_state (GPtrArray *states, const bts_task_t *task)
 {
@@ -99,6 +108,105 @@
   sched->ops->append (sched->context, &record);
 }
 
+static void
+append_ended_snapshot (bts_sched_t *sched, GArray *const numbers[])
+{
+  Bts__Ended ended = BTS__ENDED__INIT;
+  ended.n_completed = numbers[BTS_JOB_COMPLETED]->len;
+  ended.completed = (guint64 *)(gpointer)numbers[BTS_JOB_COMPLETED]->data;
+  ended.n_failed = numbers[BTS_JOB_FAILED]->len;
+  ended.failed = (guint64 *)(gpointer)numbers[BTS_JOB_FAILED]->data;
+  ended.n_cancelled = numbers[BTS_JOB_CANCELLED]->len;
+  ended.cancelled = (guint64 *)(gpointer)numbers[BTS_JOB_CANCELLED]->data;
+  Bts__Record record = BTS__RECORD__INIT;
+  record.kind_case = BTS__RECORD__KIND_ENDED;
+  record.ended = &ended;
+  sched->ops->append (sched->context, &record);
+}
+
+/* Appends the snapshots of jobs that have ended. */
+static void
+append_ended_jobs (bts_sched_t *sched, const GPtrArray *jobs)
+{
+  GArray *numbers[BTS_JOB_CANCELLED + 1];
+  for (guint state = 0; state < G_N_ELEMENTS (numbers); state++)
+    numbers[state] = g_array_new (FALSE, FALSE, sizeof (guint64));
+  for (guint i = 0; i < jobs->len; i++)
+    {
+      const bts_job_t *job = jobs->pdata[i];
+      guint64 number = bts_job_number (job);
+      g_array_append_val (numbers[bts_job_state (job)], number);
+      if ((i + 1) % ENDED_PER_RECORD_MAX != 0 && i + 1 < jobs->len)
+        continue;
+      append_ended_snapshot (sched, numbers);
+      for (guint state = 0; state < G_N_ELEMENTS (numbers); state++)
+        g_array_set_size (numbers[state], 0);
+    }
+  for (guint state = 0; state < G_N_ELEMENTS (numbers); state++)
+    g_array_unref (numbers[state]);
+}
+
+/* When the newest snapshot of a job was read. One that was read in a replay may be of any age. The
+   owner appends another one early in its term, since owners may replace each other before a full
+   interval has passed. */
+static gint64
+snapshot_time_us (const bts_sched_t *sched, const bts_job_t *job)
+{
+  gint64 interval_us = snapshot_interval_us (sched);
+  return job->snapshot_us != 0
+             ? job->snapshot_us
+             : sched->term_began_us - interval_us + interval_us / UNKNOWN_AGE_DIVISOR;
+}
+
+static gint
+compare_snapshot_times (gconstpointer a, gconstpointer b, gpointer sched)
+{
+  gint64 left = snapshot_time_us (sched, *(bts_job_t *const *)a);
+  gint64 right = snapshot_time_us (sched, *(bts_job_t *const *)b);
+  return left < right ? -1 : left > right;
+}
+
+/* Jobs whose snapshot is due, the oldest first. */
+static GPtrArray *
+find_due_jobs (bts_sched_t *sched, gint64 now_us)
+{
+  GPtrArray *due = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const bts_job_t *job = value;
+      if (now_us - snapshot_time_us (sched, job) >= snapshot_interval_us (sched)
+          && now_us - job->snapshot_sent_us >= SNAPSHOT_RETRY_US)
+        g_ptr_array_add (due, value);
+    }
+  g_ptr_array_sort_with_data (due, compare_snapshot_times, sched);
+  return due;
+}
+
+/* Appends the snapshots that are due, in batches that grow with the number of jobs, so that the
+   interval is kept however many there are. */
+static void
+append_due_jobs (bts_sched_t *sched, gint64 now_us)
+{
+  guint n_jobs = g_hash_table_size (bts_ledger_jobs (sched->ledger));
+  gint64 batch
+      = n_jobs * (gint64)CHECK_INTERVAL_US * CATCH_UP_DIVISOR / snapshot_interval_us (sched);
+  g_autoptr (GPtrArray) due = find_due_jobs (sched, now_us);
+  g_autoptr (GPtrArray) ended = g_ptr_array_new ();
+  for (guint i = 0; i < due->len && i <= batch; i++)
+    {
+      bts_job_t *job = due->pdata[i];
+      job->snapshot_sent_us = now_us;
+      if (bts_job_has_ended (job))
+        g_ptr_array_add (ended, job);
+      else
+        append_job_snapshot (sched, job);
+    }
+  append_ended_jobs (sched, ended);
+}
+
 /**
  * bts_snapshot_tick() - append the snapshots that are due
  * @sched: a leading scheduler
@@ -107,31 +215,14 @@
 bts_snapshot_tick (bts_sched_t *sched)
 {
   gint64 now_us = bts_sched_now (sched);
-  gint64 interval_us = (gint64)sched->config.retention_ms * 1000 / SNAPSHOTS_PER_RETENTION;
   if (sched->config.retention_ms == 0 || now_us - sched->snapshot_checked_us < CHECK_INTERVAL_US)
     return;
   sched->snapshot_checked_us = now_us;
   if (sched->standing_written_us < sched->term_began_us
-      || now_us - sched->standing_written_us >= interval_us)
+      || now_us - sched->standing_written_us >= snapshot_interval_us (sched))
     {
       sched->standing_written_us = now_us;
       append_owner_snapshot (sched);
     }
-  /* The newest snapshot of a job that was read in a replay may be of any age. The owner appends one
-     early in its term, since owners may replace each other before a full interval has passed. */
-  gint64 assumed_us = sched->term_began_us - interval_us + interval_us / UNKNOWN_AGE_DIVISOR;
-  guint n_appended = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
-  while (n_appended < JOBS_PER_CHECK_MAX && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      bts_job_t *job = value;
-      gint64 last_us = job->snapshot_us == 0 ? assumed_us : job->snapshot_us;
-      if (now_us - last_us < interval_us || now_us - job->snapshot_sent_us < SNAPSHOT_RETRY_US)
-        continue;
-      job->snapshot_sent_us = now_us;
-      append_job_snapshot (sched, job);
-      n_appended++;
-    }
+  append_due_jobs (sched, now_us);
 }
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &bts__kept__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__ended__init
+                     (Bts__Ended         *message)
+{
+  static const Bts__Ended init_value = BTS__ENDED__INIT;
+  *message = init_value;
+}
+size_t bts__ended__get_packed_size
+                     (const Bts__Ended *message)
+{
+  assert(message->base.descriptor == &bts__ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__ended__pack
+                     (const Bts__Ended *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__ended__pack_to_buffer
+                     (const Bts__Ended *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Ended *
+       bts__ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Ended *)
+     protobuf_c_message_unpack (&bts__ended__descriptor,
+                                allocator, len, data);
+}
+void   bts__ended__free_unpacked
+                     (Bts__Ended *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__standing__init
                      (Bts__Standing         *message)
 {
@@ -2215,6 +2260,70 @@
   (ProtobufCMessageInit) bts__kept__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bts__ended__field_descriptors[3] =
+{
+  {
+    "completed",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Bts__Ended, n_completed),
+    offsetof(Bts__Ended, completed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Bts__Ended, n_failed),
+    offsetof(Bts__Ended, failed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancelled",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Bts__Ended, n_cancelled),
+    offsetof(Bts__Ended, cancelled),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__ended__field_indices_by_name[] = {
+  2,   /* field[2] = cancelled */
+  0,   /* field[0] = completed */
+  1,   /* field[1] = failed */
+};
+static const ProtobufCIntRange bts__ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bts__ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Ended",
+  "Ended",
+  "Bts__Ended",
+  "bts",
+  sizeof(Bts__Ended),
+  3,
+  bts__ended__field_descriptors,
+  bts__ended__field_indices_by_name,
+  1,  bts__ended__number_ranges,
+  (ProtobufCMessageInit) bts__ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bts__standing__field_descriptors[3] =
 {
   {
@@ -2767,7 +2876,7 @@
   (ProtobufCMessageInit) bts__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bts__record__field_descriptors[9] =
 {
   {
     "accepted",
@@ -2865,12 +2974,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Record, kind_case),
+    offsetof(Bts__Record, ended),
+    &bts__ended__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__record__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
   4,   /* field[4] = beat */
   1,   /* field[1] = cancelled */
   2,   /* field[2] = claim */
+  8,   /* field[8] = ended */
   5,   /* field[5] = hello */
   6,   /* field[6] = kept */
   3,   /* field[3] = resigned */
@@ -2880,7 +3002,7 @@
 {
   { 1, 0 },
   { 8, 5 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor bts__record__descriptor =
 {
@@ -2890,7 +3012,7 @@
   "Bts__Record",
   "bts",
   sizeof(Bts__Record),
-  8,
+  9,
   bts__record__field_descriptors,
   bts__record__field_indices_by_name,
   2,  bts__record__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Bts__Beat Bts__Beat;
 typedef struct Bts__TaskState Bts__TaskState;
 typedef struct Bts__Kept Bts__Kept;
+typedef struct Bts__Ended Bts__Ended;
 typedef struct Bts__Standing Bts__Standing;
 typedef struct Bts__Ticket Bts__Ticket;
 typedef struct Bts__Advice Bts__Advice;
@@ -280,6 +281,25 @@
     , NULL, 0, 0, 0, 0,NULL }
 
 
+/*
+ * Snapshots of jobs that have ended, by their ids as numbers. All that is left of such a job is
+ * its state.
+ */
+struct  Bts__Ended
+{
+  ProtobufCMessage base;
+  size_t n_completed;
+  uint64_t *completed;
+  size_t n_failed;
+  uint64_t *failed;
+  size_t n_cancelled;
+  uint64_t *cancelled;
+};
+#define BTS__ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__ended__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 /*
  * A snapshot of the owner and the workers that it holds, written for the same reason.
  */
@@ -459,7 +479,8 @@
   BTS__RECORD__KIND_BEAT = 5,
   BTS__RECORD__KIND_HELLO = 8,
   BTS__RECORD__KIND_KEPT = 9,
-  BTS__RECORD__KIND_STANDING = 10
+  BTS__RECORD__KIND_STANDING = 10,
+  BTS__RECORD__KIND_ENDED = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__RECORD__KIND__CASE)
 } Bts__Record__KindCase;
 
@@ -476,6 +497,7 @@
     Bts__Hello *hello;
     Bts__Kept *kept;
     Bts__Standing *standing;
+    Bts__Ended *ended;
   };
 };
 #define BTS__RECORD__INIT \
@@ -711,6 +733,25 @@
 void   bts__kept__free_unpacked
                      (Bts__Kept *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Ended methods */
+void   bts__ended__init
+                     (Bts__Ended         *message);
+size_t bts__ended__get_packed_size
+                     (const Bts__Ended   *message);
+size_t bts__ended__pack
+                     (const Bts__Ended   *message,
+                      uint8_t             *out);
+size_t bts__ended__pack_to_buffer
+                     (const Bts__Ended   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Ended *
+       bts__ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__ended__free_unpacked
+                     (Bts__Ended *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Standing methods */
 void   bts__standing__init
                      (Bts__Standing         *message);
@@ -920,6 +961,9 @@
 typedef void (*Bts__Kept_Closure)
                  (const Bts__Kept *message,
                   void *closure_data);
+typedef void (*Bts__Ended_Closure)
+                 (const Bts__Ended *message,
+                  void *closure_data);
 typedef void (*Bts__Standing_Closure)
                  (const Bts__Standing *message,
                   void *closure_data);
@@ -965,6 +1009,7 @@
 extern const ProtobufCMessageDescriptor bts__beat__descriptor;
 extern const ProtobufCMessageDescriptor bts__task_state__descriptor;
 extern const ProtobufCMessageDescriptor bts__kept__descriptor;
+extern const ProtobufCMessageDescriptor bts__ended__descriptor;
 extern const ProtobufCMessageDescriptor bts__standing__descriptor;
 extern const ProtobufCMessageDescriptor bts__ticket__descriptor;
 extern const ProtobufCMessageDescriptor bts__advice__descriptor;
--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -82,7 +82,30 @@
   return n;
 }
 
-static const gboolean restart_all[] = { FALSE, TRUE };
+/* Deletes the records that are older than this. */
+static void
+trim_log (sim_t *sim, gint64 keep_ms)
+{
+  while (sim->log_first < (gint64)sim->log->len
+         && bt_clock_now (&sim->clock) - g_array_index (sim->log_us, gint64, sim->log_first)
+                > keep_ms * 1000)
+    sim->log_first++;
+}
+
+/**
+ * Cases of processes that start anew.
+ * @keep_ms: what the log holds then
+ */
+static const struct
+{
+  const char *name;
+  gboolean all;
+  gint64 keep_ms;
+} starts[] = {
+  { "one process", FALSE, KEEP_MS },
+  { "all processes", TRUE, KEEP_MS },
+  { "half of the retention", FALSE, KEEP_MS / 2 },
+};
 
 /* Guards against jobs whose snapshots starve: callers are told that an accepted job is unknown. */
 START_TEST (process_started_later_knows_all_jobs)
@@ -92,7 +115,8 @@
     sim_submit (sim, i % 3, &service, lasting, G_N_ELEMENTS (lasting));
   submit_quick_jobs (sim, 45, 0);
   guint node = other_than_owner (sim);
-  if (restart_all[_i])
+  trim_log (sim, starts[_i].keep_ms);
+  if (starts[_i].all)
     sim_restart (sim);
   else
     {
@@ -100,7 +124,7 @@
       sim_start (sim, node);
     }
   sim_run_ms (sim, 2000);
-  ck_assert_msg (count_unknown (sim, node) == 0, "%u of %u jobs are unknown",
+  ck_assert_msg (count_unknown (sim, node) == 0, "%s: %u of %u jobs are unknown", starts[_i].name,
                  count_unknown (sim, node), sim->jobs->len);
   sim_check (sim);
   sim_free (sim);
@@ -183,7 +207,7 @@
 {
   TCase *tests = tcase_create ("retention");
   tcase_set_timeout (tests, 240);
-  tcase_add_loop_test (tests, process_started_later_knows_all_jobs, 0, G_N_ELEMENTS (restart_all));
+  tcase_add_loop_test (tests, process_started_later_knows_all_jobs, 0, G_N_ELEMENTS (starts));
   tcase_add_test (tests, owner_started_later_records_all_ends);
   tcase_add_loop_test (tests, owner_after_skipped_records, 0, G_N_ELEMENTS (gaps));
   return suite_run ("retention", tests);
