--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -979,6 +979,58 @@
 }
 END_TEST
 
+/* How an owner goes while its resignation, and the claims of others, are stored late or twice. */
+enum
+{
+  GOES_LEAVING,
+  GOES_CUT_OFF,
+  GOES_HANDING_ON,
+  N_WAYS,
+};
+
+/* Seeds for each of them. */
+#define LATE_SEEDS 12
+
+/* Guards against two owners that act at once after claims and resignations that were stored without
+   an answer, seconds late, or after others. */
+START_TEST (late_claims_and_resignations)
+{
+  guint way = (guint)_i % N_WAYS;
+  sim_t *sim = sim_new (3, 6, (guint32)_i + 1);
+  sim_run_ms (sim, 3 * SIM_HOLD_MAX_MS);
+  submit_mix (sim, 3);
+  guint owner = (guint)sim_owner (sim);
+  for (guint i = 0; i < sim->workers->len; i++)
+    sim_worker (sim, i)->cut_from = (gint)(i % 2 == 0 ? (owner + 1) % 3 : owner);
+  sim->lose_percent = 70;
+  sim->late_append_us = 5 * BT_USEC_PER_SEC;
+  if (way == GOES_LEAVING)
+    sim_leave (sim, owner);
+  else if (way == GOES_CUT_OFF)
+    sim_node (sim, owner)->cut = TRUE;
+  else
+    {
+      sim_kill (sim, (owner + 2) % 3);
+      sim_node (sim, (owner + 2) % 3)->cpu_millis = 1000;
+      sim_start (sim, (owner + 2) % 3);
+    }
+  submit_mix (sim, 3);
+  sim_run_ms (sim, 5000);
+  sim->lose_percent = 0;
+  sim->late_append_us = 0;
+  sim_node (sim, owner)->cut = FALSE;
+  if (way == GOES_LEAVING)
+    sim_kill (sim, owner);
+  sim_run_ms (sim, 2000);
+  for (guint i = 0; i < sim->workers->len; i++)
+    sim_worker (sim, i)->cut_from = -1;
+  sim_run_ms (sim, 20000);
+  expect_all_completed (sim);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -987,5 +1039,6 @@
   tcase_add_loop_test (tests, installation_keeps_its_promises, 0, G_N_ELEMENTS (cases));
   tcase_add_test (tests, slow_log_and_many_entries);
   tcase_add_loop_test (tests, slow_log_and_a_dead_owner, 0, 4);
+  tcase_add_loop_test (tests, late_claims_and_resignations, 0, N_WAYS * LATE_SEEDS);
   return suite_run ("cluster", tests);
 }
