Tests: tasks that crash their workers

What callers see: a task that crashes each worker that starts it is started again and again, on one worker after another. All that runs beside it is lost each time, and its job is never shown as failed. BUDGET is broken by the third start after three workers have crashed under a task.

The simulator can mark a task as deadly: its worker crashes 10 ms after the start, and 3.0 to 3.5 s later one is back at the address, under a new id or as the next incarnation under the same one. It counts starts that begin a run, whoever sent them, and crashes of workers with a run of the task on them, and reports BUDGET as it happens. Crashes of this kind break a gang at work, workers have addresses of their own, and one that has departed answers starts and stops with wrong worker too.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -18,6 +18,11 @@
 #define ADVICE_US (30 * 1000)
 /* Time from a confirmed cancellation after which no task of the job may start. */
 #define CANCEL_US (3000 * 1000)
+/* Time from a crash to when the registry drops the worker's entry. */
+#define ENTRY_EXPIRY_US (1500 * 1000)
+/* Time from a crash to when a worker is back. */
+#define COMEBACK_MIN_US (3000 * 1000)
+#define COMEBACK_MAX_US (3500 * 1000)
 #define UNIX_START_MS G_GINT64_CONSTANT (1700000000000)
 
 typedef void (*sim_event_f) (sim_t *sim, gpointer data);
@@ -469,6 +474,75 @@
       }
 }
 
+/**
+ * struct sim_crash_t - a crash to come, or one whose worker is to be back
+ * @born_us: names the incarnation of the worker
+ * @name: the deadly task, with its run @number; NULL after the crash
+ */
+typedef struct
+{
+  sim_worker_t *worker;
+  gint64 born_us;
+  char *name;
+  guint number;
+} sim_crash_t;
+
+static void
+crash_free (gpointer data)
+{
+  sim_crash_t *crash = data;
+  g_free (crash->name);
+  g_free (crash);
+}
+
+static sim_crash_t *
+crash_new (sim_worker_t *worker)
+{
+  sim_crash_t *crash = g_new0 (sim_crash_t, 1);
+  crash->worker = worker;
+  crash->born_us = worker->born_us;
+  return crash;
+}
+
+/* A run that has been stopped or has lapsed by now crashes nothing. */
+static void
+deadly_run_crashes (sim_t *sim, gpointer data)
+{
+  sim_crash_t *crash = data;
+  const sim_run_t *run = find_run (crash->worker, crash->name);
+  if (run != NULL && run->number == crash->number && crash->worker->born_us == crash->born_us)
+    {
+      bt_log (BT_LOG_INFO, "deadly-crash", "at=%.3f task=%s run=%u worker=%s",
+              (double)now (sim) / 1e6, crash->name, crash->number, crash->worker->id);
+      sim_crash_for_seconds (sim, crash->worker);
+    }
+  crash_free (crash);
+}
+
+static gboolean
+crashes_before_reply (const sim_t *sim, const char *name)
+{
+  const sim_deadly_t *deadly = g_hash_table_lookup (sim->deadly, name);
+  return deadly != NULL && deadly->after_us < SIM_DELAY_US;
+}
+
+static void
+check_deadly_start (sim_worker_t *worker, const sim_run_t *run)
+{
+  sim_t *sim = worker->sim;
+  sim_deadly_t *deadly = g_hash_table_lookup (sim->deadly, run->name);
+  if (deadly == NULL)
+    return;
+  deadly->starts++;
+  if (deadly->crashes >= SIM_BUDGET_CRASHES && ++deadly->late_starts >= SIM_BUDGET_STARTS)
+    violate (sim, "BUDGET %s: start %u, after %u crashes of workers", run->name, deadly->starts,
+             deadly->crashes);
+  sim_crash_t *crash = crash_new (worker);
+  crash->name = g_strdup (run->name);
+  crash->number = run->number;
+  after (sim, deadly->after_us, deadly_run_crashes, crash);
+}
+
 /* Names one run on all workers. */
 static char *
 run_key (const char *name, guint number)
@@ -622,6 +696,8 @@
   sim_t *sim = worker->sim;
   if (worker->dead)
     return BTS_REPLY_NO_ANSWER;
+  if (worker->departed)
+    return BTS_REPLY_WRONG_WORKER;
   if (order->fence < worker->fence)
     return BTS_REPLY_FENCED;
   worker->fence = order->fence;
@@ -660,6 +736,7 @@
   g_ptr_array_add (worker->runs, run);
   sim->starts++;
   check_start (worker, run);
+  check_deadly_start (worker, run);
   return BTS_REPLY_OK;
 }
 
@@ -698,9 +775,11 @@
       return;
     }
   bts_reply_t reply = carry_out_start (worker, order);
-  order->reply = worker->mute ? BTS_REPLY_NO_ANSWER : reply;
-  order->clock_ms = worker->mute ? 0 : worker_clock_ms (worker);
-  give_back (order, worker->mute ? CALL_TIMEOUT_US : SIM_DELAY_US, start_answered);
+  gboolean lost
+      = worker->mute || (reply == BTS_REPLY_OK && crashes_before_reply (sim, order->name));
+  order->reply = lost ? BTS_REPLY_NO_ANSWER : reply;
+  order->clock_ms = lost || worker->departed ? 0 : worker_clock_ms (worker);
+  give_back (order, lost ? CALL_TIMEOUT_US : SIM_DELAY_US, start_answered);
 }
 
 static void
@@ -742,6 +821,12 @@
       give_back (order, CALL_TIMEOUT_US, stop_answered);
       return;
     }
+  if (worker->departed)
+    {
+      order->reply = BTS_REPLY_WRONG_WORKER;
+      give_back (order, SIM_DELAY_US, stop_answered);
+      return;
+    }
   order->reply = BTS_REPLY_OK;
   if (order->fence < worker->fence)
     order->reply = BTS_REPLY_FENCED;
@@ -1163,7 +1248,7 @@
 {
   bts_worker_entry_t *entry = g_new0 (bts_worker_entry_t, 1);
   entry->id = g_strdup (worker->id);
-  entry->address = g_strdup ("10.0.0.1:1");
+  entry->address = g_strdup (worker->address);
   entry->service = g_strdup (worker->service);
   entry->zone = g_strdup ("here");
   const char *labels[] = { "a", worker->rack, NULL };
@@ -1236,6 +1321,7 @@
   worker->sim = sim;
   worker->id = g_strdup (id);
   worker->service = g_strdup (service);
+  worker->address = g_strdup_printf ("10.0.0.1:%u", sim->workers->len + 1);
   worker->rack = g_strdup_printf ("r%u", sim->workers->len / 3);
   worker->capacity = room;
   worker->born_ms = UNIX_START_MS + now (sim) / 1000;
@@ -1302,6 +1388,7 @@
   sim->done_us = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->started = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->noted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sim->deadly = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   sim->specs = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   sim->messages = g_ptr_array_new_with_free_func (message_free);
   /* Exchange 0 is none. */
@@ -1373,12 +1460,109 @@
 void
 sim_crash (sim_t *sim, sim_worker_t *worker)
 {
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const sim_run_t *run = worker->runs->pdata[i];
+      sim_deadly_t *deadly = g_hash_table_lookup (sim->deadly, run->name);
+      if (deadly != NULL)
+        deadly->crashes++;
+    }
+  sim->crashes += !worker->dead;
   worker->dead = TRUE;
   worker->unlisted = TRUE;
   g_ptr_array_set_size (worker->runs, 0);
   g_ptr_array_set_size (worker->finished, 0);
 }
 
+static void
+entry_expired (sim_t *sim, gpointer data)
+{
+  sim_crash_t *crash = data;
+  if (crash->worker->dead && crash->worker->born_us == crash->born_us)
+    crash->worker->unlisted = TRUE;
+  crash_free (crash);
+}
+
+/* The test may have brought the worker back before. */
+static void
+come_back (sim_t *sim, gpointer data)
+{
+  sim_crash_t *crash = data;
+  gboolean is_down = crash->worker->dead && crash->worker->born_us == crash->born_us;
+  if (is_down && sim->comeback == SIM_COMEBACK_NEW_ID)
+    sim_replace (sim, crash->worker);
+  else if (is_down)
+    sim_reborn (sim, crash->worker);
+  crash_free (crash);
+}
+
+/* The other members of a gang at work end when one does; those that wait wait on. */
+static void
+break_gang (const sim_worker_t *crashed, const sim_run_t *lost)
+{
+  const sim_t *sim = crashed->sim;
+  g_autofree char *prefix = stage_prefix (lost->name);
+  for (guint w = 0; w < sim->workers->len; w++)
+    {
+      sim_worker_t *worker = sim->workers->pdata[w];
+      for (gint i = (gint)worker->runs->len - 1; i >= 0; i--)
+        {
+          sim_run_t *run = worker->runs->pdata[i];
+          if (worker != crashed && run->number == lost->number && !run->waiting
+              && g_str_has_prefix (run->name, prefix))
+            end_run (worker, run, BTS_OUTCOME_GANG_ENDED);
+        }
+    }
+}
+
+/* Crashes a worker; after some seconds one is back at its address. As with real crashes, the
+   registry lists it for a while. */
+void
+sim_crash_for_seconds (sim_t *sim, sim_worker_t *worker)
+{
+  gboolean unlisted = worker->unlisted;
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const sim_run_t *run = worker->runs->pdata[i];
+      if (run->gang)
+        break_gang (worker, run);
+    }
+  sim_crash (sim, worker);
+  worker->unlisted = unlisted;
+  after (sim, ENTRY_EXPIRY_US, entry_expired, crash_new (worker));
+  after (sim, g_rand_int_range (sim->random, COMEBACK_MIN_US, COMEBACK_MAX_US), come_back,
+         crash_new (worker));
+}
+
+/* Puts another worker at the address of one that has left or crashed, and in its place among
+   @workers. What ran on the old one is lost. */
+sim_worker_t *
+sim_replace (sim_t *sim, sim_worker_t *worker)
+{
+  guint place;
+  g_ptr_array_find (sim->workers, worker, &place);
+  const char *dot = strrchr (worker->id, '.');
+  g_autofree char *id
+      = g_strdup_printf ("%u.%s", sim->workers->len, dot == NULL ? worker->id : dot + 1);
+  sim_worker_t *next = sim_add_worker (sim, id, worker->service, worker->capacity);
+  g_free (next->address);
+  next->address = g_strdup (worker->address);
+  g_free (next->rack);
+  next->rack = g_strdup (worker->rack);
+  sim->workers->pdata[sim->workers->len - 1] = worker;
+  sim->workers->pdata[place] = next;
+  worker->unlisted = TRUE;
+  worker->departed = TRUE;
+  worker->dead = FALSE;
+  worker->dark = FALSE;
+  worker->mute = FALSE;
+  worker->late_us = 0;
+  worker->cut_from = -1;
+  g_ptr_array_set_size (worker->runs, 0);
+  g_ptr_array_set_size (worker->finished, 0);
+  return next;
+}
+
 void
 sim_reborn (sim_t *sim, sim_worker_t *worker)
 {
@@ -1525,6 +1709,17 @@
   return job;
 }
 
+/* The task crashes each worker that starts it, @after_us after the start; 0: the default. */
+sim_deadly_t *
+sim_make_deadly (sim_t *sim, sim_job_t *job, guint step, guint index, gint64 after_us)
+{
+  sim_deadly_t *deadly = g_new0 (sim_deadly_t, 1);
+  deadly->after_us = after_us == 0 ? SIM_DEADLY_US : after_us;
+  job->deadly = TRUE;
+  g_hash_table_replace (sim->deadly, g_strdup_printf ("%s.0.%u.%u", job->id, step, index), deadly);
+  return deadly;
+}
+
 void
 sim_cancel (sim_t *sim, guint node, sim_job_t *job)
 {
@@ -1594,6 +1789,9 @@
   else if (event->run == start_arrived || event->run == start_late || event->run == stop_arrived
            || event->run == hold_arrived)
     order_free (event->data);
+  else if (event->run == deadly_run_crashes || event->run == entry_expired
+           || event->run == come_back)
+    crash_free (event->data);
 }
 
 static void
@@ -1606,6 +1804,7 @@
   g_ptr_array_unref (worker->finished);
   g_hash_table_unref (worker->tombs);
   g_free (worker->id);
+  g_free (worker->address);
   g_free (worker->service);
   g_free (worker->rack);
   g_free (worker);
@@ -1652,6 +1851,7 @@
   g_hash_table_unref (sim->done_us);
   g_hash_table_unref (sim->started);
   g_hash_table_unref (sim->noted);
+  g_hash_table_unref (sim->deadly);
   g_rand_free (sim->random);
   g_free (sim);
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -18,6 +18,11 @@
 #define SIM_HOLD_MAX_MS 6000
 #define SIM_STOP_MS 300
 #define SIM_GANG_TIMEOUT_MS 3000
+/* Time from the start of a deadly task to the crash of its worker, unless the test gives one. */
+#define SIM_DEADLY_US (10 * 1000)
+/* Crashes of workers under a deadly task, and starts of it after them, that break BUDGET. */
+#define SIM_BUDGET_CRASHES 3
+#define SIM_BUDGET_STARTS 3
 
 /**
  * struct sim_run_t - a run on a simulated worker
@@ -40,6 +45,32 @@
   char *saved;
 } sim_run_t;
 
+/**
+ * sim_comeback_t - how a worker is back after a crash
+ * @SIM_COMEBACK_NEW_ID: another worker answers at the same address
+ * @SIM_COMEBACK_SAME_ID: the next incarnation has the same id
+ */
+typedef enum
+{
+  SIM_COMEBACK_NEW_ID,
+  SIM_COMEBACK_SAME_ID,
+} sim_comeback_t;
+
+/**
+ * struct sim_deadly_t - a task that crashes each worker that starts it
+ * @after_us: time from its start to the crash; the reply to the start is lost if that is sooner
+ * @starts: runs of it that have begun; an order that is repeated or refused begins none
+ * @crashes: workers that have crashed with a run of it on them, for whatever cause
+ * @late_starts: those of @starts that came after %SIM_BUDGET_CRASHES crashes, whoever sent them
+ */
+typedef struct
+{
+  gint64 after_us;
+  guint starts;
+  guint crashes;
+  guint late_starts;
+} sim_deadly_t;
+
 /**
  * struct sim_worker_t - a simulated worker
  * @dark: calls to it get no answer and aren't carried out
@@ -57,6 +88,7 @@
 {
   sim_t *sim;
   char *id;
+  char *address;
   char *service;
   char *rack;
   bts_resources_t capacity;
@@ -147,6 +179,9 @@
  * @done_us: run to when it ended done
  * @started: name of a task to when it was started last
  * @noted: tasks whose end of kind done has been taken note of
+ * @deadly: name of each deadly task to its sim_deadly_t
+ * @comeback: how workers are back after sim_crash_for_seconds(), and after a deadly task
+ * @crashes: workers that have crashed
  */
 struct sim_t
 {
@@ -183,6 +218,9 @@
   GHashTable *done_us;
   GHashTable *started;
   GHashTable *noted;
+  GHashTable *deadly;
+  sim_comeback_t comeback;
+  guint crashes;
   guint starts;
 };
 
@@ -192,6 +230,7 @@
  * @cancelled_us: when its cancelling was confirmed; 0 before
  * @tries: how often it was handed in
  * @started: a task of it has started
+ * @deadly: a task of it is deadly
  */
 typedef struct
 {
@@ -203,6 +242,7 @@
   gint64 cancelled_us;
   guint tries;
   gboolean started;
+  gboolean deadly;
   Bts__Accepted *accepted;
 } sim_job_t;
 
@@ -248,6 +288,8 @@
 sim_job_t *sim_submit (sim_t *sim, guint node, const sim_policy_t *policy, const sim_step_t *steps,
                        guint n);
 sim_job_t *sim_resubmit (sim_t *sim, guint node, sim_job_t *job);
+sim_deadly_t *sim_make_deadly (sim_t *sim, sim_job_t *job, guint step, guint index,
+                               gint64 after_us);
 void sim_cancel (sim_t *sim, guint node, sim_job_t *job);
 bts_job_state_t sim_state (sim_t *sim, const sim_job_t *job);
 guint sim_count_state (sim_t *sim, bts_job_state_t state);
@@ -258,7 +300,9 @@
 void sim_thaw (sim_t *sim, guint node);
 void sim_leave (sim_t *sim, guint node);
 void sim_crash (sim_t *sim, sim_worker_t *worker);
+void sim_crash_for_seconds (sim_t *sim, sim_worker_t *worker);
 void sim_reborn (sim_t *sim, sim_worker_t *worker);
+sim_worker_t *sim_replace (sim_t *sim, sim_worker_t *worker);
 void sim_check (sim_t *sim);
 guint sim_running (const sim_t *sim, const char *prefix);
 
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
 #include "tests/sim.h"
 #include "tests/suite.h"
@@ -44,15 +45,18 @@
     }
 }
 
-/* All jobs that were accepted are over, and were in time. */
+/* All jobs that were accepted are over, and were in time; those that last are at work, and those
+   with deadly tasks are left out. */
 static void
 expect_all_completed (sim_t *sim)
 {
   for (guint i = 0; i < sim->jobs->len; i++)
     {
       const sim_job_t *job = sim->jobs->pdata[i];
-      if (job->accepted_us != 0 && job->cancel_exchange == 0)
-        ck_assert_msg (sim_state (sim, job) == BTS_JOB_COMPLETED, "job %s is %s", job->id,
+      bts_job_state_t wanted
+          = job->accepted->steps[0]->long_running ? BTS_JOB_RUNNING : BTS_JOB_COMPLETED;
+      if (job->accepted_us != 0 && job->cancel_exchange == 0 && !job->deadly)
+        ck_assert_msg (sim_state (sim, job) == wanted, "job %s is %s", job->id,
                        bts_job_state_name (sim_state (sim, job)));
     }
 }
@@ -1031,6 +1035,364 @@
 }
 END_TEST
 
+/* Time by which a crash loop is over, and all else that waited for the workers is done. */
+#define CRASH_LOOP_MS 40000
+/* Most starts of a task of which each crashes its worker. */
+#define DEADLY_STARTS_MAX (SIM_BUDGET_CRASHES + SIM_BUDGET_STARTS - 1)
+
+static const sim_step_t long_tasks[] = { { .count = 4, .cpu = 3000, .memory = 2000, .ms = 5000 } };
+
+/* All tasks of lasting jobs are at work. */
+static void
+expect_lasting_at_work (sim_t *sim)
+{
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const sim_job_t *job = sim->jobs->pdata[i];
+      if (job->deadly || !job->accepted->steps[0]->long_running)
+        continue;
+      ck_assert_msg (sim_running (sim, job->id) == job->accepted->steps[0]->count,
+                     "lasting job %s has %u tasks at work", job->id, sim_running (sim, job->id));
+    }
+}
+
+static void
+expect_deadly_given_up (sim_t *sim)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sim->deadly);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const sim_deadly_t *deadly = value;
+      ck_assert_msg (deadly->starts > 0, "%s has not started", (char *)name);
+      ck_assert_msg (deadly->starts <= DEADLY_STARTS_MAX, "%s has started %u times", (char *)name,
+                     deadly->starts);
+    }
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const sim_job_t *job = sim->jobs->pdata[i];
+      if (!job->deadly)
+        continue;
+      ck_assert_msg (sim_state (sim, job) == BTS_JOB_FAILED, "deadly job %s is %s", job->id,
+                     bts_job_state_name (sim_state (sim, job)));
+      ck_assert_uint_eq (sim_running (sim, job->id), 0);
+    }
+}
+
+/* Kills the owner and starts that process again. */
+static void
+restart_owner (sim_t *sim)
+{
+  guint owner = (guint)sim_owner (sim);
+  sim_kill (sim, owner);
+  sim_run_ms (sim, 2500);
+  sim_start (sim, owner);
+}
+
+/**
+ * struct crash_loop_t - jobs of which a task crashes its workers
+ * @jobs: that many of them, one after another
+ * @index: the deadly task of each
+ * @owner_kills: the owner dies that often in the middle
+ */
+typedef struct
+{
+  const char *name;
+  const sim_step_t *steps;
+  guint n_steps;
+  guint jobs;
+  guint step;
+  guint index;
+  gint64 after_us;
+  sim_comeback_t comeback;
+  guint owner_kills;
+  gboolean advised;
+} crash_loop_t;
+
+static const crash_loop_t crash_loops[] = {
+  /* One task takes down a pool of workers, one after another, without end. */
+  { .name = "deadly_task_is_given_up", .steps = one_step, .n_steps = 1, .jobs = 1, .index = 2 },
+  /* A restart under the same id isn't noted as a crash. */
+  { .name = "deadly_task_and_same_id",
+    .steps = one_step,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 2,
+    .comeback = SIM_COMEBACK_SAME_ID },
+  /* A start that gets no reply isn't noted as one. */
+  { .name = "deadly_before_the_reply",
+    .steps = one_step,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 0,
+    .after_us = SIM_DELAY_US / 2 },
+  /* A run that was listed once counts as sound. */
+  { .name = "deadly_after_a_listing",
+    .steps = one_step,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 5,
+    .after_us = 100 * 1000 },
+  /* Crashes are counted only for tasks of the first step. */
+  { .name = "deadly_in_a_later_step",
+    .steps = two_steps,
+    .n_steps = 2,
+    .jobs = 1,
+    .step = 1,
+    .index = 3 },
+  /* A crash isn't noted where the task needs new tickets for the next worker. */
+  { .name = "deadly_and_advised",
+    .steps = one_step,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 1,
+    .advised = TRUE },
+  /* The next owner begins to count anew. */
+  { .name = "deadly_tasks_and_owner_killed",
+    .steps = one_step,
+    .n_steps = 1,
+    .jobs = 3,
+    .index = 4,
+    .owner_kills = 2 },
+  /* The next owner doesn't know that a worker is in another incarnation. */
+  { .name = "deadly_tasks_same_id_and_owner_killed",
+    .steps = one_step,
+    .n_steps = 1,
+    .jobs = 3,
+    .index = 4,
+    .comeback = SIM_COMEBACK_SAME_ID,
+    .owner_kills = 2 },
+  /* Tasks that last may fail without limit, and so may crash workers without limit. */
+  { .name = "deadly_lasting_task", .steps = lasting, .n_steps = 1, .jobs = 1, .index = 1 },
+  /* The same where only `born` tells of the crash. */
+  { .name = "deadly_lasting_task_same_id",
+    .steps = lasting,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 1,
+    .comeback = SIM_COMEBACK_SAME_ID },
+  /* The next owner finds no end of a task that lasts, and begins to count anew. */
+  { .name = "deadly_lasting_tasks_and_owner_killed",
+    .steps = lasting,
+    .n_steps = 1,
+    .jobs = 2,
+    .index = 1,
+    .owner_kills = 2 },
+  /* A gang is started as a whole once more for each crash under one of its members. */
+  { .name = "deadly_member_of_a_gang", .steps = gang, .n_steps = 1, .jobs = 1, .index = 2 },
+  /* The member that is placed first crashes its worker before the gang is there. */
+  { .name = "deadly_member_of_a_gang_same_id",
+    .steps = gang,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 0,
+    .comeback = SIM_COMEBACK_SAME_ID },
+};
+
+START_TEST (crash_loop_is_ended)
+{
+  const crash_loop_t *loop = &crash_loops[_i];
+  sim_t *sim = sim_new (3, 6, (guint32)_i + 1);
+  sim->comeback = loop->comeback;
+  sim->advised = loop->advised;
+  sim_run_ms (sim, 3000);
+  submit_mix (sim, 2);
+  for (guint i = 0; i < loop->jobs; i++)
+    {
+      sim_job_t *job = sim_submit (sim, i % 3, &batch, loop->steps, loop->n_steps);
+      sim_make_deadly (sim, job, loop->step, loop->index, loop->after_us);
+      sim_run_ms (sim, 200);
+    }
+  submit_mix (sim, 2);
+  for (guint i = 0; i < loop->owner_kills; i++)
+    {
+      sim_run_ms (sim, 1500);
+      restart_owner (sim);
+    }
+  sim_run_ms (sim, CRASH_LOOP_MS);
+  bt_log (BT_LOG_INFO, "crash-loop", "name=%s crashes=%u", loop->name, sim->crashes);
+  sim_check (sim);
+  expect_deadly_given_up (sim);
+  expect_all_completed (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Hands in a job of one task, which crashes nothing before the test is over. */
+static const sim_deadly_t *
+submit_counted (sim_t *sim, sim_job_t **job)
+{
+  static const sim_step_t one_task[] = { { .count = 1, .cpu = 3000, .memory = 2000, .ms = 30000 } };
+  *job = sim_submit (sim, 0, &lookup, one_task, 1);
+  return sim_make_deadly (sim, *job, 0, 0, 60 * BT_USEC_PER_SEC);
+}
+
+/* The check of BUDGET counts orders instead of starts: one that is repeated or refused is none. */
+START_TEST (starts_of_a_deadly_task_are_counted_once)
+{
+  sim_t *sim = sim_new (3, 6, 1);
+  sim_run_ms (sim, 3000);
+  sim_job_t *job;
+  const sim_deadly_t *deadly = submit_counted (sim, &job);
+  for (guint i = 0; i < 6; i++)
+    sim_worker (sim, i)->mute = TRUE;
+  sim_run_ms (sim, 1000);
+  for (guint i = 0; i < 6; i++)
+    sim_worker (sim, i)->mute = FALSE;
+  ck_assert_uint_gt (bt_metrics_get_count (BT_COUNT_STARTS_REPEATED), 0);
+  ck_assert_uint_eq (deadly->starts, 1);
+  sim_run_ms (sim, 9000);
+  guint64 n_refused = bt_metrics_get_count (BT_COUNT_STARTS_REFUSED);
+  deadly = submit_counted (sim, &job);
+  for (guint i = 0; i < 6; i++)
+    {
+      guint number = 2;
+      g_hash_table_replace (sim_worker (sim, i)->tombs, g_strdup_printf ("%s.0.0.0", job->id),
+                            g_memdup2 (&number, sizeof number));
+    }
+  sim_run_ms (sim, 3000);
+  ck_assert_uint_ge (bt_metrics_get_count (BT_COUNT_STARTS_REFUSED) - n_refused, 2);
+  ck_assert_uint_eq (deadly->starts, 1);
+  ck_assert_uint_eq (sim_running (sim, job->id), 1);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+static void
+submit_lasting_and_long (sim_t *sim)
+{
+  sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_submit (sim, 1, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_submit (sim, 2, &batch, long_tasks, G_N_ELEMENTS (long_tasks));
+  sim_run_ms (sim, 1500);
+}
+
+static void
+deadly_neighbours (sim_t *sim)
+{
+  for (guint i = 0; i < 20; i++)
+    {
+      if (i % 5 == 0)
+        sim_make_deadly (sim, sim_submit (sim, 0, &batch, one_step, 1), 0, i % 6, 0);
+      submit_mix (sim, 1);
+      sim_submit (sim, i % 3, &batch, long_tasks, G_N_ELEMENTS (long_tasks));
+      sim_run_ms (sim, 700);
+    }
+}
+
+static void
+random_crashes (sim_t *sim)
+{
+  for (guint i = 0; i < 2 * 6; i++)
+    {
+      submit_mix (sim, 1);
+      sim_crash_for_seconds (sim, sim_worker (sim, i % 6));
+      sim_run_ms (sim, g_rand_int_range (sim->random, 700, 2500));
+    }
+  ck_assert_uint_eq (sim->crashes, 2 * 6);
+}
+
+static void
+workers_down_in_turns (sim_t *sim)
+{
+  for (guint i = 0; i < 8; i++)
+    {
+      for (guint w = i % 2; w < 6; w += 2)
+        sim_crash_for_seconds (sim, sim_worker (sim, w));
+      submit_mix (sim, 1);
+      sim_run_ms (sim, 5000);
+    }
+  ck_assert_uint_eq (sim->crashes, 8 * 3);
+}
+
+/* Whichever worker runs the first lasting job crashes, again and again. */
+static void
+crashes_under_lasting_tasks (sim_t *sim)
+{
+  const sim_job_t *job = sim->jobs->pdata[0];
+  for (guint i = 0; i < 12; i++)
+    {
+      g_autofree char *task = g_strdup_printf ("%s.0.0.%u", job->id, i % 2);
+      for (guint w = 0; w < 6; w++)
+        {
+          sim_worker_t *worker = sim_worker (sim, w);
+          for (guint r = 0; r < worker->runs->len && !worker->dead; r++)
+            if (strcmp (((sim_run_t *)worker->runs->pdata[r])->name, task) == 0)
+              sim_crash_for_seconds (sim, worker);
+        }
+      sim_run_ms (sim, g_rand_int_range (sim->random, 3000, 9000));
+    }
+  ck_assert_uint_ge (sim->crashes, 8);
+}
+
+static void
+workers_cut_off (sim_t *sim)
+{
+  for (guint i = 0; i < 9; i++)
+    {
+      submit_mix (sim, 1);
+      sim_worker (sim, i % 6)->dark = TRUE;
+      sim_worker (sim, (i + 2) % 6)->dark = TRUE;
+      sim_run_ms (sim, 5000);
+      sim_worker (sim, i % 6)->dark = FALSE;
+      sim_worker (sim, (i + 2) % 6)->dark = FALSE;
+      sim_run_ms (sim, 700);
+    }
+}
+
+static void
+drained_workers_leave (sim_t *sim)
+{
+  for (guint i = 0; i < 3 * 6; i++)
+    {
+      submit_mix (sim, 1);
+      sim_worker (sim, i % 6)->draining = TRUE;
+      sim_run_ms (sim, 1500);
+      sim_replace (sim, sim_worker (sim, i % 6));
+      sim_run_ms (sim, 300);
+    }
+}
+
+/* Trouble by which workers lose their runs, and no job of its own fault. */
+static const struct
+{
+  const char *name;
+  void (*play) (sim_t *sim);
+} troubles[] = {
+  /* Who ran beside a deadly task is given up with it. */
+  { "innocent_neighbours_are_not_given_up", deadly_neighbours },
+  /* Each crash of a worker counts against all that ran there. */
+  { "crashes_of_workers_fail_no_job", random_crashes },
+  /* Several workers that crash at once count as several crashes under a job. */
+  { "workers_down_in_turns_fail_no_job", workers_down_in_turns },
+  /* Crashes under a task that works for long add up until it is given up. */
+  { "lasting_tasks_survive_any_number_of_crashes", crashes_under_lasting_tasks },
+  /* Silence counts as a crash. */
+  { "cut_off_workers_fail_no_job", workers_cut_off },
+  /* Another worker at the address counts as a crash, though the old one was drained. */
+  { "drained_workers_that_leave_fail_no_job", drained_workers_leave },
+};
+
+START_TEST (trouble_of_workers_fails_no_job)
+{
+  guint which = (guint)_i / 2;
+  sim_t *sim = sim_new (3, 6, (guint32)_i + 1);
+  sim->comeback = _i % 2 == 0 ? SIM_COMEBACK_NEW_ID : SIM_COMEBACK_SAME_ID;
+  sim_run_ms (sim, 3000);
+  submit_lasting_and_long (sim);
+  troubles[which].play (sim);
+  sim_run_ms (sim, CRASH_LOOP_MS);
+  bt_log (BT_LOG_INFO, "trouble", "name=%s crashes=%u", troubles[which].name, sim->crashes);
+  sim_check (sim);
+  expect_all_completed (sim);
+  expect_lasting_at_work (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -1040,5 +1402,8 @@
   tcase_add_test (tests, slow_log_and_many_entries);
   tcase_add_loop_test (tests, slow_log_and_a_dead_owner, 0, 4);
   tcase_add_loop_test (tests, late_claims_and_resignations, 0, N_WAYS * LATE_SEEDS);
+  tcase_add_loop_test (tests, crash_loop_is_ended, 0, G_N_ELEMENTS (crash_loops));
+  tcase_add_test (tests, starts_of_a_deadly_task_are_counted_once);
+  tcase_add_loop_test (tests, trouble_of_workers_fails_no_job, 0, 2 * G_N_ELEMENTS (troubles));
   return suite_run ("cluster", tests);
 }
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -22,6 +22,8 @@
 /* Time after which the log deletes records, on half of the days: above the longest
    outage of the store, in which nothing can be written once more. */
 #define KEEP_MS 24000
+/* Jobs with a deadly task that a day of crash loops has at most. */
+#define CRASH_LOOPS 3
 /* Longest time that a fault lasts. */
 #define FAULT_MS 6000
 
@@ -60,6 +62,7 @@
 /**
  * struct day_t - a day as it is played
  * @heal_us: when each process, worker and the store are well again
+ * @crash_loops: draws when jobs with deadly tasks come; NULL on a day without any
  */
 typedef struct
 {
@@ -68,6 +71,8 @@
   gint64 node_heal_us[NODES];
   gint64 worker_heal_us[WORKERS];
   gint64 store_heal_us;
+  GRand *crash_loops;
+  guint n_crash_loops;
 } day_t;
 
 static gint
@@ -255,6 +260,23 @@
   sim_submit (day->sim, i, &policies[draw (day, G_N_ELEMENTS (policies))], shapes[shape], n);
 }
 
+/* Hands in a job with a deadly task, with draws of its own. */
+static void
+submit_crash_loop (day_t *day)
+{
+  guint i = (guint)g_rand_int_range (day->crash_loops, 0, NODES);
+  const sim_node_t *node = sim_node (day->sim, i);
+  if (day->n_crash_loops == CRASH_LOOPS || node->node == NULL || node->frozen)
+    return;
+  day->n_crash_loops++;
+  guint shape = (guint)g_rand_int_range (day->crash_loops, 0, G_N_ELEMENTS (shapes));
+  guint n = shapes[shape][1].count > 0 ? 2 : 1;
+  guint step = (guint)g_rand_int_range (day->crash_loops, 0, (gint32)n);
+  guint index = (guint)g_rand_int_range (day->crash_loops, 0, (gint32)shapes[shape][step].count);
+  sim_job_t *job = sim_submit (day->sim, i, &policies[0], shapes[shape], n);
+  sim_make_deadly (day->sim, job, step, index, 0);
+}
+
 /* A caller that got no answer comes again elsewhere; one that did may cancel. */
 static void
 follow_up (day_t *day)
@@ -278,7 +300,7 @@
   for (guint i = 0; i < day->sim->jobs->len; i++)
     {
       sim_job_t *job = day->sim->jobs->pdata[i];
-      if (job->accepted_us != 0 && job->cancel_exchange == 0
+      if (job->accepted_us != 0 && job->cancel_exchange == 0 && !job->deadly
           && job->accepted->steps[0]->long_running)
         {
           if (sim_running (day->sim, job->id) != job->accepted->steps[0]->count)
@@ -300,19 +322,26 @@
       if (job->accepted_us == 0)
         continue;
       if (job->cancel_exchange == 0)
-        ck_assert_msg (state == BTS_JOB_COMPLETED, "job %s is %s", job->id,
-                       bts_job_state_name (state));
+        ck_assert_msg (state == (job->deadly ? BTS_JOB_FAILED : BTS_JOB_COMPLETED), "%s %s is %s",
+                       job->deadly ? "deadly job" : "job", job->id, bts_job_state_name (state));
+      else if (!job->deadly)
+        ck_assert_msg (state != BTS_JOB_FAILED, "cancelled job %s is failed", job->id);
       if (job->cancelled_us != 0)
         ck_assert_msg (sim_running (day->sim, job->id) == 0, "job %s runs on", job->id);
     }
 }
 
 static void
-play (guint32 seed)
+play (guint32 seed, gboolean has_crash_loops)
 {
   day_t day = { 0 };
   day.sim = sim_new (NODES, WORKERS, seed);
   day.random = g_rand_new_with_seed (seed);
+  if (has_crash_loops)
+    {
+      day.crash_loops = g_rand_new_with_seed (~seed);
+      day.sim->comeback = g_rand_boolean (day.crash_loops);
+    }
   day.sim->advised = draw (&day, 2) == 0;
   /* On every second day entries hand all jobs to the owner. */
   day.sim->max_direct_appenders = seed % 2 == 0 ? BTS_MAX_DIRECT_APPENDERS : 0;
@@ -326,6 +355,8 @@
       heal (&day, FALSE);
       if (draw (&day, 4) == 0)
         submit (&day);
+      if (day.crash_loops != NULL && g_rand_int_range (day.crash_loops, 0, 50) == 0)
+        submit_crash_loop (&day);
       if (draw (&day, 6) == 0)
         follow_up (&day);
       if (draw (&day, 25) == 0)
@@ -344,6 +375,7 @@
   sim_check (day.sim);
   sim_free (day.sim);
   g_rand_free (day.random);
+  g_clear_pointer (&day.crash_loops, g_rand_free);
 }
 
 static guint
@@ -355,13 +387,20 @@
 
 START_TEST (seeded_day_keeps_its_promises)
 {
-  play (number_from ("BT_SEED", 1) + (guint)_i);
+  play (number_from ("BT_SEED", 1) + (guint)_i, FALSE);
+}
+END_TEST
+
+/* Every third of those days once more, with jobs that crash their workers. */
+START_TEST (seeded_day_with_crash_loops)
+{
+  play (number_from ("BT_SEED", 1) + 3 * (guint)_i, TRUE);
 }
 END_TEST
 
 START_TEST (seed_that_failed_once)
 {
-  play (regressions[_i]);
+  play (regressions[_i], FALSE);
 }
 END_TEST
 
@@ -374,5 +413,7 @@
     tcase_add_loop_test (tests, seed_that_failed_once, 0, G_N_ELEMENTS (regressions));
   tcase_add_loop_test (tests, seeded_day_keeps_its_promises, 0,
                        (int)number_from ("BT_SEEDS", SEEDS_IN_CI));
+  tcase_add_loop_test (tests, seeded_day_with_crash_loops, 0,
+                       (int)(number_from ("BT_SEEDS", SEEDS_IN_CI) + 2) / 3);
   return suite_run ("cluster-random", tests);
 }
