Tests of crash loops: starts of processes in touch count, and jobs that look deadly may be given up

The check of BUDGET counted each start; the rule speaks of machines in touch. The simulator now notes when a process was last down, frozen, cut off or deaf, and when the store was down, slow or lost answers; a start counts if neither was so for 3 s.

The checks that no other job is given up allow it for a job with a task after whose start, within 0.5 s, two workers have crashed. The trace: case 3 of trouble_of_workers_fails_no_job, 12 crashes of 6 workers at random moments, of which two hit runs 1 and 2 of the task 11.0.0.5 right after their starts; nothing tells that from a task that crashes its workers.

--- a/tests/sim.h
+++ b/tests/sim.h
@@ -23,6 +23,10 @@
 /* Crashes of workers under a deadly task, and starts of it after them, that break BUDGET. */
 #define SIM_BUDGET_CRASHES 3
 #define SIM_BUDGET_STARTS 3
+/* A process is in touch once neither it nor the store has been disturbed for this long. */
+#define SIM_CONTACT_US (3000 * 1000)
+/* A crash within this time of a start may be the task's doing. */
+#define SIM_STARTUP_US (500 * 1000)
 
 /**
  * struct sim_run_t - a run on a simulated worker
@@ -61,7 +65,8 @@
  * @after_us: time from its start to the crash; the reply to the start is lost if that is sooner
  * @starts: runs of it that have begun; an order that is repeated or refused begins none
  * @crashes: workers that have crashed with a run of it on them, for whatever cause
- * @late_starts: those of @starts that came after %SIM_BUDGET_CRASHES crashes, whoever sent them
+ * @late_starts: those of @starts that came after %SIM_BUDGET_CRASHES crashes, from a process in
+ *   touch
  */
 typedef struct
 {
@@ -130,6 +135,7 @@
  * @batch_open: a call is on its way
  * @questions_open: messages of others that it has not replied to
  * @cpu_millis: its share of a processor, told as it starts
+ * @disturbed_us: when it last was down, frozen, cut or deaf
  */
 typedef struct
 {
@@ -150,6 +156,7 @@
   gboolean batch_open;
   guint questions_open;
   guint cpu_millis;
+  gint64 disturbed_us;
   gint64 advice_free_us;
   GPtrArray *held_back;
 } sim_node_t;
@@ -180,6 +187,9 @@
  * @started: name of a task to when it was started last
  * @noted: tasks whose end of kind done has been taken note of
  * @deadly: name of each deadly task to its sim_deadly_t
+ * @struck: name of a task to the number of workers that have crashed right after they had started
+ * it
+ * @store_disturbed_us: when the store last was down, slow or lost answers
  * @comeback: how workers are back after sim_crash_for_seconds(), and after a deadly task
  * @crashes: workers that have crashed
  */
@@ -219,6 +229,8 @@
   GHashTable *started;
   GHashTable *noted;
   GHashTable *deadly;
+  GHashTable *struck;
+  gint64 store_disturbed_us;
   sim_comeback_t comeback;
   guint crashes;
   guint starts;
@@ -303,6 +315,7 @@
 void sim_crash_for_seconds (sim_t *sim, sim_worker_t *worker);
 void sim_reborn (sim_t *sim, sim_worker_t *worker);
 sim_worker_t *sim_replace (sim_t *sim, sim_worker_t *worker);
+gboolean sim_looks_deadly (const sim_t *sim, const sim_job_t *job);
 void sim_check (sim_t *sim);
 guint sim_running (const sim_t *sim, const char *prefix);
 
