--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -30,6 +30,7 @@
   X (STOPS, "stops_total", "")                                                                     \
   X (PREEMPTED, "runs_preempted_total", "")                                                        \
   X (RUNS_LOST, "runs_lost_total", "")                                                             \
+  X (TASK_CRASHES, "task_crashes_total", "")                                                       \
   X (UNKNOWN_RUNS_LISTED, "runs_found_total", "")                                                  \
   X (ENDS_DONE, "ends_total", "how=\"done\"")                                                      \
   X (ENDS_FAILED, "ends_total", "how=\"failed\"")                                                  \
--- /dev/null
+++ b/libbamboothread/scheduler/crash.c
@@ -0,0 +1,273 @@
+#include "libbamboothread/scheduler/crash.h"
+
+#include "libbamboothread/base/log.h"
+#include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/sched_private.h"
+
+/* How long a run counts as just starting after its worker has confirmed it, in microseconds. */
+#define STARTUP_US (150 * 1000)
+/* How long a suspect waits, after its run was lost, for the worker to show whether it has crashed,
+   in microseconds. */
+#define VERDICT_WAIT_US (3 * BT_USEC_PER_SEC)
+
+/**
+ * bts_crash_on_run_confirmed() - a worker has confirmed that a run is on it
+ * @run: the run
+ * @now_us: the time
+ */
+void
+bts_crash_on_run_confirmed (bts_run_t *run, gint64 now_us)
+{
+  run->startup_end_us = MIN (run->startup_end_us, now_us + STARTUP_US);
+}
+
+/* Whether a run is just starting, so that it may be the cause if its worker has crashed since it
+   last replied. */
+static gboolean
+is_starting (const bts_run_t *run)
+{
+  return run->worker->last_reply_us < run->startup_end_us;
+}
+
+/**
+ * bts_crash_is_confirmed() - whether the worker has confirmed a run that this owner has ordered
+ * @run: the run
+ */
+gboolean
+bts_crash_is_confirmed (const bts_run_t *run)
+{
+  return run->startup_end_us != G_MAXINT64;
+}
+
+static void
+add_lost_run (const bts_run_t *run, gint64 now_us)
+{
+  bts_lost_run_t lost
+      = { run->name, run->number, bts_crash_is_confirmed (run), run->worker->started_ms, now_us };
+  bts_worker_add_lost_run (run->worker, &lost);
+}
+
+/* Records that a task may have crashed a worker. */
+static void
+suspect (bts_task_t *task, gint64 now_us)
+{
+  if (bts_crash_is_suspect (task))
+    task->crash_wait_us = now_us + VERDICT_WAIT_US;
+  task->crash_suspected = TRUE;
+}
+
+/**
+ * bts_crash_begin_term() - take over what earlier owners have recorded
+ * @sched: a scheduler that has begun to lead
+ */
+void
+bts_crash_begin_term (bts_sched_t *sched)
+{
+  for (guint i = 0; i < sched->fleet->numbered->len; i++)
+    {
+      const bts_worker_t *worker = sched->fleet->numbered->pdata[i];
+      for (guint j = 0; worker != NULL && j < worker->lost_runs->len; j++)
+        {
+          const bts_lost_run_t *lost = worker->lost_runs->pdata[j];
+          bts_task_t *task = bts_sched_find_task (sched, lost->name);
+          if (task != NULL && lost->number > MAX (task->ended_run, task->crash_run))
+            suspect (task, bts_sched_now (sched));
+        }
+    }
+}
+
+/**
+ * bts_crash_on_worker_silent() - a worker doesn't answer any more; it may have crashed
+ * @sched: the scheduler
+ * @worker: the worker
+ *
+ * The runs that were just starting there are recorded, so that they aren't forgotten if the owner
+ * dies before it is known whether the worker has crashed.
+ */
+void
+bts_crash_on_worker_silent (bts_sched_t *sched, bts_worker_t *worker)
+{
+  g_autoptr (GPtrArray) starting = g_ptr_array_new ();
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      bts_run_t *run = worker->runs->pdata[i];
+      if (run->task == NULL || !is_starting (run))
+        continue;
+      add_lost_run (run, bts_sched_now (sched));
+      g_ptr_array_add (starting, run);
+    }
+  if (starting->len > 0)
+    bts_heartbeat_add_silent (sched, worker, starting);
+}
+
+/**
+ * bts_crash_on_run_lost() - a run was given up; its worker may have crashed
+ * @sched: the scheduler
+ * @run: the run, about to be removed
+ */
+void
+bts_crash_on_run_lost (const bts_sched_t *sched, const bts_run_t *run)
+{
+  bts_task_t *task = run->task;
+  if (task == NULL)
+    return;
+  if (!is_starting (run))
+    {
+      task->crash_points = 0;
+      task->crash_suspected = FALSE;
+      return;
+    }
+  suspect (task, bts_sched_now (sched));
+  add_lost_run (run, bts_sched_now (sched));
+}
+
+static void
+add_crash (bts_sched_t *sched, const bts_worker_t *worker, const bts_lost_run_t *lost,
+           bts_task_t *task)
+{
+  if (task->done || bts_job_has_ended (task->stage->job)
+      || lost->number <= MAX (task->ended_run, task->crash_run))
+    return;
+  guint points = task->crash_points
+                 + (lost->confirmed ? BTS_CRASH_POINTS_CONFIRMED : BTS_CRASH_POINTS_UNCONFIRMED);
+  bts_task_set_crashes (task, lost->number, MIN (points, BTS_CRASH_POINTS_MAX));
+  bts_heartbeat_add_crash (sched, task);
+  bt_metrics_count (BT_COUNT_TASK_CRASHES);
+  bt_log (BT_LOG_NOTICE, "crash", "task=%s run=%u worker=%s points=%u", lost->name, lost->number,
+          worker->entry->id, task->crash_points);
+}
+
+/* Forgets a run that was lost on a worker, once it is known whether the worker has crashed. */
+static void
+settle_lost_run (bts_sched_t *sched, const bts_worker_t *worker, const bts_lost_run_t *lost,
+                 gboolean crashed)
+{
+  bts_task_t *task = bts_sched_find_task (sched, lost->name);
+  if (task == NULL)
+    return;
+  if (lost->number >= task->lost_run)
+    {
+      task->crash_suspected = FALSE;
+      task->crash_wait_us = 0;
+    }
+  if (crashed)
+    add_crash (sched, worker, lost, task);
+}
+
+/**
+ * bts_crash_on_worker_ended() - an incarnation of a worker is over
+ * @sched: the scheduler
+ * @worker: the worker, still with the state of that incarnation; what it ran has been given up
+ *
+ * A worker that was draining has left as planned.
+ */
+void
+bts_crash_on_worker_ended (bts_sched_t *sched, bts_worker_t *worker)
+{
+  for (guint i = 0; i < worker->lost_runs->len; i++)
+    settle_lost_run (sched, worker, worker->lost_runs->pdata[i], !worker->entry->draining);
+  g_ptr_array_set_size (worker->lost_runs, 0);
+}
+
+/**
+ * bts_crash_on_worker_alive() - a worker has replied, in the incarnation that this owner knows
+ * @sched: the scheduler
+ * @worker: the worker; what was lost in this incarnation was lost with the lease
+ * @started_ms: start of the incarnation, or 0
+ */
+void
+bts_crash_on_worker_alive (bts_sched_t *sched, bts_worker_t *worker, gint64 started_ms)
+{
+  for (guint i = 0; i < worker->lost_runs->len; i++)
+    {
+      const bts_lost_run_t *lost = worker->lost_runs->pdata[i];
+      gboolean is_earlier
+          = lost->started_ms != 0 && started_ms != 0 && lost->started_ms != started_ms;
+      settle_lost_run (sched, worker, lost, is_earlier && !worker->entry->draining);
+    }
+  g_ptr_array_set_size (worker->lost_runs, 0);
+}
+
+/**
+ * bts_crash_is_suspect() - whether a task may have crashed a worker right after its start
+ * @task: the task
+ */
+gboolean
+bts_crash_is_suspect (const bts_task_t *task)
+{
+  return task->crash_suspected || task->crash_points > 0;
+}
+
+/**
+ * bts_crash_is_waiting() - whether a task must not be started now
+ * @task: the task
+ * @now_us: the time
+ *
+ * Return: TRUE for a task that is about to be given up, and for a suspect until it is known whether
+ * it has crashed another worker.
+ */
+gboolean
+bts_crash_is_waiting (const bts_task_t *task, gint64 now_us)
+{
+  return task->crash_points >= BTS_CRASH_POINTS_MAX || now_us < task->crash_wait_us;
+}
+
+static gboolean
+is_same_gang (const bts_task_t *task, const bts_run_t *run)
+{
+  return run->task != NULL && run->task->stage == task->stage && bts_stage_step (task->stage)->gang;
+}
+
+/**
+ * bts_crash_has_starting_suspect() - whether a suspect is just starting on a worker
+ * @worker: the worker
+ */
+gboolean
+bts_crash_has_starting_suspect (const bts_worker_t *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const bts_run_t *run = worker->runs->pdata[i];
+      if (is_starting (run) && run->task != NULL && bts_crash_is_suspect (run->task))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/**
+ * bts_crash_may_share() - whether a task may start beside the runs that are just starting
+ * @worker: the worker
+ * @task: the task
+ *
+ * Return: FALSE if the task or one of these runs is a suspect. Members of a gang may share a
+ * worker.
+ */
+gboolean
+bts_crash_may_share (const bts_worker_t *worker, const bts_task_t *task)
+{
+  gboolean suspect = bts_crash_is_suspect (task);
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const bts_run_t *run = worker->runs->pdata[i];
+      if (!is_starting (run) || is_same_gang (task, run))
+        continue;
+      if (suspect || (run->task != NULL && bts_crash_is_suspect (run->task)))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/**
+ * bts_crash_clear() - clear what only the owner of a term knows about a task
+ * @task: the task
+ *
+ * A verdict that isn't in the journal is left to the next owner.
+ */
+void
+bts_crash_clear (bts_task_t *task)
+{
+  task->crash_suspected = FALSE;
+  task->crash_wait_us = 0;
+  if (!bts_job_has_ended (task->stage->job))
+    task->crash_points = MIN (task->crash_points, BTS_CRASH_POINTS_MAX - 1);
+}
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -44,9 +44,18 @@
 {
   bts_worker_entry_free (worker->entry);
   g_ptr_array_unref (worker->runs);
+  g_ptr_array_unref (worker->lost_runs);
   g_free (worker);
 }
 
+static void
+lost_run_free (gpointer data)
+{
+  bts_lost_run_t *lost = data;
+  g_free (lost->name);
+  g_free (lost);
+}
+
 void
 bts_fleet_init (bts_fleet_t *fleet)
 {
@@ -149,6 +158,7 @@
       worker->registered = TRUE;
       worker->started_ms = entry->started_ms;
       worker->runs = g_ptr_array_new ();
+      worker->lost_runs = g_ptr_array_new_with_free_func (lost_run_free);
       g_hash_table_insert (fleet->workers, entry->id, worker);
       update_pool (fleet, worker);
       return BTS_ENTRY_NEW;
@@ -211,7 +221,8 @@
 
 /**
  * bts_worker_reset() - clear the state of an earlier incarnation or term
- * @worker: the worker; runs that it still has are kept, but no longer count as used resources
+ * @worker: the worker; runs that it still has are kept, but no longer count as used resources. What
+ *   is known of lost runs is kept for the next owner, which this process may be
  */
 void
 bts_worker_reset (bts_worker_t *worker)
@@ -236,6 +247,31 @@
   worker->consecutive_failures = 0;
 }
 
+/* After this time a worker that has crashed is back, or is gone for good, in microseconds. */
+#define LOST_RUN_KEEP_US (G_GINT64_CONSTANT (20) * 1000 * 1000)
+
+/**
+ * bts_worker_add_lost_run() - remember a run until it is known whether its worker has crashed
+ * @worker: the worker
+ * @run: the run; copied, or ignored if it is remembered already. What fell silent long before it
+ *   is dropped
+ */
+void
+bts_worker_add_lost_run (bts_worker_t *worker, const bts_lost_run_t *run)
+{
+  for (guint i = worker->lost_runs->len; i > 0; i--)
+    {
+      const bts_lost_run_t *other = worker->lost_runs->pdata[i - 1];
+      if (other->number == run->number && strcmp (other->name, run->name) == 0)
+        return;
+      if (run->silent_us - other->silent_us > LOST_RUN_KEEP_US)
+        g_ptr_array_remove_index (worker->lost_runs, i - 1);
+    }
+  bts_lost_run_t *copy = g_memdup2 (run, sizeof *run);
+  copy->name = g_strdup (run->name);
+  g_ptr_array_add (worker->lost_runs, copy);
+}
+
 /**
  * bts_worker_on_reply() - record the time of a reply and the worker's clock in it
  * @worker: the worker
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -73,6 +73,8 @@
  * @checkpoint: checkpoint that it starts from, or NULL; the same in each start order for it
  * @resources: resources that it takes on the worker
  * @created_us: when this owner ordered it, or found it in a worker's list
+ * @startup_end_us: when it no longer counts as just started; G_MAXINT64 until the worker has
+ *   confirmed it, 0 if this owner found it in a worker's list
  * @confirmed_us: when the worker last accepted an order for it, or when the newest hold was
  *   sent whose reply listed it; 0 before, and from a stop order until the worker accepts that
  * @task_listed_us: when the newest hold was sent whose reply listed a run of its task
@@ -93,6 +95,7 @@
   bts_run_state_t state;
   bts_resources_t resources;
   gint64 created_us;
+  gint64 startup_end_us;
   gint64 confirmed_us;
   gint64 task_listed_us;
   guint unanswered_starts;
@@ -102,6 +105,23 @@
   gint64 stop_retry_us;
 };
 
+/**
+ * struct bts_lost_run_t - a run that was just starting when its worker fell silent
+ * @name: name of its task
+ * @number: number of the run
+ * @confirmed: the worker has confirmed it
+ * @started_ms: start of the worker's incarnation; 0 if not known
+ * @silent_us: when that became known
+ */
+typedef struct
+{
+  char *name;
+  guint number;
+  gboolean confirmed;
+  gint64 started_ms;
+  gint64 silent_us;
+} bts_lost_run_t;
+
 /**
  * struct bts_worker_t - a worker
  * @number: identifies it in this process; small, and never reused
@@ -115,6 +135,7 @@
  * @generation: raised by bts_worker_reset(); tells replies to earlier orders apart
  * @synced: it has listed its runs to this owner
  * @runs: bts_run_t that may be on it
+ * @lost_runs: bts_lost_run_t for which it isn't known yet whether the worker has crashed
  * @used: resources that @runs take
  * @clock_ms: newest reading of its clock
  * @clock_at_us: when that reading arrived, by the clock of this process
@@ -154,6 +175,7 @@
   guint generation;
   gboolean synced;
   GPtrArray *runs;
+  GPtrArray *lost_runs;
   bts_resources_t used;
   gint64 clock_ms;
   gint64 clock_at_us;
@@ -219,6 +241,7 @@
 void bts_fleet_add_held (bts_fleet_t *fleet, const Bts__Held *held, gint64 now_us);
 
 void bts_worker_reset (bts_worker_t *worker);
+void bts_worker_add_lost_run (bts_worker_t *worker, const bts_lost_run_t *run);
 void bts_worker_on_reply (bts_worker_t *worker, gint64 clock_ms, gint64 now_us);
 gint64 bts_worker_clock_ms (const bts_worker_t *worker, gint64 now_us);
 gint64 bts_lease_max_us (gint64 lease_ms);
--- a/libbamboothread/scheduler/heartbeat.c
+++ b/libbamboothread/scheduler/heartbeat.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "libbamboothread/scheduler/crash.h"
+
 /*
  * Heartbeats: the owner's Beat records in the journal. Each one carries the ends
  * that workers have listed and shows the other processes that the owner is
@@ -80,6 +82,70 @@
   g_array_append_val (sched->pending_begun, number);
 }
 
+void
+bts_crash_record_free (gpointer data)
+{
+  bts__crash__free_unpacked (data, NULL);
+}
+
+void
+bts_silent_record_free (gpointer data)
+{
+  bts__silent__free_unpacked (data, NULL);
+}
+
+static Bts__Run *
+run_message_new (const bts_task_t *task, guint number)
+{
+  Bts__Run *run = malloc (sizeof *run);
+  bts__run__init (run);
+  run->job = bts_job_number (task->stage->job);
+  run->occurrence = task->stage->occurrence;
+  run->step = task->stage->step;
+  run->index = task->index;
+  run->run = number;
+  return run;
+}
+
+/**
+ * bts_heartbeat_add_crash() - report in the next heartbeat that a worker has crashed under a task
+ * @sched: the scheduler
+ * @task: the task, with this crash counted
+ */
+void
+bts_heartbeat_add_crash (bts_sched_t *sched, const bts_task_t *task)
+{
+  Bts__Crash *crash = malloc (sizeof *crash);
+  bts__crash__init (crash);
+  crash->run = run_message_new (task, task->crash_run);
+  crash->points = task->crash_points;
+  g_ptr_array_add (sched->pending_crashes, crash);
+}
+
+/**
+ * bts_heartbeat_add_silent() - report in the next heartbeat that a worker no longer answers
+ * @sched: the scheduler
+ * @worker: the worker
+ * @starting: bts_run_t with tasks that were just starting on it, one at least
+ */
+void
+bts_heartbeat_add_silent (bts_sched_t *sched, const bts_worker_t *worker, const GPtrArray *starting)
+{
+  Bts__Silent *silent = malloc (sizeof *silent);
+  bts__silent__init (silent);
+  silent->worker = strdup (worker->entry->id);
+  silent->started_ms = worker->started_ms;
+  silent->n_starting = starting->len;
+  silent->starting = malloc (starting->len * sizeof *silent->starting);
+  for (guint i = 0; i < starting->len; i++)
+    {
+      const bts_run_t *run = starting->pdata[i];
+      silent->starting[i] = run_message_new (run->task, run->number);
+      silent->starting[i]->confirmed = bts_crash_is_confirmed (run);
+    }
+  g_ptr_array_add (sched->pending_silent, silent);
+}
+
 void
 bts_held_free (gpointer data)
 {
@@ -153,6 +219,12 @@
   beat.n_released = sched->pending_released->len;
   beat.released = (char **)sched->pending_released->pdata;
   sched->released_sent = sched->pending_released->len;
+  beat.n_crashes = sched->pending_crashes->len;
+  beat.crashes = (Bts__Crash **)sched->pending_crashes->pdata;
+  sched->crashes_sent = sched->pending_crashes->len;
+  beat.n_silent = sched->pending_silent->len;
+  beat.silent = (Bts__Silent **)sched->pending_silent->pdata;
+  sched->silent_sent = sched->pending_silent->len;
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_BEAT;
   record.beat = &beat;
@@ -171,7 +243,8 @@
   gint64 now_us = bts_sched_now (sched);
   gint64 since_us = now_us - sched->heartbeat_sent_us;
   gboolean has_pending = sched->pending_ends->len > 0 || sched->pending_begun->len > 0
-                         || sched->pending_held->len > 0 || sched->pending_released->len > 0;
+                         || sched->pending_held->len > 0 || sched->pending_released->len > 0
+                         || sched->pending_crashes->len > 0 || sched->pending_silent->len > 0;
   gint64 interval_us = sched->heartbeat_in_flight ? HEARTBEAT_RETRY_US
                        : has_pending              ? HEARTBEAT_MIN_INTERVAL_US
                                                   : HEARTBEAT_IDLE_INTERVAL_US;
@@ -245,6 +318,8 @@
   sched->begun_sent = 0;
   remove_sent (sched->pending_held, &sched->held_sent);
   remove_sent (sched->pending_released, &sched->released_sent);
+  remove_sent (sched->pending_crashes, &sched->crashes_sent);
+  remove_sent (sched->pending_silent, &sched->silent_sent);
 }
 
 /**
@@ -258,10 +333,14 @@
   g_array_set_size (sched->pending_begun, 0);
   g_ptr_array_set_size (sched->pending_held, 0);
   g_ptr_array_set_size (sched->pending_released, 0);
+  g_ptr_array_set_size (sched->pending_crashes, 0);
+  g_ptr_array_set_size (sched->pending_silent, 0);
   sched->pending_heartbeat = 0;
   sched->begun_sent = 0;
   sched->held_sent = 0;
   sched->released_sent = 0;
+  sched->crashes_sent = 0;
+  sched->silent_sent = 0;
   sched->heartbeat_number = 0;
   sched->heartbeat_sent_us = 0;
   sched->heartbeat_in_flight = FALSE;
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -526,6 +526,22 @@
   task->checkpoint = g_strdup (checkpoint);
 }
 
+/**
+ * bts_task_set_crashes() - set a task's points for crashes in a row of its workers
+ * @task: the task
+ * @run: the newest of the runs after whose start the worker has crashed; ignored if a later one is
+ *   known
+ * @points: the points; for the same run, only more points count
+ */
+void
+bts_task_set_crashes (bts_task_t *task, guint run, guint points)
+{
+  if (run < task->crash_run || (run == task->crash_run && points <= task->crash_points))
+    return;
+  task->crash_run = run;
+  task->crash_points = points;
+}
+
 /**
  * bts_task_name() - the name of a task in messages to workers
  * @task: the task
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -14,6 +14,8 @@
 #define BTS_JOB_ID_LEN 16
 /* Most tasks in one occurrence of a job; a job with more is refused as malformed. */
 #define BTS_TASKS_MAX 4096
+/* Crash points with which a task is given up; see crash.h. */
+#define BTS_CRASH_POINTS_MAX 4
 
 typedef struct bts_job_t bts_job_t;
 typedef struct bts_stage_t bts_stage_t;
@@ -89,6 +91,11 @@
  *   journal yet; 0 for none
  * @done_pending: whether that end counts in @n_done_pending of the stage
  * @avoid_worker: worker on which it failed last, or NULL
+ * @crash_run: the highest number of a run after whose start its worker is known to have crashed
+ * @crash_points: points for such crashes in a row
+ * @crash_suspected: its last run was lost right after its start, and whether the worker has crashed
+ *   isn't known yet
+ * @crash_wait_us: it isn't started before this time, unless that becomes known
  */
 typedef struct
 {
@@ -104,6 +111,10 @@
   guint pending_end_run;
   gboolean done_pending;
   char *avoid_worker;
+  guint crash_run;
+  guint crash_points;
+  gboolean crash_suspected;
+  gint64 crash_wait_us;
 } bts_task_t;
 
 /**
@@ -188,7 +199,8 @@
  * @begun_reported: whether the owner has queued or sent a heartbeat item that the job has begun
  * @completed: whether a snapshot says that all its tasks are done
  * @cancelled: whether it was cancelled
- * @failed: whether a task or gang has failed as often as the job's policy allows
+ * @failed: whether a task or gang has failed as often as the job's policy allows, or was given up
+ *   because workers crash under it
  */
 struct bts_job_t
 {
@@ -240,6 +252,7 @@
 gboolean bts_stage_is_ready (const bts_stage_t *stage);
 gboolean bts_stage_is_done (const bts_stage_t *stage);
 void bts_task_set_checkpoint (bts_task_t *task, const char *checkpoint);
+void bts_task_set_crashes (bts_task_t *task, guint run, guint points);
 char *bts_task_name (const bts_task_t *task);
 gboolean bts_task_name_parse (const char *name, char id[BTS_JOB_ID_LEN + 1], guint *occurrence,
                               guint *step, guint *index);
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -335,6 +335,41 @@
     end_job (ledger, job, now_us);
 }
 
+static bts_task_t *
+find_task (const bts_ledger_t *ledger, const Bts__Run *run)
+{
+  char id[BTS_JOB_ID_LEN + 1];
+  bts_job_id_from_number (run->job, id);
+  bts_job_t *job = bts_ledger_job (ledger, id);
+  bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, run->occurrence, run->step);
+  return stage == NULL || run->index >= stage->n_tasks ? NULL : &stage->tasks[run->index];
+}
+
+/* A task that crashes its workers is given up, and its job with it. */
+static void
+fold_crash (bts_ledger_t *ledger, const Bts__Crash *crash, gint64 now_us)
+{
+  bts_task_t *task = crash->run == NULL ? NULL : find_task (ledger, crash->run);
+  if (task == NULL || bts_job_has_ended (task->stage->job))
+    return;
+  bts_task_set_crashes (task, crash->run->run, crash->points);
+  if (task->done || crash->points < BTS_CRASH_POINTS_MAX)
+    return;
+  task->stage->job->failed = TRUE;
+  end_job (ledger, task->stage->job, now_us);
+}
+
+static void
+fold_silent (bts_ledger_t *ledger, const Bts__Silent *silent)
+{
+  for (gsize i = 0; i < silent->n_starting; i++)
+    {
+      const bts_task_t *task = find_task (ledger, silent->starting[i]);
+      if (task != NULL && !bts_job_has_ended (task->stage->job))
+        ledger->ops->worker_silent (ledger->context, silent, task, silent->starting[i]);
+    }
+}
+
 static void
 add_held_workers (bts_ledger_t *ledger, Bts__Held *const *held, gsize n)
 {
@@ -392,6 +427,10 @@
       ledger->ops->worker_released (ledger->context, heartbeat->released[i]);
   for (gsize i = 0; i < heartbeat->n_ends; i++)
     fold_end (ledger, heartbeat->ends[i], now_us);
+  for (gsize i = 0; i < heartbeat->n_crashes; i++)
+    fold_crash (ledger, heartbeat->crashes[i], now_us);
+  for (gsize i = 0; i < heartbeat->n_silent; i++)
+    fold_silent (ledger, heartbeat->silent[i]);
   check_complete (ledger, (gint64)heartbeat->oldest_needed);
   ledger->ops->heartbeat (ledger->context, heartbeat->number, heartbeat->append_ms);
 }
@@ -406,6 +445,7 @@
   task->ended_run = MAX (task->ended_run, state->ended_run);
   task->last_run = MAX (task->last_run, state->ended_run);
   task->fails = MAX (task->fails, state->fails);
+  bts_task_set_crashes (task, state->crash_run, state->crash_points);
   stage->gang_fails = MAX (stage->gang_fails, state->gang_fails);
   stage->gang_failed_run = MAX (stage->gang_failed_run, state->gang_failed_run);
   if (!state->done || task->done)
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -23,6 +23,7 @@
  * @node_hello: a process has announced itself
  * @worker_held: the owner has taken a lease on a worker; @held has its address and service
  * @worker_released: the owner has given that lease up
+ * @worker_silent: a worker no longer answers; @run of @task was just starting on it
  * @job_removed: a job is about to be freed
  */
 typedef struct
@@ -37,6 +38,8 @@
   void (*node_hello) (void *context, const Bts__Hello *hello);
   void (*worker_held) (void *context, const Bts__Held *held);
   void (*worker_released) (void *context, const char *worker);
+  void (*worker_silent) (void *context, const Bts__Silent *silent, const bts_task_t *task,
+                         const Bts__Run *run);
   void (*job_removed) (void *context, bts_job_t *job);
 } bts_ledger_ops_t;
 
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -205,6 +205,20 @@
     bts_fleet_remove (&node->fleet, id);
 }
 
+static void
+on_worker_silent (void *context, const Bts__Silent *silent, const bts_task_t *task,
+                  const Bts__Run *run)
+{
+  const bts_node_t *node = context;
+  bts_worker_t *worker = bts_fleet_find_worker (&node->fleet, silent->worker);
+  /* The owner knows more than its records. */
+  if (worker == NULL || bts_sched_is_leading (node->sched))
+    return;
+  g_autofree char *name = bts_task_name (task);
+  bts_lost_run_t lost = { name, run->run, run->confirmed, silent->started_ms, node_now (node) };
+  bts_worker_add_lost_run (worker, &lost);
+}
+
 static void
 on_job_removed (void *context, bts_job_t *job)
 {
@@ -213,9 +227,9 @@
 }
 
 static const bts_ledger_ops_t ledger_ops
-    = { on_job_accepted,  on_job_cancelled,   on_run_ended,  on_job_ended,
-        on_owner_changed, on_heartbeat,       on_node_seen,  on_node_hello,
-        on_worker_held,   on_worker_released, on_job_removed };
+    = { on_job_accepted,  on_job_cancelled,   on_run_ended,     on_job_ended,
+        on_owner_changed, on_heartbeat,       on_node_seen,     on_node_hello,
+        on_worker_held,   on_worker_released, on_worker_silent, on_job_removed };
 
 /* Callbacks through which the scheduler sends orders, appends records and requests advice. */
 
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/crash.h"
 
 /* Penalties are added to bts_place_free_permille(), so they are in thousandths of a worker. Each
    from PENALTY_AVOID_WORKER to PENALTY_OVERDUE_RUN outweighs any difference in free resources. */
@@ -318,7 +319,8 @@
       /* The check for room is the cheapest one and rules out most workers of a full pool. */
       if (!bts_worker_has_room (worker, &worker->used, &demand)
           || (worker->reserved_pass == pass && !can_backfill (worker, step, now_us))
-          || bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK)
+          || bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK
+          || !bts_crash_may_share (worker, task))
         continue;
       gint64 penalty = placement_penalty (worker, task, step, pass, now_us);
       if (best == NULL || penalty < best_penalty
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -4,6 +4,7 @@
 
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/crash.h"
 #include "libbamboothread/scheduler/place.h"
 
 /*
@@ -60,6 +61,7 @@
   run->number = number;
   run->resources = *demand;
   run->created_us = bts_sched_now (sched);
+  run->startup_end_us = G_MAXINT64;
   if (task != NULL)
     {
       run->checkpoint = g_strdup (initial_checkpoint (task));
@@ -194,6 +196,19 @@
   requeue (sched, run);
 }
 
+/**
+ * bts_run_mark_worker_lost() - give a run up because its worker may have crashed
+ * @sched: the scheduler
+ * @run: the run; freed
+ * @cause: how it is known to be over, for the log
+ */
+void
+bts_run_mark_worker_lost (bts_sched_t *sched, bts_run_t *run, const char *cause)
+{
+  bts_crash_on_run_lost (sched, run);
+  bts_run_mark_lost (sched, run, cause);
+}
+
 /* Removes a run that the worker has refused and never started, and queues its task again. */
 static void
 handle_refusal (bts_sched_t *sched, bts_run_t *run, const char *cause)
@@ -217,6 +232,7 @@
 confirm_run (bts_sched_t *sched, bts_run_t *run, gint64 now_us)
 {
   run->confirmed_us = now_us;
+  bts_crash_on_run_confirmed (run, now_us);
   if (run->state == BTS_RUN_STARTING)
     run->state = BTS_RUN_RUNNING;
 }
@@ -231,7 +247,7 @@
     return;
   gint64 expiry_us = bts_worker_lease_expiry_us (run->worker);
   if (bts_sched_confirmed_us (sched) > expiry_us)
-    bts_run_mark_lost (sched, run, "lease-over");
+    bts_run_mark_worker_lost (sched, run, "lease-over");
   /* No start order goes to a worker whose lease has expired: it may have restarted. */
   else if (bts_sched_now (sched) <= expiry_us && run->unanswered_starts < START_ATTEMPTS_MAX)
     {
@@ -258,7 +274,7 @@
   gint64 now_us = bts_sched_now (sched);
   bts_worker_t *worker = run->worker;
   run->start_in_flight = FALSE;
-  if (clock_ms > 0)
+  if (clock_ms > 0 && reply != BTS_REPLY_WRONG_WORKER)
     bts_worker_on_reply (worker, clock_ms, now_us);
   /* An earlier order without a reply may still have started the run. */
   gboolean refusal_is_final = run->unanswered_starts == 0 && run->state == BTS_RUN_STARTING;
@@ -319,7 +335,7 @@
     return;
   gint64 now_us = bts_sched_now (sched);
   run->stop_in_flight = FALSE;
-  if (clock_ms > 0)
+  if (clock_ms > 0 && reply != BTS_REPLY_WRONG_WORKER)
     bts_worker_on_reply (run->worker, clock_ms, now_us);
   if (reply == BTS_REPLY_OK)
     {
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -4,6 +4,7 @@
 
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/crash.h"
 #include "libbamboothread/scheduler/election.h"
 #include "libbamboothread/scheduler/place.h"
 
@@ -74,6 +75,8 @@
   sched->pending_begun = g_array_new (FALSE, FALSE, sizeof (guint64));
   sched->pending_held = g_ptr_array_new_with_free_func (bts_held_free);
   sched->pending_released = g_ptr_array_new_with_free_func (g_free);
+  sched->pending_crashes = g_ptr_array_new_with_free_func (bts_crash_record_free);
+  sched->pending_silent = g_ptr_array_new_with_free_func (bts_silent_record_free);
   sched->speed = bts_speed_new ();
   sched->unsynced = g_ptr_array_new ();
   sched->members = members;
@@ -92,6 +95,8 @@
   g_array_unref (sched->pending_begun);
   g_ptr_array_unref (sched->pending_held);
   g_ptr_array_unref (sched->pending_released);
+  g_ptr_array_unref (sched->pending_crashes);
+  g_ptr_array_unref (sched->pending_silent);
   g_ptr_array_unref (sched->unsynced);
   bts_speed_free (sched->speed);
   g_free (sched);
@@ -318,6 +323,7 @@
   g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
   while (g_hash_table_iter_next (&iter, NULL, &value))
     bts_sched_enqueue_job (sched, value);
+  bts_crash_begin_term (sched);
   bts_sched_tick (sched);
 }
 
@@ -344,6 +350,7 @@
               /* A later owner may have kept a run that this one gave up. */
               stage->tasks[t].lost_run = 0;
               stage->tasks[t].done_pending = FALSE;
+              bts_crash_clear (&stage->tasks[t]);
             }
         }
     }
@@ -465,11 +472,28 @@
   return n_pending;
 }
 
+/* Pending tasks that may be started now. A gang waits as a whole for a member that has to wait. */
+static guint
+count_ready (const bts_stage_t *stage, gint64 now_us)
+{
+  guint n_ready = 0;
+  for (guint i = 0; i < stage->n_tasks; i++)
+    {
+      if (!is_task_pending (&stage->tasks[i]))
+        continue;
+      if (!bts_crash_is_waiting (&stage->tasks[i], now_us))
+        n_ready++;
+      else if (bts_stage_step (stage)->gang)
+        return 0;
+    }
+  return n_ready;
+}
+
 /* A gang is placed as a whole, after all tasks of its previous run have ended. */
 static gboolean
-can_place (const bts_stage_t *stage, guint n_pending)
+can_place (const bts_stage_t *stage, guint n_ready)
 {
-  return n_pending > 0 && (!bts_stage_step (stage)->gang || n_pending == stage->n_tasks);
+  return n_ready > 0 && (!bts_stage_step (stage)->gang || n_ready == stage->n_tasks);
 }
 
 static guint
@@ -537,9 +561,9 @@
   bts_advice_renew (sched, stage, now_us, now_us);
 }
 
-/* Starts as many pending tasks of a stage as there is room for; of a gang, all or none. */
+/* Starts as many ready tasks of a stage as there is room for; of a gang, all or none. */
 static void
-place_stage (bts_sched_t *sched, bts_stage_t *stage, guint n_pending)
+place_stage (bts_sched_t *sched, bts_stage_t *stage, guint n_ready)
 {
   gint64 now_us = bts_sched_now (sched);
   gboolean gang = bts_stage_step (stage)->gang;
@@ -547,16 +571,17 @@
   for (guint i = 0; i < stage->n_tasks; i++)
     {
       bts_task_t *task = &stage->tasks[i];
-      if (!is_task_pending (task))
+      if (!is_task_pending (task) || bts_crash_is_waiting (task, now_us))
         continue;
       bts_run_t *run = place_tentatively (sched, task, next_run_number (sched, stage, task));
-      if (run == NULL)
+      if (run != NULL)
+        g_ptr_array_add (runs, run);
+      else if (!bts_crash_is_suspect (task))
         break;
-      g_ptr_array_add (runs, run);
     }
   if (runs->len == 0)
     return;
-  if (gang && runs->len < n_pending)
+  if (gang && runs->len < n_ready)
     {
       remove_runs (sched, runs);
       return;
@@ -709,26 +734,29 @@
   return now_us >= stage->retry_us || stage->reserving || has_room_appeared (sched, stage);
 }
 
-/* Tries to place the pending tasks of a stage, and otherwise to make room for them. */
+/* Tries to place the ready tasks of a stage, and otherwise to make room for them. */
 static void
-try_stage (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, guint *n_reserving,
-           gint64 now_us)
+try_stage (bts_sched_t *sched, bts_stage_t *stage, guint *n_reserving, gint64 now_us)
 {
   stage->reserving = FALSE;
   if (may_run_on_unsynced_worker (sched, stage))
     return;
-  if (can_place (stage, n_pending) && now_us >= stage->backoff_until_us
+  guint n_ready = count_ready (stage, now_us);
+  if (can_place (stage, n_ready) && now_us >= stage->backoff_until_us
       && bts_advice_ensure (sched, stage, now_us) && bts_job_has_spec (stage->job))
     {
-      place_stage (sched, stage, n_pending);
-      n_pending = count_pending (stage);
+      place_stage (sched, stage, n_ready);
+      n_ready = count_ready (stage, now_us);
     }
-  if (n_pending == 0)
+  if (count_pending (stage) == 0)
     return;
-  bts_advice_extend (sched, stage, now_us);
-  if (!bts_preempt_for (sched, stage, n_pending, now_us) && *n_reserving < RESERVE_STAGES_MAX)
-    stage->reserving = bts_reserve_for (sched, stage, n_pending, now_us);
-  *n_reserving += stage->reserving;
+  if (n_ready > 0)
+    {
+      bts_advice_extend (sched, stage, now_us);
+      if (!bts_preempt_for (sched, stage, n_ready, now_us) && *n_reserving < RESERVE_STAGES_MAX)
+        stage->reserving = bts_reserve_for (sched, stage, n_ready, now_us);
+      *n_reserving += stage->reserving;
+    }
   stage->tried_pass = sched->pass_number;
   stage->retry_us = now_us + RETRY_INTERVAL_US;
 }
@@ -759,8 +787,7 @@
           sched->queue->pdata[n_queued++] = stage;
           continue;
         }
-      guint n_pending = count_pending (stage);
-      if (bts_job_has_ended (stage->job) || n_pending == 0)
+      if (bts_job_has_ended (stage->job) || count_pending (stage) == 0)
         {
           stage->queued = FALSE;
           stage->no_room_since_us = 0;
@@ -768,7 +795,7 @@
             bts_advice_prefetch (sched, stage);
           continue;
         }
-      try_stage (sched, stage, n_pending, &n_reserving, now_us);
+      try_stage (sched, stage, &n_reserving, now_us);
       sched->queue->pdata[n_queued++] = stage;
     }
   g_ptr_array_set_size (sched->queue, (gint)n_queued);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -41,10 +41,13 @@
  *   yet
  * @pending_released: ids of workers that the owner has released while the journal doesn't
  *   say so yet
+ * @pending_crashes: Bts__Crash of crashes that aren't in the journal yet
+ * @pending_silent: Bts__Silent of workers that have fallen silent while the journal doesn't say
+ *   so yet
  * @append_ms: time that the newest append took; reported in heartbeats
  * @pending_heartbeat: number of the newest heartbeat, which carried the first @begun_sent,
- *   @held_sent and @released_sent items of @pending_begun, @pending_held and
- *   @pending_released; 0 if none was sent
+ *   @held_sent, @released_sent, @crashes_sent and @silent_sent items of @pending_begun,
+ *   @pending_held, @pending_released, @pending_crashes and @pending_silent; 0 if none was sent
  * @heartbeat_number: number of the newest heartbeat
  * @heartbeat_sent_us: when the newest heartbeat was sent
  * @heartbeat_in_flight: the newest heartbeat hasn't been read back from the journal yet
@@ -92,11 +95,15 @@
   GArray *pending_begun;
   GPtrArray *pending_held;
   GPtrArray *pending_released;
+  GPtrArray *pending_crashes;
+  GPtrArray *pending_silent;
   guint append_ms;
   guint64 pending_heartbeat;
   guint begun_sent;
   guint held_sent;
   guint released_sent;
+  guint crashes_sent;
+  guint silent_sent;
   guint64 heartbeat_number;
   gint64 heartbeat_sent_us;
   gboolean heartbeat_in_flight;
@@ -146,6 +153,7 @@
 void bts_run_remove (bts_sched_t *sched, bts_run_t *run);
 void bts_run_start (bts_sched_t *sched, bts_run_t *run);
 void bts_run_stop (bts_sched_t *sched, bts_run_t *run);
+void bts_run_mark_worker_lost (bts_sched_t *sched, bts_run_t *run, const char *cause);
 void bts_run_mark_lost (bts_sched_t *sched, bts_run_t *run, const char *cause);
 void bts_run_tick (bts_sched_t *sched, bts_run_t *run);
 void bts_gang_stop (bts_sched_t *sched, bts_stage_t *stage);
@@ -165,5 +173,11 @@
 void bts_heartbeat_clear (bts_sched_t *sched);
 void bts_pending_end_free (gpointer data);
 void bts_held_free (gpointer data);
+void bts_heartbeat_add_crash (bts_sched_t *sched, const bts_task_t *task);
+void bts_crash_record_free (gpointer data);
+void bts_heartbeat_add_silent (bts_sched_t *sched, const bts_worker_t *worker,
+                               const GPtrArray *starting);
+void bts_silent_record_free (gpointer data);
+bts_task_t *bts_sched_find_task (const bts_sched_t *sched, const char *name);
 
 #endif
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -36,7 +36,7 @@
 add_task_state (GPtrArray *states, const bts_task_t *task)
 {
   const bts_stage_t *stage = task->stage;
-  if (task->ended_run == 0 && !task->done && stage->gang_fails == 0)
+  if (task->ended_run == 0 && !task->done && stage->gang_fails == 0 && task->crash_points == 0)
     return;
   Bts__TaskState *state = g_new0 (Bts__TaskState, 1);
   bts__task_state__init (state);
@@ -49,6 +49,9 @@
   state->saved = task->checkpoint == NULL ? (char *)"" : task->checkpoint;
   state->gang_fails = stage->gang_fails;
   state->gang_failed_run = stage->gang_failed_run;
+  state->crash_run = task->crash_run;
+  /* Only a record of the crash itself gives a task up. */
+  state->crash_points = MIN (task->crash_points, BTS_CRASH_POINTS_MAX - 1);
   g_ptr_array_add (states, state);
 }
 
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -4,6 +4,7 @@
 
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/crash.h"
 #include "libbamboothread/scheduler/place.h"
 
 /*
@@ -19,6 +20,9 @@
 /* The same for an owner of many workers, whose processor is for the most part taken by holds. */
 #define HOLD_WAIT_LONG_MS 1000
 #define MANY_WORKERS 400
+/* The same while a task that may crash the worker is just starting: nothing else starts there until
+   the worker has replied after that. */
+#define HOLD_WAIT_SUSPECT_MS 50
 /* Time to the next hold while ends are being journaled, in microseconds: the worker
    would list the same ends again at once. */
 #define HOLD_JOURNALING_US (250 * 1000)
@@ -73,7 +77,7 @@
 mark_all_lost (bts_sched_t *sched, bts_worker_t *worker, const char *cause)
 {
   while (worker->runs->len > 0)
-    bts_run_mark_lost (sched, worker->runs->pdata[worker->runs->len - 1], cause);
+    bts_run_mark_worker_lost (sched, worker->runs->pdata[worker->runs->len - 1], cause);
 }
 
 /**
@@ -88,6 +92,7 @@
   bt_log (BT_LOG_NOTICE, "worker-gone", "worker=%s cause=%s runs=%u", worker->entry->id, cause,
           worker->runs->len);
   mark_all_lost (sched, worker, cause);
+  bts_crash_on_worker_ended (sched, worker);
   bts_worker_reset (worker);
   worker->started_ms = worker->entry->started_ms;
   worker->hold_next_us = bts_sched_now (sched) + HOLD_RETRY_US;
@@ -112,6 +117,8 @@
 {
   if (!worker->synced || worker->ends_in_flight > 0 || worker->hold_failures > 0)
     return 0;
+  if (bts_crash_has_starting_suspect (worker))
+    return HOLD_WAIT_SUSPECT_MS;
   return g_hash_table_size (sched->fleet->workers) > MANY_WORKERS ? HOLD_WAIT_LONG_MS
                                                                   : HOLD_WAIT_MS;
 }
@@ -162,7 +169,7 @@
           i++;
           continue;
         }
-      bts_run_mark_lost (sched, run, "lease-over");
+      bts_run_mark_worker_lost (sched, run, "lease-over");
       i = 0;
     }
 }
@@ -194,8 +201,15 @@
     send_hold (sched, worker, now_us);
 }
 
-static bts_task_t *
-find_task (const bts_sched_t *sched, const char *name)
+/**
+ * bts_sched_find_task() - look up a task by its name
+ * @sched: the scheduler
+ * @name: the name, as in a worker's lists
+ *
+ * Return: the task, or NULL if its job isn't known or has no such task.
+ */
+bts_task_t *
+bts_sched_find_task (const bts_sched_t *sched, const char *name)
 {
   char id[BTS_JOB_ID_LEN + 1];
   guint occurrence;
@@ -213,7 +227,7 @@
 static void
 add_unknown_run (bts_sched_t *sched, bts_worker_t *worker, const bts_listed_run_t *row)
 {
-  bts_task_t *task = find_task (sched, row->name);
+  bts_task_t *task = bts_sched_find_task (sched, row->name);
   gboolean wanted = task != NULL && !task->done && row->number > task->pending_end_run
                     && task->run == NULL && row->number > task->ended_run
                     && row->number > task->lost_run && !bts_job_has_ended (task->stage->job);
@@ -225,6 +239,7 @@
       = bts_run_new (sched, becomes_current ? task : NULL, row->name, row->number, &demand, worker);
   run->state = BTS_RUN_RUNNING;
   run->confirmed_us = bts_sched_now (sched);
+  run->startup_end_us = 0;
   bt_metrics_count (BT_COUNT_UNKNOWN_RUNS_LISTED);
   if (task != NULL)
     task->last_run = MAX (task->last_run, row->number);
@@ -263,6 +278,7 @@
       add_unknown_run (sched, worker, row);
       return;
     }
+  bts_crash_on_run_confirmed (run, bts_sched_now (sched));
   if (run->state == BTS_RUN_STARTING)
     run->state = BTS_RUN_RUNNING;
   if (run->state == BTS_RUN_RUNNING)
@@ -318,7 +334,7 @@
                                                          : BT_COUNT_ENDS_OTHER);
   worker->ends_in_flight++;
   bts_run_t *run = bts_worker_find_run (worker, row->name, row->number);
-  bts_task_t *task = run != NULL ? run->task : find_task (sched, row->name);
+  bts_task_t *task = run != NULL ? run->task : bts_sched_find_task (sched, row->name);
   gboolean counts = run != NULL ? task != NULL : end_counts (task, row);
   bt_log (BT_LOG_INFO, "end",
           "task=%s run=%u worker=%s how=%d number=%" G_GUINT64_FORMAT " counts=%d", row->name,
@@ -380,8 +396,11 @@
     }
   bt_metrics_count (BT_COUNT_HOLD_ORDERS_FAILED);
   if (worker->hold_failures++ == 0)
-    bt_log (BT_LOG_NOTICE, "worker-silent", "worker=%s reply=%d runs=%u", worker->entry->id, reply,
-            worker->runs->len);
+    {
+      bt_log (BT_LOG_NOTICE, "worker-silent", "worker=%s reply=%d runs=%u", worker->entry->id,
+              reply, worker->runs->len);
+      bts_crash_on_worker_silent (sched, worker);
+    }
   worker->hold_next_us = now_us + HOLD_RETRY_US * MIN (worker->hold_failures, 8);
 }
 
@@ -418,9 +437,10 @@
           i++;
           continue;
         }
-      bts_run_mark_lost (sched, run, "restarted");
+      bts_run_mark_worker_lost (sched, run, "restarted");
       i = 0;
     }
+  bts_crash_on_worker_ended (sched, worker);
   bts_resources_t used = worker->used;
   bts_worker_reset (worker);
   worker->used = used;
@@ -454,6 +474,8 @@
   if (listing->started_ms != 0 && worker->started_ms != 0
       && listing->started_ms != worker->started_ms)
     handle_restart (sched, worker, listing);
+  else
+    bts_crash_on_worker_alive (sched, worker, listing->started_ms);
   worker->started_ms = listing->started_ms;
   worker->hold_failures = 0;
   worker->acked_seq = MAX (worker->acked_seq, worker->hold_ack);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -367,6 +367,141 @@
   assert(message->base.descriptor == &bts__end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__run__init
+                     (Bts__Run         *message)
+{
+  static const Bts__Run init_value = BTS__RUN__INIT;
+  *message = init_value;
+}
+size_t bts__run__get_packed_size
+                     (const Bts__Run *message)
+{
+  assert(message->base.descriptor == &bts__run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__run__pack
+                     (const Bts__Run *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__run__pack_to_buffer
+                     (const Bts__Run *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Run *
+       bts__run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Run *)
+     protobuf_c_message_unpack (&bts__run__descriptor,
+                                allocator, len, data);
+}
+void   bts__run__free_unpacked
+                     (Bts__Run *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__silent__init
+                     (Bts__Silent         *message)
+{
+  static const Bts__Silent init_value = BTS__SILENT__INIT;
+  *message = init_value;
+}
+size_t bts__silent__get_packed_size
+                     (const Bts__Silent *message)
+{
+  assert(message->base.descriptor == &bts__silent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__silent__pack
+                     (const Bts__Silent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__silent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__silent__pack_to_buffer
+                     (const Bts__Silent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__silent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Silent *
+       bts__silent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Silent *)
+     protobuf_c_message_unpack (&bts__silent__descriptor,
+                                allocator, len, data);
+}
+void   bts__silent__free_unpacked
+                     (Bts__Silent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__silent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__crash__init
+                     (Bts__Crash         *message)
+{
+  static const Bts__Crash init_value = BTS__CRASH__INIT;
+  *message = init_value;
+}
+size_t bts__crash__get_packed_size
+                     (const Bts__Crash *message)
+{
+  assert(message->base.descriptor == &bts__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__crash__pack
+                     (const Bts__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__crash__pack_to_buffer
+                     (const Bts__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Crash *
+       bts__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Crash *)
+     protobuf_c_message_unpack (&bts__crash__descriptor,
+                                allocator, len, data);
+}
+void   bts__crash__free_unpacked
+                     (Bts__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__held__init
                      (Bts__Held         *message)
 {
@@ -1848,6 +1983,224 @@
   (ProtobufCMessageInit) bts__end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bts__run__field_descriptors[6] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Run, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Run, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Run, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Run, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Run, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Run, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__run__field_indices_by_name[] = {
+  5,   /* field[5] = confirmed */
+  3,   /* field[3] = index */
+  0,   /* field[0] = job */
+  1,   /* field[1] = occurrence */
+  4,   /* field[4] = run */
+  2,   /* field[2] = step */
+};
+static const ProtobufCIntRange bts__run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bts__run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Run",
+  "Run",
+  "Bts__Run",
+  "bts",
+  sizeof(Bts__Run),
+  6,
+  bts__run__field_descriptors,
+  bts__run__field_indices_by_name,
+  1,  bts__run__number_ranges,
+  (ProtobufCMessageInit) bts__run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__silent__field_descriptors[3] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Silent, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Silent, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "starting",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Silent, n_starting),
+    offsetof(Bts__Silent, starting),
+    &bts__run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__silent__field_indices_by_name[] = {
+  1,   /* field[1] = started_ms */
+  2,   /* field[2] = starting */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange bts__silent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bts__silent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Silent",
+  "Silent",
+  "Bts__Silent",
+  "bts",
+  sizeof(Bts__Silent),
+  3,
+  bts__silent__field_descriptors,
+  bts__silent__field_indices_by_name,
+  1,  bts__silent__number_ranges,
+  (ProtobufCMessageInit) bts__silent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__crash__field_descriptors[2] =
+{
+  {
+    "run",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Crash, run),
+    &bts__run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "points",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Crash, points),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__crash__field_indices_by_name[] = {
+  1,   /* field[1] = points */
+  0,   /* field[0] = run */
+};
+static const ProtobufCIntRange bts__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bts__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Crash",
+  "Crash",
+  "Bts__Crash",
+  "bts",
+  sizeof(Bts__Crash),
+  2,
+  bts__crash__field_descriptors,
+  bts__crash__field_indices_by_name,
+  1,  bts__crash__number_ranges,
+  (ProtobufCMessageInit) bts__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bts__held__field_descriptors[3] =
 {
   {
@@ -1912,7 +2265,7 @@
   (ProtobufCMessageInit) bts__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__beat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bts__beat__field_descriptors[10] =
 {
   {
     "term",
@@ -2010,21 +2363,47 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Beat, n_crashes),
+    offsetof(Bts__Beat, crashes),
+    &bts__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silent",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Beat, n_silent),
+    offsetof(Bts__Beat, silent),
+    &bts__silent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__beat__field_indices_by_name[] = {
   6,   /* field[6] = append_ms */
   2,   /* field[2] = begun */
+  8,   /* field[8] = crashes */
   3,   /* field[3] = ends */
   4,   /* field[4] = held */
   1,   /* field[1] = number */
   7,   /* field[7] = oldest_needed */
   5,   /* field[5] = released */
+  9,   /* field[9] = silent */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange bts__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bts__beat__descriptor =
 {
@@ -2034,14 +2413,14 @@
   "Bts__Beat",
   "bts",
   sizeof(Bts__Beat),
-  8,
+  10,
   bts__beat__field_descriptors,
   bts__beat__field_indices_by_name,
   1,  bts__beat__number_ranges,
   (ProtobufCMessageInit) bts__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__task_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor bts__task_state__field_descriptors[11] =
 {
   {
     "occurrence",
@@ -2151,8 +2530,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_run",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, crash_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash_points",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskState, crash_points),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__task_state__field_indices_by_name[] = {
+  10,   /* field[10] = crash_points */
+  9,   /* field[9] = crash_run */
   3,   /* field[3] = done */
   5,   /* field[5] = ended_run */
   4,   /* field[4] = fails */
@@ -2166,7 +2571,7 @@
 static const ProtobufCIntRange bts__task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bts__task_state__descriptor =
 {
@@ -2176,7 +2581,7 @@
   "Bts__TaskState",
   "bts",
   sizeof(Bts__TaskState),
-  9,
+  11,
   bts__task_state__field_descriptors,
   bts__task_state__field_indices_by_name,
   1,  bts__task_state__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -23,6 +23,9 @@
 typedef struct Bts__Claim Bts__Claim;
 typedef struct Bts__Resigned Bts__Resigned;
 typedef struct Bts__End Bts__End;
+typedef struct Bts__Run Bts__Run;
+typedef struct Bts__Silent Bts__Silent;
+typedef struct Bts__Crash Bts__Crash;
 typedef struct Bts__Held Bts__Held;
 typedef struct Bts__Beat Bts__Beat;
 typedef struct Bts__TaskState Bts__TaskState;
@@ -197,6 +200,60 @@
     , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
+struct  Bts__Run
+{
+  ProtobufCMessage base;
+  /*
+   * The job's id as a number, which is shorter.
+   */
+  uint64_t job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint32_t run;
+  /*
+   * Whether the worker has confirmed it.
+   */
+  protobuf_c_boolean confirmed;
+};
+#define BTS__RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__run__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A worker no longer answers and may have crashed; these runs were just starting on it.
+ */
+struct  Bts__Silent
+{
+  ProtobufCMessage base;
+  char *worker;
+  int64_t started_ms;
+  size_t n_starting;
+  Bts__Run **starting;
+};
+#define BTS__SILENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__silent__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+/*
+ * A worker has crashed right after it had started a run.
+ */
+struct  Bts__Crash
+{
+  ProtobufCMessage base;
+  Bts__Run *run;
+  /*
+   * The task's crash points, with those for this crash; see crash.h.
+   */
+  uint32_t points;
+};
+#define BTS__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__crash__descriptor) \
+    , NULL, 0 }
+
+
 /*
  * A worker on which the owner holds a lease. The next owner needs it to find the worker
  * even if the registry doesn't list it any more.
@@ -240,10 +297,14 @@
    * Who has read the journal from this offset on knows all jobs that the owner knows.
    */
   uint64_t oldest_needed;
+  size_t n_crashes;
+  Bts__Crash **crashes;
+  size_t n_silent;
+  Bts__Silent **silent;
 };
 #define BTS__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__beat__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -261,10 +322,12 @@
   char *saved;
   uint32_t gang_fails;
   uint32_t gang_failed_run;
+  uint32_t crash_run;
+  uint32_t crash_points;
 };
 #define BTS__TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__task_state__descriptor) \
-    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -661,6 +724,63 @@
 void   bts__end__free_unpacked
                      (Bts__End *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Run methods */
+void   bts__run__init
+                     (Bts__Run         *message);
+size_t bts__run__get_packed_size
+                     (const Bts__Run   *message);
+size_t bts__run__pack
+                     (const Bts__Run   *message,
+                      uint8_t             *out);
+size_t bts__run__pack_to_buffer
+                     (const Bts__Run   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Run *
+       bts__run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__run__free_unpacked
+                     (Bts__Run *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Silent methods */
+void   bts__silent__init
+                     (Bts__Silent         *message);
+size_t bts__silent__get_packed_size
+                     (const Bts__Silent   *message);
+size_t bts__silent__pack
+                     (const Bts__Silent   *message,
+                      uint8_t             *out);
+size_t bts__silent__pack_to_buffer
+                     (const Bts__Silent   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Silent *
+       bts__silent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__silent__free_unpacked
+                     (Bts__Silent *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Crash methods */
+void   bts__crash__init
+                     (Bts__Crash         *message);
+size_t bts__crash__get_packed_size
+                     (const Bts__Crash   *message);
+size_t bts__crash__pack
+                     (const Bts__Crash   *message,
+                      uint8_t             *out);
+size_t bts__crash__pack_to_buffer
+                     (const Bts__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Crash *
+       bts__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__crash__free_unpacked
+                     (Bts__Crash *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Held methods */
 void   bts__held__init
                      (Bts__Held         *message);
@@ -953,6 +1073,15 @@
 typedef void (*Bts__End_Closure)
                  (const Bts__End *message,
                   void *closure_data);
+typedef void (*Bts__Run_Closure)
+                 (const Bts__Run *message,
+                  void *closure_data);
+typedef void (*Bts__Silent_Closure)
+                 (const Bts__Silent *message,
+                  void *closure_data);
+typedef void (*Bts__Crash_Closure)
+                 (const Bts__Crash *message,
+                  void *closure_data);
 typedef void (*Bts__Held_Closure)
                  (const Bts__Held *message,
                   void *closure_data);
@@ -1009,6 +1138,9 @@
 extern const ProtobufCMessageDescriptor bts__claim__descriptor;
 extern const ProtobufCMessageDescriptor bts__resigned__descriptor;
 extern const ProtobufCMessageDescriptor bts__end__descriptor;
+extern const ProtobufCMessageDescriptor bts__run__descriptor;
+extern const ProtobufCMessageDescriptor bts__silent__descriptor;
+extern const ProtobufCMessageDescriptor bts__crash__descriptor;
 extern const ProtobufCMessageDescriptor bts__held__descriptor;
 extern const ProtobufCMessageDescriptor bts__beat__descriptor;
 extern const ProtobufCMessageDescriptor bts__task_state__descriptor;
