A list of ends that may be cut off says nothing about the runs that it lacks

Callers saw tasks that had ended done run again (two cases of test_cluster: 1,200 and 400 starts).

Cause: a worker lists 500 ends at a time. A run whose end comes after these is neither listed as running nor as ended, and was given up as not listed; and a new owner took a worker that had listed only the first of its ends for known, and started the tasks of the others. While the store is down or slow, ends pile up. Class: an answer that is one page of several, taken for all of it.

Looked for elsewhere: pages of the store's registry are read to the last one before an entry counts as gone (pf_store_read_newest).

--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -230,6 +230,7 @@
   memset (&worker->used, 0, sizeof worker->used);
   worker->generation++;
   worker->synced = FALSE;
+  worker->partly_listed = FALSE;
   worker->clock_ms = 0;
   worker->clock_at_us = 0;
   worker->requested_deadline_ms = 0;
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -134,6 +134,7 @@
  *   known
  * @generation: raised by bts_worker_reset(); tells replies to earlier orders apart
  * @synced: it has listed its runs to this owner
+ * @partly_listed: it has listed only the first of its ends to this owner
  * @runs: bts_run_t that may be on it
  * @lost_runs: bts_lost_run_t for which it isn't known yet whether the worker has crashed
  * @used: resources that @runs take
@@ -174,6 +175,7 @@
   gint64 started_ms;
   guint generation;
   gboolean synced;
+  gboolean partly_listed;
   GPtrArray *runs;
   GPtrArray *lost_runs;
   bts_resources_t used;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -417,6 +417,8 @@
 {
   if (worker->synced || worker->replaced)
     return FALSE;
+  if (worker->partly_listed && worker->hold_failures == 0)
+    return TRUE;
   gint64 granted_us = bts_lease_max_us (bts_sched_max_earlier_lease_ms (sched, worker));
   return bts_sched_now (sched)
          < MAX (sched->earlier_leases_end_us, sched->term_began_us + granted_us);
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -108,6 +108,8 @@
  * @started_ms: Unix time at which the worker's process started; 0 if not given
  * @running: bts_listed_run_t
  * @finished: bts_listed_end_t in the order of their sequence numbers
+ * @is_partial: the worker may have more ends than it has listed; it lists them once these are
+ *   acknowledged
  */
 typedef struct
 {
@@ -115,6 +117,7 @@
   gint64 started_ms;
   GPtrArray *running;
   GPtrArray *finished;
+  gboolean is_partial;
 } bts_listing_t;
 
 void bts_listed_end_free (gpointer data);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -487,9 +487,11 @@
     process_listed_end (sched, worker, listing->finished->pdata[i]);
   for (guint i = 0; i < listing->running->len; i++)
     process_listed_run (sched, worker, listing->running->pdata[i]);
-  mark_unlisted_lost (sched, worker);
+  worker->partly_listed = listing->is_partial;
+  if (!listing->is_partial)
+    mark_unlisted_lost (sched, worker);
   worker->hold_next_us = worker->ends_in_flight > 0 ? now_us + HOLD_JOURNALING_US : now_us;
   sched->dirty = sched->dirty || !worker->synced;
-  worker->synced = TRUE;
+  worker->synced = worker->synced || !listing->is_partial;
   bts_heartbeat_add_held (sched, worker);
 }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -945,6 +945,7 @@
       row->checkpoint = checkpoint_of (run);
       g_ptr_array_add (order->listing->running, row);
     }
+  order->listing->is_partial = worker->finished->len >= SIM_LIST_ENDS_MAX;
   for (guint i = 0; i < MIN (worker->finished->len, SIM_LIST_ENDS_MAX); i++)
     {
       const bts_listed_end_t *end = worker->finished->pdata[i];
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -164,6 +164,28 @@
     ".0.2.0\",7,\"lapsed\",\"ab\"]],\"clock-ms\":9,\"more\":[1,{\"a\":[2]}]" },
 };
 
+static const struct
+{
+  guint n_ends;
+  gboolean is_partial;
+} long_listings[] = { { 0, FALSE }, { 499, FALSE }, { 500, TRUE } };
+
+/* Guards against a list that was cut off and is taken for the whole. */
+START_TEST (listing_that_may_be_cut_off_is_partial)
+{
+  g_autoptr (GString) text = g_string_new ("{\"clock-ms\":5,\"finished\":[");
+  for (guint i = 0; i < long_listings[_i].n_ends; i++)
+    g_string_append_printf (text, "%s[%u,\"" ID ".0.1.%u\",1,\"done\",\"\"]", i == 0 ? "" : ",",
+                            i + 1, i);
+  g_string_append (text, "]}");
+  bts_listing_t *listing = pf_wire_parse_listing (text->str, text->len, NULL);
+  ck_assert_ptr_nonnull (listing);
+  ck_assert_uint_eq (listing->finished->len, long_listings[_i].n_ends);
+  ck_assert_int_eq (listing->is_partial, long_listings[_i].is_partial);
+  bts_listing_free (listing);
+}
+END_TEST
+
 START_TEST (listing_is_the_same_in_place)
 {
   g_autofree char *plain = g_strdup_printf ("{%s}", same_listings[_i].members);
@@ -409,6 +431,8 @@
   tcase_add_loop_test (tests, entry_is_known_but_for_its_sequence, 0, G_N_ELEMENTS (entry_pairs));
   tcase_add_loop_test (tests, listing_is_read_or_refused, 0, G_N_ELEMENTS (listings));
   tcase_add_loop_test (tests, damaged_listing_is_read_or_refused, 0, 8);
+  tcase_add_loop_test (tests, listing_that_may_be_cut_off_is_partial, 0,
+                       G_N_ELEMENTS (long_listings));
   tcase_add_loop_test (tests, listing_is_the_same_in_place, 0, G_N_ELEMENTS (same_listings));
   tcase_add_loop_test (tests, reply_is_told_apart, 0, G_N_ELEMENTS (replies));
   tcase_add_loop_test (tests, tables_are_read_or_refused, 0, G_N_ELEMENTS (manifests));
