--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -14,9 +14,6 @@
 /* The store was unavailable if the journal wasn't read to its end for this long, in
    microseconds: its long-polling reads return within 1 s. */
 #define STORE_OUTAGE_US (2500 * 1000)
-/* A process that was stalled for this long, in microseconds, may have missed cancellations
-   and a change of the owner. Normally it ticks every 10 to 50 ms. */
-#define STALL_US (400 * 1000)
 /* Interval between Hello records of a process, in microseconds; members.c considers a
    process gone that misses two of them. With a slow log, every other one is left out. */
 #define HELLO_INTERVAL_US (4 * BT_USEC_PER_SEC)
@@ -1049,7 +1046,7 @@
 bts_node_tick (bts_node_t *node)
 {
   gint64 now_us = node_now (node);
-  if (node->last_tick_us != 0 && now_us - node->last_tick_us > STALL_US)
+  if (node->last_tick_us != 0 && now_us - node->last_tick_us > BTS_STALL_US)
     {
       bt_log (BT_LOG_WARNING, "paused", "for_ms=%" G_GINT64_FORMAT,
               (now_us - node->last_tick_us) / 1000);
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -238,12 +238,12 @@
 }
 
 /* Repeats a start order that got no reply, or stops the run after several of them: the order may
-   have been carried out, or may be carried out later. */
+   have been carried out, or may be carried out later. While a later owner may have started the
+   task, the order waits. */
 static void
-handle_unanswered_start (bts_sched_t *sched, bts_run_t *run)
+repeat_start (bts_sched_t *sched, bts_run_t *run)
 {
-  run->unanswered_starts++;
-  if (run->state != BTS_RUN_STARTING)
+  if (run->state != BTS_RUN_STARTING || bts_sched_is_journal_stale (sched))
     return;
   gint64 expiry_us = bts_worker_lease_expiry_us (run->worker);
   if (bts_sched_confirmed_us (sched) > expiry_us)
@@ -284,7 +284,8 @@
       confirm_run (sched, run, now_us);
       break;
     case BTS_REPLY_NO_ANSWER:
-      handle_unanswered_start (sched, run);
+      run->unanswered_starts++;
+      repeat_start (sched, run);
       break;
     case BTS_REPLY_FENCED:
       sched->ops->fenced (sched->context);
@@ -353,13 +354,18 @@
 }
 
 /**
- * bts_run_tick() - repeat the stop order of a run if its retry is due
+ * bts_run_tick() - repeat the order of a run if that is due
  * @sched: the scheduler
  * @run: the run
  */
 void
 bts_run_tick (bts_sched_t *sched, bts_run_t *run)
 {
+  if (run->state == BTS_RUN_STARTING && run->unanswered_starts > 0 && !run->start_in_flight)
+    {
+      repeat_start (sched, run);
+      return;
+    }
   if (run->stop_retry_us == 0 || run->stop_retry_us > bts_sched_now (sched))
     return;
   if (run->state == BTS_RUN_STOPPING && !run->stop_in_flight && !run->stop_acked)
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -311,6 +311,7 @@
   bts_sched_end_term (sched);
   sched->term = term;
   sched->term_began_us = bts_sched_now (sched);
+  sched->ticked_us = sched->term_began_us;
   sched->confirmed_us = 0;
   sched->earlier_leases_end_us = earlier_leases_end_us;
   sched->settled = FALSE;
@@ -657,6 +658,18 @@
   sched->journal_stale = stale;
 }
 
+/**
+ * bts_sched_is_journal_stale() - whether the journal may hold records not read yet
+ * @sched: a leading scheduler
+ *
+ * Replies that arrived during a stall are handled before the next tick, which notices it.
+ */
+gboolean
+bts_sched_is_journal_stale (const bts_sched_t *sched)
+{
+  return sched->journal_stale || bts_sched_now (sched) - sched->ticked_us > BTS_STALL_US;
+}
+
 static gint64
 total_cpu (const bts_stage_t *stage)
 {
@@ -771,8 +784,8 @@
 bts_sched_run_pass (bts_sched_t *sched)
 {
   gint64 now_us = bts_sched_now (sched);
-  if (sched->term == 0 || !sched->dirty || sched->journal_stale || sched->entries_stale
-      || now_us < sched->next_pass_us)
+  if (sched->term == 0 || !sched->dirty || bts_sched_is_journal_stale (sched)
+      || sched->entries_stale || now_us < sched->next_pass_us)
     return;
   sched->dirty = FALSE;
   sched->last_pass_us = now_us;
@@ -926,6 +939,7 @@
 {
   if (sched->term == 0)
     return;
+  sched->ticked_us = bts_sched_now (sched);
   tick_workers (sched);
   if (!sched->settled && are_earlier_runs_known (sched))
     {
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -15,6 +15,10 @@
 
 typedef struct bts_sched_t bts_sched_t;
 
+/* A process that was stalled for this long, in microseconds, may have missed cancellations
+   and a change of the owner. Normally it ticks every 10 to 50 ms. */
+#define BTS_STALL_US (400 * 1000)
+
 /**
  * struct bts_hold_order_t - order that renews a worker's lease and asks for its lists of runs
  * @fence: term of the owner
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -68,6 +68,7 @@
  * @dirty: something has changed, so that a pass over the queue may place tasks
  * @last_pass_us: when the last pass ran
  * @ticks: counts the ticks
+ * @ticked_us: when the last tick was, or the term began
  * @next_pass_us: no pass before this time
  * @pass_number: number of the last pass
  * @queue_unsorted: a stage was queued or has changed its band since the queue was last sorted
@@ -121,6 +122,7 @@
   gboolean dirty;
   gint64 last_pass_us;
   guint ticks;
+  gint64 ticked_us;
   gint64 next_pass_us;
   guint64 pass_number;
   gboolean queue_unsorted;
@@ -138,6 +140,7 @@
 
 gint64 bts_sched_now (const bts_sched_t *sched);
 gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
+gboolean bts_sched_is_journal_stale (const bts_sched_t *sched);
 gboolean bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, gint64 now_us);
 gboolean bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, gint64 now_us);
 
