A worker without an entry in the registry may run tasks that need a label

Its labels aren't known, so a step that needs one was taken not to run there, and was started elsewhere before the worker had listed its runs. Class: unknown taken for no.

Change: the wait for such a worker asks for its service alone. Looked for elsewhere: the advice service's answers have the same guard (denied only if asked).

--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -425,6 +425,14 @@
          < MAX (sched->earlier_leases_end_us, sched->term_began_us + granted_us);
 }
 
+/* The labels of a worker without an entry in the registry aren't known. */
+static gboolean
+may_match (const bts_worker_t *worker, const bts_stage_t *stage)
+{
+  return worker->registered ? bts_place_matches (worker, stage)
+                            : worker->service == stage->job->service;
+}
+
 /* Whether an earlier owner may have started tasks of a stage on a worker that hasn't listed
    its runs yet. */
 static gboolean
@@ -439,7 +447,7 @@
          asked about. */
       gboolean denied = bts_stage_was_asked (stage, worker->number)
                         && bts_stage_ticket (stage, worker->number) == NULL;
-      if (!denied && bts_place_matches (worker, stage))
+      if (!denied && may_match (worker, stage))
         return TRUE;
     }
   return g_hash_table_size (sched->fleet->workers) == 0;
