--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -129,6 +129,7 @@
  * @service: the entry's service, interned, so that pools compare by pointer
  * @registered: it is in the registry now
  * @unregistered_us: since when it isn't registered
+ * @held: the journal says that an owner holds it, so that the next owner will know it
  * @replaced: another worker answers at its address, so this incarnation is over
  * @started_ms: start of the incarnation that @runs and @journaled_seq belong to; 0 if not
  *   known
@@ -171,6 +172,7 @@
   const char *service;
   gboolean registered;
   gint64 unregistered_us;
+  gboolean held;
   gboolean replaced;
   gint64 started_ms;
   guint generation;
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -191,6 +191,8 @@
 {
   bts_node_t *node = context;
   bts_fleet_add_held (&node->fleet, held, node_now (node));
+  bts_fleet_find_worker (&node->fleet, held->worker)->held = TRUE;
+  bts_sched_mark_dirty (node->sched);
 }
 
 static void
@@ -198,7 +200,10 @@
 {
   bts_node_t *node = context;
   bts_worker_t *worker = bts_fleet_find_worker (&node->fleet, id);
-  if (worker != NULL && !worker->registered && !bts_sched_is_leading (node->sched))
+  if (worker == NULL)
+    return;
+  worker->held = FALSE;
+  if (!worker->registered && !bts_sched_is_leading (node->sched))
     bts_fleet_remove (&node->fleet, id);
 }
 
