--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -475,6 +475,14 @@
   job->snapshot_offset = offset;
 }
 
+/* An earlier owner may not have read the ends of a later term. Processes of older versions write
+   no term. */
+static gboolean
+is_outdated (const bts_ledger_t *ledger, guint64 term)
+{
+  return term != 0 && term < ledger->term;
+}
+
 /* Only adds to the known state, so a snapshot that is older than records folded before does no
    harm. */
 static gboolean
@@ -608,7 +616,8 @@
       fold_heartbeat (ledger, record->beat, offset, now_us);
       break;
     case BTS__RECORD__KIND_KEPT:
-      ok = fold_job_snapshot (ledger, record->kept, offset, now_us, error);
+      if (!is_outdated (ledger, record->kept->term))
+        ok = fold_job_snapshot (ledger, record->kept, offset, now_us, error);
       break;
     case BTS__RECORD__KIND_ENDED:
       fold_ended_snapshot (ledger, record->ended, offset, now_us);
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -67,6 +67,7 @@
           add_task_state (states, &occurrence->stages[i].tasks[t]);
     }
   Bts__Kept kept = BTS__KEPT__INIT;
+  kept.term = sched->term;
   kept.accepted = job->accepted;
   kept.begun = job->begun;
   kept.cancelled = job->cancelled;
@@ -218,7 +219,8 @@
 bts_snapshot_tick (bts_sched_t *sched)
 {
   gint64 now_us = bts_sched_now (sched);
-  if (sched->config.retention_ms == 0 || now_us - sched->snapshot_checked_us < CHECK_INTERVAL_US)
+  if (sched->config.retention_ms == 0 || now_us - sched->snapshot_checked_us < CHECK_INTERVAL_US
+      || bts_sched_is_journal_stale (sched))
     return;
   sched->snapshot_checked_us = now_us;
   if (sched->standing_written_us < sched->term_began_us
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -2588,7 +2588,7 @@
   (ProtobufCMessageInit) bts__task_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__kept__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bts__kept__field_descriptors[6] =
 {
   {
     "accepted",
@@ -2650,6 +2650,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__kept__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
@@ -2657,11 +2669,12 @@
   2,   /* field[2] = cancelled */
   3,   /* field[3] = failed */
   4,   /* field[4] = tasks */
+  5,   /* field[5] = term */
 };
 static const ProtobufCIntRange bts__kept__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bts__kept__descriptor =
 {
@@ -2671,7 +2684,7 @@
   "Bts__Kept",
   "bts",
   sizeof(Bts__Kept),
-  5,
+  6,
   bts__kept__field_descriptors,
   bts__kept__field_indices_by_name,
   1,  bts__kept__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -342,10 +342,14 @@
   protobuf_c_boolean failed;
   size_t n_tasks;
   Bts__TaskState **tasks;
+  /*
+   * Term of the owner that wrote it; in a later term it counts for nothing.
+   */
+  uint64_t term;
 };
 #define BTS__KEPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__kept__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL }
+    , NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
