--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -170,6 +170,32 @@
   return left < right ? -1 : left > right;
 }
 
+/* Whether ends of the job are on their way into the journal. A snapshot that lacks them would land
+   after them, and a reader that knows the job from there alone would never learn of them. */
+static gboolean
+has_ends_in_flight (const bts_job_t *job)
+{
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      const bts_occurrence_t *occurrence = job->occurrences->pdata[k];
+      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
+        for (guint t = 0; t < occurrence->stages[i].n_tasks; t++)
+          if (occurrence->stages[i].tasks[t].pending_end_run != 0)
+            return TRUE;
+    }
+  return FALSE;
+}
+
+/* A job with ends in flight waits for them, but not until the log deletes its last snapshot. */
+static gboolean
+is_due (const bts_sched_t *sched, const bts_job_t *job, gint64 now_us)
+{
+  gint64 age_us = now_us - snapshot_time_us (sched, job);
+  if (age_us < snapshot_interval_us (sched) || now_us - job->snapshot_sent_us < SNAPSHOT_RETRY_US)
+    return FALSE;
+  return age_us >= 2 * snapshot_interval_us (sched) || !has_ends_in_flight (job);
+}
+
 /* Jobs whose snapshot is due, the oldest first. */
 static GPtrArray *
 find_due_jobs (bts_sched_t *sched, gint64 now_us)
@@ -179,12 +205,8 @@
   gpointer value;
   g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const bts_job_t *job = value;
-      if (now_us - snapshot_time_us (sched, job) >= snapshot_interval_us (sched)
-          && now_us - job->snapshot_sent_us >= SNAPSHOT_RETRY_US)
-        g_ptr_array_add (due, value);
-    }
+    if (is_due (sched, value, now_us))
+      g_ptr_array_add (due, value);
   g_ptr_array_sort_with_data (due, compare_snapshot_times, sched);
   return due;
 }
