Test of workers whose capacity shrinks and grows again

The owner reads the registry each 0.9 s and places by what it says; nothing had to change. With the tasks handed in right after the change (trial) all 90 start before the owner has read it, and the case fails.

--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1214,6 +1214,29 @@
   expect_all_completed (sim);
 }
 
+/* Guards against tasks placed by the capacity that a worker had before it shrank. */
+static void
+workers_shrink_and_grow_again (sim_t *sim)
+{
+  static const sim_step_t steps[] = { { .count = 30, .cpu = 3000, .memory = 2000, .ms = 3000 } };
+  bts_resources_t full = sim_worker (sim, 0)->capacity;
+  bts_resources_t small = { full.cpu_millis / 4, full.memory_mb, full.gpus };
+  for (guint i = 0; i < 6; i++)
+    sim_worker (sim, i)->capacity = small;
+  sim_run_ms (sim, 2000);
+  for (guint i = 0; i < 3; i++)
+    sim_submit (sim, i, &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 2500);
+  guint n_small = sim->starts;
+  ck_assert_uint_gt (n_small, 0);
+  for (guint i = 0; i < 6; i++)
+    sim_worker (sim, i)->capacity = full;
+  sim_run_ms (sim, 2500);
+  ck_assert_uint_gt (sim->starts, 2 * n_small);
+  sim_run_ms (sim, 20000);
+  expect_all_completed (sim);
+}
+
 static const struct
 {
   const char *name;
@@ -1279,6 +1302,7 @@
   { "next_owner_sees_part_of_the_ends", next_owner_sees_part_of_the_ends },
   { "resumed_owner_repeats_a_start", resumed_owner_repeats_a_start },
   { "resumed_owner_writes_old_jobs_again", resumed_owner_writes_old_jobs_again },
+  { "workers_shrink_and_grow_again", workers_shrink_and_grow_again },
 };
 
 START_TEST (installation_keeps_its_promises)
