A new owner waits for leases of earlier owners until it is known to lead still

Callers saw tasks run on two workers at once (new_owner_and_some_workers_cut_off, 4 starts). Found by a review of the same cause in an owner that loses a worker.

Cause: a new owner took a worker that it can't reach for free of earlier runs once the leases of earlier owners were over by its clock. Cut off from the store by then, it doesn't know that the next owner has found these runs and renewed their leases. Class: a right that is used without a sign that it is still held.

Change: as for runs that are given up, the time that counts is that of the newest heartbeat that was read back. Where no worker is known the same.

test_cluster: the case failed before; the others, test_cluster_random, test_retention and test_scale as before.

--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -412,7 +412,8 @@
   return recently_started ? sched->config.hold_max_ms : bts_sched_lease_ms (sched);
 }
 
-/* Whether a worker that hasn't listed its runs yet may still run tasks of earlier owners. */
+/* Whether a worker that hasn't listed its runs yet may still run tasks of earlier owners. A later
+   owner may have renewed a lease that was over by the clock. */
 static gboolean
 may_have_unlisted_runs (const bts_sched_t *sched, const bts_worker_t *worker)
 {
@@ -421,7 +422,7 @@
   if (worker->partly_listed && worker->hold_failures == 0)
     return TRUE;
   gint64 granted_us = bts_lease_max_us (bts_sched_max_earlier_lease_ms (sched, worker));
-  return bts_sched_now (sched)
+  return bts_sched_confirmed_us (sched)
          < MAX (sched->earlier_leases_end_us, sched->term_began_us + granted_us);
 }
 
@@ -843,7 +844,7 @@
       if (may_have_unlisted_runs (sched, worker))
         return FALSE;
     }
-  return n_workers > 0 || bts_sched_now (sched) >= sched->earlier_leases_end_us;
+  return n_workers > 0 || bts_sched_confirmed_us (sched) >= sched->earlier_leases_end_us;
 }
 
 static void
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1237,6 +1237,41 @@
   expect_all_completed (sim);
 }
 
+/* Guards against tasks started again by a new owner that counts the leases of the one before it as
+   over, although the next owner has renewed them. */
+static void
+new_owner_and_some_workers_cut_off (sim_t *sim)
+{
+  static const sim_step_t steps[]
+      = { { .count = 12, .cpu = 3000, .memory = 2000, .ms = 14000, .per_worker = 4 } };
+  sim_run_ms (sim, 3 * SIM_HOLD_MAX_MS);
+  guint first = (guint)sim_owner (sim);
+  sim_submit (sim, first, &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 1500);
+  guint second = (first + 1) % 3;
+  guint third = (first + 2) % 3;
+  for (guint i = 1; i < sim->workers->len; i += 2)
+    sim_worker (sim, i)->cut_from = (gint)second;
+  sim_node (sim, third)->cut = TRUE;
+  sim_leave (sim, first);
+  for (guint i = 0; i < 1000 && sim_owner (sim) != (gint)second; i++)
+    sim_run_ms (sim, 1);
+  ck_assert_int_eq (sim_owner (sim), (gint)second);
+  sim_node (sim, third)->cut = FALSE;
+  sim_run_ms (sim, 1000);
+  sim_node (sim, second)->cut = TRUE;
+  for (guint i = 0; i < sim->workers->len; i += 2)
+    sim_worker (sim, i)->cut_from = (gint)third;
+  sim_run_ms (sim, 200);
+  sim_kill (sim, first);
+  sim_run_ms (sim, 9000);
+  sim_node (sim, second)->cut = FALSE;
+  for (guint i = 0; i < sim->workers->len; i++)
+    sim_worker (sim, i)->cut_from = -1;
+  sim_run_ms (sim, 25000);
+  expect_all_completed (sim);
+}
+
 static const struct
 {
   const char *name;
@@ -1303,6 +1338,7 @@
   { "resumed_owner_repeats_a_start", resumed_owner_repeats_a_start },
   { "resumed_owner_writes_old_jobs_again", resumed_owner_writes_old_jobs_again },
   { "workers_shrink_and_grow_again", workers_shrink_and_grow_again },
+  { "new_owner_and_some_workers_cut_off", new_owner_and_some_workers_cut_off },
 };
 
 START_TEST (installation_keeps_its_promises)
