--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -483,6 +483,50 @@
   return term != 0 && term < ledger->term;
 }
 
+static gint
+compare_places (const Bts__TaskState *state, const bts_task_t *task)
+{
+  const bts_stage_t *stage = task->stage;
+  if (state->occurrence != stage->occurrence)
+    return state->occurrence < stage->occurrence ? -1 : 1;
+  if (state->step != stage->step)
+    return state->step < stage->step ? -1 : 1;
+  return state->index < task->index ? -1 : state->index > task->index;
+}
+
+/* Whether a snapshot holds all that is known of a task. Its states are in the order of the tasks;
+   @next is moved on to that of the task. */
+static gboolean
+covers_task (const Bts__Kept *snapshot, gsize *next, const bts_task_t *task)
+{
+  while (*next < snapshot->n_tasks && compare_places (snapshot->tasks[*next], task) < 0)
+    (*next)++;
+  if (*next == snapshot->n_tasks || compare_places (snapshot->tasks[*next], task) > 0)
+    return task->ended_run == 0 && !task->done;
+  const Bts__TaskState *state = snapshot->tasks[*next];
+  return state->ended_run >= task->ended_run && (state->done || !task->done);
+}
+
+/* Whether a snapshot holds all that is known of a job. Its owner may have lacked records that are
+   before it in the log. */
+static gboolean
+covers_job (const Bts__Kept *snapshot, const bts_job_t *job)
+{
+  if ((job->cancelled && !snapshot->cancelled) || (job->failed && !snapshot->failed)
+      || (job->completed && snapshot->n_tasks == 0))
+    return FALSE;
+  gsize next = 0;
+  for (guint k = 0; k < job->occurrences->len; k++)
+    {
+      const bts_occurrence_t *occurrence = job->occurrences->pdata[k];
+      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
+        for (guint t = 0; t < occurrence->stages[i].n_tasks; t++)
+          if (!covers_task (snapshot, &next, &occurrence->stages[i].tasks[t]))
+            return FALSE;
+    }
+  return TRUE;
+}
+
 /* Only adds to the known state, so a snapshot that is older than records folded before does no
    harm. */
 static gboolean
@@ -501,7 +545,8 @@
   bts_job_t *job = bts_ledger_job (ledger, id);
   if (snapshot->accepted != NULL && !bts_job_has_ended (job))
     move_spec (job, snapshot->accepted);
-  set_snapshot_read (ledger, job, offset, now_us);
+  if (covers_job (snapshot, job))
+    set_snapshot_read (ledger, job, offset, now_us);
   if (bts_job_has_ended (job))
     return TRUE;
   job->begun = job->begun || snapshot->begun;
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -67,12 +67,13 @@
 
 /* The same for large days. */
 static const guint32 large_regressions[] = {
-  148, /* a worker was used before the journal said so, and the next owner couldn't read the
-          registry */
-  188, /* a worker without an entry has no labels, so its runs weren't waited for */
-  563, /* a resumed owner wrote jobs again as it had known them */
-  431, /* as 148 */
-  702, /* as 148 */
+  148,  /* a worker was used before the journal said so, and the next owner couldn't read the
+           registry */
+  188,  /* a worker without an entry has no labels, so its runs weren't waited for */
+  563,  /* a resumed owner wrote jobs again as it had known them */
+  431,  /* as 148 */
+  702,  /* as 148 */
+  5048, /* a snapshot that lacked records before it counted as the newest */
 };
 
 /**
--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -283,6 +283,45 @@
 }
 END_TEST
 
+/* Guards against a reader that takes a snapshot for the newest state of a job although it lacks a
+   cancellation that came into the journal before it. */
+START_TEST (cancelled_while_a_snapshot_is_on_its_way)
+{
+  sim_t *sim = sim_with_retention (3);
+  sim_run_ms (sim, 3000);
+  guint owner = (guint)sim_owner (sim);
+  guint other = (owner + 1) % 3;
+  guint third = (owner + 2) % 3;
+  sim_job_t *job = sim_submit (sim, other, &batch, slow, G_N_ELEMENTS (slow));
+  sim_run_ms (sim, KEEP_MS / 3 - 100);
+  sim_node (sim, owner)->deaf = TRUE;
+  sim_run_ms (sim, 20);
+  sim_cancel (sim, other, job);
+  sim_run_ms (sim, 50);
+  gint64 cancelled_us = bt_clock_now (&sim->clock);
+  sim_run_ms (sim, 400);
+  sim_node (sim, owner)->deaf = FALSE;
+  sim_run_ms (sim, 2500);
+  ck_assert_int_eq (sim_owner (sim), (gint)owner);
+  ck_assert_int_eq (sim_state (sim, job), BTS_JOB_CANCELLED);
+  sim_kill (sim, third);
+  trim_log (sim, (bt_clock_now (&sim->clock) - cancelled_us) / 1000);
+  sim_start (sim, third);
+  bts_node_t *late = sim_node (sim, third)->node;
+  bts_job_state_t state;
+  for (guint i = 0;
+       i < 120 && bts_node_query (late, "00000000000000ff", &state) != BTS_ANSWER_NOT_FOUND; i++)
+    sim_run_ms (sim, 100);
+  if (bts_node_query (late, job->id, &state) == BTS_ANSWER_OK)
+    ck_assert_str_eq (bts_job_state_name (state), bts_job_state_name (BTS_JOB_CANCELLED));
+  sim_kill (sim, owner);
+  sim_kill (sim, other);
+  sim_run_ms (sim, 12000);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -293,5 +332,6 @@
   tcase_add_loop_test (tests, owner_after_skipped_records, 0, G_N_ELEMENTS (gaps));
   tcase_add_test (tests, processes_that_know_nothing_begin_again);
   tcase_add_test (tests, process_with_skipped_records_says_what_it_knows);
+  tcase_add_test (tests, cancelled_while_a_snapshot_is_on_its_way);
   return suite_run ("retention", tests);
 }
