A silence of a worker that is long over isn't taken for a crash by the next owner

Callers saw a sound job shown as failed (old_silences_are_no_crashes). Found by a review.

The next owner took the worker's next incarnation, a minute later, for the crash; two of them gave the task up. Records that were replayed had no age at all.

Change: what fell silent more than 8 s before a term begins is dropped, as an earlier owner has seen the worker again by then, and replayed records of it are passed over.

Not mended: a worker that is silent for a moment, answers, and leaves or crashes within 8 s, while the owner dies: its start counts as a crash. It takes two of these in a row.

--- a/libbamboothread/scheduler/crash.c
+++ b/libbamboothread/scheduler/crash.c
@@ -49,13 +49,30 @@
 
 /* Records that a task may have crashed a worker. */
 static void
-suspect (bts_task_t *task, gint64 now_us)
+mark_suspect (bts_task_t *task, gint64 now_us)
 {
   if (bts_crash_is_suspect (task))
     task->crash_wait_us = now_us + VERDICT_WAIT_US;
   task->crash_suspected = TRUE;
 }
 
+/* Drops the runs of a worker that were lost so long ago that an earlier owner knew what had become
+   of it, and marks the tasks of the others as suspects. */
+static void
+adopt_lost_runs (bts_sched_t *sched, bts_worker_t *worker)
+{
+  gint64 now_us = bts_sched_now (sched);
+  for (guint i = worker->lost_runs->len; i > 0; i--)
+    {
+      const bts_lost_run_t *lost = worker->lost_runs->pdata[i - 1];
+      bts_task_t *task = bts_sched_find_task (sched, lost->name);
+      if (now_us - lost->silent_us > BTS_LOST_RUN_KEEP_US)
+        g_ptr_array_remove_index (worker->lost_runs, i - 1);
+      else if (task != NULL && lost->number > MAX (task->ended_run, task->crash_run))
+        mark_suspect (task, now_us);
+    }
+}
+
 /**
  * bts_crash_begin_term() - take over what earlier owners have recorded
  * @sched: a scheduler that has begun to lead
@@ -64,16 +81,8 @@
 bts_crash_begin_term (bts_sched_t *sched)
 {
   for (guint i = 0; i < sched->fleet->numbered->len; i++)
-    {
-      const bts_worker_t *worker = sched->fleet->numbered->pdata[i];
-      for (guint j = 0; worker != NULL && j < worker->lost_runs->len; j++)
-        {
-          const bts_lost_run_t *lost = worker->lost_runs->pdata[j];
-          bts_task_t *task = bts_sched_find_task (sched, lost->name);
-          if (task != NULL && lost->number > MAX (task->ended_run, task->crash_run))
-            suspect (task, bts_sched_now (sched));
-        }
-    }
+    if (sched->fleet->numbered->pdata[i] != NULL)
+      adopt_lost_runs (sched, sched->fleet->numbered->pdata[i]);
 }
 
 /**
@@ -117,7 +126,7 @@
       task->crash_suspected = FALSE;
       return;
     }
-  suspect (task, bts_sched_now (sched));
+  mark_suspect (task, bts_sched_now (sched));
   add_lost_run (run, bts_sched_now (sched));
 }
 
@@ -159,7 +168,7 @@
  * @sched: the scheduler
  * @worker: the worker, still with the state of that incarnation; what it ran has been given up
  *
- * A worker that was draining has left as planned.
+ * Runs lost on a draining worker don't count as crashes.
  */
 void
 bts_crash_on_worker_ended (bts_sched_t *sched, bts_worker_t *worker)
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -222,7 +222,7 @@
 /**
  * bts_worker_reset() - clear the state of an earlier incarnation or term
  * @worker: the worker; runs that it still has are kept, but no longer count as used resources. What
- *   is known of lost runs is kept for the next owner, which this process may be
+ * is known of lost runs is kept
  */
 void
 bts_worker_reset (bts_worker_t *worker)
@@ -248,14 +248,12 @@
   worker->consecutive_failures = 0;
 }
 
-/* After this time a worker that has crashed is back, or is gone for good, in microseconds. */
-#define LOST_RUN_KEEP_US (G_GINT64_CONSTANT (20) * 1000 * 1000)
-
 /**
  * bts_worker_add_lost_run() - remember a run until it is known whether its worker has crashed
  * @worker: the worker
- * @run: the run; copied, or ignored if it is remembered already. What fell silent long before it
- *   is dropped
+ * @run: the run; copied, or ignored if it is remembered already
+ *
+ * Runs that were remembered %BTS_LOST_RUN_KEEP_US before are dropped.
  */
 void
 bts_worker_add_lost_run (bts_worker_t *worker, const bts_lost_run_t *run)
@@ -265,7 +263,7 @@
       const bts_lost_run_t *other = worker->lost_runs->pdata[i - 1];
       if (other->number == run->number && strcmp (other->name, run->name) == 0)
         return;
-      if (run->silent_us - other->silent_us > LOST_RUN_KEEP_US)
+      if (run->silent_us - other->silent_us > BTS_LOST_RUN_KEEP_US)
         g_ptr_array_remove_index (worker->lost_runs, i - 1);
     }
   bts_lost_run_t *copy = g_memdup2 (run, sizeof *run);
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -105,6 +105,9 @@
   gint64 stop_retry_us;
 };
 
+/* Time after which a worker that has crashed is back, or is gone for good, in microseconds. */
+#define BTS_LOST_RUN_KEEP_US (G_GINT64_CONSTANT (8) * 1000 * 1000)
+
 /**
  * struct bts_lost_run_t - a run that was just starting when its worker fell silent
  * @name: name of its task
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -213,8 +213,8 @@
 {
   const bts_node_t *node = context;
   bts_worker_t *worker = bts_fleet_find_worker (&node->fleet, silent->worker);
-  /* The owner knows more than its records. */
-  if (worker == NULL || bts_sched_is_leading (node->sched))
+  /* The owner knows more than its records, and a record that is replayed may be of any age. */
+  if (worker == NULL || node->replaying || bts_sched_is_leading (node->sched))
     return;
   g_autofree char *name = bts_task_name (task);
   bts_lost_run_t lost = { name, run->run, run->confirmed, silent->started_ms, node_now (node) };
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1272,6 +1272,76 @@
   expect_all_completed (sim);
 }
 
+static sim_worker_t *
+wait_for_busy_worker (sim_t *sim)
+{
+  for (guint ms = 0; ms < 8000; ms++)
+    {
+      sim_run_ms (sim, 1);
+      for (guint i = 0; i < 6; i++)
+        if (sim_worker (sim, i)->runs->len > 0)
+          return sim_worker (sim, i);
+    }
+  ck_abort_msg ("nothing has started");
+}
+
+/* Guards against crashes counted for runs that have outlived a short silence of their worker: the
+   worker's next incarnation, much later, is taken for the crash. */
+static void
+old_silences_are_no_crashes (sim_t *sim)
+{
+  static const sim_step_t steps[] = { { .count = 1, .cpu = 3000, .memory = 2000, .lasts = TRUE } };
+  sim->comeback = SIM_COMEBACK_SAME_ID;
+  sim_job_t *job = sim_submit (sim, 0, &service, steps, 1);
+  sim_worker_t *worker = NULL;
+  for (guint round = 0; round < 2; round++)
+    {
+      worker = wait_for_busy_worker (sim);
+      sim_run_ms (sim, 5);
+      worker->dark = TRUE;
+      sim_run_ms (sim, 1200);
+      worker->dark = FALSE;
+      sim_run_ms (sim, 30000);
+      ck_assert_uint_gt (worker->runs->len, 0);
+      worker->draining = TRUE;
+      sim_run_ms (sim, 2000);
+      sim_reborn (sim, worker);
+    }
+  sim_run_ms (sim, 30000);
+  ck_assert_int_eq (sim_state (sim, job), BTS_JOB_RUNNING);
+  for (guint i = 0; i < 6; i++)
+    sim_worker (sim, i)->draining = FALSE;
+  sim_run_ms (sim, 2000);
+  /* The worker of the earlier run answers the next owner first. */
+  worker->dark = TRUE;
+  sim_kill (sim, (guint)sim_owner (sim));
+  sim_run_ms (sim, 1500);
+  worker->dark = FALSE;
+  sim_run_ms (sim, 10000);
+  ck_assert_str_eq (bts_job_state_name (sim_state (sim, job)), "running");
+}
+
+/* Guards against a task that waits for as long as other tasks start on every worker, after one
+   crash of a worker right after its start. */
+static void
+suspect_among_many_starts (sim_t *sim)
+{
+  static const sim_step_t one_long[] = { { .count = 1, .cpu = 500, .memory = 200, .ms = 1000 } };
+  static const sim_step_t tiny[]
+      = { { .count = 6, .cpu = 100, .memory = 10, .ms = 100, .per_worker = 1 } };
+  sim->comeback = SIM_COMEBACK_SAME_ID;
+  sim_job_t *job = sim_submit (sim, 0, &batch, one_long, 1);
+  sim_worker_t *worker = wait_for_busy_worker (sim);
+  sim_run_ms (sim, 10);
+  sim_crash_for_seconds (sim, worker);
+  for (guint i = 0; i < 20 * 25 && sim_state (sim, job) != BTS_JOB_COMPLETED; i++)
+    {
+      sim_submit (sim, i % 3, &lookup, tiny, 1);
+      sim_run_ms (sim, 40);
+    }
+  ck_assert_str_eq (bts_job_state_name (sim_state (sim, job)), "completed");
+}
+
 static const struct
 {
   const char *name;
@@ -1339,6 +1409,8 @@
   { "resumed_owner_writes_old_jobs_again", resumed_owner_writes_old_jobs_again },
   { "workers_shrink_and_grow_again", workers_shrink_and_grow_again },
   { "new_owner_and_some_workers_cut_off", new_owner_and_some_workers_cut_off },
+  { "old_silences_are_no_crashes", old_silences_are_no_crashes },
+  { "suspect_among_many_starts", suspect_among_many_starts },
 };
 
 START_TEST (installation_keeps_its_promises)
