A task that may have crashed a worker doesn't wait for a quiet worker for ever

Cause: after one crash of a worker right after its start, a task starts only where nothing else is just starting; with 25 short starts a second on each worker there is no such moment.

Change: after 1 s without one it starts beside others, but not beside another suspect. If the worker crashes then, it may be given up for another task's doing: two workers have crashed under it.

--- a/libbamboothread/scheduler/crash.c
+++ b/libbamboothread/scheduler/crash.c
@@ -9,6 +9,8 @@
 /* How long a suspect waits, after its run was lost, for the worker to show whether it has crashed,
    in microseconds. */
 #define VERDICT_WAIT_US (3 * BT_USEC_PER_SEC)
+/* How long a suspect waits for a worker on which nothing else is just starting, in microseconds. */
+#define BLOCKED_MAX_US (1 * BT_USEC_PER_SEC)
 
 /**
  * bts_crash_on_run_confirmed() - a worker has confirmed that a run is on it
@@ -247,25 +249,43 @@
  * bts_crash_may_share() - whether a task may start beside the runs that are just starting
  * @worker: the worker
  * @task: the task
+ * @now_us: the time
  *
  * Return: FALSE if the task or one of these runs is a suspect. Members of a gang may share a
- * worker.
+ * worker. So may a suspect that has long been blocked, unless one of the runs is a suspect too.
  */
 gboolean
-bts_crash_may_share (const bts_worker_t *worker, const bts_task_t *task)
+bts_crash_may_share (const bts_worker_t *worker, const bts_task_t *task, gint64 now_us)
 {
-  gboolean suspect = bts_crash_is_suspect (task);
+  gboolean is_isolated
+      = bts_crash_is_suspect (task)
+        && (task->crash_blocked_us == 0 || now_us - task->crash_blocked_us < BLOCKED_MAX_US);
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const bts_run_t *run = worker->runs->pdata[i];
       if (!is_starting (run) || is_same_gang (task, run))
         continue;
-      if (suspect || (run->task != NULL && bts_crash_is_suspect (run->task)))
+      if (is_isolated || (run->task != NULL && bts_crash_is_suspect (run->task)))
         return FALSE;
     }
   return TRUE;
 }
 
+/**
+ * bts_crash_on_placed() - a worker was looked for to start a task
+ * @task: the task
+ * @found: whether there was one
+ * @now_us: the time
+ */
+void
+bts_crash_on_placed (bts_task_t *task, gboolean found, gint64 now_us)
+{
+  if (found || !bts_crash_is_suspect (task))
+    task->crash_blocked_us = 0;
+  else if (task->crash_blocked_us == 0)
+    task->crash_blocked_us = now_us;
+}
+
 /**
  * bts_crash_clear() - clear what only the owner of a term knows about a task
  * @task: the task
@@ -277,6 +297,7 @@
 {
   task->crash_suspected = FALSE;
   task->crash_wait_us = 0;
+  task->crash_blocked_us = 0;
   if (!bts_job_has_ended (task->stage->job))
     task->crash_points = MIN (task->crash_points, BTS_CRASH_POINTS_MAX - 1);
 }
--- a/libbamboothread/scheduler/crash.h
+++ b/libbamboothread/scheduler/crash.h
@@ -27,7 +27,8 @@
 gboolean bts_crash_is_suspect (const bts_task_t *task);
 gboolean bts_crash_is_waiting (const bts_task_t *task, gint64 now_us);
 gboolean bts_crash_has_starting_suspect (const bts_worker_t *worker);
-gboolean bts_crash_may_share (const bts_worker_t *worker, const bts_task_t *task);
+gboolean bts_crash_may_share (const bts_worker_t *worker, const bts_task_t *task, gint64 now_us);
+void bts_crash_on_placed (bts_task_t *task, gboolean found, gint64 now_us);
 void bts_crash_clear (bts_task_t *task);
 
 #endif
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -96,6 +96,8 @@
  * @crash_suspected: its last run was lost right after its start, and whether the worker has crashed
  *   isn't known yet
  * @crash_wait_us: it isn't started before this time, unless that becomes known
+ * @crash_blocked_us: since when no worker was found on which nothing else is just starting; 0 if
+ * none was needed since its last start
  */
 typedef struct
 {
@@ -115,6 +117,7 @@
   guint crash_points;
   gboolean crash_suspected;
   gint64 crash_wait_us;
+  gint64 crash_blocked_us;
 } bts_task_t;
 
 /**
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -320,7 +320,7 @@
       if (!bts_worker_has_room (worker, &worker->used, &demand)
           || (worker->reserved_pass == pass && !can_backfill (worker, step, now_us))
           || bts_place_check (worker, task->stage, now_us) != BTS_PLACE_OK
-          || !bts_crash_may_share (worker, task))
+          || !bts_crash_may_share (worker, task, now_us))
         continue;
       gint64 penalty = placement_penalty (worker, task, step, pass, now_us);
       if (best == NULL || penalty < best_penalty
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -586,6 +586,7 @@
       if (!is_task_pending (task) || bts_crash_is_waiting (task, now_us))
         continue;
       bts_run_t *run = place_tentatively (sched, task, next_run_number (sched, stage, task));
+      bts_crash_on_placed (task, run != NULL, now_us);
       if (run != NULL)
         g_ptr_array_add (runs, run);
       else if (!bts_crash_is_suspect (task))
