--- a/libbamboothread/scheduler/crash.c
+++ b/libbamboothread/scheduler/crash.c
@@ -148,7 +148,8 @@
           worker->entry->id, task->crash_points);
 }
 
-/* Forgets a run that was lost on a worker, once it is known whether the worker has crashed. */
+/* Counts a crash of a worker under a run that was lost on it, or clears the task of the suspicion.
+ */
 static void
 settle_lost_run (bts_sched_t *sched, const bts_worker_t *worker, const bts_lost_run_t *lost,
                  gboolean crashed)
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -221,8 +221,10 @@
 
 /**
  * bts_worker_reset() - clear the state of an earlier incarnation or term
- * @worker: the worker; runs that it still has are kept, but no longer count as used resources. What
- * is known of lost runs is kept
+ * @worker: the worker
+ *
+ * Runs that it still has are kept, but no longer count as used resources. What is known of lost
+ * runs is kept, too.
  */
 void
 bts_worker_reset (bts_worker_t *worker)
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -105,7 +105,7 @@
 
 /**
  * bts_ledger_set_complete() - take the ledger for complete
- * @ledger: the ledger of an owner: no process that knows more has claimed the term
+ * @ledger: the ledger of an owner: processes that know more would have claimed the term first
  */
 void
 bts_ledger_set_complete (bts_ledger_t *ledger)
@@ -378,8 +378,8 @@
       ledger->ops->worker_held (ledger->context, held[i]);
 }
 
-/* Removes the jobs that haven't ended for all this process knows, and that the owner doesn't know:
-   they have ended long ago, in records that were skipped. */
+/* Removes the jobs that haven't ended as far as this process knows, and that the owner doesn't
+   know: they have ended long ago, in records that were skipped. */
 static void
 remove_outdated_jobs (bts_ledger_t *ledger, gint64 oldest_needed)
 {
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -186,7 +186,8 @@
   return FALSE;
 }
 
-/* A job with ends in flight waits for them, but not until the log deletes its last snapshot. */
+/* A job with ends in flight waits for them for at most another interval: the log must not delete
+   its last snapshot. */
 static gboolean
 is_due (const bts_sched_t *sched, const bts_job_t *job, gint64 now_us)
 {
