Log what a new owner has waited for

The line 'settled' now has leases_ms, when the leases of earlier owners ended, and silent, the workers that haven't answered: with no silent worker the leases don't matter, and a wait of 6 s or less is one for workers that have started lately.

--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -848,6 +848,23 @@
   return n_workers > 0 || bts_sched_confirmed_us (sched) >= sched->earlier_leases_end_us;
 }
 
+/* Logs what the term has waited for: leases of earlier owners on workers that haven't answered. */
+static void
+log_settled (const bts_sched_t *sched)
+{
+  guint n_silent = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n_silent += !((const bts_worker_t *)value)->synced;
+  bt_log (BT_LOG_NOTICE, "settled",
+          "term=%" G_GUINT64_FORMAT " after_ms=%" G_GINT64_FORMAT " leases_ms=%" G_GINT64_FORMAT
+          " silent=%u",
+          sched->term, (bts_sched_now (sched) - sched->term_began_us) / 1000,
+          (sched->earlier_leases_end_us - sched->term_began_us) / 1000, n_silent);
+}
+
 static void
 update_slowness (bts_sched_t *sched)
 {
@@ -955,8 +972,7 @@
     {
       sched->settled = TRUE;
       sched->dirty = TRUE;
-      bt_log (BT_LOG_NOTICE, "settled", "term=%" G_GUINT64_FORMAT " after_ms=%" G_GINT64_FORMAT,
-              sched->term, (bts_sched_now (sched) - sched->term_began_us) / 1000);
+      log_settled (sched);
     }
   enqueue_due_occurrences (sched);
   bts_advice_tick (sched);
