Tests, red: lasting tasks while workers and processes are replaced in turn

The simulator notes when each lasting task was last seen running; a gap over 9 s (6 s without the task, 3 s more of calm) is LOST. test_handover plays planned work alone: workers that join, announce that they leave and exit, beside processes that stop and start again.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -594,6 +594,39 @@
   after (sim, deadly->after_us, deadly_run_crashes, crash);
 }
 
+/* Notes which tasks run, and which of those that last haven't run for too long. */
+static void
+watch_lasting (sim_t *sim, gpointer data)
+{
+  gint64 now_us = now (sim);
+  for (guint w = 0; w < sim->workers->len; w++)
+    {
+      const sim_worker_t *worker = sim->workers->pdata[w];
+      for (guint i = 0; i < worker->runs->len; i++)
+        {
+          const sim_run_t *run = worker->runs->pdata[i];
+          if (run->lasts)
+            g_hash_table_replace (sim->lasting_seen_us, g_strdup (run->name),
+                                  g_memdup2 (&now_us, sizeof now_us));
+        }
+    }
+  GHashTableIter iter;
+  gpointer name;
+  gpointer seen_us;
+  g_hash_table_iter_init (&iter, sim->lasting_seen_us);
+  while (g_hash_table_iter_next (&iter, &name, &seen_us))
+    {
+      gint64 *since_us = seen_us;
+      const sim_job_t *job = find_job (sim, name);
+      if (job->cancel_exchange != 0 || now_us - *since_us <= SIM_LOST_US)
+        continue;
+      violate (sim, "LOST %s is to last and hasn't run for %.3f s", (char *)name,
+               (double)(now_us - *since_us) / 1e6);
+      *since_us = now_us;
+    }
+  after (sim, 10 * TICK_US, watch_lasting, NULL);
+}
+
 /* Names one run on all workers. */
 static char *
 run_key (const char *name, guint number)
@@ -1826,6 +1859,15 @@
   return count;
 }
 
+/* From now on, each task that lasts and has run once is to run, or to be started again in time. For
+   days with planned work alone, and with room for these tasks. */
+void
+sim_watch_lasting (sim_t *sim)
+{
+  sim->lasting_seen_us = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  watch_lasting (sim, NULL);
+}
+
 /* Fails the test with what broke a promise. */
 void
 sim_check (sim_t *sim)
@@ -1915,6 +1957,7 @@
   g_hash_table_unref (sim->noted);
   g_hash_table_unref (sim->deadly);
   g_hash_table_unref (sim->struck);
+  g_clear_pointer (&sim->lasting_seen_us, g_hash_table_unref);
   g_rand_free (sim->random);
   g_free (sim);
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -27,6 +27,8 @@
 #define SIM_CONTACT_US (3000 * 1000)
 /* A crash within this time of a start may be the task's doing. */
 #define SIM_STARTUP_US (300 * 1000)
+/* Longest time, while nothing but planned work goes on, that a task that lasts doesn't run. */
+#define SIM_LOST_US (9000 * 1000)
 /* Most ends in one list of a worker. */
 #define SIM_LIST_ENDS_MAX 500
 
@@ -195,6 +197,8 @@
  * @deadly: name of each deadly task to its sim_deadly_t
  * @struck: name of a task to the number of workers that have crashed right after they had started
  * it
+ * @lasting_seen_us: tasks that last, from when each of them is watched, to when it was last seen
+ *   running; NULL if none is watched, see sim_watch_lasting()
  * @store_disturbed_us: when the store last was down, slow or lost answers
  * @comeback: how workers are back after sim_crash_for_seconds(), and after a deadly task
  * @crashes: workers that have crashed
@@ -236,6 +240,7 @@
   GHashTable *noted;
   GHashTable *deadly;
   GHashTable *struck;
+  GHashTable *lasting_seen_us;
   gint64 store_disturbed_us;
   sim_comeback_t comeback;
   guint crashes;
@@ -323,6 +328,7 @@
 void sim_crash_for_seconds (sim_t *sim, sim_worker_t *worker);
 void sim_reborn (sim_t *sim, sim_worker_t *worker);
 sim_worker_t *sim_replace (sim_t *sim, sim_worker_t *worker);
+void sim_watch_lasting (sim_t *sim);
 gboolean sim_looks_deadly (const sim_t *sim, const sim_job_t *job);
 void sim_check (sim_t *sim);
 guint sim_running (const sim_t *sim, const char *prefix);
--- /dev/null
+++ b/tests/test_handover.c
@@ -0,0 +1,181 @@
+#include "tests/sim.h"
+#include "tests/suite.h"
+
+/*
+ * Planned work: processes are stopped and started in turn while workers are replaced in turn. What
+ * lasts has to be back soon, however often the owner changes.
+ */
+
+#define WORKERS 12
+/* Time between the announcement of a worker that it leaves and its exit. */
+#define DRAIN_MS 2500
+/* Time from SIGTERM to the exit of a process, and from there to its next start. */
+#define STOP_MS 3600
+#define START_MS 500
+
+static const sim_policy_t service = { "main", 1, 4, 2500 };
+static const sim_policy_t lookup = { "main", 0, 4, 300 };
+static const sim_step_t lasting[]
+    = { { .count = 6, .cpu = 2000, .memory = 1000, .lasts = TRUE, .per_worker = 1 } };
+static const sim_step_t short_step[] = { { .count = 4, .cpu = 2000, .memory = 1000, .ms = 600 } };
+
+/**
+ * struct case_t - planned work
+ * @n_nodes: number of processes
+ * @owner_every_ms: time between two stops of processes; 0 if none is stopped
+ * @owner_only: the owner is stopped each time, otherwise the processes in turn
+ * @worker_every_ms: time between two workers that leave
+ * @first_stop_ms: time from the first exit of a worker to the first stop of a process
+ */
+typedef struct
+{
+  const char *name;
+  guint n_nodes;
+  guint owner_every_ms;
+  gboolean owner_only;
+  guint worker_every_ms;
+  guint first_stop_ms;
+} case_t;
+
+static const case_t cases[] = {
+  { "workers_leave", 4, 0, FALSE, 700, 0 },
+  { "owner_leaves_after_a_worker", 4, 60000, TRUE, 20000, 600 },
+  { "processes_leave_in_turn", 7, 2000, FALSE, 700, 500 },
+  { "owner_leaves_each_4_s", 4, 4300, TRUE, 700, 600 },
+  { "owner_leaves_each_3_s", 4, 3000, TRUE, 700, 600 },
+  { "owner_leaves_each_2_s", 7, 2000, TRUE, 700, 400 },
+  { "owner_leaves_each_2_s_and_one_worker", 7, 2000, TRUE, 30000, 900 },
+};
+
+/**
+ * struct play_t - a case as it is played
+ * @workers: those that are in use
+ * @leaving_us: when the oldest of them exits; 0 if it hasn't announced that it leaves
+ * @stopped: time at which each process exits, and starts again; 0 if it runs on
+ */
+typedef struct
+{
+  sim_t *sim;
+  const case_t *planned;
+  guint n_left;
+  gint64 worker_us;
+  gint64 stop_us;
+  guint n_stopped;
+  gint64 exit_us[8];
+  gint64 start_us[8];
+} play_t;
+
+static gint64
+now_us (const play_t *play)
+{
+  return bt_clock_now (&play->sim->clock);
+}
+
+static void
+stop_process (play_t *play)
+{
+  gint owner = sim_owner (play->sim);
+  guint i = play->planned->owner_only && owner >= 0 ? (guint)owner
+                                                    : play->n_stopped % play->planned->n_nodes;
+  if (sim_node (play->sim, i)->node == NULL || play->exit_us[i] != 0)
+    return;
+  play->n_stopped++;
+  play->exit_us[i] = now_us (play) + STOP_MS * 1000;
+  sim_leave (play->sim, i);
+}
+
+static void
+exit_and_start_processes (play_t *play)
+{
+  for (guint i = 0; i < play->planned->n_nodes; i++)
+    {
+      if (play->exit_us[i] != 0 && now_us (play) >= play->exit_us[i])
+        {
+          sim_kill (play->sim, i);
+          play->exit_us[i] = 0;
+          play->start_us[i] = now_us (play) + START_MS * 1000;
+        }
+      if (play->start_us[i] != 0 && now_us (play) >= play->start_us[i])
+        {
+          sim_start (play->sim, i);
+          play->start_us[i] = 0;
+        }
+    }
+}
+
+/* A worker joins and the next of the oldest ones announces that it leaves; the one that did so
+   before exits. */
+static void
+replace_worker (play_t *play)
+{
+  sim_t *sim = play->sim;
+  g_autofree char *id = g_strdup_printf ("joined-%u", sim->workers->len);
+  bts_resources_t room = { 32000, 65536, 8 };
+  sim_add_worker (sim, id, "main", room);
+  sim_worker (sim, play->n_left++)->draining = TRUE;
+}
+
+static void
+exit_workers (play_t *play, gint64 begin_us)
+{
+  for (guint i = 0; i < play->n_left; i++)
+    {
+      sim_worker_t *worker = sim_worker (play->sim, i);
+      gint64 announced_us = begin_us + (gint64)i * play->planned->worker_every_ms * 1000;
+      if (!worker->dead && now_us (play) >= announced_us + DRAIN_MS * 1000)
+        sim_crash (play->sim, worker);
+    }
+}
+
+static void
+play_planned_work (play_t *play)
+{
+  const case_t *planned = play->planned;
+  gint64 begin_us = now_us (play);
+  gint64 next_worker_us = begin_us;
+  gint64 next_stop_us = begin_us + (DRAIN_MS + planned->first_stop_ms) * G_GINT64_CONSTANT (1000);
+  for (guint ms = 0; ms < 24000; ms += 50)
+    {
+      if (now_us (play) >= next_worker_us)
+        {
+          replace_worker (play);
+          next_worker_us += (gint64)planned->worker_every_ms * 1000;
+        }
+      if (planned->owner_every_ms > 0 && now_us (play) >= next_stop_us)
+        {
+          stop_process (play);
+          next_stop_us += (gint64)planned->owner_every_ms * 1000;
+        }
+      exit_workers (play, begin_us);
+      exit_and_start_processes (play);
+      sim_run_ms (play->sim, 50);
+    }
+}
+
+/* LOST: a task that lasts had stood still for ten seconds, as its worker had left shortly before
+   the owner did, and the next owner waited for leases that nobody could have granted. */
+START_TEST (lasting_tasks_run_on_through_planned_work)
+{
+  play_t play = { .planned = &cases[_i] };
+  play.sim = sim_new (cases[_i].n_nodes, WORKERS, 1);
+  sim_run_ms (play.sim, 3000);
+  for (guint i = 0; i < 3; i++)
+    sim_submit (play.sim, i, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_submit (play.sim, 0, &lookup, short_step, G_N_ELEMENTS (short_step));
+  sim_run_ms (play.sim, 2000);
+  ck_assert_uint_eq (sim_running (play.sim, ""), 18);
+  sim_watch_lasting (play.sim);
+  play_planned_work (&play);
+  sim_check (play.sim);
+  sim_free (play.sim);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("handover");
+  tcase_set_timeout (tests, 120);
+  tcase_add_loop_test (tests, lasting_tasks_run_on_through_planned_work, 0, G_N_ELEMENTS (cases));
+  return suite_run ("handover", tests);
+}
