An owner that leaves ends its term before it resigns

Cause: a wait that counts from the wrong event. An owner that was told to stop went on leading, and renewing leases, until it read its resignation back. So its successor treated a resignation like the silence of an owner that is cut off from the log and may renew leases for 6 s more, and waited for 9.1 s (6 s and a lease of 3 s) before it started anything again that may run on a worker that doesn't answer. A worker that has left doesn't.

Change: the owner ends its term first, as it did already to hand over to a larger VM, and the record says so (stopped). The next owner then waits for the length of a lease. An owner whose beats don't come back keeps its workers instead: no other process could claim while the log is away. Records of older versions lack the field and are treated as before.

Owners that change faster than leases end still begin to wait anew each time.

--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -136,9 +136,9 @@
 bts_election_on_owner (bts_election_t *election, const bts_ledger_t *ledger, gint64 now_us)
 {
   const char *owner = bts_ledger_owner (ledger);
-  /* An owner that has resigned, or whose process has restarted, renews no leases. */
-  gboolean previous_stopped
-      = election->owner == NULL || (owner != NULL && bts_node_same_vm (owner, election->owner));
+  /* An owner that stopped before it resigned, or whose process has restarted, renews no leases. */
+  gboolean previous_stopped = election->owner == NULL || bts_ledger_is_owner_stopped (ledger)
+                              || (owner != NULL && bts_node_same_vm (owner, election->owner));
   if (!previous_stopped)
     election->stale_grants_until_us
         = MAX (election->stale_grants_until_us, election->heard_us + BTS_RENEWAL_CUTOFF_US);
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -14,6 +14,7 @@
  * @term: the current term; 0 before the first claim
  * @owner: name of the process that claimed @term, or OWNER_UNKNOWN; NULL before the first claim
  *   and after a resignation
+ * @owner_stopped: there is no owner, and the last one renews no leases any more
  * @claim_offset: offset of the claim or resignation that last changed @term or @owner; if the
  *   claim was deleted, of the first record of the term that was read
  * @replaying: whether the records being read may be of any age
@@ -30,6 +31,7 @@
   GHashTable *held;
   guint64 term;
   char *owner;
+  gboolean owner_stopped;
   gint64 claim_offset;
   gboolean replaying;
   gint64 read_from;
@@ -188,6 +190,16 @@
   return g_hash_table_contains (ledger->held, worker);
 }
 
+/**
+ * bts_ledger_is_owner_stopped() - whether the owner has resigned and renews no leases any more
+ * @ledger: the ledger
+ */
+gboolean
+bts_ledger_is_owner_stopped (const bts_ledger_t *ledger)
+{
+  return ledger->owner_stopped;
+}
+
 gint64
 bts_ledger_claim_offset (const bts_ledger_t *ledger)
 {
@@ -237,11 +249,12 @@
 /* Sets the current term and its owner. Every term begins with a claim, so any other record
    of a later term shows that the claim was deleted before this process could read it. */
 static void
-set_term (bts_ledger_t *ledger, guint64 term, const char *owner, gint64 offset)
+set_term (bts_ledger_t *ledger, guint64 term, const char *owner, gboolean stopped, gint64 offset)
 {
   ledger->term = term;
   g_free (ledger->owner);
   ledger->owner = g_strdup (owner);
+  ledger->owner_stopped = stopped;
   ledger->claim_offset = offset;
   ledger->ops->owner_changed (ledger->context);
 }
@@ -252,14 +265,14 @@
   if (claim->term <= ledger->term)
     return;
   ledger->ops->node_seen (ledger->context, claim->node);
-  set_term (ledger, claim->term, claim->node, offset);
+  set_term (ledger, claim->term, claim->node, FALSE, offset);
 }
 
 static void
 fold_resigned (bts_ledger_t *ledger, const Bts__Resigned *resigned, gint64 offset)
 {
   if (resigned->term > ledger->term || (resigned->term == ledger->term && ledger->owner != NULL))
-    set_term (ledger, resigned->term, NULL, offset);
+    set_term (ledger, resigned->term, NULL, resigned->stopped, offset);
 }
 
 /* All members of a gang end together: one end with outcome "done" completes all of them,
@@ -410,7 +423,7 @@
 fold_heartbeat (bts_ledger_t *ledger, const Bts__Beat *heartbeat, gint64 offset, gint64 now_us)
 {
   if (heartbeat->term > ledger->term)
-    set_term (ledger, heartbeat->term, OWNER_UNKNOWN, offset);
+    set_term (ledger, heartbeat->term, OWNER_UNKNOWN, FALSE, offset);
   if (heartbeat->term != ledger->term || ledger->owner == NULL)
     return;
   for (gsize i = 0; i < heartbeat->n_begun; i++)
@@ -600,7 +613,7 @@
     return;
   add_held_workers (ledger, snapshot->held, snapshot->n_held);
   if (snapshot->term > ledger->term)
-    set_term (ledger, snapshot->term, snapshot->node, offset);
+    set_term (ledger, snapshot->term, snapshot->node, FALSE, offset);
   else if (g_strcmp0 (ledger->owner, OWNER_UNKNOWN) == 0)
     {
       g_free (ledger->owner);
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -56,6 +56,7 @@
 GHashTable *bts_ledger_jobs (const bts_ledger_t *ledger);
 guint64 bts_ledger_term (const bts_ledger_t *ledger);
 const char *bts_ledger_owner (const bts_ledger_t *ledger);
+gboolean bts_ledger_is_owner_stopped (const bts_ledger_t *ledger);
 gint64 bts_ledger_claim_offset (const bts_ledger_t *ledger);
 guint bts_ledger_count_held (const bts_ledger_t *ledger);
 gboolean bts_ledger_is_worker_held (const bts_ledger_t *ledger, const char *worker);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -48,19 +48,18 @@
 /* An owner on a small VM hands over once it has led for this long, in microseconds, and knows
    what has become of all runs of earlier owners. */
 #define HANDOVER_MIN_TERM_US (1500 * 1000)
-/* An owner hands over only if a heartbeat of its own was read back this recently, in
+/* An owner resigns only if a heartbeat of its own was read back this recently, in
    microseconds: otherwise the log may be unavailable, and no other process could claim the next
    term. */
-#define HANDOVER_HEARTBEAT_MAX_AGE_US (300 * 1000)
+#define RESIGN_HEARTBEAT_MAX_AGE_US (300 * 1000)
 /* Interval between removals of jobs that ended long ago, in microseconds. */
 #define CLEANUP_INTERVAL_US (5 * BT_USEC_PER_SEC)
 
 /**
  * struct bts_node_t - one process
  * @owner_changed: the owner has changed since the last tick
- * @fenced: a worker knows an owner of a later term, or the process has handed over; it steps
+ * @fenced: a worker knows an owner of a later term, or the process has resigned; it steps
  *   down at the next tick and leads no more before the journal shows another owner
- * @resigned: a resignation was appended while the process shuts down
  * @last_tick_us: when the last tick was; 0 before the first
  * @resumed_us: when the process last resumed after a stall; 0 once it has read the journal to
  *   its end after that
@@ -90,7 +89,6 @@
   bts_forwarder_t *forwarder;
   gboolean owner_changed;
   gboolean fenced;
-  gboolean resigned;
   gint64 last_tick_us;
   gint64 resumed_us;
   gboolean replaying;
@@ -531,7 +529,7 @@
 begin_term_if_owner (bts_node_t *node)
 {
   if (!bts_election_is_owner (&node->election, node->ledger) || bts_sched_is_leading (node->sched)
-      || node->resigned || node->fenced)
+      || node->fenced)
     return;
   gint64 lease_us = bts_lease_max_us (bts_sched_lease_ms (node->sched));
   bts_sched_begin_term (node->sched, bts_ledger_term (node->ledger),
@@ -907,7 +905,7 @@
  * @node: the process
  *
  * From now on, the process reports that it isn't ready and claims no term; if it is the owner, it
- * resigns at the next tick.
+ * resigns as soon as the log takes its heartbeats.
  */
 void
 bts_node_leave (bts_node_t *node)
@@ -961,17 +959,21 @@
   append (node, TOKEN_NONE, &record);
 }
 
+/* Ends the term at once, so that no lease is granted that the next owner doesn't account for, and
+   says so in the journal. */
 static void
-append_resignation (bts_node_t *node)
+resign (bts_node_t *node)
 {
   Bts__Resigned resigned = BTS__RESIGNED__INIT;
   resigned.term = bts_ledger_term (node->ledger);
+  resigned.stopped = TRUE;
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_RESIGNED;
   record.resigned = &resigned;
   bt_log (BT_LOG_NOTICE, "resign", "term=%" G_GUINT64_FORMAT, resigned.term);
   append (node, TOKEN_NONE, &record);
-  node->resigned = TRUE;
+  node->fenced = TRUE;
+  bts_sched_end_term (node->sched);
 }
 
 static void
@@ -1027,20 +1029,16 @@
          + (bts_members_is_standby (node->members, node->name, now_us) ? 0 : NOT_STANDBY_YIELD_US);
 }
 
-/* Resigns if a live process is on a much larger VM, so that it can become the owner. The term ends
-   at once, so that no lease is granted that the next owner doesn't account for. */
-static void
-hand_over_if_larger_peer (bts_node_t *node, gint64 now_us)
+/* Whether the owner should leave the workers to another process: it shuts down, or a live process
+   is on a much larger VM. */
+static gboolean
+has_to_resign (const bts_node_t *node, gint64 now_us)
 {
-  if (!bts_sched_is_leading (node->sched) || node->election.leaving
-      || now_us - node->election.heard_us > HANDOVER_HEARTBEAT_MAX_AGE_US
-      || !bts_sched_is_settled (node->sched, HANDOVER_MIN_TERM_US)
-      || !has_larger_peer (node, now_us))
-    return;
-  append_resignation (node);
-  node->resigned = FALSE;
-  node->fenced = TRUE;
-  bts_sched_end_term (node->sched);
+  return bts_sched_is_leading (node->sched)
+         && now_us - node->election.heard_us <= RESIGN_HEARTBEAT_MAX_AGE_US
+         && (node->election.leaving
+             || (bts_sched_is_settled (node->sched, HANDOVER_MIN_TERM_US)
+                 && has_larger_peer (node, now_us)));
 }
 
 /**
@@ -1073,9 +1071,8 @@
       bts_sched_end_term (node->sched);
     }
   node->fenced = node->fenced && bts_election_is_owner (&node->election, node->ledger);
-  if (node->election.leaving && !node->resigned && bts_sched_is_leading (node->sched))
-    append_resignation (node);
-  hand_over_if_larger_peer (node, now_us);
+  if (has_to_resign (node, now_us))
+    resign (node);
   if (bts_election_is_claim_due (&node->election, node->ledger, claim_yield_us (node, now_us),
                                  now_us))
     append_claim (node);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1829,7 +1829,7 @@
   (ProtobufCMessageInit) bts__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__resigned__field_descriptors[1] =
+static const ProtobufCFieldDescriptor bts__resigned__field_descriptors[2] =
 {
   {
     "term",
@@ -1843,14 +1843,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stopped",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Resigned, stopped),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__resigned__field_indices_by_name[] = {
+  1,   /* field[1] = stopped */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange bts__resigned__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor bts__resigned__descriptor =
 {
@@ -1860,7 +1873,7 @@
   "Bts__Resigned",
   "bts",
   sizeof(Bts__Resigned),
-  1,
+  2,
   bts__resigned__field_descriptors,
   bts__resigned__field_indices_by_name,
   1,  bts__resigned__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -166,10 +166,15 @@
 {
   ProtobufCMessage base;
   uint64_t term;
+  /*
+   * Whether the owner ended its term before it wrote this, so that it renews no lease any more.
+   * Older versions renew leases until they read their resignation.
+   */
+  protobuf_c_boolean stopped;
 };
 #define BTS__RESIGNED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__resigned__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 /*
