heartbeat: one type for what the owner reports of workers and tasks

The four kinds of reports had an array and a count of sent items each, and each function named all of them. They are an array of one type now, so that a further kind needs a line.

--- a/libbamboothread/scheduler/heartbeat.c
+++ b/libbamboothread/scheduler/heartbeat.c
@@ -23,8 +23,8 @@
 /* Most ends in one record; keeps it far below the store's size limit of a record. */
 #define HEARTBEAT_ENDS_MAX 1000
 
-void
-bts_pending_end_free (gpointer data)
+static void
+pending_end_free (gpointer data)
 {
   bts_pending_end_t *item = data;
   g_free (item->worker);
@@ -33,6 +33,45 @@
   g_free (item);
 }
 
+static void
+message_free (gpointer data)
+{
+  protobuf_c_message_free_unpacked (data, NULL);
+}
+
+/**
+ * bts_heartbeat_init() - initialize what a scheduler reports in heartbeats
+ * @sched: the scheduler
+ */
+void
+bts_heartbeat_init (bts_sched_t *sched)
+{
+  sched->pending_ends = g_ptr_array_new_with_free_func (pending_end_free);
+  sched->pending_begun = g_array_new (FALSE, FALSE, sizeof (guint64));
+  for (guint i = 0; i < BTS_N_REPORTS; i++)
+    sched->reports[i].items
+        = g_ptr_array_new_with_free_func (i == BTS_REPORT_RELEASED ? g_free : message_free);
+}
+
+/**
+ * bts_heartbeat_free() - free what bts_heartbeat_init() has initialized
+ * @sched: the scheduler
+ */
+void
+bts_heartbeat_free (bts_sched_t *sched)
+{
+  g_ptr_array_unref (sched->pending_ends);
+  g_array_unref (sched->pending_begun);
+  for (guint i = 0; i < BTS_N_REPORTS; i++)
+    g_ptr_array_unref (sched->reports[i].items);
+}
+
+static void
+add_report (bts_sched_t *sched, bts_report_kind_t kind, gpointer item)
+{
+  g_ptr_array_add (sched->reports[kind].items, item);
+}
+
 static Bts__End *
 end_message_new (const bts_listed_end_t *row, const bts_task_t *task)
 {
@@ -82,18 +121,6 @@
   g_array_append_val (sched->pending_begun, number);
 }
 
-void
-bts_crash_record_free (gpointer data)
-{
-  bts__crash__free_unpacked (data, NULL);
-}
-
-void
-bts_silent_record_free (gpointer data)
-{
-  bts__silent__free_unpacked (data, NULL);
-}
-
 static Bts__Run *
 run_message_new (const bts_task_t *task, guint number)
 {
@@ -119,7 +146,7 @@
   bts__crash__init (crash);
   crash->run = run_message_new (task, task->crash_run);
   crash->points = task->crash_points;
-  g_ptr_array_add (sched->pending_crashes, crash);
+  add_report (sched, BTS_REPORT_CRASHES, crash);
 }
 
 /**
@@ -143,13 +170,7 @@
       silent->starting[i] = run_message_new (run->task, run->number);
       silent->starting[i]->confirmed = bts_crash_is_confirmed (run);
     }
-  g_ptr_array_add (sched->pending_silent, silent);
-}
-
-void
-bts_held_free (gpointer data)
-{
-  bts__held__free_unpacked (data, NULL);
+  add_report (sched, BTS_REPORT_SILENT, silent);
 }
 
 /**
@@ -164,15 +185,16 @@
 {
   if (bts_ledger_is_worker_held (sched->ledger, worker->entry->id))
     return;
-  for (guint i = 0; i < sched->pending_held->len; i++)
-    if (strcmp (((Bts__Held *)sched->pending_held->pdata[i])->worker, worker->entry->id) == 0)
+  const GPtrArray *pending = sched->reports[BTS_REPORT_HELD].items;
+  for (guint i = 0; i < pending->len; i++)
+    if (strcmp (((Bts__Held *)pending->pdata[i])->worker, worker->entry->id) == 0)
       return;
   Bts__Held *held = malloc (sizeof *held);
   bts__held__init (held);
   held->worker = strdup (worker->entry->id);
   held->address = strdup (worker->entry->address);
   held->service = strdup (worker->entry->service);
-  g_ptr_array_add (sched->pending_held, held);
+  add_report (sched, BTS_REPORT_HELD, held);
 }
 
 /**
@@ -184,10 +206,20 @@
 bts_heartbeat_add_released (bts_sched_t *sched, const bts_worker_t *worker)
 {
   if (!bts_ledger_is_worker_held (sched->ledger, worker->entry->id)
-      || g_ptr_array_find_with_equal_func (sched->pending_released, worker->entry->id, g_str_equal,
-                                           NULL))
+      || g_ptr_array_find_with_equal_func (sched->reports[BTS_REPORT_RELEASED].items,
+                                           worker->entry->id, g_str_equal, NULL))
     return;
-  g_ptr_array_add (sched->pending_released, g_strdup (worker->entry->id));
+  add_report (sched, BTS_REPORT_RELEASED, g_strdup (worker->entry->id));
+}
+
+/* Marks the items of a kind as sent with the heartbeat that is being written. */
+static gpointer *
+take_reports (bts_sched_t *sched, bts_report_kind_t kind, gsize *n)
+{
+  bts_report_t *report = &sched->reports[kind];
+  report->n_sent = report->items->len;
+  *n = report->items->len;
+  return report->items->pdata;
 }
 
 static void
@@ -213,18 +245,10 @@
   beat.begun = (guint64 *)(gpointer)sched->pending_begun->data;
   sched->pending_heartbeat = sched->heartbeat_number;
   sched->begun_sent = sched->pending_begun->len;
-  beat.n_held = sched->pending_held->len;
-  beat.held = (Bts__Held **)sched->pending_held->pdata;
-  sched->held_sent = sched->pending_held->len;
-  beat.n_released = sched->pending_released->len;
-  beat.released = (char **)sched->pending_released->pdata;
-  sched->released_sent = sched->pending_released->len;
-  beat.n_crashes = sched->pending_crashes->len;
-  beat.crashes = (Bts__Crash **)sched->pending_crashes->pdata;
-  sched->crashes_sent = sched->pending_crashes->len;
-  beat.n_silent = sched->pending_silent->len;
-  beat.silent = (Bts__Silent **)sched->pending_silent->pdata;
-  sched->silent_sent = sched->pending_silent->len;
+  beat.held = (Bts__Held **)take_reports (sched, BTS_REPORT_HELD, &beat.n_held);
+  beat.released = (char **)take_reports (sched, BTS_REPORT_RELEASED, &beat.n_released);
+  beat.crashes = (Bts__Crash **)take_reports (sched, BTS_REPORT_CRASHES, &beat.n_crashes);
+  beat.silent = (Bts__Silent **)take_reports (sched, BTS_REPORT_SILENT, &beat.n_silent);
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_BEAT;
   record.beat = &beat;
@@ -233,6 +257,15 @@
   sched->ops->append (sched->context, &record);
 }
 
+static gboolean
+has_reports (const bts_sched_t *sched)
+{
+  for (guint i = 0; i < BTS_N_REPORTS; i++)
+    if (sched->reports[i].items->len > 0)
+      return TRUE;
+  return sched->pending_ends->len > 0 || sched->pending_begun->len > 0;
+}
+
 /**
  * bts_heartbeat_tick() - append a heartbeat if one is due
  * @sched: a leading scheduler
@@ -242,11 +275,8 @@
 {
   gint64 now_us = bts_sched_now (sched);
   gint64 since_us = now_us - sched->heartbeat_sent_us;
-  gboolean has_pending = sched->pending_ends->len > 0 || sched->pending_begun->len > 0
-                         || sched->pending_held->len > 0 || sched->pending_released->len > 0
-                         || sched->pending_crashes->len > 0 || sched->pending_silent->len > 0;
   gint64 interval_us = sched->heartbeat_in_flight ? HEARTBEAT_RETRY_US
-                       : has_pending              ? HEARTBEAT_MIN_INTERVAL_US
+                       : has_reports (sched)      ? HEARTBEAT_MIN_INTERVAL_US
                                                   : HEARTBEAT_IDLE_INTERVAL_US;
   if (since_us >= interval_us)
     send_heartbeat (sched, now_us);
@@ -278,11 +308,11 @@
 }
 
 static void
-remove_sent (GPtrArray *items, guint *sent)
+remove_sent (bts_report_t *report)
 {
-  if (*sent > 0)
-    g_ptr_array_remove_range (items, 0, *sent);
-  *sent = 0;
+  if (report->n_sent > 0)
+    g_ptr_array_remove_range (report->items, 0, report->n_sent);
+  report->n_sent = 0;
 }
 
 /**
@@ -316,10 +346,8 @@
   if (sched->begun_sent > 0)
     g_array_remove_range (sched->pending_begun, 0, sched->begun_sent);
   sched->begun_sent = 0;
-  remove_sent (sched->pending_held, &sched->held_sent);
-  remove_sent (sched->pending_released, &sched->released_sent);
-  remove_sent (sched->pending_crashes, &sched->crashes_sent);
-  remove_sent (sched->pending_silent, &sched->silent_sent);
+  for (guint i = 0; i < BTS_N_REPORTS; i++)
+    remove_sent (&sched->reports[i]);
 }
 
 /**
@@ -331,16 +359,13 @@
 {
   g_ptr_array_set_size (sched->pending_ends, 0);
   g_array_set_size (sched->pending_begun, 0);
-  g_ptr_array_set_size (sched->pending_held, 0);
-  g_ptr_array_set_size (sched->pending_released, 0);
-  g_ptr_array_set_size (sched->pending_crashes, 0);
-  g_ptr_array_set_size (sched->pending_silent, 0);
+  for (guint i = 0; i < BTS_N_REPORTS; i++)
+    {
+      g_ptr_array_set_size (sched->reports[i].items, 0);
+      sched->reports[i].n_sent = 0;
+    }
   sched->pending_heartbeat = 0;
   sched->begun_sent = 0;
-  sched->held_sent = 0;
-  sched->released_sent = 0;
-  sched->crashes_sent = 0;
-  sched->silent_sent = 0;
   sched->heartbeat_number = 0;
   sched->heartbeat_sent_us = 0;
   sched->heartbeat_in_flight = FALSE;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -71,12 +71,7 @@
   sched->queue = g_ptr_array_new ();
   sched->recurring = g_ptr_array_new ();
   sched->prefetch = g_ptr_array_new ();
-  sched->pending_ends = g_ptr_array_new_with_free_func (bts_pending_end_free);
-  sched->pending_begun = g_array_new (FALSE, FALSE, sizeof (guint64));
-  sched->pending_held = g_ptr_array_new_with_free_func (bts_held_free);
-  sched->pending_released = g_ptr_array_new_with_free_func (g_free);
-  sched->pending_crashes = g_ptr_array_new_with_free_func (bts_crash_record_free);
-  sched->pending_silent = g_ptr_array_new_with_free_func (bts_silent_record_free);
+  bts_heartbeat_init (sched);
   sched->speed = bts_speed_new ();
   sched->unsynced = g_ptr_array_new ();
   sched->members = members;
@@ -91,12 +86,7 @@
   g_ptr_array_unref (sched->queue);
   g_ptr_array_unref (sched->recurring);
   g_ptr_array_unref (sched->prefetch);
-  g_ptr_array_unref (sched->pending_ends);
-  g_array_unref (sched->pending_begun);
-  g_ptr_array_unref (sched->pending_held);
-  g_ptr_array_unref (sched->pending_released);
-  g_ptr_array_unref (sched->pending_crashes);
-  g_ptr_array_unref (sched->pending_silent);
+  bts_heartbeat_free (sched);
   g_ptr_array_unref (sched->unsynced);
   bts_speed_free (sched->speed);
   g_free (sched);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -27,6 +27,34 @@
   guint64 heartbeat;
 } bts_pending_end_t;
 
+/**
+ * enum bts_report_kind_t - what heartbeats report beside ends and jobs that have begun
+ * @BTS_REPORT_HELD: Bts__Held of workers that the owner holds
+ * @BTS_REPORT_RELEASED: ids of workers that it has released
+ * @BTS_REPORT_CRASHES: Bts__Crash
+ * @BTS_REPORT_SILENT: Bts__Silent of workers that have fallen silent
+ * @BTS_N_REPORTS: number of kinds
+ */
+typedef enum
+{
+  BTS_REPORT_HELD,
+  BTS_REPORT_RELEASED,
+  BTS_REPORT_CRASHES,
+  BTS_REPORT_SILENT,
+  BTS_N_REPORTS,
+} bts_report_kind_t;
+
+/**
+ * struct bts_report_t - items of one kind that the journal doesn't hold yet
+ * @items: the items
+ * @n_sent: how many of the first of them the newest heartbeat carried
+ */
+typedef struct
+{
+  GPtrArray *items;
+  guint n_sent;
+} bts_report_t;
+
 /**
  * struct bts_sched_t - state of the scheduler
  * @term: the term that this process leads; 0 if it isn't the owner
@@ -37,17 +65,10 @@
  * @prefetch: bts_stage_t for which advice is requested before they can start
  * @pending_ends: bts_pending_end_t in the order in which workers listed them
  * @pending_begun: numbers of jobs that have begun while the journal doesn't say so yet
- * @pending_held: Bts__Held of workers that the owner holds while the journal doesn't say so
- *   yet
- * @pending_released: ids of workers that the owner has released while the journal doesn't
- *   say so yet
- * @pending_crashes: Bts__Crash of crashes that aren't in the journal yet
- * @pending_silent: Bts__Silent of workers that have fallen silent while the journal doesn't say
- *   so yet
+ * @reports: by kind, what heartbeats have to report
  * @append_ms: time that the newest append took; reported in heartbeats
- * @pending_heartbeat: number of the newest heartbeat, which carried the first @begun_sent,
- *   @held_sent, @released_sent, @crashes_sent and @silent_sent items of @pending_begun,
- *   @pending_held, @pending_released, @pending_crashes and @pending_silent; 0 if none was sent
+ * @pending_heartbeat: number of the newest heartbeat, which carried the first @begun_sent items
+ *   of @pending_begun, and those of @reports that are marked as sent; 0 if none was sent
  * @heartbeat_number: number of the newest heartbeat
  * @heartbeat_sent_us: when the newest heartbeat was sent
  * @heartbeat_in_flight: the newest heartbeat hasn't been read back from the journal yet
@@ -94,17 +115,10 @@
   GPtrArray *prefetch;
   GPtrArray *pending_ends;
   GArray *pending_begun;
-  GPtrArray *pending_held;
-  GPtrArray *pending_released;
-  GPtrArray *pending_crashes;
-  GPtrArray *pending_silent;
+  bts_report_t reports[BTS_N_REPORTS];
   guint append_ms;
   guint64 pending_heartbeat;
   guint begun_sent;
-  guint held_sent;
-  guint released_sent;
-  guint crashes_sent;
-  guint silent_sent;
   guint64 heartbeat_number;
   gint64 heartbeat_sent_us;
   gboolean heartbeat_in_flight;
@@ -174,13 +188,11 @@
 void bts_heartbeat_add_released (bts_sched_t *sched, const bts_worker_t *worker);
 void bts_heartbeat_tick (bts_sched_t *sched);
 void bts_heartbeat_clear (bts_sched_t *sched);
-void bts_pending_end_free (gpointer data);
-void bts_held_free (gpointer data);
+void bts_heartbeat_init (bts_sched_t *sched);
+void bts_heartbeat_free (bts_sched_t *sched);
 void bts_heartbeat_add_crash (bts_sched_t *sched, const bts_task_t *task);
-void bts_crash_record_free (gpointer data);
 void bts_heartbeat_add_silent (bts_sched_t *sched, const bts_worker_t *worker,
                                const GPtrArray *starting);
-void bts_silent_record_free (gpointer data);
 bts_task_t *bts_sched_find_task (const bts_sched_t *sched, const char *name);
 
 #endif
