The end of a silent worker's lease is handed on to the next owner

Cause: a wait that begins anew with each owner. An owner knows when the lease of a worker that doesn't answer ends. The next one doesn't, and counts a whole lease from the beginning of its own term.

Evidence: test_handover, owner_leaves_each_2_s_and_one_worker: one worker leaves, owners of 2 s follow each other, and none of them starts the tasks within 9 s.

Change: an owner reports in its heartbeat that it doesn't renew the lease of a worker any more, and how long that lease can last (Expiring): after 1 s of silence, at once for a worker that was about to leave or isn't registered. It doesn't renew the lease before it has read back 'renewed'. A report counts in the term of its owner; the next owner takes it over for the rest of the time and repeats it. So one that doesn't know of it, since it started later or has skipped records, ends it by not repeating it. A heartbeat that is stored late changes nothing.

--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -250,6 +250,52 @@
   worker->consecutive_failures = 0;
 }
 
+/**
+ * bts_worker_set_expiring() - record that no owner renews a worker's lease any more
+ * @worker: the worker
+ * @expiring: what the owner has reported
+ * @term: term of that owner
+ * @now_us: the time at which that was read, which is later than it was written
+ */
+void
+bts_worker_set_expiring (bts_worker_t *worker, const Bts__Expiring *expiring, guint64 term,
+                         gint64 now_us)
+{
+  gint64 until_us = now_us + (gint64)expiring->lease_ms * 1000;
+  /* A report that its owner repeats is of the same lease. */
+  worker->expiring_until_us
+      = worker->expiring_term == term ? MIN (worker->expiring_until_us, until_us) : until_us;
+  worker->expiring_started_ms = expiring->started_ms;
+  worker->expiring_term = term;
+}
+
+/**
+ * bts_worker_set_renewed() - record that the owner may renew a worker's lease
+ * @worker: the worker
+ */
+void
+bts_worker_set_renewed (bts_worker_t *worker)
+{
+  worker->expiring_term = 0;
+  worker->expiring_reported = FALSE;
+  worker->renewed_reported = FALSE;
+}
+
+/**
+ * bts_fleet_forget_expiring() - forget what the journal says of leases that aren't renewed
+ * @fleet: the fleet
+ */
+void
+bts_fleet_forget_expiring (bts_fleet_t *fleet)
+{
+  for (guint i = 0; i < fleet->numbered->len; i++)
+    {
+      bts_worker_t *worker = fleet->numbered->pdata[i];
+      if (worker != NULL)
+        worker->expiring_term = 0;
+    }
+}
+
 /**
  * bts_worker_add_lost_run() - remember a run until it is known whether its worker has crashed
  * @worker: the worker
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -157,7 +157,8 @@
  * The deadline stays as it is while the owner hasn't read back a heartbeat of its own for
  * BTS_RENEWAL_CUTOFF_US: the next owner relies on these leases to expire where it can't
  * reach a worker. It also stays as it is while the worker leaves holds unanswered, since
- * the worker's runs are given up when the last lease expires.
+ * the worker's runs are given up when the last lease expires, and while the journal may say that
+ * the lease isn't renewed.
  *
  * Return: the lease deadline on the worker's clock, in milliseconds; 0 if that clock isn't
  * known, which leaves the lease as it is.
@@ -168,7 +169,8 @@
   gint64 now_us = bts_sched_now (sched);
   if (worker->clock_at_us == 0)
     return 0;
-  if (worker->hold_failures == 0 && now_us - bts_sched_confirmed_us (sched) < BTS_RENEWAL_CUTOFF_US)
+  if (worker->hold_failures == 0 && !worker->expiring_reported
+      && now_us - bts_sched_confirmed_us (sched) < BTS_RENEWAL_CUTOFF_US)
     worker->requested_deadline_ms
         = MAX (worker->requested_deadline_ms,
                bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
@@ -289,6 +291,20 @@
     }
 }
 
+/* Goes on without renewing a lease that the owner before this one didn't renew either. What earlier
+   owners have reported doesn't count: a later one that didn't know of it may have renewed. */
+static void
+inherit_expiring (bts_sched_t *sched, bts_worker_t *worker)
+{
+  worker->expiring_reported = FALSE;
+  worker->renewed_reported = FALSE;
+  if (worker->expiring_term == 0 || worker->expiring_term + 1 != sched->term)
+    return;
+  gint64 started_ms = worker->expiring_started_ms;
+  bts_heartbeat_add_expiring (sched, worker, worker->expiring_until_us - bts_sched_now (sched));
+  worker->expiring_started_ms = started_ms;
+}
+
 /**
  * bts_sched_begin_term() - start to lead a term
  * @sched: the scheduler
@@ -310,7 +326,10 @@
   gpointer value;
   g_hash_table_iter_init (&iter, sched->fleet->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    bts_worker_reset (value);
+    {
+      bts_worker_reset (value);
+      inherit_expiring (sched, value);
+    }
   g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
   while (g_hash_table_iter_next (&iter, NULL, &value))
     bts_sched_enqueue_job (sched, value);
@@ -402,18 +421,44 @@
   return recently_started ? sched->config.hold_max_ms : bts_sched_lease_ms (sched);
 }
 
-/* Whether a worker that hasn't listed its runs yet may still run tasks of earlier owners. A later
-   owner may have renewed a lease that was over by the clock. */
+/* Whether a worker has restarted since an owner stopped to renew its lease. Orders in flight may
+   have got another lease from the new incarnation. */
 static gboolean
-may_have_unlisted_runs (const bts_sched_t *sched, const bts_worker_t *worker)
+has_restarted_since_expiring (const bts_worker_t *worker)
+{
+  return MAX (worker->entry->started_ms, worker->started_ms) > worker->expiring_started_ms;
+}
+
+/**
+ * bts_sched_old_leases_expiry_us() - when the leases of earlier owners on a worker have expired
+ * @sched: a leading scheduler
+ * @worker: a worker that hasn't answered in this term
+ */
+gint64
+bts_sched_old_leases_expiry_us (const bts_sched_t *sched, const bts_worker_t *worker)
+{
+  gint64 granted_us = bts_lease_max_us (bts_sched_max_earlier_lease_ms (sched, worker));
+  gint64 expiry_us = MAX (sched->earlier_leases_end_us, sched->term_began_us + granted_us);
+  gboolean expires_earlier = worker->expiring_reported && !has_restarted_since_expiring (worker);
+  return expires_earlier ? MIN (expiry_us, worker->expiring_until_us) : expiry_us;
+}
+
+/**
+ * bts_sched_may_have_unlisted_runs() - whether a worker that hasn't listed its runs yet may still
+ * run tasks of earlier owners
+ * @sched: a leading scheduler
+ * @worker: the worker
+ *
+ * A later owner may have renewed a lease that was over by the clock.
+ */
+gboolean
+bts_sched_may_have_unlisted_runs (const bts_sched_t *sched, const bts_worker_t *worker)
 {
   if (worker->synced || worker->replaced)
     return FALSE;
   if (worker->partly_listed && worker->hold_failures == 0)
     return TRUE;
-  gint64 granted_us = bts_lease_max_us (bts_sched_max_earlier_lease_ms (sched, worker));
-  return bts_sched_confirmed_us (sched)
-         < MAX (sched->earlier_leases_end_us, sched->term_began_us + granted_us);
+  return bts_sched_confirmed_us (sched) < bts_sched_old_leases_expiry_us (sched, worker);
 }
 
 /* The labels of a worker without an entry in the registry aren't known. */
@@ -455,7 +500,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, sched->fleet->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (may_have_unlisted_runs (sched, value))
+    if (bts_sched_may_have_unlisted_runs (sched, value))
       g_ptr_array_add (sched->unsynced, value);
 }
 
@@ -832,7 +877,7 @@
     {
       const bts_worker_t *worker = value;
       n_workers++;
-      if (may_have_unlisted_runs (sched, worker))
+      if (bts_sched_may_have_unlisted_runs (sched, worker))
         return FALSE;
     }
   return n_workers > 0 || bts_sched_confirmed_us (sched) >= sched->earlier_leases_end_us;
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &bts__held__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__expiring__init
+                     (Bts__Expiring         *message)
+{
+  static const Bts__Expiring init_value = BTS__EXPIRING__INIT;
+  *message = init_value;
+}
+size_t bts__expiring__get_packed_size
+                     (const Bts__Expiring *message)
+{
+  assert(message->base.descriptor == &bts__expiring__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__expiring__pack
+                     (const Bts__Expiring *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__expiring__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__expiring__pack_to_buffer
+                     (const Bts__Expiring *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__expiring__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Expiring *
+       bts__expiring__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Expiring *)
+     protobuf_c_message_unpack (&bts__expiring__descriptor,
+                                allocator, len, data);
+}
+void   bts__expiring__free_unpacked
+                     (Bts__Expiring *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__expiring__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__beat__init
                      (Bts__Beat         *message)
 {
@@ -2278,7 +2323,71 @@
   (ProtobufCMessageInit) bts__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__beat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bts__expiring__field_descriptors[3] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Expiring, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Expiring, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Expiring, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__expiring__field_indices_by_name[] = {
+  2,   /* field[2] = lease_ms */
+  1,   /* field[1] = started_ms */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange bts__expiring__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bts__expiring__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Expiring",
+  "Expiring",
+  "Bts__Expiring",
+  "bts",
+  sizeof(Bts__Expiring),
+  3,
+  bts__expiring__field_descriptors,
+  bts__expiring__field_indices_by_name,
+  1,  bts__expiring__number_ranges,
+  (ProtobufCMessageInit) bts__expiring__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__beat__field_descriptors[12] =
 {
   {
     "term",
@@ -2400,23 +2509,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expiring",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Beat, n_expiring),
+    offsetof(Bts__Beat, expiring),
+    &bts__expiring__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "renewed",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Bts__Beat, n_renewed),
+    offsetof(Bts__Beat, renewed),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__beat__field_indices_by_name[] = {
   6,   /* field[6] = append_ms */
   2,   /* field[2] = begun */
   8,   /* field[8] = crashes */
   3,   /* field[3] = ends */
+  10,   /* field[10] = expiring */
   4,   /* field[4] = held */
   1,   /* field[1] = number */
   7,   /* field[7] = oldest_needed */
   5,   /* field[5] = released */
+  11,   /* field[11] = renewed */
   9,   /* field[9] = silent */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange bts__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bts__beat__descriptor =
 {
@@ -2426,7 +2561,7 @@
   "Bts__Beat",
   "bts",
   sizeof(Bts__Beat),
-  10,
+  12,
   bts__beat__field_descriptors,
   bts__beat__field_indices_by_name,
   1,  bts__beat__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Bts__Silent Bts__Silent;
 typedef struct Bts__Crash Bts__Crash;
 typedef struct Bts__Held Bts__Held;
+typedef struct Bts__Expiring Bts__Expiring;
 typedef struct Bts__Beat Bts__Beat;
 typedef struct Bts__TaskState Bts__TaskState;
 typedef struct Bts__Kept Bts__Kept;
@@ -275,6 +276,28 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * A worker whose lease the owner doesn't renew any more, as it has not answered for some time, until
+ * it reports the worker as renewed. The next owner reports it anew, as far as it knows of it.
+ */
+struct  Bts__Expiring
+{
+  ProtobufCMessage base;
+  char *worker;
+  /*
+   * Start of the incarnation that the owner knows; 0 if it knows none.
+   */
+  int64_t started_ms;
+  /*
+   * Longest time until every lease on the worker has expired, counted from this record.
+   */
+  uint32_t lease_ms;
+};
+#define BTS__EXPIRING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__expiring__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 /*
  * The owner's heartbeat, written at intervals and with each batch of ends.
  */
@@ -306,10 +329,17 @@
   Bts__Crash **crashes;
   size_t n_silent;
   Bts__Silent **silent;
+  /*
+   * These two take effect in this order, and only in a heartbeat with the highest number so far.
+   */
+  size_t n_expiring;
+  Bts__Expiring **expiring;
+  size_t n_renewed;
+  char **renewed;
 };
 #define BTS__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__beat__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -809,6 +839,25 @@
 void   bts__held__free_unpacked
                      (Bts__Held *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Expiring methods */
+void   bts__expiring__init
+                     (Bts__Expiring         *message);
+size_t bts__expiring__get_packed_size
+                     (const Bts__Expiring   *message);
+size_t bts__expiring__pack
+                     (const Bts__Expiring   *message,
+                      uint8_t             *out);
+size_t bts__expiring__pack_to_buffer
+                     (const Bts__Expiring   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Expiring *
+       bts__expiring__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__expiring__free_unpacked
+                     (Bts__Expiring *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Beat methods */
 void   bts__beat__init
                      (Bts__Beat         *message);
@@ -1094,6 +1143,9 @@
 typedef void (*Bts__Held_Closure)
                  (const Bts__Held *message,
                   void *closure_data);
+typedef void (*Bts__Expiring_Closure)
+                 (const Bts__Expiring *message,
+                  void *closure_data);
 typedef void (*Bts__Beat_Closure)
                  (const Bts__Beat *message,
                   void *closure_data);
@@ -1151,6 +1203,7 @@
 extern const ProtobufCMessageDescriptor bts__silent__descriptor;
 extern const ProtobufCMessageDescriptor bts__crash__descriptor;
 extern const ProtobufCMessageDescriptor bts__held__descriptor;
+extern const ProtobufCMessageDescriptor bts__expiring__descriptor;
 extern const ProtobufCMessageDescriptor bts__beat__descriptor;
 extern const ProtobufCMessageDescriptor bts__task_state__descriptor;
 extern const ProtobufCMessageDescriptor bts__kept__descriptor;
