test_handover: room for what lasts, so that wrong starts show

In the random series all workers were full, so a task that the next owner took for idle by mistake found no room. A report of any earlier term that counts stays unnoticed: it needs an owner that has not read the report.

--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -9,6 +9,8 @@
 #define WORKERS 12
 /* Seeds of random series, unless BT_SEEDS names another number. */
 #define SEEDS_IN_CI 20
+/* Tasks of the cases below that find room on all workers together. */
+#define ROOM_TASKS (16 * WORKERS)
 /* Time between the announcement of a worker that it leaves and its exit. */
 #define DRAIN_MS 2500
 /* Time from SIGTERM to the exit of a process, and from there to its next start. */
@@ -184,7 +186,7 @@
       worker->dark = TRUE;
       break;
     case 1:
-      worker->cut_from = g_rand_int_range (random, 0, 4);
+      worker->cut_from = g_rand_int_range (random, 0, (gint)sim->nodes->len);
       break;
     case 2:
       worker->mute = TRUE;
@@ -252,9 +254,9 @@
         }
       if (g_rand_int_range (random, 0, 5) == 0)
         disturb_worker (sim, random);
-      if (sim_owner (sim) >= 0 && g_rand_int_range (random, 0, 8) == 0)
+      if (sim_owner (sim) >= 0 && sim_running (sim, "") < ROOM_TASKS / 3)
         sim_submit (sim, (guint)sim_owner (sim), &service, lasting, G_N_ELEMENTS (lasting));
-      if (sim_owner (sim) >= 0 && g_rand_int_range (random, 0, 4) == 0)
+      if (sim_owner (sim) >= 0 && g_rand_int_range (random, 0, 6) == 0)
         sim_submit (sim, (guint)sim_owner (sim), &lookup, short_step, G_N_ELEMENTS (short_step));
       if (g_rand_int_range (random, 0, 50) == 0)
         sim->lose_percent = sim->lose_percent > 0 ? 0 : 20;
