Tests, red: a gang of which an earlier owner has started a part

The simulator counts such ends. In three cases the owner is killed, or leaves, while workers don't get its orders; all three fail.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -646,6 +646,7 @@
         run->waiting = FALSE;
       else if (now (sim) - run->started_us > SIM_GANG_TIMEOUT_MS * 1000)
         {
+          sim->alone++;
           end_run (worker, run, BTS_OUTCOME_GANG_INCOMPLETE);
           return;
         }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -202,6 +202,7 @@
  * @store_disturbed_us: when the store last was down, slow or lost answers
  * @comeback: how workers are back after sim_crash_for_seconds(), and after a deadly task
  * @crashes: workers that have crashed
+ * @alone: runs of gangs that have ended since the other members didn't come
  */
 struct sim_t
 {
@@ -244,6 +245,7 @@
   gint64 store_disturbed_us;
   sim_comeback_t comeback;
   guint crashes;
+  guint alone;
   guint starts;
 };
 
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -268,6 +268,54 @@
 }
 END_TEST
 
+/**
+ * struct gang_case_t - the owner goes while it starts a gang
+ * @n_deaf: workers that don't get their orders, of three that a gang needs
+ * @leaves: the owner leaves, otherwise it is killed
+ */
+typedef struct
+{
+  const char *name;
+  guint n_deaf;
+  gboolean leaves;
+} gang_case_t;
+
+static const gang_case_t gang_cases[] = {
+  { "owner_killed_and_one_member_missing", 1, FALSE },
+  { "owner_killed_and_two_members_missing", 2, FALSE },
+  { "owner_leaves_and_one_member_missing", 1, TRUE },
+};
+
+/* GANG: the members that an owner had started waited in vain for those that it hadn't, as the next
+   owner let them go on. */
+START_TEST (members_of_a_gang_do_not_wait_in_vain_for_an_earlier_owner)
+{
+  const gang_case_t *play = &gang_cases[_i];
+  static const sim_step_t gang[]
+      = { { .count = 3, .cpu = 20000, .memory = 30000, .gpus = 4, .ms = 1500, .gang = TRUE } };
+  sim_t *sim = sim_new (4, 3, 1);
+  sim_run_ms (sim, 3000);
+  guint owner = (guint)sim_owner (sim);
+  sim_job_t *job = sim_submit (sim, owner, &service, gang, G_N_ELEMENTS (gang));
+  for (guint i = 0; i < play->n_deaf; i++)
+    sim_worker (sim, i)->dark = TRUE;
+  while (sim_running (sim, job->id) < 3 - play->n_deaf)
+    sim_run_ms (sim, 1);
+  sim_run_ms (sim, 50);
+  if (play->leaves)
+    sim_leave (sim, owner);
+  else
+    sim_kill (sim, owner);
+  for (guint i = 0; i < play->n_deaf; i++)
+    sim_worker (sim, i)->dark = FALSE;
+  sim_run_ms (sim, 8000);
+  ck_assert_uint_eq (sim->alone, 0);
+  ck_assert_int_eq (sim_state (sim, job), BTS_JOB_COMPLETED);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 static gint
 number_of_seeds (void)
 {
@@ -281,6 +329,8 @@
   TCase *tests = tcase_create ("handover");
   tcase_set_timeout (tests, 120);
   tcase_add_loop_test (tests, lasting_tasks_run_on_through_planned_work, 0, G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, members_of_a_gang_do_not_wait_in_vain_for_an_earlier_owner, 0,
+                       G_N_ELEMENTS (gang_cases));
   tcase_add_loop_test (tests, owners_in_series_start_nothing_twice, 0, number_of_seeds ());
   return suite_run ("handover", tests);
 }
