A new owner stops a gang of which an earlier one has started a part

Cause: what one owner knows, the next doesn't: which members were ordered and never confirmed. The next owner found those that run, kept them, and could start the others only together with them, so both waited until the worker ended the runs.

Change: once all runs of earlier owners are known, a gang with members that run and others that are pending is stopped and started as a whole; so is one of which a member is found later.

A term that settles later than gang-timeout can't prevent the end; that takes a worker that doesn't answer.

--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -527,6 +527,16 @@
   task->checkpoint = g_strdup (checkpoint);
 }
 
+/**
+ * bts_task_is_pending() - whether a task is to be started, as far as this owner knows
+ * @task: the task
+ */
+gboolean
+bts_task_is_pending (const bts_task_t *task)
+{
+  return !task->done && task->run == NULL && task->pending_end_run == 0;
+}
+
 /**
  * bts_task_set_idle() - record that an owner has resigned when a task wasn't known to run
  * @task: the task
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -265,6 +265,7 @@
 void bts_task_set_checkpoint (bts_task_t *task, const char *checkpoint);
 void bts_task_set_idle (bts_task_t *task, guint64 term, char *const *workers, gsize n);
 void bts_task_set_crashes (bts_task_t *task, guint run, guint points);
+gboolean bts_task_is_pending (const bts_task_t *task);
 char *bts_task_name (const bts_task_t *task);
 gboolean bts_task_name_parse (const char *name, char id[BTS_JOB_ID_LEN + 1], guint *occurrence,
                               guint *step, guint *index);
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -165,6 +165,24 @@
       bts_run_stop (sched, stage->tasks[i].run);
 }
 
+/**
+ * bts_gang_stop_if_incomplete() - stop a gang of which some members run and others don't
+ * @sched: a scheduler that knows all runs of earlier owners
+ * @stage: a stage; ignored unless it is a gang
+ */
+void
+bts_gang_stop_if_incomplete (bts_sched_t *sched, bts_stage_t *stage)
+{
+  if (!bts_stage_step (stage)->gang)
+    return;
+  for (guint i = 0; i < stage->n_tasks; i++)
+    if (bts_task_is_pending (&stage->tasks[i]))
+      {
+        bts_gang_stop (sched, stage);
+        return;
+      }
+}
+
 /* Removes a run and queues its task, or its whole gang, again. */
 static void
 requeue (bts_sched_t *sched, bts_run_t *run)
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -505,18 +505,12 @@
       g_ptr_array_add (sched->unsynced, value);
 }
 
-static gboolean
-is_task_pending (const bts_task_t *task)
-{
-  return !task->done && task->run == NULL && task->pending_end_run == 0;
-}
-
 static guint
 count_pending (const bts_stage_t *stage)
 {
   guint n_pending = 0;
   for (guint i = 0; i < stage->n_tasks; i++)
-    n_pending += is_task_pending (&stage->tasks[i]);
+    n_pending += bts_task_is_pending (&stage->tasks[i]);
   return n_pending;
 }
 
@@ -535,7 +529,7 @@
   guint n_ready = 0;
   for (guint i = 0; i < stage->n_tasks; i++)
     {
-      if (!is_task_pending (&stage->tasks[i]))
+      if (!bts_task_is_pending (&stage->tasks[i]))
         continue;
       if (!has_to_wait (sched, &stage->tasks[i], now_us))
         n_ready++;
@@ -627,7 +621,7 @@
   for (guint i = 0; i < stage->n_tasks; i++)
     {
       bts_task_t *task = &stage->tasks[i];
-      if (!is_task_pending (task) || has_to_wait (sched, task, now_us))
+      if (!bts_task_is_pending (task) || has_to_wait (sched, task, now_us))
         continue;
       bts_run_t *run = place_tentatively (sched, task, next_run_number (sched, stage, task));
       bts_crash_on_placed (task, run != NULL, now_us);
@@ -898,6 +892,22 @@
   return n_workers > 0 || bts_sched_confirmed_us (sched) >= sched->earlier_leases_end_us;
 }
 
+/* Stops the gangs of which an earlier owner has started a part. The others of such a gang never
+   come, and it can be started anew only as a whole. */
+static void
+stop_incomplete_gangs (bts_sched_t *sched)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->runs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const bts_run_t *run = value;
+      if (run->task != NULL)
+        bts_gang_stop_if_incomplete (sched, run->task->stage);
+    }
+}
+
 /* Logs what the term has waited for: leases of earlier owners on workers that haven't answered. */
 static void
 log_settled (const bts_sched_t *sched)
@@ -1023,6 +1033,7 @@
       sched->settled = TRUE;
       sched->dirty = TRUE;
       log_settled (sched);
+      stop_incomplete_gangs (sched);
     }
   enqueue_due_occurrences (sched);
   bts_advice_tick (sched);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -275,6 +275,8 @@
     bts_run_stop (sched, run);
   else
     bts_heartbeat_add_begun (sched, task->stage->job);
+  if (wanted && sched->settled)
+    bts_gang_stop_if_incomplete (sched, task->stage);
 }
 
 /* Records in all known runs of a listed task that the task was listed. Returns the listed run, or
