--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -45,6 +45,7 @@
   bts_worker_entry_free (worker->entry);
   g_ptr_array_unref (worker->runs);
   g_ptr_array_unref (worker->lost_runs);
+  g_clear_pointer (&worker->remnant.tasks, g_hash_table_unref);
   g_free (worker);
 }
 
@@ -251,49 +252,41 @@
 }
 
 /**
- * bts_worker_set_expiring() - record that no owner renews a worker's lease any more
+ * bts_worker_set_remnant() - record what an owner that resigns knows of a worker
  * @worker: the worker
- * @expiring: what the owner has reported
- * @term: term of that owner
+ * @remnant: what it has said
+ * @term: its term
  * @now_us: the time at which that was read, which is later than it was written
  */
 void
-bts_worker_set_expiring (bts_worker_t *worker, const Bts__Expiring *expiring, guint64 term,
-                         gint64 now_us)
-{
-  gint64 until_us = now_us + (gint64)expiring->lease_ms * 1000;
-  /* A report that its owner repeats is of the same lease. */
-  worker->expiring_until_us
-      = worker->expiring_term == term ? MIN (worker->expiring_until_us, until_us) : until_us;
-  worker->expiring_started_ms = expiring->started_ms;
-  worker->expiring_term = term;
+bts_worker_set_remnant (bts_worker_t *worker, const Bts__Remnant *remnant, guint64 term,
+                        gint64 now_us)
+{
+  worker->remnant.term = term;
+  worker->remnant.until_us = now_us + (gint64)remnant->lease_ms * 1000;
+  worker->remnant.started_ms = remnant->started_ms;
+  g_clear_pointer (&worker->remnant.tasks, g_hash_table_unref);
+  if (remnant->n_runs > 0)
+    worker->remnant.tasks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (gsize i = 0; i < remnant->n_runs; i++)
+    {
+      const Bts__Run *run = remnant->runs[i];
+      char id[BTS_JOB_ID_LEN + 1];
+      bts_job_id_from_number (run->job, id);
+      g_hash_table_add (worker->remnant.tasks, g_strdup_printf ("%s.%u.%u.%u", id, run->occurrence,
+                                                                run->step, run->index));
+    }
 }
 
 /**
- * bts_worker_set_renewed() - record that the owner may renew a worker's lease
+ * bts_worker_may_run_remnant() - whether a task is among those that may be left on a worker
  * @worker: the worker
+ * @task: name of the task
  */
-void
-bts_worker_set_renewed (bts_worker_t *worker)
-{
-  worker->expiring_term = 0;
-  worker->expiring_reported = FALSE;
-  worker->renewed_reported = FALSE;
-}
-
-/**
- * bts_fleet_forget_expiring() - forget what the journal says of leases that aren't renewed
- * @fleet: the fleet
- */
-void
-bts_fleet_forget_expiring (bts_fleet_t *fleet)
+gboolean
+bts_worker_may_run_remnant (const bts_worker_t *worker, const char *task)
 {
-  for (guint i = 0; i < fleet->numbered->len; i++)
-    {
-      bts_worker_t *worker = fleet->numbered->pdata[i];
-      if (worker != NULL)
-        worker->expiring_term = 0;
-    }
+  return worker->remnant.tasks != NULL && g_hash_table_contains (worker->remnant.tasks, task);
 }
 
 /**
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -125,6 +125,21 @@
   gint64 silent_us;
 } bts_lost_run_t;
 
+/**
+ * struct bts_remnant_t - what may be left of earlier owners on a worker
+ * @term: term of the owner that has said so when it resigned; 0 if none has
+ * @until_us: when every lease on the worker has expired
+ * @started_ms: start of the incarnation that the lease belongs to; 0 if not known
+ * @tasks: names of the only tasks that may run there; NULL if none
+ */
+typedef struct
+{
+  guint64 term;
+  gint64 until_us;
+  gint64 started_ms;
+  GHashTable *tasks;
+} bts_remnant_t;
+
 /**
  * struct bts_worker_t - a worker
  * @number: identifies it in this process; small, and never reused
@@ -133,12 +148,7 @@
  * @registered: it is in the registry now
  * @unregistered_us: since when it isn't registered
  * @held: the journal says that an owner holds it, so that the next owner will know it
- * @expiring_term: term of the owner that doesn't renew its lease any more, as far as the journal
- *   says; 0 if there is none
- * @expiring_until_us: if no owner renews its lease, when every lease on it has expired
- * @expiring_started_ms: start of its incarnation as the owner knew it then; 0 if it didn't
- * @expiring_reported: this owner doesn't renew its lease, and has queued a report of that
- * @renewed_reported: it has answered since, and the owner has queued a report of that
+ * @remnant: what an earlier owner has said of it when it resigned
  * @replaced: another worker answers at its address, so this incarnation is over
  * @started_ms: start of the incarnation that @runs and @journaled_seq belong to; 0 if not
  *   known
@@ -182,11 +192,7 @@
   gboolean registered;
   gint64 unregistered_us;
   gboolean held;
-  guint64 expiring_term;
-  gint64 expiring_until_us;
-  gint64 expiring_started_ms;
-  gboolean expiring_reported;
-  gboolean renewed_reported;
+  bts_remnant_t remnant;
   gboolean replaced;
   gint64 started_ms;
   guint generation;
@@ -258,15 +264,14 @@
 void bts_fleet_remove (bts_fleet_t *fleet, const char *id);
 void bts_fleet_add_held (bts_fleet_t *fleet, const Bts__Held *held, gint64 now_us);
 
-void bts_fleet_forget_expiring (bts_fleet_t *fleet);
 void bts_worker_reset (bts_worker_t *worker);
 void bts_worker_add_lost_run (bts_worker_t *worker, const bts_lost_run_t *run);
 void bts_worker_on_reply (bts_worker_t *worker, gint64 clock_ms, gint64 now_us);
 gint64 bts_worker_clock_ms (const bts_worker_t *worker, gint64 now_us);
 gint64 bts_lease_max_us (gint64 lease_ms);
-void bts_worker_set_expiring (bts_worker_t *worker, const Bts__Expiring *expiring, guint64 term,
-                              gint64 now_us);
-void bts_worker_set_renewed (bts_worker_t *worker);
+void bts_worker_set_remnant (bts_worker_t *worker, const Bts__Remnant *remnant, guint64 term,
+                             gint64 now_us);
+gboolean bts_worker_may_run_remnant (const bts_worker_t *worker, const char *task);
 gint64 bts_worker_lease_expiry_us (const bts_worker_t *worker);
 bts_resources_t bts_worker_capacity (const bts_worker_t *worker);
 gboolean bts_worker_has_room (const bts_worker_t *worker, const bts_resources_t *used,
--- a/libbamboothread/scheduler/handover.c
+++ b/libbamboothread/scheduler/handover.c
@@ -1,108 +1,84 @@
 #include "libbamboothread/scheduler/handover.h"
 
-#include <string.h>
-
 #include "libbamboothread/scheduler/sched_private.h"
 
-/* Most tasks in one resignation; keeps it far below the store's size limit of a record. */
-#define IDLE_TASKS_MAX 1000
+/* Most workers in one resignation, and most runs on them; keeps the record below the store's size
+   limit. The next owner waits for all that may run on further ones. */
+#define REMNANTS_MAX 2000
+#define REMNANT_RUNS_MAX 4000
 
-/* Whether the owner before this one has said on which workers a task may run. */
-static gboolean
-is_inherited (const bts_sched_t *sched, const bts_task_t *task)
+static Bts__Remnant *
+remnant_new (const bts_worker_t *worker, gint64 started_ms, gint64 lease_us, gsize n_runs)
 {
-  return task->idle_term != 0 && task->idle_term + 1 == sched->term;
-}
-
-/**
- * bts_handover_is_idle() - whether a task surely doesn't run, as the owner before this one knew
- * @sched: a leading scheduler
- * @task: a task without a run
- */
-gboolean
-bts_handover_is_idle (const bts_sched_t *sched, const bts_task_t *task)
-{
-  if (!is_inherited (sched, task))
-    return FALSE;
-  for (char *const *id = task->idle_workers; *id != NULL; id++)
-    {
-      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, *id);
-      if (worker == NULL || bts_sched_may_have_unlisted_runs (sched, worker))
-        return FALSE;
-    }
-  return TRUE;
+  Bts__Remnant *remnant = malloc (sizeof *remnant);
+  bts__remnant__init (remnant);
+  remnant->worker = strdup (worker->entry->id);
+  remnant->started_ms = started_ms;
+  remnant->lease_ms = (guint32)(MAX (lease_us, 0) / 1000 + 1);
+  remnant->runs = calloc (MAX (n_runs, 1), sizeof *remnant->runs);
+  return remnant;
 }
 
-/* The workers on which a task without a run may run unseen: those that the owner before this one
-   has named, or else all, as far as they haven't answered. */
-static GPtrArray *
-list_unseen_workers (const bts_sched_t *sched, const bts_task_t *task)
+static void
+add_task (Bts__Remnant *remnant, const char *name)
 {
-  GPtrArray *workers = g_ptr_array_new ();
-  if (sched->settled || task->stage->job->offset > bts_ledger_claim_offset (sched->ledger))
-    return workers;
-  for (guint i = 0; i < sched->fleet->numbered->len; i++)
-    {
-      bts_worker_t *worker = sched->fleet->numbered->pdata[i];
-      if (worker == NULL || !bts_sched_may_have_unlisted_runs (sched, worker))
-        continue;
-      if (!is_inherited (sched, task)
-          || g_strv_contains ((const char *const *)task->idle_workers, worker->entry->id))
-        g_ptr_array_add (workers, worker);
-    }
-  return workers;
+  char id[BTS_JOB_ID_LEN + 1];
+  guint occurrence;
+  guint step;
+  guint index;
+  if (!bts_task_name_parse (name, id, &occurrence, &step, &index))
+    return;
+  Bts__Run *run = malloc (sizeof *run);
+  bts__run__init (run);
+  run->job = g_ascii_strtoull (id, NULL, 16);
+  run->occurrence = occurrence;
+  run->step = step;
+  run->index = index;
+  remnant->runs[remnant->n_runs++] = run;
 }
 
-static Bts__Idle *
-idle_new (const bts_task_t *task, const GPtrArray *workers)
+/* What this owner has started or found on a worker that has answered it. */
+static Bts__Remnant *
+remnant_of_known (const bts_sched_t *sched, const bts_worker_t *worker)
 {
-  Bts__Idle *idle = malloc (sizeof *idle);
-  bts__idle__init (idle);
-  idle->task = malloc (sizeof *idle->task);
-  bts__run__init (idle->task);
-  idle->task->job = bts_job_number (task->stage->job);
-  idle->task->occurrence = task->stage->occurrence;
-  idle->task->step = task->stage->step;
-  idle->task->index = task->index;
-  idle->workers = calloc (MAX (workers->len, 1), sizeof *idle->workers);
-  for (guint i = 0; i < workers->len; i++)
-    idle->workers[idle->n_workers++] = strdup (((bts_worker_t *)workers->pdata[i])->entry->id);
-  return idle;
+  gint64 lease_us = bts_worker_lease_expiry_us (worker) - bts_sched_now (sched);
+  Bts__Remnant *remnant = remnant_new (worker, worker->started_ms, lease_us, worker->runs->len);
+  for (guint i = 0; i < worker->runs->len; i++)
+    add_task (remnant, ((const bts_run_t *)worker->runs->pdata[i])->name);
+  return remnant;
 }
 
-/* Adds a task that doesn't run, or whose worker doesn't answer. An end that isn't in the journal
-   yet is listed to the next owner, too. */
-static void
-add_if_idle (const bts_sched_t *sched, const bts_task_t *task, Bts__Resigned *resigned)
+/* What the owner before this one has said of a worker that hasn't answered since. */
+static Bts__Remnant *
+remnant_of_inherited (const bts_sched_t *sched, const bts_worker_t *worker)
 {
-  if (resigned->n_idle == IDLE_TASKS_MAX || task->pending_end_run > 0
-      || (task->run != NULL && task->run->worker->hold_failures == 0))
-    return;
-  g_autoptr (GPtrArray) workers = NULL;
-  if (task->run == NULL)
-    workers = list_unseen_workers (sched, task);
-  else
-    {
-      workers = g_ptr_array_new ();
-      g_ptr_array_add (workers, task->run->worker);
-    }
-  resigned->idle[resigned->n_idle++] = idle_new (task, workers);
+  GHashTable *tasks = worker->remnant.tasks;
+  gint64 lease_us = bts_sched_old_leases_expiry_us (sched, worker) - bts_sched_now (sched);
+  Bts__Remnant *remnant = remnant_new (worker, worker->remnant.started_ms, lease_us,
+                                       tasks == NULL ? 0 : g_hash_table_size (tasks));
+  if (tasks == NULL)
+    return remnant;
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, tasks);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    add_task (remnant, name);
+  return remnant;
 }
 
-static void
-add_idle_of_job (const bts_sched_t *sched, const bts_job_t *job, Bts__Resigned *resigned)
+/* Returns NULL for a worker that is in use, or of which nothing is known. */
+static Bts__Remnant *
+remnant_of (const bts_sched_t *sched, const bts_worker_t *worker)
 {
-  for (guint k = 0; k < job->occurrences->len; k++)
+  if (worker->synced)
     {
-      const bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        {
-          const bts_stage_t *stage = &occurrence->stages[i];
-          const Bts__Step *step = bts_stage_step (stage);
-          for (guint t = 0; step->long_running && !step->gang && t < stage->n_tasks; t++)
-            add_if_idle (sched, &stage->tasks[t], resigned);
-        }
+      gboolean is_in_doubt = worker->hold_failures > 0 || worker->replaced
+                             || worker->entry->draining || !worker->registered;
+      return is_in_doubt ? remnant_of_known (sched, worker) : NULL;
     }
+  if (!bts_sched_may_have_unlisted_runs (sched, worker))
+    return remnant_new (worker, worker->started_ms, 0, 0);
+  return bts_sched_has_remnant (sched, worker) ? remnant_of_inherited (sched, worker) : NULL;
 }
 
 /**
@@ -118,15 +94,21 @@
   bts__resigned__init (resigned);
   resigned->term = sched->term;
   resigned->stopped = TRUE;
-  resigned->idle = calloc (IDLE_TASKS_MAX, sizeof (Bts__Idle *));
-  /* Without any worker nothing is known of what runs. */
-  if (g_hash_table_size (sched->fleet->workers) == 0)
-    return resigned;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (!bts_job_has_ended (value))
-      add_idle_of_job (sched, value, resigned);
+  resigned->remnants = calloc (REMNANTS_MAX, sizeof *resigned->remnants);
+  gsize n_runs = 0;
+  for (guint i = 0; i < sched->fleet->numbered->len && resigned->n_remnants < REMNANTS_MAX; i++)
+    {
+      const bts_worker_t *worker = sched->fleet->numbered->pdata[i];
+      Bts__Remnant *remnant = worker == NULL ? NULL : remnant_of (sched, worker);
+      if (remnant == NULL)
+        continue;
+      if (n_runs + remnant->n_runs > REMNANT_RUNS_MAX)
+        {
+          bts__remnant__free_unpacked (remnant, NULL);
+          continue;
+        }
+      n_runs += remnant->n_runs;
+      resigned->remnants[resigned->n_remnants++] = remnant;
+    }
   return resigned;
 }
--- a/libbamboothread/scheduler/handover.h
+++ b/libbamboothread/scheduler/handover.h
@@ -4,13 +4,12 @@
 #include "libbamboothread/scheduler/sched.h"
 
 /*
- * What an owner that resigns tells the next one about tasks that last and that it doesn't know to
- * run. The next owner then waits for the leases of those workers only on which such a task may run,
- * and not of all that don't answer it. Otherwise a worker that leaves shortly before each change of
- * the owner would keep these tasks from being started for as long as owners follow each other.
+ * What an owner that resigns tells the next one about workers that don't answer, or that are about
+ * to leave: what may run on them, and until when. The next owner then waits for these tasks only,
+ * and for the rest of the leases. Otherwise each owner would wait for a whole lease before it
+ * starts any task of an earlier term, and in vain if owners follow each other faster.
  */
 
 Bts__Resigned *bts_handover_new (const bts_sched_t *sched);
-gboolean bts_handover_is_idle (const bts_sched_t *sched, const bts_task_t *task);
 
 #endif
--- a/libbamboothread/scheduler/heartbeat.c
+++ b/libbamboothread/scheduler/heartbeat.c
@@ -39,12 +39,6 @@
   protobuf_c_message_free_unpacked (data, NULL);
 }
 
-static gboolean
-is_worker_id (bts_report_kind_t kind)
-{
-  return kind == BTS_REPORT_RELEASED || kind == BTS_REPORT_RENEWED;
-}
-
 /**
  * bts_heartbeat_init() - initialize what a scheduler reports in heartbeats
  * @sched: the scheduler
@@ -55,8 +49,8 @@
   sched->pending_ends = g_ptr_array_new_with_free_func (pending_end_free);
   sched->pending_begun = g_array_new (FALSE, FALSE, sizeof (guint64));
   for (guint i = 0; i < BTS_N_REPORTS; i++)
-    sched->reports[i].items = g_ptr_array_new_with_free_func (
-        is_worker_id ((bts_report_kind_t)i) ? g_free : message_free);
+    sched->reports[i].items
+        = g_ptr_array_new_with_free_func (i == BTS_REPORT_RELEASED ? g_free : message_free);
 }
 
 /**
@@ -218,45 +212,6 @@
   add_report (sched, BTS_REPORT_RELEASED, g_strdup (worker->entry->id));
 }
 
-/**
- * bts_heartbeat_add_expiring() - report in the next heartbeat that a worker's lease isn't renewed
- * any more
- * @sched: the scheduler
- * @worker: a worker that the owner holds and that doesn't answer
- * @lease_us: longest time until every lease on it has expired, in microseconds
- *
- * The next owner then waits for the rest of that time at most, rather than for a whole lease.
- */
-void
-bts_heartbeat_add_expiring (bts_sched_t *sched, bts_worker_t *worker, gint64 lease_us)
-{
-  Bts__Expiring *expiring = malloc (sizeof *expiring);
-  bts__expiring__init (expiring);
-  expiring->worker = strdup (worker->entry->id);
-  expiring->started_ms = MAX (worker->entry->started_ms, worker->started_ms);
-  expiring->lease_ms = (guint32)(MAX (lease_us, 0) / 1000 + 1);
-  add_report (sched, BTS_REPORT_EXPIRING, expiring);
-  worker->expiring_reported = TRUE;
-  worker->expiring_until_us = bts_sched_now (sched) + MAX (lease_us, 0);
-  worker->expiring_started_ms = expiring->started_ms;
-}
-
-/**
- * bts_heartbeat_add_renewed() - report in the next heartbeat that a worker's lease will be renewed
- * again
- * @sched: the scheduler
- * @worker: a worker that has answered; ignored unless this owner has reported that its lease
- *   expires
- */
-void
-bts_heartbeat_add_renewed (bts_sched_t *sched, bts_worker_t *worker)
-{
-  if (!worker->expiring_reported || worker->renewed_reported)
-    return;
-  add_report (sched, BTS_REPORT_RENEWED, g_strdup (worker->entry->id));
-  worker->renewed_reported = TRUE;
-}
-
 /* Marks the items of a kind as sent with the heartbeat that is being written. */
 static gpointer *
 take_reports (bts_sched_t *sched, bts_report_kind_t kind, gsize *n)
@@ -294,8 +249,6 @@
   beat.released = (char **)take_reports (sched, BTS_REPORT_RELEASED, &beat.n_released);
   beat.crashes = (Bts__Crash **)take_reports (sched, BTS_REPORT_CRASHES, &beat.n_crashes);
   beat.silent = (Bts__Silent **)take_reports (sched, BTS_REPORT_SILENT, &beat.n_silent);
-  beat.expiring = (Bts__Expiring **)take_reports (sched, BTS_REPORT_EXPIRING, &beat.n_expiring);
-  beat.renewed = (char **)take_reports (sched, BTS_REPORT_RENEWED, &beat.n_renewed);
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_BEAT;
   record.beat = &beat;
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -128,7 +128,6 @@
         {
           g_free (stage->tasks[t].checkpoint);
           g_free (stage->tasks[t].avoid_worker);
-          g_strfreev (stage->tasks[t].idle_workers);
         }
       g_free (stage->tasks);
       g_clear_pointer (&stage->advice, advice_free);
@@ -537,23 +536,6 @@
   return !task->done && task->run == NULL && task->pending_end_run == 0;
 }
 
-/**
- * bts_task_set_idle() - record that an owner has resigned when a task wasn't known to run
- * @task: the task
- * @term: term of that owner
- * @workers: ids of the only workers on which it may run all the same
- * @n: number of @workers
- */
-void
-bts_task_set_idle (bts_task_t *task, guint64 term, char *const *workers, gsize n)
-{
-  g_strfreev (task->idle_workers);
-  task->idle_workers = g_new0 (char *, n + 1);
-  for (gsize i = 0; i < n; i++)
-    task->idle_workers[i] = g_strdup (workers[i]);
-  task->idle_term = term;
-}
-
 /**
  * bts_task_set_crashes() - set a task's points for crashes in a row of its workers
  * @task: the task
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -91,9 +91,6 @@
  *   journal yet; 0 for none
  * @done_pending: whether that end counts in @n_done_pending of the stage
  * @avoid_worker: worker on which it failed last, or NULL
- * @idle_term: term of an owner that has resigned, when the task didn't run anywhere but perhaps on
- *   @idle_workers; 0 if none has said so
- * @idle_workers: ids of workers, or NULL
  * @crash_run: the highest number of a run after whose start its worker is known to have crashed
  * @crash_points: points for such crashes in a row
  * @crash_suspected: its last run was lost right after its start, and whether the worker has crashed
@@ -116,8 +113,6 @@
   guint pending_end_run;
   gboolean done_pending;
   char *avoid_worker;
-  guint64 idle_term;
-  char **idle_workers;
   guint crash_run;
   guint crash_points;
   gboolean crash_suspected;
@@ -139,8 +134,6 @@
  * @advice_deadline_us: when that process is given up and another one asked
  * @prefetch_us: when to request advice ahead of the stage's start; 0 if that isn't planned
  * @queued: whether the stage is in the owner's queue
- * @awaits_leases: during an attempt to place the stage, its tasks may run on workers that don't
- *   answer
  * @tried_pass: last pass over the queue in which placement was attempted and left tasks pending
  * @retry_us: when that is to be repeated although no room has appeared
  * @reserving: that pass reserved workers for it
@@ -169,7 +162,6 @@
   gint64 advice_deadline_us;
   gint64 prefetch_us;
   gboolean queued;
-  gboolean awaits_leases;
   guint64 tried_pass;
   gint64 retry_us;
   gboolean reserving;
@@ -263,7 +255,6 @@
 gboolean bts_stage_is_ready (const bts_stage_t *stage);
 gboolean bts_stage_is_done (const bts_stage_t *stage);
 void bts_task_set_checkpoint (bts_task_t *task, const char *checkpoint);
-void bts_task_set_idle (bts_task_t *task, guint64 term, char *const *workers, gsize n);
 void bts_task_set_crashes (bts_task_t *task, guint run, guint points);
 gboolean bts_task_is_pending (const bts_task_t *task);
 char *bts_task_name (const bts_task_t *task);
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -14,7 +14,6 @@
  * @term: the current term; 0 before the first claim
  * @owner: name of the process that claimed @term, or OWNER_UNKNOWN; NULL before the first claim
  *   and after a resignation
- * @heartbeat_number: highest number of a heartbeat of @term
  * @owner_stopped: there is no owner, and the last one renews no leases any more
  * @claim_offset: offset of the claim or resignation that last changed @term or @owner; if the
  *   claim was deleted, of the first record of the term that was read
@@ -32,7 +31,6 @@
   GHashTable *held;
   guint64 term;
   char *owner;
-  guint64 heartbeat_number;
   gboolean owner_stopped;
   gint64 claim_offset;
   gboolean replaying;
@@ -257,7 +255,6 @@
   g_free (ledger->owner);
   ledger->owner = g_strdup (owner);
   ledger->owner_stopped = stopped;
-  ledger->heartbeat_number = 0;
   ledger->claim_offset = offset;
   ledger->ops->owner_changed (ledger->context);
 }
@@ -286,13 +283,8 @@
 {
   if (resigned->term < ledger->term || (resigned->term == ledger->term && ledger->owner == NULL))
     return;
-  for (gsize i = 0; i < resigned->n_idle; i++)
-    {
-      const Bts__Idle *idle = resigned->idle[i];
-      bts_task_t *task = idle->task == NULL ? NULL : find_task (ledger, idle->task);
-      if (task != NULL)
-        bts_task_set_idle (task, resigned->term, idle->workers, idle->n_workers);
-    }
+  for (gsize i = 0; i < resigned->n_remnants; i++)
+    ledger->ops->worker_remnant (ledger->context, resigned->term, resigned->remnants[i]);
   set_term (ledger, resigned->term, NULL, resigned->stopped, offset);
 }
 
@@ -430,19 +422,6 @@
   remove_outdated_jobs (ledger, oldest_needed);
 }
 
-/* An append that got no answer may be stored after later ones, and must not undo what they say. */
-static void
-fold_leases (bts_ledger_t *ledger, const Bts__Beat *heartbeat)
-{
-  if (heartbeat->number <= ledger->heartbeat_number)
-    return;
-  ledger->heartbeat_number = heartbeat->number;
-  for (gsize i = 0; i < heartbeat->n_expiring; i++)
-    ledger->ops->worker_expiring (ledger->context, heartbeat->expiring[i]);
-  for (gsize i = 0; i < heartbeat->n_renewed; i++)
-    ledger->ops->worker_renewed (ledger->context, heartbeat->renewed[i]);
-}
-
 static void
 fold_heartbeat (bts_ledger_t *ledger, const Bts__Beat *heartbeat, gint64 offset, gint64 now_us)
 {
@@ -468,7 +447,6 @@
     fold_crash (ledger, heartbeat->crashes[i], now_us);
   for (gsize i = 0; i < heartbeat->n_silent; i++)
     fold_silent (ledger, heartbeat->silent[i]);
-  fold_leases (ledger, heartbeat);
   check_complete (ledger, (gint64)heartbeat->oldest_needed);
   ledger->ops->heartbeat (ledger->context, heartbeat->number, heartbeat->append_ms);
 }
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -24,8 +24,7 @@
  * @worker_held: the owner has taken a lease on a worker; @held has its address and service
  * @worker_released: the owner has given that lease up
  * @worker_silent: a worker no longer answers; @run of @task was just starting on it
- * @worker_expiring: the owner doesn't renew its lease on a worker any more
- * @worker_renewed: it may do so again
+ * @worker_remnant: the owner of @term is about to resign, and says what may be left on a worker
  * @job_removed: a job is about to be freed
  */
 typedef struct
@@ -42,8 +41,7 @@
   void (*worker_released) (void *context, const char *worker);
   void (*worker_silent) (void *context, const Bts__Silent *silent, const bts_task_t *task,
                          const Bts__Run *run);
-  void (*worker_expiring) (void *context, const Bts__Expiring *expiring);
-  void (*worker_renewed) (void *context, const char *worker);
+  void (*worker_remnant) (void *context, guint64 term, const Bts__Remnant *remnant);
   void (*job_removed) (void *context, bts_job_t *job);
 } bts_ledger_ops_t;
 
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -221,21 +221,12 @@
 }
 
 static void
-on_worker_expiring (void *context, const Bts__Expiring *expiring)
+on_worker_remnant (void *context, guint64 term, const Bts__Remnant *remnant)
 {
   bts_node_t *node = context;
-  bts_worker_t *worker = bts_fleet_find_worker (&node->fleet, expiring->worker);
+  bts_worker_t *worker = bts_fleet_find_worker (&node->fleet, remnant->worker);
   if (worker != NULL)
-    bts_worker_set_expiring (worker, expiring, bts_ledger_term (node->ledger), node_now (node));
-}
-
-static void
-on_worker_renewed (void *context, const char *id)
-{
-  bts_node_t *node = context;
-  bts_worker_t *worker = bts_fleet_find_worker (&node->fleet, id);
-  if (worker != NULL)
-    bts_worker_set_renewed (worker);
+    bts_worker_set_remnant (worker, remnant, term, node_now (node));
 }
 
 static void
@@ -246,9 +237,9 @@
 }
 
 static const bts_ledger_ops_t ledger_ops
-    = { on_job_accepted,  on_job_cancelled,   on_run_ended,      on_job_ended,   on_owner_changed,
-        on_heartbeat,     on_node_seen,       on_node_hello,     on_worker_held, on_worker_released,
-        on_worker_silent, on_worker_expiring, on_worker_renewed, on_job_removed };
+    = { on_job_accepted,  on_job_cancelled,  on_run_ended,  on_job_ended,   on_owner_changed,
+        on_heartbeat,     on_node_seen,      on_node_hello, on_worker_held, on_worker_released,
+        on_worker_silent, on_worker_remnant, on_job_removed };
 
 /* Callbacks through which the scheduler sends orders, appends records and requests advice. */
 
@@ -637,8 +628,6 @@
   bt_log (node->replaying ? BT_LOG_NOTICE : BT_LOG_ERROR, "journal-skipped",
           "from=%" G_GINT64_FORMAT " first=%" G_GINT64_FORMAT, from, first);
   bts_ledger_skip (node->ledger, first);
-  /* The deleted records may have said that leases are renewed again. */
-  bts_fleet_forget_expiring (&node->fleet);
 }
 
 /**
@@ -990,8 +979,8 @@
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_RESIGNED;
   record.resigned = resigned;
-  bt_log (BT_LOG_NOTICE, "resign", "term=%" G_GUINT64_FORMAT " idle=%zu", resigned->term,
-          resigned->n_idle);
+  bt_log (BT_LOG_NOTICE, "resign", "term=%" G_GUINT64_FORMAT " remnants=%zu", resigned->term,
+          resigned->n_remnants);
   append (node, TOKEN_NONE, &record);
   bts__resigned__free_unpacked (resigned, NULL);
   node->fenced = TRUE;
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -161,8 +161,7 @@
   if (worker->service != stage->job->service)
     return BTS_PLACE_OTHER_SERVICE;
   if (!worker->synced || !worker->held || !worker->registered || worker->entry->draining
-      || worker->expiring_reported || worker->hold_failures > 0
-      || now_us - worker->last_reply_us > BTS_WORKER_SILENCE_MAX_US
+      || worker->hold_failures > 0 || now_us - worker->last_reply_us > BTS_WORKER_SILENCE_MAX_US
       || now_us < worker->backoff_until_us)
     return BTS_PLACE_UNAVAILABLE;
   if (step->label[0] != '\0' && !bts_worker_has_label (worker, step->label))
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -6,7 +6,6 @@
 #include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/crash.h"
 #include "libbamboothread/scheduler/election.h"
-#include "libbamboothread/scheduler/handover.h"
 #include "libbamboothread/scheduler/place.h"
 
 /* Margin for the difference between the time of day on two VMs, in milliseconds; above the
@@ -158,8 +157,7 @@
  * The deadline stays as it is while the owner hasn't read back a heartbeat of its own for
  * BTS_RENEWAL_CUTOFF_US: the next owner relies on these leases to expire where it can't
  * reach a worker. It also stays as it is while the worker leaves holds unanswered, since
- * the worker's runs are given up when the last lease expires, and while the journal may say that
- * the lease isn't renewed.
+ * the worker's runs are given up when the last lease expires.
  *
  * Return: the lease deadline on the worker's clock, in milliseconds; 0 if that clock isn't
  * known, which leaves the lease as it is.
@@ -170,8 +168,7 @@
   gint64 now_us = bts_sched_now (sched);
   if (worker->clock_at_us == 0)
     return 0;
-  if (worker->hold_failures == 0 && !worker->expiring_reported
-      && now_us - bts_sched_confirmed_us (sched) < BTS_RENEWAL_CUTOFF_US)
+  if (worker->hold_failures == 0 && now_us - bts_sched_confirmed_us (sched) < BTS_RENEWAL_CUTOFF_US)
     worker->requested_deadline_ms
         = MAX (worker->requested_deadline_ms,
                bts_worker_clock_ms (worker, now_us) + bts_sched_lease_ms (sched));
@@ -292,20 +289,6 @@
     }
 }
 
-/* Goes on without renewing a lease that the owner before this one didn't renew either. What earlier
-   owners have reported doesn't count: a later one that didn't know of it may have renewed. */
-static void
-inherit_expiring (bts_sched_t *sched, bts_worker_t *worker)
-{
-  worker->expiring_reported = FALSE;
-  worker->renewed_reported = FALSE;
-  if (worker->expiring_term == 0 || worker->expiring_term + 1 != sched->term)
-    return;
-  gint64 started_ms = worker->expiring_started_ms;
-  bts_heartbeat_add_expiring (sched, worker, worker->expiring_until_us - bts_sched_now (sched));
-  worker->expiring_started_ms = started_ms;
-}
-
 /**
  * bts_sched_begin_term() - start to lead a term
  * @sched: the scheduler
@@ -327,10 +310,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, sched->fleet->workers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      bts_worker_reset (value);
-      inherit_expiring (sched, value);
-    }
+    bts_worker_reset (value);
   g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
   while (g_hash_table_iter_next (&iter, NULL, &value))
     bts_sched_enqueue_job (sched, value);
@@ -422,12 +402,21 @@
   return recently_started ? sched->config.hold_max_ms : bts_sched_lease_ms (sched);
 }
 
-/* Whether a worker has restarted since an owner stopped to renew its lease. Orders in flight may
-   have got another lease from the new incarnation. */
-static gboolean
-has_restarted_since_expiring (const bts_worker_t *worker)
+/**
+ * bts_sched_has_remnant() - whether the owner before this one has said what may be left on a worker
+ * @sched: a leading scheduler
+ * @worker: the worker
+ *
+ * What earlier ones have said doesn't count, since a later one may have used the worker, nor does
+ * anything once the worker has answered. On a new incarnation of it, orders in flight may have
+ * started something else.
+ */
+gboolean
+bts_sched_has_remnant (const bts_sched_t *sched, const bts_worker_t *worker)
 {
-  return MAX (worker->entry->started_ms, worker->started_ms) > worker->expiring_started_ms;
+  const bts_remnant_t *remnant = &worker->remnant;
+  return remnant->term != 0 && remnant->term + 1 == sched->term && worker->clock_at_us == 0
+         && MAX (worker->entry->started_ms, worker->started_ms) <= remnant->started_ms;
 }
 
 /**
@@ -440,8 +429,8 @@
 {
   gint64 granted_us = bts_lease_max_us (bts_sched_max_earlier_lease_ms (sched, worker));
   gint64 expiry_us = MAX (sched->earlier_leases_end_us, sched->term_began_us + granted_us);
-  gboolean expires_earlier = worker->expiring_reported && !has_restarted_since_expiring (worker);
-  return expires_earlier ? MIN (expiry_us, worker->expiring_until_us) : expiry_us;
+  return bts_sched_has_remnant (sched, worker) ? MIN (expiry_us, worker->remnant.until_us)
+                                               : expiry_us;
 }
 
 /**
@@ -470,13 +459,15 @@
                             : worker->service == stage->job->service;
 }
 
-/* Whether an earlier owner may have started tasks of a stage on a worker that hasn't listed
-   its runs yet. */
+/* Whether a task may run on a worker that hasn't listed its runs yet, as an earlier owner may have
+   started it there. */
 static gboolean
-may_run_on_unsynced_worker (const bts_sched_t *sched, const bts_stage_t *stage)
+may_run_on_unsynced_worker (const bts_sched_t *sched, const bts_task_t *task)
 {
+  const bts_stage_t *stage = task->stage;
   if (sched->settled || stage->job->offset > bts_ledger_claim_offset (sched->ledger))
     return FALSE;
+  g_autofree char *name = bts_task_name (task);
   for (guint i = 0; i < sched->unsynced->len; i++)
     {
       const bts_worker_t *worker = sched->unsynced->pdata[i];
@@ -484,7 +475,9 @@
          asked about. */
       gboolean denied = bts_stage_was_asked (stage, worker->number)
                         && bts_stage_ticket (stage, worker->number) == NULL;
-      if (!denied && may_match (worker, stage))
+      gboolean excluded
+          = bts_sched_has_remnant (sched, worker) && !bts_worker_may_run_remnant (worker, name);
+      if (!denied && !excluded && may_match (worker, stage))
         return TRUE;
     }
   return g_hash_table_size (sched->fleet->workers) == 0;
@@ -518,8 +511,7 @@
 static gboolean
 has_to_wait (const bts_sched_t *sched, const bts_task_t *task, gint64 now_us)
 {
-  return bts_crash_is_waiting (task, now_us)
-         || (task->stage->awaits_leases && !bts_handover_is_idle (sched, task));
+  return bts_crash_is_waiting (task, now_us) || may_run_on_unsynced_worker (sched, task);
 }
 
 /* Pending tasks that may be started now. A gang waits as a whole for a member that has to wait. */
@@ -802,12 +794,11 @@
 try_stage (bts_sched_t *sched, bts_stage_t *stage, guint *n_reserving, gint64 now_us)
 {
   stage->reserving = FALSE;
-  stage->awaits_leases = may_run_on_unsynced_worker (sched, stage);
   guint n_ready = count_ready (sched, stage, now_us);
-  if (stage->awaits_leases && n_ready == 0)
+  if (n_ready == 0 && !sched->settled)
     {
       /* Advice takes a while, and what lasts is late already. */
-      if (bts_stage_step (stage)->long_running)
+      if (bts_stage_step (stage)->long_running && count_pending (stage) > 0)
         bts_advice_ensure (sched, stage, now_us);
       return;
     }
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -33,9 +33,6 @@
  * @BTS_REPORT_RELEASED: ids of workers that it has released
  * @BTS_REPORT_CRASHES: Bts__Crash
  * @BTS_REPORT_SILENT: Bts__Silent of workers that have fallen silent
- * @BTS_REPORT_EXPIRING: Bts__Expiring of workers whose leases aren't renewed any more
- * @BTS_REPORT_RENEWED: ids of such workers that have answered, so that their leases will be
- *   renewed once the journal says so
  * @BTS_N_REPORTS: number of kinds
  */
 typedef enum
@@ -44,8 +41,6 @@
   BTS_REPORT_RELEASED,
   BTS_REPORT_CRASHES,
   BTS_REPORT_SILENT,
-  BTS_REPORT_EXPIRING,
-  BTS_REPORT_RENEWED,
   BTS_N_REPORTS,
 } bts_report_kind_t;
 
@@ -164,6 +159,7 @@
 gboolean bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, gint64 now_us);
 
 gint64 bts_sched_old_leases_expiry_us (const bts_sched_t *sched, const bts_worker_t *worker);
+gboolean bts_sched_has_remnant (const bts_sched_t *sched, const bts_worker_t *worker);
 gboolean bts_sched_may_have_unlisted_runs (const bts_sched_t *sched, const bts_worker_t *worker);
 gint64 bts_sched_max_earlier_lease_ms (const bts_sched_t *sched, const bts_worker_t *worker);
 gint64 bts_sched_renew_lease (bts_sched_t *sched, bts_worker_t *worker);
@@ -194,8 +190,6 @@
 
 void bts_heartbeat_add_held (bts_sched_t *sched, const bts_worker_t *worker);
 void bts_heartbeat_add_released (bts_sched_t *sched, const bts_worker_t *worker);
-void bts_heartbeat_add_expiring (bts_sched_t *sched, bts_worker_t *worker, gint64 lease_us);
-void bts_heartbeat_add_renewed (bts_sched_t *sched, bts_worker_t *worker);
 void bts_heartbeat_tick (bts_sched_t *sched);
 void bts_heartbeat_clear (bts_sched_t *sched);
 void bts_heartbeat_init (bts_sched_t *sched);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -36,14 +36,6 @@
    microseconds: above the longest lease. */
 #define UNREGISTERED_HOLD_US (20 * BT_USEC_PER_SEC)
 
-/* The lease of a worker that hasn't answered for this long isn't renewed before the journal says
-   so, in microseconds: above the time that a few lost replies take, since the worker's runs end if
-   the journal can't say so in time. One that was about to leave has most likely left. */
-#define EXPIRING_AFTER_US (1000 * 1000)
-/* That is reported only while the owner's heartbeats are read back within this time, in
-   microseconds. */
-#define EXPIRING_HEARTBEAT_MAX_AGE_US (500 * 1000)
-
 static void
 listed_run_free (gpointer data)
 {
@@ -182,22 +174,6 @@
     }
 }
 
-/* Reports a worker that has been silent for some time, so that a next owner needn't wait for a
-   whole lease once more. */
-static void
-report_expiring (bts_sched_t *sched, bts_worker_t *worker, gint64 now_us)
-{
-  gboolean is_leaving = worker->entry->draining || !worker->registered;
-  gint64 silence_us = now_us - MAX (worker->last_reply_us, sched->term_began_us);
-  if (worker->expiring_reported || !worker->held || worker->hold_failures == 0
-      || (!is_leaving && silence_us < EXPIRING_AFTER_US)
-      || now_us - sched->confirmed_us > EXPIRING_HEARTBEAT_MAX_AGE_US)
-    return;
-  gint64 expiry_us = worker->synced ? bts_worker_lease_expiry_us (worker)
-                                    : bts_sched_old_leases_expiry_us (sched, worker);
-  bts_heartbeat_add_expiring (sched, worker, expiry_us - now_us);
-}
-
 /**
  * bts_worker_tick() - expire runs, retry stops and send the next hold, where due
  * @sched: the scheduler
@@ -219,7 +195,6 @@
     bts_heartbeat_add_released (sched, worker);
   if (worker->replaced)
     return;
-  report_expiring (sched, worker, now_us);
   if (!worker->registered && worker->runs->len == 0 && worker->synced
       && now_us - worker->unregistered_us > UNREGISTERED_HOLD_US)
     return;
@@ -506,7 +481,6 @@
     bts_crash_on_worker_alive (sched, worker, listing->started_ms);
   worker->started_ms = listing->started_ms;
   worker->hold_failures = 0;
-  bts_heartbeat_add_renewed (sched, worker);
   worker->acked_seq = MAX (worker->acked_seq, worker->hold_ack);
   bts_worker_on_reply (worker, listing->clock_ms, now_us);
   /* The latest deadline of a lease that the worker may have granted to an earlier owner. */
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -277,49 +277,49 @@
   assert(message->base.descriptor == &bts__claim__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   bts__idle__init
-                     (Bts__Idle         *message)
+void   bts__remnant__init
+                     (Bts__Remnant         *message)
 {
-  static const Bts__Idle init_value = BTS__IDLE__INIT;
+  static const Bts__Remnant init_value = BTS__REMNANT__INIT;
   *message = init_value;
 }
-size_t bts__idle__get_packed_size
-                     (const Bts__Idle *message)
+size_t bts__remnant__get_packed_size
+                     (const Bts__Remnant *message)
 {
-  assert(message->base.descriptor == &bts__idle__descriptor);
+  assert(message->base.descriptor == &bts__remnant__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t bts__idle__pack
-                     (const Bts__Idle *message,
+size_t bts__remnant__pack
+                     (const Bts__Remnant *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &bts__idle__descriptor);
+  assert(message->base.descriptor == &bts__remnant__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t bts__idle__pack_to_buffer
-                     (const Bts__Idle *message,
+size_t bts__remnant__pack_to_buffer
+                     (const Bts__Remnant *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &bts__idle__descriptor);
+  assert(message->base.descriptor == &bts__remnant__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Bts__Idle *
-       bts__idle__unpack
+Bts__Remnant *
+       bts__remnant__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Bts__Idle *)
-     protobuf_c_message_unpack (&bts__idle__descriptor,
+  return (Bts__Remnant *)
+     protobuf_c_message_unpack (&bts__remnant__descriptor,
                                 allocator, len, data);
 }
-void   bts__idle__free_unpacked
-                     (Bts__Idle *message,
+void   bts__remnant__free_unpacked
+                     (Bts__Remnant *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &bts__idle__descriptor);
+  assert(message->base.descriptor == &bts__remnant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   bts__resigned__init
@@ -592,51 +592,6 @@
   assert(message->base.descriptor == &bts__held__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   bts__expiring__init
-                     (Bts__Expiring         *message)
-{
-  static const Bts__Expiring init_value = BTS__EXPIRING__INIT;
-  *message = init_value;
-}
-size_t bts__expiring__get_packed_size
-                     (const Bts__Expiring *message)
-{
-  assert(message->base.descriptor == &bts__expiring__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t bts__expiring__pack
-                     (const Bts__Expiring *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &bts__expiring__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t bts__expiring__pack_to_buffer
-                     (const Bts__Expiring *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &bts__expiring__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Bts__Expiring *
-       bts__expiring__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Bts__Expiring *)
-     protobuf_c_message_unpack (&bts__expiring__descriptor,
-                                allocator, len, data);
-}
-void   bts__expiring__free_unpacked
-                     (Bts__Expiring *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &bts__expiring__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   bts__beat__init
                      (Bts__Beat         *message)
 {
@@ -1919,55 +1874,81 @@
   (ProtobufCMessageInit) bts__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__idle__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bts__remnant__field_descriptors[4] =
 {
   {
-    "task",
+    "worker",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Bts__Idle, task),
-    &bts__run__descriptor,
+    offsetof(Bts__Remnant, worker),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "workers",
+    "started_ms",
     2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Remnant, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Remnant, lease_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runs",
+    4,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Bts__Idle, n_workers),
-    offsetof(Bts__Idle, workers),
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Remnant, n_runs),
+    offsetof(Bts__Remnant, runs),
+    &bts__run__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bts__idle__field_indices_by_name[] = {
-  0,   /* field[0] = task */
-  1,   /* field[1] = workers */
+static const unsigned bts__remnant__field_indices_by_name[] = {
+  2,   /* field[2] = lease_ms */
+  3,   /* field[3] = runs */
+  1,   /* field[1] = started_ms */
+  0,   /* field[0] = worker */
 };
-static const ProtobufCIntRange bts__idle__number_ranges[1 + 1] =
+static const ProtobufCIntRange bts__remnant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor bts__idle__descriptor =
+const ProtobufCMessageDescriptor bts__remnant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bts.Idle",
-  "Idle",
-  "Bts__Idle",
+  "bts.Remnant",
+  "Remnant",
+  "Bts__Remnant",
   "bts",
-  sizeof(Bts__Idle),
-  2,
-  bts__idle__field_descriptors,
-  bts__idle__field_indices_by_name,
-  1,  bts__idle__number_ranges,
-  (ProtobufCMessageInit) bts__idle__init,
+  sizeof(Bts__Remnant),
+  4,
+  bts__remnant__field_descriptors,
+  bts__remnant__field_indices_by_name,
+  1,  bts__remnant__number_ranges,
+  (ProtobufCMessageInit) bts__remnant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor bts__resigned__field_descriptors[3] =
@@ -1997,20 +1978,20 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idle",
+    "remnants",
     3,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bts__Resigned, n_idle),
-    offsetof(Bts__Resigned, idle),
-    &bts__idle__descriptor,
+    offsetof(Bts__Resigned, n_remnants),
+    offsetof(Bts__Resigned, remnants),
+    &bts__remnant__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned bts__resigned__field_indices_by_name[] = {
-  2,   /* field[2] = idle */
+  2,   /* field[2] = remnants */
   1,   /* field[1] = stopped */
   0,   /* field[0] = term */
 };
@@ -2432,71 +2413,7 @@
   (ProtobufCMessageInit) bts__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__expiring__field_descriptors[3] =
-{
-  {
-    "worker",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Bts__Expiring, worker),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "started_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Bts__Expiring, started_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "lease_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Bts__Expiring, lease_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned bts__expiring__field_indices_by_name[] = {
-  2,   /* field[2] = lease_ms */
-  1,   /* field[1] = started_ms */
-  0,   /* field[0] = worker */
-};
-static const ProtobufCIntRange bts__expiring__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor bts__expiring__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bts.Expiring",
-  "Expiring",
-  "Bts__Expiring",
-  "bts",
-  sizeof(Bts__Expiring),
-  3,
-  bts__expiring__field_descriptors,
-  bts__expiring__field_indices_by_name,
-  1,  bts__expiring__number_ranges,
-  (ProtobufCMessageInit) bts__expiring__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor bts__beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor bts__beat__field_descriptors[10] =
 {
   {
     "term",
@@ -2618,49 +2535,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "expiring",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bts__Beat, n_expiring),
-    offsetof(Bts__Beat, expiring),
-    &bts__expiring__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "renewed",
-    12,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Bts__Beat, n_renewed),
-    offsetof(Bts__Beat, renewed),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned bts__beat__field_indices_by_name[] = {
   6,   /* field[6] = append_ms */
   2,   /* field[2] = begun */
   8,   /* field[8] = crashes */
   3,   /* field[3] = ends */
-  10,   /* field[10] = expiring */
   4,   /* field[4] = held */
   1,   /* field[1] = number */
   7,   /* field[7] = oldest_needed */
   5,   /* field[5] = released */
-  11,   /* field[11] = renewed */
   9,   /* field[9] = silent */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange bts__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor bts__beat__descriptor =
 {
@@ -2670,7 +2561,7 @@
   "Bts__Beat",
   "bts",
   sizeof(Bts__Beat),
-  12,
+  10,
   bts__beat__field_descriptors,
   bts__beat__field_indices_by_name,
   1,  bts__beat__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -21,14 +21,13 @@
 typedef struct Bts__Accepted Bts__Accepted;
 typedef struct Bts__Cancelled Bts__Cancelled;
 typedef struct Bts__Claim Bts__Claim;
-typedef struct Bts__Idle Bts__Idle;
+typedef struct Bts__Remnant Bts__Remnant;
 typedef struct Bts__Resigned Bts__Resigned;
 typedef struct Bts__End Bts__End;
 typedef struct Bts__Run Bts__Run;
 typedef struct Bts__Silent Bts__Silent;
 typedef struct Bts__Crash Bts__Crash;
 typedef struct Bts__Held Bts__Held;
-typedef struct Bts__Expiring Bts__Expiring;
 typedef struct Bts__Beat Bts__Beat;
 typedef struct Bts__TaskState Bts__TaskState;
 typedef struct Bts__Kept Bts__Kept;
@@ -165,24 +164,29 @@
 
 
 /*
- * A task that lasts and that isn't known to run when its owner resigns.
+ * What an owner that resigns knows of a worker that doesn't answer it, or is about to leave.
  */
-struct  Bts__Idle
+struct  Bts__Remnant
 {
   ProtobufCMessage base;
+  char *worker;
   /*
-   * The task; without a number of a run.
+   * Start of the incarnation that the lease belongs to; 0 if not known.
    */
-  Bts__Run *task;
+  int64_t started_ms;
   /*
-   * The only workers on which it may run all the same, since they don't answer.
+   * Longest time until every lease on the worker has expired, counted from this record.
    */
-  size_t n_workers;
-  char **workers;
+  uint32_t lease_ms;
+  /*
+   * All that may run there; without the numbers of the runs.
+   */
+  size_t n_runs;
+  Bts__Run **runs;
 };
-#define BTS__IDLE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&bts__idle__descriptor) \
-    , NULL, 0,NULL }
+#define BTS__REMNANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__remnant__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  Bts__Resigned
@@ -194,8 +198,8 @@
    * Older versions renew leases until they read their resignation.
    */
   protobuf_c_boolean stopped;
-  size_t n_idle;
-  Bts__Idle **idle;
+  size_t n_remnants;
+  Bts__Remnant **remnants;
 };
 #define BTS__RESIGNED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__resigned__descriptor) \
@@ -300,28 +304,6 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
-/*
- * A worker whose lease the owner doesn't renew any more, as it has not answered for some time, until
- * it reports the worker as renewed. The next owner reports it anew, as far as it knows of it.
- */
-struct  Bts__Expiring
-{
-  ProtobufCMessage base;
-  char *worker;
-  /*
-   * Start of the incarnation that the owner knows; 0 if it knows none.
-   */
-  int64_t started_ms;
-  /*
-   * Longest time until every lease on the worker has expired, counted from this record.
-   */
-  uint32_t lease_ms;
-};
-#define BTS__EXPIRING__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&bts__expiring__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
-
-
 /*
  * The owner's heartbeat, written at intervals and with each batch of ends.
  */
@@ -353,17 +335,10 @@
   Bts__Crash **crashes;
   size_t n_silent;
   Bts__Silent **silent;
-  /*
-   * These two take effect in this order, and only in a heartbeat with the highest number so far.
-   */
-  size_t n_expiring;
-  Bts__Expiring **expiring;
-  size_t n_renewed;
-  char **renewed;
 };
 #define BTS__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__beat__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -749,24 +724,24 @@
 void   bts__claim__free_unpacked
                      (Bts__Claim *message,
                       ProtobufCAllocator *allocator);
-/* Bts__Idle methods */
-void   bts__idle__init
-                     (Bts__Idle         *message);
-size_t bts__idle__get_packed_size
-                     (const Bts__Idle   *message);
-size_t bts__idle__pack
-                     (const Bts__Idle   *message,
+/* Bts__Remnant methods */
+void   bts__remnant__init
+                     (Bts__Remnant         *message);
+size_t bts__remnant__get_packed_size
+                     (const Bts__Remnant   *message);
+size_t bts__remnant__pack
+                     (const Bts__Remnant   *message,
                       uint8_t             *out);
-size_t bts__idle__pack_to_buffer
-                     (const Bts__Idle   *message,
+size_t bts__remnant__pack_to_buffer
+                     (const Bts__Remnant   *message,
                       ProtobufCBuffer     *buffer);
-Bts__Idle *
-       bts__idle__unpack
+Bts__Remnant *
+       bts__remnant__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   bts__idle__free_unpacked
-                     (Bts__Idle *message,
+void   bts__remnant__free_unpacked
+                     (Bts__Remnant *message,
                       ProtobufCAllocator *allocator);
 /* Bts__Resigned methods */
 void   bts__resigned__init
@@ -882,25 +857,6 @@
 void   bts__held__free_unpacked
                      (Bts__Held *message,
                       ProtobufCAllocator *allocator);
-/* Bts__Expiring methods */
-void   bts__expiring__init
-                     (Bts__Expiring         *message);
-size_t bts__expiring__get_packed_size
-                     (const Bts__Expiring   *message);
-size_t bts__expiring__pack
-                     (const Bts__Expiring   *message,
-                      uint8_t             *out);
-size_t bts__expiring__pack_to_buffer
-                     (const Bts__Expiring   *message,
-                      ProtobufCBuffer     *buffer);
-Bts__Expiring *
-       bts__expiring__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   bts__expiring__free_unpacked
-                     (Bts__Expiring *message,
-                      ProtobufCAllocator *allocator);
 /* Bts__Beat methods */
 void   bts__beat__init
                      (Bts__Beat         *message);
@@ -1168,8 +1124,8 @@
 typedef void (*Bts__Claim_Closure)
                  (const Bts__Claim *message,
                   void *closure_data);
-typedef void (*Bts__Idle_Closure)
-                 (const Bts__Idle *message,
+typedef void (*Bts__Remnant_Closure)
+                 (const Bts__Remnant *message,
                   void *closure_data);
 typedef void (*Bts__Resigned_Closure)
                  (const Bts__Resigned *message,
@@ -1189,9 +1145,6 @@
 typedef void (*Bts__Held_Closure)
                  (const Bts__Held *message,
                   void *closure_data);
-typedef void (*Bts__Expiring_Closure)
-                 (const Bts__Expiring *message,
-                  void *closure_data);
 typedef void (*Bts__Beat_Closure)
                  (const Bts__Beat *message,
                   void *closure_data);
@@ -1243,14 +1196,13 @@
 extern const ProtobufCMessageDescriptor bts__accepted__descriptor;
 extern const ProtobufCMessageDescriptor bts__cancelled__descriptor;
 extern const ProtobufCMessageDescriptor bts__claim__descriptor;
-extern const ProtobufCMessageDescriptor bts__idle__descriptor;
+extern const ProtobufCMessageDescriptor bts__remnant__descriptor;
 extern const ProtobufCMessageDescriptor bts__resigned__descriptor;
 extern const ProtobufCMessageDescriptor bts__end__descriptor;
 extern const ProtobufCMessageDescriptor bts__run__descriptor;
 extern const ProtobufCMessageDescriptor bts__silent__descriptor;
 extern const ProtobufCMessageDescriptor bts__crash__descriptor;
 extern const ProtobufCMessageDescriptor bts__held__descriptor;
-extern const ProtobufCMessageDescriptor bts__expiring__descriptor;
 extern const ProtobufCMessageDescriptor bts__beat__descriptor;
 extern const ProtobufCMessageDescriptor bts__task_state__descriptor;
 extern const ProtobufCMessageDescriptor bts__kept__descriptor;
