--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -21,6 +21,11 @@
 static const sim_policy_t lookup = { "main", 0, 4, 300 };
 static const sim_step_t lasting[]
     = { { .count = 6, .cpu = 2000, .memory = 1000, .lasts = TRUE, .per_worker = 1 } };
+static const sim_step_t lasting_gang[]
+    = { { .count = 4, .cpu = 2000, .memory = 1000, .gang = TRUE, .lasts = TRUE, .per_worker = 1 } };
+static const sim_step_t two_steps[]
+    = { { .count = 4, .cpu = 2000, .memory = 1000, .ms = 600 },
+        { .count = 4, .cpu = 2000, .memory = 1000, .ms = 600, .after = 1 } };
 static const sim_step_t short_step[] = { { .count = 4, .cpu = 2000, .memory = 1000, .ms = 600 } };
 
 /**
@@ -55,6 +60,10 @@
  * struct play_t - a case as it is played
  * @workers: those that are in use
  * @leaving_us: when the oldest of them exits; 0 if it hasn't announced that it leaves
+ * @has_gang: members of a gang end together
+ * @n_exited: number of workers that have exited
+ * @jobs: short ones that are handed in meanwhile and haven't completed; NULL for none
+ * @n_late: short jobs that didn't complete in time
  * @stopped: time at which each process exits, and starts again; 0 if it runs on
  */
 typedef struct
@@ -62,6 +71,10 @@
   sim_t *sim;
   const case_t *planned;
   guint n_left;
+  gboolean has_gang;
+  guint n_exited;
+  GPtrArray *jobs;
+  guint n_late;
   gint64 worker_us;
   gint64 stop_us;
   guint n_stopped;
@@ -119,18 +132,46 @@
   sim_worker (sim, play->n_left++)->draining = TRUE;
 }
 
+/* With its worker, a member of a gang ends, and the others with it. Another worker is there some
+   seconds later. */
 static void
 exit_workers (play_t *play, gint64 begin_us)
 {
-  for (guint i = 0; i < play->n_left; i++)
+  while (play->n_exited < play->n_left)
     {
-      sim_worker_t *worker = sim_worker (play->sim, i);
-      gint64 announced_us = begin_us + (gint64)i * play->planned->worker_every_ms * 1000;
-      if (!worker->dead && now_us (play) >= announced_us + DRAIN_MS * 1000)
+      gint64 announced_us
+          = begin_us + (gint64)play->n_exited * play->planned->worker_every_ms * 1000;
+      if (now_us (play) < announced_us + DRAIN_MS * 1000)
+        return;
+      sim_worker_t *worker = sim_worker (play->sim, play->n_exited++);
+      if (play->has_gang)
+        sim_crash_for_seconds (play->sim, worker);
+      else
         sim_crash (play->sim, worker);
     }
 }
 
+/* Hands in a short job, and counts those that haven't completed after a time in which even all
+   leases of an owner that was cut off are over. */
+static void
+hand_in (play_t *play)
+{
+  gint owner = sim_owner (play->sim);
+  if (play->jobs == NULL || owner < 0)
+    return;
+  for (guint i = play->jobs->len; i > 0; i--)
+    {
+      const sim_job_t *job = play->jobs->pdata[i - 1];
+      gboolean is_completed = sim_state (play->sim, job) == BTS_JOB_COMPLETED;
+      gboolean is_late = job->accepted_us != 0 && now_us (play) - job->accepted_us > SIM_LOST_US;
+      if (is_completed || is_late)
+        g_ptr_array_remove_index_fast (play->jobs, i - 1);
+      play->n_late += is_late && !is_completed;
+    }
+  g_ptr_array_add (play->jobs, sim_submit (play->sim, (guint)owner, &lookup, two_steps,
+                                           G_N_ELEMENTS (two_steps)));
+}
+
 static void
 play_planned_work (play_t *play)
 {
@@ -152,6 +193,8 @@
         }
       exit_workers (play, begin_us);
       exit_and_start_processes (play);
+      if (ms % 300 == 0)
+        hand_in (play);
       sim_run_ms (play->sim, 50);
     }
 }
@@ -175,12 +218,213 @@
 }
 END_TEST
 
-/* Something of a worker breaks, or is well again. */
+/* LOST: the same where a store further away changes who claims next. A process that has just
+   started counts what was reported of leases before from its own start. */
+START_TEST (lasting_tasks_run_on_under_processes_that_have_just_started)
+{
+  play_t play = { .planned = &cases[_i] };
+  play.sim = sim_new (cases[_i].n_nodes, WORKERS, 1);
+  play.sim->append_us = 20000;
+  play.sim->append_serial = TRUE;
+  sim_run_ms (play.sim, 10000);
+  for (guint i = 0; i < 3; i++)
+    sim_submit (play.sim, i, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (play.sim, 4000);
+  ck_assert_uint_eq (sim_running (play.sim, ""), 18);
+  sim_watch_lasting (play.sim);
+  play_planned_work (&play);
+  sim_check (play.sim);
+  sim_free (play.sim);
+}
+END_TEST
+
+/* LOST: a gang that lasts waits for all workers that are silent, anew with each owner. */
+START_TEST (lasting_gang_runs_on_through_planned_work)
+{
+  play_t play = { .planned = &cases[_i], .has_gang = TRUE };
+  play.sim = sim_new (cases[_i].n_nodes, WORKERS, 1);
+  sim_run_ms (play.sim, 3000);
+  sim_submit (play.sim, 0, &service, lasting_gang, G_N_ELEMENTS (lasting_gang));
+  sim_run_ms (play.sim, 2000);
+  ck_assert_uint_eq (sim_running (play.sim, ""), 4);
+  sim_watch_lasting (play.sim);
+  play_planned_work (&play);
+  sim_check (play.sim);
+  sim_free (play.sim);
+}
+END_TEST
+
+/* Jobs of 1.2 s, handed in all the while, with room for them. What an owner hasn't started, or what
+   it was to start after a first step, isn't put off by each next one. */
+START_TEST (short_jobs_go_on_through_planned_work)
+{
+  play_t play = { .planned = &cases[_i] };
+  play.sim = sim_new (cases[_i].n_nodes, WORKERS, 1);
+  play.jobs = g_ptr_array_new ();
+  sim_run_ms (play.sim, 5000);
+  play_planned_work (&play);
+  sim_check (play.sim);
+  ck_assert_uint_eq (play.n_late, 0);
+  g_ptr_array_unref (play.jobs);
+  sim_free (play.sim);
+}
+END_TEST
+
+static const sim_step_t one_task[] = { { .count = 1, .cpu = 2000, .memory = 1000, .lasts = TRUE } };
+
+static const struct
+{
+  const char *name;
+  gboolean owner_knows;
+} restarts[] = {
+  { "owner_has_read_that_the_worker_was_born_again", TRUE },
+  { "next_owner_has_read_that", FALSE },
+};
+
+/* TWICE: a worker restarts under its id, with an order to start on its way, and its replies are
+   lost. What the owner reports of the lease of the incarnation before says nothing of the lease
+   that the order has got from the next one. */
+START_TEST (lease_of_next_incarnation_is_waited_for)
+{
+  sim_t *sim = sim_new (4, 1, 1);
+  sim_worker_t *worker = sim_worker (sim, 0);
+  sim_run_ms (sim, 3000);
+  guint owner = (guint)sim_owner (sim);
+  sim_submit (sim, owner, &service, one_task, G_N_ELEMENTS (one_task));
+  worker->mute = TRUE;
+  sim_run_ms (sim, 100);
+  ck_assert_uint_eq (sim_running (sim, ""), 1);
+  sim_node (sim, owner)->entries_fail = !restarts[_i].owner_knows;
+  sim_reborn (sim, worker);
+  bts_resources_t room = { 32000, 65536, 8 };
+  sim_add_worker (sim, "other", "main", room);
+  sim_run_ms (sim, 1700);
+  /* A repeated order has reached the next incarnation. */
+  ck_assert_uint_eq (sim_running (sim, ""), 1);
+  sim_leave (sim, owner);
+  sim_run_ms (sim, 12000);
+  ck_assert_uint_eq (sim_running (sim, ""), 1);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* As the store's record-bytes. */
+#define RECORD_BYTES_MAX 262144
+#define MANY_WORKERS 350
+#define MANY_TASKS 200
+
+static const sim_step_t many_lasting[]
+    = { { .count = MANY_TASKS, .cpu = 2000, .memory = 1000, .lasts = TRUE } };
+
+/* The store refuses a record that is too large, with all that is appended in the same call. */
+START_TEST (resignation_right_after_takeover_fits_into_a_record)
+{
+  sim_t *sim = sim_new (4, MANY_WORKERS, 1);
+  sim_run_ms (sim, 6000);
+  guint owner = (guint)sim_owner (sim);
+  sim_submit (sim, owner, &service, many_lasting, G_N_ELEMENTS (many_lasting));
+  sim_run_ms (sim, 4000);
+  ck_assert_uint_eq (sim_running (sim, ""), MANY_TASKS);
+  sim_leave (sim, owner);
+  while (sim_owner (sim) < 0 || sim_owner (sim) == (gint)owner)
+    sim_run_ms (sim, 1);
+  sim_leave (sim, (guint)sim_owner (sim));
+  sim_run_ms (sim, 200);
+  gsize largest = 0;
+  for (guint i = 0; i < sim->log->len; i++)
+    largest = MAX (largest, g_bytes_get_size (sim->log->pdata[i]));
+  ck_assert_uint_le (largest, RECORD_BYTES_MAX);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* LOST: the store refuses the call with the resignation, as one above its limit of calls. */
+START_TEST (resignation_is_repeated_until_it_is_stored)
+{
+  sim_t *sim = sim_new (4, WORKERS, 1);
+  sim_run_ms (sim, 3000);
+  guint owner = (guint)sim_owner (sim);
+  sim_submit (sim, owner, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 2000);
+  sim_watch_lasting (sim);
+  guint n_running = sim_running (sim, "");
+  for (guint i = 0; i < WORKERS && sim_running (sim, "") == n_running; i++)
+    sim_crash (sim, sim_worker (sim, i));
+  sim_run_ms (sim, 200);
+  sim->store_refuses = TRUE;
+  sim_leave (sim, owner);
+  sim_run_ms (sim, 30);
+  sim->store_refuses = FALSE;
+  sim_run_ms (sim, 15000);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* LOST: a process that starts reads of a change of the owner that is long over, and counts the
+   leases of that earlier owner from its own start. */
+START_TEST (process_that_starts_waits_for_no_owner_of_long_ago)
+{
+  sim_t *sim = sim_new (2, WORKERS, 1);
+  sim_run_ms (sim, 3000);
+  guint killed = (guint)sim_owner (sim);
+  sim_kill (sim, killed);
+  sim_run_ms (sim, 2000);
+  sim_start (sim, killed);
+  sim_run_ms (sim, 15000);
+  guint owner = (guint)sim_owner (sim);
+  sim_submit (sim, owner, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 3000);
+  sim_watch_lasting (sim);
+  guint n_running = sim_running (sim, "");
+  for (guint i = 0; i < WORKERS && sim_running (sim, "") == n_running; i++)
+    sim_crash (sim, sim_worker (sim, i));
+  sim_kill (sim, 1 - owner);
+  sim_start (sim, 1 - owner);
+  sim_run_ms (sim, 300);
+  sim_leave (sim, owner);
+  sim_run_ms (sim, 15000);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 static void
-disturb_worker (sim_t *sim, GRand *random)
+harm_restarting_worker (sim_t *sim, GRand *random, sim_worker_t *worker, gint kind)
+{
+  if (kind == 4 && !worker->dead)
+    {
+      worker->mute = g_rand_boolean (random);
+      sim_reborn (sim, worker);
+    }
+  else if (kind == 5)
+    worker->late_us = g_rand_int_range (random, 0, 3) * 700000;
+  else if (kind == 6)
+    worker->draining = !worker->draining;
+}
+
+/* The store is down at times, or stores late what it doesn't answer. */
+static void
+disturb_store (sim_t *sim, GRand *random)
+{
+  if (g_rand_int_range (random, 0, 60) == 0)
+    sim->late_append_us = sim->late_append_us > 0 ? 0 : 1500000;
+  if (g_rand_int_range (random, 0, 90) == 0)
+    sim->store_down = !sim->store_down;
+  else if (sim->store_down && g_rand_int_range (random, 0, 8) == 0)
+    sim->store_down = FALSE;
+}
+
+/* Something of a worker breaks, or is well again; if @restarts, a worker may also restart at once
+   under its id, with orders that are carried out late or whose replies are lost. */
+static void
+disturb_worker (sim_t *sim, GRand *random, gboolean restarts)
 {
   sim_worker_t *worker = sim_worker (sim, (guint)g_rand_int_range (random, 0, WORKERS));
-  switch (g_rand_int_range (random, 0, 6))
+  gint kind = g_rand_int_range (random, 0, restarts ? 10 : 6);
+  switch (kind)
     {
     case 0:
       worker->dark = TRUE;
@@ -195,7 +439,17 @@
       if (g_rand_int_range (random, 0, 3) == 0)
         sim_crash_for_seconds (sim, worker);
       break;
+    case 4:
+    case 5:
+    case 6:
+      if (restarts)
+        {
+          harm_restarting_worker (sim, random, worker, kind);
+          break;
+        }
+      /* fallthrough */
     default:
+      worker->late_us = 0;
       worker->dark = FALSE;
       worker->mute = FALSE;
       worker->cut_from = -1;
@@ -233,18 +487,59 @@
     sim_leave (sim, (guint)owner);
 }
 
+static const struct
+{
+  const char *name;
+  guint silent_ms;
+  guint outage_ms;
+  gboolean is_leaving;
+} outages[] = {
+  { "worker_was_silent_for_2_s", 2000, 1000, FALSE },
+  { "worker_was_silent_for_1500_ms", 1500, 2000, FALSE },
+  { "leaving_worker_was_silent_for_600_ms", 600, 2500, TRUE },
+};
+
+/* AVAIL, but for the disruption near it: the store is away right after a worker has answered again.
+   Its owner can reach it, and renews all other leases for 6 s. */
+START_TEST (runs_of_a_worker_that_answers_outlive_an_outage)
+{
+  sim_t *sim = sim_new (4, WORKERS, 1);
+  sim_run_ms (sim, 3000);
+  sim_submit (sim, 0, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 3000);
+  sim_worker_t *worker = sim_worker (sim, 0);
+  guint n_runs = worker->runs->len;
+  ck_assert_uint_gt (n_runs, 0);
+  worker->draining = outages[_i].is_leaving;
+  sim_run_ms (sim, 1500);
+  worker->dark = TRUE;
+  sim_run_ms (sim, outages[_i].silent_ms);
+  ck_assert_uint_eq (worker->runs->len, n_runs);
+  worker->dark = FALSE;
+  sim->store_down = TRUE;
+  sim_run_ms (sim, outages[_i].outage_ms);
+  sim->store_down = FALSE;
+  ck_assert_uint_eq (worker->runs->len, n_runs);
+  sim_run_ms (sim, 3000);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+static const guint32 restart_seeds[] = { 1, 2, 3, 4, 5, 71, 198, 630, 703, 865 };
+
 /* TWICE: what an owner tells the next one of idle tasks and expiring leases isn't so. Workers that
    can't be reached run on while owners follow each other. */
-START_TEST (owners_in_series_start_nothing_twice)
+static void
+play_owners_in_series (guint32 seed, guint length_ms, gboolean restarts)
 {
-  guint32 seed = (guint32)_i + 1;
   sim_t *sim = sim_new (4, WORKERS, seed);
   GRand *random = g_rand_new_with_seed (seed);
   sim->advised = seed % 3 == 0;
   sim->comeback = seed % 2;
   sim_run_ms (sim, 3000);
   gint64 change_us = 0;
-  for (guint ms = 0; ms < 25000; ms += 100)
+  for (guint ms = 0; ms < length_ms; ms += 100)
     {
       gint64 now_us = bt_clock_now (&sim->clock);
       if (now_us >= change_us)
@@ -253,11 +548,13 @@
           change_us = now_us + g_rand_int_range (random, 300, 4000) * 1000;
         }
       if (g_rand_int_range (random, 0, 5) == 0)
-        disturb_worker (sim, random);
+        disturb_worker (sim, random, restarts);
       if (sim_owner (sim) >= 0 && sim_running (sim, "") < ROOM_TASKS / 3)
         sim_submit (sim, (guint)sim_owner (sim), &service, lasting, G_N_ELEMENTS (lasting));
       if (sim_owner (sim) >= 0 && g_rand_int_range (random, 0, 6) == 0)
         sim_submit (sim, (guint)sim_owner (sim), &lookup, short_step, G_N_ELEMENTS (short_step));
+      if (restarts)
+        disturb_store (sim, random);
       if (g_rand_int_range (random, 0, 50) == 0)
         sim->lose_percent = sim->lose_percent > 0 ? 0 : 20;
       sim_run_ms (sim, 100);
@@ -266,6 +563,18 @@
   g_rand_free (random);
   sim_free (sim);
 }
+
+START_TEST (owners_in_series_start_nothing_twice)
+{
+  play_owners_in_series ((guint32)_i + 1, 25000, FALSE);
+}
+END_TEST
+
+/* Workers restart under their ids, too. */
+START_TEST (owners_in_series_start_nothing_twice_on_restarting_workers)
+{
+  play_owners_in_series (restart_seeds[_i], 40000, TRUE);
+}
 END_TEST
 
 /**
@@ -331,6 +640,18 @@
   tcase_add_loop_test (tests, lasting_tasks_run_on_through_planned_work, 0, G_N_ELEMENTS (cases));
   tcase_add_loop_test (tests, members_of_a_gang_do_not_wait_in_vain_for_an_earlier_owner, 0,
                        G_N_ELEMENTS (gang_cases));
+  tcase_add_loop_test (tests, short_jobs_go_on_through_planned_work, 0, G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, lasting_tasks_run_on_under_processes_that_have_just_started, 0,
+                       G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, lasting_gang_runs_on_through_planned_work, 0, G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, lease_of_next_incarnation_is_waited_for, 0, G_N_ELEMENTS (restarts));
+  tcase_add_test (tests, resignation_right_after_takeover_fits_into_a_record);
+  tcase_add_test (tests, resignation_is_repeated_until_it_is_stored);
+  tcase_add_test (tests, process_that_starts_waits_for_no_owner_of_long_ago);
+  tcase_add_loop_test (tests, runs_of_a_worker_that_answers_outlive_an_outage, 0,
+                       G_N_ELEMENTS (outages));
   tcase_add_loop_test (tests, owners_in_series_start_nothing_twice, 0, number_of_seeds ());
+  tcase_add_loop_test (tests, owners_in_series_start_nothing_twice_on_restarting_workers, 0,
+                       G_N_ELEMENTS (restart_seeds));
   return suite_run ("handover", tests);
 }
