A resignation is repeated until it is read back

What callers saw: found in review. A lasting task whose worker had left 0.2 s before the owner didn't run for 9.1 s (LOST), as the store had refused the one call with the resignation.

Cause: an append that is refused, or gets no answer, is repeated by whoever knows of it: heartbeats by the owner, jobs by their callers. Nobody repeated a resignation. The others claimed after the election timeout, without what it says, and reckoned with an owner that is cut off.

Change: the process appends it again each 0.3 s until it reads that it isn't the owner any more. A repeated record has no effect.

Figures: resignation_is_repeated_until_it_is_stored red before, passes; the other 67 cases of test_handover pass.

--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -53,6 +53,9 @@
    microseconds: otherwise the log may be unavailable, and no other process could claim the next
    term. */
 #define RESIGN_HEARTBEAT_MAX_AGE_US (300 * 1000)
+/* A resignation that hasn't been read back after this long is repeated, in microseconds: others
+   claim after the election timeout otherwise, and can't know what the owner knew. */
+#define RESIGN_RETRY_US (300 * 1000)
 /* Interval between removals of jobs that ended long ago, in microseconds. */
 #define CLEANUP_INTERVAL_US (5 * BT_USEC_PER_SEC)
 
@@ -61,6 +64,8 @@
  * @owner_changed: the owner has changed since the last tick
  * @fenced: a worker knows an owner of a later term, or the process has resigned; it steps
  *   down at the next tick and leads no more before the journal shows another owner
+ * @resignation: the record with which the process has resigned, until it is read back; or NULL
+ * @resigned_us: when that was last appended
  * @last_tick_us: when the last tick was; 0 before the first
  * @resumed_us: when the process last resumed after a stall; 0 once it has read the journal to
  *   its end after that
@@ -90,6 +95,8 @@
   bts_forwarder_t *forwarder;
   gboolean owner_changed;
   gboolean fenced;
+  GBytes *resignation;
+  gint64 resigned_us;
   gint64 last_tick_us;
   gint64 resumed_us;
   gboolean replaying;
@@ -501,6 +508,7 @@
   bts_tables_free (node->tables);
   bts_members_free (node->members);
   bts_forwarder_free (node->forwarder);
+  g_clear_pointer (&node->resignation, g_bytes_unref);
   g_free (node->name);
   g_free (node->address);
   g_free (node);
@@ -969,6 +977,13 @@
   append (node, TOKEN_NONE, &record);
 }
 
+static void
+append_resignation (bts_node_t *node)
+{
+  node->ops->append (node->context, TOKEN_NONE, node->resignation);
+  node->resigned_us = node_now (node);
+}
+
 /* Ends the term at once, so that no lease is granted that the next owner doesn't account for, and
    says so in the journal. */
 static void
@@ -981,9 +996,23 @@
   record.resigned = resigned;
   bt_log (BT_LOG_NOTICE, "resign", "term=%" G_GUINT64_FORMAT " remnants=%zu", resigned->term,
           resigned->n_remnants);
-  append (node, TOKEN_NONE, &record);
+  g_clear_pointer (&node->resignation, g_bytes_unref);
+  node->resignation = bts_message_pack (&record.base);
   bts__resigned__free_unpacked (resigned, NULL);
   node->fenced = TRUE;
+  append_resignation (node);
+}
+
+/* Appends the resignation once more if it may have been lost. */
+static void
+repeat_resignation (bts_node_t *node, gint64 now_us)
+{
+  if (node->resignation == NULL)
+    return;
+  if (!bts_election_is_owner (&node->election, node->ledger))
+    g_clear_pointer (&node->resignation, g_bytes_unref);
+  else if (now_us - node->resigned_us >= RESIGN_RETRY_US)
+    append_resignation (node);
 }
 
 static void
@@ -1081,6 +1110,7 @@
       bts_sched_end_term (node->sched);
     }
   node->fenced = node->fenced && bts_election_is_owner (&node->election, node->ledger);
+  repeat_resignation (node, now_us);
   if (has_to_resign (node, now_us))
     resign (node);
   if (bts_election_is_claim_due (&node->election, node->ledger, claim_yield_us (node, now_us),
