Heartbeats say how long owners before may still renew leases

What callers saw: found in review. A process that had just started and became the owner kept a lasting task from running for 9.1 s (LOST), though the owner before it had resigned.

A change of the owner without a resignation is dated by the time at which it is read, and a process that starts reads all of them at once, however old they are.

Change: the owner, which knows since when it leads, says in each heartbeat for how long earlier owners may still renew leases. A reader takes that if it is less than what it reckoned.

--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -91,12 +91,20 @@
 /**
  * bts_election_on_heartbeat() - the owner has written a heartbeat
  * @election: the election
+ * @earlier_renewals_ms: what it says of the owners before it: the longest time, plus one, for which
+ *   they may still renew leases; 0 if it doesn't say that
  * @now_us: current time
+ *
+ * A process that starts reads of all changes of the owner at once, so it can't tell how long ago
+ * they were.
  */
 void
-bts_election_on_heartbeat (bts_election_t *election, gint64 now_us)
+bts_election_on_heartbeat (bts_election_t *election, guint earlier_renewals_ms, gint64 now_us)
 {
   election->heard_us = now_us;
+  if (earlier_renewals_ms > 0)
+    election->stale_grants_until_us
+        = MIN (election->stale_grants_until_us, now_us + ((gint64)earlier_renewals_ms - 1) * 1000);
 }
 
 /**
--- a/libbamboothread/scheduler/heartbeat.c
+++ b/libbamboothread/scheduler/heartbeat.c
@@ -222,6 +222,15 @@
   return report->items->pdata;
 }
 
+/* How long owners before this one may still renew leases, rounded up. */
+static guint
+earlier_renewals_ms (const bts_sched_t *sched, gint64 now_us)
+{
+  gint64 lease_us = bts_lease_max_us (bts_sched_lease_ms (sched)) + BTS_LEASE_MARGIN_US;
+  gint64 left_us = sched->earlier_leases_end_us - lease_us - now_us;
+  return left_us <= 0 ? 0 : (guint)(left_us / 1000 + 1);
+}
+
 static void
 send_heartbeat (bts_sched_t *sched, gint64 now_us)
 {
@@ -239,6 +248,7 @@
   beat.number = sched->heartbeat_number;
   beat.append_ms = sched->append_ms;
   beat.oldest_needed = (guint64)sched->oldest_needed;
+  beat.earlier_renewals_ms = earlier_renewals_ms (sched, now_us) + 1;
   beat.n_ends = ends->len;
   beat.ends = (Bts__End **)ends->pdata;
   beat.n_begun = sched->pending_begun->len;
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -448,7 +448,7 @@
   for (gsize i = 0; i < heartbeat->n_silent; i++)
     fold_silent (ledger, heartbeat->silent[i]);
   check_complete (ledger, (gint64)heartbeat->oldest_needed);
-  ledger->ops->heartbeat (ledger->context, heartbeat->number, heartbeat->append_ms);
+  ledger->ops->heartbeat (ledger->context, heartbeat);
 }
 
 static void
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -18,7 +18,7 @@
  * @run_ended: the end of a run was folded for the first time; @task has the new state
  * @job_ended: a job was completed, failed or was cancelled
  * @owner_changed: a term has begun, or its owner has resigned
- * @heartbeat: heartbeat of the current owner, whose last append took @append_ms
+ * @heartbeat: heartbeat of the current owner
  * @node_seen: a process has written a claim
  * @node_hello: a process has announced itself
  * @worker_held: the owner has taken a lease on a worker; @held has its address and service
@@ -34,7 +34,7 @@
   void (*run_ended) (void *context, bts_task_t *task, guint run, bts_run_outcome_t outcome);
   void (*job_ended) (void *context, bts_job_t *job);
   void (*owner_changed) (void *context);
-  void (*heartbeat) (void *context, guint64 number, guint append_ms);
+  void (*heartbeat) (void *context, const Bts__Beat *heartbeat);
   void (*node_seen) (void *context, const char *node);
   void (*node_hello) (void *context, const Bts__Hello *hello);
   void (*worker_held) (void *context, const Bts__Held *held);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -168,12 +168,12 @@
 }
 
 static void
-on_heartbeat (void *context, guint64 number, guint append_ms)
+on_heartbeat (void *context, const Bts__Beat *heartbeat)
 {
   bts_node_t *node = context;
-  bts_forwarder_set_owner_append_ms (node->forwarder, append_ms);
-  bts_election_on_heartbeat (&node->election, node_now (node));
-  bts_sched_on_heartbeat (node->sched, number);
+  bts_forwarder_set_owner_append_ms (node->forwarder, heartbeat->append_ms);
+  bts_election_on_heartbeat (&node->election, heartbeat->earlier_renewals_ms, node_now (node));
+  bts_sched_on_heartbeat (node->sched, heartbeat->number);
 }
 
 static void
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -2413,7 +2413,7 @@
   (ProtobufCMessageInit) bts__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__beat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor bts__beat__field_descriptors[11] =
 {
   {
     "term",
@@ -2535,11 +2535,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "earlier_renewals_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Beat, earlier_renewals_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__beat__field_indices_by_name[] = {
   6,   /* field[6] = append_ms */
   2,   /* field[2] = begun */
   8,   /* field[8] = crashes */
+  10,   /* field[10] = earlier_renewals_ms */
   3,   /* field[3] = ends */
   4,   /* field[4] = held */
   1,   /* field[1] = number */
@@ -2548,10 +2561,11 @@
   9,   /* field[9] = silent */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange bts__beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange bts__beat__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 13, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor bts__beat__descriptor =
 {
@@ -2561,10 +2575,10 @@
   "Bts__Beat",
   "bts",
   sizeof(Bts__Beat),
-  10,
+  11,
   bts__beat__field_descriptors,
   bts__beat__field_indices_by_name,
-  1,  bts__beat__number_ranges,
+  2,  bts__beat__number_ranges,
   (ProtobufCMessageInit) bts__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -335,10 +335,15 @@
   Bts__Crash **crashes;
   size_t n_silent;
   Bts__Silent **silent;
+  /*
+   * Longest time for which owners before this one may still renew leases, in milliseconds plus one;
+   * 0 if not given.
+   */
+  uint32_t earlier_renewals_ms;
 };
 #define BTS__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__beat__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
