A lasting task of an earlier term doesn't wait for room anew

A lasting task waits for room for 0.7 s before its owner stops other tasks for it, and each owner counted from its own start. Two owners in a row had left before it found room.

Change: in the first 0.7 s of its term an owner stops other tasks at once for a lasting task of an earlier term, which has waited under the owner before.

--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -314,6 +314,18 @@
     }
 }
 
+/* Whether a long-running stage has waited for room for long enough to preempt. One of an earlier
+   term has waited under the owner before; if each owner began anew, owners that follow each other
+   quickly would never preempt. */
+static gboolean
+has_waited_long (const bts_sched_t *sched, const bts_stage_t *stage, gint64 waited_us,
+                 gint64 now_us)
+{
+  return waited_us >= LONG_RUNNING_WAIT_US
+         || (now_us - sched->term_began_us < LONG_RUNNING_WAIT_US
+             && stage->job->offset < bts_ledger_claim_offset (sched->ledger));
+}
+
 /**
  * bts_preempt_for() - preempt runs to make room for the tasks of a stage
  * @sched: a leading scheduler
@@ -336,7 +348,7 @@
     return FALSE;
   if (step->long_running)
     {
-      if (waited_us >= LONG_RUNNING_WAIT_US)
+      if (has_waited_long (sched, stage, waited_us, now_us))
         preempt_for_long_running (sched, stage, n_pending, now_us);
       return FALSE;
     }
