A resignation names the incarnation that its owner inherited

Cause: for a worker whose lease is over the owner named the start that its own orders had met.

Change: it names the start that the owner before had named, or the newest that the registry shows.

Figures: silent_worker_is_waited_for_once red before, passes.

--- a/libbamboothread/scheduler/handover.c
+++ b/libbamboothread/scheduler/handover.c
@@ -76,9 +76,11 @@
                              || worker->entry->draining || !worker->registered;
       return is_in_doubt ? remnant_of_known (sched, worker) : NULL;
     }
-  if (!bts_sched_may_have_unlisted_runs (sched, worker))
-    return remnant_new (worker, worker->started_ms, 0, 0);
-  return bts_sched_has_remnant (sched, worker) ? remnant_of_inherited (sched, worker) : NULL;
+  gboolean is_inherited = bts_sched_has_remnant (sched, worker);
+  if (bts_sched_may_have_unlisted_runs (sched, worker))
+    return is_inherited ? remnant_of_inherited (sched, worker) : NULL;
+  gint64 known_ms = MAX (worker->entry->started_ms, worker->started_ms);
+  return remnant_new (worker, is_inherited ? worker->remnant.started_ms : known_ms, 0, 0);
 }
 
 /**
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -351,6 +351,37 @@
 }
 END_TEST
 
+/* A wait that begins anew: an owner that had found a worker silent, and its lease over, names it to
+   the next one so that it doesn't wait for it again. The first one has learned of the worker from
+   the journal before it read its entry. */
+START_TEST (silent_worker_is_waited_for_once)
+{
+  sim_t *sim = sim_new (3, 4, 1);
+  sim_run_ms (sim, 14000);
+  guint first = (guint)sim_owner (sim);
+  guint next = (first + 1) % 3;
+  guint last = (first + 2) % 3;
+  sim_kill (sim, next);
+  sim_start (sim, next);
+  sim_run_ms (sim, 2000);
+  sim_crash (sim, sim_worker (sim, 0));
+  sim_worker (sim, 0)->unlisted = FALSE;
+  sim_freeze (sim, last);
+  sim_leave (sim, first);
+  sim_run_ms (sim, 5000);
+  ck_assert_int_eq (sim_owner (sim), next);
+  ck_assert (bts_sched_is_settled (bts_node_sched (sim_node (sim, next)->node), 0));
+  sim_thaw (sim, last);
+  sim_run_ms (sim, 500);
+  sim_leave (sim, next);
+  sim_run_ms (sim, 600);
+  ck_assert_int_eq (sim_owner (sim), last);
+  ck_assert (bts_sched_is_settled (bts_node_sched (sim_node (sim, last)->node), 0));
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* As the store's record-bytes. */
 #define RECORD_BYTES_MAX 262144
 #define MANY_WORKERS 350
@@ -688,6 +719,7 @@
   tcase_add_loop_test (tests, lasting_gang_runs_on_through_planned_work, 0, G_N_ELEMENTS (cases));
   tcase_add_loop_test (tests, lease_of_next_incarnation_is_waited_for, 0, G_N_ELEMENTS (restarts));
   tcase_add_test (tests, lasting_task_gets_room_from_owners_in_series);
+  tcase_add_test (tests, silent_worker_is_waited_for_once);
   tcase_add_test (tests, resignation_right_after_takeover_fits_into_a_record);
   tcase_add_test (tests, resignation_is_repeated_until_it_is_stored);
   tcase_add_test (tests, process_that_starts_waits_for_no_owner_of_long_ago);
