--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -110,10 +110,8 @@
     "{\"state\":\"ready\",\"sequence\":108,\"x\":1}", TRUE },
   { "{\"sequence\":7}", "{\"sequence\":8}", TRUE },
   { "{\"clock-ms\":482113,\"sequence\":4}", "{\"clock-ms\":483613,\"sequence\":5}", TRUE },
-  { "{\"clock-ms\":9,\"x\":1,\"sequence\":9}", "{\"clock-ms\":10,\"x\":1,\"sequence\":10}",
-    TRUE },
-  { "{\"clock-ms\":9,\"x\":1,\"sequence\":9}", "{\"clock-ms\":10,\"x\":2,\"sequence\":10}",
-    FALSE },
+  { "{\"clock-ms\":9,\"x\":1,\"sequence\":9}", "{\"clock-ms\":10,\"x\":1,\"sequence\":10}", TRUE },
+  { "{\"clock-ms\":9,\"x\":1,\"sequence\":9}", "{\"clock-ms\":10,\"x\":2,\"sequence\":10}", FALSE },
   { "{\"sequence\": 7 }", "{\"sequence\": 18 }", TRUE },
   { "{\"remaining-ms\":9,\"sequence\":9}", "{\"remaining-ms\":8,\"sequence\":10}", FALSE },
   { "{\"sequence\":7}", "{\"sequence\":7", FALSE },
@@ -291,6 +289,12 @@
   gint64 clock_ms;
 } replies[] = {
   { 200, "{\"clock-ms\":77}", BTS_REPLY_OK, 77 },
+  { 200, "{\"clock-ms\": 77 }", BTS_REPLY_OK, 77 },
+  { 200, "{\"clock-ms\":12345678901234}", BTS_REPLY_OK, 12345678901234 },
+  { 200, "{\"clock-ms\":7.5}", BTS_REPLY_OK, 7 },
+  { 200, "{\"clock-ms\":-7}", BTS_REPLY_OK, -7 },
+  { 200, "{\"clock-ms\":}", BTS_REPLY_OK, 0 },
+  { 200, "{\"clock-ms\":77,\"born\":5}", BTS_REPLY_OK, 77 },
   { 200, "", BTS_REPLY_OK, 0 },
   { 409, "{\"clock-ms\":77,\"reason\":\"fence\"}", BTS_REPLY_FENCED, 77 },
   { 409, "{\"clock-ms\":77,\"reason\":\"old\"}", BTS_REPLY_STALE_RUN, 77 },
@@ -320,6 +324,60 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *spec;
+  const char *checkpoint;
+  const char *ticket;
+  const char *body;
+} starts[] = {
+  { "(text)", NULL, NULL,
+    "{\"task\":\"0123456789abcdef.0.1.17\",\"run\":2,\"fence\":7,\"spec\":\"(text)\","
+    "\"deadline-ms\":486000}" },
+  { "", "00ab", "t-1",
+    "{\"task\":\"0123456789abcdef.0.1.17\",\"run\":2,\"fence\":7,\"spec\":\"\","
+    "\"deadline-ms\":486000,\"checkpoint\":\"00ab\",\"token\":\"t-1\"}" },
+  { "a\"b\\c\nd\x7f\u00e9/", "\\", "\"", NULL },
+  { "\"\"", "", "", NULL },
+};
+
+static void
+check_string (JsonObject *object, const char *name, const char *expected)
+{
+  ck_assert_int_eq (json_object_has_member (object, name), expected != NULL);
+  if (expected != NULL)
+    ck_assert_str_eq (json_object_get_string_member (object, name), expected);
+}
+
+START_TEST (start_is_written_as_any_parser_reads_it)
+{
+  Bts__Accepted accepted = BTS__ACCEPTED__INIT;
+  accepted.spec.data = (guint8 *)starts[_i].spec;
+  accepted.spec.len = strlen (starts[_i].spec);
+  bts_job_t job = { .accepted = &accepted };
+  bts_stage_t stage = { .job = &job };
+  bts_task_t task = { .stage = &stage };
+  bts_run_t run = { .task = &task, .name = (char *)"0123456789abcdef.0.1.17", .number = 2 };
+  run.checkpoint = (char *)starts[_i].checkpoint;
+  bts_start_order_t order = { .fence = 7, .deadline_ms = 486000, .ticket = starts[_i].ticket };
+  g_autofree char *body = pf_wire_format_start (&run, &order);
+  if (starts[_i].body != NULL)
+    ck_assert_str_eq (body, starts[_i].body);
+  g_autoptr (JsonNode) node = pf_json_parse (body, strlen (body), NULL);
+  ck_assert_ptr_nonnull (node);
+  JsonObject *object = json_node_get_object (node);
+  check_string (object, "task", run.name);
+  check_string (object, "spec", starts[_i].spec);
+  check_string (object, "checkpoint", starts[_i].checkpoint);
+  check_string (object, "token", starts[_i].ticket);
+  ck_assert_int_eq (json_object_get_int_member (object, "run"), 2);
+  ck_assert_int_eq (json_object_get_int_member (object, "fence"), 7);
+  ck_assert_int_eq (json_object_get_int_member (object, "deadline-ms"), 486000);
+  g_autofree char *stop = pf_wire_format_stop (&run, 7);
+  ck_assert_str_eq (stop, "{\"task\":\"0123456789abcdef.0.1.17\",\"run\":2,\"fence\":7}");
+}
+END_TEST
+
 #define ROUTE                                                                                      \
   "{\"name\":\"r\",\"host\":\"A.Example\",\"path-prefix\":\"/q/\",\"service\":\"s\","              \
   "\"priority\":2,\"max-attempts\":4,\"stretch\":1.5,\"target-latency-ms\":300"
@@ -445,6 +503,7 @@
                        G_N_ELEMENTS (long_listings));
   tcase_add_loop_test (tests, listing_is_the_same_in_place, 0, G_N_ELEMENTS (same_listings));
   tcase_add_loop_test (tests, reply_is_told_apart, 0, G_N_ELEMENTS (replies));
+  tcase_add_loop_test (tests, start_is_written_as_any_parser_reads_it, 0, G_N_ELEMENTS (starts));
   tcase_add_loop_test (tests, tables_are_read_or_refused, 0, G_N_ELEMENTS (manifests));
   tcase_add_loop_test (tests, longest_prefix_wins, 0, G_N_ELEMENTS (lookups));
   tcase_add_loop_test (tests, settings_are_checked, 0, G_N_ELEMENTS (settings_files));
