Changes of the poll set are made together, once in a turn of the event loop

Cause: libevent turns reading and writing of a connection on and off several times during a call; each was an epoll_ctl(). strace on bench-calls: 6.0 of them a call, beside one writev, one readv and one ioctl.

Change: the event loop of the agent keeps a list of changes (EPOLL_USE_CHANGELIST). The agent never duplicates a descriptor, which that mode forbids.

Test: test_message_server, a_message_changes_little_in_the_poll_set, counts 10 -> 4 a message for both ends.

--- a/bench/calls.c
+++ b/bench/calls.c
@@ -278,7 +278,7 @@
   pid_t pid;
   guint16 port = start_peer (&pid);
   owner_t owner = { 0 };
-  owner.base = event_base_new ();
+  owner.base = bt_event_base_new ();
   owner.channels = bt_channels_new (owner.base, 6);
   owner.n_addresses = (guint)workers;
   owner.address = g_new0 (char *, workers);
--- a/libbamboothread/connection/channel.c
+++ b/libbamboothread/connection/channel.c
@@ -75,6 +75,24 @@
   g_free (peer);
 }
 
+/**
+ * bt_event_base_new() - create an event loop for many connections
+ *
+ * libevent turns reading and writing of a connection on and off several times during a call. The
+ * changes of a turn of the loop are made together, and those that cancel out are left out.
+ *
+ * Return: the event loop, for event_base_free().
+ */
+struct event_base *
+bt_event_base_new (void)
+{
+  struct event_config *config = event_config_new ();
+  event_config_set_flag (config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  struct event_base *base = event_base_new_with_config (config);
+  event_config_free (config);
+  return base;
+}
+
 /**
  * bt_channels_new() - create an empty set of connections
  * @base: the event loop
--- a/libbamboothread/connection/channel.h
+++ b/libbamboothread/connection/channel.h
@@ -48,6 +48,7 @@
   guint timeout_ms;
 } bt_call_t;
 
+struct event_base *bt_event_base_new (void);
 bt_channels_t *bt_channels_new (struct event_base *base, guint per_peer_max);
 void bt_channels_free (bt_channels_t *channels);
 void bt_channels_call (bt_channels_t *channels, const bt_call_t *call, bt_channel_reply_f reply,
--- a/tests/test_message_server.c
+++ b/tests/test_message_server.c
@@ -1,4 +1,7 @@
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
 #include "libbamboothread/connection/channel.h"
 #include "libbamboothread/connection/message_server.h"
@@ -136,11 +139,51 @@
 }
 END_TEST
 
+/* Counts the calls of libevent, which finds this function first. */
+static guint n_poll_changes;
+
+int
+epoll_ctl (int epoll, int change, int fd, struct epoll_event *event)
+{
+  n_poll_changes++;
+  return (int)syscall (SYS_epoll_ctl, epoll, change, fd, event);
+}
+
+#define MESSAGES 100
+/* Both ends of a message: each turns reading or writing on and off once. */
+#define POLL_CHANGES_PER_MESSAGE_MAX 4
+
+START_TEST (a_message_changes_little_in_the_poll_set)
+{
+  scene_t scene = { 0 };
+  scene.base = bt_event_base_new ();
+  scene.taken = g_string_new (NULL);
+  scene.reply = g_string_new (NULL);
+  scene.how = HOW_REPLY;
+  scene.message_server = bt_message_server_new (scene.base, ADDRESS, on_message, &scene, NULL);
+  ck_assert_ptr_nonnull (scene.message_server);
+  bt_channels_t *channels = bt_channels_new (scene.base, 1);
+  send_message (&scene, channels, "first");
+  ck_assert_uint_gt (n_poll_changes, 0);
+  n_poll_changes = 0;
+  for (guint i = 0; i < MESSAGES; i++)
+    send_message (&scene, channels, "next");
+  ck_assert_uint_eq (scene.replies, MESSAGES + 1);
+  ck_assert_uint_le (n_poll_changes, MESSAGES * POLL_CHANGES_PER_MESSAGE_MAX);
+  bt_channels_free (channels);
+  bt_message_server_free (scene.message_server);
+  event_base_free (scene.base);
+  g_string_free (scene.taken, TRUE);
+  g_string_free (scene.reply, TRUE);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("message_server");
   tcase_add_loop_test (tests, a_message_has_one_reply, 0, G_N_ELEMENTS (cases));
   tcase_add_loop_test (tests, a_bad_address_is_an_error, 0, G_N_ELEMENTS (addresses));
+  tcase_add_test (tests, a_message_changes_little_in_the_poll_set);
   return suite_run ("message_server", tests);
 }
