A log line that is dropped is not formatted

Change: the limits are looked at first, and a short line is formatted once, without an allocation. The limit of the buffer is looked at before the line is known, so the buffer may pass it by one line.

Existing test: test_log, stopped_reader_blocks_nothing.

Conclusion: small.

--- a/libbamboothread/base/log.c
+++ b/libbamboothread/base/log.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <poll.h>
+#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -15,6 +16,8 @@
 #define BUFFER_RESERVED_BYTES (64 * 1024)
 /* Lines per second after which lines of a lower level than notice are dropped. */
 #define LINES_PER_S_MAX 3000
+/* Lines up to this size are formatted without an allocation. */
+#define SHORT_TEXT_BYTES 512
 /* PIPE_BUF: a pipe that polls as writable accepts this much without blocking. */
 #define WRITE_MAX_BYTES 4096
 
@@ -92,9 +95,10 @@
     g_string_erase (buffer, 0, (gssize)flushed);
 }
 
-/* Counts a line; returns whether the buffer has room for it and the rate limit allows it. */
+/* Counts a line; returns whether the buffer has room for another one and the rate limit allows it.
+ */
 static gboolean
-test_and_count_line (bt_log_level_t level, gint64 now_us, gsize len)
+test_and_count_line (bt_log_level_t level, gint64 now_us)
 {
   if (now_us / G_USEC_PER_SEC != current_second)
     {
@@ -103,33 +107,35 @@
     }
   n_lines_in_second++;
   gboolean is_important = level <= BT_LOG_NOTICE;
-  return buffer->len + len
-             <= (is_important ? BUFFER_MAX_BYTES : BUFFER_MAX_BYTES - BUFFER_RESERVED_BYTES)
+  return buffer->len < (is_important ? BUFFER_MAX_BYTES : BUFFER_MAX_BYTES - BUFFER_RESERVED_BYTES)
          && (is_important || n_lines_in_second <= LINES_PER_S_MAX);
 }
 
+/* Formats the pairs of a line at the end of the buffer. */
 static void
-append_line (bt_log_level_t level, const char *event, const char *text)
+append_pairs (const char *format, va_list args)
+{
+  char text[SHORT_TEXT_BYTES];
+  va_list again;
+  va_copy (again, args);
+  int len = vsnprintf (text, sizeof text, format, args);
+  gsize begin = buffer->len;
+  if (len >= 0 && (gsize)len < sizeof text)
+    g_string_append_len (buffer, text, len);
+  else
+    g_string_append_vprintf (buffer, format, again);
+  va_end (again);
+  for (gsize i = begin; i < buffer->len; i++)
+    if (g_ascii_iscntrl (buffer->str[i]))
+      buffer->str[i] = ' ';
+}
+
+static void
+append_head (bt_log_level_t level, const char *event, gint64 now_us)
 {
-  gint64 now_us = g_get_real_time ();
-  if (buffer == NULL)
-    buffer = g_string_new (NULL);
-  if (!test_and_count_line (level, now_us, strlen (text)))
-    {
-      n_dropped++;
-      bt_metrics_count (BT_COUNT_LOG_DROPPED);
-      return;
-    }
   gint64 now_ms = now_us / 1000;
-  if (n_dropped > 0)
-    g_string_append_printf (
-        buffer,
-        "<%d>%s[%d]: ts=%" G_GINT64_FORMAT ".%03d event=log-dropped lines=%" G_GUINT64_FORMAT "\n",
-        BT_LOG_WARNING, log_ident, (int)getpid (), now_ms / 1000, (int)(now_ms % 1000), n_dropped);
-  n_dropped = 0;
-  g_string_append_printf (buffer, "<%d>%s[%d]: ts=%" G_GINT64_FORMAT ".%03d event=%s %s\n", level,
-                          log_ident, (int)getpid (), now_ms / 1000, (int)(now_ms % 1000), event,
-                          text);
+  g_string_append_printf (buffer, "<%d>%s[%d]: ts=%" G_GINT64_FORMAT ".%03d event=%s ", level,
+                          log_ident, (int)getpid (), now_ms / 1000, (int)(now_ms % 1000), event);
 }
 
 /**
@@ -144,14 +150,28 @@
 {
   if (level > log_level)
     return;
+  gint64 now_us = g_get_real_time ();
+  if (buffer == NULL)
+    buffer = g_string_new (NULL);
+  /* A line that is dropped isn't formatted: the busiest processes drop most. */
+  if (!test_and_count_line (level, now_us))
+    {
+      n_dropped++;
+      bt_metrics_count (BT_COUNT_LOG_DROPPED);
+      return;
+    }
+  if (n_dropped > 0)
+    {
+      append_head (BT_LOG_WARNING, "log-dropped", now_us);
+      g_string_append_printf (buffer, "lines=%" G_GUINT64_FORMAT "\n", n_dropped);
+    }
+  n_dropped = 0;
+  append_head (level, event, now_us);
   va_list args;
   va_start (args, format);
-  g_autofree char *text = g_strdup_vprintf (format, args);
+  append_pairs (format, args);
   va_end (args);
-  for (char *c = text; *c != '\0'; c++)
-    if (g_ascii_iscntrl (*c))
-      *c = ' ';
-  append_line (level, event, text);
+  g_string_append_c (buffer, '\n');
   if (!is_buffered || level <= BT_LOG_ERROR)
     bt_log_flush ();
 }
