The owner looks for orders to repeat only where one got no reply

Change: a worker says whether an order for one of its runs may have to be repeated. That is set where a start or stop gets no reply, and cleared by a tick that finds none.

Tests: test_cluster and the others that lose replies.

Conclusion: a tick now costs what its holds cost, and a look at each worker.

--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -156,6 +156,7 @@
  * @synced: it has listed its runs to this owner
  * @partly_listed: it has listed only the first of its ends to this owner
  * @runs: bts_run_t that may be on it
+ * @may_repeat: an order for one of @runs may have to be repeated
  * @lost_runs: bts_lost_run_t for which it isn't known yet whether the worker has crashed
  * @used: resources that @runs take
  * @clock_ms: newest reading of its clock
@@ -199,6 +200,7 @@
   gboolean synced;
   gboolean partly_listed;
   GPtrArray *runs;
+  gboolean may_repeat;
   GPtrArray *lost_runs;
   bts_resources_t used;
   gint64 clock_ms;
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -303,6 +303,7 @@
       break;
     case BTS_REPLY_NO_ANSWER:
       run->unanswered_starts++;
+      worker->may_repeat = TRUE;
       repeat_start (sched, run);
       break;
     case BTS_REPLY_FENCED:
@@ -368,24 +369,46 @@
   else if (reply == BTS_REPLY_WRONG_WORKER)
     bts_worker_mark_replaced (sched, run->worker);
   else
-    run->stop_retry_us = now_us + STOP_RETRY_US;
+    {
+      run->stop_retry_us = now_us + STOP_RETRY_US;
+      run->worker->may_repeat = TRUE;
+    }
+}
+
+/* Repeats the order of a run if that is due. */
+static void
+repeat_order (bts_sched_t *sched, bts_run_t *run, gint64 now_us)
+{
+  if (run->state == BTS_RUN_STARTING && run->unanswered_starts > 0 && !run->start_in_flight)
+    repeat_start (sched, run);
+  else if (run->state == BTS_RUN_STOPPING && !run->stop_in_flight && !run->stop_acked
+           && run->stop_retry_us != 0 && run->stop_retry_us <= now_us)
+    send_stop (sched, run);
+}
+
+static gboolean
+may_repeat_order (const bts_run_t *run)
+{
+  return run->stop_retry_us != 0 || (run->state == BTS_RUN_STARTING && run->unanswered_starts > 0);
 }
 
 /**
- * bts_run_tick() - repeat the order of a run if that is due
+ * bts_worker_repeat_orders() - repeat the orders for runs on a worker that are due
  * @sched: the scheduler
- * @run: the run
+ * @worker: the worker
+ *
+ * Costs nothing for a worker that has replied to all orders: an owner has tens of thousands of
+ * runs.
  */
 void
-bts_run_tick (bts_sched_t *sched, bts_run_t *run)
+bts_worker_repeat_orders (bts_sched_t *sched, bts_worker_t *worker)
 {
-  if (run->state == BTS_RUN_STARTING && run->unanswered_starts > 0 && !run->start_in_flight)
-    {
-      repeat_start (sched, run);
-      return;
-    }
-  if (run->stop_retry_us == 0 || run->stop_retry_us > bts_sched_now (sched))
+  if (!worker->may_repeat)
     return;
-  if (run->state == BTS_RUN_STOPPING && !run->stop_in_flight && !run->stop_acked)
-    send_stop (sched, run);
+  gint64 now_us = bts_sched_now (sched);
+  worker->may_repeat = FALSE;
+  for (guint i = 0; i < worker->runs->len; i++)
+    worker->may_repeat = may_repeat_order (worker->runs->pdata[i]) || worker->may_repeat;
+  for (guint i = 0; i < worker->runs->len; i++)
+    repeat_order (sched, worker->runs->pdata[i], now_us);
 }
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -186,8 +186,7 @@
   if (worker->runs->len > 0 && worker->clock_at_us != 0
       && bts_sched_confirmed_us (sched) > bts_worker_lease_expiry_us (worker))
     mark_expired_lost (sched, worker, now_us);
-  for (guint i = 0; i < worker->runs->len; i++)
-    bts_run_tick (sched, worker->runs->pdata[i]);
+  bts_worker_repeat_orders (sched, worker);
   if (worker->replaced
       || (!worker->registered && worker->runs->len == 0
           && !bts_sched_may_have_unlisted_runs (sched, worker)
