The list of processes to ask for advice is sorted only when it has changed

Change: the processes are kept sorted until one comes or goes, and the list holds them instead of their names.

Tests: test_cluster.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -51,33 +51,30 @@
 
 /* The process that will be free first, or NULL if none will be soon. Long calls, which
    would delay the short ones, only go to every second process. */
-static const char *
-choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gint64 now_us, bts_member_t **chosen)
+static bts_member_t *
+choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gint64 now_us)
 {
   if (sched->advice_nodes_busy_us[is_long_call] > now_us)
     return NULL;
-  g_autoptr (GPtrArray) names = bts_members_list_live (sched->members, now_us);
+  g_autoptr (GPtrArray) live = bts_members_list_live (sched->members, now_us);
   const char *self = bts_ledger_owner (sched->ledger);
-  const char *best = NULL;
-  for (guint i = 0; i < names->len; i++)
+  bts_member_t *best = NULL;
+  for (guint i = 0; i < live->len; i++)
     {
-      bts_member_t *member = bts_members_find (sched->members, names->pdata[i]);
-      gboolean is_self = g_strcmp0 (names->pdata[i], self) == 0;
+      bts_member_t *member = live->pdata[i];
+      gboolean is_self = g_strcmp0 (member->name, self) == 0;
       if (member->calls_in_flight >= REQUESTS_PER_NODE_MAX || (is_long_call && i % 2 != 0)
-          || (is_self ? names->len > OTHER_NODES_MIN : member->address == NULL))
+          || (is_self ? live->len > OTHER_NODES_MIN : member->address == NULL))
         continue;
-      if (best == NULL || member->busy_until_us < (*chosen)->busy_until_us)
-        {
-          best = names->pdata[i];
-          *chosen = member;
-        }
+      if (best == NULL || member->busy_until_us < best->busy_until_us)
+        best = member;
     }
-  if (best != NULL && (*chosen)->busy_until_us <= now_us + QUEUE_AHEAD_MAX_US)
+  if (best != NULL && best->busy_until_us <= now_us + QUEUE_AHEAD_MAX_US)
     return best;
   /* Skips the search until a process will be free soon enough; if none can be asked at all, for
      the rest of this pass. */
   sched->advice_nodes_busy_us[is_long_call]
-      = best == NULL ? now_us + 1 : (*chosen)->busy_until_us - QUEUE_AHEAD_MAX_US;
+      = best == NULL ? now_us + 1 : best->busy_until_us - QUEUE_AHEAD_MAX_US;
   return NULL;
 }
 
@@ -99,22 +96,22 @@
 }
 
 static void
-send_request (bts_sched_t *sched, bts_stage_t *stage, const char *node, bts_member_t *member,
+send_request (bts_sched_t *sched, bts_stage_t *stage, bts_member_t *member,
               const GPtrArray *workers, gint64 now_us)
 {
   bts_member_add_call (member, call_duration_us (bts_stage_policy (stage), workers->len), now_us);
   stage->advice_asked_us = now_us;
   stage->advice_deadline_us = member->busy_until_us + MESSAGE_ROUND_TRIP_US;
   g_free (stage->advice_node);
-  stage->advice_node = g_strdup (node);
+  stage->advice_node = g_strdup (member->name);
   Bts__Ask request = BTS__ASK__INIT;
-  request.node = (char *)node;
+  request.node = member->name;
   request.job = (char *)bts_job_id (stage->job);
   request.occurrence = stage->occurrence;
   request.step = stage->step;
   request.n_workers = workers->len;
   request.workers = (char **)workers->pdata;
-  sched->ops->request_advice (sched->context, node, member->address, &request);
+  sched->ops->request_advice (sched->context, member->name, member->address, &request);
 }
 
 /**
@@ -238,13 +235,12 @@
 static void
 request_advice (bts_sched_t *sched, bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
-  bts_member_t *member = NULL;
-  const char *node = choose_advice_node (sched, needs_long_call (stage), now_us, &member);
-  if (node == NULL)
+  bts_member_t *member = choose_advice_node (sched, needs_long_call (stage), now_us);
+  if (member == NULL)
     return;
   g_autoptr (GPtrArray) ids = choose_workers (sched, stage, scope, now_us);
   if (ids->len > 0)
-    send_request (sched, stage, node, member, ids, now_us);
+    send_request (sched, stage, member, ids, now_us);
 }
 
 /**
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -14,10 +14,12 @@
 /**
  * struct bts_members_t - all processes that have been heard from
  * @table: process name to bts_member_t
+ * @sorted: the values of @table, sorted by name; NULL after a change
  */
 struct bts_members_t
 {
   GHashTable *table;
+  GPtrArray *sorted;
 };
 
 static void
@@ -40,6 +42,7 @@
 bts_members_free (bts_members_t *members)
 {
   g_hash_table_unref (members->table);
+  g_clear_pointer (&members->sorted, g_ptr_array_unref);
   g_free (members);
 }
 
@@ -65,9 +68,11 @@
   bts_member_t *member = bts_members_find (members, node);
   if (member == NULL)
     {
+      g_clear_pointer (&members->sorted, g_ptr_array_unref);
       g_hash_table_foreach_remove (members->table, is_same_vm, (gpointer)node);
       member = g_new0 (bts_member_t, 1);
-      g_hash_table_insert (members->table, g_strdup (node), member);
+      member->name = g_strdup (node);
+      g_hash_table_insert (members->table, member->name, member);
     }
   member->last_seen_us = now_us;
 }
@@ -147,7 +152,21 @@
 static gint
 compare_names (gconstpointer a, gconstpointer b)
 {
-  return strcmp (*(char *const *)a, *(char *const *)b);
+  const bts_member_t *left = *(bts_member_t *const *)a;
+  const bts_member_t *right = *(bts_member_t *const *)b;
+  return strcmp (left->name, right->name);
+}
+
+static void
+sort_members (bts_members_t *members)
+{
+  members->sorted = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, members->table);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (members->sorted, value);
+  g_ptr_array_sort (members->sorted, compare_names);
 }
 
 /**
@@ -155,21 +174,18 @@
  * @members: the processes
  * @now_us: the time
  *
- * Return: their names, sorted; the names belong to @members.
+ * Return: them (bts_member_t), sorted by name; they belong to @members.
  */
 GPtrArray *
-bts_members_list_live (const bts_members_t *members, gint64 now_us)
+bts_members_list_live (bts_members_t *members, gint64 now_us)
 {
-  GPtrArray *names = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-  g_hash_table_iter_init (&iter, members->table);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    if (is_live (value, now_us))
-      g_ptr_array_add (names, key);
-  g_ptr_array_sort (names, compare_names);
-  return names;
+  if (members->sorted == NULL)
+    sort_members (members);
+  GPtrArray *live = g_ptr_array_sized_new (members->sorted->len);
+  for (guint i = 0; i < members->sorted->len; i++)
+    if (is_live (members->sorted->pdata[i], now_us))
+      g_ptr_array_add (live, members->sorted->pdata[i]);
+  return live;
 }
 
 /**
--- a/libbamboothread/scheduler/members.h
+++ b/libbamboothread/scheduler/members.h
@@ -11,6 +11,7 @@
 
 /**
  * struct bts_member_t - a process
+ * @name: its name
  * @address: IP:port for messages between processes, or NULL if not known
  * @cpu_millis: its CPU share, in thousandths of a core; 0 if not known
  * @last_seen_us: when it was last heard from; 0 once it is suspected
@@ -19,6 +20,7 @@
  */
 typedef struct
 {
+  char *name;
   char *address;
   guint cpu_millis;
   gint64 last_seen_us;
@@ -36,7 +38,7 @@
 void bts_members_finish_call (bts_members_t *members, const char *node, gint64 now_us);
 void bts_members_suspect (bts_members_t *members, const char *node);
 bts_member_t *bts_members_find (const bts_members_t *members, const char *node);
-GPtrArray *bts_members_list_live (const bts_members_t *members, gint64 now_us);
+GPtrArray *bts_members_list_live (bts_members_t *members, gint64 now_us);
 guint bts_members_count (const bts_members_t *members);
 guint bts_members_rank (const bts_members_t *members, const char *node, gint64 now_us);
 gboolean bts_members_is_standby (const bts_members_t *members, const char *node, gint64 now_us);
