--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,118 @@
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <string.h>
+
+#include "libbamboothread/connection/channel.h"
+#include "platform/store.h"
+#include "tests/suite.h"
+
+/* Pages of the newest records of the store, over a loopback socket. */
+
+#define ENTRY(key, value, offset)                                                                  \
+  "{\"key\":\"" key "\",\"value\":\"" value "\",\"offset\":" offset "}"
+
+/**
+ * struct case - a page, and what is made of it
+ * @page: reply of the store to the first read; the second one gets an empty page
+ * @records: key=value@offset of each record that is delivered; NULL if the read fails
+ * @pages: number of pages that are asked for
+ */
+static const struct
+{
+  const char *page;
+  const char *records;
+  guint pages;
+} cases[] = {
+  { "{\"items\":[" ENTRY ("a", "eA==", "3") "," ENTRY ("b", "", "4") "],\"has-more\":false}",
+    "a=x@3 b=@4 ", 1 },
+  { "{\"has-more\":true,\"end\":9,\"items\":[" ENTRY ("a", "eA==", "3") "]}", "a=x@3 ", 2 },
+  { "{\"items\":[],\"has-more\":false,\"end\":0}", "", 1 },
+  { "{\"items\":[],\"has-more\":true}", "", 1 },
+  { "{\"end\":7}", "", 1 },
+  { " { \"items\" : [ { \"offset\" : 12, \"x\" : [1,{\"key\":\"c\"}], \"value\" : \"eHk=\","
+    " \"key\" : \"a\" } ], \"has-more\" : false } ",
+    "a=xy@12 ", 1 },
+  { "{\"items\":[" ENTRY ("\\u0061\\\"", "eA==", "3") "],\"has-more\":false}", "a\"=x@3 ", 1 },
+  { "{\"items\":[" ENTRY ("\xc3\xa9", "eA==", "3") "],\"has-more\":false}", "\xc3\xa9=x@3 ", 1 },
+  /* A record that can't be read costs only itself. */
+  { "{\"items\":[null,{\"key\":\"a\"},{\"key\":5,\"value\":\"\"},7,[]," ENTRY (
+        "b", "eA==", "4") "],\"has-more\":false}",
+    "b=x@4 ", 1 },
+  { "{\"items\":[" ENTRY ("a", "eA==", "\"3\"") "," ENTRY ("b", "eA==", "-4") "]}", "b=x@-4 ", 1 },
+  { "{\"items\":[" ENTRY ("a", "eA==", "3") "],\"has-more\":\"yes\"}", NULL, 1 },
+  { "{\"items\":{}}", NULL, 1 },
+  { "{\"items\":[" ENTRY ("a", "eA==", "3"), NULL, 1 },
+  { "[]", NULL, 1 },
+  { "", NULL, 1 },
+};
+
+typedef struct
+{
+  struct event_base *base;
+  const char *page;
+  guint pages;
+  GString *records;
+  gboolean complete;
+} scene_t;
+
+static void
+serve (struct evhttp_request *request, void *context)
+{
+  scene_t *scene = context;
+  const char *page = scene->pages++ == 0 ? scene->page : "{\"items\":[],\"has-more\":false}";
+  evbuffer_add (evhttp_request_get_output_buffer (request), page, strlen (page));
+  evhttp_send_reply (request, 200, "OK", NULL);
+}
+
+static void
+on_record (void *context, const pf_keyed_record_t *record)
+{
+  scene_t *scene = context;
+  g_string_append_printf (scene->records, "%s=%.*s@%" G_GINT64_FORMAT " ", record->key,
+                          (int)record->len, (const char *)record->value, record->offset);
+}
+
+static void
+on_done (void *context, gboolean complete)
+{
+  scene_t *scene = context;
+  scene->complete = complete;
+  event_base_loopbreak (scene->base);
+}
+
+START_TEST (a_page_is_read_whole_or_not_at_all)
+{
+  scene_t scene = { 0 };
+  scene.base = bt_event_base_new ();
+  scene.page = cases[_i].page;
+  scene.records = g_string_new (NULL);
+  struct evhttp *http = evhttp_new (scene.base);
+  struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
+  ck_assert_ptr_nonnull (bound);
+  struct sockaddr_in at;
+  socklen_t len = sizeof at;
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&at, &len);
+  evhttp_set_gencb (http, serve, &scene);
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", ntohs (at.sin_port));
+  bt_clock_t clock;
+  bt_clock_init (&clock);
+  pf_store_t *store = pf_store_new (scene.base, &clock, address);
+  pf_store_read_newest (store, "keyed.servers", on_record, on_done, &scene);
+  event_base_dispatch (scene.base);
+  ck_assert_int_eq (scene.complete, cases[_i].records != NULL);
+  ck_assert_str_eq (scene.records->str, cases[_i].records == NULL ? "" : cases[_i].records);
+  ck_assert_uint_eq (scene.pages, cases[_i].pages);
+  pf_store_free (store);
+  evhttp_free (http);
+  event_base_free (scene.base);
+  g_string_free (scene.records, TRUE);
+}
+END_TEST
+
+int
+main (void)
+{
+  TCase *tests = tcase_create ("store");
+  tcase_add_loop_test (tests, a_page_is_read_whole_or_not_at_all, 0, G_N_ELEMENTS (cases));
+  return suite_run ("store", tests);
+}
