A request for advice on urgent work ends its walk once it has enough workers

Change: for urgent work the walk ends when there are enough. The workers named are the same. Other work still sees the whole pool, since the fullest workers come first.

Test: test_scale, urgent_request_examines_as_few_workers_on_any_site: 27 workers examined a start on 80 workers and 107 on 320 without the change. New metric advice_candidates_total.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -37,6 +37,7 @@
   X (ENDS_OTHER, "ends_total", "how=\"other\"")                                                    \
   X (HOLD_ORDERS_SENT, "holds_total", "")                                                          \
   X (HOLD_ORDERS_FAILED, "holds_failed_total", "")                                                 \
+  X (ADVICE_CANDIDATES, "advice_candidates_total", "")                                             \
   X (CANDIDATES, "placement_candidates_total", "")                                                 \
   X (ADVICE_ANSWERED, "advice_questions_total", "")                                                \
   X (ADVICE_REQUESTS_FAILED, "advice_questions_failed_total", "")                                  \
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/election.h"
 #include "libbamboothread/scheduler/place.h"
 
@@ -159,8 +160,7 @@
 
 /**
  * struct candidate_t - a worker that a request may name
- * @free_permille: share of it left free after one more task, in thousandths; 0 for
- *   urgent stages, for which it doesn't matter
+ * @free_permille: share of it left free after one more task, in thousandths
  */
 typedef struct
 {
@@ -177,9 +177,37 @@
                                                     : left->free_permille > right->free_permille;
 }
 
+/**
+ * struct choice_t - the workers that a request names
+ * @ids: their ids
+ * @step: the step that the request is about
+ * @allowed_percent: part of them that the advice is expected to allow
+ * @n_fitting: tasks that fit on them
+ */
+typedef struct
+{
+  GPtrArray *ids;
+  const Bts__Step *step;
+  guint allowed_percent;
+  guint n_fitting;
+} choice_t;
+
+/* Names a worker that can take a task now. Returns whether no further one is needed. */
+static gboolean
+add_feasible (choice_t *choice, const bts_worker_t *worker, guint n_tasks)
+{
+  if (choice->ids->len >= BTS_ADVICE_MAX_WORKERS)
+    return TRUE;
+  g_ptr_array_add (choice->ids, worker->entry->id);
+  choice->n_fitting += bts_place_count_fitting (worker, &worker->used, choice->step);
+  return choice->ids->len >= TYPICAL_WORKERS
+         && (guint64)choice->n_fitting * choice->allowed_percent >= (guint64)n_tasks * 100;
+}
+
 /* Ids of the workers to name in a request: first those that can take a task now, until they
    are expected to suffice for all tasks. Except for urgent work the fullest of them come
-   first, which leaves whole workers free for gangs. */
+   first, which leaves whole workers free for gangs; for urgent work the walk ends once there are
+   enough. */
 static GPtrArray *
 choose_workers (bts_sched_t *sched, const bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
@@ -194,38 +222,37 @@
   guint allowed_percent = scope == SCOPE_ALLOWED ? 100
                           : step->gang           ? EXPECTED_ALLOWED_GANG_PERCENT
                                                  : EXPECTED_ALLOWED_PERCENT;
-  guint n_fitting = 0;
+  choice_t choice = { ids, step, allowed_percent, 0 };
   for (guint i = 0; i < pool->len; i++)
     {
       const bts_worker_t *worker = pool->pdata[(first + i) % pool->len];
+      bt_metrics_count (BT_COUNT_ADVICE_CANDIDATES);
       if (!is_in_scope (stage, worker, scope))
         continue;
-      candidate_t candidate = { worker, low_priority ? bts_place_free_permille (worker, step) : 0 };
-      if (bts_place_check (worker, stage, now_us) == BTS_PLACE_OK)
-        g_array_append_val (feasible, candidate);
-      else
+      if (bts_place_check (worker, stage, now_us) != BTS_PLACE_OK)
         g_ptr_array_add (infeasible, (gpointer)worker);
-    }
-  g_array_sort (feasible, compare_free);
-  for (guint i = 0; i < feasible->len && ids->len < BTS_ADVICE_MAX_WORKERS; i++)
-    {
-      const bts_worker_t *worker = g_array_index (feasible, candidate_t, i).worker;
-      g_ptr_array_add (ids, worker->entry->id);
-      n_fitting += bts_place_count_fitting (worker, &worker->used, step);
-      if (ids->len >= TYPICAL_WORKERS
-          && (guint64)n_fitting * allowed_percent >= (guint64)stage->n_tasks * 100)
+      else if (!low_priority && add_feasible (&choice, worker, stage->n_tasks))
         return ids;
+      else if (low_priority)
+        {
+          candidate_t candidate = { worker, bts_place_free_permille (worker, step) };
+          g_array_append_val (feasible, candidate);
+        }
     }
+  g_array_sort (feasible, compare_free);
+  for (guint i = 0; i < feasible->len; i++)
+    if (add_feasible (&choice, g_array_index (feasible, candidate_t, i).worker, stage->n_tasks))
+      return ids;
   if (scope == SCOPE_FURTHER && !has_few_eligible (sched, stage))
     return ids;
   guint64 needed = (guint64)stage->n_tasks * CAPACITY_FACTOR * 100;
   for (guint i = 0; i < infeasible->len && ids->len < BTS_ADVICE_MAX_WORKERS; i++)
     {
       const bts_worker_t *worker = infeasible->pdata[i];
-      if (ids->len >= TYPICAL_WORKERS && (guint64)n_fitting * allowed_percent >= needed)
+      if (ids->len >= TYPICAL_WORKERS && (guint64)choice.n_fitting * allowed_percent >= needed)
         break;
       g_ptr_array_add (ids, worker->entry->id);
-      n_fitting += count_fitting_if_empty (worker, step);
+      choice.n_fitting += count_fitting_if_empty (worker, step);
     }
   return ids;
 }
--- a/tests/test_scale.c
+++ b/tests/test_scale.c
@@ -63,6 +63,40 @@
 }
 END_TEST
 
+/* Hands in urgent jobs at a rate in proportion to the workers, and returns how many workers were
+   examined to choose those that requests for advice name, for each start. */
+static double
+examined_for_advice (guint n_workers)
+{
+  sim_t *sim = sim_new (8, n_workers, 1);
+  sim->advised = TRUE;
+  sim_run_ms (sim, 3000);
+  guint64 examined = bt_metrics_get_count (BT_COUNT_ADVICE_CANDIDATES);
+  guint64 starts = bt_metrics_get_count (BT_COUNT_STARTS);
+  double n_jobs = 0;
+  for (guint step = 0; step < 40; step++)
+    {
+      for (n_jobs += 0.02 * n_workers; n_jobs >= 1; n_jobs--)
+        sim_submit (sim, step % 8, &lookup, urgent_step, G_N_ELEMENTS (urgent_step));
+      sim_run_ms (sim, 100);
+    }
+  examined = bt_metrics_get_count (BT_COUNT_ADVICE_CANDIDATES) - examined;
+  starts = bt_metrics_get_count (BT_COUNT_STARTS) - starts;
+  sim_check (sim);
+  sim_free (sim);
+  ck_assert_uint_gt (starts, 0);
+  return (double)examined / (double)starts;
+}
+
+START_TEST (urgent_request_examines_as_few_workers_on_any_site)
+{
+  double small = examined_for_advice (80);
+  double large = examined_for_advice (320);
+  ck_assert_msg (large <= small * GROWTH_MAX, "%.0f workers examined a start, then %.0f", small,
+                 large);
+}
+END_TEST
+
 /* Processes that read all entries of the registry, with the owner. */
 #define ENTRY_READERS_MAX 7
 
@@ -111,6 +145,7 @@
   TCase *tests = tcase_create ("scale");
   tcase_set_timeout (tests, 120);
   tcase_add_loop_test (tests, work_of_a_start_is_independent_of_the_site, 0, G_N_ELEMENTS (cases));
+  tcase_add_test (tests, urgent_request_examines_as_few_workers_on_any_site);
   tcase_add_loop_test (tests, few_processes_read_the_registry, 0, G_N_ELEMENTS (sites));
   return suite_run ("scale", tests);
 }
