libevent keeps the memory that it frees, by size

Cause: a call takes some thirty blocks of libevent's, and an owner has a thousand calls open. The C library keeps seven freed blocks of a size ready; others are merged and split again, and each request of 1 KB or more merges them all.

Ruled out: a larger cache of the C library (its tunable can't be set there).

Change: libevent's memory comes from lists of free blocks in steps of 64 bytes up to 2 KB; they are given back only to libevent. Larger blocks stay with the C library.

Test: test_message_server, memory_that_is_kept_is_handed_out_once; all its messages use such memory.

--- a/bench/calls.c
+++ b/bench/calls.c
@@ -275,6 +275,7 @@
       return 2;
     }
   signal (SIGPIPE, SIG_IGN);
+  bt_event_keep_memory ();
   pid_t pid;
   guint16 port = start_peer (&pid);
   owner_t owner = { 0 };
--- a/libbamboothread/connection/channel.c
+++ b/libbamboothread/connection/channel.c
@@ -2,8 +2,16 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <stdlib.h>
 #include <string.h>
 
+/* Memory of libevent is kept in lists of free blocks by their size, in steps of so many bytes;
+   larger blocks are left to the C library. */
+#define BLOCK_STEP_BYTES 64
+#define BLOCK_SIZES 33
+/* Bytes in front of each block that tell its size; the rest is aligned as malloc() aligns. */
+#define BLOCK_HEAD_BYTES 16
+
 /* Largest response body; pages and reads of the store are smaller. */
 #define RESPONSE_MAX_BYTES (8 * 1024 * 1024)
 
@@ -75,6 +83,92 @@
   g_free (peer);
 }
 
+/**
+ * union block_t - memory of libevent
+ * @size: its size in steps, while it is in use
+ * @next: the next free block of its size
+ */
+typedef union block_t
+{
+  gsize size;
+  union block_t *next;
+} block_t;
+
+static block_t *free_blocks[BLOCK_SIZES];
+
+static gsize
+count_steps (gsize bytes)
+{
+  return (bytes + BLOCK_HEAD_BYTES + BLOCK_STEP_BYTES - 1) / BLOCK_STEP_BYTES;
+}
+
+static void *
+block_alloc (size_t bytes)
+{
+  gsize size = count_steps (bytes);
+  block_t *block = size < BLOCK_SIZES ? free_blocks[size] : NULL;
+  if (block != NULL)
+    free_blocks[size] = block->next;
+  else
+    block = malloc (size * BLOCK_STEP_BYTES);
+  if (block == NULL)
+    return NULL;
+  block->size = size;
+  return (char *)block + BLOCK_HEAD_BYTES;
+}
+
+static void
+block_free (void *memory)
+{
+  if (memory == NULL)
+    return;
+  block_t *block = (block_t *)(gpointer)((char *)memory - BLOCK_HEAD_BYTES);
+  gsize size = block->size;
+  if (size >= BLOCK_SIZES)
+    {
+      free (block);
+      return;
+    }
+  block->next = free_blocks[size];
+  free_blocks[size] = block;
+}
+
+/* Blocks that are too large to be kept grow as the C library grows them, mostly in place. */
+static void *
+block_realloc (void *memory, size_t bytes)
+{
+  block_t *block = memory == NULL ? NULL : (block_t *)(gpointer)((char *)memory - BLOCK_HEAD_BYTES);
+  gsize old_size = block == NULL ? 0 : block->size;
+  gsize size = count_steps (bytes);
+  if (old_size >= BLOCK_SIZES && size >= BLOCK_SIZES)
+    {
+      block_t *grown = realloc (block, size * BLOCK_STEP_BYTES);
+      if (grown == NULL)
+        return NULL;
+      grown->size = size;
+      return (char *)grown + BLOCK_HEAD_BYTES;
+    }
+  void *moved = block_alloc (bytes);
+  if (memory == NULL || moved == NULL)
+    return moved;
+  memcpy (moved, memory, MIN (bytes, old_size * BLOCK_STEP_BYTES - BLOCK_HEAD_BYTES));
+  block_free (memory);
+  return moved;
+}
+
+/**
+ * bt_event_keep_memory() - let libevent keep the memory that it frees
+ *
+ * A call takes some thirty blocks, and an owner has a thousand calls open. The C library keeps few
+ * freed blocks of a size ready and merges and splits the others. To be called before any other
+ * function of libevent.
+ */
+void
+bt_event_keep_memory (void)
+{
+  event_set_mem_functions (block_alloc, block_realloc, block_free);
+}
+
 /**
  * bt_event_base_new() - create an event loop for many connections
  *
--- a/libbamboothread/connection/channel.h
+++ b/libbamboothread/connection/channel.h
@@ -48,6 +48,7 @@
   guint timeout_ms;
 } bt_call_t;
 
+void bt_event_keep_memory (void);
 struct event_base *bt_event_base_new (void);
 bt_channels_t *bt_channels_new (struct event_base *base, guint per_peer_max);
 void bt_channels_free (bt_channels_t *channels);
--- a/tests/test_message_server.c
+++ b/tests/test_message_server.c
@@ -1,3 +1,4 @@
+#include <event2/buffer.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/syscall.h>
@@ -178,12 +179,62 @@
 }
 END_TEST
 
+#define BUFFERS 50
+
+static const gsize appended_bytes[] = { 1, 40, 63, 64, 500, 1990, 2040, 2100, 5000, 70000 };
+
+static void
+fill (struct evbuffer *buffer, GString *expected, gsize bytes, char value)
+{
+  g_autofree char *text = g_strnfill (bytes, value);
+  ck_assert_int_eq (evbuffer_add (buffer, text, bytes), 0);
+  g_string_append_len (expected, text, (gssize)bytes);
+}
+
+/* Memory that libevent has freed and got again, in blocks of all sizes, belongs to one buffer at a
+   time. */
+START_TEST (memory_that_is_kept_is_handed_out_once)
+{
+  struct evbuffer *buffers[BUFFERS] = { NULL };
+  GString *expected[BUFFERS] = { NULL };
+  for (guint i = 0; i < BUFFERS * 20; i++)
+    {
+      guint at = i * 7 % BUFFERS;
+      if (buffers[at] != NULL && i % 3 == 0)
+        {
+          gsize len = evbuffer_get_length (buffers[at]);
+          ck_assert_uint_eq (len, expected[at]->len);
+          ck_assert_int_eq (memcmp (evbuffer_pullup (buffers[at], -1), expected[at]->str, len), 0);
+          g_clear_pointer (&buffers[at], evbuffer_free);
+          g_string_free (g_steal_pointer (&expected[at]), TRUE);
+          continue;
+        }
+      if (buffers[at] == NULL)
+        {
+          buffers[at] = evbuffer_new ();
+          expected[at] = g_string_new (NULL);
+        }
+      fill (buffers[at], expected[at], appended_bytes[(i / 3 + _i) % G_N_ELEMENTS (appended_bytes)],
+            (char)('a' + i % 26));
+    }
+  for (guint i = 0; i < BUFFERS; i++)
+    if (buffers[i] != NULL)
+      {
+        evbuffer_free (buffers[i]);
+        g_string_free (expected[i], TRUE);
+      }
+}
+END_TEST
+
 int
 main (void)
 {
+  bt_event_keep_memory ();
   TCase *tests = tcase_create ("message_server");
   tcase_add_loop_test (tests, a_message_has_one_reply, 0, G_N_ELEMENTS (cases));
   tcase_add_loop_test (tests, a_bad_address_is_an_error, 0, G_N_ELEMENTS (addresses));
   tcase_add_test (tests, a_message_changes_little_in_the_poll_set);
+  tcase_add_loop_test (tests, memory_that_is_kept_is_handed_out_once, 0,
+                       G_N_ELEMENTS (appended_bytes));
   return suite_run ("message_server", tests);
 }
