--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -231,6 +231,9 @@
 }
 END_TEST
 
+/* Bytes that matter to a parser, with the NUL at the end. */
+static const char damage[] = "[]{},:\"\\019-.etf\n\x80";
+
 /* Bytes replaced, removed and cut off at random. Whatever comes of it, the process goes on, and it
    is either a listing or an error. */
 START_TEST (damaged_listing_is_read_or_refused)
@@ -248,7 +251,7 @@
           switch (g_rand_int_range (random, 0, 4))
             {
             case 0:
-              text->str[at] = "[]{},:\"\\019-.etf\n\x80"[g_rand_int_range (random, 0, 20)];
+              text->str[at] = damage[g_rand_int_range (random, 0, G_N_ELEMENTS (damage))];
               break;
             case 1:
               g_string_erase (text, at, 1);
