--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/election.h"
 #include "libbamboothread/scheduler/place.h"
 
@@ -51,33 +52,30 @@
 
 /* The process that will be free first, or NULL if none will be soon. Long calls, which
    would delay the short ones, only go to every second process. */
-static const char *
-choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gint64 now_us, bts_member_t **chosen)
+static bts_member_t *
+choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gint64 now_us)
 {
   if (sched->advice_nodes_busy_us[is_long_call] > now_us)
     return NULL;
-  g_autoptr (GPtrArray) names = bts_members_list_live (sched->members, now_us);
+  g_autoptr (GPtrArray) live = bts_members_list_live (sched->members, now_us);
   const char *self = bts_ledger_owner (sched->ledger);
-  const char *best = NULL;
-  for (guint i = 0; i < names->len; i++)
+  bts_member_t *best = NULL;
+  for (guint i = 0; i < live->len; i++)
     {
-      bts_member_t *member = bts_members_find (sched->members, names->pdata[i]);
-      gboolean is_self = g_strcmp0 (names->pdata[i], self) == 0;
+      bts_member_t *member = live->pdata[i];
+      gboolean is_self = g_strcmp0 (member->name, self) == 0;
       if (member->calls_in_flight >= REQUESTS_PER_NODE_MAX || (is_long_call && i % 2 != 0)
-          || (is_self ? names->len > OTHER_NODES_MIN : member->address == NULL))
+          || (is_self ? live->len > OTHER_NODES_MIN : member->address == NULL))
         continue;
-      if (best == NULL || member->busy_until_us < (*chosen)->busy_until_us)
-        {
-          best = names->pdata[i];
-          *chosen = member;
-        }
+      if (best == NULL || member->busy_until_us < best->busy_until_us)
+        best = member;
     }
-  if (best != NULL && (*chosen)->busy_until_us <= now_us + QUEUE_AHEAD_MAX_US)
+  if (best != NULL && best->busy_until_us <= now_us + QUEUE_AHEAD_MAX_US)
     return best;
   /* Skips the search until a process will be free soon enough; if none can be asked at all, for
      the rest of this pass. */
   sched->advice_nodes_busy_us[is_long_call]
-      = best == NULL ? now_us + 1 : (*chosen)->busy_until_us - QUEUE_AHEAD_MAX_US;
+      = best == NULL ? now_us + 1 : best->busy_until_us - QUEUE_AHEAD_MAX_US;
   return NULL;
 }
 
@@ -99,22 +97,22 @@
 }
 
 static void
-send_request (bts_sched_t *sched, bts_stage_t *stage, const char *node, bts_member_t *member,
+send_request (bts_sched_t *sched, bts_stage_t *stage, bts_member_t *member,
               const GPtrArray *workers, gint64 now_us)
 {
   bts_member_add_call (member, call_duration_us (bts_stage_policy (stage), workers->len), now_us);
   stage->advice_asked_us = now_us;
   stage->advice_deadline_us = member->busy_until_us + MESSAGE_ROUND_TRIP_US;
   g_free (stage->advice_node);
-  stage->advice_node = g_strdup (node);
+  stage->advice_node = g_strdup (member->name);
   Bts__Ask request = BTS__ASK__INIT;
-  request.node = (char *)node;
+  request.node = member->name;
   request.job = (char *)bts_job_id (stage->job);
   request.occurrence = stage->occurrence;
   request.step = stage->step;
   request.n_workers = workers->len;
   request.workers = (char **)workers->pdata;
-  sched->ops->request_advice (sched->context, node, member->address, &request);
+  sched->ops->request_advice (sched->context, member->name, member->address, &request);
 }
 
 /**
@@ -162,8 +160,7 @@
 
 /**
  * struct candidate_t - a worker that a request may name
- * @free_permille: share of it left free after one more task, in thousandths; 0 for
- *   urgent stages, for which it doesn't matter
+ * @free_permille: share of it left free after one more task, in thousandths
  */
 typedef struct
 {
@@ -180,9 +177,37 @@
                                                     : left->free_permille > right->free_permille;
 }
 
+/**
+ * struct choice_t - the workers that a request names
+ * @ids: their ids
+ * @step: the step that the request is about
+ * @allowed_percent: part of them that the advice is expected to allow
+ * @n_fitting: tasks that fit on them
+ */
+typedef struct
+{
+  GPtrArray *ids;
+  const Bts__Step *step;
+  guint allowed_percent;
+  guint n_fitting;
+} choice_t;
+
+/* Names a worker that can take a task now. Returns whether no further one is needed. */
+static gboolean
+add_feasible (choice_t *choice, const bts_worker_t *worker, guint n_tasks)
+{
+  if (choice->ids->len >= BTS_ADVICE_MAX_WORKERS)
+    return TRUE;
+  g_ptr_array_add (choice->ids, worker->entry->id);
+  choice->n_fitting += bts_place_count_fitting (worker, &worker->used, choice->step);
+  return choice->ids->len >= TYPICAL_WORKERS
+         && (guint64)choice->n_fitting * choice->allowed_percent >= (guint64)n_tasks * 100;
+}
+
 /* Ids of the workers to name in a request: first those that can take a task now, until they
    are expected to suffice for all tasks. Except for urgent work the fullest of them come
-   first, which leaves whole workers free for gangs. */
+   first, which leaves whole workers free for gangs; for urgent work the walk ends once there are
+   enough. */
 static GPtrArray *
 choose_workers (bts_sched_t *sched, const bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
@@ -197,38 +222,37 @@
   guint allowed_percent = scope == SCOPE_ALLOWED ? 100
                           : step->gang           ? EXPECTED_ALLOWED_GANG_PERCENT
                                                  : EXPECTED_ALLOWED_PERCENT;
-  guint n_fitting = 0;
+  choice_t choice = { ids, step, allowed_percent, 0 };
   for (guint i = 0; i < pool->len; i++)
     {
       const bts_worker_t *worker = pool->pdata[(first + i) % pool->len];
+      bt_metrics_count (BT_COUNT_ADVICE_CANDIDATES);
       if (!is_in_scope (stage, worker, scope))
         continue;
-      candidate_t candidate = { worker, low_priority ? bts_place_free_permille (worker, step) : 0 };
-      if (bts_place_check (worker, stage, now_us) == BTS_PLACE_OK)
-        g_array_append_val (feasible, candidate);
-      else
+      if (bts_place_check (worker, stage, now_us) != BTS_PLACE_OK)
         g_ptr_array_add (infeasible, (gpointer)worker);
-    }
-  g_array_sort (feasible, compare_free);
-  for (guint i = 0; i < feasible->len && ids->len < BTS_ADVICE_MAX_WORKERS; i++)
-    {
-      const bts_worker_t *worker = g_array_index (feasible, candidate_t, i).worker;
-      g_ptr_array_add (ids, worker->entry->id);
-      n_fitting += bts_place_count_fitting (worker, &worker->used, step);
-      if (ids->len >= TYPICAL_WORKERS
-          && (guint64)n_fitting * allowed_percent >= (guint64)stage->n_tasks * 100)
+      else if (!low_priority && add_feasible (&choice, worker, stage->n_tasks))
         return ids;
+      else if (low_priority)
+        {
+          candidate_t candidate = { worker, bts_place_free_permille (worker, step) };
+          g_array_append_val (feasible, candidate);
+        }
     }
+  g_array_sort (feasible, compare_free);
+  for (guint i = 0; i < feasible->len; i++)
+    if (add_feasible (&choice, g_array_index (feasible, candidate_t, i).worker, stage->n_tasks))
+      return ids;
   if (scope == SCOPE_FURTHER && !has_few_eligible (sched, stage))
     return ids;
   guint64 needed = (guint64)stage->n_tasks * CAPACITY_FACTOR * 100;
   for (guint i = 0; i < infeasible->len && ids->len < BTS_ADVICE_MAX_WORKERS; i++)
     {
       const bts_worker_t *worker = infeasible->pdata[i];
-      if (ids->len >= TYPICAL_WORKERS && (guint64)n_fitting * allowed_percent >= needed)
+      if (ids->len >= TYPICAL_WORKERS && (guint64)choice.n_fitting * allowed_percent >= needed)
         break;
       g_ptr_array_add (ids, worker->entry->id);
-      n_fitting += count_fitting_if_empty (worker, step);
+      choice.n_fitting += count_fitting_if_empty (worker, step);
     }
   return ids;
 }
@@ -238,13 +262,12 @@
 static void
 request_advice (bts_sched_t *sched, bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
-  bts_member_t *member = NULL;
-  const char *node = choose_advice_node (sched, needs_long_call (stage), now_us, &member);
-  if (node == NULL)
+  bts_member_t *member = choose_advice_node (sched, needs_long_call (stage), now_us);
+  if (member == NULL)
     return;
   g_autoptr (GPtrArray) ids = choose_workers (sched, stage, scope, now_us);
   if (ids->len > 0)
-    send_request (sched, stage, node, member, ids, now_us);
+    send_request (sched, stage, member, ids, now_us);
 }
 
 /**
