An entry keeps an accepted job until it has read it back

Cause: knowledge that is dropped before it is durable. An entry tells the caller that a job is accepted as soon as the store has taken the record, and forgets the job. The log deleted the record before any process had read it, so nobody knew the job.

Change: the entry keeps an accepted job until it reads it back. A read that was sent after the answer of the store and doesn't show the job proves that its record is gone, and the entry appends it again; processes that know the job pass it over. It does so for 60 s, half of the time for which ended jobs are known, so that no job can run a second time. The wait for a read that a cancellation of an unknown job already had is used for both.

Evidence: test_retention, job_deleted_before_it_was_read, 2 cases (entry and owner), the job pending before and completed after.

Conclusion: mended while the entry lives. If it dies before it reads the record back, nothing is left to know the job by.

--- a/libbamboothread/scheduler/requests.c
+++ b/libbamboothread/scheduler/requests.c
@@ -18,9 +18,13 @@
 #define SPEC_INLINE_MAX_BYTES 128
 /* Most appends of one record; a duplicate in the log has no effect. */
 #define APPEND_ATTEMPTS_MAX 4
+/* How long an accepted job that hasn't been read back is written again, in microseconds: for less
+   than other processes know jobs that have ended, so that it can't run a second time. */
+#define UNREAD_MAX_US (60 * G_USEC_PER_SEC)
 
 /**
- * struct request_t - a client request that waits for its answer
+ * struct request_t - a client request that waits for its answer, or an accepted job that hasn't
+ *   been read back from the journal
  * @token: token of its newest append
  * @record: the record for the journal
  * @spec: the record for the log of specs, which is appended first; NULL if there is none or it
@@ -30,8 +34,9 @@
  * @attempts: appends of the current record so far
  * @maybe_stored: an append by this or another process may have succeeded without an answer
  * @received_us: when the request came in
- * @needs_barrier: it cancels a job that this process doesn't know; a read of the journal sent
- *   after @received_us will show whether the job exists
+ * @is_answered: the caller was told that the job is accepted
+ * @barrier_us: a read of the journal sent after this time shows whether the job is there; 0 if
+ *   that needn't be looked at, or not before an append is answered
  */
 typedef struct
 {
@@ -45,7 +50,8 @@
   guint attempts;
   gboolean maybe_stored;
   gint64 received_us;
-  gboolean needs_barrier;
+  gboolean is_answered;
+  gint64 barrier_us;
 } request_t;
 
 struct bts_requests_t
@@ -145,7 +151,10 @@
 guint
 bts_requests_count_in_flight (const bts_requests_t *requests)
 {
-  return requests->in_flight->len;
+  guint n = 0;
+  for (guint i = 0; i < requests->in_flight->len; i++)
+    n += !((const request_t *)requests->in_flight->pdata[i])->is_answered;
+  return n;
 }
 
 static void
@@ -180,7 +189,7 @@
                                             BT_COUNT_SUBMIT_UNKNOWN, BT_COUNT_SUBMIT_UNKNOWN };
 
 static void
-complete (bts_requests_t *requests, request_t *request, bts_answer_t answer)
+note_answer (const request_t *request, bts_answer_t answer)
 {
   bt_log (BT_LOG_INFO, request->is_cancel ? "cancel" : "submit", "job=%s answer=%s tries=%u",
           request->id, answer_names[answer], request->attempts);
@@ -188,9 +197,29 @@
     bt_metrics_count (answer == BTS_ANSWER_OK ? BT_COUNT_CANCEL_OK : BT_COUNT_CANCEL_OTHER);
   else
     bt_metrics_count (submit_counts[answer]);
+}
+
+static void
+complete (bts_requests_t *requests, request_t *request, bts_answer_t answer)
+{
+  gboolean is_answered = request->is_answered;
   guint64 exchange = request->exchange;
+  if (!is_answered)
+    note_answer (request, answer);
   g_ptr_array_remove (requests->in_flight, request);
-  requests->ops->answer (requests->context, exchange, answer);
+  if (!is_answered)
+    requests->ops->answer (requests->context, exchange, answer);
+}
+
+/* Tells the caller that a job is accepted, and keeps the job until it is read back. */
+static void
+accept_job (bts_requests_t *requests, request_t *request, gint64 now_us)
+{
+  bt_metrics_observe (BT_HIST_ACCEPT_MS, (now_us - request->received_us) / 1000);
+  note_answer (request, BTS_ANSWER_OK);
+  request->is_answered = TRUE;
+  request->barrier_us = now_us;
+  requests->ops->answer (requests->context, request->exchange, BTS_ANSWER_OK);
 }
 
 /* Moves a job's spec from its record for the journal into one for the log of specs. */
@@ -293,8 +322,9 @@
   request->record.kind_case = BTS__RECORD__KIND_CANCELLED;
   request->record.cancelled = cancelled;
   /* Another process may just have accepted a job that this process doesn't know. */
-  request->needs_barrier = job == NULL;
-  if (!request->needs_barrier)
+  if (job == NULL)
+    request->barrier_us = now_us;
+  else
     append (requests, request);
 }
 
@@ -343,13 +373,15 @@
   request_t *request = find_by_token (requests, token);
   if (request == NULL)
     return;
+  if (request->is_answered)
+    {
+      request->barrier_us = now_us;
+      return;
+    }
   /* A cancellation is answered by bts_requests_on_job(), once the folded journal shows that
      the job has ended. */
   if (result == BTS_APPEND_STORED && !request->is_cancel)
-    {
-      bt_metrics_observe (BT_HIST_ACCEPT_MS, (now_us - request->received_us) / 1000);
-      complete (requests, request, BTS_ANSWER_OK);
-    }
+    accept_job (requests, request, now_us);
   else if (result == BTS_APPEND_UNKNOWN)
     {
       request->maybe_stored = TRUE;
@@ -396,6 +428,35 @@
   append (requests, request);
 }
 
+/* The journal was read beyond the place of an accepted job, which was deleted before this process
+   could read it. Others may not have read it either. */
+static void
+append_unread (bts_requests_t *requests, request_t *request, gint64 now_us)
+{
+  if (now_us - request->received_us > UNREAD_MAX_US)
+    {
+      g_ptr_array_remove (requests->in_flight, request);
+      return;
+    }
+  bt_log (BT_LOG_WARNING, "submit-unread", "job=%s", request->id);
+  append (requests, request);
+}
+
+/* A read shows whether the job of a request is in the journal. */
+static void
+pass_barrier (bts_requests_t *requests, request_t *request, gint64 now_us)
+{
+  request->barrier_us = 0;
+  if (request->is_answered)
+    append_unread (requests, request, now_us);
+  else if (bts_ledger_job (requests->ledger, request->id) != NULL)
+    append (requests, request);
+  else
+    complete (requests, request,
+              bts_ledger_is_complete (requests->ledger) ? BTS_ANSWER_NOT_FOUND
+                                                        : BTS_ANSWER_UNAVAILABLE);
+}
+
 /**
  * bts_requests_on_caught_up() - the journal was read to its end
  * @requests: the client requests
@@ -406,21 +467,12 @@
 bts_requests_on_caught_up (bts_requests_t *requests, gint64 sent_us, gint64 now_us)
 {
   requests->caught_up_us = now_us;
-  for (guint i = 0; i < requests->in_flight->len;)
+  /* Backwards, since requests are removed on the way. */
+  for (guint i = requests->in_flight->len; i > 0; i--)
     {
-      request_t *request = requests->in_flight->pdata[i];
-      if (!request->needs_barrier || sent_us <= request->received_us)
-        {
-          i++;
-          continue;
-        }
-      request->needs_barrier = FALSE;
-      if (bts_ledger_job (requests->ledger, request->id) == NULL)
-        complete (requests, request,
-                  bts_ledger_is_complete (requests->ledger) ? BTS_ANSWER_NOT_FOUND
-                                                            : BTS_ANSWER_UNAVAILABLE);
-      else
-        append (requests, request);
+      request_t *request = requests->in_flight->pdata[i - 1];
+      if (request->barrier_us != 0 && sent_us > request->barrier_us)
+        pass_barrier (requests, request, now_us);
     }
 }
 
@@ -457,7 +509,7 @@
   for (guint i = 0; i < requests->in_flight->len;)
     {
       request_t *request = requests->in_flight->pdata[i];
-      if (now_us >= request->deadline_us)
+      if (!request->is_answered && now_us >= request->deadline_us)
         complete (requests, request,
                   request->spec != NULL && !request->maybe_stored ? BTS_ANSWER_UNAVAILABLE
                                                                   : BTS_ANSWER_UNKNOWN);
--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -329,6 +329,30 @@
 }
 END_TEST
 
+/* Guards against an accepted job that nobody knows: the log deleted its record before any process
+   had read it. */
+START_TEST (job_deleted_before_it_was_read)
+{
+  sim_t *sim = sim_with_retention (3);
+  gboolean by_owner = _i == 1;
+  guint node = by_owner ? (guint)sim_owner (sim) : other_than_owner (sim);
+  for (guint i = 0; i < 3; i++)
+    sim_node (sim, i)->deaf = TRUE;
+  sim_run_ms (sim, 100);
+  const sim_job_t *job = sim_submit (sim, node, &lookup, quick, G_N_ELEMENTS (quick));
+  sim_run_ms (sim, 100);
+  ck_assert_int_ne (job->accepted_us, 0);
+  sim->log_first = sim->log->len;
+  for (guint i = 0; i < 3; i++)
+    sim_node (sim, i)->deaf = FALSE;
+  sim_run_ms (sim, 10000);
+  ck_assert_str_eq (bts_job_state_name (sim_state (sim, job)),
+                    bts_job_state_name (BTS_JOB_COMPLETED));
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -340,5 +364,6 @@
   tcase_add_test (tests, processes_that_know_nothing_begin_again);
   tcase_add_test (tests, process_with_skipped_records_says_what_it_knows);
   tcase_add_test (tests, cancelled_while_a_snapshot_is_on_its_way);
+  tcase_add_loop_test (tests, job_deleted_before_it_was_read, 0, 2);
   return suite_run ("retention", tests);
 }
