Of processes that have skipped records, one that lacks the fewest leads

Cause: a right without a sign that it is held.

Change: claims and beats say how many records the owner lacks, and a process that lacks fewer claims the next term at once. A process that lacks fewer than the owner doesn't let the owner tell it that it knows all. For 3 s an owner that has skipped records starts nothing, and a new one doesn't call workers, which would forget ends that it can't record. After that it is taken to know all, as before. The count is compared in the order of the log: who reads that the owner lacks records has read, or skipped, all before.

The case job_handed_in_again_after_the_log_forgot_it would pass by the pause alone: the entry refuses the job at first. The caller now comes a second time, and the case still fails, as it should.

Conclusion: mended where what one process lacks another one has. Where each lacks something else, the number of records is only the likelier guess. Processes of older versions name no number and count as lacking none.

--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -167,6 +167,15 @@
   return MAX (election->stale_grants_until_us, now_us) + lease_us;
 }
 
+static void
+note_owner_behind (bts_election_t *election, const bts_ledger_t *ledger, gint64 now_us)
+{
+  if (!bts_ledger_is_owner_behind (ledger))
+    election->behind_us = 0;
+  else if (election->behind_us == 0)
+    election->behind_us = now_us;
+}
+
 /**
  * bts_election_is_claim_due() - whether to claim the next term now
  * @election: the election
@@ -174,9 +183,10 @@
  * @yield_us: additional delay that leaves the claim to processes preferred as the owner
  * @now_us: current time
  *
- * A claim is due if there is no owner, if the owner is an earlier incarnation of this process,
- * or if the owner has been silent while the journal could be read. Unless the owner is an
- * earlier incarnation, a process claims only after one of its appends was stored.
+ * A claim is due if there is no owner, if the owner is an earlier incarnation of this process, if
+ * it lacks more records than this process, or if it has been silent while the journal could be
+ * read. Unless the owner is an earlier incarnation, a process claims only after one of its appends
+ * was stored.
  *
  * Return: TRUE if a claim is to be written; its time is recorded.
  */
@@ -186,6 +196,7 @@
 {
   const char *owner = bts_ledger_owner (ledger);
   gboolean is_own_predecessor = owner != NULL && bts_node_same_vm (owner, election->node);
+  note_owner_behind (election, ledger, now_us);
   if (election->leaving || election->caught_up_us == 0
       || (election->append_latency_us == 0 && !is_own_predecessor)
       || now_us - election->caught_up_us > READ_GAP_MAX_US
@@ -203,11 +214,13 @@
   else if (is_own_predecessor)
     timeout_us = 0;
   timeout_us += yield_us;
-  if (now_us - election->heard_us < timeout_us)
+  gboolean is_behind
+      = election->behind_us != 0 && now_us - election->behind_us >= claim_delay_us + yield_us;
+  if (!is_behind && now_us - election->heard_us < timeout_us)
     return FALSE;
   /* Only a read that returned after the timeout shows that the owner was silent, rather than
      that this process couldn't read. */
-  if (owner != NULL && !is_own_predecessor
+  if (owner != NULL && !is_own_predecessor && !is_behind
       && election->caught_up_us < election->heard_us + timeout_us)
     return FALSE;
   election->claimed_us = now_us;
--- a/libbamboothread/scheduler/election.h
+++ b/libbamboothread/scheduler/election.h
@@ -36,6 +36,7 @@
  * @claimed_us: when this process last claimed; 0 for never
  * @readable_us: when the log last became readable again after failed reads; 0 for never
  * @leaving: the process is shutting down and claims no more
+ * @behind_us: since when the owner is known to lack more records than this process; 0 if it doesn't
  */
 typedef struct
 {
@@ -49,6 +50,7 @@
   gint64 claimed_us;
   gint64 readable_us;
   gboolean leaving;
+  gint64 behind_us;
 } bts_election_t;
 
 gboolean bts_node_same_vm (const char *a, const char *b);
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -22,6 +22,8 @@
  * @next_offset: offset after the newest record folded
  * @complete: whether the state is that of all records, also of those that were deleted before
  *   this process could read them
+ * @missing: number of records that were skipped and not made up for by those read since
+ * @owner_missing: the same number of the owner, as it says
  */
 struct bts_ledger_t
 {
@@ -37,6 +39,8 @@
   gint64 read_from;
   gint64 next_offset;
   gboolean complete;
+  guint64 missing;
+  guint64 owner_missing;
 };
 
 /**
@@ -88,6 +92,7 @@
 void
 bts_ledger_skip (bts_ledger_t *ledger, gint64 first)
 {
+  ledger->missing += (guint64)(first - ledger->next_offset);
   ledger->read_from = first;
   ledger->next_offset = first;
   ledger->complete = FALSE;
@@ -105,9 +110,32 @@
   return ledger->complete;
 }
 
+/**
+ * bts_ledger_missing() - number of records that this process lacks
+ * @ledger: the ledger
+ *
+ * Return: how many were skipped since this process last knew all jobs of an owner, and those that
+ * that owner lacked.
+ */
+guint64
+bts_ledger_missing (const bts_ledger_t *ledger)
+{
+  return ledger->missing;
+}
+
+/**
+ * bts_ledger_is_owner_behind() - whether the owner lacks more records than this process
+ * @ledger: the ledger
+ */
+gboolean
+bts_ledger_is_owner_behind (const bts_ledger_t *ledger)
+{
+  return ledger->owner != NULL && ledger->owner_missing > ledger->missing;
+}
+
 /**
  * bts_ledger_set_complete() - take the ledger for complete
- * @ledger: the ledger of an owner: processes that know more would have claimed the term first
+ * @ledger: the ledger of an owner: processes that know more would have claimed its term
  */
 void
 bts_ledger_set_complete (bts_ledger_t *ledger)
@@ -259,12 +287,25 @@
   ledger->ops->owner_changed (ledger->context);
 }
 
+/* An owner may know more than this process, which was complete in the eyes of an earlier owner
+   and has dropped what that one didn't know. */
+static void
+set_owner_missing (bts_ledger_t *ledger, guint64 missing)
+{
+  ledger->owner_missing = missing;
+  if (ledger->missing <= missing || !ledger->complete)
+    return;
+  ledger->complete = FALSE;
+  ledger->read_from = ledger->next_offset;
+}
+
 static void
 fold_claim (bts_ledger_t *ledger, const Bts__Claim *claim, gint64 offset)
 {
   if (claim->term <= ledger->term)
     return;
   ledger->ops->node_seen (ledger->context, claim->node);
+  set_owner_missing (ledger, claim->missing);
   set_term (ledger, claim->term, claim->node, FALSE, offset);
 }
 
@@ -412,13 +453,14 @@
     }
 }
 
-/* The owner says which records hold all jobs. */
+/* The owner says which records hold all jobs, unless this process may know more. */
 static void
 check_complete (bts_ledger_t *ledger, gint64 oldest_needed)
 {
-  if (ledger->complete || oldest_needed < ledger->read_from)
+  if (ledger->complete || bts_ledger_is_owner_behind (ledger) || oldest_needed < ledger->read_from)
     return;
   ledger->complete = TRUE;
+  ledger->missing = ledger->owner_missing;
   remove_outdated_jobs (ledger, oldest_needed);
 }
 
@@ -447,6 +489,7 @@
     fold_crash (ledger, heartbeat->crashes[i], now_us);
   for (gsize i = 0; i < heartbeat->n_silent; i++)
     fold_silent (ledger, heartbeat->silent[i]);
+  set_owner_missing (ledger, heartbeat->missing);
   check_complete (ledger, (gint64)heartbeat->oldest_needed);
   ledger->ops->heartbeat (ledger->context, heartbeat);
 }
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -43,6 +43,9 @@
 /* How long a process that has skipped records leaves a claim to those that know all jobs, in
    microseconds: longer than their delays while the log is fast. */
 #define INCOMPLETE_YIELD_US (4 * BT_USEC_PER_SEC)
+/* How long an owner that has skipped records starts nothing, in microseconds: a process that lacks
+   fewer of them claims the next term in this time. */
+#define INCOMPLETE_OWNER_US (3 * BT_USEC_PER_SEC)
 /* Another process is on a much larger VM if its CPU share is at least this many times that of
    this process. */
 #define LARGER_VM_FACTOR 2
@@ -69,6 +72,7 @@
  * @last_tick_us: when the last tick was; 0 before the first
  * @resumed_us: when the process last resumed after a stall; 0 once it has read the journal to
  *   its end after that
+ * @incomplete_since_us: since when this process leads without knowing all jobs; 0 if it doesn't
  * @replaying: the journal has not been read to its end yet
  * @last_hello_us: when the process last appended a Hello record; 0 for never
  * @entries_unreadable: the last read of the registry failed
@@ -99,6 +103,7 @@
   gint64 resigned_us;
   gint64 last_tick_us;
   gint64 resumed_us;
+  gint64 incomplete_since_us;
   gboolean replaying;
   gint64 last_hello_us;
   gboolean entries_unreadable;
@@ -597,6 +602,20 @@
   bts_sched_on_readable (node->sched);
 }
 
+/* An owner that has skipped records is taken to know all once those that lack fewer could have
+   claimed the next term. */
+static void
+check_owner_complete (bts_node_t *node, gint64 now_us)
+{
+  gboolean complete = bts_ledger_is_complete (node->ledger);
+  if (complete || !bts_sched_is_leading (node->sched))
+    node->incomplete_since_us = 0;
+  else if (node->incomplete_since_us == 0)
+    node->incomplete_since_us = now_us;
+  else if (now_us - node->incomplete_since_us >= INCOMPLETE_OWNER_US)
+    bts_ledger_set_complete (node->ledger);
+}
+
 /**
  * bts_node_on_caught_up() - the journal was read to its end
  * @node: the process
@@ -618,9 +637,8 @@
   bts_sched_set_journal_stale (node->sched, node->resumed_us != 0);
   bts_ledger_set_replaying (node->ledger, FALSE);
   bts_requests_on_caught_up (node->requests, sent_us, now_us);
+  check_owner_complete (node, now_us);
   begin_term_if_owner (node);
-  if (bts_sched_is_leading (node->sched))
-    bts_ledger_set_complete (node->ledger);
 }
 
 /**
@@ -969,6 +987,7 @@
   Bts__Claim claim = BTS__CLAIM__INIT;
   claim.term = bts_ledger_term (node->ledger) + 1;
   claim.node = node->name;
+  claim.missing = bts_ledger_missing (node->ledger);
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_CLAIM;
   record.claim = &claim;
@@ -1056,6 +1075,10 @@
 claim_yield_us (const bts_node_t *node, gint64 now_us)
 {
   gint64 slow_us = slow_log_yield_us (node, now_us);
+  gboolean is_standby = bts_members_is_standby (node->members, node->name, now_us);
+  gint64 standby_us = is_standby ? 0 : NOT_STANDBY_YIELD_US;
+  if (bts_ledger_is_owner_behind (node->ledger))
+    return slow_us + standby_us;
   if (!bts_ledger_is_complete (node->ledger))
     return slow_us + INCOMPLETE_YIELD_US;
   if (has_larger_peer (node, now_us))
@@ -1064,8 +1087,7 @@
       gboolean is_fit = node->config.cpu_millis * WORKERS_PER_CPU_MILLI >= n_workers;
       return slow_us + (is_fit ? SMALL_VM_YIELD_US : UNFIT_VM_YIELD_US);
     }
-  return slow_us
-         + (bts_members_is_standby (node->members, node->name, now_us) ? 0 : NOT_STANDBY_YIELD_US);
+  return slow_us + standby_us;
 }
 
 /* Whether the owner should leave the workers to another process: it shuts down, or a live process
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -304,6 +304,7 @@
   sched->ticked_us = sched->term_began_us;
   sched->confirmed_us = 0;
   sched->earlier_leases_end_us = earlier_leases_end_us;
+  sched->calls_workers = FALSE;
   sched->settled = FALSE;
   sched->entries_stale = TRUE;
   GHashTableIter iter;
@@ -830,7 +831,8 @@
 {
   gint64 now_us = bts_sched_now (sched);
   if (sched->term == 0 || !sched->dirty || bts_sched_is_journal_stale (sched)
-      || sched->entries_stale || now_us < sched->next_pass_us)
+      || !bts_ledger_is_complete (sched->ledger) || sched->entries_stale
+      || now_us < sched->next_pass_us)
     return;
   sched->dirty = FALSE;
   sched->last_pass_us = now_us;
@@ -1018,8 +1020,10 @@
   if (sched->term == 0)
     return;
   sched->ticked_us = bts_sched_now (sched);
-  tick_workers (sched);
-  if (!sched->settled && are_earlier_runs_known (sched))
+  sched->calls_workers = sched->calls_workers || bts_ledger_is_complete (sched->ledger);
+  if (sched->calls_workers)
+    tick_workers (sched);
+  if (!sched->settled && sched->calls_workers && are_earlier_runs_known (sched))
     {
       sched->settled = TRUE;
       sched->dirty = TRUE;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -76,6 +76,8 @@
  *   was
  * @term_began_us: when the term began
  * @earlier_leases_end_us: when all leases of earlier owners have expired
+ * @calls_workers: workers are called: the owner has known all jobs in this term. One that never
+ *   did would take note of ends that it can't record
  * @settled: all runs of earlier owners are known or have surely ended
  * @journal_stale: the journal has to be read to its end before anything is started
  * @entries_stale: no read of the registry has completed or failed in this term yet; nothing is
@@ -125,6 +127,7 @@
   gint64 confirmed_us;
   gint64 term_began_us;
   gint64 earlier_leases_end_us;
+  gboolean calls_workers;
   gboolean settled;
   gboolean journal_stale;
   gboolean entries_stale;
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1823,7 +1823,7 @@
   (ProtobufCMessageInit) bts__cancelled__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__claim__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bts__claim__field_descriptors[3] =
 {
   {
     "term",
@@ -1849,15 +1849,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "missing",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Claim, missing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__claim__field_indices_by_name[] = {
+  2,   /* field[2] = missing */
   1,   /* field[1] = node */
   0,   /* field[0] = term */
 };
 static const ProtobufCIntRange bts__claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bts__claim__descriptor =
 {
@@ -1867,7 +1880,7 @@
   "Bts__Claim",
   "bts",
   sizeof(Bts__Claim),
-  2,
+  3,
   bts__claim__field_descriptors,
   bts__claim__field_indices_by_name,
   1,  bts__claim__number_ranges,
@@ -2413,7 +2426,7 @@
   (ProtobufCMessageInit) bts__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bts__beat__field_descriptors[12] =
 {
   {
     "term",
@@ -2547,6 +2560,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "missing",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Beat, missing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__beat__field_indices_by_name[] = {
   6,   /* field[6] = append_ms */
@@ -2555,6 +2580,7 @@
   10,   /* field[10] = earlier_renewals_ms */
   3,   /* field[3] = ends */
   4,   /* field[4] = held */
+  11,   /* field[11] = missing */
   1,   /* field[1] = number */
   7,   /* field[7] = oldest_needed */
   5,   /* field[5] = released */
@@ -2565,7 +2591,7 @@
 {
   { 1, 0 },
   { 13, 10 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bts__beat__descriptor =
 {
@@ -2575,7 +2601,7 @@
   "Bts__Beat",
   "bts",
   sizeof(Bts__Beat),
-  11,
+  12,
   bts__beat__field_descriptors,
   bts__beat__field_indices_by_name,
   2,  bts__beat__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -157,10 +157,14 @@
   ProtobufCMessage base;
   uint64_t term;
   char *node;
+  /*
+   * Records that the process couldn't read before they were deleted.
+   */
+  uint64_t missing;
 };
 #define BTS__CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__claim__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -340,10 +344,14 @@
    * 0 if not given.
    */
   uint32_t earlier_renewals_ms;
+  /*
+   * Records that the owner couldn't read before they were deleted.
+   */
+  uint64_t missing;
 };
 #define BTS__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__beat__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -930,8 +930,12 @@
   sim_start (sim, other);
   sim_run_ms (sim, 500);
   make_owner (sim, other);
-  sim_resubmit (sim, other, job);
-  sim_run_ms (sim, 6000);
+  /* A process that has skipped records refuses new jobs at first. */
+  for (guint i = 0; i < 2; i++)
+    {
+      sim_resubmit (sim, other, job);
+      sim_run_ms (sim, 6000);
+    }
 }
 
 /* The same where the owner still knows the job when the repeated request comes in. */
--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -353,6 +353,151 @@
 }
 END_TEST
 
+/* Nobody reads the log for some time, and a record of it is deleted meanwhile. */
+static void
+delete_unread_record (sim_t *sim)
+{
+  for (guint i = 0; i < sim->nodes->len; i++)
+    sim_node (sim, i)->deaf = TRUE;
+  sim_run_ms (sim, 300);
+  sim->log_first = sim->log->len;
+  for (guint i = 0; i < sim->nodes->len; i++)
+    sim_node (sim, i)->deaf = FALSE;
+}
+
+/* Guards against an owner that has skipped records which others have read, and takes itself to
+   know all: a job accepted meanwhile never runs. With _i set, the others lack a record too. */
+START_TEST (owner_skips_what_others_have_read)
+{
+  sim_t *sim = sim_with_retention (3);
+  guint owner = (guint)sim_owner (sim);
+  sim_node (sim, owner)->deaf = TRUE;
+  sim_run_ms (sim, 20);
+  const sim_job_t *job
+      = sim_submit (sim, other_than_owner (sim), &lookup, quick, G_N_ELEMENTS (quick));
+  sim_run_ms (sim, 100);
+  ck_assert_int_ne (job->accepted_us, 0);
+  if (_i == 1)
+    delete_unread_record (sim);
+  sim->log_first = sim->log->len;
+  sim_node (sim, owner)->deaf = FALSE;
+  sim_run_ms (sim, 12000);
+  ck_assert_str_eq (bts_job_state_name (sim_state (sim, job)),
+                    bts_job_state_name (BTS_JOB_COMPLETED));
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against an owner that has skipped the cancellation of a job and starts its next step,
+   before a process that has read it leads. */
+START_TEST (owner_lacks_a_cancellation)
+{
+  sim_t *sim = sim_with_retention (3);
+  /* The first step ends just after the owner can read again. */
+  static const sim_step_t steps[]
+      = { { .count = 1, .cpu = 500, .memory = 200, .ms = 6100 },
+          { .count = 1, .cpu = 500, .memory = 200, .ms = 1000, .after = 1 } };
+  guint owner = (guint)sim_owner (sim);
+  guint other = other_than_owner (sim);
+  sim_job_t *job = sim_submit (sim, other, &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 1000);
+  sim_node (sim, owner)->deaf = TRUE;
+  sim_run_ms (sim, 20);
+  sim_cancel (sim, other, job);
+  sim_run_ms (sim, 50);
+  sim->store_refuses = TRUE;
+  sim_run_ms (sim, 4000);
+  ck_assert_int_ne (job->cancelled_us, 0);
+  sim->log_first = sim->log->len;
+  sim->store_refuses = FALSE;
+  sim_node (sim, owner)->deaf = FALSE;
+  sim_run_ms (sim, 10000);
+  ck_assert_int_ne (sim_owner (sim), (gint)owner);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against a new owner that lacks more records than others: all have skipped one, and this
+   one those with ends besides. */
+START_TEST (owner_lacks_more_than_others)
+{
+  sim_t *sim = sim_new (4, 10, 1);
+  sim->keep_ms = 3 * KEEP_MS;
+  sim_restart (sim);
+  sim_run_ms (sim, 6000);
+  static const sim_step_t steps[] = { { .count = 4, .cpu = 500, .memory = 200, .ms = 2000 } };
+  for (guint i = 0; i < 20; i++)
+    sim_submit (sim, entry (sim), &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 1000);
+  delete_unread_record (sim);
+  sim_run_ms (sim, 500);
+  guint owner = (guint)sim_owner (sim);
+  guint away = (owner + 1 + (guint)_i) % 4;
+  sim_node (sim, away)->cut = TRUE;
+  sim_run_ms (sim, 4000);
+  ck_assert_int_eq (sim_owner (sim), (gint)owner);
+  /* These end after the owner. */
+  for (guint i = 0; i < 10; i++)
+    sim_submit (sim, owner, &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 300);
+  sim->log_first = sim->log->len;
+  sim_node (sim, away)->cut = FALSE;
+  sim_run_ms (sim, 1500);
+  sim_kill (sim, owner);
+  /* For longer than the one that was away takes to read snapshots of all jobs. */
+  sim_run_ms (sim, 40000);
+  ck_assert_uint_eq (sim_count_state (sim, BTS_JOB_COMPLETED), sim->jobs->len);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against a process that drops a job which the owner of the time doesn't know, and is taken
+   to know all by a later owner that does. */
+START_TEST (job_dropped_under_an_owner_that_lacks_it)
+{
+  sim_t *sim = sim_new (3, 10, 1);
+  sim->keep_ms = 3 * KEEP_MS;
+  sim_restart (sim);
+  sim_run_ms (sim, 6000);
+  guint owner = (guint)sim_owner (sim);
+  guint suspended = (owner + 1) % 3;
+  guint third = (owner + 2) % 3;
+  sim_submit (sim, owner, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 1000);
+  sim_node (sim, third)->cut = TRUE;
+  sim_run_ms (sim, 5000);
+  sim->log_first = sim->log->len;
+  sim_node (sim, third)->cut = FALSE;
+  sim_run_ms (sim, 1500);
+  sim_node (sim, owner)->deaf = TRUE;
+  sim_run_ms (sim, 20);
+  const sim_job_t *job = sim_submit (sim, suspended, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 100);
+  ck_assert_int_ne (job->accepted_us, 0);
+  sim_freeze (sim, suspended);
+  sim->log_first = sim->log->len;
+  sim_node (sim, owner)->deaf = FALSE;
+  sim_run_ms (sim, 8000);
+  ck_assert_int_eq (sim_owner (sim), (gint)owner);
+  sim_thaw (sim, suspended);
+  bts_node_t *late = sim_node (sim, third)->node;
+  for (guint i = 0; i < 120; i++)
+    {
+      bts_job_state_t state;
+      sim_run_ms (sim, 100);
+      if (i >= 30)
+        ck_assert_int_ne (bts_node_query (late, job->id, &state), BTS_ANSWER_NOT_FOUND);
+    }
+  ck_assert_int_eq (sim_owner (sim), (gint)suspended);
+  ck_assert_uint_eq (sim_running (sim, job->id), 1);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -365,5 +510,9 @@
   tcase_add_test (tests, process_with_skipped_records_says_what_it_knows);
   tcase_add_test (tests, cancelled_while_a_snapshot_is_on_its_way);
   tcase_add_loop_test (tests, job_deleted_before_it_was_read, 0, 2);
+  tcase_add_loop_test (tests, owner_skips_what_others_have_read, 0, 2);
+  tcase_add_test (tests, owner_lacks_a_cancellation);
+  tcase_add_loop_test (tests, owner_lacks_more_than_others, 0, 3);
+  tcase_add_test (tests, job_dropped_under_an_owner_that_lacks_it);
   return suite_run ("retention", tests);
 }
