The owner writes again at once what the log has deleted of its jobs

Cause: what the next owner needs isn't durable when it matters. The log had deleted the records of a job that only the owner knew any more.

The batches keep their size.

Evidence: test_retention, owner_alone_knows_the_jobs: lasting jobs without tasks before.

Conclusion: mended for an owner that has skipped records. One that reads all of them doesn't learn that the log has deleted old ones.

--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -143,6 +143,18 @@
   ledger->complete = TRUE;
 }
 
+/**
+ * bts_ledger_read_from() - offset from which on all records were folded
+ * @ledger: the ledger
+ *
+ * Return: the offset; if it isn't 0, the records before it have been deleted.
+ */
+gint64
+bts_ledger_read_from (const bts_ledger_t *ledger)
+{
+  return ledger->read_from;
+}
+
 /**
  * bts_ledger_oldest_needed() - offset of the oldest record that a reader needs to know all jobs
  * @ledger: the ledger
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -55,6 +55,7 @@
 void bts_ledger_set_complete (bts_ledger_t *ledger);
 guint64 bts_ledger_missing (const bts_ledger_t *ledger);
 gboolean bts_ledger_is_owner_behind (const bts_ledger_t *ledger);
+gint64 bts_ledger_read_from (const bts_ledger_t *ledger);
 gint64 bts_ledger_oldest_needed (const bts_ledger_t *ledger);
 bts_job_t *bts_ledger_job (const bts_ledger_t *ledger, const char *id);
 GHashTable *bts_ledger_jobs (const bts_ledger_t *ledger);
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -186,13 +186,21 @@
   return FALSE;
 }
 
+/* Whether the log is known to have deleted the last snapshot of a job. */
+static gboolean
+is_snapshot_deleted (const bts_sched_t *sched, const bts_job_t *job)
+{
+  return job->snapshot_offset < bts_ledger_read_from (sched->ledger);
+}
+
 /* A job with ends in flight waits for them for at most another interval: the log must not delete
    its last snapshot. */
 static gboolean
 is_due (const bts_sched_t *sched, const bts_job_t *job, gint64 now_us)
 {
   gint64 age_us = now_us - snapshot_time_us (sched, job);
-  if (age_us < snapshot_interval_us (sched) || now_us - job->snapshot_sent_us < SNAPSHOT_RETRY_US)
+  if ((age_us < snapshot_interval_us (sched) && !is_snapshot_deleted (sched, job))
+      || now_us - job->snapshot_sent_us < SNAPSHOT_RETRY_US)
     return FALSE;
   return age_us >= 2 * snapshot_interval_us (sched) || !has_ends_in_flight (job);
 }
--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -454,6 +454,36 @@
 }
 END_TEST
 
+/* Guards against jobs that only the owner knows any more, for as long as it waits to write them
+   again: the log has lost them, and the others have started since. */
+START_TEST (owner_alone_knows_the_jobs)
+{
+  sim_t *sim = sim_with_retention (3);
+  guint owner = (guint)sim_owner (sim);
+  for (guint i = 0; i < 3; i++)
+    sim_submit (sim, owner, &service, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 1000);
+  delete_unread_record (sim);
+  for (guint i = 0; i < 3; i++)
+    if (i != owner)
+      {
+        sim_kill (sim, i);
+        sim_start (sim, i);
+      }
+  sim_run_ms (sim, 2500);
+  ck_assert_int_eq (sim_owner (sim), (gint)owner);
+  sim_kill (sim, owner);
+  sim_run_ms (sim, 20000);
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const sim_job_t *job = sim->jobs->pdata[i];
+      ck_assert_uint_eq (sim_running (sim, job->id), 1);
+    }
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against a process that drops a job which the owner of the time doesn't know, and is taken
    to know all by a later owner that does. */
 START_TEST (job_dropped_under_an_owner_that_lacks_it)
@@ -513,6 +543,7 @@
   tcase_add_loop_test (tests, owner_skips_what_others_have_read, 0, 2);
   tcase_add_test (tests, owner_lacks_a_cancellation);
   tcase_add_loop_test (tests, owner_lacks_more_than_others, 0, 3);
+  tcase_add_test (tests, owner_alone_knows_the_jobs);
   tcase_add_test (tests, job_dropped_under_an_owner_that_lacks_it);
   return suite_run ("retention", tests);
 }
