A claim leaves out as many terms as the process lacks records

Cause: a number taken for new because its uses were not read. A process that had read none of the deleted claims claimed term 1 a second time, while others knew the first owner of term 1. They passed the claim over and took the beats of the second owner for those of the first: two owners of one term, with one fence. The second one knew no jobs, and the others dropped theirs.

Evidence: test_retention, owner_knows_no_earlier_term, 2 cases: two owners before. The first one also fails if an owner that lacks records calls workers.

--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -43,6 +43,9 @@
 /* How long a process that has skipped records leaves a claim to those that know all jobs, in
    microseconds: longer than their delays while the log is fast. */
 #define INCOMPLETE_YIELD_US (4 * BT_USEC_PER_SEC)
+/* Most terms that a process leaves out for claims among the records that it lacks: more than begin
+   within hours. */
+#define TERMS_LEFT_OUT_MAX 10000
 /* How long an owner that has skipped records starts nothing, in microseconds: a process that lacks
    fewer of them claims the next term in this time. */
 #define INCOMPLETE_OWNER_US (3 * BT_USEC_PER_SEC)
@@ -981,11 +984,22 @@
          || bts_members_is_standby (node->members, node->name, node_now (node));
 }
 
+/* Each record that this process lacks may have been the claim of a term. A term that has had
+   another owner would have two, and workers refuse the fences of earlier ones. */
+static guint64
+next_term (const bts_node_t *node)
+{
+  guint64 term = bts_ledger_term (node->ledger) + 1;
+  if (bts_ledger_is_complete (node->ledger))
+    return term;
+  return term + MIN (bts_ledger_missing (node->ledger), TERMS_LEFT_OUT_MAX);
+}
+
 static void
 append_claim (bts_node_t *node)
 {
   Bts__Claim claim = BTS__CLAIM__INIT;
-  claim.term = bts_ledger_term (node->ledger) + 1;
+  claim.term = next_term (node);
   claim.node = node->name;
   claim.missing = bts_ledger_missing (node->ledger);
   Bts__Record record = BTS__RECORD__INIT;
--- a/tests/test_retention.c
+++ b/tests/test_retention.c
@@ -484,6 +484,53 @@
 }
 END_TEST
 
+/* Guards against two owners of one term: a process that has read none of the deleted claims begins
+   with the first term again, while the owner of that term is only suspended. It must not take note
+   of ends that it can't record either. With _i set, it leads for long before the other is back,
+   which then lacks a few records, too. */
+START_TEST (owner_knows_no_earlier_term)
+{
+  sim_t *sim = sim_with_retention (2);
+  guint owner = (guint)sim_owner (sim);
+  static const sim_step_t steps[] = { { .count = 4, .cpu = 500, .memory = 200, .ms = 2000 } };
+  for (guint i = 0; i < 3; i++)
+    {
+      sim_submit (sim, owner, &service, lasting, G_N_ELEMENTS (lasting));
+      if (_i == 0)
+        sim_submit (sim, owner, &batch, steps, G_N_ELEMENTS (steps));
+    }
+  sim_run_ms (sim, 1000);
+  sim_freeze (sim, owner);
+  sim_kill (sim, 1 - owner);
+  sim->log_first = sim->log->len;
+  sim_start (sim, 1 - owner);
+  sim_run_ms (sim, _i == 0 ? 6500 : 10000);
+  ck_assert (bts_node_is_leading (sim_node (sim, 1 - owner)->node));
+  if (_i == 1)
+    sim->log_first += 5;
+  sim_thaw (sim, owner);
+  /* Not enough time to run a task once more. */
+  sim_run_ms (sim, 1500);
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const sim_job_t *job = sim->jobs->pdata[i];
+      if (!job->accepted->steps[0]->long_running)
+        ck_assert_str_eq (bts_job_state_name (sim_state (sim, job)),
+                          bts_job_state_name (BTS_JOB_COMPLETED));
+    }
+  sim_run_ms (sim, 13500);
+  ck_assert (!bts_node_is_leading (sim_node (sim, 1 - owner)->node));
+  for (guint i = 0; i < sim->jobs->len; i++)
+    {
+      const sim_job_t *job = sim->jobs->pdata[i];
+      if (job->accepted->steps[0]->long_running)
+        ck_assert_uint_eq (sim_running (sim, job->id), 1);
+    }
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against a process that drops a job which the owner of the time doesn't know, and is taken
    to know all by a later owner that does. */
 START_TEST (job_dropped_under_an_owner_that_lacks_it)
@@ -544,6 +591,7 @@
   tcase_add_test (tests, owner_lacks_a_cancellation);
   tcase_add_loop_test (tests, owner_lacks_more_than_others, 0, 3);
   tcase_add_test (tests, owner_alone_knows_the_jobs);
+  tcase_add_loop_test (tests, owner_knows_no_earlier_term, 0, 2);
   tcase_add_test (tests, job_dropped_under_an_owner_that_lacks_it);
   return suite_run ("retention", tests);
 }
