Crashes of workers up to 1 s after the start of a task are counted

Cause: a run that had outlived 0.15 s counted as sound, whatever came later. Besides, a reply of the worker's next incarnation to an order counted as one of the incarnation that had crashed, so that a run seemed to have outlived its start.

Change: the owner counts crashes in a row that come within 1 s. After two the task starts alone until it has outlived that time, after five it is given up. They give no points, as many runs have started in that time. The age of a run is taken from the newest reading of the worker's clock, and the next incarnation has an earlier one.

Evidence: crash_loop_is_ended:13 passes, and two more cases (a lasting task, and the same id after 0.45 s) fail before and pass now.

Conclusion: mended for crashes within 1 s. The count is lost with the owner.

--- a/libbamboothread/scheduler/crash.c
+++ b/libbamboothread/scheduler/crash.c
@@ -6,6 +6,13 @@
 
 /* How long a run counts as just starting after its worker has confirmed it, in microseconds. */
 #define STARTUP_US (150 * 1000)
+/* How long after that a crash of its worker is late: it may be the run's doing, but many runs have
+   started in that time. In microseconds. */
+#define LATE_US (850 * 1000)
+/* Crashes in a row, late ones among them, with which a task is a suspect, and with which it is
+   given up. */
+#define CRASHES_SUSPECT 2
+#define CRASHES_MAX 5
 /* How long a suspect waits, after its run was lost, for the worker to show whether it has crashed,
    in microseconds. */
 #define VERDICT_WAIT_US (3 * BT_USEC_PER_SEC)
@@ -24,11 +31,36 @@
 }
 
 /* Whether a run is just starting, so that it may be the cause if its worker has crashed since it
-   last replied. */
+   last replied. The next incarnation, which may have replied to an order since, has an earlier
+   clock. */
 static gboolean
 is_starting (const bts_run_t *run)
 {
-  return run->worker->last_reply_us < run->startup_end_us;
+  return run->worker->clock_at_us < run->startup_end_us;
+}
+
+/* Whether a run has outlived its start, but not by long, as its worker last replied. */
+static gboolean
+is_late (const bts_run_t *run)
+{
+  return !is_starting (run) && run->startup_end_us != 0
+         && run->worker->clock_at_us < run->startup_end_us + LATE_US;
+}
+
+/* Whether a run may have crashed its worker, if that has crashed since it last replied. */
+static gboolean
+may_be_cause (const bts_run_t *run)
+{
+  return is_starting (run) || is_late (run);
+}
+
+/* Whether nothing may start beside a run: its task is a suspect. */
+static gboolean
+is_on_trial (const bts_run_t *run)
+{
+  const bts_task_t *task = run->task;
+  return task != NULL && bts_crash_is_suspect (task)
+         && (is_starting (run) || (task->n_crashes >= CRASHES_SUSPECT && is_late (run)));
 }
 
 /**
@@ -45,7 +77,8 @@
 add_lost_run (const bts_run_t *run, gint64 now_us)
 {
   bts_lost_run_t lost
-      = { run->name, run->number, bts_crash_is_confirmed (run), run->worker->started_ms, now_us };
+      = { run->name, run->number,  bts_crash_is_confirmed (run), run->worker->started_ms,
+          now_us,    is_late (run) };
   bts_worker_add_lost_run (run->worker, &lost);
 }
 
@@ -122,16 +155,34 @@
   bts_task_t *task = run->task;
   if (task == NULL)
     return;
+  gboolean late = is_late (run);
   if (!is_starting (run))
     {
       task->crash_points = 0;
       task->crash_suspected = FALSE;
+    }
+  if (!may_be_cause (run))
+    {
+      task->n_crashes = 0;
       return;
     }
-  mark_suspect (task, bts_sched_now (sched));
+  if (!late || task->n_crashes > 0)
+    mark_suspect (task, bts_sched_now (sched));
   add_lost_run (run, bts_sched_now (sched));
 }
 
+/* Points of a task with one more crash. A late one gives none, until there have been too many. */
+static guint
+points_after (const bts_task_t *task, const bts_lost_run_t *lost)
+{
+  if (task->n_crashes >= CRASHES_MAX)
+    return BTS_CRASH_POINTS_MAX;
+  if (lost->late)
+    return 0;
+  return task->crash_points
+         + (lost->confirmed ? BTS_CRASH_POINTS_CONFIRMED : BTS_CRASH_POINTS_UNCONFIRMED);
+}
+
 static void
 add_crash (bts_sched_t *sched, const bts_worker_t *worker, const bts_lost_run_t *lost,
            bts_task_t *task)
@@ -139,8 +190,10 @@
   if (task->done || bts_job_has_ended (task->stage->job)
       || lost->number <= MAX (task->ended_run, task->crash_run))
     return;
-  guint points = task->crash_points
-                 + (lost->confirmed ? BTS_CRASH_POINTS_CONFIRMED : BTS_CRASH_POINTS_UNCONFIRMED);
+  task->n_crashes++;
+  guint points = points_after (task, lost);
+  if (points == 0)
+    return;
   bts_task_set_crashes (task, lost->number, MIN (points, BTS_CRASH_POINTS_MAX));
   bts_heartbeat_add_crash (sched, task);
   bt_metrics_count (BT_COUNT_TASK_CRASHES);
@@ -207,7 +260,7 @@
 gboolean
 bts_crash_is_suspect (const bts_task_t *task)
 {
-  return task->crash_suspected || task->crash_points > 0;
+  return task->crash_suspected || task->crash_points > 0 || task->n_crashes >= CRASHES_SUSPECT;
 }
 
 /**
@@ -238,11 +291,8 @@
 bts_crash_has_starting_suspect (const bts_worker_t *worker)
 {
   for (guint i = 0; i < worker->runs->len; i++)
-    {
-      const bts_run_t *run = worker->runs->pdata[i];
-      if (is_starting (run) && run->task != NULL && bts_crash_is_suspect (run->task))
-        return TRUE;
-    }
+    if (is_on_trial (worker->runs->pdata[i]))
+      return TRUE;
   return FALSE;
 }
 
@@ -264,9 +314,9 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const bts_run_t *run = worker->runs->pdata[i];
-      if (!is_starting (run) || is_same_gang (task, run))
+      if (is_same_gang (task, run))
         continue;
-      if (is_isolated || (run->task != NULL && bts_crash_is_suspect (run->task)))
+      if (is_on_trial (run) || (is_isolated && is_starting (run)))
         return FALSE;
     }
   return TRUE;
@@ -297,6 +347,7 @@
 bts_crash_clear (bts_task_t *task)
 {
   task->crash_suspected = FALSE;
+  task->n_crashes = 0;
   task->crash_wait_us = 0;
   task->crash_blocked_us = 0;
   if (!bts_job_has_ended (task->stage->job))
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -109,12 +109,13 @@
 #define BTS_LOST_RUN_KEEP_US (G_GINT64_CONSTANT (8) * 1000 * 1000)
 
 /**
- * struct bts_lost_run_t - a run that was just starting when its worker fell silent
+ * struct bts_lost_run_t - a run that had started shortly before its worker fell silent
  * @name: name of its task
  * @number: number of the run
  * @confirmed: the worker has confirmed it
  * @started_ms: start of the worker's incarnation; 0 if not known
  * @silent_us: when that became known
+ * @late: it wasn't just starting any more
  */
 typedef struct
 {
@@ -123,6 +124,7 @@
   gboolean confirmed;
   gint64 started_ms;
   gint64 silent_us;
+  gboolean late;
 } bts_lost_run_t;
 
 /**
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -95,6 +95,8 @@
  * @crash_points: points for such crashes in a row
  * @crash_suspected: its last run was lost right after its start, and whether the worker has crashed
  *   isn't known yet
+ * @n_crashes: crashes in a row of its workers under this owner, right after its start or not
+ *   long after that
  * @crash_wait_us: it isn't started before this time, unless that becomes known
  * @crash_blocked_us: since when no worker was found on which nothing else is just starting; 0 if
  * none was needed since its last start
@@ -116,6 +118,7 @@
   guint crash_run;
   guint crash_points;
   gboolean crash_suspected;
+  guint n_crashes;
   gint64 crash_wait_us;
   gint64 crash_blocked_us;
 } bts_task_t;
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -231,7 +231,8 @@
   if (worker == NULL || node->replaying || bts_sched_is_leading (node->sched))
     return;
   g_autofree char *name = bts_task_name (task);
-  bts_lost_run_t lost = { name, run->run, run->confirmed, silent->started_ms, node_now (node) };
+  bts_lost_run_t lost
+      = { name, run->run, run->confirmed, silent->started_ms, node_now (node), FALSE };
   bts_worker_add_lost_run (worker, &lost);
 }
 
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1698,6 +1698,21 @@
     .jobs = 1,
     .index = 2,
     .after_us = 600 * 1000 },
+  /* The same for a task that lasts. */
+  { .name = "deadly_lasting_task_long_after_its_start",
+    .steps = lasting,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 1,
+    .after_us = 600 * 1000 },
+  /* The next incarnation has replied to an order before its list shows that it is another one. */
+  { .name = "deadly_later_and_same_id",
+    .steps = one_step,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 2,
+    .after_us = 450 * 1000,
+    .comeback = SIM_COMEBACK_SAME_ID },
 };
 
 START_TEST (crash_loop_is_ended)
