--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -930,8 +930,12 @@
   sim_start (sim, other);
   sim_run_ms (sim, 500);
   make_owner (sim, other);
-  sim_resubmit (sim, other, job);
-  sim_run_ms (sim, 6000);
+  /* A process that has skipped records refuses new jobs at first. */
+  for (guint i = 0; i < 2; i++)
+    {
+      sim_resubmit (sim, other, job);
+      sim_run_ms (sim, 6000);
+    }
 }
 
 /* The same where the owner still knows the job when the repeated request comes in. */
@@ -1694,6 +1698,21 @@
     .jobs = 1,
     .index = 2,
     .after_us = 600 * 1000 },
+  /* The same for a task that lasts. */
+  { .name = "deadly_lasting_task_long_after_its_start",
+    .steps = lasting,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 1,
+    .after_us = 600 * 1000 },
+  /* The next incarnation has replied to an order before its list shows that it is another one. */
+  { .name = "deadly_later_and_same_id",
+    .steps = one_step,
+    .n_steps = 1,
+    .jobs = 1,
+    .index = 2,
+    .after_us = 450 * 1000,
+    .comeback = SIM_COMEBACK_SAME_ID },
 };
 
 START_TEST (crash_loop_is_ended)
