--- a/tests/sim.c
+++ b/tests/sim.c
@@ -85,10 +85,26 @@
   GDestroyNotify free;
 } sim_mail_t;
 
+/* What a process does takes time only where the test sets a cost. Meanwhile it gets no mail, while
+   all others go on. */
+static void
+begin_busy (sim_node_t *node)
+{
+  sim_t *sim = node->sim;
+  node->busy_until_us = now (sim);
+  bt_clock_init_paused (&sim->clock, now (sim) - sim->spent_us);
+  sim->spent_us = 0;
+}
+
 static void
 deliver (sim_t *sim, gpointer data)
 {
   sim_mail_t *mail = data;
+  if (now (sim) < mail->to->busy_until_us)
+    {
+      after (sim, mail->to->busy_until_us - now (sim), deliver, mail);
+      return;
+    }
   if (mail->to->node != NULL && mail->to->life == mail->life && mail->to->frozen)
     {
       g_ptr_array_add (mail->to->held_back, mail);
@@ -96,6 +112,8 @@
     }
   if (mail->to->node != NULL && mail->to->life == mail->life)
     mail->run (sim, mail->data);
+  if (sim->spent_us > 0)
+    begin_busy (mail->to);
   if (mail->free != NULL)
     mail->free (mail->data);
   g_free (mail);
@@ -874,6 +892,8 @@
   if (node->sim->start_stall_us > 0)
     bt_clock_advance (&node->sim->clock, node->sim->start_stall_us);
   node->sim->start_stall_us = 0;
+  bt_clock_advance (&node->sim->clock, node->sim->order_us);
+  node->sim->spent_us += node->sim->order_us;
   sim_order_t *order = order_new (node, run->worker);
   const ProtobufCBinaryData *spec = &run->task->stage->job->accepted->spec;
   order->serial = run->serial;
@@ -1433,6 +1453,7 @@
   node->disturbed_us = now (sim);
   node->next = 0;
   node->frozen = FALSE;
+  node->busy_until_us = 0;
   node->advice_free_us = 0;
   node->questions_open = 0;
   node->batch_open = FALSE;
@@ -1735,7 +1756,7 @@
   kept->service = strdup (policy->service == NULL ? "main" : policy->service);
   kept->priority = policy->priority;
   kept->attempts_max = policy->attempts == 0 ? 3 : policy->attempts;
-  kept->stretch = 2.0;
+  kept->stretch = policy->stretch == 0 ? SIM_STRETCH : policy->stretch;
   kept->objective_ms = policy->objective_ms == 0 ? 1000 : policy->objective_ms;
   kept->advised = sim->advised;
   kept->advice_validity_ms = TICKET_MS;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -29,6 +29,8 @@
 #define SIM_STARTUP_US (300 * 1000)
 /* Longest time, while nothing but planned work goes on, that a task that lasts doesn't run. */
 #define SIM_LOST_US (9000 * 1000)
+/* Factor of a job's objective unless its policy names another one. */
+#define SIM_STRETCH 2.0
 /* Most ends in one list of a worker. */
 #define SIM_LIST_ENDS_MAX 500
 
@@ -131,6 +133,7 @@
  * @was_leading: it was the owner at its last tick
  * @flush_scheduled: it flushes its scheduler as soon as it has handled what has come in
  * @frozen: it does nothing until it is thawed
+ * @busy_until_us: it handles what it has got until then
  * @cut: it can't reach the store
  * @deaf: its reads of the log get no answer
  * @entries_fail: its reads of the registry are refused
@@ -154,6 +157,7 @@
   gboolean flush_scheduled;
   gboolean read_failed;
   gboolean frozen;
+  gint64 busy_until_us;
   gboolean cut;
   gboolean deaf;
   gboolean entries_fail;
@@ -186,6 +190,8 @@
  * @advised: jobs handed in need advice
  * @advice_denies: it denies all workers that are there
  * @start_stall_us: how long the machine is suspended while the next start order is sent
+ * @order_us: processor time that a process takes to send a start order
+ * @spent_us: processor time taken by the message that is being handled
  * @entries_us: time of the first read of the registry by a new owner
  * @specs: the log of specs
  * @messages: all messages between processes, by number
@@ -229,6 +235,8 @@
   gboolean advice_denies;
   gint64 entries_us;
   gint64 start_stall_us;
+  gint64 order_us;
+  gint64 spent_us;
   guint64 exchange;
   GPtrArray *specs;
   GPtrArray *messages;
@@ -293,6 +301,7 @@
 
 /**
  * struct sim_policy_t - the route of a job to hand in
+ * @stretch: factor of the objective; 0 for %SIM_STRETCH
  */
 typedef struct
 {
@@ -300,6 +309,7 @@
   guint priority;
   guint attempts;
   guint objective_ms;
+  double stretch;
 } sim_policy_t;
 
 sim_t *sim_new (guint nodes, guint workers, guint32 seed);
