A pass ends by the time for starts, and pauses only for what it examined

Callers of term-lookup were served late or not at all once a start order cost the owner a quarter more, while other classes kept what they had.

Cause: the pause between passes was three times the duration of the last pass, most of which goes by in placing and starting tasks. What has to be started adds up during the pause, so at a quarter of the owner's time for starts each pass is longer than the last, until the pause is at its limit. A pass then takes 100 ms and more, replies wait as long, and a job needs two passes for its first start. Above that starts run into their time limit and are repeated.

Change: the time for tasks that were started isn't counted in the pause, and a pass ends after 8 ms of it; the next one begins with what is most urgent.

--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -19,15 +19,20 @@
    stages wait for a point in time, such as the end of a backoff. */
 #define IDLE_PASS_INTERVAL_US (100 * 1000)
 /* Shortest interval between passes over a queue of more than LONG_QUEUE_STAGES stages, in
-   microseconds: each pass examines every queued stage. */
+   microseconds: each pass examines every queued stage, unless it ends before. */
 #define LONG_QUEUE_PASS_INTERVAL_US (10 * 1000)
 #define LONG_QUEUE_STAGES 32
-/* Time between two passes, as a multiple of the duration of the first: passes over a queue of
-   thousands of stages must leave most of the processor for holds, which keep runs alive. A pass
-   during which the process was suspended counts as longer than it was, so there is a longest pause,
-   in microseconds. */
+/* Time between two passes, as a multiple of the time that the first took to examine the queue:
+   passes over a queue of thousands of stages must leave most of the processor for holds, which keep
+   runs alive. The time of tasks that were started doesn't count: what has to be started adds up
+   during a pause, so each pause would be longer than the last. A pass during which the process was
+   suspended counts as longer than it was, so there is a longest pause, in microseconds. */
 #define PASS_PAUSE_FACTOR 3
 #define PASS_PAUSE_MAX_US (200 * 1000)
+/* A pass ends once it has taken so long to place and start tasks, in microseconds: meanwhile
+   replies wait, and so do jobs that have come in, which may be more urgent than the rest of the
+   queue. */
+#define PASS_PLACING_MAX_US (8 * 1000)
 /* A worker with a hold in flight is examined at each such tick only: there is nothing to send to
    it but stop orders to repeat. */
 #define BUSY_WORKER_TICKS 5
@@ -599,6 +604,7 @@
       run->task->last_run = run->number;
       bts_run_start (sched, run);
     }
+  sched->pass_placing_us += bts_sched_now (sched) - now_us;
   if (!stage->job->begun && !stage->job->begun_reported)
     bt_metrics_observe (BT_HIST_FIRST_START_MS, (now_us - stage->job->folded_us) / 1000);
   bts_heartbeat_add_begun (sched, stage->job);
@@ -790,6 +796,7 @@
   sched->dirty = FALSE;
   sched->last_pass_us = now_us;
   sched->pass_number++;
+  sched->pass_placing_us = 0;
   sort_queue (sched, now_us);
   find_unsynced (sched);
   guint n_queued = 0;
@@ -797,7 +804,8 @@
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
-      if (!bts_job_has_ended (stage->job) && !is_due (sched, stage, now_us))
+      gboolean is_over = sched->pass_placing_us >= PASS_PLACING_MAX_US;
+      if (is_over || (!bts_job_has_ended (stage->job) && !is_due (sched, stage, now_us)))
         {
           sched->queue->pdata[n_queued++] = stage;
           continue;
@@ -814,10 +822,13 @@
       sched->queue->pdata[n_queued++] = stage;
     }
   g_ptr_array_set_size (sched->queue, (gint)n_queued);
+  gboolean was_cut = sched->pass_placing_us >= PASS_PLACING_MAX_US;
+  sched->dirty = sched->dirty || was_cut;
   gint64 end_us = bts_sched_now (sched);
-  gint64 least_us = n_queued > LONG_QUEUE_STAGES ? LONG_QUEUE_PASS_INTERVAL_US : 0;
+  gint64 examined_us = end_us - now_us - sched->pass_placing_us;
+  gint64 least_us = n_queued > LONG_QUEUE_STAGES && !was_cut ? LONG_QUEUE_PASS_INTERVAL_US : 0;
   sched->next_pass_us
-      = end_us + CLAMP ((end_us - now_us) * PASS_PAUSE_FACTOR, least_us, PASS_PAUSE_MAX_US);
+      = end_us + CLAMP (examined_us * PASS_PAUSE_FACTOR, least_us, PASS_PAUSE_MAX_US);
 }
 
 /* Whether each run that an earlier owner may have started has been listed or has surely ended. */
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -91,6 +91,7 @@
  * @ticks: counts the ticks
  * @ticked_us: when the last tick was, or the term began
  * @next_pass_us: no pass before this time
+ * @pass_placing_us: time that the last pass has taken to place and start tasks
  * @pass_number: number of the last pass
  * @queue_unsorted: a stage was queued or has changed its band since the queue was last sorted
  * @unsynced: during a pass, the workers that may run tasks of earlier owners and haven't
@@ -138,6 +139,7 @@
   guint ticks;
   gint64 ticked_us;
   gint64 next_pass_us;
+  gint64 pass_placing_us;
   guint64 pass_number;
   gboolean queue_unsorted;
   GPtrArray *unsynced;
