A busy owner starts nothing on entries that are seconds old

Cause: with a full processor a read of the registry takes the owner up to 4.6 s, six or seven pages one after the other, and the next one begins 0.9 s later.

Change: while a read is under way nothing is started if the newest complete one began more than 3 s ago. Replies get the processor meanwhile, so the read ends soon. A read that has failed counts as of its end: without the store the entries read before are used.

Limit: reads that take over 3 s by themselves are not covered between two reads.

--- a/bench/owner.c
+++ b/bench/owner.c
@@ -548,7 +548,7 @@
       if (now (bench) - read_us >= READ_US)
         {
           bts_node_on_caught_up (bench->node, now (bench));
-          bts_sched_on_entries (bts_node_sched (bench->node));
+          bts_sched_on_entries (bts_node_sched (bench->node), TRUE);
           read_us = now (bench);
         }
       if (now (bench) - tick_us >= TICK_US)
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -851,7 +851,7 @@
   if (node->entries_unreadable && ids != NULL)
     node->store_recovered_us = now_us;
   node->entries_unreadable = ids == NULL;
-  bts_sched_on_entries (node->sched);
+  bts_sched_on_entries (node->sched, ids != NULL);
   if (ids == NULL || now_us - node->store_recovered_us < ENTRIES_GRACE_US)
     return;
   GHashTableIter iter;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -33,6 +33,10 @@
    replies wait, and so do jobs that have come in, which may be more urgent than the rest of the
    queue. */
 #define PASS_PLACING_MAX_US (8 * 1000)
+/* While a read of the registry is under way, nothing is started on entries older than this, in
+   microseconds: a worker may have been draining since. Replies, the read among them, get the
+   processor meanwhile, so the wait is short if the owner itself is what makes the read slow. */
+#define ENTRIES_AGE_MAX_US (3000 * 1000)
 /* A worker with a hold in flight is examined at each such tick only: there is nothing to send to
    it but stop orders to repeat. */
 #define BUSY_WORKER_TICKS 5
@@ -828,6 +832,15 @@
   stage->retry_us = now_us + RETRY_INTERVAL_US;
 }
 
+/* Whether the entries in use may be of workers that have left or have been draining for long. */
+static gboolean
+are_entries_old (const bts_sched_t *sched)
+{
+  return sched->entries_stale
+         || (sched->entries_began_us != 0
+             && bts_sched_now (sched) - sched->entries_known_us > ENTRIES_AGE_MAX_US);
+}
+
 /**
  * bts_sched_run_pass() - place queued stages if anything has changed
  * @sched: the scheduler
@@ -837,7 +850,7 @@
 {
   gint64 now_us = bts_sched_now (sched);
   if (sched->term == 0 || !sched->dirty || bts_sched_is_journal_stale (sched)
-      || !bts_ledger_is_complete (sched->ledger) || sched->entries_stale
+      || !bts_ledger_is_complete (sched->ledger) || are_entries_old (sched)
       || now_us < sched->next_pass_us)
     return;
   sched->dirty = FALSE;
@@ -1159,15 +1172,29 @@
     }
 }
 
+/**
+ * bts_sched_on_entries_begun() - a read of the registry begins
+ * @sched: the scheduler
+ */
+void
+bts_sched_on_entries_begun (bts_sched_t *sched)
+{
+  sched->entries_began_us = bts_sched_now (sched);
+}
+
 /**
  * bts_sched_on_entries() - a read of the registry has completed, or has failed
  * @sched: the scheduler
+ * @complete: whether all entries were read
  *
  * After a failure, the entries read before are used: a worker that has left doesn't answer.
  */
 void
-bts_sched_on_entries (bts_sched_t *sched)
+bts_sched_on_entries (bts_sched_t *sched, gboolean complete)
 {
+  gboolean is_timed = complete && sched->entries_began_us != 0;
+  sched->entries_known_us = is_timed ? sched->entries_began_us : bts_sched_now (sched);
+  sched->entries_began_us = 0;
   sched->entries_stale = FALSE;
   sched->dirty = TRUE;
 }
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -82,6 +82,8 @@
  * @journal_stale: the journal has to be read to its end before anything is started
  * @entries_stale: no read of the registry has completed or failed in this term yet; nothing is
  *   started, since an entry may be of a worker that has left
+ * @entries_began_us: when the read of the registry that is under way began; 0 if none is
+ * @entries_known_us: when the newest read that has completed began, or the newest one failed
  * @members: the processes, any of which may ask for advice
  * @advice_requests: counts requests for advice; each begins with another worker of the pool
  * @advice_nodes_busy_us: until when no process has capacity for a short (index 0) or a long
@@ -132,6 +134,8 @@
   gboolean settled;
   gboolean journal_stale;
   gboolean entries_stale;
+  gint64 entries_began_us;
+  gint64 entries_known_us;
   bts_members_t *members;
   guint advice_requests;
   gint64 advice_nodes_busy_us[2];
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1391,10 +1391,62 @@
   bts_node_on_entries (node->node, ids);
 }
 
+typedef struct
+{
+  sim_node_t *node;
+  GPtrArray *entries;
+} sim_entries_t;
+
+static void entries_timer (sim_t *sim, gpointer data);
+
+static void
+entries_free (gpointer data)
+{
+  sim_entries_t *read = data;
+  g_ptr_array_unref (read->entries);
+  g_free (read);
+}
+
+static void
+entries_arrive (sim_t *sim, gpointer data)
+{
+  sim_entries_t *read = data;
+  g_autoptr (GHashTable) ids = g_hash_table_new (g_str_hash, g_str_equal);
+  while (read->entries->len > 0)
+    {
+      bts_worker_entry_t *entry = g_ptr_array_steal_index (read->entries, read->entries->len - 1);
+      for (guint i = 0; i < sim->workers->len; i++)
+        if (strcmp (sim_worker (sim, i)->id, entry->id) == 0)
+          g_hash_table_add (ids, sim_worker (sim, i)->id);
+      bts_node_on_entry (read->node->node, entry);
+    }
+  bts_node_on_entries (read->node->node, ids);
+  post (read->node, ENTRIES_US, entries_timer, read->node, NULL);
+}
+
+static void
+read_entries_slowly (sim_node_t *node)
+{
+  sim_t *sim = node->sim;
+  sim_entries_t *read = g_new0 (sim_entries_t, 1);
+  read->node = node;
+  read->entries = g_ptr_array_new_with_free_func ((GDestroyNotify)bts_worker_entry_free);
+  for (guint i = 0; i < sim->workers->len; i++)
+    if (!sim_worker (sim, i)->unlisted)
+      g_ptr_array_add (read->entries, entry_of (sim_worker (sim, i)));
+  bts_sched_on_entries_begun (bts_node_sched (node->node));
+  post (node, sim->entries_read_us, entries_arrive, read, entries_free);
+}
+
 static void
 entries_timer (sim_t *sim, gpointer data)
 {
   sim_node_t *node = data;
+  if (bts_node_needs_entries (node->node) && sim->entries_read_us > 0)
+    {
+      read_entries_slowly (node);
+      return;
+    }
   if (bts_node_needs_entries (node->node))
     read_entries (node);
   post (node, ENTRIES_US, entries_timer, node, NULL);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -193,6 +193,7 @@
  * @order_us: processor time that a process takes to send a start order
  * @spent_us: processor time taken by the message that is being handled
  * @entries_us: time of the first read of the registry by a new owner
+ * @entries_read_us: time of each read of the registry; the entries are those at its beginning
  * @specs: the log of specs
  * @messages: all messages between processes, by number
  * @violations: what broke a promise
@@ -235,6 +236,7 @@
   gboolean advised;
   gboolean advice_denies;
   gint64 entries_us;
+  gint64 entries_read_us;
   gint64 start_stall_us;
   gint64 order_us;
   gint64 spent_us;
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -11,7 +11,7 @@
 #define STEP_MS 20
 #define LOAD_MS 12000
 /* Time after the load in which jobs may still complete. */
-#define DRAIN_MS 3000
+#define AFTER_LOAD_MS 3000
 /* Jobs handed in while the load builds up don't count. */
 #define WARM_UP_MS 2000
 /* Rates of jobs, a second: 500 tasks together. */
@@ -104,7 +104,7 @@
         hand_in (sim, jobs, FALSE);
       note_completed (sim, jobs);
     }
-  for (guint ms = 0; ms < DRAIN_MS; ms += STEP_MS)
+  for (guint ms = 0; ms < AFTER_LOAD_MS; ms += STEP_MS)
     {
       sim_run_ms (sim, STEP_MS);
       note_completed (sim, jobs);
@@ -144,6 +144,44 @@
 }
 END_TEST
 
+/* Longest time from when a worker is listed as draining to the last start on it. */
+#define DRAIN_MS 4000
+#define SLOW_READ_MS 2600
+
+/* An owner that takes seconds to read the registry starts nothing on a worker that has been
+   draining for long. */
+START_TEST (slow_reads_of_the_registry_and_a_draining_worker)
+{
+  sim_t *sim = sim_new (N_NODES, 4, 1);
+  g_autoptr (GArray) jobs = g_array_new (FALSE, FALSE, sizeof (handed_in_t));
+  sim_run_ms (sim, 3000);
+  sim->entries_read_us = SLOW_READ_MS * 1000;
+  /* The read that is under way now doesn't show that the worker is draining. */
+  sim_run_ms (sim, 1000);
+  sim_worker_t *worker = sim_worker (sim, 0);
+  worker->draining = TRUE;
+  gint64 drained_us = bt_clock_now (&sim->clock);
+  for (guint ms = 0; ms < 3 * SLOW_READ_MS; ms += STEP_MS)
+    {
+      if (ms % 100 == 0)
+        hand_in (sim, jobs, TRUE);
+      sim_run_ms (sim, STEP_MS);
+      for (guint i = 0; i < worker->runs->len; i++)
+        {
+          const sim_run_t *run = worker->runs->pdata[i];
+          ck_assert_int_le (run->started_us - drained_us, DRAIN_MS * 1000);
+        }
+    }
+  sim->entries_read_us = 0;
+  sim_run_ms (sim, 2 * SLOW_READ_MS);
+  note_completed (sim, jobs);
+  for (guint i = 0; i < jobs->len; i++)
+    ck_assert (g_array_index (jobs, handed_in_t, i).is_over);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -151,5 +189,6 @@
   tcase_set_timeout (tests, 120);
   tcase_add_loop_test (tests, urgent_jobs_are_served_when_orders_cost_more, 0,
                        G_N_ELEMENTS (cases));
+  tcase_add_test (tests, slow_reads_of_the_registry_and_a_draining_worker);
   return suite_run ("overload", tests);
 }
