--- a/review/standin.py
+++ b/review/standin.py
@@ -249,6 +249,7 @@
     """
 
     def __init__(self, store, record, ident, service, cpu, mem, labels, work_ms, heartbeat_s=1.5):
+        self.age_s = 60  # it was up before the agents were started
         self.store = store
         self.record = record
         self.id = ident
@@ -261,12 +262,14 @@
         self.address = None
         self.started = []  # (time, task, run, spec, labels)
         self.ended = []  # (time, task, run, how)
-        self.on_start = None
         self.tasks = []
+        self.reachable = asyncio.Event()
+        self.reachable.set()
 
     async def begin_life(self):
-        self.born = int(time.time() * 1000)
-        self.life_began = time.monotonic()
+        self.born = int((time.time() - self.age_s) * 1000)
+        self.life_began = time.monotonic() - self.age_s
+        self.age_s = 0
         self.fence = 0
         self.deadline_ms = 0
         self.runs = {}
@@ -295,6 +298,16 @@
         self.runs = {}
         await self.http.close()
 
+    def cut_off(self):
+        """No call arrives and no answer leaves until heal(); what runs goes on."""
+        self.reachable.clear()
+
+    def heal(self):
+        """Calls that were on their way are lost with their channels."""
+        for writer in list(self.http.writers):
+            writer.transport.abort()
+        self.reachable.set()
+
     def clock_ms(self):
         return int((time.monotonic() - self.life_began) * 1000)
 
@@ -311,6 +324,7 @@
     async def beat(self):
         while True:
             await asyncio.sleep(self.heartbeat_s)
+            await self.reachable.wait()
             self.write_entry()
 
     def finish(self, run, how):
@@ -342,6 +356,14 @@
                                min(wanted, self.clock_ms() + BOUNDS["hold-max-ms"]))
 
     async def handle(self, method, target, headers, body):
+        if not self.reachable.is_set():
+            raise Hang
+        reply = await self.answer(target, headers, body)
+        if not self.reachable.is_set():
+            raise Hang
+        return reply
+
+    async def answer(self, target, headers, body):
         if headers.get("expect-instance", self.id) != self.id:
             return self.reply(421)
         order = json.loads(body) if body else {}
@@ -376,8 +398,6 @@
         self.runs[task] = Run(task, number, order["spec"], end_at)
         self.started.append((self.record.now(), task, number, order["spec"], list(self.labels)))
         self.record.write(f"worker {self.id} {self.labels} started {task} run {number}")
-        if self.on_start is not None:
-            self.on_start(self, task, number)
         return self.reply(200)
 
     async def hold(self, order):
