Tests: two ends of one task, known to the next owner in other ways

The same cause was looked for where else one thing might count twice. two_ends_of_one_task plays a hand-over in place of a kill, a gang as the next step, and jobs that repeat.

The simulator takes jobs that repeat, and its check of ORDER looks at the tasks of the same occurrence.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -522,6 +522,17 @@
              used.cpu_millis, used.memory_mb);
 }
 
+static guint
+find_occurrence (const char *name)
+{
+  char id[BTS_JOB_ID_LEN + 1];
+  guint occurrence = 0;
+  guint step;
+  guint index;
+  bts_task_name_parse (name, id, &occurrence, &step, &index);
+  return occurrence;
+}
+
 static void
 check_start (sim_worker_t *worker, const sim_run_t *run)
 {
@@ -575,7 +586,8 @@
   for (gsize i = 0; step != NULL && i < step->n_after; i++)
     for (guint t = 0; t < job->accepted->steps[step->after[i]]->count; t++)
       {
-        g_autofree char *before = g_strdup_printf ("%s.0.%u.%u", job->id, step->after[i], t);
+        g_autofree char *before = g_strdup_printf ("%s.%u.%u.%u", job->id,
+                                                   find_occurrence (run->name), step->after[i], t);
         if (!g_hash_table_contains (sim->done, before))
           violate (sim, "ORDER %s before %s", run->name, before);
       }
@@ -1999,6 +2011,10 @@
   kept->advice_ms = ADVICE_US / 1000.0;
   kept->advice_worker_ms = (double)sim->advice_worker_us / 1000.0;
   job->policy = kept;
+  job->repeat = policy->repeat;
+  job->interval_ms = policy->interval_ms;
+  job->first_due_ms
+      = policy->repeat == 0 ? 0 : UNIX_START_MS + now (sim) / 1000 + sim->unix_offset_ms;
   job->steps = calloc (n, sizeof *job->steps);
   for (guint i = 0; i < n; i++)
     {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -358,6 +358,7 @@
 /**
  * struct sim_policy_t - the route of a job to hand in
  * @stretch: factor of the objective; 0 for %SIM_STRETCH
+ * @repeat: how often the steps run, with @interval_ms between two; 0 for once
  */
 typedef struct
 {
@@ -366,6 +367,8 @@
   guint attempts;
   guint objective_ms;
   double stretch;
+  guint repeat;
+  guint interval_ms;
 } sim_policy_t;
 
 sim_t *sim_new (guint nodes, guint workers, guint32 seed);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1358,17 +1358,33 @@
   return NULL;
 }
 
-/* Two runs of a task end done, one of them on a worker that was cut off, and the next owner learns
-   of both at once. Guards against a step that starts while a task of the step before it still runs,
-   since both ends were counted. */
+/**
+ * struct two_ends_t - how the next owner comes to know two ends of one task
+ * @leaves: the owner hands over and isn't killed
+ * @gang_next: the next step is a gang
+ * @repeat: how often the job runs
+ */
+typedef struct
+{
+  const char *name;
+  gboolean leaves;
+  gboolean gang_next;
+  guint repeat;
+} two_ends_t;
+
+/* A task runs on a worker that is cut off, and again on another one. Both runs end while the owner
+   changes, and another task of the step goes on for long. */
 static void
-two_ends_of_one_task_and_owner_killed (sim_t *sim)
+play_two_ends (sim_t *sim, const two_ends_t *how)
 {
-  static const sim_step_t steps[] = {
+  const sim_step_t steps[] = {
     { .count = 2, .cpu = 3000, .memory = 2000, .ms = 1500, .per_worker = 1 },
-    { .count = 2, .cpu = 3000, .memory = 2000, .ms = 500, .after = 1 },
+    { .count = 2, .cpu = 3000, .memory = 2000, .ms = 500, .after = 1, .gang = how->gang_next },
   };
-  const sim_job_t *job = sim_submit (sim, 0, &batch, steps, G_N_ELEMENTS (steps));
+  sim_policy_t policy = batch;
+  policy.repeat = how->repeat;
+  policy.interval_ms = 100;
+  const sim_job_t *job = sim_submit (sim, 0, &policy, steps, G_N_ELEMENTS (steps));
   sim_run_ms (sim, 1000);
   g_autofree char *ends = g_strdup_printf ("%s.0.0.0", job->id);
   g_autofree char *stalls = g_strdup_printf ("%s.0.0.1", job->id);
@@ -1383,18 +1399,29 @@
   while (find_worker_of (sim, ends) == NULL)
     sim_run_ms (sim, 10);
   sim_run_ms (sim, steps[0].ms - 300);
-  sim_kill (sim, (guint)sim_owner (sim));
+  if (how->leaves)
+    sim_leave (sim, (guint)sim_owner (sim));
+  else
+    sim_kill (sim, (guint)sim_owner (sim));
   first->dark = FALSE;
   while (sim_owner (sim) < 0)
     sim_run_ms (sim, 10);
-  ck_assert_ptr_null (find_worker_of (sim, ends));
   sim_run_ms (sim, 2000);
+  ck_assert_ptr_null (find_worker_of (sim, ends));
   ck_assert_ptr_eq (find_worker_of (sim, stalls), stalled);
   stalled->stalls = FALSE;
   sim_run_ms (sim, 8000);
   expect_all_completed (sim);
 }
 
+/* Guards against a step that starts early, as two ends of one task counted as two tasks. */
+static void
+two_ends_of_one_task_and_owner_killed (sim_t *sim)
+{
+  static const two_ends_t how = { "owner killed", FALSE, FALSE, 0 };
+  play_two_ends (sim, &how);
+}
+
 /* Workers restart under their ids, as another kind, with less room or draining, while tasks wait
    for room on workers of their kind. Guards against tasks that are placed by the entry of the
    earlier incarnation until the registry is read again. */
@@ -2374,12 +2401,33 @@
 }
 END_TEST
 
+static const two_ends_t two_ends[] = {
+  { "owner hands over", TRUE, FALSE, 0 },
+  { "gang next, owner killed", FALSE, TRUE, 0 },
+  { "gang next, owner hands over", TRUE, TRUE, 0 },
+  { "repeated job, owner killed", FALSE, FALSE, 2 },
+  { "repeated job, owner hands over", TRUE, FALSE, 2 },
+};
+
+/* Guards against a step that starts early where two ends of one task are known in other ways. */
+START_TEST (two_ends_of_one_task)
+{
+  sim_t *sim = sim_new (3, 6, (guint32)_i + 1);
+  sim_run_ms (sim, 3000);
+  ck_assert_msg (sim_owner (sim) >= 0, "%s: nobody owns the workers", two_ends[_i].name);
+  play_two_ends (sim, &two_ends[_i]);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("cluster");
   tcase_set_timeout (tests, 60);
   tcase_add_loop_test (tests, installation_keeps_its_promises, 0, G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, two_ends_of_one_task, 0, G_N_ELEMENTS (two_ends));
   tcase_add_test (tests, slow_log_and_many_entries);
   tcase_add_loop_test (tests, slow_log_and_a_dead_owner, 0, 4);
   tcase_add_loop_test (tests, late_claims_and_resignations, 0, N_WAYS * LATE_SEEDS);
