Bars: a late cancellation spares a later job at any process

What callers would see: a job is cancelled and answered 410, and another job is accepted under its id. A process that starts about one retention of the log later says that this job is cancelled, or that it doesn't exist; as the owner it doesn't run it.

Cause: the cancellation's second append, sent for want of an answer, has no effect since the first one has barred the id. Only a process that has read the first one knows that, and the log deletes it before the job and the second append.

Change: a job carries barred_by, up to where its entry had read when the id was barred, and a bar carries what its cancellation had seen. A cancellation that hasn't seen the one that barred the id has no effect on the job. Both stand in the records that are compared, so it doesn't matter what else a process has read. Processes that know the bar decide as before. Records of older versions have neither field, and count as before.

--- a/libbamboothread/scheduler/bars.c
+++ b/libbamboothread/scheduler/bars.c
@@ -50,11 +50,12 @@
 }
 
 static void
-set_offset (bts_bar_t *bar, gint64 offset, gint64 folded_us)
+set_offset (bts_bar_t *bar, gint64 offset, guint64 seen, gint64 folded_us)
 {
   if (offset <= bar->offset)
     return;
   bar->offset = offset;
+  bar->seen = seen;
   bar->folded_us = folded_us;
   bar->has_blocked = FALSE;
 }
@@ -62,15 +63,15 @@
 /**
  * bts_bars_add() - bar an id
  * @bars: the barred ids
- * @number: the id as a number
- * @offset: offset of the cancellation
+ * @cancelled: a cancellation of a job that isn't known
+ * @offset: its offset
  * @now_us: the time of folding, in microseconds
  */
 void
-bts_bars_add (bts_bars_t *bars, guint64 number, gint64 offset, gint64 now_us)
+bts_bars_add (bts_bars_t *bars, const Bts__Cancelled *cancelled, gint64 offset, gint64 now_us)
 {
-  bts_bar_t *bar = ensure_bar (bars, number);
-  set_offset (bar, offset, now_us);
+  bts_bar_t *bar = ensure_bar (bars, g_ascii_strtoull (cancelled->id, NULL, 16));
+  set_offset (bar, offset, cancelled->seen, now_us);
   bar->snapshot_offset = MAX (bar->snapshot_offset, offset);
 }
 
@@ -80,18 +81,41 @@
   return find (bars, number);
 }
 
+/* Whether a cancellation may be a late append of one that had barred the id before the job came in.
+ */
+static gboolean
+is_before_job (guint64 seen, const Bts__Accepted *job)
+{
+  return seen != 0 && seen < job->barred_by;
+}
+
 /**
  * bts_bars_is_barred() - whether records of a submission have no effect
  * @bars: the barred ids
- * @number: the job's id as a number
- * @seen: number of records of the journal that the process had read when the job came in; 0 if
- *   that isn't known
+ * @job: the job
  */
 gboolean
-bts_bars_is_barred (const bts_bars_t *bars, guint64 number, guint64 seen)
+bts_bars_is_barred (const bts_bars_t *bars, const Bts__Accepted *job)
 {
-  const bts_bar_t *bar = find (bars, number);
-  return bar != NULL && (gint64)seen <= bar->offset;
+  const bts_bar_t *bar = find (bars, g_ascii_strtoull (job->id, NULL, 16));
+  return bar != NULL && (gint64)job->seen <= bar->offset && !is_before_job (bar->seen, job);
+}
+
+/**
+ * bts_bars_is_outdated() - whether a cancellation has no effect, as it may be a late append of one
+ *   that has barred the id
+ * @bars: the barred ids
+ * @cancelled: the cancellation
+ * @job: the job with that id, or NULL if there is none
+ */
+gboolean
+bts_bars_is_outdated (const bts_bars_t *bars, const Bts__Cancelled *cancelled,
+                      const Bts__Accepted *job)
+{
+  const bts_bar_t *bar = find (bars, g_ascii_strtoull (cancelled->id, NULL, 16));
+  if (cancelled->seen != 0 && bar != NULL && (gint64)cancelled->seen <= bar->offset)
+    return TRUE;
+  return job != NULL && is_before_job (cancelled->seen, job);
 }
 
 /**
@@ -104,10 +128,9 @@
 gboolean
 bts_bars_block (bts_bars_t *bars, const Bts__Accepted *accepted)
 {
-  guint64 number = g_ascii_strtoull (accepted->id, NULL, 16);
-  if (!bts_bars_is_barred (bars, number, accepted->seen))
+  if (!bts_bars_is_barred (bars, accepted))
     return FALSE;
-  bts_bar_t *bar = find (bars, number);
+  bts_bar_t *bar = find (bars, g_ascii_strtoull (accepted->id, NULL, 16));
   bar->has_blocked = TRUE;
   bt_metrics_count (BT_COUNT_JOBS_BARRED);
   bt_log (BT_LOG_NOTICE, "accept-barred",
@@ -174,7 +197,7 @@
       if (age_us >= KEEP_US && find (bars, row->job) == NULL)
         continue;
       bts_bar_t *bar = ensure_bar (bars, row->job);
-      set_offset (bar, (gint64)row->offset, now_us - age_us);
+      set_offset (bar, (gint64)row->offset, row->seen, now_us - age_us);
       bar->snapshot_offset = MAX (bar->snapshot_offset, offset);
     }
 }
@@ -219,6 +242,7 @@
       bts__bar__init (row);
       row->job = bar->number;
       row->offset = (guint64)bar->offset;
+      row->seen = bar->seen;
       row->age_s = (guint32)((now_us - bar->folded_us) / G_USEC_PER_SEC);
       snapshot->bars[snapshot->n_bars++] = row;
     }
--- a/libbamboothread/scheduler/bars.h
+++ b/libbamboothread/scheduler/bars.h
@@ -22,6 +22,8 @@
  * struct bts_bar_t - a barred id
  * @number: the job's id as a number
  * @offset: offset of the cancellation that barred it
+ * @seen: number of records that the process had read when it wrote the cancellation; 0 if that
+ * isn't known
  * @snapshot_offset: offset of the newest record that names it
  * @folded_us: when this process folded the cancellation
  * @has_blocked: a record of the job was kept out since
@@ -30,6 +32,7 @@
 {
   guint64 number;
   gint64 offset;
+  guint64 seen;
   gint64 snapshot_offset;
   gint64 folded_us;
   gboolean has_blocked;
@@ -37,9 +40,11 @@
 
 bts_bars_t *bts_bars_new (void);
 void bts_bars_free (bts_bars_t *bars);
-void bts_bars_add (bts_bars_t *bars, guint64 number, gint64 offset, gint64 now_us);
+void bts_bars_add (bts_bars_t *bars, const Bts__Cancelled *cancelled, gint64 offset, gint64 now_us);
 const bts_bar_t *bts_bars_find (const bts_bars_t *bars, guint64 number);
-gboolean bts_bars_is_barred (const bts_bars_t *bars, guint64 number, guint64 seen);
+gboolean bts_bars_is_barred (const bts_bars_t *bars, const Bts__Accepted *job);
+gboolean bts_bars_is_outdated (const bts_bars_t *bars, const Bts__Cancelled *cancelled,
+                               const Bts__Accepted *job);
 gboolean bts_bars_block (bts_bars_t *bars, const Bts__Accepted *accepted);
 guint bts_bars_count (const bts_bars_t *bars);
 gint64 bts_bars_oldest_needed (const bts_bars_t *bars, gint64 oldest);
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -192,6 +192,19 @@
   return ledger->next_offset;
 }
 
+/**
+ * bts_ledger_stamp() - note in a job that has come in what this process had read by then
+ * @ledger: the ledger
+ * @job: the job
+ */
+void
+bts_ledger_stamp (const bts_ledger_t *ledger, Bts__Accepted *job)
+{
+  const bts_bar_t *bar = bts_bars_find (ledger->bars, g_ascii_strtoull (job->id, NULL, 16));
+  job->seen = (guint64)ledger->next_offset;
+  job->barred_by = bar == NULL ? 0 : (guint64)bar->offset + 1;
+}
+
 bts_bars_t *
 bts_ledger_bars (const bts_ledger_t *ledger)
 {
@@ -320,12 +333,11 @@
 static void
 fold_cancelled (bts_ledger_t *ledger, const Bts__Cancelled *cancelled, gint64 offset, gint64 now_us)
 {
-  guint64 number = g_ascii_strtoull (cancelled->id, NULL, 16);
-  if (cancelled->seen != 0 && bts_bars_is_barred (ledger->bars, number, cancelled->seen))
-    return;
   bts_job_t *job = bts_ledger_job (ledger, cancelled->id);
+  if (bts_bars_is_outdated (ledger->bars, cancelled, job == NULL ? NULL : job->accepted))
+    return;
   if (job == NULL)
-    bts_bars_add (ledger->bars, number, offset, now_us);
+    bts_bars_add (ledger->bars, cancelled, offset, now_us);
   if (job == NULL || bts_job_has_ended (job))
     return;
   job->cancelled = TRUE;
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -59,6 +59,7 @@
 gint64 bts_ledger_read_from (const bts_ledger_t *ledger);
 gint64 bts_ledger_oldest_needed (const bts_ledger_t *ledger);
 gint64 bts_ledger_next_offset (const bts_ledger_t *ledger);
+void bts_ledger_stamp (const bts_ledger_t *ledger, Bts__Accepted *job);
 bts_bars_t *bts_ledger_bars (const bts_ledger_t *ledger);
 bts_job_t *bts_ledger_job (const bts_ledger_t *ledger, const char *id);
 GHashTable *bts_ledger_jobs (const bts_ledger_t *ledger);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -906,7 +906,7 @@
     return;
   if (job->policy->tenant[0] != '\0')
     job->submitted_ms = node->ops->now_unix_ms (node->context);
-  job->seen = (guint64)bts_ledger_next_offset (node->ledger);
+  bts_ledger_stamp (node->ledger, job);
   const char *address = bts_intake_choose (&node->intake, job->id, node_now (node));
   if (address != NULL)
     bts_forwarder_forward (node->forwarder, address, exchange, job, timeout_us,
--- a/libbamboothread/scheduler/requests.c
+++ b/libbamboothread/scheduler/requests.c
@@ -270,8 +270,7 @@
 static gboolean
 is_barred (const bts_requests_t *requests, const Bts__Accepted *job)
 {
-  guint64 number = g_ascii_strtoull (job->id, NULL, 16);
-  return bts_bars_is_barred (bts_ledger_bars (requests->ledger), number, job->seen);
+  return bts_bars_is_barred (bts_ledger_bars (requests->ledger), job);
 }
 
 /* Moves a job's spec from its record for the journal into one for the log of specs. */
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1958,7 +1958,7 @@
   (ProtobufCMessageInit) bts__spec__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__accepted__field_descriptors[11] =
+static const ProtobufCFieldDescriptor bts__accepted__field_descriptors[12] =
 {
   {
     "id",
@@ -2092,8 +2092,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "barred_by",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Accepted, barred_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__accepted__field_indices_by_name[] = {
+  11,   /* field[11] = barred_by */
   9,   /* field[9] = excess */
   4,   /* field[4] = first_due_ms */
   0,   /* field[0] = id */
@@ -2112,7 +2125,7 @@
   { 10, 7 },
   { 12, 8 },
   { 40, 10 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor bts__accepted__descriptor =
 {
@@ -2122,7 +2135,7 @@
   "Bts__Accepted",
   "bts",
   sizeof(Bts__Accepted),
-  11,
+  12,
   bts__accepted__field_descriptors,
   bts__accepted__field_indices_by_name,
   4,  bts__accepted__number_ranges,
@@ -2181,7 +2194,7 @@
   (ProtobufCMessageInit) bts__cancelled__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__bar__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bts__bar__field_descriptors[4] =
 {
   {
     "job",
@@ -2219,16 +2232,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Bar, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__bar__field_indices_by_name[] = {
   2,   /* field[2] = age_s */
   0,   /* field[0] = job */
   1,   /* field[1] = offset */
+  3,   /* field[3] = seen */
 };
 static const ProtobufCIntRange bts__bar__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bts__bar__descriptor =
 {
@@ -2238,7 +2264,7 @@
   "Bts__Bar",
   "bts",
   sizeof(Bts__Bar),
-  3,
+  4,
   bts__bar__field_descriptors,
   bts__bar__field_indices_by_name,
   1,  bts__bar__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -168,10 +168,15 @@
    * given. A cancellation of the id beyond them, in the journal before this record, keeps it out.
    */
   uint64_t seen;
+  /*
+   * Number of records up to the cancellation that had barred the id then; 0 if none had. Another
+   * cancellation that has not seen that one has no effect on this job.
+   */
+  uint64_t barred_by;
 };
 #define BTS__ACCEPTED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__accepted__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, NULL, {0,NULL}, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -184,7 +189,8 @@
   /*
    * Number of records of the journal that the process had read when it wrote this; 0 if not given.
    * If the id was barred by a record beyond them, this has no effect: it may be an append of that
-   * cancellation that was repeated or late, and must not cancel a job that came in after it.
+   * cancellation that was repeated or late, and must not cancel a job that came in after it. The
+   * job says so too (barred_by), for processes that start when that record is deleted.
    */
   uint64_t seen;
 };
@@ -211,10 +217,14 @@
    * Time since then, in seconds.
    */
   uint32_t age_s;
+  /*
+   * As in the cancellation.
+   */
+  uint64_t seen;
 };
 #define BTS__BAR__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__bar__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_cancel.c
+++ b/tests/test_cancel.c
@@ -12,6 +12,11 @@
 #define LATE_US (11 * G_USEC_PER_SEC)
 /* A cancellation has to be answered in this time. */
 #define CANCEL_MS 4000
+/* How long a short log keeps records. */
+#define SHORT_KEEP_MS 20000
+/* Times after which processes start anew, and the time between two of them. */
+#define START_TIMES 12
+#define START_STEP_MS 500
 
 static const sim_policy_t batch = { "main", 2, 3, 3000 };
 static const sim_step_t steps[] = { { .count = 2, .cpu = 500, .memory = 200, .ms = 800 } };
@@ -110,8 +115,7 @@
     }
 }
 
-/* Guards against a job that runs although its cancellation was answered with 410: its append got
-   no answer and is done afterwards. */
+/* Guards against a job that runs after its cancellation was answered 410, as its append is late. */
 START_TEST (late_append_has_no_effect)
 {
   sim_t *sim = sim_with_nodes (lates[_i].keep_ms, lates[_i].forwarded ? 0 : 12);
@@ -150,6 +154,201 @@
   g_array_append_val (sim->log_us, now_us);
 }
 
+/**
+ * Processes that start after a late append, when the log has deleted the cancellation.
+ * @all: all of them start anew; otherwise one does, and the owners are killed after that
+ * @keep_ms: how long the log keeps records
+ */
+static const struct
+{
+  const char *name;
+  gboolean all;
+  guint keep_ms;
+} starters[] = {
+  { "all start anew", TRUE, 5000 },
+  { "one starts anew and leads", FALSE, 5000 },
+  { "all start anew, a longer log", TRUE, 20000 },
+  { "one starts anew and leads, a longer log", FALSE, 20000 },
+};
+
+/* Leaves @first as the only process that may lead. */
+static void
+make_owner (sim_t *sim, guint first)
+{
+  for (guint i = 0; i < sim->nodes->len; i++)
+    if (i != first)
+      sim_kill (sim, i);
+  sim_run_ms (sim, 6000);
+  for (guint i = 0; i < sim->nodes->len; i++)
+    if (i != first)
+      sim_start (sim, i);
+}
+
+/* Guards against a job that is answered 410 and started by a process that reads only its late
+   record. */
+START_TEST (late_append_outlives_the_cancellation)
+{
+  guint which = (guint)_i / START_TIMES;
+  sim_t *sim = sim_with_nodes (starters[which].keep_ms, 12);
+  guint owner = (guint)sim_owner (sim);
+  guint entry = (owner + 1) % 3;
+  guint other = (owner + 2) % 3;
+  set_silent (sim, entry, 5 * G_USEC_PER_SEC);
+  sim_job_t *job = sim_submit (sim, entry, &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 2900);
+  set_silent (sim, entry, 0);
+  sim_cancel (sim, other, job);
+  gint64 cancelled_us = bt_clock_now (&sim->clock);
+  wait_for_cancel_answer (sim, job);
+  ck_assert_int_eq (job->cancel_answer, BTS_ANSWER_NOT_FOUND);
+  gint64 spent_ms = (bt_clock_now (&sim->clock) - cancelled_us) / 1000;
+  sim_run_ms (sim, starters[which].keep_ms - spent_ms + START_STEP_MS * ((guint)_i % START_TIMES));
+  if (starters[which].all)
+    sim_restart (sim);
+  else
+    {
+      sim_kill (sim, other);
+      sim_start (sim, other);
+      sim_run_ms (sim, 2000);
+      make_owner (sim, other);
+    }
+  sim_run_ms (sim, 8000);
+  ck_assert_msg (sim->starts == 0, "%s: it has started", starters[which].name);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/**
+ * What happens to an owner that hasn't read the cancellation when its answer is given.
+ * @kind: it is killed, hears again, stands still for a while, or leaves
+ * @hears_ms: time from the answer until it hears again, if it does
+ */
+static const struct
+{
+  const char *name;
+  enum
+  {
+    KILLED,
+    HEARS,
+    FROZEN,
+    LEAVES,
+  } kind;
+  guint hears_ms;
+} unread[] = {
+  { "killed", KILLED, 0 },          { "hears soon", HEARS, 500 },
+  { "hears late", HEARS, 2500 },    { "hears after the record", HEARS, 6000 },
+  { "stands still", FROZEN, 5000 }, { "leaves", LEAVES, 3000 },
+};
+
+/* Guards against a job that an owner starts which reads its late record before the cancellation. */
+START_TEST (owner_has_not_read_the_cancellation)
+{
+  sim_t *sim = sim_with_nodes (0, 12);
+  guint owner = (guint)sim_owner (sim);
+  guint entry = (owner + 1) % 3;
+  guint other = (owner + 2) % 3;
+  set_silent (sim, entry, 5 * G_USEC_PER_SEC);
+  sim_job_t *job = sim_submit (sim, entry, &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 2900);
+  set_silent (sim, entry, 0);
+  sim_node (sim, owner)->deaf = TRUE;
+  sim_cancel (sim, other, job);
+  wait_for_cancel_answer (sim, job);
+  ck_assert_int_eq (job->cancel_answer, BTS_ANSWER_NOT_FOUND);
+  if (unread[_i].kind == KILLED)
+    sim_kill (sim, owner);
+  else if (unread[_i].kind == FROZEN)
+    sim_freeze (sim, owner);
+  else if (unread[_i].kind == LEAVES)
+    sim_leave (sim, owner);
+  sim_run_ms (sim, unread[_i].hears_ms);
+  sim_node (sim, owner)->deaf = FALSE;
+  if (unread[_i].kind == FROZEN)
+    sim_thaw (sim, owner);
+  sim_run_ms (sim, 16000);
+  ck_assert_msg (sim->starts == 0, "%s: it has started", unread[_i].name);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/**
+ * A cancellation that is refused or not answered, and whose record is done late.
+ * @again_ms: time until it is repeated at a process that the store serves
+ */
+static const struct
+{
+  const char *name;
+  gboolean deaf;
+  guint again_ms;
+} repeated[] = {
+  { "no answer, repeated at once", FALSE, 0 },
+  { "no answer, repeated when the record is done", FALSE, 6000 },
+  { "refused, repeated at once", TRUE, 0 },
+  { "refused, repeated late", TRUE, 6000 },
+};
+
+/* Guards against a job that runs, or a later one that doesn't, for a cancellation that is done
+ * late.
+ */
+START_TEST (cancellation_done_late_and_repeated)
+{
+  sim_t *sim = sim_with_nodes (0, 12);
+  guint owner = (guint)sim_owner (sim);
+  guint entry = (owner + 1) % 3;
+  guint other = (owner + 2) % 3;
+  set_silent (sim, entry, 8 * G_USEC_PER_SEC);
+  sim_job_t *job = sim_submit (sim, entry, &batch, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 1000);
+  sim_node (sim, entry)->deaf = repeated[_i].deaf;
+  sim_cancel (sim, entry, job);
+  sim_run_ms (sim, 2900);
+  ck_assert_int_eq (job->cancelled_us, 0);
+  set_silent (sim, entry, 0);
+  sim_run_ms (sim, repeated[_i].again_ms);
+  sim_cancel (sim, other, job);
+  wait_for_cancel_answer (sim, job);
+  sim_run_ms (sim, 16000);
+  ck_assert_msg (sim_running (sim, job->id) == 0, "%s: it runs", repeated[_i].name);
+  gboolean is_unknown = job->cancel_answer == BTS_ANSWER_NOT_FOUND;
+  submit_again (sim, owner, job);
+  sim_run_ms (sim, 5000);
+  ck_assert_msg (sim_running (sim, job->id) == (is_unknown ? 2 : 0), "%s: the next job",
+                 repeated[_i].name);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against a bar that is dropped while a record of its job may still be done: the last append
+   is sent 60 s after the job came in, and done 12 s later. */
+START_TEST (bar_lasts_as_long_as_records_may_come)
+{
+  sim_t *sim = sim_with_nodes (0, 12);
+  guint owner = (guint)sim_owner (sim);
+  guint entry = (owner + 1) % 3;
+  guint other = (owner + 2) % 3;
+  set_silent (sim, entry, 72 * G_USEC_PER_SEC);
+  sim_job_t *job = sim_submit (sim, entry, &batch, steps, G_N_ELEMENTS (steps));
+  sim_run_ms (sim, 2900);
+  set_silent (sim, entry, 0);
+  sim_cancel (sim, other, job);
+  wait_for_cancel_answer (sim, job);
+  ck_assert_int_eq (job->cancel_answer, BTS_ANSWER_NOT_FOUND);
+  for (guint i = 0; i < 8; i++)
+    {
+      if (_i == 1)
+        sim_restart (sim);
+      sim_run_ms (sim, 10000);
+    }
+  ck_assert_uint_eq (sim->starts, 0);
+  expect_unknown (sim, job);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against a snapshot that brings a cancelled job back: an owner of that time has read the
    job in a record that others have skipped. */
 START_TEST (late_snapshot_has_no_effect)
@@ -236,6 +435,43 @@
 }
 END_TEST
 
+/* Guards against the same at a process that starts when the log has deleted the first append of the
+   cancellation, and not the late one nor the job between them. */
+START_TEST (late_cancellation_spares_a_later_job_of_a_short_log)
+{
+  sim_t *sim = sim_with_nodes (SHORT_KEEP_MS, 12);
+  guint owner = (guint)sim_owner (sim);
+  guint entry = (owner + 1) % 3;
+  guint other = (owner + 2) % 3;
+  sim_node (sim, entry)->cut = TRUE;
+  sim_job_t *job = sim_submit (sim, entry, &batch, lasting, G_N_ELEMENTS (lasting));
+  sim_run_ms (sim, 2900);
+  sim_node (sim, entry)->cut = FALSE;
+  sim_run_ms (sim, 500);
+  sim_node (sim, other)->late_append_us = 1100 * 1000;
+  sim_cancel (sim, other, job);
+  gint64 cancelled_us = bt_clock_now (&sim->clock);
+  wait_for_cancel_answer (sim, job);
+  ck_assert_int_eq (job->cancel_answer, BTS_ANSWER_NOT_FOUND);
+  sim_node (sim, other)->late_append_us = 0;
+  submit_again (sim, entry, job);
+  gint64 spent_ms = (bt_clock_now (&sim->clock) - cancelled_us) / 1000;
+  sim_run_ms (sim, SHORT_KEEP_MS + 1000 - spent_ms + 100 * _i);
+  ck_assert_int_ne (job->accepted_us, 0);
+  sim_kill (sim, other);
+  sim_start (sim, other);
+  sim_run_ms (sim, 3000);
+  bts_job_state_t state;
+  ck_assert_int_eq (bts_node_query (sim_node (sim, other)->node, job->id, &state), BTS_ANSWER_OK);
+  ck_assert_str_eq (bts_job_state_name (state), "running");
+  make_owner (sim, other);
+  sim_run_ms (sim, 8000);
+  ck_assert_uint_eq (sim_running (sim, job->id), 2);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against a job that runs although its cancellation was answered: it came in while the
    answer was awaited, _i times 100 ms after the cancellation. */
 START_TEST (submission_beside_its_cancellation)
@@ -271,9 +507,15 @@
   TCase *tests = tcase_create ("cancel");
   tcase_set_timeout (tests, 60);
   tcase_add_loop_test (tests, late_append_has_no_effect, 0, G_N_ELEMENTS (lates));
+  tcase_add_loop_test (tests, late_append_outlives_the_cancellation, 0,
+                       START_TIMES * G_N_ELEMENTS (starters));
+  tcase_add_loop_test (tests, owner_has_not_read_the_cancellation, 0, G_N_ELEMENTS (unread));
+  tcase_add_loop_test (tests, cancellation_done_late_and_repeated, 0, G_N_ELEMENTS (repeated));
+  tcase_add_loop_test (tests, bar_lasts_as_long_as_records_may_come, 0, 2);
   tcase_add_test (tests, late_snapshot_has_no_effect);
   tcase_add_loop_test (tests, submission_where_the_bar_is_not_read, 0, 12);
   tcase_add_test (tests, late_cancellation_spares_a_later_job);
+  tcase_add_loop_test (tests, late_cancellation_spares_a_later_job_of_a_short_log, 0, 16);
   tcase_add_loop_test (tests, submission_beside_its_cancellation, 0, 9);
   return suite_run ("cancel", tests);
 }
