JSON: nothing that isn't JSON hides nesting from its check

Cause: bt_json_parse() checks the depth of a text before it is parsed, by a scan that knows the strings of JSON. json-glib also takes comments and strings in single quotes. A quote within one of these is the beginning of a string to the scan, and all brackets behind it weren't counted; the recursion of the parser overflowed the stack.

Change: outside strings only characters of JSON are allowed, so the scan and the parser agree on where strings are. Texts with comments are refused with the byte at which they begin.

--- a/libbamboothread/base/schema.c
+++ b/libbamboothread/base/schema.c
@@ -526,7 +526,16 @@
 }
 
 static gboolean
-is_depth_allowed (const char *data, gsize len)
+is_outside_strings (char c)
+{
+  return c != '\0' && (g_ascii_isalnum (c) || strchr ("{}[],:+-. \t\r\n", c) != NULL);
+}
+
+/* Bounds the recursion of the parser. It would also take comments and strings in single quotes, in
+   which a quote hides the brackets that follow, so only characters of JSON may stand outside
+   strings. */
+static gboolean
+check_nesting (const char *data, gsize len, GError **error)
 {
   guint depth = 0;
   gboolean in_string = FALSE;
@@ -537,12 +546,26 @@
         i++;
       else if (c == '"')
         in_string = !in_string;
-      else if (!in_string && (c == '{' || c == '['))
+      else if (in_string)
+        continue;
+      else if (!is_outside_strings (c))
+        {
+          g_set_error (
+              error, BT_ERROR, BT_ERROR_INVALID,
+              "expected JSON, found character 0x%02x outside a string at byte %" G_GSIZE_FORMAT,
+              (guchar)c, i);
+          return FALSE;
+        }
+      else if (c == '{' || c == '[')
         depth++;
-      else if (!in_string && (c == '}' || c == ']') && depth > 0)
+      else if ((c == '}' || c == ']') && depth > 0)
         depth--;
       if (depth > JSON_DEPTH_MAX)
-        return FALSE;
+        {
+          g_set_error (error, BT_ERROR, BT_ERROR_INVALID, "JSON nested deeper than %d",
+                       JSON_DEPTH_MAX);
+          return FALSE;
+        }
     }
   return TRUE;
 }
@@ -563,11 +586,8 @@
       g_set_error (error, BT_ERROR, BT_ERROR_INVALID, "expected UTF-8 JSON text");
       return NULL;
     }
-  if (!is_depth_allowed (data, len))
-    {
-      g_set_error (error, BT_ERROR, BT_ERROR_INVALID, "JSON nested deeper than %d", JSON_DEPTH_MAX);
-      return NULL;
-    }
+  if (!check_nesting (data, len, error))
+    return NULL;
   g_autoptr (JsonParser) parser = json_parser_new_immutable ();
   g_autoptr (GError) inner = NULL;
   if (!json_parser_load_from_data (parser, data, (gssize)len, &inner)
--- a/tests/test_schema.c
+++ b/tests/test_schema.c
@@ -1,8 +1,12 @@
 #include <string.h>
 
+#include "libbamboothread/base/error.h"
 #include "libbamboothread/request/request.h"
 #include "tests/suite.h"
 
+/* Brackets that overflow a stack of 8 MB if each of them is a call, and fit into a record. */
+#define HIDDEN_DEPTH 100000
+
 /* Requests as callers may send them, and the path that the first fault names. */
 static const struct
 {
@@ -66,11 +70,38 @@
 }
 END_TEST
 
+/* Texts that the parser takes, with nesting where a check that knows only JSON sees a string. */
+static const struct
+{
+  const char *before;
+  const char *after;
+} hidden_cases[] = {
+  { "/*\"*/", "" },  { "{\"a\":/*\"*/", "}" }, { "/* \\\"*/", "" },  { "//\"\n//\"\n/*\"*/", "" },
+  { "['\"',", "]" }, { "{'\"':", "}" },        { "['\\'\"',", "]" },
+};
+
+/* Guards against a text whose nesting is hidden and that overflows the stack of the process. */
+START_TEST (hidden_nesting_is_refused)
+{
+  g_autoptr (GString) text = g_string_new (hidden_cases[_i].before);
+  for (guint i = 0; i < HIDDEN_DEPTH; i++)
+    g_string_append_c (text, '[');
+  for (guint i = 0; i < HIDDEN_DEPTH; i++)
+    g_string_append_c (text, ']');
+  g_string_append (text, hidden_cases[_i].after);
+  g_autoptr (GError) error = NULL;
+  g_autoptr (JsonNode) node = bt_json_parse (text->str, text->len, &error);
+  ck_assert_ptr_null (node);
+  ck_assert (g_error_matches (error, BT_ERROR, BT_ERROR_INVALID));
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("schema");
   tcase_add_loop_test (tests, request_is_checked, 0, G_N_ELEMENTS (request_cases));
   tcase_add_test (tests, all_faults_are_reported);
+  tcase_add_loop_test (tests, hidden_nesting_is_refused, 0, G_N_ELEMENTS (hidden_cases));
   return suite_run ("schema", tests);
 }
