Channels: the reply never comes while the call is being made

Where a connection can't even begin, as for port 0, libevent gives the request back within the call, and the reply came then; a network that can't be reached, or no descriptor being left, take the same path in libevent. A start order is sent in the middle of a pass, and its reply may give up and free the run: read from the code, not seen. For an address without a colon no reply came at all, and a host name was looked up while the event loop stood still.

Change: what libevent gives back meanwhile is reported by the call's timer as not sent. Addresses are parsed by bt_address_parse(); a port is no longer cut to 16 bits, and a call to anything but IP:port isn't sent.

--- a/libbamboothread/connection/channel.c
+++ b/libbamboothread/connection/channel.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "libbamboothread/connection/address.h"
+
 /* Memory of libevent is kept in lists of free blocks by their size, in steps of so many bytes;
    larger blocks are left to the C library. */
 #define BLOCK_STEP_BYTES 64
@@ -31,7 +33,9 @@
 /**
  * struct pending_call_t - a call in flight or queued for a connection
  * @link: the connection that carries it, or NULL while it is queued
- * @timer: ends the call when its time limit has passed
+ * @timer: ends the call when its time limit has passed, or at once if it couldn't be sent
+ * @is_sending: libevent is being given the request
+ * @has_failed: libevent has given it back meanwhile
  */
 typedef struct
 {
@@ -40,6 +44,8 @@
   struct evhttp_request *request;
   struct event *timer;
   enum evhttp_cmd_type method;
+  gboolean is_sending;
+  gboolean has_failed;
   char *path;
   bt_channel_reply_f reply;
   void *context;
@@ -47,6 +53,7 @@
 
 /**
  * struct peer_t - the connections to one address
+ * @host: IP address; NULL if the address of the peer is none, and no call to it is sent
  * @queue: calls (pending_call_t) waiting for a connection
  */
 struct peer_t
@@ -215,13 +222,17 @@
 get_peer (bt_channels_t *channels, const char *address)
 {
   peer_t *peer = g_hash_table_lookup (channels->peers, address);
-  const char *colon = strrchr (address, ':');
-  if (peer != NULL || colon == NULL)
+  if (peer != NULL)
     return peer;
   peer = g_new0 (peer_t, 1);
   peer->channels = channels;
-  peer->host = g_strndup (address, (gsize)(colon - address));
-  peer->port = (guint16)g_ascii_strtoull (colon + 1, NULL, 10);
+  g_autoptr (GSocketAddress) parsed = bt_address_parse (address, NULL);
+  if (parsed != NULL)
+    {
+      GInetSocketAddress *inet = G_INET_SOCKET_ADDRESS (parsed);
+      peer->host = g_inet_address_to_string (g_inet_socket_address_get_address (inet));
+      peer->port = g_inet_socket_address_get_port (inet);
+    }
   peer->links = g_ptr_array_new_with_free_func (link_free);
   g_queue_init (&peer->queue);
   g_hash_table_insert (channels->peers, g_strdup (address), peer);
@@ -269,6 +280,11 @@
 on_response (struct evhttp_request *request, void *context)
 {
   pending_call_t *pending = context;
+  if (pending->is_sending)
+    {
+      pending->has_failed = TRUE;
+      return;
+    }
   int status = request == NULL ? BT_CHANNEL_NO_ANSWER : evhttp_request_get_response_code (request);
   if (request == NULL || status == 0)
     {
@@ -296,19 +312,32 @@
   finish_call (pending, status, "", 0);
 }
 
+/* Lets the timer report that a call was not sent. */
+static void
+fail_call (pending_call_t *pending)
+{
+  struct timeval immediately = { 0, 0 };
+  evtimer_add (pending->timer, &immediately);
+}
+
+/* A connection may fail at once, as when no route leads to the peer. Callers are in the middle of
+   their work and can't have the reply yet. */
 static void
 send_call (pending_call_t *pending, link_t *link)
 {
   link->is_busy = TRUE;
   pending->link = link;
-  if (evhttp_make_request (link->connection, pending->request, pending->method, pending->path) == 0)
+  pending->is_sending = TRUE;
+  int result
+      = evhttp_make_request (link->connection, pending->request, pending->method, pending->path);
+  pending->is_sending = FALSE;
+  if (result == 0 && !pending->has_failed)
     return;
-  /* libevent has freed the request. The timer, due now, reports that it was not sent. */
+  /* libevent has freed the request. */
   pending->link = NULL;
   link->is_busy = FALSE;
   pending->request = evhttp_request_new (on_response, pending);
-  struct timeval immediately = { 0, 0 };
-  evtimer_add (pending->timer, &immediately);
+  fail_call (pending);
 }
 
 static void
@@ -344,7 +373,6 @@
 {
   pending_call_t *pending = g_new0 (pending_call_t, 1);
   pending->peer = get_peer (channels, call->address);
-  g_return_if_fail (pending->peer != NULL);
   pending->reply = reply;
   pending->context = context;
   pending->method = parse_method (call->method);
@@ -363,6 +391,11 @@
   pending->timer = evtimer_new (channels->base, on_timeout, pending);
   struct timeval timeout = { call->timeout_ms / 1000, (call->timeout_ms % 1000) * 1000 };
   evtimer_add (pending->timer, &timeout);
+  if (pending->peer->host == NULL)
+    {
+      fail_call (pending);
+      return;
+    }
   link_t *link = get_free_link (pending->peer);
   if (link != NULL)
     send_call (pending, link);
--- a/libbamboothread/connection/channel.h
+++ b/libbamboothread/connection/channel.h
@@ -28,7 +28,7 @@
 /**
  * struct bt_call_t - an HTTP call
  * @method: GET, POST or DELETE
- * @address: host:port of the peer
+ * @address: IP:port of the peer; a call to anything else is not sent
  * @path: path and query
  * @headers: alternating names and values, terminated by NULL; or NULL for none
  * @body: request body, or NULL for none
