Entries of workers: addresses, numbers and ids that can't be used name no worker

- An address had only to contain a colon.
Now it is IP:port with a port from 1 to 65,535, as the platform has no name lookups.
An entry with any other would count as a worker that is silent, for which each new owner waits.
- Numbers beyond 64 bits were cast without a check: INT64_MAX on arm64, INT64_MIN on x86-64.
They are refused, as is a negative start.
Numbers of runs in the lists of workers were cut to 32 bits; they are refused, too.
- An id with control characters can't stand in a header, which was left out, so that any worker would carry the order out.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -153,6 +153,12 @@
   "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"capacity\":{\"cpu\":8000," \
   "\"mem-mb\":100,\"gpu\":0}" rest "}"
 
+#define ADDRESS(address)                                                                           \
+  "{\"service\":\"s\",\"address\":\"" address "\",\"state\":\"ready\",\"capacity\":{}}"
+#define CAPACITY(cpu)                                                                              \
+  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"capacity\":{\"cpu\":" cpu  \
+  "}}"
+
 static const struct
 {
   const char *text;
@@ -169,8 +175,35 @@
   { "{\"service\":5,\"address\":\"10.0.0.1:80\",\"state\":\"ready\",\"capacity\":{}}", FALSE },
   { "\xff\xfe", FALSE },
   { "null", FALSE },
+  { ADDRESS ("10.0.0.1:1"), TRUE },
+  { ADDRESS ("10.0.0.1:65535"), TRUE },
+  { ADDRESS ("10.0.0.1:0"), FALSE },
+  { ADDRESS ("10.0.0.1:65536"), FALSE },
+  { ADDRESS ("10.0.0.1:65616"), FALSE },
+  { ADDRESS ("10.0.0.1:-80"), FALSE },
+  { ADDRESS ("10.0.0.1:18446744073709551696"), FALSE },
+  { ADDRESS ("10.0.0.1:"), FALSE },
+  { ADDRESS ("10.0.0.1:http"), FALSE },
+  { ADDRESS ("10.0.0.256:80"), FALSE },
+  { ADDRESS ("host.example:80"), FALSE },
+  { ADDRESS (":80"), FALSE },
+  { ADDRESS (""), FALSE },
+  { ENTRY (",\"born\":1e300"), FALSE },
+  { ENTRY (",\"born\":1e999"), FALSE },
+  { ENTRY (",\"born\":-1"), FALSE },
+  { ENTRY (",\"born\":99999999999999999999"), FALSE },
+  { ENTRY (",\"remaining-ms\":1e19"), FALSE },
+  { ENTRY (",\"remaining-ms\":-5"), TRUE },
+  { ENTRY (",\"x\":[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]"), FALSE },
+  { ENTRY (",\"x\":/*\"*/1"), FALSE },
+  { CAPACITY ("4294967295"), TRUE },
+  { CAPACITY ("4294967296"), FALSE },
+  { CAPACITY ("1e30"), FALSE },
+  { CAPACITY ("-1"), FALSE },
+  { CAPACITY ("99999999999999999999"), FALSE },
 };
 
+/* Guards against a process that ends, waits or calls another worker for an odd entry. */
 START_TEST (entry_is_read_or_passed_over)
 {
   g_autoptr (GError) error = NULL;
@@ -183,6 +216,28 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *id;
+  gboolean ok;
+} worker_ids[] = {
+  { "i-0", TRUE },      { "caf\xc3\xa9", TRUE }, { "", FALSE },
+  { "i-0\r\n", FALSE }, { "i\n0", FALSE },       { "\x7f", FALSE },
+};
+
+/* Guards against orders without the id of their worker, which any worker carries out. */
+START_TEST (entry_has_an_id_that_orders_can_carry)
+{
+  g_autoptr (GError) error = NULL;
+  bts_worker_entry_t *entry
+      = pf_wire_parse_worker_entry (worker_ids[_i].id, ENTRY (""), strlen (ENTRY ("")), &error);
+  ck_assert_int_eq (entry != NULL, worker_ids[_i].ok);
+  ck_assert_int_eq (error == NULL, worker_ids[_i].ok);
+  if (entry != NULL)
+    bts_worker_entry_free (entry);
+}
+END_TEST
+
 static const struct
 {
   const char *a;
@@ -231,6 +286,12 @@
   { "{\"clock-ms\":5,\"finished\":[7]}", FALSE },
   { "{\"clock-ms\":5,\"running\":[[1,2]]}", FALSE },
   { "{\"clock-ms\":5,\"running\":[[\"x\",-2]]}", FALSE },
+  { "{\"clock-ms\":5,\"running\":[[\"x\",4294967295,\"\",1]]}", TRUE },
+  { "{\"clock-ms\":5,\"running\":[[\"x\",4294967297,\"\",1]]}", FALSE },
+  { "{\"clock-ms\":5,\"running\":[[\"x\",1,\"\",1e30]]}", FALSE },
+  { "{\"clock-ms\":5,\"finished\":[[58,\"x\",4294967297,\"done\",\"\"]]}", FALSE },
+  { "{\"clock-ms\":5,\"finished\":[[1e30,\"x\",1,\"done\",\"\"]]}", FALSE },
+  { "{\"clock-ms\":1e30}", FALSE },
   { "{\"clock-ms\":\"5\"}", FALSE },
   { "{\"clock-ms\":5,\"running\":{}}", FALSE },
   { "{\"clock-ms\":5,\"finished\":[[58,\"" ID ".0.1.9\",1]]}", FALSE },
@@ -701,6 +762,7 @@
   tcase_add_loop_test (tests, job_is_read_or_refused, 0, G_N_ELEMENTS (jobs));
   tcase_add_test (tests, job_is_read_as_given);
   tcase_add_loop_test (tests, entry_is_read_or_passed_over, 0, G_N_ELEMENTS (entries));
+  tcase_add_loop_test (tests, entry_has_an_id_that_orders_can_carry, 0, G_N_ELEMENTS (worker_ids));
   tcase_add_loop_test (tests, entry_is_known_but_for_its_counts, 0, G_N_ELEMENTS (entry_pairs));
   tcase_add_loop_test (tests, listing_is_read_or_refused, 0, G_N_ELEMENTS (listings));
   tcase_add_loop_test (tests, damaged_listing_is_read_or_refused, 0, 8);
