--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -27,7 +27,11 @@
     "a=x@3 b=@4 ", 1 },
   { "{\"has-more\":true,\"end\":9,\"items\":[" ENTRY ("a", "eA==", "3") "]}", "a=x@3 ", 2 },
   { "{\"items\":[],\"has-more\":false,\"end\":0}", "", 1 },
-  { "{\"items\":[],\"has-more\":true}", "", 1 },
+  /* A page that the next one can't go on from: the rest isn't known. */
+  { "{\"items\":[],\"has-more\":true}", NULL, 1 },
+  { "{\"has-more\":true,\"items\":[{\"value\":\"\"},{\"key\":7}]}", NULL, 1 },
+  /* The next page begins after a record that can't be read. */
+  { "{\"has-more\":true,\"items\":[{\"key\":\"a\",\"value\":7}]}", "", 2 },
   { "{\"end\":7}", "", 1 },
   { " { \"items\" : [ { \"offset\" : 12, \"x\" : [1,{\"key\":\"c\"}], \"value\" : \"eHk=\","
     " \"key\" : \"a\" } ], \"has-more\" : false } ",
@@ -50,6 +54,7 @@
 {
   struct event_base *base;
   const char *page;
+  gboolean is_repeated;
   guint pages;
   GString *records;
   gboolean complete;
@@ -59,7 +64,8 @@
 serve (struct evhttp_request *request, void *context)
 {
   scene_t *scene = context;
-  const char *page = scene->pages++ == 0 ? scene->page : "{\"items\":[],\"has-more\":false}";
+  gboolean has_page = scene->pages++ == 0 || scene->is_repeated;
+  const char *page = has_page ? scene->page : "{\"items\":[],\"has-more\":false}";
   evbuffer_add (evhttp_request_get_output_buffer (request), page, strlen (page));
   evhttp_send_reply (request, 200, "OK", NULL);
 }
@@ -80,31 +86,63 @@
   event_base_loopbreak (scene->base);
 }
 
-START_TEST (a_page_is_read_whole_or_not_at_all)
+/* Reads the records from a store that serves the pages of a scene. */
+static void
+read_pages (scene_t *scene)
 {
-  scene_t scene = { 0 };
-  scene.base = bt_event_base_new ();
-  scene.page = cases[_i].page;
-  scene.records = g_string_new (NULL);
-  struct evhttp *http = evhttp_new (scene.base);
+  scene->base = bt_event_base_new ();
+  scene->records = g_string_new (NULL);
+  struct evhttp *http = evhttp_new (scene->base);
   struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
   ck_assert_ptr_nonnull (bound);
   struct sockaddr_in at;
   socklen_t len = sizeof at;
   getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&at, &len);
-  evhttp_set_gencb (http, serve, &scene);
+  evhttp_set_gencb (http, serve, scene);
   g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", ntohs (at.sin_port));
   bt_clock_t clock;
   bt_clock_init (&clock);
-  pf_store_t *store = pf_store_new (scene.base, &clock, address);
-  pf_store_read_newest (store, "keyed.servers", on_record, on_done, &scene);
-  event_base_dispatch (scene.base);
+  pf_store_t *store = pf_store_new (scene->base, &clock, address);
+  pf_store_read_newest (store, "keyed.servers", on_record, on_done, scene);
+  event_base_dispatch (scene->base);
+  pf_store_free (store);
+  evhttp_free (http);
+  event_base_free (scene->base);
+}
+
+START_TEST (a_page_is_read_whole_or_not_at_all)
+{
+  scene_t scene = { .page = cases[_i].page };
+  read_pages (&scene);
   ck_assert_int_eq (scene.complete, cases[_i].records != NULL);
   ck_assert_str_eq (scene.records->str, cases[_i].records == NULL ? "" : cases[_i].records);
   ck_assert_uint_eq (scene.pages, cases[_i].pages);
-  pf_store_free (store);
-  evhttp_free (http);
-  event_base_free (scene.base);
+  g_string_free (scene.records, TRUE);
+}
+END_TEST
+
+/**
+ * struct stuck - a page whose last key the store doesn't go on from
+ * @page: its reply to each read
+ * @pages: number of pages that are asked for
+ */
+static const struct
+{
+  const char *page;
+  guint pages;
+} stuck[] = {
+  { "{\"has-more\":true,\"items\":[" ENTRY ("", "eA==", "3") "]}", 1 },
+  { "{\"has-more\":true,\"items\":[" ENTRY ("\\u0000", "eA==", "3") "]}", 1 },
+  { "{\"has-more\":true,\"items\":[" ENTRY ("a\\u0000b", "eA==", "3") "]}", 2 },
+};
+
+/* Guards against a process that reads one page for ever, for an odd key. */
+START_TEST (a_read_ends_where_a_page_repeats)
+{
+  scene_t scene = { .page = stuck[_i].page, .is_repeated = TRUE };
+  read_pages (&scene);
+  ck_assert (!scene.complete);
+  ck_assert_uint_eq (scene.pages, stuck[_i].pages);
   g_string_free (scene.records, TRUE);
 }
 END_TEST
@@ -114,5 +152,6 @@
 {
   TCase *tests = tcase_create ("store");
   tcase_add_loop_test (tests, a_page_is_read_whole_or_not_at_all, 0, G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, a_read_ends_where_a_page_repeats, 0, G_N_ELEMENTS (stuck));
   return suite_run ("store", tests);
 }
