--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1406,6 +1406,9 @@
   first->dark = FALSE;
   while (sim_owner (sim) < 0)
     sim_run_ms (sim, 10);
+  /* Both runs end before a killed owner has a successor; a hand-over takes less time. */
+  if (!how->leaves)
+    ck_assert_ptr_null (find_worker_of (sim, ends));
   sim_run_ms (sim, 2000);
   ck_assert_ptr_null (find_worker_of (sim, ends));
   ck_assert_ptr_eq (find_worker_of (sim, stalls), stalled);
