--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -63,6 +63,20 @@
     "id_is_empty": ("", entry()),
     "not_json": ("odd", b"\xff\xfe\x00{"),
     "other_types": ("odd", entry(labels={"a": 1}, state=7, zone=[])),
+    **{f"{field}_of_another_type": ("odd", entry(**{field: [{"a": 1}]})) for field in (
+        "service", "address", "zone", "version", "slots", "state", "cold-remaining-ms", "sequence",
+        "born", "labels", "capacity", "remaining-ms")},
+}
+
+# name: records of the topics that agents read beside the registry
+RECORDS = {
+    "tables_nested": ("keyed.op", b"\x06config" + nested(b'/*"*/')),
+    "tables_with_large_numbers": ("keyed.op", b"\x06config" + b'{"version":1e300,"routes":[]}'),
+    "tables_cut_off": ("keyed.op", b"\x06config" + b'{"version":99,"routes":['),
+    "journal_of_other_bytes": ("journal", b"\xff" * 100),
+    "journal_nested": ("journal", nested(b'/*"*/')),
+    "journal_empty": ("journal", b""),
+    "journal_kept_nested": ("journal", b"\x4a\x7f" + b"\x0a\x7f" * 60),
 }
 
 
@@ -102,6 +116,14 @@
         self.scene.store.put("keyed.servers", worker.id, b"")
         return None
 
+    async def play_record(self, name, topic, record):
+        self.scene.store.append(topic, [record])
+        wrong = await self.is_followed(name)
+        ended = [agent.name for agent in self.scene.agents if not agent.is_running()]
+        if topic == "keyed.op":
+            self.scene.put_tables({"/jobs/": "svc"}, ["svc"])
+        return f"{', '.join(ended)} ended" if ended else wrong
+
     async def play_entry(self, name, key, value):
         self.scene.store.put("keyed.servers", key, value)
         wrong = await self.is_followed(name)
@@ -122,7 +144,8 @@
     await asyncio.sleep(1.0)
     one = Play(scene)
     odd = {**ODD, WRAPS: ("odd", entry(address=port_wraps_to(sound)))}
-    return {name: await one.play_entry(name, *odd[name]) for name in names}
+    return {name: await (one.play_record(name, *RECORDS[name]) if name in RECORDS
+                         else one.play_entry(name, *odd[name])) for name in names}
 
 
 async def run_scene(folder, names):
@@ -136,7 +159,7 @@
 
 async def run(folder):
     """Plays the entries in some installations side by side: most of the time is spent on waiting."""
-    names = [*ODD, WRAPS]
+    names = [*ODD, WRAPS, *RECORDS]
     parts = await asyncio.gather(*(run_scene(os.path.join(folder, str(i)), names[i::N_SCENES])
                                    for i in range(N_SCENES)))
     return {name: text for part in parts for name, text in part.items()}
