--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -119,21 +119,27 @@
     async def play_record(self, name, topic, record):
         self.scene.store.append(topic, [record])
         wrong = await self.is_followed(name)
-        ended = [agent.name for agent in self.scene.agents if not agent.is_running()]
         if topic == "keyed.op":
             self.scene.put_tables({"/jobs/": "svc"}, ["svc"])
-        return f"{', '.join(ended)} ended" if ended else wrong
+        ended = await self.stop_if_ended()
+        return ended or wrong
 
     async def play_entry(self, name, key, value):
         self.scene.store.put("keyed.servers", key, value)
         wrong = await self.is_followed(name)
-        ended = [agent.name for agent in self.scene.agents if not agent.is_running()]
         self.scene.store.put("keyed.servers", key, b"")
+        ended = await self.stop_if_ended()
+        if ended:
+            await self.scene.start_agents()
+        return ended or wrong
+
+    async def stop_if_ended(self):
+        """Which agents have ended, or None. The others are ended, too."""
+        ended = [agent.name for agent in self.scene.agents if not agent.is_running()]
         if not ended:
-            return wrong
+            return None
         for agent in self.scene.agents:
             await agent.kill()
-        await self.scene.start_agents()
         return f"{', '.join(ended)} ended"
 
 
