--- /dev/null
+++ b/libbamboothread/scheduler/gauges.c
@@ -0,0 +1,35 @@
+#include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/interference.h"
+#include "libbamboothread/scheduler/sched_private.h"
+
+/*
+ * What metrics show of the scheduler's state.
+ */
+
+/**
+ * bts_sched_update_gauges() - set the gauges of the scheduler
+ * @sched: the scheduler
+ */
+void
+bts_sched_update_gauges (const bts_sched_t *sched)
+{
+  gint64 silent = 0;
+  gint64 fast = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, sched->fleet->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      silent += ((bts_worker_t *)value)->hold_failures > 0;
+      fast += bts_worker_is_fast (value);
+    }
+  bt_metrics_set (BT_GAUGE_LEADING, sched->term != 0);
+  bt_metrics_set (BT_GAUGE_WAITING_STAGES, sched->queue->len);
+  bt_metrics_set (BT_GAUGE_RUNS, g_hash_table_size (sched->runs));
+  bt_metrics_set (BT_GAUGE_WORKERS, g_hash_table_size (sched->fleet->workers));
+  bt_metrics_set (BT_GAUGE_WORKERS_SILENT, silent);
+  bt_metrics_set (BT_GAUGE_WORKERS_FAST, sched->term == 0 ? 0 : fast);
+  bt_metrics_set_tenants (sched->term == 0 ? NULL : bts_usage_to_text (sched->usage));
+  bt_metrics_set (BT_GAUGE_INTERFERING_PAIRS,
+                  sched->term == 0 ? 0 : bts_interference_count_known (sched->fleet->interference));
+}
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -714,34 +714,6 @@
       = end_us + CLAMP (examined_us * PASS_PAUSE_FACTOR, least_us, PASS_PAUSE_MAX_US);
 }
 
-/**
- * bts_sched_update_gauges() - set the gauges of the scheduler
- * @sched: the scheduler
- */
-void
-bts_sched_update_gauges (const bts_sched_t *sched)
-{
-  gint64 silent = 0;
-  gint64 fast = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      silent += ((bts_worker_t *)value)->hold_failures > 0;
-      fast += bts_worker_is_fast (value);
-    }
-  bt_metrics_set (BT_GAUGE_LEADING, sched->term != 0);
-  bt_metrics_set (BT_GAUGE_WAITING_STAGES, sched->queue->len);
-  bt_metrics_set (BT_GAUGE_RUNS, g_hash_table_size (sched->runs));
-  bt_metrics_set (BT_GAUGE_WORKERS, g_hash_table_size (sched->fleet->workers));
-  bt_metrics_set (BT_GAUGE_WORKERS_SILENT, silent);
-  bt_metrics_set (BT_GAUGE_WORKERS_FAST, sched->term == 0 ? 0 : fast);
-  bt_metrics_set_tenants (sched->term == 0 ? NULL : bts_usage_to_text (sched->usage));
-  bt_metrics_set (BT_GAUGE_INTERFERING_PAIRS,
-                  sched->term == 0 ? 0 : bts_interference_count_known (sched->fleet->interference));
-}
-
 /**
  * bts_sched_set_append_ms() - set the append latency that heartbeats report
  * @sched: the scheduler
