--- a/libbamboothread/scheduler/explain.c
+++ b/libbamboothread/scheduler/explain.c
@@ -11,9 +11,6 @@
 /* Most workers that are named for each reason. */
 #define EXAMPLES_MAX 10
 
-static const char *const band_names[]
-    = { "long-running", "urgent", "urgent-late", "on-time", "late", "excess", "obsolete" };
-
 /* By bts_place_result_t. */
 static const char *const place_names[]
     = { NULL,         "unavailable", "other-service", "no-label", "per-worker-max",
@@ -381,7 +378,7 @@
       n_before += other_band < band;
       n_within += other_band == band && other->latest_start_us <= stage->latest_start_us;
     }
-  add_string (answer, "band", band_names[band]);
+  add_string (answer, "band", bts_band_name (band));
   add_int (answer, "ahead-in-band", n_within);
   add_int (answer, "ahead-in-earlier-bands", n_before);
 }
--- a/libbamboothread/scheduler/order.c
+++ b/libbamboothread/scheduler/order.c
@@ -6,6 +6,20 @@
    gang would take a large part. */
 #define WORKERS_PER_LATE_GANG 100
 
+/* By bts_band_t. */
+static const char *const band_names[]
+    = { "long-running", "urgent", "urgent-late", "on-time", "late", "excess", "obsolete" };
+
+/**
+ * bts_band_name() - the name of a band in log lines and explanations
+ * @band: a bts_band_t
+ */
+const char *
+bts_band_name (guint band)
+{
+  return band_names[band];
+}
+
 /* Estimated time along the longest chain of dependent steps among @first_step and the steps after
    it. */
 static gint64
--- a/libbamboothread/scheduler/order.h
+++ b/libbamboothread/scheduler/order.h
@@ -28,6 +28,7 @@
   BTS_BAND_OBSOLETE,
 } bts_band_t;
 
+const char *bts_band_name (guint band);
 gint64 bts_order_allowed_ms (const bts_job_t *job);
 void bts_order_set_times (bts_stage_t *stage);
 bts_band_t bts_order_band (const bts_stage_t *stage, gint64 now_us);
