Scheduler: the owner says which steps wait, for what, and since when

Change: every 2 s the owner names at most 8 steps that have waited for 3 s or longer, 3 for each cause, the longest waits first and work of no use any more last (waiting), and counts all of them by cause and service (waits). Gauges by cause, and the longest wait; gauges may have labels now. Decides nothing. waiting.c gets what it depends on as arguments; gauges.c joins it to the owner.

--- a/libbamboothread/base/metrics.c
+++ b/libbamboothread/base/metrics.c
@@ -20,18 +20,23 @@
 /* Metrics of the tenants in the export format, or NULL. */
 static char *tenants_text;
 
-static const struct
+/**
+ * struct series_t - name of a counter or gauge in the export format
+ */
+typedef struct
 {
   const char *metric;
   const char *labels;
-} counter_names[] = {
+} series_t;
+
+static const series_t counter_names[] = {
 #define BT_METRICS_NAME(name, metric, labels) { metric, labels },
   BT_METRICS_COUNTERS (BT_METRICS_NAME)
 #undef BT_METRICS_NAME
 };
 
-static const char *const gauge_names[] = {
-#define BT_METRICS_NAME(name, metric) metric,
+static const series_t gauge_names[] = {
+#define BT_METRICS_NAME(name, metric, labels) { metric, labels },
   BT_METRICS_GAUGES (BT_METRICS_NAME)
 #undef BT_METRICS_NAME
 };
@@ -115,18 +120,35 @@
   histogram->sum_ms += ms;
 }
 
+/* Begins the line of entry @i of @names, after the TYPE line of its metric if it is the first. */
+static void
+begin_line (GString *text, const series_t *names, guint i, const char *type)
+{
+  const char *metric = names[i].metric;
+  const char *labels = names[i].labels;
+  if (i == 0 || strcmp (metric, names[i - 1].metric) != 0)
+    g_string_append_printf (text, "# TYPE bamboothread_%s %s\n", metric, type);
+  g_string_append_printf (text, "bamboothread_%s%s%s%s", metric, *labels == '\0' ? "" : "{", labels,
+                          *labels == '\0' ? "" : "}");
+}
+
 static void
 write_counters (GString *text)
 {
   for (guint i = 0; i < BT_N_COUNTS; i++)
     {
-      const char *metric = counter_names[i].metric;
-      const char *labels = counter_names[i].labels;
-      if (i == 0 || strcmp (metric, counter_names[i - 1].metric) != 0)
-        g_string_append_printf (text, "# TYPE bamboothread_%s counter\n", metric);
-      g_string_append_printf (text, "bamboothread_%s%s%s%s %" G_GUINT64_FORMAT "\n", metric,
-                              *labels == '\0' ? "" : "{", labels, *labels == '\0' ? "" : "}",
-                              counters[i]);
+      begin_line (text, counter_names, i, "counter");
+      g_string_append_printf (text, " %" G_GUINT64_FORMAT "\n", counters[i]);
+    }
+}
+
+static void
+write_gauges (GString *text)
+{
+  for (guint i = 0; i < BT_N_GAUGES; i++)
+    {
+      begin_line (text, gauge_names, i, "gauge");
+      g_string_append_printf (text, " %" G_GINT64_FORMAT "\n", gauges[i]);
     }
 }
 
@@ -160,10 +182,7 @@
 {
   GString *text = g_string_new (NULL);
   write_counters (text);
-  for (guint i = 0; i < BT_N_GAUGES; i++)
-    g_string_append_printf (text,
-                            "# TYPE bamboothread_%s gauge\nbamboothread_%s %" G_GINT64_FORMAT "\n",
-                            gauge_names[i], gauge_names[i], gauges[i]);
+  write_gauges (text);
   for (guint i = 0; i < BT_N_HISTS; i++)
     write_histogram (text, histogram_names[i], &histograms[i]);
   if (tenants_text != NULL)
--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -71,20 +71,34 @@
   X (CLIENT_PAUSES, "client_pauses_total", "")
 
 #define BT_METRICS_GAUGES(X)                                                                       \
-  X (TERM, "term")                                                                                 \
-  X (LEADING, "leading")                                                                           \
-  X (JOBS, "jobs")                                                                                 \
-  X (WAITING_STAGES, "waiting_stages")                                                             \
-  X (RUNS, "runs")                                                                                 \
-  X (WORKERS, "workers")                                                                           \
-  X (WORKERS_SILENT, "workers_silent")                                                             \
-  X (WORKERS_FAST, "workers_fast")                                                                 \
-  X (LOG_SLOW, "log_slow")                                                                         \
-  X (INTERFERING_PAIRS, "interfering_pairs")                                                       \
-  X (TABLES_VERSION, "tables_version")                                                             \
-  X (JOURNAL_AGE_MS, "journal_age_ms")                                                             \
-  X (CLIENT_CONNECTIONS, "client_connections")                                                     \
-  X (CLIENT_HELD_BYTES, "client_held_bytes")
+  X (TERM, "term", "")                                                                             \
+  X (LEADING, "leading", "")                                                                       \
+  X (JOBS, "jobs", "")                                                                             \
+  X (WAITING_STAGES, "waiting_stages", "")                                                         \
+  X (WAITING_PAUSED, "long_waiting_stages", "cause=\"paused\"")                                    \
+  X (WAITING_QUOTA, "long_waiting_stages", "cause=\"quota\"")                                      \
+  X (WAITING_ADVICE_QUOTA, "long_waiting_stages", "cause=\"advice-quota\"")                        \
+  X (WAITING_LEASES, "long_waiting_stages", "cause=\"leases\"")                                    \
+  X (WAITING_CRASH, "long_waiting_stages", "cause=\"crash\"")                                      \
+  X (WAITING_GANG, "long_waiting_stages", "cause=\"gang\"")                                        \
+  X (WAITING_BACKOFF, "long_waiting_stages", "cause=\"backoff\"")                                  \
+  X (WAITING_ADVICE_CALL, "long_waiting_stages", "cause=\"advice-call\"")                          \
+  X (WAITING_ADVICE_QUEUED, "long_waiting_stages", "cause=\"advice-queued\"")                      \
+  X (WAITING_SPEC, "long_waiting_stages", "cause=\"spec\"")                                        \
+  X (WAITING_TICKET, "long_waiting_stages", "cause=\"ticket\"")                                    \
+  X (WAITING_ROOM, "long_waiting_stages", "cause=\"room\"")                                        \
+  X (WAITING_TURN, "long_waiting_stages", "cause=\"turn\"")                                        \
+  X (LONGEST_WAIT_MS, "longest_wait_ms", "")                                                       \
+  X (RUNS, "runs", "")                                                                             \
+  X (WORKERS, "workers", "")                                                                       \
+  X (WORKERS_SILENT, "workers_silent", "")                                                         \
+  X (WORKERS_FAST, "workers_fast", "")                                                             \
+  X (LOG_SLOW, "log_slow", "")                                                                     \
+  X (INTERFERING_PAIRS, "interfering_pairs", "")                                                   \
+  X (TABLES_VERSION, "tables_version", "")                                                         \
+  X (JOURNAL_AGE_MS, "journal_age_ms", "")                                                         \
+  X (CLIENT_CONNECTIONS, "client_connections", "")                                                 \
+  X (CLIENT_HELD_BYTES, "client_held_bytes", "")
 
 #define BT_METRICS_HISTOGRAMS(X)                                                                   \
   X (APPEND_MS, "store_append_ms")                                                                 \
@@ -109,7 +123,7 @@
  */
 typedef enum
 {
-#define BT_METRICS_ENUM(name, metric) BT_GAUGE_##name,
+#define BT_METRICS_ENUM(name, metric, labels) BT_GAUGE_##name,
   BT_METRICS_GAUGES (BT_METRICS_ENUM)
 #undef BT_METRICS_ENUM
       BT_N_GAUGES,
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -213,6 +213,7 @@
       || !bts_stage_is_ready (stage))
     return;
   stage->queued = TRUE;
+  stage->waiting_since_us = bts_sched_now (sched);
   bts_order_set_times (stage);
   g_ptr_array_add (sched->queue, stage);
   sched->queue_unsorted = TRUE;
@@ -307,6 +308,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     bts_sched_enqueue_job (sched, value);
   bts_crash_begin_term (sched);
+  bts_waiting_reset (&sched->waiting, sched->term_began_us);
   bts_sched_tick (sched);
 }
 
@@ -332,6 +334,7 @@
         {
           bts_stage_t *stage = &occurrence->stages[i];
           stage->queued = FALSE;
+          stage->waiting_since_us = 0;
           stage->retry_us = 0;
           stage->quota_since_us = 0;
           stage->reserving = FALSE;
@@ -524,6 +527,7 @@
       run->task->last_run = run->number;
       bts_run_start (sched, run);
     }
+  stage->waiting_since_us = now_us;
   sched->pass_placing_us += bts_sched_now (sched) - now_us;
   if (!stage->job->begun && !stage->job->begun_reported)
     bt_metrics_observe (BT_HIST_FIRST_START_MS, (now_us - stage->job->folded_us) / 1000);
@@ -692,6 +696,7 @@
       if (bts_job_has_ended (stage->job) || bts_stage_count_pending (stage) == 0)
         {
           stage->queued = FALSE;
+          stage->waiting_since_us = 0;
           stage->no_room_since_us = 0;
           stage->lacks_room = FALSE;
           if (!bts_job_has_ended (stage->job))
@@ -824,6 +829,7 @@
   bts_heartbeat_tick (sched);
   bts_snapshot_tick (sched);
   bts_sched_run_pass (sched);
+  bts_sched_report_waiting (sched);
 }
 
 void
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -5,6 +5,7 @@
 #include "libbamboothread/scheduler/share.h"
 #include "libbamboothread/scheduler/speed.h"
 #include "libbamboothread/scheduler/usage.h"
+#include "libbamboothread/scheduler/waiting.h"
 
 /* Length of the lease that the owner requests from workers, in milliseconds. It outlasts
    a takeover after the owner was killed (BTS_ELECTION_TIMEOUT_US and one round of holds),
@@ -106,6 +107,7 @@
  * @usage: what each tenant has running
  * @share: shares of the tenants
  * @next_assume_us: when to count again what may be running unlisted for each tenant
+ * @waiting: the last report of what stages wait for
  * @snapshot_checked_us: when the owner last checked which snapshots are due
  * @oldest_needed: offset of the oldest record that a reader needs, at the last such check
  * @standing_written_us: when the owner last wrote a Standing record
@@ -160,6 +162,7 @@
   bts_usage_t *usage;
   bts_share_t *share;
   gint64 next_assume_us;
+  bts_waiting_t waiting;
   gint64 snapshot_checked_us;
   gint64 oldest_needed;
   gint64 standing_written_us;
@@ -174,6 +177,8 @@
 guint bts_quota_count_admitted (const bts_sched_t *sched, const bts_stage_t *stage, guint n_ready);
 gboolean bts_quota_has_to_wait (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
 
+void bts_sched_report_waiting (bts_sched_t *sched);
+
 gint64 bts_sched_now (const bts_sched_t *sched);
 gboolean bts_sched_lacks_room (const bts_sched_t *sched, const char *service);
 gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
