--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -213,6 +213,7 @@
       || !bts_stage_is_ready (stage))
     return;
   stage->queued = TRUE;
+  stage->waiting_since_us = bts_sched_now (sched);
   bts_order_set_times (stage);
   g_ptr_array_add (sched->queue, stage);
   sched->queue_unsorted = TRUE;
@@ -307,6 +308,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     bts_sched_enqueue_job (sched, value);
   bts_crash_begin_term (sched);
+  bts_waiting_reset (&sched->waiting, sched->term_began_us);
   bts_sched_tick (sched);
 }
 
@@ -332,6 +334,7 @@
         {
           bts_stage_t *stage = &occurrence->stages[i];
           stage->queued = FALSE;
+          stage->waiting_since_us = 0;
           stage->retry_us = 0;
           stage->quota_since_us = 0;
           stage->reserving = FALSE;
@@ -524,6 +527,7 @@
       run->task->last_run = run->number;
       bts_run_start (sched, run);
     }
+  stage->waiting_since_us = now_us;
   sched->pass_placing_us += bts_sched_now (sched) - now_us;
   if (!stage->job->begun && !stage->job->begun_reported)
     bt_metrics_observe (BT_HIST_FIRST_START_MS, (now_us - stage->job->folded_us) / 1000);
@@ -692,6 +696,7 @@
       if (bts_job_has_ended (stage->job) || bts_stage_count_pending (stage) == 0)
         {
           stage->queued = FALSE;
+          stage->waiting_since_us = 0;
           stage->no_room_since_us = 0;
           stage->lacks_room = FALSE;
           if (!bts_job_has_ended (stage->job))
@@ -714,34 +719,6 @@
       = end_us + CLAMP (examined_us * PASS_PAUSE_FACTOR, least_us, PASS_PAUSE_MAX_US);
 }
 
-/**
- * bts_sched_update_gauges() - set the gauges of the scheduler
- * @sched: the scheduler
- */
-void
-bts_sched_update_gauges (const bts_sched_t *sched)
-{
-  gint64 silent = 0;
-  gint64 fast = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, sched->fleet->workers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      silent += ((bts_worker_t *)value)->hold_failures > 0;
-      fast += bts_worker_is_fast (value);
-    }
-  bt_metrics_set (BT_GAUGE_LEADING, sched->term != 0);
-  bt_metrics_set (BT_GAUGE_WAITING_STAGES, sched->queue->len);
-  bt_metrics_set (BT_GAUGE_RUNS, g_hash_table_size (sched->runs));
-  bt_metrics_set (BT_GAUGE_WORKERS, g_hash_table_size (sched->fleet->workers));
-  bt_metrics_set (BT_GAUGE_WORKERS_SILENT, silent);
-  bt_metrics_set (BT_GAUGE_WORKERS_FAST, sched->term == 0 ? 0 : fast);
-  bt_metrics_set_tenants (sched->term == 0 ? NULL : bts_usage_to_text (sched->usage));
-  bt_metrics_set (BT_GAUGE_INTERFERING_PAIRS,
-                  sched->term == 0 ? 0 : bts_interference_count_known (sched->fleet->interference));
-}
-
 /**
  * bts_sched_set_append_ms() - set the append latency that heartbeats report
  * @sched: the scheduler
@@ -852,6 +829,7 @@
   bts_heartbeat_tick (sched);
   bts_snapshot_tick (sched);
   bts_sched_run_pass (sched);
+  bts_sched_report_waiting (sched);
 }
 
 void
