Advice: a call in flight doesn't keep a step from workers that it may use

Cause: bts_advice_ensure() held a step back while any request for it was in flight. A call for such a step takes 0.9 to 1.1 s, tickets are valid for 1.5 s, and the owner asks about further workers as soon as the last reply leaves tasks without room. So tickets that had just been renewed expire during the next call, and room made by preemption goes to others.

Now only the first request for a step holds it back. Others are in flight beside attempts to place it, which start what has valid tickets.

room_that_appears_during_a_call failed before: no task ran 0.5 s after the workers had become free.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -399,21 +399,22 @@
  * @stage: the stage
  * @now_us: the time
  *
- * Return: whether the stage can be placed. FALSE while a request is in flight, and if the stage
- * has no advice yet.
+ * A request about further workers or for new tickets doesn't keep it from the workers for which it
+ * has valid tickets: these would expire meanwhile.
+ *
+ * Return: whether the stage can be placed: it has advice.
  */
 gboolean
 bts_advice_ensure (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
 {
   if (!bts_stage_policy (stage)->advised)
     return TRUE;
-  if (stage->advice_asked_us != 0 && now_us < stage->advice_deadline_us)
-    return FALSE;
-  if (stage->advice_asked_us != 0)
+  if (stage->advice_asked_us != 0 && now_us >= stage->advice_deadline_us)
     suspect_advice_node (sched, stage, now_us);
   if (stage->advice != NULL)
     return TRUE;
-  request_advice (sched, stage, SCOPE_UNKNOWN, now_us);
+  if (stage->advice_asked_us == 0)
+    request_advice (sched, stage, SCOPE_UNKNOWN, now_us);
   return FALSE;
 }
 
--- a/tests/test_advice.c
+++ b/tests/test_advice.c
@@ -172,6 +172,54 @@
 }
 END_TEST
 
+/* Takes all of a worker, and of the room of its GPUs. */
+static const sim_step_t whole[] = { { .count = 1, .cpu = 32000, .memory = 60000, .ms = 60000 } };
+static const sim_step_t wide_whole[]
+    = { { .count = 4, .cpu = 32000, .memory = 60000, .ms = 1500 } };
+/* Time of a call for each worker that it names, with which a typical call takes 0.9 s. */
+#define LONG_CALL_WORKER_US (30 * 1000)
+
+static void
+run_until_calls (sim_t *sim, guint n)
+{
+  for (guint i = 0; i < 500 && sim->advice_calls < n; i++)
+    sim_run_ms (sim, 10);
+  ck_assert_uint_eq (sim->advice_calls, n);
+}
+
+/* Guards against a step that isn't started on workers for which it holds valid tickets, as long as
+   a call about further workers is in flight. */
+START_TEST (room_that_appears_during_a_call)
+{
+  sim_t *sim = sim_with_advice (4);
+  sim->advised = FALSE;
+  GPtrArray *fillers = g_ptr_array_new ();
+  for (guint i = 0; i < N_WORKERS; i++)
+    g_ptr_array_add (fillers, sim_submit (sim, 0, &batch, whole, G_N_ELEMENTS (whole)));
+  sim_run_ms (sim, 3000);
+  ck_assert_uint_eq (sim->starts, N_WORKERS);
+  sim->advised = TRUE;
+  sim->advice_worker_us = LONG_CALL_WORKER_US;
+  sim_job_t *job = sim_submit (sim, 0, &service, wide_whole, G_N_ELEMENTS (wide_whole));
+  run_until_calls (sim, 2);
+  g_autofree char *step = g_strdup_printf ("%s.0", job->id);
+  for (guint i = 0; i < N_WORKERS; i++)
+    {
+      const sim_worker_t *worker = sim_worker (sim, i);
+      const sim_run_t *run = worker->runs->pdata[0];
+      g_autofree char *id = g_strndup (run->name, BTS_JOB_ID_LEN);
+      for (guint j = 0; j < fillers->len && sim_is_allowed (sim, step, worker->id); j++)
+        if (strcmp (((sim_job_t *)fillers->pdata[j])->id, id) == 0)
+          sim_cancel (sim, 0, fillers->pdata[j]);
+    }
+  sim_run_ms (sim, 500);
+  ck_assert_uint_eq (sim->advice_calls, 2);
+  ck_assert_uint_gt (sim_running (sim, job->id), 0);
+  g_ptr_array_unref (fillers);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -180,5 +228,6 @@
   tcase_add_loop_test (tests, wide_step_after_two_changes_of_the_owner, 0, 2);
   tcase_add_test (tests, wide_step_beside_urgent_work);
   tcase_add_test (tests, missing_reply_of_an_earlier_request);
+  tcase_add_test (tests, room_that_appears_during_a_call);
   return suite_run ("advice", tests);
 }
