Advice: work that is late beyond use has its turns too

Cause: stages whose result is assumed to be of no use any more come last in the queue, and last among the overdue ones, which get each sixteenth call. While newer work asks for more calls than there are, none is left for them.

Now each fourth of the turns of overdue stages goes by the latest start alone.

obsolete_step_beside_newer_work failed before: the step hadn't ended after 60 s.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -47,6 +47,9 @@
    a stage that is late would get no advice for as long as there is enough of these, although most
    of the workers are free. */
 #define REQUESTS_PER_TURN 16
+/* One such turn in so many goes by the latest start alone, so that work that was accepted ends,
+   however late, while newer work keeps the calls busy. */
+#define OBSOLETE_TURN 4
 /* A stage whose request has waited this long is overdue, in microseconds. */
 #define OVERDUE_US (1000 * 1000)
 /* With at least this many other processes the owner makes no calls to the service itself. */
@@ -328,28 +331,32 @@
   return TRUE;
 }
 
+/* Whether a stage's turn comes before that of another one. Those whose result is of no use any more
+   come last, but in each %OBSOLETE_TURN-th turn: there may be hundreds of them, and their calls
+   take long. */
 static gboolean
-is_more_overdue (const bts_stage_t *stage, const bts_stage_t *other, gint64 now_us)
+is_more_overdue (const bts_stage_t *stage, const bts_stage_t *other, gboolean obsolete_last,
+                 gint64 now_us)
 {
   gboolean is_obsolete = now_us > stage->obsolete_us;
-  if (is_obsolete != (now_us > other->obsolete_us))
+  if (obsolete_last && is_obsolete != (now_us > other->obsolete_us))
     return !is_obsolete;
   return stage->latest_start_us < other->latest_start_us;
 }
 
 /* The most overdue of the stages whose requests have waited for long, by their latest start, in
-   which owners agree; NULL if there is none. Those whose result is of no use any more come last:
-   there may be hundreds of them, and their calls take long. */
+   which owners agree; NULL if there is none. */
 static bts_stage_t *
 find_overdue (const bts_sched_t *sched, gint64 now_us)
 {
+  gboolean obsolete_last = (sched->advice_turns + 1) % OBSOLETE_TURN != 0;
   bts_stage_t *overdue = NULL;
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
       if (stage->advice_wanted_us != 0 && now_us - stage->advice_wanted_us >= OVERDUE_US
           && stage->advice_asked_us == 0 && !bts_job_has_ended (stage->job)
-          && (overdue == NULL || is_more_overdue (stage, overdue, now_us)))
+          && (overdue == NULL || is_more_overdue (stage, overdue, obsolete_last, now_us)))
         overdue = stage;
     }
   return overdue;
@@ -370,6 +377,7 @@
       || stage->advice_asked_us == 0)
     return;
   sched->advice_since_turn = 0;
+  sched->advice_turns++;
   bt_metrics_count (BT_COUNT_ADVICE_OVERDUE);
   bt_log (BT_LOG_INFO, "advice-overdue", "job=%s occurrence=%u step=%u waited_ms=%" G_GINT64_FORMAT,
           bts_job_id (stage->job), stage->occurrence, stage->step, waited_us / 1000);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -89,6 +89,7 @@
  * @members: the processes, any of which may ask for advice
  * @advice_requests: counts requests for advice; each begins with another worker of the pool
  * @advice_since_turn: requests in the order of the queue since the last one for an overdue stage
+ * @advice_turns: counts the requests for overdue stages
  * @advice_nodes_busy_us: until when no process has capacity for a short (index 0) or a long
  *   (index 1) call to the advice service
  * @speed: measured speed of the workers
@@ -145,6 +146,7 @@
   bts_members_t *members;
   guint advice_requests;
   guint advice_since_turn;
+  guint advice_turns;
   gint64 advice_nodes_busy_us[2];
   bts_speed_t *speed;
   gboolean dirty;
--- a/tests/test_advice.c
+++ b/tests/test_advice.c
@@ -14,6 +14,9 @@
 #define CALL_WORKER_US 1000
 /* Longest time that the wide step may wait for its last start. */
 #define WAIT_MS 8000
+/* The same for a step whose result is assumed to be of no use any more: that of the rule for the
+   end of a day. */
+#define OBSOLETE_WAIT_MS 14000
 
 static const sim_policy_t lookup = { "main", 0, 3, 300 };
 static const sim_policy_t batch = { "main", 2, 3, 3000 };
@@ -220,6 +223,24 @@
 }
 END_TEST
 
+/* Guards against a step that never gets advice once its result is assumed to be of no use any more,
+   for as long as newer work keeps the advice service busy. */
+START_TEST (obsolete_step_beside_newer_work)
+{
+  /* Obsolete half a second after it was accepted. */
+  const sim_policy_t hasty = { "main", 2, 3, 1, .stretch = 0.1 };
+  sim_t *sim = sim_with_advice (4);
+  load_t load = { sim, 50, 50 };
+  play (&load, 4000);
+  load.watched = sim_submit (sim, live_node (sim, 0), &hasty, wide, G_N_ELEMENTS (wide));
+  while (!is_watched_done (&load) && load.waited_ms < 60000)
+    play (&load, 1000);
+  ck_assert_msg (load.waited_ms < OBSOLETE_WAIT_MS, "the step has taken %u ms", load.waited_ms);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -228,6 +249,7 @@
   tcase_add_loop_test (tests, wide_step_after_two_changes_of_the_owner, 0, 2);
   tcase_add_test (tests, wide_step_beside_urgent_work);
   tcase_add_test (tests, missing_reply_of_an_earlier_request);
+  tcase_add_test (tests, obsolete_step_beside_newer_work);
   tcase_add_test (tests, room_that_appears_during_a_call);
   return suite_run ("advice", tests);
 }
