Advice: processes are kept for short calls only as far as these need them

Cause: long calls went to every second process, to keep the others for short ones, however few of those there were, and the owner, which makes no calls, counted as one of them. Of six processes two carried all long calls.

Now the processes that make calls are counted without the owner, and as many of them are kept for short calls as those have needed in the last seconds, at most half; half at the beginning of a term.

long_calls_while_nobody_needs_short_ones failed before: jobs hadn't ended after 6 s.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -4,6 +4,7 @@
 
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/call_share.h"
 #include "libbamboothread/scheduler/election.h"
 #include "libbamboothread/scheduler/place.h"
 
@@ -73,26 +74,48 @@
   return member->busy_until_us < other->busy_until_us;
 }
 
-/* The process that will be free first, or NULL if none will be soon. Long calls, which
-   would delay the short ones, only go to every second process. */
-static bts_member_t *
-choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gint64 now_us)
+/* The processes that make calls: all others that can be asked, and the owner itself if they are
+   few. */
+static GPtrArray *
+list_callers (const bts_sched_t *sched, gint64 now_us)
 {
-  if (sched->advice_nodes_busy_us[is_long_call] > now_us)
-    return NULL;
-  g_autoptr (GPtrArray) askable = bts_members_list_askable (sched->members, now_us);
+  GPtrArray *askable = bts_members_list_askable (sched->members, now_us);
   const char *self = bts_ledger_owner (sched->ledger);
   guint n_live = 0;
   for (guint i = 0; i < askable->len; i++)
     n_live += !((const bts_member_t *)askable->pdata[i])->unconfirmed;
-  bts_member_t *best = NULL;
-  for (guint i = 0; i < askable->len; i++)
+  for (guint i = askable->len; i > 0; i--)
     {
-      bts_member_t *member = askable->pdata[i];
+      const bts_member_t *member = askable->pdata[i - 1];
       gboolean is_self = g_strcmp0 (member->name, self) == 0;
-      guint calls_max = member->unconfirmed ? 1 : REQUESTS_PER_NODE_MAX;
-      if (member->calls_in_flight >= calls_max || (is_long_call && i % 2 != 0)
-          || (is_self ? n_live > OTHER_NODES_MIN : member->address == NULL))
+      if (is_self ? n_live > OTHER_NODES_MIN : member->address == NULL)
+        g_ptr_array_remove_index (askable, i - 1);
+    }
+  return askable;
+}
+
+static gboolean
+can_take_call (const bts_member_t *member)
+{
+  return member->calls_in_flight < (member->unconfirmed ? 1 : REQUESTS_PER_NODE_MAX);
+}
+
+/* The process that will be free first, or NULL if none will be soon. Long calls, which would delay
+   the short ones, only go to processes that aren't kept for those. */
+static bts_member_t *
+choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gint64 now_us)
+{
+  gint64 *busy_us = &sched->advice_nodes_busy_us[is_long_call];
+  if (*busy_us > now_us)
+    return NULL;
+  g_autoptr (GPtrArray) callers = list_callers (sched, now_us);
+  guint n_kept = bts_call_share_count_kept (sched->call_share, callers->len, now_us);
+  bts_member_t *best = NULL;
+  for (guint i = 0; i < callers->len; i++)
+    {
+      bts_member_t *member = callers->pdata[i];
+      gboolean is_kept = bts_call_share_is_kept (i, n_kept, callers->len);
+      if (!can_take_call (member) || (is_kept && is_long_call))
         continue;
       if (best == NULL || is_better_choice (member, best, now_us))
         best = member;
@@ -101,8 +124,7 @@
     return best;
   /* Skips the search until a process will be free soon enough; if none can be asked at all, for
      the rest of this pass. */
-  sched->advice_nodes_busy_us[is_long_call]
-      = best == NULL ? now_us + 1 : best->busy_until_us - QUEUE_AHEAD_MAX_US;
+  *busy_us = best == NULL ? now_us + 1 : best->busy_until_us - QUEUE_AHEAD_MAX_US;
   return NULL;
 }
 
@@ -148,7 +170,10 @@
 send_request (bts_sched_t *sched, bts_stage_t *stage, bts_member_t *member, request_scope_t scope,
               const GPtrArray *workers, gint64 now_us)
 {
-  bts_member_add_call (member, call_duration_us (bts_stage_policy (stage), workers->len), now_us);
+  gint64 duration_us = call_duration_us (bts_stage_policy (stage), workers->len);
+  bts_member_add_call (member, duration_us, now_us);
+  if (!needs_long_call (stage))
+    bts_call_share_charge (sched->call_share, duration_us, now_us);
   stage->advice_asked_us = now_us;
   stage->advice_wanted_us = 0;
   stage->advice_deadline_us = member->busy_until_us + MESSAGE_ROUND_TRIP_US;
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -78,6 +78,7 @@
   sched->short_services = g_ptr_array_new ();
   sched->usage = bts_usage_new (config->urgent_quota_percent);
   sched->share = bts_share_new (sched->usage);
+  sched->call_share = bts_call_share_new ();
   sched->members = members;
   fleet->interference = config->interference ? bts_interference_new () : NULL;
   return sched;
@@ -96,6 +97,7 @@
   g_ptr_array_unref (sched->short_services);
   bts_speed_free (sched->speed);
   bts_share_free (sched->share);
+  bts_call_share_free (sched->call_share);
   bts_usage_free (sched->usage);
   g_clear_pointer (&sched->fleet->interference, bts_interference_free);
   g_free (sched);
@@ -295,6 +297,7 @@
   sched->settled = FALSE;
   sched->next_assume_us = 0;
   sched->entries_stale = TRUE;
+  bts_call_share_begin_term (sched->call_share, sched->term_began_us);
   guint64 learned_term;
   const Bts__Interference *learned = bts_ledger_interference (sched->ledger, &learned_term);
   bts_interference_begin_term (sched->fleet->interference, term, learned, learned_term);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -1,6 +1,7 @@
 #ifndef BTS_SCHED_PRIVATE_H
 #define BTS_SCHED_PRIVATE_H
 
+#include "libbamboothread/scheduler/call_share.h"
 #include "libbamboothread/scheduler/sched.h"
 #include "libbamboothread/scheduler/share.h"
 #include "libbamboothread/scheduler/speed.h"
@@ -90,6 +91,7 @@
  * @advice_requests: counts requests for advice; each begins with another worker of the pool
  * @advice_since_turn: requests in the order of the queue since the last one for an overdue stage
  * @advice_turns: counts the requests for overdue stages
+ * @call_share: how calls to the advice service are shared
  * @advice_nodes_busy_us: until when no process has capacity for a short (index 0) or a long
  *   (index 1) call to the advice service
  * @speed: measured speed of the workers
@@ -147,6 +149,7 @@
   guint advice_requests;
   guint advice_since_turn;
   guint advice_turns;
+  bts_call_share_t *call_share;
   gint64 advice_nodes_busy_us[2];
   bts_speed_t *speed;
   gboolean dirty;
--- a/tests/test_advice.c
+++ b/tests/test_advice.c
@@ -190,6 +190,26 @@
   ck_assert_uint_eq (sim->advice_calls, n);
 }
 
+/* Guards against calls that take long being made by half of the processes, the owner among them,
+   although nobody needs the others for short calls: jobs wait for advice beside free workers. */
+START_TEST (long_calls_while_nobody_needs_short_ones)
+{
+  sim_t *sim = sim_with_advice (6);
+  sim->advice_worker_us = LONG_CALL_WORKER_US;
+  GPtrArray *jobs = g_ptr_array_new ();
+  /* Five processes make a call each at a time: four rounds, and one more for steps that no worker
+     of the first call may run. */
+  for (guint i = 0; i < 20; i++)
+    g_ptr_array_add (jobs, sim_submit (sim, i % 6, &batch, urgent, G_N_ELEMENTS (urgent)));
+  sim_run_ms (sim, 6000);
+  for (guint i = 0; i < jobs->len; i++)
+    ck_assert_int_eq (sim_state (sim, jobs->pdata[i]), BTS_JOB_COMPLETED);
+  g_ptr_array_unref (jobs);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against a step that isn't started on workers for which it holds valid tickets, as long as
    a call about further workers is in flight. */
 START_TEST (room_that_appears_during_a_call)
@@ -249,6 +269,7 @@
   tcase_add_loop_test (tests, wide_step_after_two_changes_of_the_owner, 0, 2);
   tcase_add_test (tests, wide_step_beside_urgent_work);
   tcase_add_test (tests, missing_reply_of_an_earlier_request);
+  tcase_add_test (tests, long_calls_while_nobody_needs_short_ones);
   tcase_add_test (tests, obsolete_step_beside_newer_work);
   tcase_add_test (tests, room_that_appears_during_a_call);
   return suite_run ("advice", tests);
