Advice: each service gets its share of the calls

Cause: calls to the advice service are handed out in the order of the queue, whichever service a step belongs to. Each process makes one call at a time. Steps of a service whose workers are full ask again about each worker that gets room, and took all calls, so the steps of another service, whose workers were free, got none.

Now the owner remembers for some seconds what the calls for each service have taken. While requests for a service wait that has had less than half of an equal share, others use only the processes that are kept for short calls.

gang_beside_a_service_that_is_full failed before: the gang hadn't ended after 60 s.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -101,12 +101,13 @@
 }
 
 /* The process that will be free first, or NULL if none will be soon. Long calls, which would delay
-   the short ones, only go to processes that aren't kept for those. */
+   the short ones, only go to processes that aren't kept for those; a service that has to yield only
+   uses the kept ones. */
 static bts_member_t *
-choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gint64 now_us)
+choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gboolean yields, gint64 now_us)
 {
-  gint64 *busy_us = &sched->advice_nodes_busy_us[is_long_call];
-  if (*busy_us > now_us)
+  gint64 *busy_us = &sched->advice_nodes_busy_us[is_long_call][yields];
+  if (*busy_us > now_us || (is_long_call && yields))
     return NULL;
   g_autoptr (GPtrArray) callers = list_callers (sched, now_us);
   guint n_kept = bts_call_share_count_kept (sched->call_share, callers->len, now_us);
@@ -115,7 +116,7 @@
     {
       bts_member_t *member = callers->pdata[i];
       gboolean is_kept = bts_call_share_is_kept (i, n_kept, callers->len);
-      if (!can_take_call (member) || (is_kept && is_long_call))
+      if (!can_take_call (member) || (is_kept ? is_long_call : yields))
         continue;
       if (best == NULL || is_better_choice (member, best, now_us))
         best = member;
@@ -172,8 +173,8 @@
 {
   gint64 duration_us = call_duration_us (bts_stage_policy (stage), workers->len);
   bts_member_add_call (member, duration_us, now_us);
-  if (!needs_long_call (stage))
-    bts_call_share_charge (sched->call_share, duration_us, now_us);
+  bts_call_share_charge (sched->call_share, stage->job->service, duration_us,
+                         !needs_long_call (stage), now_us);
   stage->advice_asked_us = now_us;
   stage->advice_wanted_us = 0;
   stage->advice_deadline_us = member->busy_until_us + MESSAGE_ROUND_TRIP_US;
@@ -346,9 +347,16 @@
 static gboolean
 try_request (bts_sched_t *sched, bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
-  bts_member_t *member = choose_advice_node (sched, needs_long_call (stage), now_us);
+  const char *service = stage->job->service;
+  gboolean yields = bts_call_share_has_to_yield (sched->call_share, service, now_us);
+  bts_member_t *member = choose_advice_node (sched, needs_long_call (stage), yields, now_us);
   if (member == NULL)
-    return FALSE;
+    {
+      bts_call_share_wait (sched->call_share, service, now_us);
+      if (yields)
+        bt_metrics_count (BT_COUNT_ADVICE_YIELDED);
+      return FALSE;
+    }
   g_autoptr (GPtrArray) ids = choose_workers (sched, stage, scope, now_us);
   stage->advice_wanted_us = 0;
   if (ids->len > 0)
@@ -414,7 +422,7 @@
 request_advice (bts_sched_t *sched, bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
   if (sched->advice_since_turn >= REQUESTS_PER_TURN
-      && choose_advice_node (sched, FALSE, now_us) != NULL)
+      && choose_advice_node (sched, FALSE, FALSE, now_us) != NULL)
     request_for_overdue (sched, now_us);
   if (stage->advice_asked_us == 0 && try_request (sched, stage, scope, now_us))
     {
@@ -555,8 +563,7 @@
   bts_members_finish_call (sched->members, asked->node, now_us);
   if (advice != NULL)
     bts_members_mark_answered (sched->members, asked->node, now_us);
-  sched->advice_nodes_busy_us[FALSE] = 0;
-  sched->advice_nodes_busy_us[TRUE] = 0;
+  memset (sched->advice_nodes_busy_us, 0, sizeof sched->advice_nodes_busy_us);
   sched->dirty = TRUE;
   bts_job_t *job = sched->term == 0 ? NULL : bts_ledger_job (sched->ledger, asked->job);
   bts_stage_t *stage = job == NULL || bts_job_has_ended (job)
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -92,8 +92,9 @@
  * @advice_since_turn: requests in the order of the queue since the last one for an overdue stage
  * @advice_turns: counts the requests for overdue stages
  * @call_share: how calls to the advice service are shared
- * @advice_nodes_busy_us: until when no process has capacity for a short (index 0) or a long
- *   (index 1) call to the advice service
+ * @advice_nodes_busy_us: until when no process has capacity for a short (first index 0) or a long
+ *   (1) call to the advice service, for a service that has to yield to others (second index 1) or
+ *   hasn't
  * @speed: measured speed of the workers
  * @dirty: something has changed, so that a pass over the queue may place tasks
  * @last_pass_us: when the last pass ran
@@ -150,7 +151,7 @@
   guint advice_since_turn;
   guint advice_turns;
   bts_call_share_t *call_share;
-  gint64 advice_nodes_busy_us[2];
+  gint64 advice_nodes_busy_us[2][2];
   bts_speed_t *speed;
   gboolean dirty;
   gint64 last_pass_us;
--- a/tests/test_advice.c
+++ b/tests/test_advice.c
@@ -179,6 +179,8 @@
 static const sim_step_t whole[] = { { .count = 1, .cpu = 32000, .memory = 60000, .ms = 60000 } };
 static const sim_step_t wide_whole[]
     = { { .count = 4, .cpu = 32000, .memory = 60000, .ms = 1500 } };
+static const sim_step_t gang[]
+    = { { .count = 3, .cpu = 20000, .memory = 20000, .gpus = 4, .ms = 1500, .gang = TRUE } };
 /* Time of a call for each worker that it names, with which a typical call takes 0.9 s. */
 #define LONG_CALL_WORKER_US (30 * 1000)
 
@@ -210,6 +212,50 @@
 }
 END_TEST
 
+/* Guards against a service whose workers are full, with many stages that ask for advice, taking all
+   calls: a gang of another service waits beside free workers. */
+START_TEST (gang_beside_a_service_that_is_full)
+{
+  /* Obsolete half a second after it was accepted, so that it comes last in the queue. */
+  const sim_policy_t other = { "other", 1, 3, 1, .stretch = 0.1 };
+  sim_t *sim = sim_with_advice (6);
+  sim->advice_worker_us = LONG_CALL_WORKER_US;
+  for (guint i = 0; i < 30; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("other-%u", i);
+      bts_resources_t room = { 32000, 65536, 8 };
+      sim_add_worker (sim, id, "other", room);
+    }
+  sim_run_ms (sim, 2000);
+  load_t load = { sim, 0, 0 };
+  for (guint i = 0; i < 150; i++)
+    sim_submit (sim, i % 6, &batch, whole, G_N_ELEMENTS (whole));
+  play (&load, 1000);
+  load.watched = sim_submit (sim, 0, &other, gang, G_N_ELEMENTS (gang));
+  expect_done_in_time (&load);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against a step that never gets advice once its result is assumed to be of no use any more,
+   for as long as newer work keeps the advice service busy. */
+START_TEST (obsolete_step_beside_newer_work)
+{
+  /* Obsolete half a second after it was accepted. */
+  const sim_policy_t hasty = { "main", 2, 3, 1, .stretch = 0.1 };
+  sim_t *sim = sim_with_advice (4);
+  load_t load = { sim, 50, 50 };
+  play (&load, 4000);
+  load.watched = sim_submit (sim, live_node (sim, 0), &hasty, wide, G_N_ELEMENTS (wide));
+  while (!is_watched_done (&load) && load.waited_ms < 60000)
+    play (&load, 1000);
+  ck_assert_msg (load.waited_ms < OBSOLETE_WAIT_MS, "the step has taken %u ms", load.waited_ms);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against a step that isn't started on workers for which it holds valid tickets, as long as
    a call about further workers is in flight. */
 START_TEST (room_that_appears_during_a_call)
@@ -243,24 +289,6 @@
 }
 END_TEST
 
-/* Guards against a step that never gets advice once its result is assumed to be of no use any more,
-   for as long as newer work keeps the advice service busy. */
-START_TEST (obsolete_step_beside_newer_work)
-{
-  /* Obsolete half a second after it was accepted. */
-  const sim_policy_t hasty = { "main", 2, 3, 1, .stretch = 0.1 };
-  sim_t *sim = sim_with_advice (4);
-  load_t load = { sim, 50, 50 };
-  play (&load, 4000);
-  load.watched = sim_submit (sim, live_node (sim, 0), &hasty, wide, G_N_ELEMENTS (wide));
-  while (!is_watched_done (&load) && load.waited_ms < 60000)
-    play (&load, 1000);
-  ck_assert_msg (load.waited_ms < OBSOLETE_WAIT_MS, "the step has taken %u ms", load.waited_ms);
-  sim_check (sim);
-  sim_free (sim);
-}
-END_TEST
-
 int
 main (void)
 {
@@ -270,6 +298,7 @@
   tcase_add_test (tests, wide_step_beside_urgent_work);
   tcase_add_test (tests, missing_reply_of_an_earlier_request);
   tcase_add_test (tests, long_calls_while_nobody_needs_short_ones);
+  tcase_add_test (tests, gang_beside_a_service_that_is_full);
   tcase_add_test (tests, obsolete_step_beside_newer_work);
   tcase_add_test (tests, room_that_appears_during_a_call);
   return suite_run ("advice", tests);
