--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -4,6 +4,7 @@
 
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/call_share.h"
 #include "libbamboothread/scheduler/election.h"
 #include "libbamboothread/scheduler/place.h"
 
@@ -47,6 +48,9 @@
    a stage that is late would get no advice for as long as there is enough of these, although most
    of the workers are free. */
 #define REQUESTS_PER_TURN 16
+/* One such turn in so many goes by the latest start alone, so that work that was accepted ends,
+   however late, while newer work keeps the calls busy. */
+#define OBSOLETE_TURN 4
 /* A stage whose request has waited this long is overdue, in microseconds. */
 #define OVERDUE_US (1000 * 1000)
 /* With at least this many other processes the owner makes no calls to the service itself. */
@@ -70,26 +74,49 @@
   return member->busy_until_us < other->busy_until_us;
 }
 
-/* The process that will be free first, or NULL if none will be soon. Long calls, which
-   would delay the short ones, only go to every second process. */
-static bts_member_t *
-choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gint64 now_us)
+/* The processes that make calls: all others that can be asked, and the owner itself if they are
+   few. */
+static GPtrArray *
+list_callers (const bts_sched_t *sched, gint64 now_us)
 {
-  if (sched->advice_nodes_busy_us[is_long_call] > now_us)
-    return NULL;
-  g_autoptr (GPtrArray) askable = bts_members_list_askable (sched->members, now_us);
+  GPtrArray *askable = bts_members_list_askable (sched->members, now_us);
   const char *self = bts_ledger_owner (sched->ledger);
   guint n_live = 0;
   for (guint i = 0; i < askable->len; i++)
     n_live += !((const bts_member_t *)askable->pdata[i])->unconfirmed;
-  bts_member_t *best = NULL;
-  for (guint i = 0; i < askable->len; i++)
+  for (guint i = askable->len; i > 0; i--)
     {
-      bts_member_t *member = askable->pdata[i];
+      const bts_member_t *member = askable->pdata[i - 1];
       gboolean is_self = g_strcmp0 (member->name, self) == 0;
-      guint calls_max = member->unconfirmed ? 1 : REQUESTS_PER_NODE_MAX;
-      if (member->calls_in_flight >= calls_max || (is_long_call && i % 2 != 0)
-          || (is_self ? n_live > OTHER_NODES_MIN : member->address == NULL))
+      if (is_self ? n_live > OTHER_NODES_MIN : member->address == NULL)
+        g_ptr_array_remove_index (askable, i - 1);
+    }
+  return askable;
+}
+
+static gboolean
+can_take_call (const bts_member_t *member)
+{
+  return member->calls_in_flight < (member->unconfirmed ? 1 : REQUESTS_PER_NODE_MAX);
+}
+
+/* The process that will be free first, or NULL if none will be soon. Long calls, which would delay
+   the short ones, only go to processes that aren't kept for those; a service that has to yield only
+   uses the kept ones. */
+static bts_member_t *
+choose_advice_node (bts_sched_t *sched, gboolean is_long_call, gboolean yields, gint64 now_us)
+{
+  gint64 *busy_us = &sched->advice_nodes_busy_us[is_long_call][yields];
+  if (*busy_us > now_us || (is_long_call && yields))
+    return NULL;
+  g_autoptr (GPtrArray) callers = list_callers (sched, now_us);
+  guint n_kept = bts_call_share_count_kept (sched->call_share, callers->len, now_us);
+  bts_member_t *best = NULL;
+  for (guint i = 0; i < callers->len; i++)
+    {
+      bts_member_t *member = callers->pdata[i];
+      gboolean is_kept = bts_call_share_is_kept (i, n_kept, callers->len);
+      if (!can_take_call (member) || (is_kept ? is_long_call : yields))
         continue;
       if (best == NULL || is_better_choice (member, best, now_us))
         best = member;
@@ -98,8 +125,7 @@
     return best;
   /* Skips the search until a process will be free soon enough; if none can be asked at all, for
      the rest of this pass. */
-  sched->advice_nodes_busy_us[is_long_call]
-      = best == NULL ? now_us + 1 : best->busy_until_us - QUEUE_AHEAD_MAX_US;
+  *busy_us = best == NULL ? now_us + 1 : best->busy_until_us - QUEUE_AHEAD_MAX_US;
   return NULL;
 }
 
@@ -145,7 +171,10 @@
 send_request (bts_sched_t *sched, bts_stage_t *stage, bts_member_t *member, request_scope_t scope,
               const GPtrArray *workers, gint64 now_us)
 {
-  bts_member_add_call (member, call_duration_us (bts_stage_policy (stage), workers->len), now_us);
+  gint64 duration_us = call_duration_us (bts_stage_policy (stage), workers->len);
+  bts_member_add_call (member, duration_us, now_us);
+  bts_call_share_charge (sched->call_share, stage->job->service, duration_us,
+                         !needs_long_call (stage), now_us);
   stage->advice_asked_us = now_us;
   stage->advice_wanted_us = 0;
   stage->advice_deadline_us = member->busy_until_us + MESSAGE_ROUND_TRIP_US;
@@ -318,9 +347,16 @@
 static gboolean
 try_request (bts_sched_t *sched, bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
-  bts_member_t *member = choose_advice_node (sched, needs_long_call (stage), now_us);
+  const char *service = stage->job->service;
+  gboolean yields = bts_call_share_has_to_yield (sched->call_share, service, now_us);
+  bts_member_t *member = choose_advice_node (sched, needs_long_call (stage), yields, now_us);
   if (member == NULL)
-    return FALSE;
+    {
+      bts_call_share_wait (sched->call_share, service, now_us);
+      if (yields)
+        bt_metrics_count (BT_COUNT_ADVICE_YIELDED);
+      return FALSE;
+    }
   g_autoptr (GPtrArray) ids = choose_workers (sched, stage, scope, now_us);
   stage->advice_wanted_us = 0;
   if (ids->len > 0)
@@ -328,28 +364,32 @@
   return TRUE;
 }
 
+/* Whether a stage's turn comes before that of another one. Those whose result is of no use any more
+   come last, but in each %OBSOLETE_TURN-th turn: there may be hundreds of them, and their calls
+   take long. */
 static gboolean
-is_more_overdue (const bts_stage_t *stage, const bts_stage_t *other, gint64 now_us)
+is_more_overdue (const bts_stage_t *stage, const bts_stage_t *other, gboolean obsolete_last,
+                 gint64 now_us)
 {
   gboolean is_obsolete = now_us > stage->obsolete_us;
-  if (is_obsolete != (now_us > other->obsolete_us))
+  if (obsolete_last && is_obsolete != (now_us > other->obsolete_us))
     return !is_obsolete;
   return stage->latest_start_us < other->latest_start_us;
 }
 
 /* The most overdue of the stages whose requests have waited for long, by their latest start, in
-   which owners agree; NULL if there is none. Those whose result is of no use any more come last:
-   there may be hundreds of them, and their calls take long. */
+   which owners agree; NULL if there is none. */
 static bts_stage_t *
 find_overdue (const bts_sched_t *sched, gint64 now_us)
 {
+  gboolean obsolete_last = (sched->advice_turns + 1) % OBSOLETE_TURN != 0;
   bts_stage_t *overdue = NULL;
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
       if (stage->advice_wanted_us != 0 && now_us - stage->advice_wanted_us >= OVERDUE_US
           && stage->advice_asked_us == 0 && !bts_job_has_ended (stage->job)
-          && (overdue == NULL || is_more_overdue (stage, overdue, now_us)))
+          && (overdue == NULL || is_more_overdue (stage, overdue, obsolete_last, now_us)))
         overdue = stage;
     }
   return overdue;
@@ -370,6 +410,7 @@
       || stage->advice_asked_us == 0)
     return;
   sched->advice_since_turn = 0;
+  sched->advice_turns++;
   bt_metrics_count (BT_COUNT_ADVICE_OVERDUE);
   bt_log (BT_LOG_INFO, "advice-overdue", "job=%s occurrence=%u step=%u waited_ms=%" G_GINT64_FORMAT,
           bts_job_id (stage->job), stage->occurrence, stage->step, waited_us / 1000);
@@ -381,7 +422,7 @@
 request_advice (bts_sched_t *sched, bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
   if (sched->advice_since_turn >= REQUESTS_PER_TURN
-      && choose_advice_node (sched, FALSE, now_us) != NULL)
+      && choose_advice_node (sched, FALSE, FALSE, now_us) != NULL)
     request_for_overdue (sched, now_us);
   if (stage->advice_asked_us == 0 && try_request (sched, stage, scope, now_us))
     {
@@ -399,21 +440,22 @@
  * @stage: the stage
  * @now_us: the time
  *
- * Return: whether the stage can be placed. FALSE while a request is in flight, and if the stage
- * has no advice yet.
+ * A request about further workers or for new tickets doesn't keep it from the workers for which it
+ * has valid tickets: these would expire meanwhile.
+ *
+ * Return: whether the stage can be placed: it has advice.
  */
 gboolean
 bts_advice_ensure (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us)
 {
   if (!bts_stage_policy (stage)->advised)
     return TRUE;
-  if (stage->advice_asked_us != 0 && now_us < stage->advice_deadline_us)
-    return FALSE;
-  if (stage->advice_asked_us != 0)
+  if (stage->advice_asked_us != 0 && now_us >= stage->advice_deadline_us)
     suspect_advice_node (sched, stage, now_us);
   if (stage->advice != NULL)
     return TRUE;
-  request_advice (sched, stage, SCOPE_UNKNOWN, now_us);
+  if (stage->advice_asked_us == 0)
+    request_advice (sched, stage, SCOPE_UNKNOWN, now_us);
   return FALSE;
 }
 
@@ -521,8 +563,7 @@
   bts_members_finish_call (sched->members, asked->node, now_us);
   if (advice != NULL)
     bts_members_mark_answered (sched->members, asked->node, now_us);
-  sched->advice_nodes_busy_us[FALSE] = 0;
-  sched->advice_nodes_busy_us[TRUE] = 0;
+  memset (sched->advice_nodes_busy_us, 0, sizeof sched->advice_nodes_busy_us);
   sched->dirty = TRUE;
   bts_job_t *job = sched->term == 0 ? NULL : bts_ledger_job (sched->ledger, asked->job);
   bts_stage_t *stage = job == NULL || bts_job_has_ended (job)
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -1,6 +1,7 @@
 #ifndef BTS_SCHED_PRIVATE_H
 #define BTS_SCHED_PRIVATE_H
 
+#include "libbamboothread/scheduler/call_share.h"
 #include "libbamboothread/scheduler/sched.h"
 #include "libbamboothread/scheduler/share.h"
 #include "libbamboothread/scheduler/speed.h"
@@ -90,8 +91,11 @@
  * @members: the processes, any of which may ask for advice
  * @advice_requests: counts requests for advice; each begins with another worker of the pool
  * @advice_since_turn: requests in the order of the queue since the last one for an overdue stage
- * @advice_nodes_busy_us: until when no process has capacity for a short (index 0) or a long
- *   (index 1) call to the advice service
+ * @advice_turns: counts the requests for overdue stages
+ * @call_share: how calls to the advice service are shared
+ * @advice_nodes_busy_us: until when no process has capacity for a short (first index 0) or a long
+ *   (1) call to the advice service, for a service that has to yield to others (second index 1) or
+ *   hasn't
  * @speed: measured speed of the workers
  * @dirty: something has changed, so that a pass over the queue may place tasks
  * @last_pass_us: when the last pass ran
@@ -147,7 +151,9 @@
   bts_members_t *members;
   guint advice_requests;
   guint advice_since_turn;
-  gint64 advice_nodes_busy_us[2];
+  guint advice_turns;
+  bts_call_share_t *call_share;
+  gint64 advice_nodes_busy_us[2][2];
   bts_speed_t *speed;
   gboolean dirty;
   gint64 last_pass_us;
--- a/tests/test_advice.c
+++ b/tests/test_advice.c
@@ -14,6 +14,9 @@
 #define CALL_WORKER_US 1000
 /* Longest time that the wide step may wait for its last start. */
 #define WAIT_MS 8000
+/* The same for a step whose result is assumed to be of no use any more: that of the rule for the
+   end of a day. */
+#define OBSOLETE_WAIT_MS 14000
 
 static const sim_policy_t lookup = { "main", 0, 3, 300 };
 static const sim_policy_t batch = { "main", 2, 3, 3000 };
@@ -172,6 +175,120 @@
 }
 END_TEST
 
+/* Takes all of a worker, and of the room of its GPUs. */
+static const sim_step_t whole[] = { { .count = 1, .cpu = 32000, .memory = 60000, .ms = 60000 } };
+static const sim_step_t wide_whole[]
+    = { { .count = 4, .cpu = 32000, .memory = 60000, .ms = 1500 } };
+static const sim_step_t gang[]
+    = { { .count = 3, .cpu = 20000, .memory = 20000, .gpus = 4, .ms = 1500, .gang = TRUE } };
+/* Time of a call for each worker that it names, with which a typical call takes 0.9 s. */
+#define LONG_CALL_WORKER_US (30 * 1000)
+
+static void
+run_until_calls (sim_t *sim, guint n)
+{
+  for (guint i = 0; i < 500 && sim->advice_calls < n; i++)
+    sim_run_ms (sim, 10);
+  ck_assert_uint_eq (sim->advice_calls, n);
+}
+
+/* Guards against calls that take long being made by half of the processes, the owner among them,
+   although nobody needs the others for short calls: jobs wait for advice beside free workers. */
+START_TEST (long_calls_while_nobody_needs_short_ones)
+{
+  sim_t *sim = sim_with_advice (6);
+  sim->advice_worker_us = LONG_CALL_WORKER_US;
+  GPtrArray *jobs = g_ptr_array_new ();
+  /* Five processes make a call each at a time: four rounds, and one more for steps that no worker
+     of the first call may run. */
+  for (guint i = 0; i < 20; i++)
+    g_ptr_array_add (jobs, sim_submit (sim, i % 6, &batch, urgent, G_N_ELEMENTS (urgent)));
+  sim_run_ms (sim, 6000);
+  for (guint i = 0; i < jobs->len; i++)
+    ck_assert_int_eq (sim_state (sim, jobs->pdata[i]), BTS_JOB_COMPLETED);
+  g_ptr_array_unref (jobs);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against a service whose workers are full, with many stages that ask for advice, taking all
+   calls: a gang of another service waits beside free workers. */
+START_TEST (gang_beside_a_service_that_is_full)
+{
+  /* Obsolete half a second after it was accepted, so that it comes last in the queue. */
+  const sim_policy_t other = { "other", 1, 3, 1, .stretch = 0.1 };
+  sim_t *sim = sim_with_advice (6);
+  sim->advice_worker_us = LONG_CALL_WORKER_US;
+  for (guint i = 0; i < 30; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("other-%u", i);
+      bts_resources_t room = { 32000, 65536, 8 };
+      sim_add_worker (sim, id, "other", room);
+    }
+  sim_run_ms (sim, 2000);
+  load_t load = { sim, 0, 0 };
+  for (guint i = 0; i < 150; i++)
+    sim_submit (sim, i % 6, &batch, whole, G_N_ELEMENTS (whole));
+  play (&load, 1000);
+  load.watched = sim_submit (sim, 0, &other, gang, G_N_ELEMENTS (gang));
+  expect_done_in_time (&load);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against a step that never gets advice once its result is assumed to be of no use any more,
+   for as long as newer work keeps the advice service busy. */
+START_TEST (obsolete_step_beside_newer_work)
+{
+  /* Obsolete half a second after it was accepted. */
+  const sim_policy_t hasty = { "main", 2, 3, 1, .stretch = 0.1 };
+  sim_t *sim = sim_with_advice (4);
+  load_t load = { sim, 50, 50 };
+  play (&load, 4000);
+  load.watched = sim_submit (sim, live_node (sim, 0), &hasty, wide, G_N_ELEMENTS (wide));
+  while (!is_watched_done (&load) && load.waited_ms < 60000)
+    play (&load, 1000);
+  ck_assert_msg (load.waited_ms < OBSOLETE_WAIT_MS, "the step has taken %u ms", load.waited_ms);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against a step that isn't started on workers for which it holds valid tickets, as long as
+   a call about further workers is in flight. */
+START_TEST (room_that_appears_during_a_call)
+{
+  sim_t *sim = sim_with_advice (4);
+  sim->advised = FALSE;
+  GPtrArray *fillers = g_ptr_array_new ();
+  for (guint i = 0; i < N_WORKERS; i++)
+    g_ptr_array_add (fillers, sim_submit (sim, 0, &batch, whole, G_N_ELEMENTS (whole)));
+  sim_run_ms (sim, 3000);
+  ck_assert_uint_eq (sim->starts, N_WORKERS);
+  sim->advised = TRUE;
+  sim->advice_worker_us = LONG_CALL_WORKER_US;
+  sim_job_t *job = sim_submit (sim, 0, &service, wide_whole, G_N_ELEMENTS (wide_whole));
+  run_until_calls (sim, 2);
+  g_autofree char *step = g_strdup_printf ("%s.0", job->id);
+  for (guint i = 0; i < N_WORKERS; i++)
+    {
+      const sim_worker_t *worker = sim_worker (sim, i);
+      const sim_run_t *run = worker->runs->pdata[0];
+      g_autofree char *id = g_strndup (run->name, BTS_JOB_ID_LEN);
+      for (guint j = 0; j < fillers->len && sim_is_allowed (sim, step, worker->id); j++)
+        if (strcmp (((sim_job_t *)fillers->pdata[j])->id, id) == 0)
+          sim_cancel (sim, 0, fillers->pdata[j]);
+    }
+  sim_run_ms (sim, 500);
+  ck_assert_uint_eq (sim->advice_calls, 2);
+  ck_assert_uint_gt (sim_running (sim, job->id), 0);
+  g_ptr_array_unref (fillers);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -180,5 +297,9 @@
   tcase_add_loop_test (tests, wide_step_after_two_changes_of_the_owner, 0, 2);
   tcase_add_test (tests, wide_step_beside_urgent_work);
   tcase_add_test (tests, missing_reply_of_an_earlier_request);
+  tcase_add_test (tests, long_calls_while_nobody_needs_short_ones);
+  tcase_add_test (tests, gang_beside_a_service_that_is_full);
+  tcase_add_test (tests, obsolete_step_beside_newer_work);
+  tcase_add_test (tests, room_that_appears_during_a_call);
   return suite_run ("advice", tests);
 }
