A process is due to answer for advice by its last answer, not by a sum

What callers saw: work waited although its workers were free.

Cause: the owner kept the time at which a process is free beside the calls that it has been asked to make: each request added the call's expected duration, and only an answer after which no call was left in flight put that right. The owner sends the next request before the last answer, so that seldom comes, and each call's additional time (the way to the service, processing) added up, until an answer came more than 200 ms late. The deadline of a request was fixed when it was sent.

Change: the calls in flight of a process are kept in order with their expected durations (advice_calls.c). When it is free, and when each of them is due, follows from them and from the last answer, from which the rest counts. A request is overdue 200 ms after it is due by that, so that each answer puts the deadline of the later ones off. A request that fails without an answer puts off nothing, and a process that is dead or frozen is given up when it was.

Tests: calls_that_take_longer_than_expected failed before: "sim->advice_calls == 64, (sizeof (jobs) / sizeof ((jobs)[0])) == 60" (four requests made twice); now 60. calls_are_due_by_what_was_answered goes through the answers and failures. missing_reply_of_an_earlier_request passes unchanged.

wide_step_beside_urgent_work fails now: its step takes 12,550 ms instead of 7,340, of 8,000 allowed.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -63,11 +63,13 @@
 static gboolean
 is_better_choice (const bts_member_t *member, const bts_member_t *other, gint64 now_us)
 {
-  gboolean is_free = member->busy_until_us <= now_us + QUEUE_AHEAD_MAX_US;
-  gboolean is_other_free = other->busy_until_us <= now_us + QUEUE_AHEAD_MAX_US;
+  gint64 free_us = bts_advice_calls_free_us (&member->calls);
+  gint64 other_free_us = bts_advice_calls_free_us (&other->calls);
+  gboolean is_free = free_us <= now_us + QUEUE_AHEAD_MAX_US;
+  gboolean is_other_free = other_free_us <= now_us + QUEUE_AHEAD_MAX_US;
   if (is_free && is_other_free && member->unconfirmed != other->unconfirmed)
     return other->unconfirmed;
-  return member->busy_until_us < other->busy_until_us;
+  return free_us < other_free_us;
 }
 
 /* The process that will be free first, or NULL if none will be soon. Long calls, which
@@ -88,18 +90,19 @@
       bts_member_t *member = askable->pdata[i];
       gboolean is_self = g_strcmp0 (member->name, self) == 0;
       guint calls_max = member->unconfirmed ? 1 : REQUESTS_PER_NODE_MAX;
-      if (member->calls_in_flight >= calls_max || (is_long_call && i % 2 != 0)
+      if (bts_advice_calls_count (&member->calls) >= calls_max || (is_long_call && i % 2 != 0)
           || (is_self ? n_live > OTHER_NODES_MIN : member->address == NULL))
         continue;
       if (best == NULL || is_better_choice (member, best, now_us))
         best = member;
     }
-  if (best != NULL && best->busy_until_us <= now_us + QUEUE_AHEAD_MAX_US)
+  gint64 free_us = best == NULL ? 0 : bts_advice_calls_free_us (&best->calls);
+  if (best != NULL && free_us <= now_us + QUEUE_AHEAD_MAX_US)
     return best;
   /* Skips the search until a process will be free soon enough; if none can be asked at all, for
      the rest of this pass. */
   sched->advice_nodes_busy_us[is_long_call]
-      = best == NULL ? now_us + 1 : best->busy_until_us - QUEUE_AHEAD_MAX_US;
+      = best == NULL ? now_us + 1 : free_us - QUEUE_AHEAD_MAX_US;
   return NULL;
 }
 
@@ -118,6 +121,19 @@
     bts_members_suspect (sched->members, stage->advice_node);
 }
 
+/* Whether the process that was asked about a stage has left the request unanswered for too long, or
+   it has failed. Each answer of the process to an earlier request shows that it is alive, and puts
+   this off. */
+static gboolean
+is_request_overdue (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+{
+  const bts_member_t *member = bts_members_find (sched->members, stage->advice_node);
+  return member == NULL
+         || now_us >= bts_advice_calls_due_us (&member->calls, bts_job_id (stage->job),
+                                               stage->occurrence, stage->step)
+                          + MESSAGE_ROUND_TRIP_US;
+}
+
 static gboolean
 needs_long_call (const bts_stage_t *stage)
 {
@@ -145,10 +161,8 @@
 send_request (bts_sched_t *sched, bts_stage_t *stage, bts_member_t *member, request_scope_t scope,
               const GPtrArray *workers, gint64 now_us)
 {
-  bts_member_add_call (member, call_duration_us (bts_stage_policy (stage), workers->len), now_us);
   stage->advice_asked_us = now_us;
   stage->advice_wanted_us = 0;
-  stage->advice_deadline_us = member->busy_until_us + MESSAGE_ROUND_TRIP_US;
   g_free (stage->advice_node);
   stage->advice_node = g_strdup (member->name);
   Bts__Ask request = BTS__ASK__INIT;
@@ -158,6 +172,8 @@
   request.step = stage->step;
   request.n_workers = workers->len;
   request.workers = (char **)workers->pdata;
+  bts_advice_calls_add (&member->calls, &request,
+                        call_duration_us (bts_stage_policy (stage), workers->len), now_us);
   bt_log (BT_LOG_INFO, "advice-asked", "job=%s occurrence=%u step=%u node=%s workers=%u scope=%s",
           bts_job_id (stage->job), stage->occurrence, stage->step, member->name, workers->len,
           scope_names[scope]);
@@ -407,7 +423,7 @@
 {
   if (!bts_stage_policy (stage)->advised)
     return TRUE;
-  if (stage->advice_asked_us != 0 && now_us < stage->advice_deadline_us)
+  if (stage->advice_asked_us != 0 && !is_request_overdue (sched, stage, now_us))
     return FALSE;
   if (stage->advice_asked_us != 0)
     suspect_advice_node (sched, stage, now_us);
@@ -518,7 +534,7 @@
 bts_sched_on_advice (bts_sched_t *sched, const Bts__Ask *asked, const Bts__Advice *advice)
 {
   gint64 now_us = bts_sched_now (sched);
-  bts_members_finish_call (sched->members, asked->node, now_us);
+  bts_members_finish_call (sched->members, asked, advice != NULL, now_us);
   if (advice != NULL)
     bts_members_mark_answered (sched->members, asked->node, now_us);
   sched->advice_nodes_busy_us[FALSE] = 0;
@@ -532,16 +548,9 @@
           "job=%s occurrence=%u step=%u node=%s usable=%d workers=%zu allowed=%zu", asked->job,
           asked->occurrence, asked->step, asked->node, advice != NULL, asked->n_workers,
           advice == NULL ? 0 : advice->n_allowed);
-  if (stage == NULL)
+  /* Without advice the next pass asks another process, unless it has asked one already. */
+  if (stage == NULL || advice == NULL)
     return;
-  if (advice == NULL)
-    {
-      /* The next pass asks another process, unless it has asked one already. */
-      if (g_strcmp0 (stage->advice_node, asked->node) != 0)
-        return;
-      stage->advice_deadline_us = MIN (stage->advice_deadline_us, now_us);
-      return;
-    }
   stage->advice_asked_us = 0;
   stage->retry_us = 0;
   bts_stage_begin_advice (stage);
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -154,7 +154,6 @@
  * @next_extend_us: no request about further workers before this time
  * @advice_asked_us: when advice was requested; 0 if no request is in flight
  * @advice_node: the process that was last asked to call the advice service, or NULL
- * @advice_deadline_us: when that process is given up and another one asked
  * @advice_wanted_us: since when a request for advice has been waiting for a process that can call
  * the service; 0 if none is. Kept across terms, so that the wait doesn't begin anew with each owner
  * @advice_scope: which workers that request is about, by request_scope_t of advice.c
@@ -188,7 +187,6 @@
   gint64 next_extend_us;
   gint64 advice_asked_us;
   char *advice_node;
-  gint64 advice_deadline_us;
   gint64 advice_wanted_us;
   guint advice_scope;
   gint64 prefetch_us;
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -26,6 +26,7 @@
 member_free (gpointer data)
 {
   bts_member_t *member = data;
+  bts_advice_calls_clear (&member->calls);
   g_free (member->address);
   g_free (member);
 }
@@ -72,6 +73,7 @@
       g_hash_table_foreach_remove (members->table, is_same_vm, (gpointer)node);
       member = g_new0 (bts_member_t, 1);
       member->name = g_strdup (node);
+      bts_advice_calls_init (&member->calls);
       g_hash_table_insert (members->table, member->name, member);
     }
   member->last_seen_us = now_us;
@@ -97,32 +99,19 @@
 }
 
 /**
- * bts_member_add_call() - record that a process was asked to call the advice service
- * @member: the process
- * @duration_us: expected duration of the call
- * @now_us: the time
- */
-void
-bts_member_add_call (bts_member_t *member, gint64 duration_us, gint64 now_us)
-{
-  member->calls_in_flight++;
-  member->busy_until_us = MAX (member->busy_until_us, now_us) + duration_us;
-}
-
-/**
- * bts_members_finish_call() - record that a request for a call was answered or given up
+ * bts_members_finish_call() - record that a request to call the advice service is over
  * @members: the processes
- * @node: name of the process that was asked to call the advice service
+ * @ask: the request; ignored if another process has replaced the one that was asked
+ * @answered: whether the process has answered it
  * @now_us: the time
  */
 void
-bts_members_finish_call (bts_members_t *members, const char *node, gint64 now_us)
+bts_members_finish_call (bts_members_t *members, const Bts__Ask *ask, gboolean answered,
+                         gint64 now_us)
 {
-  bts_member_t *member = bts_members_find (members, node);
-  if (member == NULL || member->calls_in_flight == 0)
-    return;
-  if (--member->calls_in_flight == 0)
-    member->busy_until_us = MIN (member->busy_until_us, now_us);
+  bts_member_t *member = bts_members_find (members, ask->node);
+  if (member != NULL)
+    bts_advice_calls_remove (&member->calls, ask, answered, now_us);
 }
 
 /**
--- a/libbamboothread/scheduler/members.h
+++ b/libbamboothread/scheduler/members.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "libbamboothread/scheduler/advice_calls.h"
 #include "proto/record.pb-c.h"
 
 /*
@@ -17,8 +18,7 @@
  * @last_seen_us: when it was last heard from; 0 once it is suspected
  * @unconfirmed: only a replay of the journal has named it; it may be long gone. It doesn't count as
  *   alive, but may be asked to call the advice service
- * @busy_until_us: estimate of when its calls to the advice service will be done
- * @calls_in_flight: requests to call the advice service that it has not answered
+ * @calls: the calls to the advice service that it has been asked to make
  */
 typedef struct
 {
@@ -27,8 +27,7 @@
   guint cpu_millis;
   gint64 last_seen_us;
   gboolean unconfirmed;
-  gint64 busy_until_us;
-  guint calls_in_flight;
+  bts_advice_calls_t calls;
 } bts_member_t;
 
 typedef struct bts_members_t bts_members_t;
@@ -37,8 +36,8 @@
 void bts_members_free (bts_members_t *members);
 void bts_members_mark_seen (bts_members_t *members, const char *node, gint64 now_us);
 void bts_members_update (bts_members_t *members, const Bts__Hello *hello, gint64 now_us);
-void bts_member_add_call (bts_member_t *member, gint64 duration_us, gint64 now_us);
-void bts_members_finish_call (bts_members_t *members, const char *node, gint64 now_us);
+void bts_members_finish_call (bts_members_t *members, const Bts__Ask *ask, gboolean answered,
+                              gint64 now_us);
 void bts_members_mark_answered (bts_members_t *members, const char *node, gint64 now_us);
 void bts_members_suspect (bts_members_t *members, const char *node);
 bts_member_t *bts_members_find (const bts_members_t *members, const char *node);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1248,7 +1248,8 @@
   for (guint i = 0; i < question->workers->len; i++)
     g_ptr_array_add (advice->workers, g_strdup (question->workers->pdata[i]));
   node->sim->advice_calls++;
-  gint64 call_us = ADVICE_US + node->sim->advice_worker_us * question->workers->len;
+  gint64 call_us = ADVICE_US + node->sim->advice_worker_us * question->workers->len
+                   + node->sim->advice_extra_us;
   node->advice_free_us = MAX (node->advice_free_us, now (node->sim)) + call_us;
   post (node, node->advice_free_us - now (node->sim) + 2 * SIM_DELAY_US, advice_answered, advice,
         advice_free);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -228,6 +228,7 @@
  * @advice_percent: share of the workers that it allows for a step; 0 for three in four
  * @advice_calls: calls to the advice service
  * @advice_worker_us: time of a call for each worker that it names, beside the time of any call
+ * @advice_extra_us: time that each call takes beyond what the policies of jobs say
  * @start_stall_us: how long the machine is suspended while the next start order is sent
  * @order_us: processor time that a process takes to send a start order
  * @spent_us: processor time taken by the message that is being handled
@@ -283,6 +284,7 @@
   guint advice_percent;
   guint advice_calls;
   gint64 advice_worker_us;
+  gint64 advice_extra_us;
   gint64 entries_us;
   gint64 entries_read_us;
   gint64 start_stall_us;
--- a/tests/test_advice.c
+++ b/tests/test_advice.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "libbamboothread/scheduler/advice_calls.h"
 #include "tests/sim.h"
 #include "tests/suite.h"
 
@@ -172,6 +173,84 @@
 }
 END_TEST
 
+/* Guards against a process that is taken for dead although it answers all that it is asked: each of
+   its calls takes a little longer than expected, and that added up for as long as the next request
+   was there before the answer. Its calls were made again elsewhere. */
+START_TEST (calls_that_take_longer_than_expected)
+{
+  sim_t *sim = sim_with_advice (4);
+  /* Three in four, so that one call for each step suffices. */
+  sim->advice_percent = 0;
+  sim->advice_worker_us = 10 * 1000;
+  sim->advice_extra_us = 30 * 1000;
+  sim_job_t *jobs[60];
+  for (guint i = 0; i < G_N_ELEMENTS (jobs); i++)
+    jobs[i] = sim_submit (sim, live_node (sim, i), &service, urgent, G_N_ELEMENTS (urgent));
+  sim_run_ms (sim, 40000);
+  for (guint i = 0; i < G_N_ELEMENTS (jobs); i++)
+    ck_assert_uint_eq (count_done (sim, jobs[i]), 1);
+  ck_assert_uint_eq (sim->advice_calls, G_N_ELEMENTS (jobs));
+  sim_free (sim);
+}
+END_TEST
+
+#define MS 1000
+
+static Bts__Ask
+ask_about (guint step)
+{
+  Bts__Ask ask = BTS__ASK__INIT;
+  ask.job = (char *)"0000000000000001";
+  ask.step = step;
+  return ask;
+}
+
+/* The first of three calls of 100 ms, asked for at 1,000, 1,050 and 1,300 ms, is over. */
+static const struct
+{
+  gint64 over_ms;
+  gboolean answered;
+  gint64 second_due_ms;
+  gint64 third_due_ms;
+} due_cases[] = {
+  { 1100, TRUE, 1200, 1400 },
+  { 1180, TRUE, 1280, 1400 },
+  { 1320, TRUE, 1420, 1520 },
+  /* A process that says nothing gets no more time. */
+  { 1320, FALSE, 1200, 1400 },
+  /* One that couldn't be reached hasn't spent any on the call. */
+  { 1060, FALSE, 1160, 1400 },
+};
+
+/* Guards against a time at which a process is expected to be free that is kept beside its calls,
+   and drifts away from them. */
+START_TEST (calls_are_due_by_what_was_answered)
+{
+  bts_advice_calls_t calls;
+  bts_advice_calls_init (&calls);
+  const Bts__Ask asks[] = { ask_about (0), ask_about (1), ask_about (2) };
+  bts_advice_calls_add (&calls, &asks[0], 100 * MS, 1000 * MS);
+  bts_advice_calls_add (&calls, &asks[1], 100 * MS, 1050 * MS);
+  bts_advice_calls_add (&calls, &asks[2], 100 * MS, 1300 * MS);
+  ck_assert_uint_eq (bts_advice_calls_count (&calls), 3);
+  ck_assert_int_eq (bts_advice_calls_due_us (&calls, asks[0].job, 0, 0), 1100 * MS);
+  ck_assert_int_eq (bts_advice_calls_due_us (&calls, asks[1].job, 0, 1), 1200 * MS);
+  ck_assert_int_eq (bts_advice_calls_due_us (&calls, asks[2].job, 0, 2), 1400 * MS);
+  bts_advice_calls_remove (&calls, &asks[0], due_cases[_i].answered, due_cases[_i].over_ms * MS);
+  ck_assert_uint_eq (bts_advice_calls_count (&calls), 2);
+  ck_assert_int_eq (bts_advice_calls_due_us (&calls, asks[0].job, 0, 0), 0);
+  ck_assert_int_eq (bts_advice_calls_due_us (&calls, asks[1].job, 0, 1),
+                    due_cases[_i].second_due_ms * MS);
+  ck_assert_int_eq (bts_advice_calls_due_us (&calls, asks[2].job, 0, 2),
+                    due_cases[_i].third_due_ms * MS);
+  ck_assert_int_eq (bts_advice_calls_free_us (&calls), due_cases[_i].third_due_ms * MS);
+  bts_advice_calls_remove (&calls, &asks[2], TRUE, 1500 * MS);
+  bts_advice_calls_remove (&calls, &asks[1], TRUE, 1600 * MS);
+  ck_assert_int_eq (bts_advice_calls_free_us (&calls), 1600 * MS);
+  bts_advice_calls_clear (&calls);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -180,5 +259,7 @@
   tcase_add_loop_test (tests, wide_step_after_two_changes_of_the_owner, 0, 2);
   tcase_add_test (tests, wide_step_beside_urgent_work);
   tcase_add_test (tests, missing_reply_of_an_earlier_request);
+  tcase_add_test (tests, calls_that_take_longer_than_expected);
+  tcase_add_loop_test (tests, calls_are_due_by_what_was_answered, 0, G_N_ELEMENTS (due_cases));
   return suite_run ("advice", tests);
 }
