--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -32,12 +32,6 @@
    microseconds: a worker may have been draining since. Replies, the read among them, get the
    processor meanwhile, so the wait is short if the owner itself is what makes the read slow. */
 #define ENTRIES_AGE_MAX_US (3000 * 1000)
-/* A worker with a hold in flight is examined at each such tick only: there is nothing to send to
-   it but stop orders to repeat. */
-#define BUSY_WORKER_TICKS 5
-/* Most workers to which a tick sends the first hold of a term: the replies to hundreds at once
-   would come in faster than they can be handled, and run into the time limit of their calls. */
-#define FIRST_HOLDS_PER_TICK 20
 /* Interval at which placement of a stage is attempted again although no run has ended on the
    workers that it may use, in microseconds: a worker may have come back, a ticket may have been
    renewed, or preemption may be due. */
@@ -804,22 +798,9 @@
 }
 
 static void
-tick_workers (bts_sched_t *sched)
+visit_worker (void *context, bts_worker_t *worker)
 {
-  const GPtrArray *workers = sched->fleet->numbered;
-  guint n_first_holds = 0;
-  sched->ticks++;
-  for (guint i = 0; i < workers->len; i++)
-    {
-      bts_worker_t *worker = workers->pdata[i];
-      if (worker == NULL || (worker->hold_in_flight && (sched->ticks + i) % BUSY_WORKER_TICKS != 0))
-        continue;
-      if (!worker->synced && !worker->hold_in_flight && n_first_holds >= FIRST_HOLDS_PER_TICK)
-        continue;
-      gboolean was_in_flight = worker->hold_in_flight;
-      bts_worker_tick (sched, worker);
-      n_first_holds += !worker->synced && worker->hold_in_flight && !was_in_flight;
-    }
+  bts_worker_tick (context, worker);
 }
 
 /**
@@ -836,7 +817,7 @@
   sched->ticked_us = bts_sched_now (sched);
   sched->calls_workers = sched->calls_workers || bts_ledger_is_complete (sched->ledger);
   if (sched->calls_workers)
-    tick_workers (sched);
+    bts_rounds_tick (&sched->rounds, sched->fleet->numbered, visit_worker, sched);
   if (!sched->settled && sched->calls_workers && bts_sched_are_earlier_runs_known (sched))
     {
       sched->settled = TRUE;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -1,6 +1,7 @@
 #ifndef BTS_SCHED_PRIVATE_H
 #define BTS_SCHED_PRIVATE_H
 
+#include "libbamboothread/scheduler/rounds.h"
 #include "libbamboothread/scheduler/sched.h"
 #include "libbamboothread/scheduler/share.h"
 #include "libbamboothread/scheduler/speed.h"
@@ -94,7 +95,7 @@
  * @speed: measured speed of the workers
  * @dirty: something has changed, so that a pass over the queue may place tasks
  * @last_pass_us: when the last pass ran
- * @ticks: counts the ticks
+ * @rounds: rounds over the workers
  * @ticked_us: when the last tick was, or the term began
  * @next_pass_us: no pass before this time
  * @pass_placing_us: time that the last pass has taken to place and start tasks
@@ -149,7 +150,7 @@
   bts_speed_t *speed;
   gboolean dirty;
   gint64 last_pass_us;
-  guint ticks;
+  bts_rounds_t rounds;
   gint64 ticked_us;
   gint64 next_pass_us;
   gint64 pass_placing_us;
