Heartbeats of a replay don't say that the log is slow now

Cause: right after its start each process logged log-slow with append_ms=0. It takes the log for slow if the owner's newest heartbeat tells of an append of 60 ms or more, and it reads the heartbeats of the owners before the outage in its replay. Then claims are put off by 0.4 s for each process that is preferred, also that of a process whose own earlier incarnation is the owner, until the next owner's first heartbeat.

Ruled out: the long reads of the replay. The line came 0.13 s after the start, and the log counts as slow by its reads only after two that took over 0.2 s each and reached its end.

Change: a heartbeat that is read in a replay leaves the owner's latency unknown. While the log is really slow, a process knows it by its own Hello, without whose end it claims nothing unless it was the owner itself.

Tests: claims_after_a_log_that_was_slow failed before in all three rows: "the task was started 2 times".

--- a/libbamboothread/scheduler/forwarder.c
+++ b/libbamboothread/scheduler/forwarder.c
@@ -85,7 +85,8 @@
 /**
  * bts_forwarder_set_owner_append_ms() - record the append latency that the owner reports
  * @forwarder: the forwarder
- * @append_ms: latency of the owner's newest append, in milliseconds
+ * @append_ms: latency of the owner's newest append, in milliseconds; 0 if it isn't known, as from a
+ *   replay, whose heartbeats tell of an earlier time
  */
 void
 bts_forwarder_set_owner_append_ms (bts_forwarder_t *forwarder, guint append_ms)
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -160,7 +160,7 @@
 on_heartbeat (void *context, const Bts__Beat *heartbeat)
 {
   bts_node_t *node = context;
-  bts_forwarder_set_owner_append_ms (node->forwarder, heartbeat->append_ms);
+  bts_forwarder_set_owner_append_ms (node->forwarder, node->replaying ? 0 : heartbeat->append_ms);
   bts_election_on_heartbeat (&node->election, heartbeat->earlier_renewals_ms, node_now (node));
   bts_sched_on_heartbeat (node->sched, heartbeat->number);
 }
--- a/tests/test_power_loss.c
+++ b/tests/test_power_loss.c
@@ -1,3 +1,4 @@
+#include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/rounds.h"
 #include "tests/sim.h"
 #include "tests/suite.h"
@@ -7,6 +8,9 @@
  * on them meanwhile is known to nobody else, and goes with them.
  */
 
+#define SLOW_APPEND_US (120 * 1000)
+#define FAST_APPEND_US 2000
+
 static const sim_policy_t batch = { "main", 2, 3, 3000 };
 
 static sim_job_t *
@@ -55,6 +59,44 @@
   sim_free (sim);
 }
 
+/* Owners that have died before, so that the last one is another process, and time from the start of
+   the processes to the exit of the worker. */
+static const struct
+{
+  guint n_died;
+  guint leave_ms;
+} losses[] = {
+  { 0, 300 },
+  { 2, 1000 },
+  { 6, 2000 },
+};
+
+/* Guards against claims that are put off since the log is taken to be slow: it was before the power
+   went, as the last heartbeats in the journal say, and isn't any more. */
+START_TEST (claims_after_a_log_that_was_slow)
+{
+  sim_t *sim = sim_new (16, 12, 1);
+  sim_run_ms (sim, 6000);
+  for (guint i = 0; i < losses[_i].n_died; i++)
+    {
+      guint owner = (guint)sim_owner (sim);
+      sim_kill (sim, owner);
+      sim_run_ms (sim, 2000);
+      sim_start (sim, owner);
+      sim_run_ms (sim, 4000);
+    }
+  sim_job_t *job = submit_task (sim, NULL);
+  sim_worker_t *worker = find_busy_worker (sim);
+  sim->append_us = SLOW_APPEND_US;
+  sim_run_ms (sim, 700);
+  sim->append_us = FAST_APPEND_US;
+  lose_power (sim, worker);
+  sim_run_ms (sim, losses[_i].leave_ms);
+  sim_crash (sim, worker);
+  expect_one_run (sim, job);
+}
+END_TEST
+
 #define MANY_WORKERS 400
 /* Time from the next owner's beginning to the exit of the worker. */
 #define LISTED_MS 60
@@ -80,6 +122,31 @@
 }
 END_TEST
 
+/* Most claims while each append takes a tenth of a second, as in slow_log_and_a_dead_owner of
+   test_cluster.c. */
+#define SLOW_CLAIMS_MAX 6
+
+/* Guards against claims of all processes at once where the log is still slow after they have
+   started: each is an append that the next owner's heartbeats wait for. */
+START_TEST (claims_at_a_log_that_is_slow)
+{
+  sim_t *sim = sim_new (30, 12, (guint32)_i + 1);
+  sim_run_ms (sim, 6000);
+  sim->append_serial = TRUE;
+  sim->append_us = 100 * 1000;
+  sim_run_ms (sim, 2000);
+  guint64 n_claims = bt_metrics_get_count (BT_COUNT_CLAIMS);
+  sim_restart (sim);
+  for (guint i = 0; i < 100 && sim_owner (sim) < 0; i++)
+    sim_run_ms (sim, 100);
+  ck_assert_int_ge (sim_owner (sim), 0);
+  sim_run_ms (sim, 3000);
+  ck_assert_uint_le (bt_metrics_get_count (BT_COUNT_CLAIMS) - n_claims, SLOW_CLAIMS_MAX);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* Workers that haven't listed their runs, by number, and the order in which they are asked. */
 static const struct
 {
@@ -126,7 +193,9 @@
 {
   TCase *tests = tcase_create ("power_loss");
   tcase_set_timeout (tests, 120);
+  tcase_add_loop_test (tests, claims_after_a_log_that_was_slow, 0, G_N_ELEMENTS (losses));
   tcase_add_test (tests, leaving_worker_among_hundreds);
+  tcase_add_loop_test (tests, claims_at_a_log_that_is_slow, 0, 3);
   tcase_add_test (tests, worker_that_leaves_first_is_asked_first);
   return suite_run ("power_loss", tests);
 }
