Reads of history say nothing of how fast the log is

What callers would see: claims put off, and jobs sent through the owner, since a log with much history is taken to be slow.

Cause: the time of a read counts as the log's latency as soon as the read reaches the end of the log, also of the one that ends a replay. That one brings up to 128 KB over links that all processes share after an outage. With one more read that waits for a record, as while there is no owner that writes heartbeats, two reads of over 0.2 s make the log slow.

A slow log shows in the next two reads, and in appends as before.

--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -88,14 +88,17 @@
  * bts_election_on_caught_up() - the journal was read to its end
  * @election: the election
  * @latency_us: time that the read took, without the time that it was to wait for records if there
- *   were none
+ *   were none; negative if it tells nothing of the log, as for one that ends a replay
  * @now_us: current time
  */
 void
 bts_election_on_caught_up (bts_election_t *election, gint64 latency_us, gint64 now_us)
 {
-  election->read_latency_us[1] = election->read_latency_us[0];
-  election->read_latency_us[0] = latency_us;
+  if (latency_us >= 0)
+    {
+      election->read_latency_us[1] = election->read_latency_us[0];
+      election->read_latency_us[0] = latency_us;
+    }
   if (election->caught_up_us == 0 || now_us - election->caught_up_us > READ_GAP_MAX_US)
     election->heard_us = now_us;
   election->caught_up_us = now_us;
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -629,8 +629,7 @@
  * bts_node_on_caught_up() - the journal was read to its end
  * @node: the process
  * @sent_us: when that read was sent
- * @latency_us: time that it took, without the time that it was to wait for records if there were
- * none
+ * @latency_us: time that it took, see bts_election_on_caught_up()
  *
  * A claim of this process takes effect only here: before, the records not read yet may contain
  * a later claim.
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -147,11 +147,112 @@
 }
 END_TEST
 
+/* How long the store takes to reply to each read of the log, and the end that it tells of. Each
+   read is given one record. */
+#define READ_TOOK_MS 30
+static const gint64 ends[] = { 2, 2, 3, 5, 5, 6 };
+/* Whether the read tells how fast the store is: its process had read all that there was. */
+static const gboolean tells[] = { FALSE, FALSE, TRUE, TRUE, FALSE, TRUE };
+
+typedef struct
+{
+  struct event_base *base;
+  struct evhttp_request *waiting;
+  struct event *timer;
+  guint sent;
+  guint n_read;
+  gint64 latencies_us[G_N_ELEMENTS (ends)];
+} log_scene_t;
+
+static void
+reply_with_record (evutil_socket_t fd, short what, void *context)
+{
+  log_scene_t *scene = context;
+  const guint64 header[]
+      = { GUINT64_TO_BE ((guint64)ends[MIN (scene->sent, G_N_ELEMENTS (ends) - 1)]), 0 };
+  const guint32 len = GUINT32_TO_BE (1);
+  scene->sent++;
+  struct evbuffer *out = evhttp_request_get_output_buffer (scene->waiting);
+  evbuffer_add (out, header, sizeof header);
+  evbuffer_add (out, &len, sizeof len);
+  evbuffer_add (out, "x", 1);
+  evhttp_send_reply (scene->waiting, 200, "OK", NULL);
+}
+
+static void
+serve_log (struct evhttp_request *request, void *context)
+{
+  log_scene_t *scene = context;
+  scene->waiting = request;
+  struct timeval delay = { 0, READ_TOOK_MS * 1000 };
+  evtimer_add (scene->timer, &delay);
+}
+
+static void
+on_log_record (void *context, gint64 offset, const guint8 *data, gsize len)
+{
+}
+
+static void
+on_log_read (void *context, gboolean caught_up, gint64 sent_us, gint64 latency_us)
+{
+  log_scene_t *scene = context;
+  ck_assert_int_eq (caught_up, (gint64)scene->n_read + 1 == ends[scene->n_read]);
+  scene->latencies_us[scene->n_read++] = latency_us;
+  if (scene->n_read == G_N_ELEMENTS (ends))
+    event_base_loopbreak (scene->base);
+}
+
+static void
+on_log_failed (void *context, int status)
+{
+  ck_abort_msg ("the read failed: %d", status);
+}
+
+static void
+on_log_skipped (void *context, gint64 from, gint64 first)
+{
+  ck_abort_msg ("records were skipped");
+}
+
+static const pf_log_reader_ops_t log_ops
+    = { on_log_record, on_log_read, on_log_failed, on_log_skipped };
+
+/* Guards against a log that is taken to be slow since a process that starts has much to read: it
+   put off claims after all processes had lost power. */
+START_TEST (reads_of_history_tell_no_latency)
+{
+  log_scene_t scene = { .base = bt_event_base_new () };
+  scene.timer = evtimer_new (scene.base, reply_with_record, &scene);
+  struct evhttp *http = evhttp_new (scene.base);
+  struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
+  ck_assert_ptr_nonnull (bound);
+  struct sockaddr_in at;
+  socklen_t len = sizeof at;
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&at, &len);
+  evhttp_set_gencb (http, serve_log, &scene);
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", ntohs (at.sin_port));
+  bt_clock_t clock;
+  bt_clock_init (&clock);
+  pf_store_t *store = pf_store_new (scene.base, &clock, address);
+  pf_log_reader_new (store, "journal", 0, 1, &log_ops, &scene);
+  event_base_dispatch (scene.base);
+  for (guint i = 0; i < G_N_ELEMENTS (ends); i++)
+    ck_assert_msg (scene.latencies_us[i] >= 0 ? tells[i] : !tells[i],
+                   "read %u: latency %" G_GINT64_FORMAT " us", i, scene.latencies_us[i]);
+  pf_store_free (store);
+  evhttp_free (http);
+  event_free (scene.timer);
+  event_base_free (scene.base);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("store");
   tcase_add_loop_test (tests, a_page_is_read_whole_or_not_at_all, 0, G_N_ELEMENTS (cases));
   tcase_add_loop_test (tests, a_read_ends_where_a_page_repeats, 0, G_N_ELEMENTS (stuck));
+  tcase_add_test (tests, reads_of_history_tell_no_latency);
   return suite_run ("store", tests);
 }
