Advice: of the turns of overdue work every second one is for work that isn't urgent

What callers would see: a late step that gets no advice while more urgent work comes in than the service can advise on.

Cause: the turns of overdue stages went to those with the earliest latest start. With 50 urgent jobs a second and about 45 calls, urgent stages are overdue in numbers, each with an earlier latest start than a large step of the same age, though they come first in the order of the queue anyway.

Now turns go in a fixed cycle: any overdue stage, one that isn't urgent, any, one that isn't urgent however late. An overdue stage is looked for once in each pass, as a walk for each stage found the same one while no process was free.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -48,9 +48,6 @@
    a stage that is late would get no advice for as long as there is enough of these, although most
    of the workers are free. */
 #define REQUESTS_PER_TURN 16
-/* One such turn in so many goes by the latest start alone, so that work that was accepted ends,
-   however late, while newer work keeps the calls busy. */
-#define OBSOLETE_TURN 4
 /* A stage whose request has waited this long is overdue, in microseconds. */
 #define OVERDUE_US (1000 * 1000)
 /* With at least this many other processes the owner makes no calls to the service itself. */
@@ -380,42 +377,75 @@
   return TRUE;
 }
 
+/**
+ * enum turn_t - which overdue stages a turn is for
+ * @TURN_ANY: all of them
+ * @TURN_NOT_URGENT: those that aren't urgent; urgent work comes first in the order of the queue
+ *   already, and more of it than there are calls would take all turns as well
+ * @TURN_OBSOLETE: the same, without regard to whether the result is still of use
+ */
+typedef enum
+{
+  TURN_ANY,
+  TURN_NOT_URGENT,
+  TURN_OBSOLETE,
+} turn_t;
+
+/* Turns follow each other in this order. */
+static const turn_t turns[] = { TURN_ANY, TURN_NOT_URGENT, TURN_ANY, TURN_OBSOLETE };
+
+static gboolean
+is_for (turn_t turn, const bts_stage_t *stage)
+{
+  return turn == TURN_ANY || bts_stage_policy (stage)->priority > 0;
+}
+
 /* Whether a stage's turn comes before that of another one. Those whose result is of no use any more
-   come last, but in each %OBSOLETE_TURN-th turn: there may be hundreds of them, and their calls
-   take long. */
+   come last in most turns: there may be hundreds of them, and their calls take long. */
 static gboolean
-is_more_overdue (const bts_stage_t *stage, const bts_stage_t *other, gboolean obsolete_last,
-                 gint64 now_us)
+is_more_overdue (const bts_stage_t *stage, const bts_stage_t *other, turn_t turn, gint64 now_us)
 {
   gboolean is_obsolete = now_us > stage->obsolete_us;
-  if (obsolete_last && is_obsolete != (now_us > other->obsolete_us))
+  if (turn != TURN_OBSOLETE && is_obsolete != (now_us > other->obsolete_us))
     return !is_obsolete;
   return stage->latest_start_us < other->latest_start_us;
 }
 
-/* The most overdue of the stages whose requests have waited for long, by their latest start, in
-   which owners agree; NULL if there is none. */
+static gboolean
+is_overdue (const bts_stage_t *stage, gint64 now_us)
+{
+  return stage->advice_wanted_us != 0 && now_us - stage->advice_wanted_us >= OVERDUE_US
+         && stage->advice_asked_us == 0 && !bts_job_has_ended (stage->job);
+}
+
+/* The most overdue of the stages whose requests have waited for long and that a turn is for, by
+   their latest start, in which owners agree; NULL if there is none. */
 static bts_stage_t *
-find_overdue (const bts_sched_t *sched, gint64 now_us)
+find_overdue (const bts_sched_t *sched, turn_t turn, gint64 now_us)
 {
-  gboolean obsolete_last = (sched->advice_turns + 1) % OBSOLETE_TURN != 0;
   bts_stage_t *overdue = NULL;
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
-      if (stage->advice_wanted_us != 0 && now_us - stage->advice_wanted_us >= OVERDUE_US
-          && stage->advice_asked_us == 0 && !bts_job_has_ended (stage->job)
-          && (overdue == NULL || is_more_overdue (stage, overdue, obsolete_last, now_us)))
+      if (is_overdue (stage, now_us) && is_for (turn, stage)
+          && (overdue == NULL || is_more_overdue (stage, overdue, turn, now_us)))
         overdue = stage;
     }
   return overdue;
 }
 
-/* Requests advice for the most overdue stage. */
+/* Requests advice for the most overdue stage, once in each pass: while no process is free for its
+   call, further walks of the queue would find the same stage. */
 static void
 request_for_overdue (bts_sched_t *sched, gint64 now_us)
 {
-  bts_stage_t *stage = find_overdue (sched, now_us);
+  if (sched->advice_turn_pass == sched->pass_number)
+    return;
+  sched->advice_turn_pass = sched->pass_number;
+  bts_stage_t *stage
+      = find_overdue (sched, turns[sched->advice_turns % G_N_ELEMENTS (turns)], now_us);
+  if (stage == NULL)
+    stage = find_overdue (sched, TURN_ANY, now_us);
   if (stage == NULL)
     {
       sched->advice_since_turn = 0;
