--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -434,14 +434,13 @@
   return overdue;
 }
 
-/* Requests advice for the most overdue stage, once in each pass: while no process is free for its
-   call, further walks of the queue would find the same stage. */
+/* Requests advice for the most overdue stage. If no process is free for its call, not again in the
+   same pass: further walks of the queue would find the same stage. */
 static void
 request_for_overdue (bts_sched_t *sched, gint64 now_us)
 {
   if (sched->advice_turn_pass == sched->pass_number)
     return;
-  sched->advice_turn_pass = sched->pass_number;
   bts_stage_t *stage
       = find_overdue (sched, turns[sched->advice_turns % G_N_ELEMENTS (turns)], now_us);
   if (stage == NULL)
@@ -452,8 +451,12 @@
       return;
     }
   gint64 waited_us = now_us - stage->advice_wanted_us;
-  if (!try_request (sched, stage, (request_scope_t)stage->advice_scope, now_us)
-      || stage->advice_asked_us == 0)
+  if (!try_request (sched, stage, (request_scope_t)stage->advice_scope, now_us))
+    {
+      sched->advice_turn_pass = sched->pass_number;
+      return;
+    }
+  if (stage->advice_asked_us == 0)
     return;
   sched->advice_since_turn = 0;
   sched->advice_turns++;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -93,7 +93,7 @@
  * @advice_requests: counts requests for advice; each begins with another worker of the pool
  * @advice_since_turn: requests in the order of the queue since the last one for an overdue stage
  * @advice_turns: counts the requests for overdue stages
- * @advice_turn_pass: pass over the queue in which an overdue stage was last looked for
+ * @advice_turn_pass: pass over the queue in which no process was free for an overdue stage
  * @call_share: how calls to the advice service are shared
  * @advice_nodes_busy_us: until when no process has capacity for a short (first index 0) or a long
  *   (1) call to the advice service, for a service that has to yield to others (second index 1) or
