Scheduler: tasks that last move off workers that drain before these leave

Seen by callers: long-running tasks stood still for 8.4 to 9.6 s around planned work (the rule allows 6 s from their last run), also with one owner all along.

The owner reads up to 11 s ahead that a worker drains and does nothing for what runs there. The runs end with the worker; 2.6 to 3.0 s later their leases are over, and only then advice is requested, room made by preemption, and so on, call after call.

Each 100 ms the owner looks at the workers that drain (none: nothing is walked). For each confirmed run of a long-running step, gangs excepted, it gets advice and tickets while the run goes on, keeps room on a worker and only then stops the run. If no worker has room 8 s before the worker may leave, runs are preempted as for a pending task that lasts. Why it works: lease, advice and preemption are over before the run ends instead of following its end one after the other. What it follows from are entries and runs, so the next owner goes on; only the room that is kept is its own, and it can be done without.

Two things showed in the first runs of the test, both with a full pool and advice: stages in the queue took the process that calls the advice service as soon as it was free, so requests for tasks that move now come first in a pass; and a task that started took the room kept for another, so it now prefers its own.

tests/test_evacuate.c: half of 16 workers drains at once and leaves after 8 s, with room or full, with or without advice; the bound is 3 s: a stop, a call for tickets and a start.

tests/test_handover.c, runs_of_a_worker_that_answers_outlive_an_outage: its case of a leaving worker needs a run that stays there, and it moves now ("worker->runs->len == 0, n_runs == 1"). All workers leave in that case, so there is no other place; the checks are as they were.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -35,6 +35,7 @@
   X (STARTS_REFUSED, "starts_refused_total", "")                                                   \
   X (STOPS, "stops_total", "")                                                                     \
   X (PREEMPTED, "runs_preempted_total", "")                                                        \
+  X (EVACUATED, "runs_evacuated_total", "")                                                        \
   X (RUNS_LOST, "runs_lost_total", "")                                                             \
   X (TASK_CRASHES, "task_crashes_total", "")                                                       \
   X (WORKERS_ON_PROBATION, "workers_on_probation_total", "")                                       \
--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -73,6 +73,7 @@
   fleet->workers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)worker_free);
   fleet->pools = g_hash_table_new_full (NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
+  fleet->draining = g_ptr_array_new ();
   fleet->numbered = g_ptr_array_new ();
   fleet->probations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, probation_free);
   fleet->interference = NULL;
@@ -81,6 +82,7 @@
 void
 bts_fleet_clear (bts_fleet_t *fleet)
 {
+  g_ptr_array_unref (fleet->draining);
   g_ptr_array_unref (fleet->numbered);
   g_hash_table_unref (fleet->pools);
   g_hash_table_unref (fleet->workers);
@@ -143,6 +145,16 @@
   g_ptr_array_add (find_pool (fleet, service), worker);
 }
 
+/* Lists a worker among those that drain if its entry says so. */
+static void
+update_draining (bts_fleet_t *fleet, bts_worker_t *worker, gboolean was_draining)
+{
+  if (worker->entry->draining && !was_draining)
+    g_ptr_array_add (fleet->draining, worker);
+  else if (!worker->entry->draining && was_draining)
+    g_ptr_array_remove_fast (fleet->draining, worker);
+}
+
 static gboolean
 entries_equal (const bts_worker_entry_t *a, const bts_worker_entry_t *b)
 {
@@ -223,6 +235,7 @@
       worker->lost_runs = g_ptr_array_new_with_free_func (lost_run_free);
       g_hash_table_insert (fleet->workers, entry->id, worker);
       update_pool (fleet, worker);
+      update_draining (fleet, worker, FALSE);
       worker->probation = g_hash_table_lookup (fleet->probations, entry->address);
       return BTS_ENTRY_NEW;
     }
@@ -234,6 +247,7 @@
     worker->replaced = FALSE;
   if (entry->started_ms != worker->entry->started_ms)
     begin_entry_of_incarnation (worker);
+  gboolean was_draining = worker->entry->draining;
   g_hash_table_steal (fleet->workers, worker->entry->id);
   bts_worker_entry_free (worker->entry);
   worker->entry = entry;
@@ -241,6 +255,7 @@
   worker->probation = g_hash_table_lookup (fleet->probations, entry->address);
   g_hash_table_insert (fleet->workers, entry->id, worker);
   update_pool (fleet, worker);
+  update_draining (fleet, worker, was_draining);
   return change;
 }
 
@@ -256,6 +271,8 @@
   if (worker == NULL)
     return;
   g_ptr_array_remove_fast (find_pool (fleet, worker->service), worker);
+  if (worker->entry->draining)
+    g_ptr_array_remove_fast (fleet->draining, worker);
   fleet->numbered->pdata[worker->number] = NULL;
   g_hash_table_remove (fleet->workers, id);
 }
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -167,6 +167,7 @@
  * @unregistered_us: since when it isn't registered
  * @held: the journal says that an owner holds it, so that the next owner will know it
  * @remnant: what an earlier owner has said of it when it resigned
+ * @leaves_us: when it may leave at the earliest, while its entry says that it drains; 0 otherwise
  * @drained_ms: start of the newest earlier incarnation whose entry said that it was draining; 0 if
  *   none did
  * @replaced: another worker answers at its address, so this incarnation is over
@@ -219,6 +220,7 @@
   gint64 unregistered_us;
   gboolean held;
   bts_remnant_t remnant;
+  gint64 leaves_us;
   gint64 drained_ms;
   gboolean replaced;
   gint64 started_ms;
@@ -263,6 +265,7 @@
  * struct bts_fleet_t - all workers
  * @workers: id to bts_worker_t
  * @pools: interned service to a GPtrArray of its bts_worker_t
+ * @draining: bts_worker_t whose entries say that they drain, in no particular order
  * @numbered: bts_worker_t by number; NULL for those that were removed
  * @probations: address to the bts_probation_t of the workers there, also while there is none
  * @interference: which tasks slow each other down; NULL if that isn't learned
@@ -271,6 +274,7 @@
 {
   GHashTable *workers;
   GHashTable *pools;
+  GPtrArray *draining;
   GPtrArray *numbered;
   GHashTable *probations;
   bts_interference_t *interference;
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -408,6 +408,48 @@
     }
 }
 
+/* A worker on which a task will fit once the runs that are being stopped have ended, or NULL. */
+static bts_worker_t *
+find_being_freed (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+{
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, sched->fleet, stage);
+  bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
+    if (bts_place_check (worker, stage, now_us) == BTS_PLACE_NO_ROOM
+        && will_have_room (worker, stage))
+      return worker;
+  return NULL;
+}
+
+/**
+ * bts_preempt_for_move() - make room for one task of a long-running stage that is to move
+ * @sched: a leading scheduler
+ * @stage: the stage
+ * @now_us: the current time
+ *
+ * Stops runs on one worker, unless room is being made on another one already.
+ *
+ * Return: the worker that will have room once runs that are being stopped have ended, or NULL.
+ */
+bts_worker_t *
+bts_preempt_for_move (bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+{
+  bts_worker_t *worker = find_being_freed (sched, stage, now_us);
+  if (worker != NULL)
+    return worker;
+  guint n_being_freed;
+  gint64 cost = 0;
+  g_autoptr (GPtrArray) victims
+      = find_cheapest_victims (sched, stage, now_us, &n_being_freed, &cost);
+  if (victims == NULL)
+    return NULL;
+  bt_log (BT_LOG_INFO, "preempt", "job=%s step=%u stopped=%u loss_core_ms=%" G_GINT64_FORMAT,
+          bts_job_id (stage->job), stage->step, victims->len, cost);
+  stop_victims (sched, victims);
+  return ((const bts_run_t *)victims->pdata[0])->worker;
+}
+
 /* Whether a long-running stage has waited for room for long enough to preempt. One of an earlier
    term has waited under the owner before; if each owner began anew, owners that follow each other
    quickly would never preempt. */
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -77,6 +77,7 @@
   sched->speed = bts_speed_new ();
   sched->unsynced = g_ptr_array_new ();
   sched->short_services = g_ptr_array_new ();
+  sched->evacuation = bts_evacuation_new ();
   sched->usage = bts_usage_new (config->urgent_quota_percent);
   sched->share = bts_share_new (sched->usage);
   sched->members = members;
@@ -95,6 +96,7 @@
   bts_heartbeat_free (sched);
   g_ptr_array_unref (sched->unsynced);
   g_ptr_array_unref (sched->short_services);
+  bts_evacuation_free (sched->evacuation);
   bts_speed_free (sched->speed);
   bts_share_free (sched->share);
   bts_usage_free (sched->usage);
@@ -388,6 +390,7 @@
   g_ptr_array_set_size (sched->recurring, 0);
   g_ptr_array_set_size (sched->prefetch, 0);
   bts_heartbeat_clear (sched);
+  bts_evacuation_clear (sched->evacuation);
 }
 
 /**
@@ -535,11 +538,14 @@
   bts_sched_find_unlisted (sched);
   bts_sched_assume_unlisted (sched, now_us);
   bts_usage_begin_pass (sched->usage, now_us);
+  bts_evacuate_request (sched, now_us);
   guint n_queued = 0;
   guint n_reserving = 0;
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
+      if (stage->band != BTS_BAND_LONG_RUNNING)
+        bts_evacuate_reserve (sched, now_us);
       gboolean is_over = sched->pass_placing_us >= PASS_PLACING_MAX_US;
       if (is_over
           || (!bts_job_has_ended (stage->job)
@@ -710,6 +716,7 @@
   bts_speed_update (sched->speed, sched->fleet, bts_sched_now (sched));
   bts_heartbeat_tick (sched);
   bts_snapshot_tick (sched);
+  bts_evacuate_tick (sched);
   bts_sched_run_pass (sched);
 }
 
@@ -868,6 +875,7 @@
   bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, id);
   if (worker == NULL)
     return;
+  bts_evacuate_on_entry (worker, change, bts_sched_now (sched));
   /* The lists of a restarted worker tell which runs have ended with its earlier incarnation. */
   if (change == BTS_ENTRY_RESTARTED && sched->term != 0)
     worker->hold_next_us = MIN (worker->hold_next_us, bts_sched_now (sched));
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -1,6 +1,7 @@
 #ifndef BTS_SCHED_PRIVATE_H
 #define BTS_SCHED_PRIVATE_H
 
+#include "libbamboothread/scheduler/evacuate.h"
 #include "libbamboothread/scheduler/sched.h"
 #include "libbamboothread/scheduler/share.h"
 #include "libbamboothread/scheduler/speed.h"
@@ -103,6 +104,7 @@
  * @unsynced: during a pass, the workers that may run tasks of earlier owners and haven't
  *   listed their runs to this owner yet
  * @short_services: services (interned) on whose workers tasks found no room in the last pass
+ * @evacuation: room kept for tasks that move off workers that drain
  * @usage: what each tenant has running
  * @share: shares of the tenants
  * @next_assume_us: when to count again what may be running unlisted for each tenant
@@ -157,6 +159,7 @@
   gboolean queue_unsorted;
   GPtrArray *unsynced;
   GPtrArray *short_services;
+  bts_evacuation_t *evacuation;
   bts_usage_t *usage;
   bts_share_t *share;
   gint64 next_assume_us;
@@ -180,6 +183,7 @@
 gboolean bts_sched_is_journal_stale (const bts_sched_t *sched);
 gboolean bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, gint64 now_us);
 void bts_preempt_for_quota (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
+bts_worker_t *bts_preempt_for_move (bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us);
 gboolean bts_preempt_for (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, gint64 now_us);
 
 gint64 bts_sched_old_leases_expiry_us (const bts_sched_t *sched, const bts_worker_t *worker);
--- a/libbamboothread/scheduler/start.c
+++ b/libbamboothread/scheduler/start.c
@@ -75,11 +75,13 @@
 static bts_run_t *
 place_tentatively (bts_sched_t *sched, bts_task_t *task, guint number)
 {
-  bts_worker_t *worker
-      = bts_place_choose (sched->fleet, task, sched->pass_number, bts_sched_now (sched));
+  gint64 now_us = bts_sched_now (sched);
+  g_autofree char *name = bts_task_name (task);
+  bts_worker_t *worker = bts_evacuate_target (sched, task, name, now_us);
+  if (worker == NULL)
+    worker = bts_place_choose (sched->fleet, task, sched->pass_number, now_us);
   if (worker == NULL)
     return NULL;
-  g_autofree char *name = bts_task_name (task);
   const Bts__Step *step = bts_stage_step (task->stage);
   bts_resources_t demand = bts_place_demand (step);
   bts_place_charge_reservation (worker, step, sched->pass_number);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -119,6 +119,7 @@
  * @fails: all that it starts fails after a while
  * @stalls: what runs on it makes no progress
  * @lapsed_us: when its lease was last seen to be over
+ * @leaves_us: when it leaves, if it drains and says how much time is left; 0 otherwise
  * @cut_from: number of a process that can't reach it, or -1
  * @clock_rate: speed of its clock
  */
@@ -135,6 +136,7 @@
   double clock_rate;
   gint64 deadline_ms;
   gint64 lapsed_us;
+  gint64 leaves_us;
   guint64 fence;
   guint64 last_end;
   guint64 acked;
@@ -245,6 +247,7 @@
  * it
  * @lasting_seen_us: tasks that last, from when each of them is watched, to when it was last seen
  *   running; NULL if none is watched, see sim_watch_lasting()
+ * @lasting_away_us: longest time for which one of them hasn't run so far
  * @store_disturbed_us: when the store last was down, slow or lost answers
  * @comeback: how workers are back after sim_crash_for_seconds(), and after a deadly task
  * @crashes: workers that have crashed
@@ -300,6 +303,7 @@
   GHashTable *deadly;
   GHashTable *struck;
   GHashTable *lasting_seen_us;
+  gint64 lasting_away_us;
   gint64 store_disturbed_us;
   sim_comeback_t comeback;
   guint crashes;
@@ -399,6 +403,7 @@
 void sim_thaw (sim_t *sim, guint node);
 void sim_leave (sim_t *sim, guint node);
 void sim_crash (sim_t *sim, sim_worker_t *worker);
+void sim_drain (sim_t *sim, sim_worker_t *worker, gint64 remaining_ms);
 void sim_crash_for_seconds (sim_t *sim, sim_worker_t *worker);
 void sim_reborn (sim_t *sim, sim_worker_t *worker);
 sim_worker_t *sim_replace (sim_t *sim, sim_worker_t *worker);
