Advice: of the services that wait, the one with the least use never yields

Two services that had both had less than their least share yielded to each other, and neither made a call while both waited: all long calls would have stopped. A service that waits only to ask about further workers, and then finds none with room, held the others back as well, and a single short call kept a process for short ones for 8 s.

Now a service yields only to one that has had less than itself, only requests that name workers whenever they are made count as waiting, and use by short calls below 2% of a process keeps none.

test_call_share: service_with_the_least_use_never_yields failed before in three of eight rows, as each of the two had to yield.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -355,6 +355,14 @@
   return ids;
 }
 
+/* Whether requests of a scope name workers whenever they are made: those about further workers may
+   find none with room. */
+static gboolean
+names_workers (const bts_sched_t *sched, const bts_stage_t *stage, request_scope_t scope)
+{
+  return scope != SCOPE_FURTHER && bts_fleet_pool (sched->fleet, stage->job->service)->len > 0;
+}
+
 /* Requests advice for a stage if a process is free to call the service. Returns FALSE if none is.
    Nothing is sent either if there are no workers to name. */
 static gboolean
@@ -365,7 +373,8 @@
   bts_member_t *member = choose_advice_node (sched, needs_long_call (stage), yields, now_us);
   if (member == NULL)
     {
-      bts_call_share_wait (sched->call_share, service, now_us);
+      if (names_workers (sched, stage, scope))
+        bts_call_share_wait (sched->call_share, service, now_us);
       if (yields)
         bt_metrics_count (BT_COUNT_ADVICE_YIELDED);
       return FALSE;
--- a/libbamboothread/scheduler/call_share.c
+++ b/libbamboothread/scheduler/call_share.c
@@ -15,7 +15,7 @@
    finds one of them free nearly always. */
 #define KEPT_FACTOR 3
 /* Use of processes by short calls below which none is kept for them. */
-#define SHORT_USE_MIN 0.001
+#define SHORT_USE_MIN 0.02
 
 /**
  * struct service_t - calls for the workers of one service
@@ -150,12 +150,14 @@
  * each of its many stages asks about each worker that gets room. The workers of others would stay
  * free.
  *
- * Return: whether requests for another service wait that has had less than its least share.
+ * Return: whether requests for another service wait that has had less than its least share, and
+ * less than this one: of the services that wait, one never has to yield.
  */
 gboolean
 bts_call_share_has_to_yield (bts_call_share_t *share, const char *service, gint64 now_us)
 {
   forget (share, now_us);
+  double own_us = ensure_service (share, service)->used_us;
   double total_us = 0;
   guint n_claims = 0;
   for (guint i = 0; i < share->services->len; i++)
@@ -164,11 +166,11 @@
       total_us += other->used_us;
       n_claims += other->name == service || is_waiting (other, now_us);
     }
-  double least_us = total_us * LEAST_SHARE_PERCENT / 100 / MAX (n_claims, 1);
+  double bound_us = MIN (own_us, total_us * LEAST_SHARE_PERCENT / 100 / n_claims);
   for (guint i = 0; i < share->services->len; i++)
     {
       const service_t *other = &g_array_index (share->services, service_t, i);
-      if (other->name != service && is_waiting (other, now_us) && other->used_us < least_us)
+      if (other->name != service && is_waiting (other, now_us) && other->used_us < bound_us)
         return TRUE;
     }
   return FALSE;
