Advice: overdue stages with short and with long calls have turns of their own

The most overdue stage kept its turn until a process was free for its call. If it needs a long call while only processes kept for short ones are free, or its service has to yield, no other overdue stage got a turn for so long, of any service.

Now each length of call has its turns, and a turn goes to a stage whose request could be made. No test shows the block by itself; the tests of advice and of overload hold as before (14 and 5 passed).

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -420,55 +420,53 @@
   return stage->latest_start_us < other->latest_start_us;
 }
 
+/* Whether the request of a stage has waited for long, and could be made now. */
 static gboolean
-is_overdue (const bts_stage_t *stage, gint64 now_us)
+is_overdue (bts_sched_t *sched, const bts_stage_t *stage, gboolean is_long_call, gint64 now_us)
 {
   return stage->advice_wanted_us != 0 && now_us - stage->advice_wanted_us >= OVERDUE_US
-         && stage->advice_asked_us == 0 && !bts_job_has_ended (stage->job);
+         && stage->advice_asked_us == 0 && !bts_job_has_ended (stage->job)
+         && needs_long_call (stage) == is_long_call
+         && !bts_call_share_has_to_yield (sched->call_share, stage->job->service, now_us);
 }
 
-/* The most overdue of the stages whose requests have waited for long and that a turn is for, by
-   their latest start, in which owners agree; NULL if there is none. */
+/* The most overdue of the stages with calls of a length that a turn is for, by their latest start,
+   in which owners agree; NULL if there is none. */
 static bts_stage_t *
-find_overdue (const bts_sched_t *sched, turn_t turn, gint64 now_us)
+find_overdue (bts_sched_t *sched, turn_t turn, gboolean is_long_call, gint64 now_us)
 {
   bts_stage_t *overdue = NULL;
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
-      if (is_overdue (stage, now_us) && is_for (turn, stage)
+      if (is_for (turn, stage) && is_overdue (sched, stage, is_long_call, now_us)
           && (overdue == NULL || is_more_overdue (stage, overdue, turn, now_us)))
         overdue = stage;
     }
   return overdue;
 }
 
-/* Requests advice for the most overdue stage. If no process is free for its call, not again in the
-   same pass: further walks of the queue would find the same stage. */
+/* Requests advice for the most overdue stage with a call of a length for which a process is free.
+   Short and long calls have turns of their own, so that neither wait for the other's processes. */
 static void
-request_for_overdue (bts_sched_t *sched, gint64 now_us)
+request_for_overdue (bts_sched_t *sched, gboolean is_long_call, gint64 now_us)
 {
-  if (sched->advice_turn_pass == sched->pass_number)
-    return;
-  bts_stage_t *stage
-      = find_overdue (sched, turns[sched->advice_turns % G_N_ELEMENTS (turns)], now_us);
+  bts_advice_turns_t *own = &sched->advice_turns[is_long_call];
+  turn_t turn = turns[own->n_used % G_N_ELEMENTS (turns)];
+  bts_stage_t *stage = find_overdue (sched, turn, is_long_call, now_us);
   if (stage == NULL)
-    stage = find_overdue (sched, TURN_ANY, now_us);
+    stage = find_overdue (sched, TURN_ANY, is_long_call, now_us);
   if (stage == NULL)
     {
-      sched->advice_since_turn = 0;
+      own->n_since = 0;
       return;
     }
   gint64 waited_us = now_us - stage->advice_wanted_us;
-  if (!try_request (sched, stage, (request_scope_t)stage->advice_scope, now_us))
-    {
-      sched->advice_turn_pass = sched->pass_number;
-      return;
-    }
-  if (stage->advice_asked_us == 0)
+  if (!try_request (sched, stage, (request_scope_t)stage->advice_scope, now_us)
+      || stage->advice_asked_us == 0)
     return;
-  sched->advice_since_turn = 0;
-  sched->advice_turns++;
+  own->n_since = 0;
+  own->n_used++;
   bt_metrics_count (BT_COUNT_ADVICE_OVERDUE);
   bt_log (BT_LOG_INFO, "advice-overdue", "job=%s occurrence=%u step=%u waited_ms=%" G_GINT64_FORMAT,
           bts_job_id (stage->job), stage->occurrence, stage->step, waited_us / 1000);
@@ -479,12 +477,14 @@
 static void
 request_advice (bts_sched_t *sched, bts_stage_t *stage, request_scope_t scope, gint64 now_us)
 {
-  if (sched->advice_since_turn >= REQUESTS_PER_TURN
-      && choose_advice_node (sched, FALSE, FALSE, now_us) != NULL)
-    request_for_overdue (sched, now_us);
+  gboolean is_long_call = needs_long_call (stage);
+  bts_advice_turns_t *own = &sched->advice_turns[is_long_call];
+  if (own->n_since >= REQUESTS_PER_TURN
+      && choose_advice_node (sched, is_long_call, FALSE, now_us) != NULL)
+    request_for_overdue (sched, is_long_call, now_us);
   if (stage->advice_asked_us == 0 && try_request (sched, stage, scope, now_us))
     {
-      sched->advice_since_turn += stage->advice_asked_us != 0;
+      own->n_since += stage->advice_asked_us != 0;
       return;
     }
   stage->advice_scope = scope;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -61,6 +61,17 @@
   guint n_sent;
 } bts_report_t;
 
+/**
+ * struct bts_advice_turns_t - turns of overdue stages among the requests for advice
+ * @n_since: requests in the order of the queue since the last one for an overdue stage
+ * @n_used: counts the requests for overdue stages
+ */
+typedef struct
+{
+  guint n_since;
+  guint n_used;
+} bts_advice_turns_t;
+
 /**
  * struct bts_sched_t - state of the scheduler
  * @term: the term that this process leads; 0 if it isn't the owner
@@ -92,9 +103,7 @@
  * @entries_known_us: when the newest read that has completed began, or the newest one failed
  * @members: the processes, any of which may ask for advice
  * @advice_requests: counts requests for advice; each begins with another worker of the pool
- * @advice_since_turn: requests in the order of the queue since the last one for an overdue stage
- * @advice_turns: counts the requests for overdue stages
- * @advice_turn_pass: pass over the queue in which no process was free for an overdue stage
+ * @advice_turns: turns of overdue stages with short (index 0) and long (index 1) calls
  * @call_share: how calls to the advice service are shared
  * @advice_nodes_busy_us: until when no process has capacity for a short (first index 0) or a long
  *   (1) call to the advice service, for a service that has to yield to others (second index 1) or
@@ -154,9 +163,7 @@
   gint64 entries_known_us;
   bts_members_t *members;
   guint advice_requests;
-  guint advice_since_turn;
-  guint advice_turns;
-  guint64 advice_turn_pass;
+  bts_advice_turns_t advice_turns[2];
   bts_call_share_t *call_share;
   gint64 advice_nodes_busy_us[2][2];
   bts_speed_t *speed;
