Waits: a call about further workers isn't what a step waits for

Since only the first request holds a step back, but each step with a request in flight was reported as waiting for the call, also if it waits for room. The new row of cause_is_named (room during a call) failed before, as the cause was advice-call.

--- a/libbamboothread/scheduler/waiting.c
+++ b/libbamboothread/scheduler/waiting.c
@@ -131,10 +131,8 @@
     return BTS_WAITING_GANG;
   if (view->now_us < stage->backoff_until_us)
     return BTS_WAITING_BACKOFF;
-  if (stage->advice_asked_us != 0)
-    return BTS_WAITING_ADVICE_CALL;
   if (needs_advice (stage))
-    return BTS_WAITING_ADVICE_QUEUED;
+    return stage->advice_asked_us != 0 ? BTS_WAITING_ADVICE_CALL : BTS_WAITING_ADVICE_QUEUED;
   if (!bts_job_has_spec (stage->job))
     return BTS_WAITING_SPEC;
   if (stage->advice_wanted_us != 0)
--- a/libbamboothread/scheduler/waiting.h
+++ b/libbamboothread/scheduler/waiting.h
@@ -29,7 +29,7 @@
  * @BTS_WAITING_CRASH: whether its tasks crash their workers isn't known yet
  * @BTS_WAITING_GANG: the last run of its gang hasn't ended on all workers
  * @BTS_WAITING_BACKOFF: a start order for it was rejected as invalid
- * @BTS_WAITING_ADVICE_CALL: a request for advice is in flight
+ * @BTS_WAITING_ADVICE_CALL: its first request for advice is in flight
  * @BTS_WAITING_ADVICE_QUEUED: it needs advice, and no request is in flight
  * @BTS_WAITING_SPEC: this process hasn't read what the job runs
  * @BTS_WAITING_TICKET: it has no valid ticket for the workers that have room
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -255,6 +255,14 @@
   stage->lacks_room = TRUE;
 }
 
+/* A call about further workers doesn't keep the stage from those that it may use. */
+static void
+room_during_a_call (scene_t *scene, bts_stage_t *stage)
+{
+  room_with_ticket (scene, stage);
+  stage->advice_asked_us = NOW_US - 1;
+}
+
 static void
 room_without_ticket (scene_t *scene, bts_stage_t *stage)
 {
@@ -312,6 +320,7 @@
   { "ticket", ticket, TRUE },
   { "ticket", ticket, TRUE, TRUE },
   { "room", room_with_ticket, TRUE },
+  { "room", room_during_a_call, TRUE },
   { "room", room_without_ticket, TRUE },
   { "room", room_for_gang, TRUE, TRUE },
   { "ticket", room_for_gang, TRUE },
