Election: an owner whose process has started again isn't waited for

All processes had lost power at 35 s; the end of a task on a worker that left at 38 s was never read, so the task ran again from nothing, for half a minute.

The process that had been the owner before claimed at 36.55 s, for the same term, and came second.

Now a record of a later incarnation of the owner's process is taken to show that the owner has ended, and others claim with the delay that they have without an owner. A heartbeat of the owner takes that back. For how long leases of earlier owners are waited is as before.

owner_that_has_restarted_is_not_waited_for failed before in two of five rows, as no claim was due.

--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -135,11 +135,28 @@
 bts_election_on_heartbeat (bts_election_t *election, guint earlier_renewals_ms, gint64 now_us)
 {
   election->heard_us = now_us;
+  election->owner_restarted = FALSE;
   if (earlier_renewals_ms > 0)
     election->stale_grants_until_us
         = MIN (election->stale_grants_until_us, now_us + ((gint64)earlier_renewals_ms - 1) * 1000);
 }
 
+/**
+ * bts_election_on_hello() - a process has written that it is there
+ * @election: the election
+ * @node: its name
+ *
+ * Another incarnation of the owner's process shows that the owner has ended. That of an earlier one
+ * may be stored late; the owner's next heartbeat corrects it.
+ */
+void
+bts_election_on_hello (bts_election_t *election, const char *node)
+{
+  if (election->owner == NULL || strcmp (node, election->owner) == 0)
+    return;
+  election->owner_restarted = election->owner_restarted || bts_node_same_vm (node, election->owner);
+}
+
 /**
  * bts_election_on_append() - an append of this process was stored
  * @election: the election
@@ -204,6 +221,7 @@
     election->stale_grants_until_us
         = MAX (election->stale_grants_until_us, election->heard_us + BTS_RENEWAL_CUTOFF_US);
   election->heard_us = now_us;
+  election->owner_restarted = FALSE;
   g_free (election->owner);
   election->owner = g_strdup (owner);
 }
@@ -236,10 +254,10 @@
  * @yield_us: additional delay that leaves the claim to processes preferred as the owner
  * @now_us: current time
  *
- * A claim is due if there is no owner, if the owner is an earlier incarnation of this process, if
- * it lacks more records than this process, or if it has been silent while the journal could be
- * read. Unless the owner is an earlier incarnation, a process claims only after one of its appends
- * was stored.
+ * A claim is due if there is no owner, if its process has started again, if it lacks more records
+ * than this process, or if it has been silent while the journal could be read. Unless the owner is
+ * an earlier incarnation of this process, a process claims only after one of its appends was
+ * stored.
  *
  * Return: TRUE if a claim is to be written; its time is recorded.
  */
@@ -266,7 +284,7 @@
         + PROXIMITY_LATENCY_FACTOR * MIN (election->append_latency_us, PROXIMITY_LATENCY_MAX_US);
   gint64 timeout_us
       = BTS_ELECTION_TIMEOUT_US + claim_delay_us + TIMEOUT_LATENCY_FACTOR * latency_us;
-  if (owner == NULL)
+  if (owner == NULL || election->owner_restarted)
     timeout_us = claim_delay_us;
   else if (is_own_predecessor)
     timeout_us = 0;
--- a/libbamboothread/scheduler/election.h
+++ b/libbamboothread/scheduler/election.h
@@ -33,6 +33,8 @@
  * @owner: last known owner, or NULL
  * @jitter_us: constant delay of this process before a claim, so that claims rarely collide
  * @heard_us: when the owner was last heard from, or the log became readable again
+ * @owner_restarted: a later incarnation of the owner's process was heard from, and the owner itself
+ *   wasn't since
  * @stale_grants_until_us: until when replaced owners may still renew leases
  * @append_latency_us: recent append latency of this process; 0 before an append was stored
  * @caught_up_us: when the log was last read to its end; 0 before the first time
@@ -48,6 +50,7 @@
   char *owner;
   gint64 jitter_us;
   gint64 heard_us;
+  gboolean owner_restarted;
   gint64 stale_grants_until_us;
   gint64 append_latency_us;
   gint64 caught_up_us;
@@ -66,6 +69,7 @@
 void bts_election_on_caught_up (bts_election_t *election, gint64 latency_us, gint64 now_us);
 void bts_election_on_readable (bts_election_t *election, gint64 now_us);
 void bts_election_on_heartbeat (bts_election_t *election, guint earlier_renewals_ms, gint64 now_us);
+void bts_election_on_hello (bts_election_t *election, const char *node);
 void bts_election_on_owner (bts_election_t *election, const bts_ledger_t *ledger, gint64 now_us);
 void bts_election_on_append (bts_election_t *election, gint64 took_us);
 gint64 bts_election_old_leases_expiry_us (const bts_election_t *election, gint64 lease_us,
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -53,11 +53,82 @@
 }
 END_TEST
 
+static void
+ignore (void *context)
+{
+}
+
+static void
+ignore_node (void *context, const char *name)
+{
+}
+
+static void
+fold_claim (bts_ledger_t *ledger, const char *node)
+{
+  Bts__Claim claim = BTS__CLAIM__INIT;
+  claim.term = 1;
+  claim.node = (char *)node;
+  Bts__Record record = BTS__RECORD__INIT;
+  record.kind_case = BTS__RECORD__KIND_CLAIM;
+  record.claim = &claim;
+  guint8 bytes[256];
+  gsize len = bts__record__get_packed_size (&record);
+  ck_assert_uint_lt (len, sizeof bytes);
+  bts__record__pack (&record, bytes);
+  g_autoptr (GError) error = NULL;
+  ck_assert (bts_ledger_fold (ledger, 0, bytes, len, 0, &error));
+}
+
+/* What is heard after a claim of the owner, vm-2/5, and whether another process claims before the
+   owner counts as silent. */
+static const struct
+{
+  const char *hellos[2];
+  gboolean heartbeat;
+  gboolean claims_early;
+} restarts[] = {
+  { { "vm-3/1" }, FALSE, FALSE },
+  { { "vm-2/5" }, FALSE, FALSE },
+  { { "vm-2/9" }, FALSE, TRUE },
+  { { "vm-2/9", "vm-3/1" }, FALSE, TRUE },
+  /* The owner is there after all: what was heard was stored late. */
+  { { "vm-2/3" }, TRUE, FALSE },
+};
+
+/* Guards against workers without an owner for as long as a silent one is waited for, although its
+   process has started again: those that leave meanwhile take unread ends with them. */
+START_TEST (owner_that_has_restarted_is_not_waited_for)
+{
+  const bts_ledger_ops_t ops = { .owner_changed = ignore, .node_seen = ignore_node };
+  bts_ledger_t *ledger = bts_ledger_new (&ops, NULL);
+  fold_claim (ledger, "vm-2/5");
+  bts_election_t election;
+  bts_election_init (&election, "vm-1/1");
+  gint64 now_us = 1000 * 1000;
+  bts_election_on_append (&election, 4000);
+  bts_election_on_caught_up (&election, 4000, now_us);
+  bts_election_on_owner (&election, ledger, now_us);
+  for (guint i = 0; i < G_N_ELEMENTS (restarts[_i].hellos) && restarts[_i].hellos[i] != NULL; i++)
+    bts_election_on_hello (&election, restarts[_i].hellos[i]);
+  if (restarts[_i].heartbeat)
+    bts_election_on_heartbeat (&election, 0, now_us);
+  now_us += BTS_ELECTION_TIMEOUT_US - 1;
+  bts_election_on_caught_up (&election, 4000, now_us);
+  ck_assert_int_eq (bts_election_is_claim_due (&election, ledger, 0, now_us),
+                    restarts[_i].claims_early);
+  bts_election_clear (&election);
+  bts_ledger_free (ledger);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("election");
   tcase_add_loop_test (tests, narrow_link_limits_an_owner, 0, G_N_ELEMENTS (capacities));
   tcase_add_loop_test (tests, slow_reads_put_claims_off, 0, G_N_ELEMENTS (reads));
+  tcase_add_loop_test (tests, owner_that_has_restarted_is_not_waited_for, 0,
+                       G_N_ELEMENTS (restarts));
   return suite_run ("election", tests);
 }
