Election: the delay of claims counts from when the owner was seen to have restarted

A third of the processes was killed there at 15.0 s and was back at 15.5 s. As the owner's process was seen again, eleven others claimed at 15.67 s, and the term went to front-aviemore-a-5, a VM of 0.12 of a core, which settled after 32.6 s; on front-inverness-a-2, of 0.5 of a core, claimed at 15.72 s and settled after 3.3 s.

Cause, of: the owner had been silent for 0.67 s by then, as long as a small VM leaves a claim to larger ones, so all of them claimed at once, before the larger ones were back.

Now that delay counts from the record that shows the restart.

claims_are_left_to_larger_vms_after_a_restart failed before: a claim at 650 ms, instead of 1,150 or later.

--- a/libbamboothread/scheduler/election.c
+++ b/libbamboothread/scheduler/election.c
@@ -145,16 +145,20 @@
  * bts_election_on_hello() - a process has written that it is there
  * @election: the election
  * @node: its name
+ * @now_us: current time
  *
  * Another incarnation of the owner's process shows that the owner has ended. That of an earlier one
- * may be stored late; the owner's next heartbeat corrects it.
+ * may be stored late; the owner's next heartbeat corrects it. The delay of claims counts from now:
+ * processes that leave the claim to larger VMs may have waited for as long already.
  */
 void
-bts_election_on_hello (bts_election_t *election, const char *node)
+bts_election_on_hello (bts_election_t *election, const char *node, gint64 now_us)
 {
-  if (election->owner == NULL || strcmp (node, election->owner) == 0)
+  if (election->owner_restarted || election->owner == NULL || strcmp (node, election->owner) == 0
+      || !bts_node_same_vm (node, election->owner))
     return;
-  election->owner_restarted = election->owner_restarted || bts_node_same_vm (node, election->owner);
+  election->owner_restarted = TRUE;
+  election->heard_us = now_us;
 }
 
 /**
--- a/libbamboothread/scheduler/election.h
+++ b/libbamboothread/scheduler/election.h
@@ -69,7 +69,7 @@
 void bts_election_on_caught_up (bts_election_t *election, gint64 latency_us, gint64 now_us);
 void bts_election_on_readable (bts_election_t *election, gint64 now_us);
 void bts_election_on_heartbeat (bts_election_t *election, guint earlier_renewals_ms, gint64 now_us);
-void bts_election_on_hello (bts_election_t *election, const char *node);
+void bts_election_on_hello (bts_election_t *election, const char *node, gint64 now_us);
 void bts_election_on_owner (bts_election_t *election, const bts_ledger_t *ledger, gint64 now_us);
 void bts_election_on_append (bts_election_t *election, gint64 took_us);
 gint64 bts_election_old_leases_expiry_us (const bts_election_t *election, gint64 lease_us,
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -179,7 +179,7 @@
 {
   bts_node_t *node = context;
   bts_members_update (node->members, hello, node->replaying ? 0 : node_now (node));
-  bts_election_on_hello (&node->election, hello->node);
+  bts_election_on_hello (&node->election, hello->node, node_now (node));
 }
 
 static void
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -110,7 +110,7 @@
   bts_election_on_caught_up (&election, 4000, now_us);
   bts_election_on_owner (&election, ledger, now_us);
   for (guint i = 0; i < G_N_ELEMENTS (restarts[_i].hellos) && restarts[_i].hellos[i] != NULL; i++)
-    bts_election_on_hello (&election, restarts[_i].hellos[i]);
+    bts_election_on_hello (&election, restarts[_i].hellos[i], now_us);
   if (restarts[_i].heartbeat)
     bts_election_on_heartbeat (&election, 0, now_us);
   now_us += BTS_ELECTION_TIMEOUT_US - 1;
@@ -122,6 +122,36 @@
 }
 END_TEST
 
+/* Guards against a small VM that becomes the owner, and then can't serve the workers: by the time
+   at which the owner's process was seen to have started again, it had left the claim to larger ones
+   for as long as it does. */
+START_TEST (claims_are_left_to_larger_vms_after_a_restart)
+{
+  const gint64 yield_us = 500 * 1000;
+  const gint64 restart_us = 650 * 1000;
+  const bts_ledger_ops_t ops = { .owner_changed = ignore, .node_seen = ignore_node };
+  bts_ledger_t *ledger = bts_ledger_new (&ops, NULL);
+  fold_claim (ledger, "vm-2/5");
+  bts_election_t election;
+  bts_election_init (&election, "vm-1/1");
+  bts_election_on_append (&election, 4000);
+  bts_election_on_owner (&election, ledger, 0);
+  gint64 claimed_us = 0;
+  for (gint64 now_us = 0; now_us < 3000 * 1000 && claimed_us == 0; now_us += 50 * 1000)
+    {
+      bts_election_on_caught_up (&election, 4000, now_us);
+      if (now_us == restart_us)
+        bts_election_on_hello (&election, "vm-2/9", now_us);
+      if (bts_election_is_claim_due (&election, ledger, yield_us, now_us))
+        claimed_us = now_us;
+    }
+  ck_assert_int_ge (claimed_us, restart_us + yield_us);
+  ck_assert_int_lt (claimed_us, restart_us + yield_us + BTS_ELECTION_TIMEOUT_US / 2);
+  bts_election_clear (&election);
+  bts_ledger_free (ledger);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -130,5 +160,6 @@
   tcase_add_loop_test (tests, slow_reads_put_claims_off, 0, G_N_ELEMENTS (reads));
   tcase_add_loop_test (tests, owner_that_has_restarted_is_not_waited_for, 0,
                        G_N_ELEMENTS (restarts));
+  tcase_add_test (tests, claims_are_left_to_larger_vms_after_a_restart);
   return suite_run ("election", tests);
 }
