--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -59,6 +59,7 @@
   X (APPEND_UNKNOWN, "store_appends_total", "outcome=\"unknown\"")                                 \
   X (RECORDS, "journal_records_total", "")                                                         \
   X (READS_FAILED, "journal_reads_failed_total", "")                                               \
+  X (TABLES_READS_FAILED, "tables_reads_failed_total", "")                                         \
   X (CLAIMS, "claims_total", "")                                                                   \
   X (DEPOSED, "deposed_total", "")                                                                 \
   X (LOG_DROPPED, "log_lines_dropped_total", "")                                                   \
@@ -98,6 +99,7 @@
   X (LOG_SLOW, "log_slow", "")                                                                     \
   X (INTERFERING_PAIRS, "interfering_pairs", "")                                                   \
   X (TABLES_VERSION, "tables_version", "")                                                         \
+  X (TABLES_AGE_MS, "tables_age_ms", "")                                                           \
   X (JOURNAL_AGE_MS, "journal_age_ms", "")                                                         \
   X (CLIENT_CONNECTIONS, "client_connections", "")                                                 \
   X (CLIENT_HELD_BYTES, "client_held_bytes", "")
--- a/libbamboothread/connection/channel.c
+++ b/libbamboothread/connection/channel.c
@@ -1,6 +1,7 @@
 #include "libbamboothread/connection/channel.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,16 +19,17 @@
 #define RESPONSE_MAX_BYTES (8 * 1024 * 1024)
 
 typedef struct peer_t peer_t;
+typedef struct pending_call_t pending_call_t;
 
 /**
  * struct link_t - one connection to a peer
- * @is_busy: whether it carries a call
+ * @call: the call that it carries; NULL if it is free
  */
 typedef struct
 {
   peer_t *peer;
   struct evhttp_connection *connection;
-  gboolean is_busy;
+  pending_call_t *call;
 } link_t;
 
 /**
@@ -37,7 +39,7 @@
  * @is_sending: libevent is being given the request
  * @has_failed: libevent has given it back meanwhile
  */
-typedef struct
+struct pending_call_t
 {
   peer_t *peer;
   link_t *link;
@@ -48,8 +50,9 @@
   gboolean has_failed;
   char *path;
   bt_channel_reply_f reply;
+  bt_channel_progress_f progress;
   void *context;
-} pending_call_t;
+};
 
 /**
  * struct peer_t - the connections to one address
@@ -239,13 +242,21 @@
   return peer;
 }
 
+static void
+on_input (struct evbuffer *input, const struct evbuffer_cb_info *change, void *context)
+{
+  const link_t *link = context;
+  if (change->n_added > 0 && link->call != NULL && link->call->progress != NULL)
+    link->call->progress (link->call->context, change->n_added);
+}
+
 static link_t *
 get_free_link (peer_t *peer)
 {
   for (guint i = 0; i < peer->links->len; i++)
     {
       link_t *link = peer->links->pdata[i];
-      if (!link->is_busy)
+      if (link->call == NULL)
         return link;
     }
   if (peer->links->len >= peer->channels->per_peer_max)
@@ -255,6 +266,8 @@
   link->connection
       = evhttp_connection_base_new (peer->channels->base, NULL, peer->host, peer->port);
   evhttp_connection_set_max_body_size (link->connection, RESPONSE_MAX_BYTES);
+  struct bufferevent *stream = evhttp_connection_get_bufferevent (link->connection);
+  evbuffer_add_cb (bufferevent_get_input (stream), on_input, link);
   g_ptr_array_add (peer->links, link);
   return link;
 }
@@ -266,7 +279,7 @@
 {
   peer_t *peer = pending->peer;
   if (pending->link != NULL)
-    pending->link->is_busy = FALSE;
+    pending->link->call = NULL;
   pending->reply (pending->context, status, body, len);
   event_free (pending->timer);
   g_free (pending->path);
@@ -325,7 +338,7 @@
 static void
 send_call (pending_call_t *pending, link_t *link)
 {
-  link->is_busy = TRUE;
+  link->call = pending;
   pending->link = link;
   pending->is_sending = TRUE;
   int result
@@ -335,7 +348,7 @@
     return;
   /* libevent has freed the request. */
   pending->link = NULL;
-  link->is_busy = FALSE;
+  link->call = NULL;
   pending->request = evhttp_request_new (on_response, pending);
   fail_call (pending);
 }
@@ -374,6 +387,7 @@
   pending_call_t *pending = g_new0 (pending_call_t, 1);
   pending->peer = get_peer (channels, call->address);
   pending->reply = reply;
+  pending->progress = call->progress;
   pending->context = context;
   pending->method = parse_method (call->method);
   pending->path = g_strdup (call->path);
--- a/libbamboothread/connection/channel.h
+++ b/libbamboothread/connection/channel.h
@@ -25,6 +25,13 @@
  */
 typedef void (*bt_channel_reply_f) (void *context, int status, const char *body, gsize len);
 
+/**
+ * bt_channel_progress_f - called when a part of a response has arrived
+ * @context: as passed to bt_channels_call()
+ * @n_bytes: number of bytes that have arrived since the last call, headers included
+ */
+typedef void (*bt_channel_progress_f) (void *context, gsize n_bytes);
+
 /**
  * struct bt_call_t - an HTTP call
  * @method: GET, POST or DELETE
@@ -35,6 +42,7 @@
  * @body_len: length of @body in bytes
  * @content_type: content type of @body
  * @timeout_ms: time limit from the call to the complete response, including time spent queued
+ * @progress: called for each part of the response, until the call ends; or NULL
  */
 typedef struct
 {
@@ -46,6 +54,7 @@
   gsize body_len;
   const char *content_type;
   guint timeout_ms;
+  bt_channel_progress_f progress;
 } bt_call_t;
 
 void bt_event_keep_memory (void);
--- a/libbamboothread/scheduler/access.c
+++ b/libbamboothread/scheduler/access.c
@@ -110,6 +110,20 @@
          || now_us - freshness->as_of_us <= freshness->max_age_us;
 }
 
+/**
+ * bts_freshness_age_ms() - age of the tables
+ * @freshness: the state
+ * @now_us: current time
+ *
+ * Return: time since the store held no later version than those that were read, in milliseconds;
+ * negative if the tables weren't read to their end in this lifetime.
+ */
+gint64
+bts_freshness_age_ms (const bts_freshness_t *freshness, gint64 now_us)
+{
+  return bts_freshness_is_known (freshness) ? (now_us - freshness->as_of_us) / 1000 : -1;
+}
+
 /**
  * bts_access_check() - decide whether a request may be handled
  * @freshness: how fresh the tables are
--- a/libbamboothread/scheduler/access.h
+++ b/libbamboothread/scheduler/access.h
@@ -55,6 +55,7 @@
 gboolean bts_freshness_is_known (const bts_freshness_t *freshness);
 gboolean bts_freshness_is_usable (const bts_freshness_t *freshness, const bts_tables_t *tables,
                                   gint64 now_us);
+gint64 bts_freshness_age_ms (const bts_freshness_t *freshness, gint64 now_us);
 
 bts_access_t bts_access_check (const bts_freshness_t *freshness, const bts_tables_t *tables,
                                const bts_route_t *route, const char *key, gint64 now_us,
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -317,7 +317,12 @@
       send_start (sched, run);
     }
   else
-    bts_run_stop (sched, run);
+    {
+      bt_log (BT_LOG_NOTICE, "start-given-up", "task=%s run=%u worker=%s attempts=%u gang=%d",
+              run->name, run->number, run->worker->entry->id, run->unanswered_starts,
+              run->task != NULL && bts_stage_step (run->task->stage)->gang);
+      bts_run_stop (sched, run);
+    }
 }
 
 /**
