--- a/libbamboothread/connection/channel.c
+++ b/libbamboothread/connection/channel.c
@@ -36,6 +36,8 @@
  * struct pending_call_t - a call in flight or queued for a connection
  * @link: the connection that carries it, or NULL while it is queued
  * @timer: ends the call when its time limit has passed, or at once if it couldn't be sent
+ * @progress_timeout_ms: new time limit from each part of the response on; 0 to keep that of the
+ * call
  * @is_sending: libevent is being given the request
  * @has_failed: libevent has given it back meanwhile
  */
@@ -51,6 +53,7 @@
   char *path;
   bt_channel_reply_f reply;
   bt_channel_progress_f progress;
+  guint progress_timeout_ms;
   void *context;
 };
 
@@ -242,11 +245,22 @@
   return peer;
 }
 
+static void
+set_timeout (pending_call_t *pending, guint ms)
+{
+  struct timeval timeout = { ms / 1000, (ms % 1000) * 1000 };
+  evtimer_add (pending->timer, &timeout);
+}
+
 static void
 on_input (struct evbuffer *input, const struct evbuffer_cb_info *change, void *context)
 {
   const link_t *link = context;
-  if (change->n_added > 0 && link->call != NULL && link->call->progress != NULL)
+  if (change->n_added == 0 || link->call == NULL)
+    return;
+  if (link->call->progress_timeout_ms > 0)
+    set_timeout (link->call, link->call->progress_timeout_ms);
+  if (link->call->progress != NULL)
     link->call->progress (link->call->context, change->n_added);
 }
 
@@ -329,8 +343,7 @@
 static void
 fail_call (pending_call_t *pending)
 {
-  struct timeval immediately = { 0, 0 };
-  evtimer_add (pending->timer, &immediately);
+  set_timeout (pending, 0);
 }
 
 /* A connection may fail at once, as when no route leads to the peer. Callers are in the middle of
@@ -388,6 +401,7 @@
   pending->peer = get_peer (channels, call->address);
   pending->reply = reply;
   pending->progress = call->progress;
+  pending->progress_timeout_ms = call->progress_timeout_ms;
   pending->context = context;
   pending->method = parse_method (call->method);
   pending->path = g_strdup (call->path);
@@ -403,8 +417,7 @@
                     call->body_len);
     }
   pending->timer = evtimer_new (channels->base, on_timeout, pending);
-  struct timeval timeout = { call->timeout_ms / 1000, (call->timeout_ms % 1000) * 1000 };
-  evtimer_add (pending->timer, &timeout);
+  set_timeout (pending, call->timeout_ms);
   if (pending->peer->host == NULL)
     {
       fail_call (pending);
--- a/libbamboothread/connection/channel.h
+++ b/libbamboothread/connection/channel.h
@@ -42,6 +42,8 @@
  * @body_len: length of @body in bytes
  * @content_type: content type of @body
  * @timeout_ms: time limit from the call to the complete response, including time spent queued
+ * @progress_timeout_ms: time limit for each further part of the response once a first one has
+ *   arrived, instead of @timeout_ms; 0 for none
  * @progress: called for each part of the response, until the call ends; or NULL
  */
 typedef struct
@@ -54,6 +56,7 @@
   gsize body_len;
   const char *content_type;
   guint timeout_ms;
+  guint progress_timeout_ms;
   bt_channel_progress_f progress;
 } bt_call_t;
 
--- a/tests/test_read_limits.c
+++ b/tests/test_read_limits.c
@@ -11,6 +11,8 @@
 #define STEP_US 1000
 /* How long the store may delay a reply without records, in milliseconds. */
 #define WAIT_MS 1000
+/* Longest time until a reply begins to arrive after failed reads, in milliseconds. */
+#define RETRY_MAX_MS 2000
 /* Time from a request to the first bytes of the reply over an idle link, in milliseconds. */
 #define ROUND_TRIP_MS 20
 /* Time within which a version has to be in force everywhere once the store can be reached, in
@@ -148,6 +150,8 @@
   scene_t scene = { .c = c };
   bt_clock_init_paused (&scene.clock, 1000 * G_USEC_PER_SEC);
   scene.began_us = bt_clock_now (&scene.clock);
+  for (guint i = 0; i < c->n_processes; i++)
+    bts_read_limits_init (&scene.processes[i].limits, RETRY_MAX_MS);
   guint n_done = 0;
   while (n_done < c->n_processes && since_began_ms (&scene) < c->slow_ms + GIVE_UP_MS)
     {
