Runs: a gang is stopped as a whole when the start of a member is given up

Cause: after five start orders without a reply, 1.1 s, the owner stopped that run only. The others waited for it until the lease of its worker was over and the run was given up: 3 s later, after the time for which members wait (4 s there). The same holds for an order that is refused after one without a reply.

Change: give_up_start() stops all members.

--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -299,9 +299,31 @@
     run->state = BTS_RUN_RUNNING;
 }
 
-/* Repeats a start order that got no reply, or stops the run after several of them: the order may
-   have been carried out, or may be carried out later. While a later owner may have started the
-   task, the order waits. */
+static gboolean
+is_gang_member (const bts_run_t *run)
+{
+  return run->task != NULL && bts_stage_step (run->task->stage)->gang;
+}
+
+/* Stops a run whose start isn't confirmed: the order may have been carried out, or may be carried
+   out later. The other members of its gang are stopped with it, as they would wait for it in vain.
+ */
+static void
+give_up_start (bts_sched_t *sched, bts_run_t *run)
+{
+  if (run->state == BTS_RUN_STOPPING)
+    return;
+  bt_log (BT_LOG_NOTICE, "start-given-up", "task=%s run=%u worker=%s attempts=%u gang=%d",
+          run->name, run->number, run->worker->entry->id, run->unanswered_starts,
+          is_gang_member (run));
+  if (is_gang_member (run))
+    bts_gang_stop (sched, run->task->stage);
+  else
+    bts_run_stop (sched, run);
+}
+
+/* Repeats a start order that got no reply, or gives the start up after several of them. While a
+   later owner may have started the task, the order waits. */
 static void
 repeat_start (bts_sched_t *sched, bts_run_t *run)
 {
@@ -317,12 +339,7 @@
       send_start (sched, run);
     }
   else
-    {
-      bt_log (BT_LOG_NOTICE, "start-given-up", "task=%s run=%u worker=%s attempts=%u gang=%d",
-              run->name, run->number, run->worker->entry->id, run->unanswered_starts,
-              run->task != NULL && bts_stage_step (run->task->stage)->gang);
-      bts_run_stop (sched, run);
-    }
+    give_up_start (sched, run);
 }
 
 /**
@@ -384,7 +401,7 @@
                         : reply == BTS_REPLY_BUSY          ? "busy"
                                                            : "invalid");
       else
-        bts_run_stop (sched, run);
+        give_up_start (sched, run);
       break;
     }
 }
