Access: no answer from tables that are known to be old

Cause: the age of the tables was looked at only where a request needs a key.

Change: without a route the answer is 503 once the tables are older than tables-max-age-ms: it can't be known that there is none. All requests get 503 once the store has replied to another read while the tables were that old, and the process isn't ready. A process that can't reach the store at all goes on with the tables that it has, as before. The explanation of a job follows the same decision.

Why it works: whoever answers has read all versions of 3 s ago (apply-ms less 1 s), or can't reach the store, and then isn't asked for more.

Tests: old_tables_deny_no_route_while_the_store_is_reached, 13 rows; with the old decision, rows 2 to 7 fail (404 or granted). Existing rows are unchanged.

--- a/libbamboothread/scheduler/access.c
+++ b/libbamboothread/scheduler/access.c
@@ -36,6 +36,17 @@
   update_as_of (freshness);
 }
 
+/**
+ * bts_freshness_on_reached() - the store has replied to a read of any log
+ * @freshness: the state
+ * @now_us: current time
+ */
+void
+bts_freshness_on_reached (bts_freshness_t *freshness, gint64 now_us)
+{
+  freshness->reached_us = now_us;
+}
+
 /**
  * bts_freshness_on_skipped() - records were deleted before they could be read
  * @freshness: the state
@@ -92,22 +103,36 @@
   return freshness->as_of_us != 0;
 }
 
+static gboolean
+is_old (const bts_freshness_t *freshness, gint64 now_us)
+{
+  return now_us - freshness->as_of_us > freshness->max_age_us;
+}
+
+/* A process that can't reach the store goes on with the tables that it has. One that can may only
+   lack the newest version, which the rest of the site uses. */
+static gboolean
+is_outdated (const bts_freshness_t *freshness, gint64 now_us)
+{
+  return is_old (freshness, now_us) && is_old (freshness, freshness->reached_us);
+}
+
 /**
- * bts_freshness_is_usable() - whether the tables are fresh enough for requests that need a key
+ * bts_freshness_is_usable() - whether the tables are fresh enough for all requests
  * @freshness: the state
  * @tables: the newest tables; NULL if there are none
  * @now_us: current time
  *
- * Without tenants, no request needs a key, and the age of the tables doesn't matter.
+ * Without tenants, no request needs a key, and the age of the tables matters only while the store
+ * can be reached.
  */
 gboolean
 bts_freshness_is_usable (const bts_freshness_t *freshness, const bts_tables_t *tables,
                          gint64 now_us)
 {
-  if (tables == NULL || !bts_freshness_is_known (freshness))
+  if (tables == NULL || !bts_freshness_is_known (freshness) || is_outdated (freshness, now_us))
     return FALSE;
-  return bts_tenants_count (tables->tenants) == 0
-         || now_us - freshness->as_of_us <= freshness->max_age_us;
+  return bts_tenants_count (tables->tenants) == 0 || !is_old (freshness, now_us);
 }
 
 /**
@@ -128,7 +153,7 @@
  * bts_access_check() - decide whether a request may be handled
  * @freshness: how fresh the tables are
  * @tables: the newest tables; NULL if there are none
- * @route: the route of the request
+ * @route: the route of the request; NULL if the tables have none for it
  * @key: the key that it carries; NULL if none
  * @now_us: current time
  * @tenant: set to the tenant that has the key; NULL if the request needs none
@@ -141,6 +166,10 @@
   *tenant = NULL;
   if (tables == NULL || !bts_freshness_is_known (freshness))
     return BTS_ACCESS_NOT_READY;
+  if (is_outdated (freshness, now_us) || (route == NULL && is_old (freshness, now_us)))
+    return BTS_ACCESS_STALE;
+  if (route == NULL)
+    return BTS_ACCESS_NO_ROUTE;
   if (route->is_public || bts_tenants_count (tables->tenants) == 0)
     return BTS_ACCESS_GRANTED;
   if (!bts_freshness_is_usable (freshness, tables, now_us))
--- a/libbamboothread/scheduler/explain.c
+++ b/libbamboothread/scheduler/explain.c
@@ -155,7 +155,10 @@
       add_status (answer, 401, key == NULL ? "the key is missing" : "no tenant has this key");
       return FALSE;
     case BTS_ACCESS_STALE:
-      add_status (answer, 503, "the tables are too old to say whether the key is valid");
+      add_status (answer, 503, "the tables are too old to say whether the key or route is valid");
+      return FALSE;
+    case BTS_ACCESS_NO_ROUTE:
+      add_status (answer, 404, "no route has this host and path");
       return FALSE;
     default:
       add_status (answer, 503, "the tables weren't read to their end yet");
@@ -171,15 +174,9 @@
   const bts_route_t *route
       = view->tables == NULL ? NULL
                              : bts_tables_find_route (view->tables, request->host, request->path);
-  if (route == NULL)
-    {
-      add_status (answer, view->tables == NULL ? 503 : 404,
-                  view->tables == NULL ? "the tables weren't read to their end yet"
-                                       : "no route has this host and path");
-      return NULL;
-    }
-  add_route (answer, route);
   const bts_tenant_t *tenant;
+  if (route != NULL)
+    add_route (answer, route);
   if (!check_access (answer, route, request->key, &tenant))
     return NULL;
   if (tenant != NULL)
--- a/tests/test_access.c
+++ b/tests/test_access.c
@@ -160,12 +160,75 @@
 }
 END_TEST
 
+/**
+ * struct reached_case - a request to a process whose tables are old
+ * @tables: its tables
+ * @route: whether they have a route for the request, and whether that is public
+ * @age_ms: age of the last complete read of the tables
+ * @reached_ms: how long ago the store replied to a read of another log
+ */
+typedef enum
+{
+  NO_ROUTE,
+  ROUTE,
+  PUBLIC_ROUTE,
+} route_t;
+static const struct
+{
+  tables_t tables;
+  route_t route;
+  gint64 age_ms;
+  gint64 reached_ms;
+  bts_access_t access;
+} reached_cases[] = {
+  { WITHOUT_TENANTS, NO_ROUTE, 10, 10, BTS_ACCESS_NO_ROUTE },
+  { WITHOUT_TENANTS, NO_ROUTE, MAX_AGE_MS, 10, BTS_ACCESS_NO_ROUTE },
+  /* The route may have been added since, whether the store can be reached or not. */
+  { WITHOUT_TENANTS, NO_ROUTE, MAX_AGE_MS + 1, 10, BTS_ACCESS_STALE },
+  { WITHOUT_TENANTS, NO_ROUTE, 60 * 1000, 60 * 1000, BTS_ACCESS_STALE },
+  { WITH_TENANTS, NO_ROUTE, MAX_AGE_MS + 1, 10, BTS_ACCESS_STALE },
+  /* It may have been removed since. */
+  { WITHOUT_TENANTS, ROUTE, 10 * 1000, 10, BTS_ACCESS_STALE },
+  { WITH_TENANTS, PUBLIC_ROUTE, 10 * 1000, 10, BTS_ACCESS_STALE },
+  /* The store replied to another read, was lost again, and the tables weren't read meanwhile. */
+  { WITHOUT_TENANTS, ROUTE, 60 * 1000, 50 * 1000, BTS_ACCESS_STALE },
+  /* It can't be reached: the process goes on with the tables that it has. */
+  { WITHOUT_TENANTS, ROUTE, 60 * 1000, 60 * 1000, BTS_ACCESS_GRANTED },
+  { WITHOUT_TENANTS, ROUTE, 60 * 1000, 59 * 1000, BTS_ACCESS_GRANTED },
+  { WITH_TENANTS, PUBLIC_ROUTE, 60 * 1000, 60 * 1000, BTS_ACCESS_GRANTED },
+  { WITH_TENANTS, ROUTE, 60 * 1000, 60 * 1000, BTS_ACCESS_STALE },
+  { WITHOUT_TENANTS, ROUTE, MAX_AGE_MS, 0, BTS_ACCESS_GRANTED },
+};
+
+/* Guards against answers from tables that are known to be old: 404 for a route that was added, and
+   200 for one that was removed (CONFIG on pwani-billing-grown). */
+START_TEST (old_tables_deny_no_route_while_the_store_is_reached)
+{
+  bts_tables_t *tables = tables_new (reached_cases[_i].tables == WITH_TENANTS);
+  const bts_route_t route = { .is_public = reached_cases[_i].route == PUBLIC_ROUTE };
+  bts_freshness_t freshness;
+  bts_freshness_init (&freshness, MAX_AGE_MS);
+  bts_freshness_on_read (&freshness, TRUE, AT_US - reached_cases[_i].age_ms * 1000);
+  bts_freshness_on_reached (&freshness, AT_US - reached_cases[_i].reached_ms * 1000);
+  const bts_tenant_t *tenant = NULL;
+  bts_access_t access = bts_access_check (
+      &freshness, tables, reached_cases[_i].route == NO_ROUTE ? NULL : &route, "k", AT_US, &tenant);
+  ck_assert_int_eq (access, reached_cases[_i].access);
+  if (reached_cases[_i].route == ROUTE)
+    ck_assert_int_eq (bts_freshness_is_usable (&freshness, tables, AT_US),
+                      access == BTS_ACCESS_GRANTED);
+  bts_tables_free (tables);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("access");
   tcase_add_loop_test (tests, request_is_handled_with_fresh_tables, 0, G_N_ELEMENTS (cases));
   tcase_add_loop_test (tests, skipped_versions_are_read, 0, G_N_ELEMENTS (histories));
+  tcase_add_loop_test (tests, old_tables_deny_no_route_while_the_store_is_reached, 0,
+                       G_N_ELEMENTS (reached_cases));
   tcase_add_test (tests, tables_age_while_the_newest_version_is_missing);
   return suite_run ("access", tests);
 }
