Store: a read of the tables that was sent during an outage is sent again after it

Follows: with up to 2 s for a reply after failed reads, a read that was sent while the store was silent held up the next one, and the tables were read up to 1.3 s later than before.

Test: read_sent_during_an_outage_is_sent_again.

--- a/libbamboothread/scheduler/read_limits.c
+++ b/libbamboothread/scheduler/read_limits.c
@@ -66,6 +66,24 @@
   return (bts_read_limit_t){ wait_ms, wait_ms + REPLY_MARGIN_MS, PROGRESS_MS };
 }
 
+/**
+ * bts_read_limits_on_store_back() - the store replies to other reads again, after an outage
+ * @limits: the state
+ * @waited_ms: time since the read in flight was sent
+ * @has_begun: whether its reply has begun to arrive
+ *
+ * Return: whether to send that read again: one that was sent during an outage may never get a
+ * reply.
+ */
+gboolean
+bts_read_limits_on_store_back (bts_read_limits_t *limits, gint64 waited_ms, gboolean has_begun)
+{
+  if (limits->failures == 0 || has_begun || waited_ms < RETRY_REPLY_MS)
+    return FALSE;
+  limits->failures = 1;
+  return TRUE;
+}
+
 /**
  * bts_read_limits_retry_ms() - time from a failed read to the next one
  * @limits: the state
--- a/tests/test_read_limits.c
+++ b/tests/test_read_limits.c
@@ -183,10 +183,50 @@
 }
 END_TEST
 
+/**
+ * struct back_case - a read while the store replies to others again
+ * @failures: failed reads in a row before it
+ * @waited_ms: time since it was sent
+ * @has_begun: its reply has begun to arrive
+ */
+static const struct
+{
+  guint failures;
+  gint64 waited_ms;
+  gboolean has_begun;
+  gboolean is_sent_again;
+} back_cases[] = {
+  { 5, 1900, FALSE, TRUE },
+  { 5, 1900, TRUE, FALSE },
+  /* It may be the first one that the store has replied to. */
+  { 5, 100, FALSE, FALSE },
+  { 0, 1900, FALSE, FALSE },
+};
+
+/* Guards against tables that are read late after an outage, since a read waits for a reply that
+   never comes. */
+START_TEST (read_sent_during_an_outage_is_sent_again)
+{
+  bts_read_limits_t limits;
+  bts_read_limits_init (&limits, RETRY_MAX_MS);
+  for (guint i = 0; i < back_cases[_i].failures; i++)
+    bts_read_limits_on_failure (&limits);
+  guint reply_ms = bts_read_limits_next (&limits, WAIT_MS).reply_ms;
+  ck_assert_uint_eq (reply_ms, RETRY_MAX_MS);
+  gboolean is_sent_again
+      = bts_read_limits_on_store_back (&limits, back_cases[_i].waited_ms, back_cases[_i].has_begun);
+  ck_assert_int_eq (is_sent_again, back_cases[_i].is_sent_again);
+  if (is_sent_again)
+    ck_assert_uint_lt (bts_read_limits_next (&limits, WAIT_MS).reply_ms, reply_ms);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("read_limits");
   tcase_add_loop_test (tests, large_version_is_read_over_a_shared_link, 0, G_N_ELEMENTS (cases));
+  tcase_add_loop_test (tests, read_sent_during_an_outage_is_sent_again, 0,
+                       G_N_ELEMENTS (back_cases));
   return suite_run ("read_limits", tests);
 }
