Workers: what a run that was given up has done counts

Cause: once the owner had given a run up, as its worker's lease was over, it ignored the end of that run also if the worker listed it as done before another one had started, or while another one was at work. The end was acknowledged all the same, and is then taken note of.

Change: the end of a run that is done counts, whatever became of the run, unless a later end is recorded; the run that replaces it is stopped, and that of a gang as a whole. Any other end of such a run is ignored, as before.

Why it works: a worker that lists a run as done has done it; no later owner can undo that.

--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -98,7 +98,7 @@
  * @ended_run: the highest number of a run whose end is in the journal; 0 for none
  * @last_run: the highest run number known to have been used; 0 for none
  * @lost_run: the highest number of a run that this owner gave up, for instance when its
- *   worker's lease expired; an end of that run that is listed later doesn't count
+ *   worker's lease expired; an end of that run that is listed later counts only if it is done
  * @checkpoint: newest checkpoint, or NULL
  * @run: its current run under this owner, or NULL
  * @pending_end_run: the highest number of a run that has ended and whose end isn't in the
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -302,13 +302,29 @@
     bts_task_set_checkpoint (run->task, row->checkpoint);
 }
 
-/* Whether an end without a known run is the unrecorded end of an earlier owner's run. */
+/* Whether the end of a run that isn't the current one of its task counts: that of an earlier
+   owner's run which isn't recorded, or of one that was given up. Work that is done needn't be done
+   again, whatever became of its run; any other end is as good as the run's loss. */
 static gboolean
 end_counts (const bts_task_t *task, const bts_listed_end_t *row)
 {
-  return task != NULL && task->run == NULL && row->number > task->pending_end_run
-         && row->number > task->ended_run && row->number > task->lost_run
-         && row->number >= task->last_run;
+  if (task == NULL || row->number <= task->pending_end_run || row->number <= task->ended_run)
+    return FALSE;
+  if (row->outcome == BTS_OUTCOME_DONE && !bts_stage_step (task->stage)->long_running)
+    return !task->done;
+  return task->run == NULL && row->number > task->lost_run && row->number >= task->last_run;
+}
+
+/* Stops the run of a task that another run has done, or of all members of its gang. */
+static void
+stop_superseded_run (bts_sched_t *sched, const bts_task_t *task)
+{
+  if (task->run == NULL)
+    return;
+  if (bts_stage_step (task->stage)->gang)
+    bts_gang_stop (sched, task->stage);
+  else
+    bts_run_stop (sched, task->run);
 }
 
 static void
@@ -347,12 +363,13 @@
                                                          : BT_COUNT_ENDS_OTHER);
   worker->ends_in_flight++;
   bts_run_t *run = bts_worker_find_run (worker, row->name, row->number);
-  bts_task_t *task = run != NULL ? run->task : bts_sched_find_task (sched, row->name);
-  gboolean counts = run != NULL ? task != NULL : end_counts (task, row);
+  gboolean is_current = run != NULL && run->task != NULL;
+  bts_task_t *task = is_current ? run->task : bts_sched_find_task (sched, row->name);
+  gboolean counts = is_current || end_counts (task, row);
   bt_log (BT_LOG_INFO, "end",
           "task=%s run=%u worker=%s how=%d number=%" G_GUINT64_FORMAT " counts=%d", row->name,
           row->number, worker->entry->id, row->outcome, row->seq, counts);
-  gint64 duration_ms = run == NULL || run->unanswered_starts > 0 || run->checkpoint != NULL
+  gint64 duration_ms = !is_current || run->unanswered_starts > 0 || run->checkpoint != NULL
                            ? -1
                            : (bts_sched_now (sched) - run->created_us) / 1000;
   if (counts && duration_ms >= 0 && row->outcome == BTS_OUTCOME_DONE)
@@ -371,8 +388,10 @@
                               duration_ms, bts_stage_step (task->stage)->estimate_ms);
     }
   bts_heartbeat_add_end (sched, worker, row, counts ? task : NULL);
-  if (counts && row->outcome == BTS_OUTCOME_DONE)
-    mark_done_pending (sched, task);
+  if (!counts || row->outcome != BTS_OUTCOME_DONE)
+    return;
+  mark_done_pending (sched, task);
+  stop_superseded_run (sched, task);
 }
 
 /* Gives up runs that the worker lists neither as running nor as ended, if the hold was
