--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -50,6 +50,10 @@
   { "", NULL, 1 },
 };
 
+/* Parts of a page that arrives slowly, and the time between them. */
+#define PARTS 6
+#define PART_INTERVAL_MS 450
+
 typedef struct
 {
   struct event_base *base;
@@ -58,12 +62,42 @@
   guint pages;
   GString *records;
   gboolean complete;
+  gboolean is_slow;
+  struct evhttp_request *request;
+  struct event *timer;
+  guint n_parts;
 } scene_t;
 
+/* Sends the next part of a page that takes longer to arrive than its first part may. */
+static void
+send_part (evutil_socket_t fd, short what, void *context)
+{
+  scene_t *scene = context;
+  const struct timeval interval = { 0, PART_INTERVAL_MS * 1000 };
+  gsize len = (strlen (scene->page) + PARTS - 1) / PARTS;
+  const char *from = scene->page + scene->n_parts * len;
+  struct evbuffer *part = evbuffer_new ();
+  evbuffer_add (part, from, MIN (len, strlen (from)));
+  if (scene->n_parts == 0)
+    evhttp_send_reply_start (scene->request, 200, "OK");
+  evhttp_send_reply_chunk (scene->request, part);
+  evbuffer_free (part);
+  if (++scene->n_parts == PARTS)
+    evhttp_send_reply_end (scene->request);
+  else
+    evtimer_add (scene->timer, &interval);
+}
+
 static void
 serve (struct evhttp_request *request, void *context)
 {
   scene_t *scene = context;
+  if (scene->is_slow)
+    {
+      scene->request = request;
+      send_part (-1, 0, scene);
+      return;
+    }
   gboolean has_page = scene->pages++ == 0 || scene->is_repeated;
   const char *page = has_page ? scene->page : "{\"items\":[],\"has-more\":false}";
   evbuffer_add (evhttp_request_get_output_buffer (request), page, strlen (page));
@@ -92,6 +126,7 @@
 {
   scene->base = bt_event_base_new ();
   scene->records = g_string_new (NULL);
+  scene->timer = evtimer_new (scene->base, send_part, scene);
   struct evhttp *http = evhttp_new (scene->base);
   struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
   ck_assert_ptr_nonnull (bound);
@@ -105,6 +140,7 @@
   pf_store_t *store = pf_store_new (scene->base, &clock, address);
   pf_store_read_newest (store, "keyed.servers", on_record, on_done, scene);
   event_base_dispatch (scene->base);
+  event_free (scene->timer);
   pf_store_free (store);
   evhttp_free (http);
   event_base_free (scene->base);
@@ -147,6 +183,18 @@
 }
 END_TEST
 
+/* Guards against a page of the registry or the tables that is never read over a link that others
+   share: each read of it began anew after 2 s. */
+START_TEST (large_page_is_read_while_it_arrives)
+{
+  scene_t scene = { .page = cases[0].page, .is_slow = TRUE };
+  read_pages (&scene);
+  ck_assert (scene.complete);
+  ck_assert_str_eq (scene.records->str, cases[0].records);
+  g_string_free (scene.records, TRUE);
+}
+END_TEST
+
 /* How long the store takes to reply to each read of the log, and the end that it tells of. Each
    read is given one record. */
 #define READ_TOOK_MS 30
@@ -257,6 +305,7 @@
   TCase *tests = tcase_create ("store");
   tcase_add_loop_test (tests, a_page_is_read_whole_or_not_at_all, 0, G_N_ELEMENTS (cases));
   tcase_add_loop_test (tests, a_read_ends_where_a_page_repeats, 0, G_N_ELEMENTS (stuck));
+  tcase_add_test (tests, large_page_is_read_while_it_arrives);
   tcase_add_test (tests, reads_of_history_tell_no_latency);
   return suite_run ("store", tests);
 }
