--- a/libbamboothread/scheduler/read_limits.h
+++ b/libbamboothread/scheduler/read_limits.h
@@ -39,8 +39,8 @@
 void bts_read_limits_on_reply (bts_read_limits_t *limits);
 void bts_read_limits_on_failure (bts_read_limits_t *limits);
 bts_read_limit_t bts_read_limits_next (const bts_read_limits_t *limits, guint wait_ms);
-gboolean bts_read_limits_on_store_back (bts_read_limits_t *limits, gint64 away_ms,
-                                        gint64 waited_ms, gboolean has_begun);
+gboolean bts_read_limits_on_store_back (bts_read_limits_t *limits, gint64 away_ms, gint64 waited_ms,
+                                        gboolean has_begun);
 guint bts_read_limits_retry_ms (const bts_read_limits_t *limits);
 
 #endif
