--- a/review/standin_platform.py
+++ b/review/standin_platform.py
@@ -226,7 +226,7 @@
     """A worker that runs tasks for their time and lists them. It guards nothing but its lease."""
 
     def __init__(self, record, store, name, service="compile-svc", cpu=32000, mem=65536,
-                 run_ms=lambda task: 500, checkpoint_ms=0, quiet=False):
+                 run_ms=lambda task: 500, checkpoint_ms=0, quiet=False, labels=()):
         self.record = record
         self.store = store
         self.id = name
@@ -235,6 +235,13 @@
         self.run_ms = run_ms
         self.checkpoint_ms = checkpoint_ms
         self.quiet = quiet
+        self.labels = ["kind-a", "r1-1", *labels]
+        # While this is set, run-start is rejected: "429 or 503 from an unhealthy worker, which has
+        # then done nothing".
+        self.unhealthy = False
+        # While this is set the worker is down: channels are reset.
+        self.down = False
+        self.writers = set()
         self.born = int(time.time() * 1000)
         self.zero = now_ms()
         self.running = {}
@@ -245,30 +252,60 @@
         self.highest = {}
         self.sequence = 0
         self.news = asyncio.Event()
-        self.hooks = []
         self.started_tasks = 0
+        self.begun = set()
         self.done_tasks = 0
 
     def clock(self):
         return now_ms() - self.zero + 1000
 
     async def start(self):
-        server = await asyncio.start_server(lambda r, w: serve(self.handle, r, w), "127.0.0.1", 0,
-                                            limit=1 << 20)
+        server = await asyncio.start_server(self.accept, "127.0.0.1", 0, limit=1 << 20)
         self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
         asyncio.ensure_future(self.beat())
         asyncio.ensure_future(self.work())
 
+    async def accept(self, reader, writer):
+        if self.down:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        try:
+            await serve(self.handle, reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def crash(self, down_s):
+        """The worker loses all and starts again under its id."""
+        self.record(f"{self.id}: crashes with {len(self.running)} runs, for {down_s} s")
+        self.down = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.running.clear()
+        await asyncio.sleep(down_s)
+        self.finished = []
+        self.highest = {}
+        self.seq = self.fence = self.lease_ms = self.sequence = 0
+        self.zero = now_ms()
+        self.born = int(time.time() * 1000)
+        self.down = False
+        self.record(f"{self.id}: is back")
+        self.write_entry()
+
     async def beat(self):
         while True:
-            self.sequence += 1
-            self.store.write_key("keyed.servers", self.id, {
-                "service": self.service, "address": self.address, "zone": "lahore-gulberg",
-                "version": "1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
-                "sequence": self.sequence, "capacity": self.capacity, "labels": ["kind-a", "r1-1"],
-                "born": self.born, "clock-ms": self.clock()})
+            if not self.down:
+                self.write_entry()
             await asyncio.sleep(1.5)
 
+    def write_entry(self):
+        self.sequence += 1
+        self.store.write_key("keyed.servers", self.id, {
+            "service": self.service, "address": self.address, "zone": "lahore-gulberg",
+            "version": "1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
+            "sequence": self.sequence, "capacity": self.capacity, "labels": self.labels,
+            "born": self.born, "clock-ms": self.clock()})
+
     def end(self, key, how, saved=""):
         task, run = key
         del self.running[key]
@@ -318,6 +355,9 @@
             if key in self.running:
                 self.end(key, "stopped", self.checkpoint(self.running[key]))
             return self.reply(200)
+        if self.unhealthy:
+            self.record(f"{self.id}: start {key[0]} run {key[1]} rejected with 503")
+            return self.reply(503)
         if key in self.running:
             return self.reply(200)
         if order.get("deadline-ms", 0) and order["deadline-ms"] < self.clock():
@@ -329,6 +369,7 @@
         self.running[key] = {"since": self.clock(), "until": None if ms is None
                              else self.clock() + ms, "spec": order["spec"]}
         self.started_tasks += 1
+        self.begun.add(key[0])
         if not self.quiet:
             self.record(f"{self.id}: start {key[0]} run {key[1]} fence {self.fence}")
         return self.reply(200)
