--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,5 @@
-"""A recurring submission grows beyond the largest record of the store: the next loss of all
-processes loses it."""
+"""A lasting submission with more tasks than may run on the workers keeps the room of all of them
+from all other submissions, for good."""
 
 import asyncio
 import pathlib
@@ -10,60 +10,89 @@
 sys.path.insert(0, str(HERE.parent))
 import standin_platform as platform  # noqa: E402
 
-JOB = "00000000000000a1"
-TASKS = 600
-RUN_MS = 300
-# Ends of tasks after which the case goes on: about a third more than the record has room for.
-ENDS = 33000
-TROUBLE_BY_S = 75
-DOWN_S = 1.0
-# visible_ms and contact-ms of the settings are 3 s.
-SETTLE_S = 5
+WORKERS = 7
+CPU = 32000
+# Three queues of the site file, with their priority, stretch and target-latency-ms: term-lookup,
+# index-build and concordance-watch.
+LOOKUPS = dict(platform.ROUTE, name="r-lookup", **{"path-prefix": "/lookup/", "priority": 0,
+                                                   "stretch": 1.5, "target-latency-ms": 300})
+BUILDS = dict(platform.ROUTE, name="r-build", **{"path-prefix": "/build/", "priority": 2,
+                                                 "stretch": 4.0, "target-latency-ms": 3000})
+WATCHES = dict(platform.ROUTE, name="r-watch", **{"path-prefix": "/watch/", "priority": 1,
+                                                  "stretch": 2.2, "target-latency-ms": 2500})
+LOOKUP = {"count": 6, "cpu": 3000, "mem-mb": 3100, "estimate-ms": 880}
+BUILD = {"count": 4, "cpu": 6600, "mem-mb": 9400, "estimate-ms": 4500}
+SMALL_WATCH = {"count": 1, "cpu": 100, "mem-mb": 100, "estimate-ms": 400, "long-running": True}
+# At most one of its tasks may run on a worker; each takes 47 of 100 parts of one.
+WATCH = {"cpu": 15000, "mem-mb": 15000, "estimate-ms": 400, "long-running": True,
+         "anti-affinity": 1}
+N_SMALL = 16
+N_OTHERS = 5
+# RULES.md, LOST.
+FINISH_S = 14.0
+IDLE_S = 3.0
+WATCH_S = 8.0
 
 
 def main(trouble):
-    system = platform.System(HERE, 3, keep_s=20)
-    system.workers = [platform.Worker(system.record, system.store, f"i-{n:010x}", quiet=True,
-                                      run_ms=lambda task: RUN_MS) for n in range(6)]
+    system = platform.System(HERE, 3)
+    others = {}
+    system.workers = [platform.Worker(system.record, system.store, f"i-{n:010x}", cpu=CPU,
+                                      run_ms=lambda task: 900 if task.split(".")[0] in others
+                                      else None)
+                      for n in range(WORKERS)]
 
-    async def ask():
-        status, body = await system.agents[0].call("GET", platform.PREFIX + JOB)
-        system.record(f"GET {JOB}: {status} {body.decode()}; {ended()} tasks have ended, the "
-                      f"store has rejected {system.store.rejected} appends, the largest record "
-                      f"had {system.store.largest_record} bytes")
-        return status
+    async def submit(prefix, job, step):
+        for attempt in range(5):
+            agent = system.agents[attempt % 3]
+            status, _ = await agent.call("POST", prefix + job, {"spec": "x", "steps": [step]})
+            system.record(f"POST {prefix}{job}: {status}")
+            if status == 200:
+                return True
+            await asyncio.sleep(0.5)
+        return False
 
-    def ended():
-        return sum(worker.done_tasks for worker in system.workers)
+    def begun():
+        return {task.split(".")[0] for worker in system.workers for task in worker.begun}
 
     async def work():
-        if not await system.begin():
+        if not await system.begin([LOOKUPS, BUILDS, WATCHES]):
             return 2
-        began = time.monotonic()
-        status, _ = await system.agents[0].call("POST", platform.PREFIX + JOB, {
-            "spec": "sensor sweep", "start-time-ms": int(time.time() * 1000), "interval-ms": 1000,
-            "repeat-count": 500, "steps": [{"count": TASKS, "cpu": 100, "mem-mb": 16,
-                                            "estimate-ms": RUN_MS}]})
-        system.record(f"POST {JOB}, {TASKS} tasks each second: {status}")
-        if status != 200:
+        await asyncio.sleep(2)
+        for n in range(N_SMALL):
+            if not await submit("/watch/", f"{0xd000 + n:016x}", SMALL_WATCH):
+                return 2
+        if not await submit("/watch/", f"{0xd0ff:016x}",
+                            dict(WATCH, count=2 * WORKERS if trouble else WORKERS)):
             return 2
-        too_large_at = None
-        while time.monotonic() - began < TROUBLE_BY_S:
+        await asyncio.sleep(2)
+        for n in range(N_OTHERS):
+            for prefix, base, step in (("/lookup/", 0xe000, LOOKUP), ("/build/", 0xf000, BUILD)):
+                others[f"{base + n:016x}"] = prefix
+                if not await submit(prefix, f"{base + n:016x}", step):
+                    return 2
             await asyncio.sleep(1)
-            if too_large_at is None and system.store.rejected:
-                too_large_at = time.monotonic()
-            if (too_large_at is not None and ended() >= ENDS
-                    and time.monotonic() - too_large_at > system.store.keep_s + 1):
-                break
-        if await ask() != 200:
-            return 2
-        if trouble:
-            await system.kill_all(DOWN_S)
-        if not await system.until(system.all_ready, 20, "the agents to be ready again"):
-            return 2
-        await asyncio.sleep(SETTLE_S)
-        status = await ask()
-        return {200: 0, 410: 1}.get(status, 2)
+        system.record("end of the traffic")
+        await asyncio.sleep(FINISH_S)
+        idle = longest = 0.0
+        last = time.monotonic()
+        end = last + WATCH_S
+        while time.monotonic() < end:
+            await asyncio.sleep(0.05)
+            now = time.monotonic()
+            idle = idle + now - last if set(others) - begun() else 0.0
+            longest = max(longest, idle)
+            last = now
+        for job, prefix in others.items():
+            status, body = await system.agents[0].call("GET", prefix + job)
+            system.record(f"GET {prefix}{job}: {status} {body.decode()}")
+        used = sum(WATCH["cpu"] if task.startswith(f"{0xd0ff:016x}") else SMALL_WATCH["cpu"]
+                   for worker in system.workers for task, _ in worker.running)
+        cpu = 100 * used / (WORKERS * CPU)
+        system.record(f"{FINISH_S} s after the end of the traffic {len(set(others) - begun())} of "
+                      f"{len(others)} submissions have not begun, for {longest:.1f} s; "
+                      f"{cpu:.0f} of 100 parts of the processors are in use")
+        return 1 if longest > IDLE_S and cpu < 50 else 0
 
     return system, work()
 
