--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -92,6 +92,7 @@
   X (WAITING_ROOM, "long_waiting_stages", "cause=\"room\"")                                        \
   X (WAITING_TURN, "long_waiting_stages", "cause=\"turn\"")                                        \
   X (LONGEST_WAIT_MS, "longest_wait_ms", "")                                                       \
+  X (OCCURRENCES_WAITING, "occurrences_waiting", "")                                               \
   X (RUNS, "runs", "")                                                                             \
   X (WORKERS, "workers", "")                                                                       \
   X (WORKERS_SILENT, "workers_silent", "")                                                         \
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -565,10 +565,11 @@
   if (!job->accepted->policy->advised)
     return;
   gint64 end_us = 0;
-  for (guint i = 0; i < stage->n_tasks; i++)
-    if (stage->tasks[i].run != NULL)
-      end_us = MAX (end_us, stage->tasks[i].run->created_us
-                                + (gint64)bts_stage_step (stage)->estimate_ms * 1000);
+  const bts_task_t *task;
+  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
+    if (task->run != NULL)
+      end_us = MAX (end_us,
+                    task->run->created_us + (gint64)bts_stage_step (stage)->estimate_ms * 1000);
   gint64 ahead_us
       = (gint64)job->accepted->policy->advice_validity_ms * 1000 / PREFETCH_VALIDITY_DIVISOR;
   bts_occurrence_t *occurrence = bts_job_occurrence (job, stage->occurrence);
@@ -582,6 +583,7 @@
       if (!follows || next->advice != NULL || next->prefetch_us != 0)
         continue;
       next->prefetch_us = MAX (end_us - ahead_us, 1);
+      next->prefetching = TRUE;
       g_ptr_array_add (sched->prefetch, next);
     }
 }
@@ -603,6 +605,7 @@
           continue;
         }
       g_ptr_array_remove_index_fast (sched->prefetch, i);
+      stage->prefetching = FALSE;
       if (stage->advice == NULL && stage->advice_asked_us == 0 && !bts_job_has_ended (stage->job))
         request_advice (sched, stage, SCOPE_UNKNOWN, now_us);
     }
--- a/libbamboothread/scheduler/crash.c
+++ b/libbamboothread/scheduler/crash.c
@@ -143,13 +143,14 @@
     }
 }
 
-/* Takes over until when the tasks of a stage aren't started on the workers that have crashed. */
+/* Takes over until when the tasks of a job aren't started on the workers that have crashed. */
 static void
-adopt_waits (bts_sched_t *sched, bts_stage_t *stage)
+adopt_waits (bts_sched_t *sched, const bts_job_t *job)
 {
-  for (guint t = 0; t < stage->n_tasks; t++)
+  bts_task_walk_t walk = { 0 };
+  bts_task_t *task;
+  while ((task = bts_job_next_task (job, &walk)) != NULL)
     {
-      bts_task_t *task = &stage->tasks[t];
       if (bts_blames_count (task) == 0)
         continue;
       gint64 left_ms = task->crash_again_ms - sched->ops->now_unix_ms (sched->context);
@@ -157,17 +158,6 @@
     }
 }
 
-static void
-adopt_waits_of_job (bts_sched_t *sched, bts_job_t *job)
-{
-  for (guint k = 0; k < job->occurrences->len; k++)
-    {
-      bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        adopt_waits (sched, &occurrence->stages[i]);
-    }
-}
-
 /**
  * bts_crash_begin_term() - take over what earlier owners have recorded
  * @sched: a scheduler that has begun to lead
@@ -180,7 +170,7 @@
   g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!bts_job_has_ended (value))
-      adopt_waits_of_job (sched, value);
+      adopt_waits (sched, value);
   for (guint i = 0; i < sched->fleet->numbered->len; i++)
     if (sched->fleet->numbered->pdata[i] != NULL)
       adopt_lost_runs (sched, sched->fleet->numbered->pdata[i]);
--- a/libbamboothread/scheduler/explain.c
+++ b/libbamboothread/scheduler/explain.c
@@ -291,7 +291,9 @@
     return place_names[result];
   if (bts_place_is_reserved (worker, bts_stage_step (stage), answer->sched.pass, now_us))
     return "reserved";
-  return bts_crash_may_start (worker, &stage->tasks[0], now_us) ? NULL : "suspect-starting";
+  bts_task_t untouched;
+  const bts_task_t *task = bts_stage_view_task (stage, 0, &untouched);
+  return bts_crash_may_start (worker, task, now_us) ? NULL : "suspect-starting";
 }
 
 static void
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -3,14 +3,15 @@
 #include <string.h>
 
 #include "libbamboothread/base/error.h"
-#include "libbamboothread/scheduler/blame.h"
 
 /* Part of a ticket's validity left for the start order to reach the worker, in
    microseconds. */
 #define TICKET_MARGIN_US (200 * 1000)
 
-/* Most occurrences of one job; bounds the memory that a job can take. */
+/* Most occurrences of one job. */
 #define OCCURRENCES_MAX 100000
+/* Times and the span of all times are at most this far from 1970, in milliseconds. */
+#define TIME_MAX_MS (G_MAXINT64 / 4)
 
 /**
  * bts_job_id_is_valid() - whether a caller may give a job this id
@@ -27,6 +28,17 @@
   return strlen (id) == BTS_JOB_ID_LEN;
 }
 
+/* Whether all times of a recurring job can be counted in milliseconds. */
+static gboolean
+has_valid_times (const Bts__Accepted *accepted)
+{
+  gint64 length_ms;
+  return accepted->interval_ms >= 0 && accepted->first_due_ms >= -TIME_MAX_MS
+         && accepted->first_due_ms <= TIME_MAX_MS
+         && !__builtin_mul_overflow (accepted->interval_ms, (gint64)accepted->repeat, &length_ms)
+         && length_ms <= TIME_MAX_MS;
+}
+
 /**
  * bts_accepted_check() - check a job before it is accepted or folded
  * @accepted: the job
@@ -47,6 +59,8 @@
       reason = "the id has a character that is not a hexadecimal digit";
   if (reason == NULL && (accepted->n_steps == 0 || accepted->repeat > OCCURRENCES_MAX))
     reason = "the job has no steps or too many occurrences";
+  if (reason == NULL && accepted->repeat > 0 && !has_valid_times (accepted))
+    reason = "the job's times are out of range";
   for (gsize i = 0; reason == NULL && i < accepted->n_steps; i++)
     {
       const Bts__Step *step = accepted->steps[i];
@@ -81,6 +95,7 @@
   job->snapshot_us = now_us;
   job->snapshot_offset = offset;
   job->occurrences = g_ptr_array_new ();
+  job->done = bts_ranges_new ();
   for (gsize i = 0; i < accepted->n_steps; i++)
     job->n_tasks += accepted->steps[i]->count;
   return job;
@@ -132,26 +147,14 @@
   g_free (advice);
 }
 
-static void
-occurrence_free (bts_occurrence_t *occurrence, gsize n_steps)
+/**
+ * bts_stage_clear_advice() - forget what the advice service has answered for a stage
+ * @stage: the stage
+ */
+void
+bts_stage_clear_advice (bts_stage_t *stage)
 {
-  if (occurrence == NULL)
-    return;
-  for (gsize i = 0; i < n_steps; i++)
-    {
-      bts_stage_t *stage = &occurrence->stages[i];
-      for (guint t = 0; t < stage->n_tasks; t++)
-        {
-          g_free (stage->tasks[t].checkpoint);
-          g_free (stage->tasks[t].avoid_worker);
-          bts_blames_clear (&stage->tasks[t]);
-        }
-      g_free (stage->tasks);
-      g_clear_pointer (&stage->advice, advice_free);
-      g_free (stage->advice_node);
-    }
-  g_free (occurrence->stages);
-  g_free (occurrence);
+  g_clear_pointer (&stage->advice, advice_free);
 }
 
 /**
@@ -161,9 +164,9 @@
 void
 bts_job_free (bts_job_t *job)
 {
-  for (guint i = 0; i < job->occurrences->len; i++)
-    occurrence_free (job->occurrences->pdata[i], job->accepted->n_steps);
+  bts_job_clear_occurrences (job);
   g_ptr_array_unref (job->occurrences);
+  bts_ranges_free (job->done);
   bts__accepted__free_unpacked (job->accepted, NULL);
   g_free (job);
 }
@@ -230,6 +233,25 @@
   return job->accepted->first_due_ms + (gint64)occurrence * job->accepted->interval_ms;
 }
 
+/**
+ * bts_job_count_due() - number of occurrences that are due
+ * @job: the job
+ * @unix_ms: Unix time in milliseconds
+ */
+guint
+bts_job_count_due (const bts_job_t *job, gint64 unix_ms)
+{
+  const Bts__Accepted *accepted = job->accepted;
+  if (accepted->repeat == 0)
+    return 1;
+  if (unix_ms < accepted->first_due_ms)
+    return 0;
+  gint64 n_later = accepted->interval_ms == 0
+                       ? G_MAXUINT32
+                       : (unix_ms - accepted->first_due_ms) / accepted->interval_ms;
+  return (guint)MIN (n_later, (gint64)accepted->repeat - 1) + 1;
+}
+
 /**
  * bts_job_is_long_running() - whether a step of the job runs until the job is cancelled
  * @job: the job
@@ -246,7 +268,7 @@
 static gboolean
 is_completed (const bts_job_t *job)
 {
-  return job->completed || job->n_occurrences_done == bts_job_count_occurrences (job);
+  return job->completed || bts_ranges_count (job->done) == bts_job_count_occurrences (job);
 }
 
 /**
@@ -282,73 +304,6 @@
   return names[state];
 }
 
-static bts_occurrence_t *
-occurrence_new (bts_job_t *job, guint number)
-{
-  const Bts__Accepted *accepted = job->accepted;
-  bts_occurrence_t *occurrence = g_new0 (bts_occurrence_t, 1);
-  occurrence->stages = g_new0 (bts_stage_t, accepted->n_steps);
-  for (gsize i = 0; i < accepted->n_steps; i++)
-    {
-      bts_stage_t *stage = &occurrence->stages[i];
-      stage->job = job;
-      stage->occurrence = number;
-      stage->step = (guint)i;
-      stage->n_tasks = accepted->steps[i]->count;
-      stage->tasks = g_new0 (bts_task_t, stage->n_tasks);
-      for (guint t = 0; t < stage->n_tasks; t++)
-        {
-          stage->tasks[t].stage = stage;
-          stage->tasks[t].index = t;
-        }
-    }
-  return occurrence;
-}
-
-/**
- * bts_job_ensure_occurrence() - look up an occurrence, or create it
- * @job: the job
- * @occurrence: its number, below bts_job_count_occurrences()
- */
-bts_occurrence_t *
-bts_job_ensure_occurrence (bts_job_t *job, guint occurrence)
-{
-  if (job->occurrences->len <= occurrence)
-    g_ptr_array_set_size (job->occurrences, (gint)occurrence + 1);
-  if (job->occurrences->pdata[occurrence] == NULL)
-    job->occurrences->pdata[occurrence] = occurrence_new (job, occurrence);
-  return job->occurrences->pdata[occurrence];
-}
-
-/**
- * bts_job_occurrence() - look up an occurrence
- * @job: the job
- * @occurrence: its number
- *
- * Return: the occurrence, or NULL if it hasn't been created.
- */
-bts_occurrence_t *
-bts_job_occurrence (const bts_job_t *job, guint occurrence)
-{
-  return occurrence < job->occurrences->len ? job->occurrences->pdata[occurrence] : NULL;
-}
-
-/**
- * bts_job_stage() - the stage of a step and occurrence; creates the occurrence if needed
- * @job: the job
- * @occurrence: number of the occurrence
- * @step: number of the step
- *
- * Return: the stage, or NULL if the job has no such step or occurrence.
- */
-bts_stage_t *
-bts_job_stage (bts_job_t *job, guint occurrence, guint step)
-{
-  if (occurrence >= bts_job_count_occurrences (job) || step >= job->accepted->n_steps)
-    return NULL;
-  return &bts_job_ensure_occurrence (job, occurrence)->stages[step];
-}
-
 /**
  * bts_job_free_start_data() - free what is only needed to start tasks
  * @job: a job that has ended
@@ -359,12 +314,29 @@
   ProtobufCBinaryData *spec = &job->accepted->spec;
   g_clear_pointer (&spec->data, free);
   spec->len = 0;
-  for (guint k = 0; k < job->occurrences->len; k++)
-    {
-      bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        g_clear_pointer (&occurrence->stages[i].advice, advice_free);
-    }
+  bts_stage_walk_t walk = { 0 };
+  bts_stage_t *stage;
+  while ((stage = bts_job_next_stage (job, &walk)) != NULL)
+    bts_stage_clear_advice (stage);
+}
+
+/**
+ * bts_job_free_steps() - free the steps of a job, and all occurrences
+ * @job: a job that has ended; nothing may refer to its tasks
+ *
+ * Of the job only its id, its policy and its state are left.
+ */
+void
+bts_job_free_steps (bts_job_t *job)
+{
+  Bts__Accepted *accepted = job->accepted;
+  bts_job_clear_occurrences (job);
+  job->completed = is_completed (job);
+  for (gsize i = 0; i < accepted->n_steps; i++)
+    bts__step__free_unpacked (accepted->steps[i], NULL);
+  g_clear_pointer (&accepted->steps, free);
+  accepted->n_steps = 0;
+  job->n_tasks = 0;
 }
 
 /**
@@ -521,10 +493,11 @@
 {
   if (bts_stage_is_done (stage))
     return TRUE;
-  for (guint i = 0; i < stage->n_tasks; i++)
-    if (!stage->tasks[i].done && !stage->tasks[i].done_pending)
-      return FALSE;
-  return TRUE;
+  guint n_ended = 0;
+  const bts_task_t *task;
+  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
+    n_ended += task->done || task->done_pending;
+  return n_ended == stage->n_tasks;
 }
 
 /**
@@ -558,7 +531,7 @@
   task->done = TRUE;
   stage->n_done++;
   if (++occurrence->n_done == stage->job->n_tasks)
-    stage->job->n_occurrences_done++;
+    bts_ranges_add (stage->job->done, occurrence->number, occurrence->number);
 }
 
 /**
@@ -592,9 +565,10 @@
 guint
 bts_stage_count_pending (const bts_stage_t *stage)
 {
-  guint n_pending = 0;
-  for (guint i = 0; i < stage->n_tasks; i++)
-    n_pending += bts_task_is_pending (&stage->tasks[i]);
+  guint n_pending = stage->n_tasks;
+  const bts_task_t *task;
+  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
+    n_pending -= !bts_task_is_pending (task);
   return n_pending;
 }
 
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "libbamboothread/scheduler/ranges.h"
 #include "proto/record.pb-c.h"
 
 /*
@@ -146,7 +147,7 @@
 
 /**
  * struct bts_stage_t - one step of one occurrence
- * @tasks: its tasks, @n_tasks of them
+ * @blocks: its tasks in blocks, see stage_tasks.c; NULL while nothing has happened to any of them
  * @n_done: tasks with outcome "done" in the journal; changed only by bts_task_set_done()
  * @gang_fails: failed runs of the whole gang
  * @gang_failed_run: the newest run counted in @gang_fails
@@ -158,6 +159,7 @@
  * the service; 0 if none is. Kept across terms, so that the wait doesn't begin anew with each owner
  * @advice_scope: which workers that request is about, by request_scope_t of advice.c
  * @prefetch_us: when to request advice ahead of the stage's start; 0 if that isn't planned
+ * @prefetching: whether that is planned
  * @queued: whether the stage is in the owner's queue
  * @tried_pass: last pass over the queue in which placement was attempted and left tasks pending
  * @quota_since_us: since when it waits for its tenant's quota; 0 if it doesn't
@@ -181,7 +183,7 @@
   guint step;
   guint n_tasks;
   guint n_done;
-  bts_task_t *tasks;
+  bts_task_t **blocks;
   guint gang_fails;
   guint gang_failed_run;
   bts_advice_t *advice;
@@ -191,6 +193,7 @@
   gint64 advice_wanted_us;
   guint advice_scope;
   gint64 prefetch_us;
+  gboolean prefetching;
   gboolean queued;
   guint64 tried_pass;
   gint64 quota_since_us;
@@ -210,15 +213,43 @@
 
 /**
  * struct bts_occurrence_t - one execution of a job's steps
+ * @number: its number, from 0
  * @stages: its stages, by step
  * @n_done: tasks of all stages that are done; changed only by bts_task_set_done()
+ * @done_us: when bts_job_remove_done() first saw that it is done; 0 before
  */
 typedef struct
 {
+  guint number;
   bts_stage_t *stages;
   guint n_done;
+  gint64 done_us;
 } bts_occurrence_t;
 
+/**
+ * struct bts_stage_walk_t - walk over the stages of a job
+ * @occurrence: index of the next occurrence
+ * @step: the next step
+ */
+typedef struct
+{
+  guint occurrence;
+  gsize step;
+} bts_stage_walk_t;
+
+/**
+ * struct bts_task_walk_t - walk over the tasks of a job
+ * @stages: walk over its stages
+ * @stage: the stage that is being visited, or NULL
+ * @task: number of its next task
+ */
+typedef struct
+{
+  bts_stage_walk_t stages;
+  bts_stage_t *stage;
+  guint task;
+} bts_task_walk_t;
+
 /**
  * struct bts_job_t - a job of the journal
  * @accepted: the record that created it, without the spec once the job has ended
@@ -232,9 +263,12 @@
  * @snapshot_offset: offset of the newest record that holds the whole job
  * @snapshot_sent_us: when this process, as the owner, last appended a snapshot of the job
  * @ended_us: when this process saw the job end; 0 before
- * @occurrences: array of bts_occurrence_t; NULL for those not created yet
+ * @occurrences: bts_occurrence_t in ascending order, without those that haven't been created or
+ *   were removed; see occurrence.c
+ * @done: numbers of the occurrences whose tasks are all done
+ * @next_occurrence: the first one that this owner hasn't opened; see recurrence.c
+ * @opened_us: when it last opened one
  * @n_tasks: number of tasks in one occurrence
- * @n_occurrences_done: number of occurrences whose tasks are all done
  * @begun: whether a task was started, according to the journal
  * @begun_reported: whether the owner has queued or sent a heartbeat item that the job has begun
  * @completed: whether a snapshot says that all its tasks are done
@@ -255,8 +289,10 @@
   gint64 snapshot_sent_us;
   gint64 ended_us;
   GPtrArray *occurrences;
+  bts_ranges_t *done;
+  guint next_occurrence;
+  gint64 opened_us;
   guint n_tasks;
-  guint n_occurrences_done;
   gboolean begun;
   gboolean begun_reported;
   gboolean completed;
@@ -278,12 +314,28 @@
 gboolean bts_job_is_long_running (const bts_job_t *job);
 guint bts_job_count_occurrences (const bts_job_t *job);
 gint64 bts_job_due_ms (const bts_job_t *job, guint occurrence);
-bts_occurrence_t *bts_job_ensure_occurrence (bts_job_t *job, guint occurrence);
-bts_occurrence_t *bts_job_occurrence (const bts_job_t *job, guint occurrence);
-bts_stage_t *bts_job_stage (bts_job_t *job, guint occurrence, guint step);
+guint bts_job_count_due (const bts_job_t *job, gint64 unix_ms);
+bts_occurrence_t *bts_job_ensure_occurrence (bts_job_t *job, guint number);
+bts_occurrence_t *bts_job_occurrence (const bts_job_t *job, guint number);
+bts_stage_t *bts_job_stage (bts_job_t *job, guint number, guint step);
+bts_stage_t *bts_job_next_stage (const bts_job_t *job, bts_stage_walk_t *walk);
+bts_task_t *bts_job_next_task (const bts_job_t *job, bts_task_walk_t *walk);
+void bts_job_set_done_range (bts_job_t *job, guint first, guint last);
+void bts_job_remove_done (bts_job_t *job, gint64 now_us, gint64 keep_us);
+void bts_job_clear_occurrences (bts_job_t *job);
 void bts_job_free_start_data (bts_job_t *job);
+void bts_job_free_steps (bts_job_t *job);
+
+bts_task_t *bts_stage_task (bts_stage_t *stage, guint index);
+const bts_task_t *bts_stage_view_task (const bts_stage_t *stage, guint index,
+                                       bts_task_t *untouched);
+bts_task_t *bts_stage_next_task (const bts_stage_t *stage, guint *next);
+void bts_stage_trim_tasks (bts_stage_t *stage);
+void bts_stage_clear_tasks (bts_stage_t *stage);
+gsize bts_stage_tasks_bytes (const bts_stage_t *stage);
 
 void bts_stage_begin_advice (bts_stage_t *stage);
+void bts_stage_clear_advice (bts_stage_t *stage);
 void bts_stage_record_denied (bts_stage_t *stage, guint worker);
 void bts_stage_record_allowed (bts_stage_t *stage, guint worker, const char *ticket, gint64 now_us);
 gboolean bts_stage_was_asked (const bts_stage_t *stage, guint worker);
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -7,6 +7,9 @@
 
 /* Name for the owner of a term whose claim was deleted before this process could read it. */
 #define OWNER_UNKNOWN ""
+/* How long the tasks of ended jobs and of occurrences that are done are kept, in microseconds:
+   longer than a lease, so that those that a worker still lists are known. */
+#define OVER_KEEP_US (20 * G_USEC_PER_SEC)
 
 /**
  * struct bts_ledger_t - the folded journal
@@ -387,7 +390,7 @@
   bts_job_id_from_number (run->job, id);
   bts_job_t *job = bts_ledger_job (ledger, id);
   bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, run->occurrence, run->step);
-  return stage == NULL || run->index >= stage->n_tasks ? NULL : &stage->tasks[run->index];
+  return stage == NULL || run->index >= stage->n_tasks ? NULL : bts_stage_task (stage, run->index);
 }
 
 /* Takes over what an owner has learned of interference, and sets the caller's pointer to NULL.
@@ -424,7 +427,7 @@
 {
   if (outcome == BTS_OUTCOME_DONE)
     for (guint i = 0; i < stage->n_tasks; i++)
-      bts_task_set_done (&stage->tasks[i]);
+      bts_task_set_done (bts_stage_task (stage, i));
   if (outcome == BTS_OUTCOME_FAILED && run > stage->gang_failed_run)
     {
       stage->gang_failed_run = run;
@@ -456,7 +459,7 @@
   bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, end->occurrence, end->step);
   if (stage == NULL || end->index >= stage->n_tasks || end->how > BTS_OUTCOME_GANG_INCOMPLETE)
     return;
-  bts_task_t *task = &stage->tasks[end->index];
+  bts_task_t *task = bts_stage_task (stage, end->index);
   if (end->run <= task->ended_run)
     return;
   task->ended_run = end->run;
@@ -643,23 +646,67 @@
   return state->ended_run >= task->ended_run && (state->done || !task->done);
 }
 
+static gboolean
+is_occurrence_done (const bts_job_t *job, guint number)
+{
+  return bts_ranges_contains (job->done, number, number);
+}
+
+/* The occurrences that are done according to a snapshot. */
+static bts_ranges_t *
+read_done (const Bts__Kept *snapshot)
+{
+  bts_ranges_t *done = bts_ranges_new ();
+  for (gsize i = 0; i < snapshot->n_done; i++)
+    if (snapshot->done[i]->first <= snapshot->done[i]->last)
+      bts_ranges_add (done, snapshot->done[i]->first, snapshot->done[i]->last);
+  return done;
+}
+
+/* Whether a snapshot says of all occurrences that are done that they are. */
+static gboolean
+covers_done (const Bts__Kept *snapshot, const bts_job_t *job)
+{
+  g_autoptr (bts_ranges_t) said = read_done (snapshot);
+  guint n;
+  const bts_range_t *done = bts_ranges_list (job->done, &n);
+  for (guint i = 0; i < n; i++)
+    if (!bts_ranges_contains (said, done[i].first, done[i].last))
+      return FALSE;
+  return TRUE;
+}
+
+/* Whether a snapshot says that a job has ended as it has. */
+static gboolean
+covers_end (const Bts__Kept *snapshot, const bts_job_t *job)
+{
+  g_autoptr (bts_ranges_t) said = read_done (snapshot);
+  switch (bts_job_state (job))
+    {
+    case BTS_JOB_COMPLETED:
+      return bts_ranges_count (said) == bts_job_count_occurrences (job);
+    case BTS_JOB_FAILED:
+      return snapshot->failed;
+    default:
+      return snapshot->cancelled;
+    }
+}
+
 /* Whether a snapshot holds all that is known of a job. Its owner may have lacked records that are
    before it in the log. */
 static gboolean
 covers_job (const Bts__Kept *snapshot, const bts_job_t *job)
 {
-  if ((job->cancelled && !snapshot->cancelled) || (job->failed && !snapshot->failed)
-      || (job->completed && snapshot->n_tasks == 0))
+  if (bts_job_has_ended (job))
+    return covers_end (snapshot, job);
+  if (!covers_done (snapshot, job))
     return FALSE;
   gsize next = 0;
-  for (guint k = 0; k < job->occurrences->len; k++)
-    {
-      const bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        for (guint t = 0; t < occurrence->stages[i].n_tasks; t++)
-          if (!covers_task (snapshot, &next, &occurrence->stages[i].tasks[t]))
-            return FALSE;
-    }
+  bts_task_walk_t walk = { 0 };
+  const bts_task_t *task;
+  while ((task = bts_job_next_task (job, &walk)) != NULL)
+    if (!is_occurrence_done (job, task->stage->occurrence) && !covers_task (snapshot, &next, task))
+      return FALSE;
   return TRUE;
 }
 
@@ -688,12 +735,14 @@
   if (bts_job_has_ended (job))
     return TRUE;
   job->begun = job->begun || snapshot->begun;
+  for (gsize i = 0; i < snapshot->n_done; i++)
+    bts_job_set_done_range (job, snapshot->done[i]->first, snapshot->done[i]->last);
   for (gsize i = 0; i < snapshot->n_tasks; i++)
     {
       const Bts__TaskState *state = snapshot->tasks[i];
       bts_stage_t *stage = bts_job_stage (job, state->occurrence, state->step);
       if (stage != NULL && state->index < stage->n_tasks)
-        merge_task (&stage->tasks[state->index], state);
+        merge_task (bts_stage_task (stage, state->index), state);
     }
   job->cancelled = job->cancelled || snapshot->cancelled;
   job->failed = job->failed || snapshot->failed;
@@ -855,6 +904,32 @@
     }
 }
 
+/**
+ * bts_ledger_compact() - free what is held of tasks that were over some time ago
+ * @ledger: the ledger
+ * @now_us: the time, in microseconds
+ *
+ * Of occurrences that are done their numbers are left, and of jobs that have ended their states.
+ */
+void
+bts_ledger_compact (bts_ledger_t *ledger, gint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, ledger->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      bts_job_t *job = value;
+      if (job->ended_us == 0)
+        bts_job_remove_done (job, now_us, OVER_KEEP_US);
+      else if (job->accepted->n_steps > 0 && now_us - job->ended_us >= OVER_KEEP_US)
+        {
+          ledger->ops->job_removed (ledger->context, job);
+          bts_job_free_steps (job);
+        }
+    }
+}
+
 /**
  * bts_message_pack() - serialize a record or a message
  * @message: the message, as the base type of all messages
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -26,7 +26,7 @@
  * @worker_released: the owner has given that lease up
  * @worker_silent: a worker no longer answers; @run of @task was just starting on it
  * @worker_remnant: the owner of @term is about to resign, and says what may be left on a worker
- * @job_removed: a job is about to be freed
+ * @job_removed: a job, or what it holds of its tasks, is about to be freed
  */
 typedef struct
 {
@@ -72,6 +72,7 @@
 gboolean bts_ledger_is_worker_held (const bts_ledger_t *ledger, const char *worker);
 guint bts_ledger_count_pending (const bts_ledger_t *ledger, const char *route);
 void bts_ledger_remove_ended (bts_ledger_t *ledger, gint64 before_us);
+void bts_ledger_compact (bts_ledger_t *ledger, gint64 now_us);
 
 GBytes *bts_message_pack (const ProtobufCMessage *message);
 
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -1153,5 +1153,6 @@
   if (now_us - node->last_cleanup_us < CLEANUP_INTERVAL_US)
     return;
   node->last_cleanup_us = now_us;
+  bts_ledger_compact (node->ledger, now_us);
   bts_ledger_remove_ended (node->ledger, now_us - (gint64)node->config.status_retention_ms * 1000);
 }
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -36,9 +36,10 @@
   const bts_stage_t *stage = task->stage;
   if (!bts_stage_step (stage)->gang)
     return task->checkpoint;
-  for (guint i = 0; i < stage->n_tasks; i++)
-    if (stage->tasks[i].checkpoint != NULL)
-      return stage->tasks[i].checkpoint;
+  const bts_task_t *member;
+  for (guint i = 0; (member = bts_stage_next_task (stage, &i)) != NULL;)
+    if (member->checkpoint != NULL)
+      return member->checkpoint;
   return NULL;
 }
 
@@ -184,9 +185,10 @@
 void
 bts_gang_stop (bts_sched_t *sched, bts_stage_t *stage)
 {
-  for (guint i = 0; i < stage->n_tasks; i++)
-    if (stage->tasks[i].run != NULL)
-      bts_run_stop (sched, stage->tasks[i].run);
+  const bts_task_t *task;
+  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
+    if (task->run != NULL)
+      bts_run_stop (sched, task->run);
 }
 
 static gboolean
@@ -217,14 +219,8 @@
 void
 bts_gang_stop_if_incomplete (bts_sched_t *sched, bts_stage_t *stage)
 {
-  if (!bts_stage_step (stage)->gang)
-    return;
-  for (guint i = 0; i < stage->n_tasks; i++)
-    if (bts_task_is_pending (&stage->tasks[i]))
-      {
-        bts_gang_stop (sched, stage);
-        return;
-      }
+  if (bts_stage_step (stage)->gang && bts_stage_count_pending (stage) > 0)
+    bts_gang_stop (sched, stage);
 }
 
 /**
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -9,6 +9,7 @@
 #include "libbamboothread/scheduler/interference.h"
 #include "libbamboothread/scheduler/order.h"
 #include "libbamboothread/scheduler/place.h"
+#include "libbamboothread/scheduler/recurrence.h"
 #include "libbamboothread/scheduler/start.h"
 
 /* Interval between passes over a queue in which nothing has changed, in microseconds: some
@@ -255,25 +256,32 @@
     enqueue_occurrence (sched, job, 0);
 }
 
-/* Queues the occurrences that are due, and those that will be within half the time by which they
-   may start early. A job leaves the list of recurring jobs with its last occurrence. */
+static void
+open_occurrence (void *sched, bts_job_t *job, guint number)
+{
+  enqueue_occurrence (sched, job, number);
+}
+
+/* Queues occurrences that are due, or will be within half the time by which they may start early. A
+   job leaves the list of recurring jobs with its last occurrence. */
 static void
 enqueue_due_occurrences (bts_sched_t *sched)
 {
   gint64 now_ms = sched->recurring->len > 0 ? sched->ops->now_unix_ms (sched->context) : 0;
+  guint64 n_waiting = 0;
   for (guint i = 0; i < sched->recurring->len;)
     {
       bts_job_t *job = sched->recurring->pdata[i];
-      guint n_occurrences = bts_job_count_occurrences (job);
-      guint n_due = 0;
-      while (n_due < n_occurrences
-             && bts_job_due_ms (job, n_due) - (gint64)sched->config.early_ms / 2 <= now_ms)
-        enqueue_occurrence (sched, job, n_due++);
-      if (n_due == n_occurrences || bts_job_has_ended (job))
+      guint n_due = bts_job_count_due (job, now_ms + (gint64)sched->config.early_ms / 2);
+      if (!bts_job_has_ended (job))
+        bts_recurrence_open_due (job, n_due, TRUE, bts_sched_now (sched), open_occurrence, sched);
+      n_waiting += bts_recurrence_count_waiting (job, n_due);
+      if (job->next_occurrence >= bts_job_count_occurrences (job) || bts_job_has_ended (job))
         g_ptr_array_remove_index_fast (sched->recurring, i);
       else
         i++;
     }
+  bt_metrics_set (BT_GAUGE_OCCURRENCES_WAITING, (gint64)n_waiting);
 }
 
 /**
@@ -327,32 +335,34 @@
 static void
 clear_owner_state (bts_job_t *job)
 {
-  for (guint k = 0; k < job->occurrences->len; k++)
+  bts_stage_walk_t stages = { 0 };
+  bts_stage_t *stage;
+  while ((stage = bts_job_next_stage (job, &stages)) != NULL)
     {
-      bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        {
-          bts_stage_t *stage = &occurrence->stages[i];
-          stage->queued = FALSE;
-          stage->waiting_since_us = 0;
-          stage->retry_us = 0;
-          stage->quota_since_us = 0;
-          stage->reserving = FALSE;
-          stage->lacks_room = FALSE;
-          stage->advice_asked_us = 0;
-          stage->prefetch_us = 0;
-          stage->backoff_until_us = 0;
-          for (guint t = 0; t < stage->n_tasks; t++)
-            {
-              stage->tasks[t].run = NULL;
-              stage->tasks[t].pending_end_run = 0;
-              /* A later owner may have kept a run that this one gave up. */
-              stage->tasks[t].lost_run = 0;
-              stage->tasks[t].done_pending = FALSE;
-              bts_crash_clear (&stage->tasks[t]);
-            }
-        }
+      stage->queued = FALSE;
+      stage->waiting_since_us = 0;
+      stage->retry_us = 0;
+      stage->quota_since_us = 0;
+      stage->reserving = FALSE;
+      stage->lacks_room = FALSE;
+      stage->advice_asked_us = 0;
+      stage->prefetch_us = 0;
+      stage->prefetching = FALSE;
+      stage->backoff_until_us = 0;
     }
+  bts_task_walk_t tasks = { 0 };
+  bts_task_t *task;
+  while ((task = bts_job_next_task (job, &tasks)) != NULL)
+    {
+      task->run = NULL;
+      task->pending_end_run = 0;
+      /* A later owner may have kept a run that this one gave up. */
+      task->lost_run = 0;
+      task->done_pending = FALSE;
+      bts_crash_clear (task);
+    }
+  job->next_occurrence = 0;
+  job->opened_us = 0;
   job->begun_reported = FALSE;
 }
 
@@ -727,14 +737,11 @@
           bts_job_id (job), policy->route, bts_job_state_name (bts_job_state (job)),
           (job->ended_us - job->folded_us) / 1000, bts_order_allowed_ms (job));
   count_job_end (job);
-  for (guint k = 0; k < job->occurrences->len; k++)
-    {
-      bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        for (guint t = 0; t < occurrence->stages[i].n_tasks; t++)
-          if (occurrence->stages[i].tasks[t].run != NULL)
-            bts_run_stop (sched, occurrence->stages[i].tasks[t].run);
-    }
+  bts_task_walk_t walk = { 0 };
+  const bts_task_t *task;
+  while ((task = bts_job_next_task (job, &walk)) != NULL)
+    if (task->run != NULL)
+      bts_run_stop (sched, task->run);
 }
 
 /**
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -210,6 +210,7 @@
 gint64 bts_sched_old_leases_expiry_us (const bts_sched_t *sched, const bts_worker_t *worker);
 gboolean bts_sched_has_remnant (const bts_sched_t *sched, const bts_worker_t *worker);
 gboolean bts_sched_may_run_unlisted (const bts_sched_t *sched, const bts_task_t *task);
+gboolean bts_sched_may_run_any_unlisted (const bts_sched_t *sched, const bts_stage_t *stage);
 void bts_sched_find_unlisted (bts_sched_t *sched);
 void bts_sched_assume_unlisted (bts_sched_t *sched, gint64 now_us);
 gboolean bts_sched_are_earlier_runs_known (const bts_sched_t *sched);
--- a/libbamboothread/scheduler/share.c
+++ b/libbamboothread/scheduler/share.c
@@ -233,11 +233,8 @@
 static guint
 count_turn (const bts_stage_t *stage)
 {
-  guint n = 0;
-  gboolean gang = bts_stage_step (stage)->gang;
-  for (guint i = 0; i < stage->n_tasks && (gang || n < TASKS_PER_TURN); i++)
-    n += bts_task_is_pending (&stage->tasks[i]);
-  return n;
+  guint n = bts_stage_count_pending (stage);
+  return bts_stage_step (stage)->gang ? n : MIN (n, TASKS_PER_TURN);
 }
 
 /* Counts the tasks of the group's first stage as started, and goes on to its next one. */
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -89,16 +89,31 @@
 }
 
 static void
-append_job_snapshot (bts_sched_t *sched, const bts_job_t *job)
+add_done_ranges (GPtrArray *messages, const bts_job_t *job)
 {
-  g_autoptr (GPtrArray) states = g_ptr_array_new_with_free_func (task_state_free);
-  for (guint k = 0; k < job->occurrences->len; k++)
+  guint n;
+  const bts_range_t *done = bts_ranges_list (job->done, &n);
+  for (guint i = 0; i < n; i++)
     {
-      const bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        for (guint t = 0; t < occurrence->stages[i].n_tasks; t++)
-          add_task_state (states, &occurrence->stages[i].tasks[t]);
+      Bts__Range *message = g_new0 (Bts__Range, 1);
+      bts__range__init (message);
+      message->first = done[i].first;
+      message->last = done[i].last;
+      g_ptr_array_add (messages, message);
     }
+}
+
+static void
+append_job_snapshot (bts_sched_t *sched, const bts_job_t *job)
+{
+  g_autoptr (GPtrArray) states = g_ptr_array_new_with_free_func (task_state_free);
+  bts_task_walk_t walk = { 0 };
+  const bts_task_t *task;
+  while ((task = bts_job_next_task (job, &walk)) != NULL)
+    if (!bts_ranges_contains (job->done, task->stage->occurrence, task->stage->occurrence))
+      add_task_state (states, task);
+  g_autoptr (GPtrArray) done = g_ptr_array_new_with_free_func (g_free);
+  add_done_ranges (done, job);
   Bts__Kept kept = BTS__KEPT__INIT;
   kept.term = sched->term;
   kept.accepted = job->accepted;
@@ -107,6 +122,8 @@
   kept.failed = job->failed;
   kept.n_tasks = states->len;
   kept.tasks = (Bts__TaskState **)states->pdata;
+  kept.n_done = done->len;
+  kept.done = (Bts__Range **)done->pdata;
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_KEPT;
   record.kept = &kept;
@@ -252,14 +269,11 @@
 static gboolean
 has_ends_in_flight (const bts_job_t *job)
 {
-  for (guint k = 0; k < job->occurrences->len; k++)
-    {
-      const bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        for (guint t = 0; t < occurrence->stages[i].n_tasks; t++)
-          if (occurrence->stages[i].tasks[t].pending_end_run != 0)
-            return TRUE;
-    }
+  bts_task_walk_t walk = { 0 };
+  const bts_task_t *task;
+  while ((task = bts_job_next_task (job, &walk)) != NULL)
+    if (task->pending_end_run != 0)
+      return TRUE;
   return FALSE;
 }
 
--- a/libbamboothread/scheduler/start.c
+++ b/libbamboothread/scheduler/start.c
@@ -23,6 +23,22 @@
   return bts_crash_is_waiting (task, now_us) || bts_sched_may_run_unlisted (sched, task);
 }
 
+/* The same as bts_start_count_ready() for a stage of which nothing runs unlisted. */
+static guint
+count_ready_settled (const bts_stage_t *stage, gint64 now_us)
+{
+  guint n_ready = stage->n_tasks;
+  const bts_task_t *task;
+  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
+    {
+      gboolean waits = bts_task_is_pending (task) && bts_crash_is_waiting (task, now_us);
+      if (waits && bts_stage_step (stage)->gang)
+        return 0;
+      n_ready -= waits || !bts_task_is_pending (task);
+    }
+  return n_ready;
+}
+
 /**
  * bts_start_count_ready() - number of pending tasks of a stage that may be started now
  * @sched: a leading scheduler
@@ -33,11 +49,15 @@
 bts_start_count_ready (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
 {
   guint n_ready = 0;
+  bts_task_t untouched;
+  if (!bts_sched_may_run_any_unlisted (sched, stage))
+    return count_ready_settled (stage, now_us);
   for (guint i = 0; i < stage->n_tasks; i++)
     {
-      if (!bts_task_is_pending (&stage->tasks[i]))
+      const bts_task_t *task = bts_stage_view_task (stage, i, &untouched);
+      if (!bts_task_is_pending (task))
         continue;
-      if (!bts_start_has_to_wait (sched, &stage->tasks[i], now_us))
+      if (!bts_start_has_to_wait (sched, task, now_us))
         n_ready++;
       else if (bts_stage_step (stage)->gang)
         return 0;
@@ -60,9 +80,10 @@
 next_run_number (const bts_sched_t *sched, const bts_stage_t *stage, const bts_task_t *task)
 {
   guint last = task->last_run;
+  const bts_task_t *member;
   if (bts_stage_step (stage)->gang)
-    for (guint i = 0; i < stage->n_tasks; i++)
-      last = MAX (last, stage->tasks[i].last_run);
+    for (guint i = 0; (member = bts_stage_next_task (stage, &i)) != NULL;)
+      last = MAX (last, member->last_run);
   /* Earlier owners may have used numbers that this one doesn't know of, BTS_RUNS_PER_TERM at most
      in each term. */
   guint earlier_owners_last = stage->job->offset < bts_ledger_claim_offset (sched->ledger)
@@ -73,7 +94,7 @@
 
 /* Creates a run that the caller either starts or removes before the pass ends. */
 static bts_run_t *
-place_tentatively (bts_sched_t *sched, bts_task_t *task, guint number)
+place_tentatively (bts_sched_t *sched, const bts_task_t *task, guint number)
 {
   gint64 now_us = bts_sched_now (sched);
   g_autofree char *name = bts_task_name (task);
@@ -85,7 +106,8 @@
   const Bts__Step *step = bts_stage_step (task->stage);
   bts_resources_t demand = bts_place_demand (step);
   bts_place_charge_reservation (worker, step, sched->pass_number);
-  return bts_run_new (sched, task, name, number, &demand, worker);
+  return bts_run_new (sched, bts_stage_task (task->stage, task->index), name, number, &demand,
+                      worker);
 }
 
 static void
@@ -142,14 +164,17 @@
   g_autoptr (GPtrArray) runs = g_ptr_array_new ();
   for (guint i = 0; i < stage->n_tasks && runs->len < n_admitted; i++)
     {
-      bts_task_t *task = &stage->tasks[i];
+      bts_task_t untouched;
+      const bts_task_t *task = bts_stage_view_task (stage, i, &untouched);
       if (!bts_task_is_pending (task) || bts_start_has_to_wait (sched, task, now_us))
         continue;
+      gboolean suspect = bts_crash_is_suspect (task);
       bts_run_t *run = place_tentatively (sched, task, next_run_number (sched, stage, task));
-      bts_crash_on_placed (task, run != NULL, now_us);
+      if (run != NULL || suspect)
+        bts_crash_on_placed (bts_stage_task (stage, i), run != NULL, now_us);
       if (run != NULL)
         g_ptr_array_add (runs, run);
-      else if (!bts_crash_is_suspect (task))
+      else if (!suspect)
         break;
     }
   if (runs->len == 0)
@@ -157,12 +182,16 @@
   if (gang && runs->len < n_ready)
     {
       remove_runs (sched, runs);
+      bts_stage_trim_tasks (stage);
       return 0;
     }
   if (bts_stage_policy (stage)->advised)
     remove_runs_without_ticket (sched, stage, runs, now_us);
   if (runs->len == 0)
-    return 0;
+    {
+      bts_stage_trim_tasks (stage);
+      return 0;
+    }
   for (guint i = 0; i < runs->len; i++)
     {
       bts_run_t *run = runs->pdata[i];
--- a/libbamboothread/scheduler/unlisted.c
+++ b/libbamboothread/scheduler/unlisted.c
@@ -17,8 +17,8 @@
 /* How long ago a job may have been cancelled or have failed so that its tasks may still run on a
    worker that doesn't answer, in microseconds: above the longest lease. */
 #define ENDED_JOB_US (20 * BT_USEC_PER_SEC)
-/* Occurrences of such a job that may still run: a third one begins after the first has ended, or is
-   late by two intervals. */
+/* Occurrences of such a job that may still run: they begin in order, a third one after the first
+   has ended, or two intervals later. */
 #define ENDED_OCCURRENCES_MAX 2
 
 /**
@@ -98,6 +98,18 @@
                             : worker->service == stage->job->service;
 }
 
+/**
+ * bts_sched_may_run_any_unlisted() - whether a task of a stage may run on a worker that hasn't
+ * listed its runs yet
+ * @sched: a leading scheduler
+ * @stage: the stage
+ */
+gboolean
+bts_sched_may_run_any_unlisted (const bts_sched_t *sched, const bts_stage_t *stage)
+{
+  return !sched->settled && stage->job->offset <= bts_ledger_claim_offset (sched->ledger);
+}
+
 /**
  * bts_sched_may_run_unlisted() - whether a task may run on a worker that hasn't listed its runs
  * yet, as an earlier owner may have started it there
@@ -108,7 +120,7 @@
 bts_sched_may_run_unlisted (const bts_sched_t *sched, const bts_task_t *task)
 {
   const bts_stage_t *stage = task->stage;
-  if (sched->settled || stage->job->offset > bts_ledger_claim_offset (sched->ledger))
+  if (!bts_sched_may_run_any_unlisted (sched, stage))
     return FALSE;
   g_autofree char *name = NULL;
   for (guint i = 0; i < sched->unsynced->len; i++)
@@ -195,9 +207,10 @@
 static gboolean
 may_be_over (const bts_sched_t *sched, const bts_stage_t *stage)
 {
+  bts_task_t untouched;
   for (guint i = 0; i < stage->n_tasks; i++)
     {
-      const bts_task_t *task = &stage->tasks[i];
+      const bts_task_t *task = bts_stage_view_task (stage, i, &untouched);
       if (!task->done && !task->done_pending
           && !(bts_task_is_pending (task) && bts_sched_may_run_unlisted (sched, task)))
         return FALSE;
@@ -218,39 +231,44 @@
   return TRUE;
 }
 
-/* Creates the newest occurrences that were due before a job has ended. Until now, this process may
-   not have needed them. */
+/* Creates the first occurrences of a job that were due before it has ended and aren't done. Until
+   now, this process may not have needed them. */
 static void
-ensure_newest_occurrences (const bts_sched_t *sched, bts_job_t *job)
+ensure_first_occurrences (const bts_sched_t *sched, bts_job_t *job)
 {
   gint64 due_ms = sched->ops->now_unix_ms (sched->context) + sched->config.early_ms;
-  guint n_due = job->accepted->repeat == 0 ? 1 : 0;
-  while (n_due < bts_job_count_occurrences (job) && bts_job_due_ms (job, n_due) <= due_ms)
-    n_due++;
-  for (guint k = n_due > ENDED_OCCURRENCES_MAX ? n_due - ENDED_OCCURRENCES_MAX : 0; k < n_due; k++)
-    bts_job_ensure_occurrence (job, k);
+  guint n_due = bts_job_count_due (job, due_ms);
+  guint number = bts_ranges_next_missing (job->done, 0);
+  for (guint n = 0; n < ENDED_OCCURRENCES_MAX && number < n_due; n++)
+    {
+      bts_job_ensure_occurrence (job, number);
+      number = bts_ranges_next_missing (job->done, number + 1);
+    }
+}
+
+static guint
+count_unlisted (const bts_sched_t *sched, const bts_stage_t *stage)
+{
+  guint n = 0;
+  bts_task_t untouched;
+  for (guint i = 0; i < stage->n_tasks; i++)
+    {
+      const bts_task_t *task = bts_stage_view_task (stage, i, &untouched);
+      n += bts_task_is_pending (task) && bts_sched_may_run_unlisted (sched, task);
+    }
+  return n;
 }
 
 static void
 assume_job (const bts_sched_t *sched, bts_job_t *job)
 {
   if (bts_job_has_ended (job))
-    ensure_newest_occurrences (sched, job);
-  for (guint k = 0; k < job->occurrences->len; k++)
-    {
-      const bts_occurrence_t *occurrence = job->occurrences->pdata[k];
-      for (gsize i = 0; occurrence != NULL && i < job->accepted->n_steps; i++)
-        {
-          const bts_stage_t *stage = &occurrence->stages[i];
-          if (!may_have_begun (sched, occurrence, stage))
-            continue;
-          guint n = 0;
-          for (guint t = 0; t < stage->n_tasks; t++)
-            n += bts_task_is_pending (&stage->tasks[t])
-                 && bts_sched_may_run_unlisted (sched, &stage->tasks[t]);
-          bts_usage_assume (job->account, bts_stage_step (stage), n);
-        }
-    }
+    ensure_first_occurrences (sched, job);
+  bts_stage_walk_t walk = { 0 };
+  const bts_stage_t *stage;
+  while ((stage = bts_job_next_stage (job, &walk)) != NULL)
+    if (may_have_begun (sched, bts_job_occurrence (job, stage->occurrence), stage))
+      bts_usage_assume (job->account, bts_stage_step (stage), count_unlisted (sched, stage));
 }
 
 /* Sums up what may run on the workers that haven't listed their runs. Returns FALSE if the
--- a/libbamboothread/scheduler/waiting.c
+++ b/libbamboothread/scheduler/waiting.c
@@ -67,9 +67,10 @@
 {
   gboolean gang = bts_stage_step (stage)->gang;
   gboolean found = FALSE;
+  bts_task_t untouched;
   for (guint i = 0; i < stage->n_tasks; i++)
     {
-      const bts_task_t *task = &stage->tasks[i];
+      const bts_task_t *task = bts_stage_view_task (stage, i, &untouched);
       if (!bts_task_is_pending (task))
         continue;
       gboolean is_crash = bts_crash_is_waiting (task, view->now_us);
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -232,7 +232,7 @@
     return NULL;
   bts_job_t *job = bts_ledger_job (sched->ledger, id);
   bts_stage_t *stage = job == NULL ? NULL : bts_job_stage (job, occurrence, step);
-  return stage == NULL || index >= stage->n_tasks ? NULL : &stage->tasks[index];
+  return stage == NULL || index >= stage->n_tasks ? NULL : bts_stage_task (stage, index);
 }
 
 /* Adds a listed run that this owner doesn't know. It goes on if its task still needs a run, as
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -907,6 +907,51 @@
   assert(message->base.descriptor == &bts__task_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__range__init
+                     (Bts__Range         *message)
+{
+  static const Bts__Range init_value = BTS__RANGE__INIT;
+  *message = init_value;
+}
+size_t bts__range__get_packed_size
+                     (const Bts__Range *message)
+{
+  assert(message->base.descriptor == &bts__range__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__range__pack
+                     (const Bts__Range *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__range__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__range__pack_to_buffer
+                     (const Bts__Range *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__range__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Range *
+       bts__range__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Range *)
+     protobuf_c_message_unpack (&bts__range__descriptor,
+                                allocator, len, data);
+}
+void   bts__range__free_unpacked
+                     (Bts__Range *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__range__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__kept__init
                      (Bts__Kept         *message)
 {
@@ -3624,7 +3669,58 @@
   (ProtobufCMessageInit) bts__task_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__kept__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bts__range__field_descriptors[2] =
+{
+  {
+    "first",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Range, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Range, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__range__field_indices_by_name[] = {
+  0,   /* field[0] = first */
+  1,   /* field[1] = last */
+};
+static const ProtobufCIntRange bts__range__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor bts__range__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Range",
+  "Range",
+  "Bts__Range",
+  "bts",
+  sizeof(Bts__Range),
+  2,
+  bts__range__field_descriptors,
+  bts__range__field_indices_by_name,
+  1,  bts__range__number_ranges,
+  (ProtobufCMessageInit) bts__range__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__kept__field_descriptors[7] =
 {
   {
     "accepted",
@@ -3698,19 +3794,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done",
+    40,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Kept, n_done),
+    offsetof(Bts__Kept, done),
+    &bts__range__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__kept__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
   1,   /* field[1] = begun */
   2,   /* field[2] = cancelled */
+  6,   /* field[6] = done */
   3,   /* field[3] = failed */
   4,   /* field[4] = tasks */
   5,   /* field[5] = term */
 };
-static const ProtobufCIntRange bts__kept__number_ranges[1 + 1] =
+static const ProtobufCIntRange bts__kept__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 40, 6 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bts__kept__descriptor =
 {
@@ -3720,10 +3830,10 @@
   "Bts__Kept",
   "bts",
   sizeof(Bts__Kept),
-  6,
+  7,
   bts__kept__field_descriptors,
   bts__kept__field_indices_by_name,
-  1,  bts__kept__number_ranges,
+  2,  bts__kept__number_ranges,
   (ProtobufCMessageInit) bts__kept__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -35,6 +35,7 @@
 typedef struct Bts__Held Bts__Held;
 typedef struct Bts__Beat Bts__Beat;
 typedef struct Bts__TaskState Bts__TaskState;
+typedef struct Bts__Range Bts__Range;
 typedef struct Bts__Kept Bts__Kept;
 typedef struct Bts__Ended Bts__Ended;
 typedef struct Bts__Standing Bts__Standing;
@@ -563,6 +564,20 @@
     , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, NULL }
 
 
+/*
+ * Numbers that follow each other.
+ */
+struct  Bts__Range
+{
+  ProtobufCMessage base;
+  uint32_t first;
+  uint32_t last;
+};
+#define BTS__RANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__range__descriptor) \
+    , 0, 0 }
+
+
 /*
  * A snapshot of a job, written before retention deletes the records it was made from.
  */
@@ -573,8 +588,16 @@
   protobuf_c_boolean begun;
   protobuf_c_boolean cancelled;
   protobuf_c_boolean failed;
+  /*
+   * Of the tasks of occurrences that aren't done.
+   */
   size_t n_tasks;
   Bts__TaskState **tasks;
+  /*
+   * Occurrences whose tasks are all done.
+   */
+  size_t n_done;
+  Bts__Range **done;
   /*
    * Term of the owner that wrote it; in a later term it counts for nothing.
    */
@@ -582,7 +605,7 @@
 };
 #define BTS__KEPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__kept__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0 }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -1192,6 +1215,25 @@
 void   bts__task_state__free_unpacked
                      (Bts__TaskState *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Range methods */
+void   bts__range__init
+                     (Bts__Range         *message);
+size_t bts__range__get_packed_size
+                     (const Bts__Range   *message);
+size_t bts__range__pack
+                     (const Bts__Range   *message,
+                      uint8_t             *out);
+size_t bts__range__pack_to_buffer
+                     (const Bts__Range   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Range *
+       bts__range__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__range__free_unpacked
+                     (Bts__Range *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Kept methods */
 void   bts__kept__init
                      (Bts__Kept         *message);
@@ -1463,6 +1505,9 @@
 typedef void (*Bts__TaskState_Closure)
                  (const Bts__TaskState *message,
                   void *closure_data);
+typedef void (*Bts__Range_Closure)
+                 (const Bts__Range *message,
+                  void *closure_data);
 typedef void (*Bts__Kept_Closure)
                  (const Bts__Kept *message,
                   void *closure_data);
@@ -1522,6 +1567,7 @@
 extern const ProtobufCMessageDescriptor bts__held__descriptor;
 extern const ProtobufCMessageDescriptor bts__beat__descriptor;
 extern const ProtobufCMessageDescriptor bts__task_state__descriptor;
+extern const ProtobufCMessageDescriptor bts__range__descriptor;
 extern const ProtobufCMessageDescriptor bts__kept__descriptor;
 extern const ProtobufCMessageDescriptor bts__ended__descriptor;
 extern const ProtobufCMessageDescriptor bts__standing__descriptor;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -2036,8 +2036,9 @@
   job->policy = kept;
   job->repeat = policy->repeat;
   job->interval_ms = policy->interval_ms;
-  job->first_due_ms
-      = policy->repeat == 0 ? 0 : UNIX_START_MS + now (sim) / 1000 + sim->unix_offset_ms;
+  job->first_due_ms = policy->repeat == 0 ? 0
+                                          : UNIX_START_MS + now (sim) / 1000 + sim->unix_offset_ms
+                                                + policy->due_in_ms;
   job->steps = calloc (n, sizeof *job->steps);
   for (guint i = 0; i < n; i++)
     {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -365,6 +365,7 @@
  * struct sim_policy_t - the route of a job to hand in
  * @stretch: factor of the objective; 0 for %SIM_STRETCH
  * @repeat: how often the steps run, with @interval_ms between two; 0 for once
+ * @due_in_ms: time until the first of these is due; negative if it was due before
  */
 typedef struct
 {
@@ -375,6 +376,7 @@
   double stretch;
   guint repeat;
   guint interval_ms;
+  gint64 due_in_ms;
 } sim_policy_t;
 
 sim_t *sim_new (guint nodes, guint workers, guint32 seed);
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -147,7 +147,7 @@
 add_run (lab_t *lab, bts_stage_t *stage, bts_worker_t *worker)
 {
   bts_run_t *run = g_new0 (bts_run_t, 1);
-  run->task = &stage->tasks[0];
+  run->task = bts_stage_task (stage, 0);
   run->name = g_strdup ("task");
   run->state = BTS_RUN_RUNNING;
   run->created_us = lab->now_us;
@@ -984,7 +984,8 @@
   accepted->policy->priority = placements[_i].priority;
   accepted->steps[0]->cpu_millis = 1000;
   accepted->steps[0]->rack = strdup (placements[_i].rack);
-  const bts_worker_t *chosen = bts_place_choose (&lab->fleet, &stage->tasks[0], PASS, lab->now_us);
+  const bts_worker_t *chosen
+      = bts_place_choose (&lab->fleet, bts_stage_task (stage, 0), PASS, lab->now_us);
   ck_assert_msg (chosen == lab->workers->pdata[placements[_i].chosen], "%s: %s",
                  placements[_i].name, chosen == NULL ? "none" : chosen->entry->id);
   for (guint i = 0; i < 2; i++)
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -184,21 +184,21 @@
 static void
 crash (scene_t *scene, bts_stage_t *stage)
 {
-  stage->tasks[0].crash_wait_us = NOW_US + 1;
-  stage->tasks[1].crash_wait_us = NOW_US + 1;
+  bts_stage_task (stage, 0)->crash_wait_us = NOW_US + 1;
+  bts_stage_task (stage, 1)->crash_wait_us = NOW_US + 1;
 }
 
 /* A suspect holds back its gang, but not the other tasks of a stage. */
 static void
 crash_of_one (scene_t *scene, bts_stage_t *stage)
 {
-  stage->tasks[1].crash_wait_us = NOW_US + 1;
+  bts_stage_task (stage, 1)->crash_wait_us = NOW_US + 1;
 }
 
 static void
 gang_ending (scene_t *scene, bts_stage_t *stage)
 {
-  stage->tasks[1].pending_end_run = 1;
+  bts_stage_task (stage, 1)->pending_end_run = 1;
 }
 
 static void
@@ -410,8 +410,8 @@
   FILE *log = log_to_file ();
   scene_queue (scene, "main", TRUE, FALSE, 2999);
   bts_stage_t *ending = scene_queue (scene, "main", TRUE, FALSE, 9000);
-  ending->tasks[0].pending_end_run = 1;
-  ending->tasks[1].done = TRUE;
+  bts_stage_task (ending, 0)->pending_end_run = 1;
+  bts_stage_task (ending, 1)->done = TRUE;
   scene_queue (scene, "main", TRUE, FALSE, 9000)->job->cancelled = TRUE;
   bts_waiting_t waiting = { 0 };
   bts_waiting_report (&waiting, &scene->view);
