Jobs: what all of them take together is bounded before the 200

What callers saw: 345 submissions of 45 KB with 4,096 steps each were accepted in 3.6 s and took every process over 260 MB, followers too: 17 ends of three processes in 30 s, and 20 of 46 tries to hand in a small job got 503.

Cause: each process holds every job, and nothing counted what jobs take before one more was accepted. Tasks that ask for next to nothing started in any number on a worker.

Change: scheduler/job_budget.c counts the memory of jobs and refuses the largest ones first, with a Retry-After of its own, by the limit of the process that has the least (announced in its Hello record) and by what the owner says it holds. A worker has at most 1,024 runs, half of them lasting. While jobs take much memory, what is over is dropped sooner and no times beyond the first few are opened. Setting job-memory-mb; metrics job_bytes, job_bytes_max; event submit-no-memory.

Tests: large_submissions_are_refused_first and memory_of_ended_jobs_is_given_back; with the limit switched off both fail, as nothing is refused.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -18,6 +18,7 @@
   X (SUBMIT_UNKNOWN, "submissions_total", "answer=\"unknown\"")                                    \
   X (SUBMIT_MALFORMED, "submissions_total", "answer=\"malformed\"")                                \
   X (SUBMIT_OVER_CAP, "submissions_total", "answer=\"over-cap\"")                                  \
+  X (SUBMIT_NO_MEMORY, "submissions_total", "answer=\"no-memory\"")                                \
   X (CANCEL_OK, "cancellations_total", "answer=\"ok\"")                                            \
   X (CANCEL_OTHER, "cancellations_total", "answer=\"other\"")                                      \
   X (QUERY, "queries_total", "")                                                                   \
@@ -77,6 +78,8 @@
   X (TERM, "term", "")                                                                             \
   X (LEADING, "leading", "")                                                                       \
   X (JOBS, "jobs", "")                                                                             \
+  X (JOB_BYTES, "job_bytes", "")                                                                   \
+  X (JOB_BYTES_MAX, "job_bytes_max", "")                                                           \
   X (WAITING_STAGES, "waiting_stages", "")                                                         \
   X (WAITING_PAUSED, "long_waiting_stages", "cause=\"paused\"")                                    \
   X (WAITING_QUOTA, "long_waiting_stages", "cause=\"quota\"")                                      \
--- a/libbamboothread/scheduler/heartbeat.c
+++ b/libbamboothread/scheduler/heartbeat.c
@@ -251,6 +251,7 @@
   /* An owner that lacks records can't say what holds all jobs. */
   beat.oldest_needed = bts_ledger_is_complete (sched->ledger) ? (guint64)sched->oldest_needed : 0;
   beat.missing = bts_ledger_missing (sched->ledger);
+  beat.job_kb = (guint)(sched->job_bytes / 1000);
   beat.earlier_renewals_ms = earlier_renewals_ms (sched, now_us) + 1;
   beat.n_ends = ends->len;
   beat.ends = (Bts__End **)ends->pdata;
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -15,6 +15,8 @@
 #define BTS_JOB_ID_LEN 16
 /* Most tasks in one occurrence of a job; a job with more is refused as malformed. */
 #define BTS_TASKS_MAX 4096
+/* Tasks of a stage that are allocated together. */
+#define BTS_TASK_BLOCK 64
 /* Crash points with which a task is given up; see crash.h. */
 #define BTS_CRASH_POINTS_MAX 4
 
@@ -270,6 +272,7 @@
  * @opened_us: when it last opened one
  * @n_tasks: number of tasks in one occurrence
  * @paths_ms: by step, estimated time of what follows, see order.c; NULL until an owner needs it
+ * @waiting_bytes: memory that it takes while it waits, see job_budget.c
  * @begun: whether a task was started, according to the journal
  * @begun_reported: whether the owner has queued or sent a heartbeat item that the job has begun
  * @completed: whether a snapshot says that all its tasks are done
@@ -295,6 +298,7 @@
   gint64 opened_us;
   guint n_tasks;
   gint64 *paths_ms;
+  gsize waiting_bytes;
   gboolean begun;
   gboolean begun_reported;
   gboolean completed;
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -7,9 +7,6 @@
 
 /* Name for the owner of a term whose claim was deleted before this process could read it. */
 #define OWNER_UNKNOWN ""
-/* How long the tasks of ended jobs and of occurrences that are done are kept, in microseconds:
-   longer than a lease, so that those that a worker still lists are known. */
-#define OVER_KEEP_US (20 * G_USEC_PER_SEC)
 
 /**
  * struct bts_ledger_t - the folded journal
@@ -907,12 +904,13 @@
 /**
  * bts_ledger_compact() - free what is held of tasks that were over some time ago
  * @ledger: the ledger
+ * @keep_us: how long that is kept, in microseconds
  * @now_us: the time, in microseconds
  *
  * Of occurrences that are done their numbers are left, and of jobs that have ended their states.
  */
 void
-bts_ledger_compact (bts_ledger_t *ledger, gint64 now_us)
+bts_ledger_compact (bts_ledger_t *ledger, gint64 keep_us, gint64 now_us)
 {
   GHashTableIter iter;
   gpointer value;
@@ -921,8 +919,8 @@
     {
       bts_job_t *job = value;
       if (job->ended_us == 0)
-        bts_job_remove_done (job, now_us, OVER_KEEP_US);
-      else if (job->accepted->n_steps > 0 && now_us - job->ended_us >= OVER_KEEP_US)
+        bts_job_remove_done (job, now_us, keep_us);
+      else if (job->accepted->n_steps > 0 && now_us - job->ended_us >= keep_us)
         {
           ledger->ops->job_removed (ledger->context, job);
           bts_job_free_steps (job);
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -72,7 +72,7 @@
 gboolean bts_ledger_is_worker_held (const bts_ledger_t *ledger, const char *worker);
 guint bts_ledger_count_pending (const bts_ledger_t *ledger, const char *route);
 void bts_ledger_remove_ended (bts_ledger_t *ledger, gint64 before_us);
-void bts_ledger_compact (bts_ledger_t *ledger, gint64 now_us);
+void bts_ledger_compact (bts_ledger_t *ledger, gint64 keep_us, gint64 now_us);
 
 GBytes *bts_message_pack (const ProtobufCMessage *message);
 
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -96,6 +96,7 @@
   g_free (member->address);
   member->address = *hello->address == '\0' ? NULL : g_strdup (hello->address);
   member->cpu_millis = hello->cpu_millis;
+  member->job_memory_kb = hello->job_memory_kb;
 }
 
 /**
@@ -278,3 +279,26 @@
       max_cpu_millis = MAX (max_cpu_millis, ((bts_member_t *)value)->cpu_millis);
   return max_cpu_millis;
 }
+
+/**
+ * bts_members_min_job_memory() - least memory that jobs may take in a live process
+ * @members: the processes
+ * @now_us: the time
+ *
+ * Return: bytes; 0 if none is known.
+ */
+gsize
+bts_members_min_job_memory (const bts_members_t *members, gint64 now_us)
+{
+  gsize least_kb = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, members->table);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const bts_member_t *member = value;
+      if (is_live (member, now_us) && member->job_memory_kb != 0)
+        least_kb = least_kb == 0 ? member->job_memory_kb : MIN (least_kb, member->job_memory_kb);
+    }
+  return least_kb * 1000;
+}
--- a/libbamboothread/scheduler/members.h
+++ b/libbamboothread/scheduler/members.h
@@ -15,6 +15,7 @@
  * @name: its name
  * @address: IP:port for messages between processes, or NULL if not known
  * @cpu_millis: its CPU share, in thousandths of a core; 0 if not known
+ * @job_memory_kb: memory that jobs may take there, in thousands of bytes; 0 if not known
  * @last_seen_us: when it was last heard from; 0 once it is suspected
  * @unconfirmed: only a replay of the journal has named it; it may be long gone. It doesn't count as
  *   alive, but may be asked to call the advice service
@@ -25,6 +26,7 @@
   char *name;
   char *address;
   guint cpu_millis;
+  guint job_memory_kb;
   gint64 last_seen_us;
   gboolean unconfirmed;
   bts_advice_calls_t calls;
@@ -45,6 +47,7 @@
 guint bts_members_count (const bts_members_t *members);
 guint bts_members_rank (const bts_members_t *members, const char *node, gint64 now_us);
 gboolean bts_members_is_standby (const bts_members_t *members, const char *node, gint64 now_us);
+gsize bts_members_min_job_memory (const bts_members_t *members, gint64 now_us);
 guint bts_members_max_cpu_millis (const bts_members_t *members, gint64 now_us);
 
 #endif
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -6,6 +6,7 @@
 #include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/claim.h"
 #include "libbamboothread/scheduler/handover.h"
+#include "libbamboothread/scheduler/job_budget.h"
 #include "libbamboothread/scheduler/usage.h"
 
 /* Token of records that belong to no client request. Nothing waits for the result of their
@@ -41,6 +42,13 @@
 #define RESIGN_RETRY_US (300 * 1000)
 /* Interval between removals of jobs that ended long ago, in microseconds. */
 #define CLEANUP_INTERVAL_US (5 * BT_USEC_PER_SEC)
+/* The same while jobs take much memory. */
+#define CLEANUP_SHORT_INTERVAL_US (1 * BT_USEC_PER_SEC)
+/* How long the tasks of ended jobs and of occurrences that are done are kept, in microseconds, so
+   that those that a worker still lists are known: longer than any lease, or, while jobs take much
+   memory, than one that an owner asks for. */
+#define OVER_KEEP_US (20 * BT_USEC_PER_SEC)
+#define OVER_KEEP_SHORT_US (5 * BT_USEC_PER_SEC)
 
 /**
  * struct bts_node_t - one process
@@ -80,6 +88,7 @@
   bts_freshness_t freshness;
   bts_forwarder_t *forwarder;
   bts_intake_t intake;
+  bts_job_budget_t *budget;
   gboolean owner_changed;
   gboolean was_log_slow;
   gboolean fenced;
@@ -114,6 +123,7 @@
 on_job_accepted (void *context, bts_job_t *job)
 {
   bts_node_t *node = context;
+  bts_job_budget_on_job (node->budget, job);
   bts_requests_on_job (node->requests, job);
   if (bts_sched_is_leading (node->sched))
     bts_spec_reader_on_job (node->spec_reader, job);
@@ -152,6 +162,7 @@
   bt_log (BT_LOG_NOTICE, "owner", "term=%" G_GUINT64_FORMAT " owner=%s",
           bts_ledger_term (node->ledger), owner == NULL ? "none" : owner);
   bts_election_on_owner (&node->election, node->ledger, now_us);
+  bts_job_budget_set_owner_bytes (node->budget, 0);
   bts_sched_end_term (node->sched);
   node->owner_changed = TRUE;
 }
@@ -160,6 +171,7 @@
 on_heartbeat (void *context, const Bts__Beat *heartbeat)
 {
   bts_node_t *node = context;
+  bts_job_budget_set_owner_bytes (node->budget, (gsize)heartbeat->job_kb * 1000);
   bts_forwarder_set_owner_append_ms (node->forwarder, node->replaying ? 0 : heartbeat->append_ms);
   bts_election_on_heartbeat (&node->election, heartbeat->earlier_renewals_ms, node_now (node));
   bts_sched_on_heartbeat (node->sched, heartbeat->number);
@@ -326,13 +338,20 @@
   append (context, token, record);
 }
 
+static void
+answer_caller (bts_node_t *node, guint64 exchange, bts_answer_t answer)
+{
+  bts_job_budget_on_answer (node->budget, exchange, answer == BTS_ANSWER_OK);
+  node->ops->answer (node->context, exchange, answer);
+}
+
 static void
 requests_answer (void *context, guint64 exchange, bts_answer_t answer)
 {
   bts_node_t *node = context;
   if ((exchange & FORWARDED_EXCHANGE) == 0)
     {
-      node->ops->answer (node->context, exchange, answer);
+      answer_caller (node, exchange, answer);
       return;
     }
   Bts__Reply reply = BTS__REPLY__INIT;
@@ -385,8 +404,7 @@
 static void
 forwarder_answer (void *context, guint64 exchange, bts_answer_t answer)
 {
-  bts_node_t *node = context;
-  node->ops->answer (node->context, exchange, answer);
+  answer_caller (context, exchange, answer);
 }
 
 static void
@@ -482,6 +500,7 @@
   node->requests = bts_requests_new (node->ledger, &requests_ops, node);
   node->spec_reader = bts_spec_reader_new (node->ledger, &spec_reader_ops, node);
   node->advice_client = bts_advice_client_new (node->ledger, &advice_client_ops, node);
+  node->budget = bts_job_budget_new (config->job_memory_bytes);
   bts_election_init (&node->election, config->name);
   bts_freshness_init (&node->freshness, config->tables_max_age_ms);
   node->intake = (bts_intake_t){ node->ledger,    node->members,   node->requests,
@@ -499,6 +518,7 @@
   bts_advice_client_free (node->advice_client);
   bts_spec_reader_free (node->spec_reader);
   bts_ledger_free (node->ledger);
+  bts_job_budget_free (node->budget);
   bts_fleet_clear (&node->fleet);
   bts_election_clear (&node->election);
   bts_tables_free (node->tables);
@@ -892,6 +912,22 @@
   return TRUE;
 }
 
+/* Rejects a job for which there is no memory. Returns whether there isn't. */
+static gboolean
+reject_large (bts_node_t *node, guint64 exchange, Bts__Accepted *job)
+{
+  gsize own = node->config.job_memory_bytes;
+  gsize least = bts_members_min_job_memory (node->members, node_now (node));
+  gsize limit = own == 0 || least == 0 ? MAX (own, least) : MIN (own, least);
+  if (bts_ledger_job (node->ledger, job->id) != NULL
+      || bts_job_budget_admit (node->budget, exchange, job, limit,
+                               bts_members_count (node->members)))
+    return FALSE;
+  bts__accepted__free_unpacked (job, NULL);
+  node->ops->answer (node->context, exchange, BTS_ANSWER_NO_MEMORY);
+  return TRUE;
+}
+
 /**
  * bts_node_submit() - submit a job
  * @node: the process
@@ -902,7 +938,7 @@
 void
 bts_node_submit (bts_node_t *node, guint64 exchange, Bts__Accepted *job, gint64 timeout_us)
 {
-  if (reject_unfit (node, exchange, job))
+  if (reject_unfit (node, exchange, job) || reject_large (node, exchange, job))
     return;
   if (job->policy->tenant[0] != '\0')
     job->submitted_ms = node->ops->now_unix_ms (node->context);
@@ -1073,6 +1109,7 @@
   hello.node = node->name;
   hello.address = node->address == NULL ? (char *)protobuf_c_empty_string : node->address;
   /* No owner hands over to a process that has skipped records. */
+  hello.job_memory_kb = (guint)(node->config.job_memory_bytes / 1000);
   hello.cpu_millis = bts_ledger_is_complete (node->ledger) ? node->config.cpu_millis : 0;
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_HELLO;
@@ -1101,6 +1138,15 @@
                  && bts_claim_has_larger_peer (node->members, node->config.cpu_millis, now_us)));
 }
 
+static void
+count_job_memory (bts_node_t *node, gint64 now_us)
+{
+  bts_job_budget_tick (node->budget, bts_ledger_jobs (node->ledger),
+                       bts_sched_count_runs (node->sched), now_us);
+  bts_sched_set_job_memory (node->sched, bts_job_budget_bytes (node->budget),
+                            bts_job_budget_has_spare (node->budget));
+}
+
 /**
  * bts_node_tick() - do everything that is due; to be called every 10 to 50 ms
  * @node: the process
@@ -1146,13 +1192,16 @@
     bts_spec_reader_tick (node->spec_reader, now_us);
   else
     bts_spec_reader_stop (node->spec_reader);
+  count_job_memory (node, now_us);
   bts_sched_set_tables_known (node->sched, bts_freshness_is_known (&node->freshness));
   bts_sched_tick (node->sched);
   set_log_slow (node, is_log_slow (node, now_us));
   bts_requests_tick (node->requests, now_us);
-  if (now_us - node->last_cleanup_us < CLEANUP_INTERVAL_US)
+  gboolean has_spare = bts_job_budget_has_spare (node->budget);
+  if (now_us - node->last_cleanup_us
+      < (has_spare ? CLEANUP_INTERVAL_US : CLEANUP_SHORT_INTERVAL_US))
     return;
   node->last_cleanup_us = now_us;
-  bts_ledger_compact (node->ledger, now_us);
+  bts_ledger_compact (node->ledger, has_spare ? OVER_KEEP_US : OVER_KEEP_SHORT_US, now_us);
   bts_ledger_remove_ended (node->ledger, now_us - (gint64)node->config.status_retention_ms * 1000);
 }
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -61,6 +61,7 @@
  * @max_direct_appenders: with more processes than this, jobs go through the owner; usually
  *   BTS_MAX_DIRECT_APPENDERS
  * @tables_max_age_ms: see bts_freshness_init()
+ * @job_memory_bytes: memory that jobs may take; 0 for no limit
  * @status_retention_ms: how long the status of an ended job is kept
  * @sched: limits of the owner
  */
@@ -72,6 +73,7 @@
   guint bandwidth_kbps;
   guint max_direct_appenders;
   guint tables_max_age_ms;
+  gsize job_memory_bytes;
   guint status_retention_ms;
   bts_sched_config_t sched;
 } bts_node_config_t;
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -29,6 +29,10 @@
 /* Time that backfill allows a task, in percent of its estimate: tasks may take longer than
    estimated. */
 #define BACKFILL_ESTIMATE_PERCENT 130
+/* Most runs on a worker, however little they take: each of them takes memory on the owner, and is
+   in every list of the worker. Tasks that last leave room for others. */
+#define RUNS_MAX 1024
+#define LASTING_RUNS_MAX 512
 /* More consecutive failures or overdue runs than this don't raise the penalty further. */
 #define PENALTY_COUNT_MAX 5
 
@@ -213,7 +217,8 @@
   if (step->label[0] != '\0' && !bts_worker_has_label (worker, step->label))
     return BTS_PLACE_NO_LABEL;
   bts_resources_t demand = bts_place_demand (step);
-  if (!bts_worker_has_room (worker, &worker->used, &demand))
+  guint runs_max = step->long_running ? LASTING_RUNS_MAX : RUNS_MAX;
+  if (!bts_worker_has_room (worker, &worker->used, &demand) || worker->runs->len >= runs_max)
     return BTS_PLACE_NO_ROOM;
   if (!has_restored_room (worker, &demand, now_us))
     return BTS_PLACE_ON_PROBATION;
--- a/libbamboothread/scheduler/recurrence.c
+++ b/libbamboothread/scheduler/recurrence.c
@@ -1,65 +1,40 @@
 #include "libbamboothread/scheduler/recurrence.h"
 
-/* Most open occurrences of a job that run nothing, and most of which some tasks haven't started,
-   for a job of one step; of a job of many steps one at least. All occurrences have the same steps:
-   if the first ones find no room, neither do others. */
-#define IDLE_MAX 8
-#define PARTIAL_MAX 64
-/* Most stages of these occurrences. */
-#define IDLE_STAGES_MAX 64
-#define PARTIAL_STAGES_MAX 512
+/* Most open occurrences of a job of which some tasks haven't been started, and most stages of
+   these; one at least. All occurrences have the same steps: if the first ones find no room, neither
+   do others. */
+#define WAITING_MAX 8
+#define WAITING_STAGES_MAX 64
 /* Interval at which one more is opened nevertheless while there is memory to spare, in
    microseconds: the first steps of later ones may find room although the last steps of these don't.
  */
-#define EXTRA_INTERVAL_US (1 * G_USEC_PER_SEC)
+#define EXTRA_INTERVAL_US (250 * 1000)
 
-/**
- * struct open_t - open occurrences of a job that aren't done
- * @n_idle: those that run nothing
- * @n_partial: those of which some tasks haven't been started
- */
-typedef struct
-{
-  guint n_idle;
-  guint n_partial;
-} open_t;
-
-static gboolean
-has_run (const bts_stage_t *stage)
-{
-  const bts_task_t *task;
-  for (guint t = 0; (task = bts_stage_next_task (stage, &t)) != NULL;)
-    if (task->run != NULL)
-      return TRUE;
-  return FALSE;
-}
-
-static open_t
-count_open (const bts_job_t *job)
+static guint
+count_waiting (const bts_job_t *job)
 {
-  open_t open = { 0 };
+  guint n_waiting = 0;
   for (guint i = 0; i < job->occurrences->len; i++)
     {
       const bts_occurrence_t *occurrence = job->occurrences->pdata[i];
-      if (bts_ranges_contains (job->done, occurrence->number, occurrence->number))
-        continue;
-      gboolean idle = TRUE;
-      gboolean partial = FALSE;
-      for (gsize s = 0; s < job->accepted->n_steps; s++)
-        {
-          idle = idle && !has_run (&occurrence->stages[s]);
-          partial = partial || bts_stage_count_pending (&occurrence->stages[s]) > 0;
-        }
-      open.n_idle += idle;
-      open.n_partial += partial;
+      gboolean waiting = FALSE;
+      for (gsize s = 0; !waiting && s < job->accepted->n_steps; s++)
+        waiting = bts_stage_count_pending (&occurrence->stages[s]) > 0;
+      n_waiting += waiting;
     }
-  return open;
+  return n_waiting;
 }
 
-static guint
-limit (const bts_job_t *job, guint n_max, guint n_stages_max)
+/**
+ * bts_recurrence_waiting_max() - most open occurrences of a job with tasks that haven't been
+ * started
+ * @accepted: the job
+ */
+guint
+bts_recurrence_waiting_max (const Bts__Accepted *accepted)
 {
-  return (guint)CLAMP (n_stages_max / MAX (job->accepted->n_steps, 1), 1, n_max);
+  guint n_max = (guint)CLAMP (WAITING_STAGES_MAX / MAX (accepted->n_steps, 1), 1, WAITING_MAX);
+  return MIN (n_max, MAX (accepted->repeat, 1));
 }
 
 /**
@@ -81,11 +56,8 @@
   job->next_occurrence = bts_ranges_next_missing (job->done, job->next_occurrence);
   if (job->next_occurrence >= n_due)
     return;
-  open_t now_open = count_open (job);
-  guint n_idle = limit (job, IDLE_MAX, IDLE_STAGES_MAX);
-  guint n_partial = limit (job, PARTIAL_MAX, PARTIAL_STAGES_MAX);
-  guint n = MIN (n_idle - MIN (n_idle, now_open.n_idle),
-                 n_partial - MIN (n_partial, now_open.n_partial));
+  guint n_max = bts_recurrence_waiting_max (job->accepted);
+  guint n = n_max - MIN (n_max, count_waiting (job));
   if (n == 0 && has_memory && now_us - job->opened_us >= EXTRA_INTERVAL_US)
     n = 1;
   for (; n > 0 && job->next_occurrence < n_due; n--)
--- a/libbamboothread/scheduler/recurrence.h
+++ b/libbamboothread/scheduler/recurrence.h
@@ -13,6 +13,7 @@
 
 void bts_recurrence_open_due (bts_job_t *job, guint n_due, gboolean has_memory, gint64 now_us,
                               bts_recurrence_open_f open, void *context);
+guint bts_recurrence_waiting_max (const Bts__Accepted *accepted);
 guint bts_recurrence_count_waiting (const bts_job_t *job, guint n_due);
 
 #endif
--- a/libbamboothread/scheduler/requests.c
+++ b/libbamboothread/scheduler/requests.c
@@ -214,9 +214,10 @@
 
 /* Names of answers in the log, by bts_answer_t: "away" is %BTS_ANSWER_UNAVAILABLE and "gone" is
    %BTS_ANSWER_NOT_FOUND. */
-static const char *const answer_names[] = { "ok", "away", "unknown", "gone" };
-static const bt_count_t submit_counts[] = { BT_COUNT_SUBMIT_OK, BT_COUNT_SUBMIT_UNAVAILABLE,
-                                            BT_COUNT_SUBMIT_UNKNOWN, BT_COUNT_SUBMIT_UNKNOWN };
+static const char *const answer_names[] = { "ok", "away", "unknown", "gone", "no-memory" };
+static const bt_count_t submit_counts[]
+    = { BT_COUNT_SUBMIT_OK, BT_COUNT_SUBMIT_UNAVAILABLE, BT_COUNT_SUBMIT_UNKNOWN,
+        BT_COUNT_SUBMIT_UNKNOWN, BT_COUNT_SUBMIT_NO_MEMORY };
 
 static void
 note_answer (const request_t *request, bts_answer_t answer)
--- a/libbamboothread/scheduler/requests.h
+++ b/libbamboothread/scheduler/requests.h
@@ -19,6 +19,8 @@
  * @BTS_ANSWER_UNAVAILABLE: not done and won't be; the caller may retry later
  * @BTS_ANSWER_UNKNOWN: it can't be known yet whether it was done
  * @BTS_ANSWER_NOT_FOUND: there is no such job
+ * @BTS_ANSWER_NO_MEMORY: not done and won't be, as jobs take too much memory; the caller may retry
+ *   after BTS_JOB_BUDGET_RETRY_AFTER_S
  */
 typedef enum
 {
@@ -26,6 +28,7 @@
   BTS_ANSWER_UNAVAILABLE,
   BTS_ANSWER_UNKNOWN,
   BTS_ANSWER_NOT_FOUND,
+  BTS_ANSWER_NO_MEMORY,
 } bts_answer_t;
 
 /**
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -274,7 +274,8 @@
       bts_job_t *job = sched->recurring->pdata[i];
       guint n_due = bts_job_count_due (job, now_ms + (gint64)sched->config.early_ms / 2);
       if (!bts_job_has_ended (job))
-        bts_recurrence_open_due (job, n_due, TRUE, bts_sched_now (sched), open_occurrence, sched);
+        bts_recurrence_open_due (job, n_due, sched->has_spare_memory, bts_sched_now (sched),
+                                 open_occurrence, sched);
       n_waiting += bts_recurrence_count_waiting (job, n_due);
       if (job->next_occurrence >= bts_job_count_occurrences (job) || bts_job_has_ended (job))
         g_ptr_array_remove_index_fast (sched->recurring, i);
@@ -590,6 +591,31 @@
       = end_us + CLAMP (examined_us * PASS_PAUSE_FACTOR, least_us, PASS_PAUSE_MAX_US);
 }
 
+/**
+ * bts_sched_set_job_memory() - set how much memory jobs take
+ * @sched: the scheduler
+ * @bytes: the memory
+ * @has_spare: whether that is little of what they may take
+ */
+void
+bts_sched_set_job_memory (bts_sched_t *sched, gsize bytes, gboolean has_spare)
+{
+  sched->job_bytes = bytes;
+  sched->has_spare_memory = has_spare;
+}
+
+/**
+ * bts_sched_count_runs() - number of runs that are known
+ * @sched: the scheduler
+ *
+ * Return: 0 if it doesn't lead a term.
+ */
+guint
+bts_sched_count_runs (const bts_sched_t *sched)
+{
+  return g_hash_table_size (sched->runs);
+}
+
 /**
  * bts_sched_set_append_ms() - set the append latency that heartbeats report
  * @sched: the scheduler
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -207,6 +207,8 @@
 void bts_sched_on_entries (bts_sched_t *sched, gboolean complete);
 void bts_sched_set_tenants (bts_sched_t *sched, const bts_tenants_t *tenants, gint64 version);
 void bts_sched_set_tables_known (bts_sched_t *sched, gboolean known);
+void bts_sched_set_job_memory (bts_sched_t *sched, gsize bytes, gboolean has_spare);
+guint bts_sched_count_runs (const bts_sched_t *sched);
 void bts_sched_set_append_ms (bts_sched_t *sched, guint append_ms);
 void bts_sched_mark_dirty (bts_sched_t *sched);
 void bts_sched_flush (bts_sched_t *sched);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -83,6 +83,8 @@
  * @pending_ends: bts_pending_end_t in the order in which workers listed them
  * @pending_begun: numbers of jobs that have begun while the journal doesn't say so yet
  * @reports: by kind, what heartbeats have to report
+ * @has_spare_memory: whether jobs take little memory
+ * @job_bytes: memory that they take; reported in heartbeats
  * @append_ms: time that the newest append took; reported in heartbeats
  * @pending_heartbeat: number of the newest heartbeat, which carried the first @begun_sent items
  *   of @pending_begun, and those of @reports that are marked as sent; 0 if none was sent
@@ -146,6 +148,8 @@
   GPtrArray *pending_ends;
   GArray *pending_begun;
   bts_report_t reports[BTS_N_REPORTS];
+  gboolean has_spare_memory;
+  gsize job_bytes;
   guint append_ms;
   guint64 pending_heartbeat;
   guint begun_sent;
--- a/libbamboothread/scheduler/stage_tasks.c
+++ b/libbamboothread/scheduler/stage_tasks.c
@@ -7,19 +7,16 @@
  * that a stage that waits takes the same memory however many tasks it has.
  */
 
-/* Tasks in a block. */
-#define BLOCK_TASKS 64
-
 static guint
 count_blocks (const bts_stage_t *stage)
 {
-  return (stage->n_tasks + BLOCK_TASKS - 1) / BLOCK_TASKS;
+  return (stage->n_tasks + BTS_TASK_BLOCK - 1) / BTS_TASK_BLOCK;
 }
 
 static guint
 block_len (const bts_stage_t *stage, guint block)
 {
-  return MIN (BLOCK_TASKS, stage->n_tasks - block * BLOCK_TASKS);
+  return MIN (BTS_TASK_BLOCK, stage->n_tasks - block * BTS_TASK_BLOCK);
 }
 
 static void
@@ -37,7 +34,7 @@
 bts_task_t *
 bts_stage_task (bts_stage_t *stage, guint index)
 {
-  guint block = index / BLOCK_TASKS;
+  guint block = index / BTS_TASK_BLOCK;
   if (stage->blocks == NULL)
     stage->blocks = g_new0 (bts_task_t *, count_blocks (stage));
   if (stage->blocks[block] == NULL)
@@ -45,9 +42,9 @@
       guint len = block_len (stage, block);
       stage->blocks[block] = g_new0 (bts_task_t, len);
       for (guint i = 0; i < len; i++)
-        init_task (&stage->blocks[block][i], stage, block * BLOCK_TASKS + i);
+        init_task (&stage->blocks[block][i], stage, block * BTS_TASK_BLOCK + i);
     }
-  return &stage->blocks[block][index % BLOCK_TASKS];
+  return &stage->blocks[block][index % BTS_TASK_BLOCK];
 }
 
 /**
@@ -61,9 +58,9 @@
 const bts_task_t *
 bts_stage_view_task (const bts_stage_t *stage, guint index, bts_task_t *untouched)
 {
-  guint block = index / BLOCK_TASKS;
+  guint block = index / BTS_TASK_BLOCK;
   if (stage->blocks != NULL && stage->blocks[block] != NULL)
-    return &stage->blocks[block][index % BLOCK_TASKS];
+    return &stage->blocks[block][index % BTS_TASK_BLOCK];
   *untouched = (bts_task_t){ 0 };
   init_task (untouched, (bts_stage_t *)stage, index);
   return untouched;
@@ -83,10 +80,10 @@
 {
   while (stage->blocks != NULL && *next < stage->n_tasks)
     {
-      bts_task_t *block = stage->blocks[*next / BLOCK_TASKS];
+      bts_task_t *block = stage->blocks[*next / BTS_TASK_BLOCK];
       if (block != NULL)
-        return &block[(*next)++ % BLOCK_TASKS];
-      *next = (*next / BLOCK_TASKS + 1) * BLOCK_TASKS;
+        return &block[(*next)++ % BTS_TASK_BLOCK];
+      *next = (*next / BTS_TASK_BLOCK + 1) * BTS_TASK_BLOCK;
     }
   return NULL;
 }
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -3306,7 +3306,7 @@
   (ProtobufCMessageInit) bts__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor bts__beat__field_descriptors[13] =
 {
   {
     "term",
@@ -3452,6 +3452,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "job_kb",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Beat, job_kb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__beat__field_indices_by_name[] = {
   6,   /* field[6] = append_ms */
@@ -3460,6 +3472,7 @@
   10,   /* field[10] = earlier_renewals_ms */
   3,   /* field[3] = ends */
   4,   /* field[4] = held */
+  12,   /* field[12] = job_kb */
   11,   /* field[11] = missing */
   1,   /* field[1] = number */
   7,   /* field[7] = oldest_needed */
@@ -3467,11 +3480,12 @@
   9,   /* field[9] = silent */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange bts__beat__number_ranges[2 + 1] =
+static const ProtobufCIntRange bts__beat__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 13, 10 },
-  { 0, 12 }
+  { 40, 12 },
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bts__beat__descriptor =
 {
@@ -3481,10 +3495,10 @@
   "Bts__Beat",
   "bts",
   sizeof(Bts__Beat),
-  12,
+  13,
   bts__beat__field_descriptors,
   bts__beat__field_indices_by_name,
-  2,  bts__beat__number_ranges,
+  3,  bts__beat__number_ranges,
   (ProtobufCMessageInit) bts__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -4403,7 +4417,7 @@
   (ProtobufCMessageInit) bts__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__hello__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bts__hello__field_descriptors[4] =
 {
   {
     "node",
@@ -4441,16 +4455,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "job_memory_kb",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Hello, job_memory_kb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__hello__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = cpu_millis */
+  3,   /* field[3] = job_memory_kb */
   0,   /* field[0] = node */
 };
-static const ProtobufCIntRange bts__hello__number_ranges[1 + 1] =
+static const ProtobufCIntRange bts__hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 40, 3 },
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bts__hello__descriptor =
 {
@@ -4460,10 +4488,10 @@
   "Bts__Hello",
   "bts",
   sizeof(Bts__Hello),
-  3,
+  4,
   bts__hello__field_descriptors,
   bts__hello__field_indices_by_name,
-  1,  bts__hello__number_ranges,
+  2,  bts__hello__number_ranges,
   (ProtobufCMessageInit) bts__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -531,10 +531,14 @@
    * Records that the owner couldn't read before they were deleted.
    */
   uint64_t missing;
+  /*
+   * Memory that jobs take on the owner, in thousands of bytes.
+   */
+  uint32_t job_kb;
 };
 #define BTS__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__beat__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 /*
@@ -792,10 +796,14 @@
    * Its CPU share, in thousandths of a core.
    */
   uint32_t cpu_millis;
+  /*
+   * Memory that jobs may take there, in thousands of bytes; 0 for no limit.
+   */
+  uint32_t job_memory_kb;
 };
 #define BTS__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 typedef enum {
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1356,7 +1356,8 @@
       sim_job_t *job = sim->jobs->pdata[i];
       if (job->exchange == exchange && answer == BTS_ANSWER_OK)
         job->accepted_us = now (sim);
-      if (job->exchange == exchange && answer == BTS_ANSWER_UNAVAILABLE)
+      if (job->exchange == exchange
+          && (answer == BTS_ANSWER_UNAVAILABLE || answer == BTS_ANSWER_NO_MEMORY))
         {
           job->refused_us = now (sim);
           if (job->tries == 1 && job->started)
@@ -1706,6 +1707,7 @@
   config.cpu_millis = node->cpu_millis;
   config.max_direct_appenders = sim->max_direct_appenders;
   config.status_retention_ms = 120000;
+  config.job_memory_bytes = node->job_memory_bytes;
   config.sched.hold_max_ms = SIM_HOLD_MAX_MS;
   config.sched.early_ms = 250;
   config.sched.urgent_quota_percent = BTS_HEADROOM_PERCENT;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -174,6 +174,7 @@
  * @batch_open: a call is on its way
  * @questions_open: messages of others that it has not replied to
  * @cpu_millis: its share of a processor, told as it starts
+ * @job_memory_bytes: memory that jobs may take there, told as it starts; 0 for no limit
  * @disturbed_us: when it last was down, frozen, cut or deaf
  */
 typedef struct
@@ -199,6 +200,7 @@
   gboolean batch_open;
   guint questions_open;
   guint cpu_millis;
+  gsize job_memory_bytes;
   gint64 disturbed_us;
   gint64 advice_free_us;
   GPtrArray *held_back;
--- a/tests/test_job_memory.c
+++ b/tests/test_job_memory.c
@@ -155,6 +155,91 @@
 }
 END_TEST
 
+/* Process 2 may give jobs so much memory, in bytes, and the others four times that. */
+#define LEAST_MEMORY (4 * 1024 * 1024)
+
+static sim_t *
+sim_with_limits (void)
+{
+  sim_t *sim = sim_new (PROCESSES, WORKERS, 1);
+  for (guint i = 0; i < PROCESSES; i++)
+    sim_node (sim, i)->job_memory_bytes = i == 2 ? LEAST_MEMORY : 4 * LEAST_MEMORY;
+  sim_restart (sim);
+  sim_run_ms (sim, 5000);
+  return sim;
+}
+
+/* Hands in jobs of 100 steps that never start, and a small job every 200 ms. Returns how many of
+   the former were refused. */
+static guint
+submit_beside_small_jobs (sim_t *sim, GPtrArray *small, guint n_large)
+{
+  static const sim_step_t steps[100] = {
+    [0 ... 99] = { .count = 1, .cpu = 100, .memory = 10, .ms = 100, .label = NOBODY_HAS },
+  };
+  static const sim_step_t one[] = { { .count = 1, .cpu = 100, .memory = 10, .ms = 100 } };
+  static const sim_policy_t batch = { "main", 2, 3, 3000 };
+  guint n_refused = 0;
+  for (guint i = 0; i < n_large; i++)
+    {
+      const sim_job_t *job
+          = sim_submit (sim, i % PROCESSES, &batch, steps, i % 2 == 0 ? G_N_ELEMENTS (steps) : 20);
+      sim_run_ms (sim, 20);
+      n_refused += job->refused_us != 0;
+      if (i % 10 == 0)
+        g_ptr_array_add (small, sim_submit (sim, i / 10 % PROCESSES, &lookup, one, 1));
+    }
+  return n_refused;
+}
+
+/* Guards against a process that is ended for its memory, as the sum of what was accepted was
+   bounded by nothing: the smallest process decides at every entry, also under an owner that has
+   more, and small jobs are taken and done all the while. */
+START_TEST (large_submissions_are_refused_first)
+{
+  sim_t *sim = sim_with_limits ();
+  GPtrArray *small = g_ptr_array_new ();
+  gsize before = allocated_bytes ();
+  guint n_refused = submit_beside_small_jobs (sim, small, 600);
+  sim_run_ms (sim, 3000);
+  gsize grown = allocated_bytes () - before;
+  ck_assert_uint_gt (n_refused, 300);
+  /* The simulation keeps a copy of each job and its record. */
+  ck_assert_msg (grown < (PROCESSES + 2) * LEAST_MEMORY, "%zu KB", grown / 1024);
+  for (guint i = 0; i < small->len; i++)
+    ck_assert_msg (sim_state (sim, small->pdata[i]) == BTS_JOB_COMPLETED, "small job %u", i);
+  /* An owner that is killed has told others what it holds, and the next one counts anew. */
+  guint owner = (guint)sim_owner (sim);
+  sim_kill (sim, owner);
+  sim_run_ms (sim, 3000);
+  g_ptr_array_set_size (small, 0);
+  sim_start (sim, owner);
+  sim_run_ms (sim, 5000);
+  ck_assert_uint_gt (submit_beside_small_jobs (sim, small, 60), 25);
+  sim_run_ms (sim, 3000);
+  for (guint i = 0; i < small->len; i++)
+    ck_assert_msg (sim_state (sim, small->pdata[i]) == BTS_JOB_COMPLETED, "small job %u", i);
+  g_ptr_array_unref (small);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
+/* Guards against large jobs that are refused for good after others have ended. */
+START_TEST (memory_of_ended_jobs_is_given_back)
+{
+  sim_t *sim = sim_with_limits ();
+  GPtrArray *small = g_ptr_array_new ();
+  ck_assert_uint_gt (submit_beside_small_jobs (sim, small, 300), 100);
+  for (guint i = 0; i < sim->jobs->len; i++)
+    sim_cancel (sim, i % PROCESSES, sim->jobs->pdata[i]);
+  sim_run_ms (sim, 30000);
+  ck_assert_uint_eq (submit_beside_small_jobs (sim, small, 10), 0);
+  g_ptr_array_unref (small);
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against memory that is kept for as long as the state of a job that has ended: submissions
    that are cancelled at once came at any rate. */
 START_TEST (ended_submission_keeps_its_state_alone)
@@ -249,6 +334,8 @@
   TCase *tcase = tcase_create ("job_memory");
   tcase_add_loop_test (tcase, small_submission_takes_little_memory, 0, G_N_ELEMENTS (cases));
   tcase_add_test (tcase, later_times_are_begun_beside_stuck_ones);
+  tcase_add_test (tcase, large_submissions_are_refused_first);
+  tcase_add_test (tcase, memory_of_ended_jobs_is_given_back);
   tcase_add_test (tcase, ended_submission_keeps_its_state_alone);
   tcase_add_test (tcase, recurring_job_goes_on_after_its_records_expired);
   tcase_add_loop_test (tcase, ranges_agree_with_a_set, 0, 20);
