Preemption: nothing is stopped for a stage that can't start in its place

Cause: bts_place_check() reported a lack of room before the limit for each worker, and preemption takes that as a reason to make room. A worker with tasks that keep the stage off counted as one that is being freed, so that nothing was stopped where that would have helped.

Change: the limit is checked first; a worker counts only if what keeps the stage off it can be stopped, and not while it is on probation; how many tasks fit leaves out those that are there.

--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -59,33 +59,53 @@
   return step->long_running && step->target_ms > 0;
 }
 
+/**
+ * bts_place_is_of_stage() - whether a run is one of a stage
+ * @run: the run
+ * @stage: the stage
+ */
+gboolean
+bts_place_is_of_stage (const bts_run_t *run, const bts_stage_t *stage)
+{
+  return run->task != NULL && run->task->stage == stage;
+}
+
 static guint
 count_runs_of_stage (const bts_worker_t *worker, const bts_stage_t *stage)
 {
   guint count = 0;
   for (guint i = 0; i < worker->runs->len; i++)
     {
-      const bts_run_t *run = worker->runs->pdata[i];
-      count += run->task != NULL && run->task->stage == stage;
+      count += bts_place_is_of_stage (worker->runs->pdata[i], stage);
     }
   return count;
 }
 
-/* Filling tasks slow down tasks with a latency target, so the two never share a worker. */
+/**
+ * bts_place_keeps_off() - whether a run keeps the tasks of a step off its worker
+ * @run: the run
+ * @step: the step
+ *
+ * Filling tasks slow down tasks with a latency target, so the two never share a worker.
+ */
+gboolean
+bts_place_keeps_off (const bts_run_t *run, const Bts__Step *step)
+{
+  if (run->task == NULL)
+    return FALSE;
+  const Bts__Step *other = bts_stage_step (run->task->stage);
+  return step->fills ? bts_place_has_latency_target (other)
+                     : other->fills && bts_place_has_latency_target (step);
+}
+
 static gboolean
 interferes (const bts_worker_t *worker, const Bts__Step *step)
 {
   if (!step->fills && !bts_place_has_latency_target (step))
     return FALSE;
   for (guint i = 0; i < worker->runs->len; i++)
-    {
-      const bts_run_t *run = worker->runs->pdata[i];
-      if (run->task == NULL)
-        continue;
-      const Bts__Step *other = bts_stage_step (run->task->stage);
-      if (step->fills ? bts_place_has_latency_target (other) : other->fills)
-        return TRUE;
-    }
+    if (bts_place_keeps_off (worker->runs->pdata[i], step))
+      return TRUE;
   return FALSE;
 }
 
@@ -216,14 +236,14 @@
     return BTS_PLACE_UNAVAILABLE;
   if (step->label[0] != '\0' && !bts_worker_has_label (worker, step->label))
     return BTS_PLACE_NO_LABEL;
+  if (step->per_worker_max > 0 && count_runs_of_stage (worker, stage) >= step->per_worker_max)
+    return BTS_PLACE_PER_WORKER_MAX;
   bts_resources_t demand = bts_place_demand (step);
   guint runs_max = step->long_running ? LASTING_RUNS_MAX : RUNS_MAX;
   if (!bts_worker_has_room (worker, &worker->used, &demand) || worker->runs->len >= runs_max)
     return BTS_PLACE_NO_ROOM;
   if (!has_restored_room (worker, &demand, now_us))
     return BTS_PLACE_ON_PROBATION;
-  if (step->per_worker_max > 0 && count_runs_of_stage (worker, stage) >= step->per_worker_max)
-    return BTS_PLACE_PER_WORKER_MAX;
   if (interferes (worker, step))
     return BTS_PLACE_INTERFERES;
   return BTS_PLACE_OK;
@@ -250,6 +270,24 @@
   return step->per_worker_max == 0 ? fitting : MIN (fitting, step->per_worker_max);
 }
 
+/**
+ * bts_place_count_startable() - how many more tasks of a stage may run on a worker
+ * @worker: the worker
+ * @used: resources in use on it
+ * @stage: the stage, some tasks of which may run there
+ */
+guint
+bts_place_count_startable (const bts_worker_t *worker, const bts_resources_t *used,
+                           const bts_stage_t *stage)
+{
+  const Bts__Step *step = bts_stage_step (stage);
+  guint fitting = bts_place_count_fitting (worker, used, step);
+  if (step->per_worker_max == 0)
+    return fitting;
+  return MIN (fitting, step->per_worker_max
+                           - MIN (step->per_worker_max, count_runs_of_stage (worker, stage)));
+}
+
 /**
  * bts_place_free_permille() - share of a worker that stays free after one more task
  * @worker: the worker
--- a/libbamboothread/scheduler/place.h
+++ b/libbamboothread/scheduler/place.h
@@ -77,6 +77,8 @@
 bts_worker_t *bts_candidates_next (bts_candidates_t *candidates);
 
 bts_resources_t bts_place_demand (const Bts__Step *step);
+gboolean bts_place_is_of_stage (const bts_run_t *run, const bts_stage_t *stage);
+gboolean bts_place_keeps_off (const bts_run_t *run, const Bts__Step *step);
 bts_availability_t bts_place_availability (const bts_worker_t *worker, gint64 now_us);
 bts_place_result_t bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage,
                                     gint64 now_us);
@@ -85,6 +87,8 @@
                                 gint64 now_us);
 guint bts_place_count_fitting (const bts_worker_t *worker, const bts_resources_t *used,
                                const Bts__Step *step);
+guint bts_place_count_startable (const bts_worker_t *worker, const bts_resources_t *used,
+                                 const bts_stage_t *stage);
 gint64 bts_place_free_permille (const bts_worker_t *worker, const Bts__Step *step);
 gboolean bts_place_is_reserved (const bts_worker_t *worker, const Bts__Step *step, guint64 pass,
                                 gint64 now_us);
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -128,13 +128,37 @@
   return used;
 }
 
+/* Whether a worker has runs that go on and keep the tasks of a step off it; only those that can't
+   be preempted, if @fixed. */
+static gboolean
+is_kept_off (const bts_worker_t *worker, const Bts__Step *step, gboolean fixed)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const bts_run_t *run = worker->runs->pdata[i];
+      if (run->state != BTS_RUN_STOPPING && bts_place_keeps_off (run, step)
+          && !(fixed && is_preemptible (run)))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Whether a task will fit on a worker once the runs that are being stopped have ended. */
 static gboolean
 will_have_room (const bts_worker_t *worker, const bts_stage_t *stage)
 {
   bts_resources_t demand = bts_place_demand (bts_stage_step (stage));
   bts_resources_t used = used_after_stops (worker);
-  return bts_worker_has_room (worker, &used, &demand);
+  return bts_worker_has_room (worker, &used, &demand)
+         && !is_kept_off (worker, bts_stage_step (stage), FALSE);
+}
+
+/* Whether stopping runs on a worker could let a task of a stage start there. */
+static gboolean
+is_worth_room (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
+{
+  return !is_kept_off (worker, bts_stage_step (stage), TRUE)
+         && !bts_probation_is_active (worker->probation, now_us);
 }
 
 static void
@@ -160,7 +184,8 @@
   while ((worker = bts_candidates_next (&candidates)) != NULL)
     {
       bts_place_result_t result = bts_place_check (worker, stage, now_us);
-      if (result != BTS_PLACE_NO_ROOM && result != BTS_PLACE_INTERFERES)
+      if ((result != BTS_PLACE_NO_ROOM && result != BTS_PLACE_INTERFERES)
+          || !is_worth_room (worker, stage, now_us))
         continue;
       if (will_have_room (worker, stage))
         {
@@ -226,11 +251,10 @@
 static gboolean
 make_plan (bts_worker_t *worker, const bts_stage_t *stage, plan_t *plan)
 {
-  const Bts__Step *step = bts_stage_step (stage);
   bts_resources_t used = used_after_stops (worker);
   plan->worker = worker;
   plan->victims = g_ptr_array_new ();
-  plan->n_fitting = bts_place_count_fitting (worker, &used, step);
+  plan->n_fitting = bts_place_count_startable (worker, &used, stage);
   for (guint i = 0; i < worker->runs->len && plan->n_fitting == 0; i++)
     {
       bts_run_t *run = worker->runs->pdata[i];
@@ -238,7 +262,7 @@
         continue;
       bts_resources_subtract (&used, &run->resources);
       g_ptr_array_add (plan->victims, run);
-      plan->n_fitting = bts_place_count_fitting (worker, &used, step);
+      plan->n_fitting = bts_place_count_startable (worker, &used, stage);
     }
   return plan->n_fitting > 0;
 }
@@ -256,7 +280,7 @@
     {
       bts_place_result_t result = bts_place_check (worker, stage, now_us);
       if ((result != BTS_PLACE_OK && result != BTS_PLACE_NO_ROOM)
-          || worker->reserved_pass == sched->pass_number
+          || worker->reserved_pass == sched->pass_number || !is_worth_room (worker, stage, now_us)
           || (advised
               && bts_stage_valid_ticket (stage, worker->number, now_us + TICKET_VALIDITY_MIN_US)
                      == NULL))
