Reservations and quota: room is kept only for work that can use it

Cause: reservations were worked out from resources alone, placement from all that may keep a task off a worker. What can't start is never done, so its reservation was renewed with each pass.

Change: a worker is reserved only for what may start there by the limit for each worker, by the tasks that keep others off, by whether it answers, by crashes and by what is used of it on probation; nothing for a gang that is wider than the pool, nor for a stage that lacks its spec or waits for anything but room. Room that stays free is given back, whatever it waits for. A tenant's quota is kept, and its runs stopped, only for a stage that can find room; a late gang that doesn't fit takes no place in front. The room for a gang is counted before its tasks are placed one by one.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -37,6 +37,7 @@
   X (STOPS, "stops_total", "")                                                                     \
   X (PREEMPTED, "runs_preempted_total", "")                                                        \
   X (EVACUATED, "runs_evacuated_total", "")                                                        \
+  X (RESERVATIONS_UNUSED, "reservations_unused_total", "")                                         \
   X (RUNS_LOST, "runs_lost_total", "")                                                             \
   X (TASK_CRASHES, "task_crashes_total", "")                                                       \
   X (WORKERS_ON_PROBATION, "workers_on_probation_total", "")                                       \
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -147,6 +147,27 @@
   gint64 crash_blocked_us;
 } bts_task_t;
 
+/**
+ * struct bts_reservation_t - whether room and quota are kept for a stage
+ * @is_unfit: at the last attempt, the workers that will have room weren't enough for it
+ * @free_since_us: since when room that is kept for it has been free; 0 if none is
+ * @is_part_free: that is less than its gang needs
+ * @paused_until_us: none is kept before this time, as it wasn't used when it was free
+ * @n_pauses: how often that was so in a row while it was unfit
+ * @is_impossible: its tasks find no room even when all tasks have ended that don't last
+ * @checked_us: when that was last examined
+ */
+typedef struct
+{
+  gboolean is_unfit;
+  gint64 free_since_us;
+  gboolean is_part_free;
+  gint64 paused_until_us;
+  guint n_pauses;
+  gboolean is_impossible;
+  gint64 checked_us;
+} bts_reservation_t;
+
 /**
  * struct bts_stage_t - one step of one occurrence
  * @blocks: its tasks in blocks, see stage_tasks.c; NULL while nothing has happened to any of them
@@ -170,6 +191,7 @@
  * @next_shared: the next stage of its tenant while a band of the queue is ordered
  * @retry_us: when that is to be repeated although no room has appeared
  * @reserving: that pass reserved workers for it
+ * @reservation: see there
  * @obsolete_us: when the job's result is assumed to be of no use any more
  * @latest_start_us: estimate of the latest start with which the job meets its objective
  * @band: its priority band in the queue
@@ -204,6 +226,7 @@
   bts_stage_t *next_shared;
   gint64 retry_us;
   gboolean reserving;
+  bts_reservation_t reservation;
   gint64 latest_start_us;
   gint64 obsolete_us;
   guint band;
--- a/libbamboothread/scheduler/order.c
+++ b/libbamboothread/scheduler/order.c
@@ -159,7 +159,8 @@
   for (guint i = 0; i < queue->len; i++)
     {
       bts_stage_t *stage = queue->pdata[i];
-      if (stage->band == BTS_BAND_LATE && bts_stage_step (stage)->gang)
+      if (stage->band == BTS_BAND_LATE && bts_stage_step (stage)->gang
+          && !stage->reservation.is_unfit)
         g_ptr_array_add (gangs, stage);
     }
   g_ptr_array_sort_with_data (gangs, compare_gangs, share);
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -178,15 +178,22 @@
   return (capacity * parts + BTS_PROBATION_PARTS - 1) / BTS_PROBATION_PARTS;
 }
 
-/* Whether a demand fits into the part of a worker's capacity that may be used. */
-static gboolean
-has_restored_room (const bts_worker_t *worker, const bts_resources_t *demand, gint64 now_us)
+/**
+ * bts_place_has_restored_room() - whether a demand fits into the part of a worker's capacity that
+ * may be used after crashes
+ * @worker: the worker
+ * @used: resources in use on it
+ * @demand: the resources needed in addition
+ * @now_us: the current time
+ */
+gboolean
+bts_place_has_restored_room (const bts_worker_t *worker, const bts_resources_t *used,
+                             const bts_resources_t *demand, gint64 now_us)
 {
   guint parts = bts_probation_parts (worker->probation, now_us);
   if (parts == BTS_PROBATION_PARTS)
     return TRUE;
   bts_resources_t capacity = bts_worker_capacity (worker);
-  const bts_resources_t *used = &worker->used;
   return used->cpu_millis + demand->cpu_millis <= part_of (capacity.cpu_millis, parts)
          && used->memory_mb + demand->memory_mb <= part_of (capacity.memory_mb, parts)
          && used->gpus + demand->gpus <= part_of (capacity.gpus, parts);
@@ -242,7 +249,7 @@
   guint runs_max = step->long_running ? LASTING_RUNS_MAX : RUNS_MAX;
   if (!bts_worker_has_room (worker, &worker->used, &demand) || worker->runs->len >= runs_max)
     return BTS_PLACE_NO_ROOM;
-  if (!has_restored_room (worker, &demand, now_us))
+  if (!bts_place_has_restored_room (worker, &worker->used, &demand, now_us))
     return BTS_PLACE_ON_PROBATION;
   if (interferes (worker, step))
     return BTS_PLACE_INTERFERES;
@@ -288,6 +295,28 @@
                            - MIN (step->per_worker_max, count_runs_of_stage (worker, stage)));
 }
 
+/**
+ * bts_place_may_fit() - whether the workers that a stage may use have room for some of its tasks
+ * @fleet: the workers
+ * @stage: the stage
+ * @n_tasks: number of the tasks, which have to fit at once
+ * @now_us: the current time
+ *
+ * Costs far less than to place the tasks one by one. Reservations and tickets aren't looked at.
+ */
+gboolean
+bts_place_may_fit (const bts_fleet_t *fleet, const bts_stage_t *stage, guint n_tasks, gint64 now_us)
+{
+  guint n = 0;
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, fleet, stage);
+  const bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
+    if (bts_place_check (worker, stage, now_us) == BTS_PLACE_OK)
+      n += MIN (bts_place_count_startable (worker, &worker->used, stage), n_tasks - n);
+  return n >= n_tasks;
+}
+
 /**
  * bts_place_free_permille() - share of a worker that stays free after one more task
  * @worker: the worker
--- a/libbamboothread/scheduler/place.h
+++ b/libbamboothread/scheduler/place.h
@@ -89,6 +89,10 @@
                                const Bts__Step *step);
 guint bts_place_count_startable (const bts_worker_t *worker, const bts_resources_t *used,
                                  const bts_stage_t *stage);
+gboolean bts_place_may_fit (const bts_fleet_t *fleet, const bts_stage_t *stage, guint n_tasks,
+                            gint64 now_us);
+gboolean bts_place_has_restored_room (const bts_worker_t *worker, const bts_resources_t *used,
+                                      const bts_resources_t *demand, gint64 now_us);
 gint64 bts_place_free_permille (const bts_worker_t *worker, const Bts__Step *step);
 gboolean bts_place_is_reserved (const bts_worker_t *worker, const Bts__Step *step, guint64 pass,
                                 gint64 now_us);
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -157,8 +157,10 @@
 static gboolean
 is_worth_room (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
 {
+  const bts_resources_t none = { 0 };
+  bts_resources_t demand = bts_place_demand (bts_stage_step (stage));
   return !is_kept_off (worker, bts_stage_step (stage), TRUE)
-         && !bts_probation_is_active (worker->probation, now_us);
+         && bts_place_has_restored_room (worker, &none, &demand, now_us);
 }
 
 static void
--- a/libbamboothread/scheduler/quota.c
+++ b/libbamboothread/scheduler/quota.c
@@ -11,6 +11,9 @@
 /* Least time between two attempts to request advice for a stage that waits for quota, in
    microseconds: each of them may search all workers. */
 #define ASK_INTERVAL_US (40 * 1000)
+/* A stage that has waited for so long is examined whether it could use quota at all, in
+   microseconds. */
+#define EXAMINE_AFTER_US (200 * 1000)
 
 /**
  * bts_quota_kind() - what kind of work a stage is, for its tenant's cap
@@ -66,9 +69,13 @@
   stage->reserving = FALSE;
   stage->no_room_since_us = 0;
   stage->lacks_room = TRUE;
+  gint64 waited_us = now_us - stage->quota_since_us;
+  gboolean possible
+      = waited_us < EXAMINE_AFTER_US || bts_reserve_is_possible (sched, stage, now_us);
+  /* Quota that is kept for it would be of no use. */
   bts_usage_wait (stage->job->account, bts_stage_step (stage), stage->n_tasks,
-                  now_us - stage->quota_since_us);
-  if (bts_quota_kind (stage) != BTS_USAGE_URGENT)
+                  possible ? waited_us : 0);
+  if (bts_quota_kind (stage) != BTS_USAGE_URGENT || !possible)
     return;
   ask_ahead (sched, stage, now_us);
   bts_preempt_for_quota (sched, stage, now_us);
@@ -92,7 +99,10 @@
     return FALSE;
   const Bts__Step *step = bts_stage_step (stage);
   bts_usage_kind_t kind = bts_quota_kind (stage);
-  if (kind == BTS_USAGE_URGENT)
+  gboolean lacks_room_long
+      = stage->no_room_since_us != 0 && now_us - stage->no_room_since_us >= EXAMINE_AFTER_US;
+  if (kind == BTS_USAGE_URGENT
+      && (!lacks_room_long || bts_reserve_is_possible (sched, stage, now_us)))
     bts_usage_want (account, step, bts_stage_count_pending (stage));
   if (bts_quota_count_admitted (sched, stage, stage->n_tasks) == 0
       && bts_stage_count_pending (stage) > 0)
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -345,6 +345,7 @@
       stage->retry_us = 0;
       stage->quota_since_us = 0;
       stage->reserving = FALSE;
+      stage->reservation = (bts_reservation_t){ 0 };
       stage->lacks_room = FALSE;
       stage->advice_asked_us = 0;
       stage->prefetch_us = 0;
@@ -451,6 +452,13 @@
   return now_us >= stage->retry_us || stage->reserving || has_room_appeared (sched, stage);
 }
 
+/* Whether tasks of a stage would be started if there was room. */
+static gboolean
+can_use_room (const bts_stage_t *stage, guint n_ready, gint64 now_us)
+{
+  return bts_start_can_place (stage, n_ready) && now_us >= stage->backoff_until_us;
+}
+
 /* Tries to place the ready tasks of a stage, and otherwise to make room for them. */
 static void
 try_stage (bts_sched_t *sched, bts_stage_t *stage, guint *n_reserving, gint64 now_us)
@@ -464,8 +472,8 @@
         bts_advice_ensure (sched, stage, now_us);
       return;
     }
-  if (bts_start_can_place (stage, n_ready) && now_us >= stage->backoff_until_us
-      && bts_advice_ensure (sched, stage, now_us) && bts_job_has_spec (stage->job))
+  if (can_use_room (stage, n_ready, now_us) && bts_advice_ensure (sched, stage, now_us)
+      && bts_job_has_spec (stage->job))
     {
       guint n_placed = bts_start_stage (sched, stage, n_ready);
       if (stage->turn != 0 && n_placed >= stage->turn)
@@ -484,6 +492,9 @@
   if (n_ready > 0)
     {
       bts_advice_extend (sched, stage, now_us);
+    }
+  if (can_use_room (stage, n_ready, now_us) && bts_job_has_spec (stage->job))
+    {
       gboolean preempts
           = stage->band < BTS_BAND_EXCESS && bts_preempt_for (sched, stage, n_ready, now_us);
       if (!preempts && *n_reserving < RESERVE_STAGES_MAX)
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -206,6 +206,7 @@
 gboolean bts_sched_lacks_room (const bts_sched_t *sched, const char *service);
 gint64 bts_sched_confirmed_us (const bts_sched_t *sched);
 gboolean bts_sched_is_journal_stale (const bts_sched_t *sched);
+gboolean bts_reserve_is_possible (const bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
 gboolean bts_reserve_for (bts_sched_t *sched, bts_stage_t *stage, guint n_pending, gint64 now_us);
 void bts_preempt_for_quota (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
 bts_worker_t *bts_preempt_for_move (bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us);
--- a/libbamboothread/scheduler/start.c
+++ b/libbamboothread/scheduler/start.c
@@ -161,6 +161,8 @@
   gboolean gang = bts_stage_step (stage)->gang;
   guint n_admitted = bts_quota_count_admitted (sched, stage, n_ready);
   n_admitted = stage->turn == 0 ? n_admitted : MIN (n_admitted, stage->turn);
+  if (gang && !bts_place_may_fit (sched->fleet, stage, n_ready, now_us))
+    return 0;
   g_autoptr (GPtrArray) runs = g_ptr_array_new ();
   for (guint i = 0; i < stage->n_tasks && runs->len < n_admitted; i++)
     {
@@ -198,6 +200,7 @@
       run->task->last_run = run->number;
       bts_run_start (sched, run);
     }
+  stage->reservation.free_since_us = 0;
   stage->waiting_since_us = now_us;
   sched->pass_placing_us += bts_sched_now (sched) - now_us;
   if (!stage->job->begun && !stage->job->begun_reported)
