Runs: what is recorded of a start waits for the worker's answer

The step's wait, the time for which it lacked room, and the counts of starts, stops, preemptions and evacuations were written at the same moment.

Change: all of these are written when the worker has confirmed the run, or lists it or its end. A new owner reports what it finds running, also where it isn't wanted. Metrics starts_total and stops_total count what was carried out; start_orders_total and stop_orders_total the orders.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -31,9 +31,11 @@
   X (JOB_CANCELLED, "jobs_over_total", "state=\"cancelled\"")                                      \
   X (JOB_LATE, "jobs_late_total", "")                                                              \
   X (JOBS_EXCESS, "jobs_in_excess_total", "")                                                      \
+  X (START_ORDERS, "start_orders_total", "")                                                       \
   X (STARTS, "starts_total", "")                                                                   \
   X (STARTS_REPEATED, "starts_repeated_total", "")                                                 \
   X (STARTS_REFUSED, "starts_refused_total", "")                                                   \
+  X (STOP_ORDERS, "stop_orders_total", "")                                                         \
   X (STOPS, "stops_total", "")                                                                     \
   X (PREEMPTED, "runs_preempted_total", "")                                                        \
   X (EVACUATED, "runs_evacuated_total", "")                                                        \
--- a/libbamboothread/scheduler/evacuate.c
+++ b/libbamboothread/scheduler/evacuate.c
@@ -334,7 +334,7 @@
 static void
 stop_to_move (bts_sched_t *sched, bts_run_t *run, const bts_worker_t *target, gint64 now_us)
 {
-  bt_metrics_count (BT_COUNT_EVACUATED);
+  run->stop_reason = BTS_STOP_EVACUATED;
   bt_log (BT_LOG_INFO, "evacuate", "task=%s run=%u worker=%s to=%s left_ms=%" G_GINT64_FORMAT,
           run->name, run->number, run->worker->entry->id, target->entry->id,
           (run->worker->leaves_us - now_us) / 1000);
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -62,6 +62,19 @@
   BTS_RUN_STOPPING,
 } bts_run_state_t;
 
+/**
+ * enum bts_stop_reason_t - why a run is stopped
+ * @BTS_STOP_UNWANTED: its job has ended, another run of its task counts, or its gang is incomplete
+ * @BTS_STOP_PREEMPTED: for other work
+ * @BTS_STOP_EVACUATED: its worker is about to leave
+ */
+typedef enum
+{
+  BTS_STOP_UNWANTED,
+  BTS_STOP_PREEMPTED,
+  BTS_STOP_EVACUATED,
+} bts_stop_reason_t;
+
 typedef struct bts_worker_t bts_worker_t;
 typedef struct bts_interference_t bts_interference_t;
 typedef struct bts_worker_classes_t bts_worker_classes_t;
@@ -74,6 +87,8 @@
  * @name: the task's name in orders to the worker
  * @number: number of the run
  * @checkpoint: checkpoint that it starts from, or NULL; the same in each start order for it
+ * @has_begun: the worker has confirmed or listed it
+ * @stop_reason: why it is stopped, if it is
  * @resources: resources that it takes on the worker
  * @account: usage of its tenant, which counts it; NULL if its job isn't known
  * @service: the service of the pool for which that counts it
@@ -103,6 +118,8 @@
   guint number;
   char *checkpoint;
   bts_run_state_t state;
+  gboolean has_begun;
+  bts_stop_reason_t stop_reason;
   bts_resources_t resources;
   bts_account_t *account;
   const char *service;
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -186,7 +186,8 @@
  * @queued: whether the stage is in the owner's queue
  * @tried_pass: last pass over the queue in which placement was attempted and left tasks pending
  * @quota_since_us: since when it waits for its tenant's quota; 0 if it doesn't
- * @waiting_since_us: when this owner queued it, or last started a task of it; 0 if it isn't queued
+ * @waiting_since_us: when this owner queued it, or a worker last began a task of it; 0 if it isn't
+ *   queued
  * @turn: most tasks of it that start in this pass; 0 for no limit
  * @next_shared: the next stage of its tenant while a band of the queue is ordered
  * @retry_us: when that is to be repeated although no room has appeared
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -166,9 +166,12 @@
 static void
 stop_victims (bts_sched_t *sched, const GPtrArray *victims)
 {
-  bt_metrics_add (BT_COUNT_PREEMPTED, victims->len);
   for (guint i = 0; i < victims->len; i++)
-    bts_run_stop (sched, victims->pdata[i]);
+    {
+      bts_run_t *run = victims->pdata[i];
+      run->stop_reason = BTS_STOP_PREEMPTED;
+      bts_run_stop (sched, run);
+    }
 }
 
 /* Finds the worker on which making room for one more task loses the least work. Returns the runs
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -145,7 +145,7 @@
 bts_run_start (bts_sched_t *sched, bts_run_t *run)
 {
   run->state = BTS_RUN_STARTING;
-  bt_metrics_count (BT_COUNT_STARTS);
+  bt_metrics_count (BT_COUNT_START_ORDERS);
   bt_log (BT_LOG_INFO, "start", "task=%s run=%u worker=%s term=%" G_GUINT64_FORMAT, run->name,
           run->number, run->worker->entry->id, sched->term);
   send_start (sched, run);
@@ -170,7 +170,7 @@
   if (run->state == BTS_RUN_STOPPING)
     return;
   run->state = BTS_RUN_STOPPING;
-  bt_metrics_count (BT_COUNT_STOPS);
+  bt_metrics_count (BT_COUNT_STOP_ORDERS);
   run->confirmed_us = 0;
   bt_log (BT_LOG_INFO, "stop", "task=%s run=%u worker=%s", run->name, run->number,
           run->worker->entry->id);
@@ -306,8 +306,44 @@
     ticket->received_us = 0;
 }
 
+/* Records that a job has begun, now that a worker has said so. */
 static void
-confirm_run (bts_sched_t *sched, bts_run_t *run, gint64 now_us)
+note_begun (bts_sched_t *sched, const bts_run_t *run, gint64 now_us)
+{
+  bts_job_t *job = run->task->stage->job;
+  if (job->begun || job->begun_reported)
+    return;
+  gint64 waited_ms = (now_us - job->folded_us) / 1000;
+  bt_metrics_observe (BT_HIST_FIRST_START_MS, waited_ms);
+  bt_log (BT_LOG_INFO, "begun", "job=%s task=%s run=%u worker=%s waited_ms=%" G_GINT64_FORMAT,
+          bts_job_id (job), run->name, run->number, run->worker->entry->id, waited_ms);
+  bts_heartbeat_add_begun (sched, job);
+}
+
+/**
+ * bts_run_mark_begun() - record that a worker has begun a run that this owner has ordered
+ * @sched: the scheduler
+ * @run: the run, which the worker has confirmed or listed; nothing happens if that is known
+ * @now_us: the current time
+ */
+void
+bts_run_mark_begun (bts_sched_t *sched, bts_run_t *run, gint64 now_us)
+{
+  if (run->has_begun)
+    return;
+  run->has_begun = TRUE;
+  bt_metrics_count (BT_COUNT_STARTS);
+  if (run->task == NULL || run->task->run != run)
+    return;
+  bts_stage_t *stage = run->task->stage;
+  stage->waiting_since_us = stage->queued ? now_us : 0;
+  stage->no_room_since_us = stage->queued ? stage->no_room_since_us : 0;
+  stage->reservation.free_since_us = 0;
+  note_begun (sched, run, now_us);
+}
+
+static void
+confirm_run (bts_run_t *run, gint64 now_us)
 {
   run->confirmed_us = now_us;
   bts_crash_on_run_confirmed (run, now_us);
@@ -315,6 +351,22 @@
     run->state = BTS_RUN_RUNNING;
 }
 
+/**
+ * bts_run_mark_stopped() - record that a stop order for a run was carried out
+ * @run: the run, which its worker lists as stopped
+ */
+void
+bts_run_mark_stopped (const bts_run_t *run)
+{
+  if (run->state != BTS_RUN_STOPPING)
+    return;
+  bt_metrics_count (BT_COUNT_STOPS);
+  if (run->stop_reason == BTS_STOP_PREEMPTED)
+    bt_metrics_count (BT_COUNT_PREEMPTED);
+  if (run->stop_reason == BTS_STOP_EVACUATED)
+    bt_metrics_count (BT_COUNT_EVACUATED);
+}
+
 /* Stops a run whose start isn't confirmed: the order may have been carried out, or may be carried
    out later. The other members of its gang are stopped with it, as they would wait for it in vain.
  */
@@ -372,7 +424,8 @@
   switch (reply)
     {
     case BTS_REPLY_OK:
-      confirm_run (sched, run, now_us);
+      confirm_run (run, now_us);
+      bts_run_mark_begun (sched, run, now_us);
       break;
     case BTS_REPLY_NO_ANSWER:
       run->unanswered_starts++;
@@ -389,7 +442,7 @@
       if (refusal_is_final)
         handle_refusal (sched, run, "old");
       else
-        confirm_run (sched, run, now_us);
+        confirm_run (run, now_us);
       break;
     default:
       if (reply == BTS_REPLY_NO_ROOM)
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -213,7 +213,9 @@
       || !bts_stage_is_ready (stage))
     return;
   stage->queued = TRUE;
-  stage->waiting_since_us = bts_sched_now (sched);
+  /* Otherwise its last orders weren't carried out, and it goes on waiting. */
+  if (stage->waiting_since_us == 0)
+    stage->waiting_since_us = bts_sched_now (sched);
   bts_order_set_times (stage);
   g_ptr_array_add (sched->queue, stage);
   sched->queue_unsorted = TRUE;
@@ -541,6 +543,17 @@
   return sched->term != 0;
 }
 
+/* Whether a worker may still reject a task of a stage, which then goes on waiting. */
+static gboolean
+has_unconfirmed_run (const bts_stage_t *stage)
+{
+  const bts_task_t *task;
+  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
+    if (task->run != NULL && !task->run->has_begun)
+      return TRUE;
+  return FALSE;
+}
+
 /**
  * bts_sched_run_pass() - place queued stages if anything has changed
  * @sched: the scheduler
@@ -579,9 +592,12 @@
       if (bts_job_has_ended (stage->job) || bts_stage_count_pending (stage) == 0)
         {
           stage->queued = FALSE;
-          stage->waiting_since_us = 0;
-          stage->no_room_since_us = 0;
           stage->lacks_room = FALSE;
+          if (!has_unconfirmed_run (stage))
+            {
+              stage->waiting_since_us = 0;
+              stage->no_room_since_us = 0;
+            }
           if (!bts_job_has_ended (stage->job))
             bts_advice_prefetch (sched, stage);
           continue;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -232,6 +232,8 @@
 void bts_run_free (bts_run_t *run);
 void bts_run_remove (bts_sched_t *sched, bts_run_t *run);
 void bts_run_start (bts_sched_t *sched, bts_run_t *run);
+void bts_run_mark_begun (bts_sched_t *sched, bts_run_t *run, gint64 now_us);
+void bts_run_mark_stopped (const bts_run_t *run);
 void bts_run_stop (bts_sched_t *sched, bts_run_t *run);
 void bts_run_mark_worker_lost (bts_sched_t *sched, bts_run_t *run, const char *cause);
 void bts_run_mark_lost (bts_sched_t *sched, bts_run_t *run, const char *cause);
--- a/libbamboothread/scheduler/start.c
+++ b/libbamboothread/scheduler/start.c
@@ -1,6 +1,5 @@
 #include "libbamboothread/scheduler/start.h"
 
-#include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/crash.h"
 #include "libbamboothread/scheduler/election.h"
 #include "libbamboothread/scheduler/place.h"
@@ -200,11 +199,6 @@
       run->task->last_run = run->number;
       bts_run_start (sched, run);
     }
-  stage->reservation.free_since_us = 0;
-  stage->waiting_since_us = now_us;
   sched->pass_placing_us += bts_sched_now (sched) - now_us;
-  if (!stage->job->begun && !stage->job->begun_reported)
-    bt_metrics_observe (BT_HIST_FIRST_START_MS, (now_us - stage->job->folded_us) / 1000);
-  bts_heartbeat_add_begun (sched, stage->job);
   return runs->len;
 }
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -251,6 +251,7 @@
   bts_run_t *run
       = bts_run_new (sched, becomes_current ? task : NULL, row->name, row->number, &demand, worker);
   run->state = BTS_RUN_RUNNING;
+  run->has_begun = TRUE;
   run->confirmed_us = bts_sched_now (sched);
   run->startup_end_us = 0;
   bt_metrics_count (BT_COUNT_UNKNOWN_RUNS_LISTED);
@@ -260,7 +261,8 @@
           worker->entry->id, wanted);
   if (!wanted)
     bts_run_stop (sched, run);
-  else
+  /* Also one that isn't wanted: an earlier owner may have ended before it could say so. */
+  if (task != NULL)
     bts_heartbeat_add_begun (sched, task->stage->job);
   if (wanted && sched->settled)
     bts_gang_stop_if_incomplete (sched, task->stage);
@@ -294,6 +296,7 @@
       return;
     }
   bts_crash_on_run_confirmed (run, bts_sched_now (sched));
+  bts_run_mark_begun (sched, run, bts_sched_now (sched));
   if (run->state == BTS_RUN_STARTING)
     run->state = BTS_RUN_RUNNING;
   if (run->state == BTS_RUN_RUNNING)
@@ -363,7 +366,12 @@
   if (counts && duration_ms >= 0 && row->outcome == BTS_OUTCOME_DONE)
     bts_interference_on_run_done (sched->fleet->interference, run, bts_sched_now (sched));
   if (run != NULL)
-    bts_run_remove (sched, run);
+    {
+      bts_run_mark_begun (sched, run, bts_sched_now (sched));
+      if (row->outcome == BTS_OUTCOME_STOPPED)
+        bts_run_mark_stopped (run);
+      bts_run_remove (sched, run);
+    }
   if (counts)
     {
       task->pending_end_run = MAX (task->pending_end_run, row->number);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -900,6 +900,8 @@
   worker->fence = order->fence;
   if (order->deadline_ms <= worker_clock_ms (worker))
     return BTS_REPLY_LEASE_EXPIRED;
+  if (worker->refuses)
+    return BTS_REPLY_BUSY;
   raise_deadline (worker, order->deadline_ms);
   const sim_run_t *there = find_run (worker, order->name);
   if (there != NULL)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -116,6 +116,7 @@
  * @late_us: orders to start are carried out so much later and get no answer
  * @dead: nothing runs on it any more
  * @departed: another worker answers at its address
+ * @refuses: it rejects all orders to start, and starts nothing
  * @fails: all that it starts fails after a while
  * @stalls: what runs on it makes no progress
  * @lapsed_us: when its lease was last seen to be over
@@ -151,6 +152,7 @@
   gboolean departed;
   gboolean draining;
   gboolean unlisted;
+  gboolean refuses;
   gboolean fails;
   gboolean stalls;
   gint cut_from;
