--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -17,6 +17,7 @@
  * @owner: name of the process that claimed @term, or OWNER_UNKNOWN; NULL before the first claim
  *   and after a resignation
  * @owner_stopped: there is no owner, and the last one renews no leases any more
+ * @standing_us: when the newest complete snapshot of the owner of @term was folded; 0 if none was
  * @claim_offset: offset of the claim or resignation that last changed @term or @owner; if the
  *   claim was deleted, of the first record of the term that was read
  * @replaying: whether the records being read may be of any age
@@ -39,6 +40,7 @@
   guint64 term;
   char *owner;
   gboolean owner_stopped;
+  gint64 standing_us;
   gint64 claim_offset;
   gboolean replaying;
   gint64 read_from;
@@ -294,6 +296,18 @@
   return ledger->interference;
 }
 
+/**
+ * bts_ledger_standing_us() - when the newest complete snapshot of the owner was folded
+ * @ledger: the ledger
+ *
+ * Return: the time; 0 if none was in the current term.
+ */
+gint64
+bts_ledger_standing_us (const bts_ledger_t *ledger)
+{
+  return ledger->standing_us;
+}
+
 gint64
 bts_ledger_claim_offset (const bts_ledger_t *ledger)
 {
@@ -354,6 +368,7 @@
   g_free (ledger->owner);
   ledger->owner = g_strdup (owner);
   ledger->owner_stopped = stopped;
+  ledger->standing_us = 0;
   ledger->claim_offset = offset;
   ledger->ops->owner_changed (ledger->context);
 }
@@ -778,7 +793,7 @@
 }
 
 static void
-fold_owner_snapshot (bts_ledger_t *ledger, Bts__Standing *snapshot, gint64 offset)
+fold_owner_snapshot (bts_ledger_t *ledger, Bts__Standing *snapshot, gint64 offset, gint64 now_us)
 {
   if (snapshot->term < ledger->term)
     return;
@@ -791,6 +806,8 @@
       g_free (ledger->owner);
       ledger->owner = g_strdup (snapshot->node);
     }
+  if (snapshot->complete)
+    ledger->standing_us = now_us;
 }
 
 /**
@@ -846,7 +863,7 @@
       bts_bars_fold_snapshot (ledger->bars, record->bars, offset, now_us);
       break;
     case BTS__RECORD__KIND_STANDING:
-      fold_owner_snapshot (ledger, record->standing, offset);
+      fold_owner_snapshot (ledger, record->standing, offset, now_us);
       break;
     case BTS__RECORD__KIND_HELLO:
       ledger->ops->node_hello (ledger->context, record->hello);
--- a/libbamboothread/scheduler/ledger.h
+++ b/libbamboothread/scheduler/ledger.h
@@ -68,6 +68,7 @@
 gboolean bts_ledger_is_owner_stopped (const bts_ledger_t *ledger);
 const Bts__Interference *bts_ledger_interference (const bts_ledger_t *ledger, guint64 *term);
 gint64 bts_ledger_claim_offset (const bts_ledger_t *ledger);
+gint64 bts_ledger_standing_us (const bts_ledger_t *ledger);
 guint bts_ledger_count_held (const bts_ledger_t *ledger);
 gboolean bts_ledger_is_worker_held (const bts_ledger_t *ledger, const char *worker);
 guint bts_ledger_count_pending (const bts_ledger_t *ledger, const char *route);
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -129,7 +129,7 @@
  * @waiting: the last report of what stages wait for
  * @snapshot_checked_us: when the owner last checked which snapshots are due
  * @oldest_needed: offset of the oldest record that a reader needs, at the last such check
- * @standing_written_us: when the owner last wrote a Standing record
+ * @standing_sent_us: when the owner last appended a complete Standing record
  */
 struct bts_sched_t
 {
@@ -188,7 +188,7 @@
   bts_waiting_t waiting;
   gint64 snapshot_checked_us;
   gint64 oldest_needed;
-  gint64 standing_written_us;
+  gint64 standing_sent_us;
 };
 
 gboolean bts_advice_ensure (bts_sched_t *sched, bts_stage_t *stage, gint64 now_us);
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -144,13 +144,14 @@
 /* Appends a snapshot of the owner with the workers in @held, and with what it has learned of
    interference. */
 static void
-append_standing (bts_sched_t *sched, const GPtrArray *held)
+append_standing (bts_sched_t *sched, const GPtrArray *held, gboolean complete)
 {
   Bts__Standing standing = BTS__STANDING__INIT;
   standing.term = sched->term;
   standing.node = (char *)bts_ledger_owner (sched->ledger);
   standing.n_held = held->len;
   standing.held = (Bts__Held **)held->pdata;
+  standing.complete = complete;
   standing.interference = bts_interference_save (sched->fleet->interference, bts_sched_now (sched));
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_STANDING;
@@ -167,7 +168,7 @@
 append_interference (bts_sched_t *sched)
 {
   g_autoptr (GPtrArray) none = g_ptr_array_new ();
-  append_standing (sched, none);
+  append_standing (sched, none, FALSE);
 }
 
 static void
@@ -180,7 +181,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (bts_ledger_is_worker_held (sched->ledger, ((bts_worker_t *)value)->entry->id))
       add_held_worker (held, value);
-  append_standing (sched, held);
+  append_standing (sched, held, TRUE);
 }
 
 static void
@@ -340,6 +341,16 @@
   append_ended_jobs (sched, ended);
 }
 
+/* The newest one counts from when it was read back: until then it may have been rejected. */
+static gboolean
+is_owner_snapshot_due (const bts_sched_t *sched, gint64 now_us)
+{
+  gint64 read_us = bts_ledger_standing_us (sched->ledger);
+  return (read_us == 0 || now_us - read_us >= snapshot_interval_us (sched))
+         && (sched->standing_sent_us < sched->term_began_us
+             || now_us - sched->standing_sent_us >= SNAPSHOT_RETRY_US);
+}
+
 /**
  * bts_snapshot_tick() - append the snapshots that are due
  * @sched: a leading scheduler
@@ -355,10 +366,9 @@
   if (sched->config.retention_ms == 0 || now_us - sched->snapshot_checked_us < CHECK_INTERVAL_US)
     return;
   sched->snapshot_checked_us = now_us;
-  if (sched->standing_written_us < sched->term_began_us
-      || now_us - sched->standing_written_us >= snapshot_interval_us (sched))
+  if (is_owner_snapshot_due (sched, now_us))
     {
-      sched->standing_written_us = now_us;
+      sched->standing_sent_us = now_us;
       append_owner_snapshot (sched);
       append_bars (sched, now_us);
     }
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -3915,7 +3915,7 @@
   (ProtobufCMessageInit) bts__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__standing__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bts__standing__field_descriptors[5] =
 {
   {
     "term",
@@ -3965,18 +3965,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "complete",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Standing, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__standing__field_indices_by_name[] = {
+  4,   /* field[4] = complete */
   2,   /* field[2] = held */
   3,   /* field[3] = interference */
   1,   /* field[1] = node */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange bts__standing__number_ranges[2 + 1] =
+static const ProtobufCIntRange bts__standing__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 20, 3 },
-  { 0, 4 }
+  { 40, 4 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bts__standing__descriptor =
 {
@@ -3986,10 +4000,10 @@
   "Bts__Standing",
   "bts",
   sizeof(Bts__Standing),
-  4,
+  5,
   bts__standing__field_descriptors,
   bts__standing__field_indices_by_name,
-  2,  bts__standing__number_ranges,
+  3,  bts__standing__number_ranges,
   (ProtobufCMessageInit) bts__standing__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -642,10 +642,14 @@
   size_t n_held;
   Bts__Held **held;
   Bts__Interference *interference;
+  /*
+   * Whether all workers are listed; some records carry what was learned of interference alone.
+   */
+  protobuf_c_boolean complete;
 };
 #define BTS__STANDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__standing__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0 }
 
 
 /*
--- a/tests/test_begun.c
+++ b/tests/test_begun.c
@@ -256,6 +256,47 @@
 }
 END_TEST
 
+/* Index of the newest record from @from on that is a complete snapshot of an owner, or -1. */
+static gint64
+find_owner_snapshot (const sim_t *sim, guint from)
+{
+  gint64 found = -1;
+  for (guint i = from; i < sim->log->len; i++)
+    {
+      gsize len;
+      const guint8 *data = g_bytes_get_data (sim->log->pdata[i], &len);
+      Bts__Record *record = bts__record__unpack (NULL, len, data);
+      if (record->kind_case == BTS__RECORD__KIND_STANDING && record->standing->n_held == WORKERS)
+        found = i;
+      bts__record__free_unpacked (record, NULL);
+    }
+  return found;
+}
+
+/* Guards against an owner whose workers aren't known to processes that start later, as its snapshot
+   was rejected by the store and counted as written. */
+START_TEST (rejected_snapshot_of_the_owner_is_repeated)
+{
+  static const gint64 interval_ms = 20000 / 3;
+  sim_t *sim = sim_new (PROCESSES, WORKERS, 1);
+  sim->keep_ms = 20000;
+  sim_restart (sim);
+  sim_run_ms (sim, 9000);
+  gint64 last = find_owner_snapshot (sim, 0);
+  ck_assert_int_ge (last, 0);
+  gint64 age_ms = (bt_clock_now (&sim->clock) - g_array_index (sim->log_us, gint64, last)) / 1000;
+  /* The next one is due at a check each 200 ms. */
+  sim_run_ms (sim, interval_ms - age_ms - 100);
+  guint before = sim->log->len;
+  sim->store_refuses = TRUE;
+  sim_run_ms (sim, 450);
+  sim->store_refuses = FALSE;
+  sim_run_ms (sim, 2000);
+  ck_assert_int_ge (find_owner_snapshot (sim, before), 0);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -264,6 +305,7 @@
   tcase_add_loop_test (tests, next_owner_says_what_has_begun, 0, 12);
   tcase_add_test (tests, rejected_starts_count_as_waiting);
   tcase_add_test (tests, stops_are_counted_when_runs_have_stopped);
+  tcase_add_test (tests, rejected_snapshot_of_the_owner_is_repeated);
   tcase_set_timeout (tests, 60);
   return suite_run ("begun", tests);
 }
