Crashes: a task that lasts comes back to its empty worker after 6 s each time

Cause: the wait before a task starts again on a worker that has crashed under it doubles with each crash, also where nothing else could be harmed.

Change: it stays at 6 s for a task that lasts while the worker runs nothing else.

--- a/libbamboothread/scheduler/crash.c
+++ b/libbamboothread/scheduler/crash.c
@@ -31,7 +31,8 @@
 /* How long a task isn't started again on the workers that have crashed under it, in milliseconds;
    doubles with each crash of one that had crashed under it before. A task for which only
    one worker has room would otherwise take that one down every few seconds, and a task that isn't
-   to blame may start there once the worker has recovered. */
+   to blame may start there once the worker has recovered. For a task that lasts, on a worker with
+   nothing else, it doesn't double. */
 #define AGAIN_MS (6 * 1000)
 #define AGAIN_MAX_MS (600 * 1000)
 /* At most one worker of so many in a pool is on probation: where more of them crash, it is hardly
@@ -240,6 +241,24 @@
   return is_doubtful ? BTS_CRASH_POINTS_UNCONFIRMED : BTS_CRASH_POINTS_CONFIRMED;
 }
 
+/* How long a task isn't started again on the workers that have crashed under it. */
+static gint64
+again_wait_ms (const bts_task_t *task)
+{
+  guint n_repeated = task->n_crashes - MIN (task->n_crashes, bts_blames_count (task));
+  return MIN ((gint64)AGAIN_MS << MIN (n_repeated, 16), AGAIN_MAX_MS);
+}
+
+/* Until when a task isn't started again on a worker that has crashed under it. On an empty worker a
+   task that lasts harms no other one, so that its wait doesn't grow with each crash. */
+static gint64
+again_us (const bts_worker_t *worker, const bts_task_t *task)
+{
+  gboolean harmless = worker->runs->len == 0 && bts_stage_step (task->stage)->long_running;
+  return harmless ? task->crash_again_us - (again_wait_ms (task) - AGAIN_MS) * 1000
+                  : task->crash_again_us;
+}
+
 /* Blames the worker, and makes the task wait before it starts there again. */
 static void
 blame_worker (bts_sched_t *sched, const bts_worker_t *worker, const bts_lost_run_t *lost,
@@ -252,8 +271,7 @@
   if (task->n_crashes >= CRASHES_MAX && bts_blames_count (task) >= CRASHED_WORKERS_MIN)
     bts_blames_add (task, entry->id, entry->address, BTS_CRASH_POINTS_MAX);
   bts_blames_cap (task, BTS_CRASH_POINTS_MAX);
-  guint n_repeated = task->n_crashes - MIN (task->n_crashes, bts_blames_count (task));
-  gint64 wait_ms = MIN ((gint64)AGAIN_MS << MIN (n_repeated, 16), AGAIN_MAX_MS);
+  gint64 wait_ms = again_wait_ms (task);
   task->crash_again_ms = sched->ops->now_unix_ms (sched->context) + wait_ms;
   task->crash_again_us = bts_sched_now (sched) + wait_ms * 1000;
 }
@@ -522,7 +540,7 @@
 gboolean
 bts_crash_may_start (const bts_worker_t *worker, const bts_task_t *task, gint64 now_us)
 {
-  if (now_us < task->crash_again_us && bts_crash_is_blamed (worker, task))
+  if (now_us < again_us (worker, task) && bts_crash_is_blamed (worker, task))
     return FALSE;
   gboolean is_isolated
       = bts_crash_is_suspect (task)
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -2192,6 +2192,39 @@
 }
 END_TEST
 
+/* The only worker for a task that lasts crashes some times, each time 0.3 s after the start of the
+   task. Guards against a task that stays down beside its empty worker, as its wait doubled with
+   each crash. */
+START_TEST (lasting_task_comes_back_to_its_only_worker)
+{
+  static const sim_step_t steps[]
+      = { { .count = 1, .cpu = 500, .memory = 200, .lasts = TRUE, .label = "r-alone" } };
+  sim_t *sim = sim_new (3, 4, (guint32)_i + 1);
+  sim_worker_t *only = sim_worker (sim, 0);
+  g_free (only->rack);
+  only->rack = g_strdup ("r-alone");
+  sim_reborn (sim, only);
+  sim_run_ms (sim, 4000);
+  const sim_job_t *job = sim_submit (sim, 0, &service, steps, 1);
+  g_autofree char *name = g_strdup_printf ("%s.0.0.0", job->id);
+  for (guint crash = 0; crash < 4; crash++)
+    {
+      gint64 away_ms = 0;
+      for (; find_worker_of (sim, name) == NULL; away_ms += 10)
+        sim_run_ms (sim, 10);
+      ck_assert_msg (away_ms < SIM_LOST_US / 1000, "away for %d ms after %u crashes", (int)away_ms,
+                     crash);
+      sim_run_ms (sim, 300);
+      sim_reborn (sim, only);
+      only->dark = TRUE;
+      sim_run_ms (sim, 1000);
+      only->dark = FALSE;
+    }
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 /* Phases of the holds to a worker at which a job comes in, and the time between two of them, in
    milliseconds. */
 #define HOLD_PHASES 16
@@ -2438,6 +2471,7 @@
   tcase_add_test (tests, starts_of_a_deadly_task_are_counted_once);
   tcase_add_loop_test (tests, trouble_of_workers_fails_no_job, 0, 2 * G_N_ELEMENTS (troubles));
   tcase_add_test (tests, snapshots_name_the_workers_blamed);
+  tcase_add_loop_test (tests, lasting_task_comes_back_to_its_only_worker, 0, 4);
   tcase_add_loop_test (tests, crash_some_time_after_a_start_fails_no_job, 0, HOLD_PHASES);
   tcase_add_loop_test (tests, entry_belongs_to_one_incarnation, 0, G_N_ELEMENTS (incarnations));
   tcase_add_loop_test (tests, workers_blamed_for_crashes, 0, G_N_ELEMENTS (blame_cases));
