--- a/tests/test_job_memory.c
+++ b/tests/test_job_memory.c
@@ -1,8 +1,5 @@
 #include <malloc.h>
 #include <string.h>
-#ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
-#endif
 
 #include "libbamboothread/scheduler/ranges.h"
 #include "tests/sim.h"
@@ -25,6 +22,11 @@
 
 static const sim_policy_t lookup = { "main", 0, 3, 300 };
 
+#ifdef __SANITIZE_ADDRESS__
+/* Declared here, since the compiler's package may come without the header. */
+size_t __sanitizer_get_current_allocated_bytes (void);
+#endif
+
 static gsize
 allocated_bytes (void)
 {
