Scheduler: what was added to node.c and sched.c moves to its modules

No behaviour changes but one: occurrences_waiting is 0 on a process that isn't the owner. What an owner knows of a job is cleared in occurrence.c, and how long over tasks are kept is up to job_budget.c. Types of callbacks end in _t.

--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -353,6 +353,7 @@
 void bts_job_set_done_range (bts_job_t *job, guint first, guint last);
 void bts_job_remove_done (bts_job_t *job, gint64 now_us, gint64 keep_us);
 void bts_job_clear_occurrences (bts_job_t *job);
+void bts_job_clear_owner_state (bts_job_t *job);
 void bts_job_free_start_data (bts_job_t *job);
 void bts_job_free_steps (bts_job_t *job);
 
--- a/libbamboothread/scheduler/job_budget.c
+++ b/libbamboothread/scheduler/job_budget.c
@@ -9,6 +9,14 @@
 
 /* Interval between two counts of the memory of all jobs, in microseconds. */
 #define COUNT_INTERVAL_US (1 * G_USEC_PER_SEC)
+/* How long tasks of ended jobs and of occurrences that are done are kept, in microseconds, so that
+   those that a worker still lists are known: longer than any lease, or, while jobs take much
+   memory, than one that an owner asks for. */
+#define KEEP_US (20 * G_USEC_PER_SEC)
+#define KEEP_SHORT_US (5 * G_USEC_PER_SEC)
+/* Interval at which they are removed, in microseconds. */
+#define COMPACT_INTERVAL_US (5 * G_USEC_PER_SEC)
+#define COMPACT_SHORT_INTERVAL_US (1 * G_USEC_PER_SEC)
 /* The largest job takes this part of what all jobs may take. With the square of the part that is
    left, large jobs are refused long before small ones. */
 #define PART_PER_JOB 16
@@ -193,7 +201,7 @@
  * @budget: the budget
  * @exchange: identifies the caller's request
  * @accepted: the job, which isn't known yet
- * @limit_bytes: memory that jobs may take in the process that has the least; 0 for no limit
+ * @least_bytes: memory that jobs may take in the live process that has the least; 0 if not known
  * @n_processes: number of processes that may admit jobs at the same moment
  *
  * A job that is admitted counts until it is read from the journal, or its caller is told that it
@@ -204,8 +212,11 @@
  */
 gboolean
 bts_job_budget_admit (bts_job_budget_t *budget, guint64 exchange, const Bts__Accepted *accepted,
-                      gsize limit_bytes, guint n_processes)
+                      gsize least_bytes, guint n_processes)
 {
+  gsize limit_bytes = budget->limit_bytes;
+  if (least_bytes != 0)
+    limit_bytes = limit_bytes == 0 ? least_bytes : MIN (limit_bytes, least_bytes);
   if (limit_bytes == 0)
     return TRUE;
   gsize bytes = waiting_bytes (accepted);
@@ -297,3 +308,27 @@
 {
   return budget->limit_bytes == 0 || used_bytes (budget) < budget->limit_bytes / 2;
 }
+
+/**
+ * bts_job_budget_keep_us() - how long tasks that are over are kept
+ * @budget: the budget
+ *
+ * Return: the time in microseconds; shorter while jobs take much memory.
+ */
+gint64
+bts_job_budget_keep_us (const bts_job_budget_t *budget)
+{
+  return bts_job_budget_has_spare (budget) ? KEEP_US : KEEP_SHORT_US;
+}
+
+/**
+ * bts_job_budget_compact_interval_us() - interval at which tasks that are over are removed
+ * @budget: the budget
+ *
+ * Return: the time in microseconds; shorter while jobs take much memory.
+ */
+gint64
+bts_job_budget_compact_interval_us (const bts_job_budget_t *budget)
+{
+  return bts_job_budget_has_spare (budget) ? COMPACT_INTERVAL_US : COMPACT_SHORT_INTERVAL_US;
+}
--- a/libbamboothread/scheduler/job_budget.h
+++ b/libbamboothread/scheduler/job_budget.h
@@ -21,7 +21,9 @@
 gsize bts_job_budget_bytes (const bts_job_budget_t *budget);
 void bts_job_budget_set_owner_bytes (bts_job_budget_t *budget, gsize bytes);
 gboolean bts_job_budget_admit (bts_job_budget_t *budget, guint64 exchange,
-                               const Bts__Accepted *accepted, gsize limit_bytes, guint n_processes);
+                               const Bts__Accepted *accepted, gsize least_bytes, guint n_processes);
+gint64 bts_job_budget_keep_us (const bts_job_budget_t *budget);
+gint64 bts_job_budget_compact_interval_us (const bts_job_budget_t *budget);
 void bts_job_budget_on_answer (bts_job_budget_t *budget, guint64 exchange, gboolean accepted);
 void bts_job_budget_on_job (bts_job_budget_t *budget, bts_job_t *job);
 gboolean bts_job_budget_has_spare (const bts_job_budget_t *budget);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -40,15 +40,6 @@
 /* A resignation that hasn't been read back after this long is repeated, in microseconds: others
    claim after the election timeout otherwise, and can't know what the owner knew. */
 #define RESIGN_RETRY_US (300 * 1000)
-/* Interval between removals of jobs that ended long ago, in microseconds. */
-#define CLEANUP_INTERVAL_US (5 * BT_USEC_PER_SEC)
-/* The same while jobs take much memory. */
-#define CLEANUP_SHORT_INTERVAL_US (1 * BT_USEC_PER_SEC)
-/* How long the tasks of ended jobs and of occurrences that are done are kept, in microseconds, so
-   that those that a worker still lists are known: longer than any lease, or, while jobs take much
-   memory, than one that an owner asks for. */
-#define OVER_KEEP_US (20 * BT_USEC_PER_SEC)
-#define OVER_KEEP_SHORT_US (5 * BT_USEC_PER_SEC)
 
 /**
  * struct bts_node_t - one process
@@ -916,11 +907,9 @@
 static gboolean
 reject_large (bts_node_t *node, guint64 exchange, Bts__Accepted *job)
 {
-  gsize own = node->config.job_memory_bytes;
   gsize least = bts_members_min_job_memory (node->members, node_now (node));
-  gsize limit = own == 0 || least == 0 ? MAX (own, least) : MIN (own, least);
   if (bts_ledger_job (node->ledger, job->id) != NULL
-      || bts_job_budget_admit (node->budget, exchange, job, limit,
+      || bts_job_budget_admit (node->budget, exchange, job, least,
                                bts_members_count (node->members)))
     return FALSE;
   bts__accepted__free_unpacked (job, NULL);
@@ -1197,11 +1186,9 @@
   bts_sched_tick (node->sched);
   set_log_slow (node, is_log_slow (node, now_us));
   bts_requests_tick (node->requests, now_us);
-  gboolean has_spare = bts_job_budget_has_spare (node->budget);
-  if (now_us - node->last_cleanup_us
-      < (has_spare ? CLEANUP_INTERVAL_US : CLEANUP_SHORT_INTERVAL_US))
+  if (now_us - node->last_cleanup_us < bts_job_budget_compact_interval_us (node->budget))
     return;
   node->last_cleanup_us = now_us;
-  bts_ledger_compact (node->ledger, has_spare ? OVER_KEEP_US : OVER_KEEP_SHORT_US, now_us);
+  bts_ledger_compact (node->ledger, bts_job_budget_keep_us (node->budget), now_us);
   bts_ledger_remove_ended (node->ledger, now_us - (gint64)node->config.status_retention_ms * 1000);
 }
--- a/libbamboothread/scheduler/occurrence.c
+++ b/libbamboothread/scheduler/occurrence.c
@@ -1,5 +1,7 @@
 #include "libbamboothread/scheduler/job.h"
 
+#include "libbamboothread/scheduler/crash.h"
+
 /*
  * The occurrences of a job. Only those that are being worked on are kept as objects, in ascending
  * order. Of those that are done long ago only the numbers are kept, as ranges.
@@ -234,3 +236,42 @@
     occurrence_free (job->occurrences->pdata[i], job->accepted->n_steps);
   g_ptr_array_set_size (job->occurrences, 0);
 }
+
+/**
+ * bts_job_clear_owner_state() - forget what the owner of a term alone knows of a job
+ * @job: the job
+ */
+void
+bts_job_clear_owner_state (bts_job_t *job)
+{
+  bts_stage_walk_t stages = { 0 };
+  bts_stage_t *stage;
+  while ((stage = bts_job_next_stage (job, &stages)) != NULL)
+    {
+      stage->queued = FALSE;
+      stage->waiting_since_us = 0;
+      stage->retry_us = 0;
+      stage->quota_since_us = 0;
+      stage->reserving = FALSE;
+      stage->reservation = (bts_reservation_t){ 0 };
+      stage->lacks_room = FALSE;
+      stage->advice_asked_us = 0;
+      stage->prefetch_us = 0;
+      stage->prefetching = FALSE;
+      stage->backoff_until_us = 0;
+    }
+  bts_task_walk_t tasks = { 0 };
+  bts_task_t *task;
+  while ((task = bts_job_next_task (job, &tasks)) != NULL)
+    {
+      task->run = NULL;
+      task->pending_end_run = 0;
+      /* A later owner may have kept a run that this one gave up. */
+      task->lost_run = 0;
+      task->done_pending = FALSE;
+      bts_crash_clear (task);
+    }
+  job->next_occurrence = 0;
+  job->opened_us = 0;
+  job->begun_reported = FALSE;
+}
--- a/libbamboothread/scheduler/recurrence.c
+++ b/libbamboothread/scheduler/recurrence.c
@@ -51,7 +51,7 @@
  */
 void
 bts_recurrence_open_due (bts_job_t *job, guint n_due, gboolean has_memory, gint64 now_us,
-                         bts_recurrence_open_f open, void *context)
+                         bts_recurrence_open_t open, void *context)
 {
   job->next_occurrence = bts_ranges_next_missing (job->done, job->next_occurrence);
   if (job->next_occurrence >= n_due)
--- a/libbamboothread/scheduler/recurrence.h
+++ b/libbamboothread/scheduler/recurrence.h
@@ -9,10 +9,10 @@
  * open at a time.
  */
 
-typedef void (*bts_recurrence_open_f) (void *context, bts_job_t *job, guint number);
+typedef void (*bts_recurrence_open_t) (void *context, bts_job_t *job, guint number);
 
 void bts_recurrence_open_due (bts_job_t *job, guint n_due, gboolean has_memory, gint64 now_us,
-                              bts_recurrence_open_f open, void *context);
+                              bts_recurrence_open_t open, void *context);
 guint bts_recurrence_waiting_max (const Bts__Accepted *accepted);
 guint bts_recurrence_count_waiting (const bts_job_t *job, guint n_due);
 
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -335,41 +335,6 @@
     }
 }
 
-static void
-clear_owner_state (bts_job_t *job)
-{
-  bts_stage_walk_t stages = { 0 };
-  bts_stage_t *stage;
-  while ((stage = bts_job_next_stage (job, &stages)) != NULL)
-    {
-      stage->queued = FALSE;
-      stage->waiting_since_us = 0;
-      stage->retry_us = 0;
-      stage->quota_since_us = 0;
-      stage->reserving = FALSE;
-      stage->reservation = (bts_reservation_t){ 0 };
-      stage->lacks_room = FALSE;
-      stage->advice_asked_us = 0;
-      stage->prefetch_us = 0;
-      stage->prefetching = FALSE;
-      stage->backoff_until_us = 0;
-    }
-  bts_task_walk_t tasks = { 0 };
-  bts_task_t *task;
-  while ((task = bts_job_next_task (job, &tasks)) != NULL)
-    {
-      task->run = NULL;
-      task->pending_end_run = 0;
-      /* A later owner may have kept a run that this one gave up. */
-      task->lost_run = 0;
-      task->done_pending = FALSE;
-      bts_crash_clear (task);
-    }
-  job->next_occurrence = 0;
-  job->opened_us = 0;
-  job->begun_reported = FALSE;
-}
-
 /**
  * bts_sched_end_term() - stop leading
  * @sched: the scheduler
@@ -399,10 +364,11 @@
   bts_interference_end_term (sched->fleet->interference, sched->fleet);
   g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    clear_owner_state (value);
+    bts_job_clear_owner_state (value);
   g_ptr_array_set_size (sched->queue, 0);
   g_ptr_array_set_size (sched->recurring, 0);
   g_ptr_array_set_size (sched->prefetch, 0);
+  bt_metrics_set (BT_GAUGE_OCCURRENCES_WAITING, 0);
   bts_heartbeat_clear (sched);
   bts_evacuation_clear (sched->evacuation);
 }
@@ -543,17 +509,6 @@
   return sched->term != 0;
 }
 
-/* Whether a worker may still reject a task of a stage, which then goes on waiting. */
-static gboolean
-has_unconfirmed_run (const bts_stage_t *stage)
-{
-  const bts_task_t *task;
-  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
-    if (task->run != NULL && !task->run->has_begun)
-      return TRUE;
-  return FALSE;
-}
-
 /**
  * bts_sched_run_pass() - place queued stages if anything has changed
  * @sched: the scheduler
@@ -593,7 +548,7 @@
         {
           stage->queued = FALSE;
           stage->lacks_room = FALSE;
-          if (!has_unconfirmed_run (stage))
+          if (!bts_start_is_unconfirmed (stage))
             {
               stage->waiting_since_us = 0;
               stage->no_room_since_us = 0;
--- a/libbamboothread/scheduler/start.c
+++ b/libbamboothread/scheduler/start.c
@@ -202,3 +202,19 @@
   sched->pass_placing_us += bts_sched_now (sched) - now_us;
   return runs->len;
 }
+
+/**
+ * bts_start_is_unconfirmed() - whether a worker may still reject a task of a stage
+ * @stage: the stage, all tasks of which have been ordered
+ *
+ * Return: TRUE if a run hasn't been confirmed. Without its task the stage goes on waiting.
+ */
+gboolean
+bts_start_is_unconfirmed (const bts_stage_t *stage)
+{
+  const bts_task_t *task;
+  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
+    if (task->run != NULL && !task->run->has_begun)
+      return TRUE;
+  return FALSE;
+}
--- a/tests/test_begun.c
+++ b/tests/test_begun.c
@@ -19,7 +19,7 @@
 
 static const sim_policy_t batch = { "main", 2, 3, 3000 };
 
-typedef void (*trouble_f) (sim_t *sim, sim_worker_t *worker, gboolean on);
+typedef void (*trouble_t) (sim_t *sim, sim_worker_t *worker, gboolean on);
 
 static void
 refuses (sim_t *sim, sim_worker_t *worker, gboolean on)
@@ -55,7 +55,7 @@
 static const struct
 {
   const char *name;
-  trouble_f trouble;
+  trouble_t trouble;
   gint64 kill_ms;
   gboolean leave;
 } cases[] = {
