Jobs: what a job may take later isn't counted while it waits

Cause: job_budget.c counted for each step that waits the tasks that are allocated with its first one, 8 KB, and 4 KB for a spec that only the owner holds: some 23 KB for a job of two steps. Thousands of them waited.

Change: only what is held is counted, tasks when they are allocated and specs where they are.

--- a/libbamboothread/scheduler/job_budget.c
+++ b/libbamboothread/scheduler/job_budget.c
@@ -29,10 +29,6 @@
 #define STEP_BYTES (sizeof (Bts__Step) + sizeof (gint64) + 64)
 #define STAGE_BYTES (sizeof (bts_stage_t) + 2 * sizeof (gpointer))
 #define OCCURRENCE_BYTES (sizeof (bts_occurrence_t) + 48)
-/* A spec in the log of specs, which only the owner reads. */
-#define SPEC_APART_BYTES 4096
-/* What the allocator adds for the tasks of a stage, and the list of their blocks. */
-#define BLOCK_BYTES 48
 /* A ticket of the advice service with its text. */
 #define TICKET_BYTES (sizeof (bts_ticket_t) + 64)
 
@@ -96,16 +92,6 @@
   g_free (budget);
 }
 
-/* Memory of the tasks that are allocated when the first one of each step starts. */
-static gsize
-first_tasks_bytes (const Bts__Accepted *accepted)
-{
-  gsize bytes = 0;
-  for (gsize i = 0; i < accepted->n_steps; i++)
-    bytes += BLOCK_BYTES + MIN (accepted->steps[i]->count, BTS_TASK_BLOCK) * sizeof (bts_task_t);
-  return bytes;
-}
-
 /* Memory of open occurrences without their tasks. */
 static gsize
 occurrences_bytes (const Bts__Accepted *accepted, guint n)
@@ -113,19 +99,18 @@
   return n * (OCCURRENCE_BYTES + accepted->n_steps * STAGE_BYTES);
 }
 
-/* Memory of a job before much of it runs. */
+/* Memory of a job before its tasks are allocated, apart from its spec. */
 static gsize
 waiting_bytes (const Bts__Accepted *accepted)
 {
-  gsize bytes = JOB_BYTES + (accepted->spec_at == 0 ? accepted->spec.len : SPEC_APART_BYTES);
+  gsize bytes = JOB_BYTES;
   for (gsize i = 0; i < accepted->n_steps; i++)
     {
       const Bts__Step *step = accepted->steps[i];
       bytes += STEP_BYTES + step->n_after * sizeof *step->after + strlen (step->label)
                + strlen (step->rack) + strlen (step->image);
     }
-  return bytes + first_tasks_bytes (accepted)
-         + occurrences_bytes (accepted, bts_recurrence_waiting_max (accepted));
+  return bytes + occurrences_bytes (accepted, bts_recurrence_waiting_max (accepted));
 }
 
 static gsize
@@ -136,17 +121,16 @@
     return JOB_BYTES;
   guint n_open = bts_recurrence_waiting_max (accepted);
   guint n_more = job->occurrences->len - MIN (job->occurrences->len, n_open);
-  gsize bytes = job->waiting_bytes + occurrences_bytes (accepted, n_more);
-  gsize tasks_bytes = 0;
+  gsize bytes = job->waiting_bytes + accepted->spec.len + occurrences_bytes (accepted, n_more);
   bts_stage_walk_t walk = { 0 };
   const bts_stage_t *stage;
   while ((stage = bts_job_next_stage (job, &walk)) != NULL)
     {
-      tasks_bytes += bts_stage_tasks_bytes (stage);
+      bytes += bts_stage_tasks_bytes (stage);
       if (stage->advice != NULL)
         bytes += stage->advice->asked->len + stage->advice->allowed->len * TICKET_BYTES;
     }
-  return bytes + tasks_bytes - MIN (tasks_bytes, first_tasks_bytes (accepted));
+  return bytes;
 }
 
 /* The owner may hold more than this process, for what runs, or less, while it reads. */
@@ -219,7 +203,7 @@
     limit_bytes = limit_bytes == 0 ? least_bytes : MIN (limit_bytes, least_bytes);
   if (limit_bytes == 0)
     return TRUE;
-  gsize bytes = waiting_bytes (accepted);
+  gsize bytes = waiting_bytes (accepted) + accepted->spec.len;
   gsize used = used_bytes (budget);
   gsize left = limit_bytes - MIN (limit_bytes, used);
   if (bytes > largest_bytes (left, limit_bytes)
