--- a/tests/test_job_memory.c
+++ b/tests/test_job_memory.c
@@ -227,6 +227,35 @@
 }
 END_TEST
 
+/* Guards against fair jobs that are refused while thousands of others wait, as what these may take
+   later was counted: a large site served less than a quarter of its callers after an outage. */
+START_TEST (waiting_jobs_leave_memory_for_others)
+{
+  static const sim_step_t steps[] = {
+    { .count = 64, .cpu = 100, .memory = 10, .ms = 1000, .label = NOBODY_HAS },
+    { .count = 64, .cpu = 100, .memory = 10, .ms = 1000, .after = 1 },
+  };
+  static const sim_policy_t batch = { "main", 2, 3, 3000 };
+  sim_t *sim = sim_new (PROCESSES, WORKERS, 1);
+  for (guint i = 0; i < PROCESSES; i++)
+    sim_node (sim, i)->job_memory_bytes = 40 * 1000 * 1000;
+  sim_restart (sim);
+  sim_run_ms (sim, 5000);
+  for (guint i = 0; i < 4000; i++)
+    {
+      sim_submit (sim, i % PROCESSES, &batch, steps, G_N_ELEMENTS (steps));
+      if (i % 10 == 9)
+        sim_run_ms (sim, 10);
+    }
+  sim_run_ms (sim, 1000);
+  guint n_refused = 0;
+  for (guint i = 0; i < sim->jobs->len; i++)
+    n_refused += ((const sim_job_t *)sim->jobs->pdata[i])->refused_us != 0;
+  ck_assert_uint_eq (n_refused, 0);
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against large jobs that are refused for good after others have ended. */
 START_TEST (memory_of_ended_jobs_is_given_back)
 {
@@ -337,6 +366,7 @@
   tcase_add_loop_test (tcase, small_submission_takes_little_memory, 0, G_N_ELEMENTS (cases));
   tcase_add_test (tcase, later_times_are_begun_beside_stuck_ones);
   tcase_add_test (tcase, large_submissions_are_refused_first);
+  tcase_add_test (tcase, waiting_jobs_leave_memory_for_others);
   tcase_add_test (tcase, memory_of_ended_jobs_is_given_back);
   tcase_add_test (tcase, ended_submission_keeps_its_state_alone);
   tcase_add_test (tcase, recurring_job_goes_on_after_its_records_expired);
