review: case 14, tasks of a cancelled submission run on

Claim: UNASKED (a task runs on cancel_ms and stop-ms after the ack of the cancelling). Stops that wait for one of five channels are given up unsent after 220 ms and sent again 400 ms later. Shown by review/14/run.sh: 3,500 tasks on five workers of the other region are cancelled.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
