--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -61,6 +61,8 @@
   X (APPEND_STORED, "store_appends_total", "outcome=\"stored\"")                                   \
   X (APPEND_REFUSED, "store_appends_total", "outcome=\"refused\"")                                 \
   X (APPEND_UNKNOWN, "store_appends_total", "outcome=\"unknown\"")                                 \
+  X (SNAPSHOTS, "job_snapshots_total", "attempt=\"first\"")                                        \
+  X (SNAPSHOTS_REPEATED, "job_snapshots_total", "attempt=\"repeated\"")                            \
   X (RECORDS, "journal_records_total", "")                                                         \
   X (READS_FAILED, "journal_reads_failed_total", "")                                               \
   X (TABLES_READS_FAILED, "tables_reads_failed_total", "")                                         \
@@ -83,6 +85,7 @@
   X (JOBS, "jobs", "")                                                                             \
   X (JOB_BYTES, "job_bytes", "")                                                                   \
   X (JOB_BYTES_MAX, "job_bytes_max", "")                                                           \
+  X (SNAPSHOT_AGE_MS, "job_snapshot_age_ms", "")                                                   \
   X (WAITING_STAGES, "waiting_stages", "")                                                         \
   X (WAITING_PAUSED, "long_waiting_stages", "cause=\"paused\"")                                    \
   X (WAITING_QUOTA, "long_waiting_stages", "cause=\"quota\"")                                      \
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -99,6 +99,7 @@
  * @done: whether an end with outcome "done" is in the journal
  * @fails: number of ends with outcome "failed" in the journal
  * @ended_run: the highest number of a run whose end is in the journal; 0 for none
+ * @ended_offset: offset of the record with the newest end; 0 if that was read from a snapshot
  * @last_run: the highest run number known to have been used; 0 for none
  * @lost_run: the highest number of a run that this owner gave up, for instance when its
  *   worker's lease expired; an end of that run that is listed later counts only if it is done
@@ -129,6 +130,7 @@
   gboolean done;
   guint fails;
   guint ended_run;
+  gint64 ended_offset;
   guint last_run;
   guint lost_run;
   char *checkpoint;
@@ -242,6 +244,8 @@
  * @number: its number, from 0
  * @stages: its stages, by step
  * @n_done: tasks of all stages that are done; changed only by bts_task_set_done()
+ * @done_offset: offset of the record with the end that made it done; 0 if that was read from a
+ *   snapshot
  * @done_us: when bts_job_remove_done() first saw that it is done; 0 before
  */
 typedef struct
@@ -249,6 +253,7 @@
   guint number;
   bts_stage_t *stages;
   guint n_done;
+  gint64 done_offset;
   gint64 done_us;
 } bts_occurrence_t;
 
@@ -286,7 +291,7 @@
  * @folded_us: when this process folded @accepted
  * @snapshot_us: when this process last folded a record that holds the whole job; 0 if
  *   that was in a replay, so that the record's age is unknown
- * @snapshot_offset: offset of the newest record that holds the whole job
+ * @snapshot_offset: who has read the journal from this offset on knows the whole job
  * @snapshot_sent_us: when this process, as the owner, last appended a snapshot of the job
  * @ended_us: when this process saw the job end; 0 before
  * @occurrences: bts_occurrence_t in ascending order, without those that haven't been created or
--- /dev/null
+++ b/libbamboothread/scheduler/job_snapshot.h
@@ -0,0 +1,35 @@
+#ifndef BTS_JOB_SNAPSHOT_H
+#define BTS_JOB_SNAPSHOT_H
+
+#include "libbamboothread/scheduler/job.h"
+
+/*
+ * The snapshot of a job that hasn't ended: a Kept record with the state of its tasks as of a point
+ * in the journal. Ends that are on their way into the journal land after that point, so that a
+ * snapshot can be written at any moment.
+ */
+
+/**
+ * typedef bts_job_snapshot_append_f - appends a record to the journal
+ * @context: as given to bts_job_snapshot_write()
+ * @record: the record; valid during the call
+ */
+typedef void (*bts_job_snapshot_append_f) (void *context, const Bts__Record *record);
+
+/**
+ * struct bts_job_snapshot_t - what is to be written
+ * @job: the job, which hasn't ended
+ * @term: term of the owner that writes it
+ * @seen: offset after the newest record that the owner has folded
+ */
+typedef struct
+{
+  const bts_job_t *job;
+  guint64 term;
+  gint64 seen;
+} bts_job_snapshot_t;
+
+void bts_job_snapshot_write (const bts_job_snapshot_t *snapshot, bts_job_snapshot_append_f append,
+                             void *context);
+
+#endif
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -4,6 +4,8 @@
 
 #include "libbamboothread/base/error.h"
 #include "libbamboothread/scheduler/blame.h"
+#include "libbamboothread/scheduler/early_ends.h"
+#include "libbamboothread/scheduler/job_cover.h"
 
 /* Name for the owner of a term whose claim was deleted before this process could read it. */
 #define OWNER_UNKNOWN ""
@@ -12,6 +14,7 @@
  * struct bts_ledger_t - the folded journal
  * @jobs: job id to bts_job_t
  * @bars: ids of jobs that were cancelled while the journal didn't hold them
+ * @early_ends: ends of jobs that aren't known yet
  * @held: ids of the workers on which the owner holds leases
  * @term: the current term; 0 before the first claim
  * @owner: name of the process that claimed @term, or OWNER_UNKNOWN; NULL before the first claim
@@ -36,6 +39,7 @@
   void *context;
   GHashTable *jobs;
   bts_bars_t *bars;
+  bts_early_ends_t *early_ends;
   GHashTable *held;
   guint64 term;
   char *owner;
@@ -67,6 +71,7 @@
   ledger->jobs
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)bts_job_free);
   ledger->bars = bts_bars_new ();
+  ledger->early_ends = bts_early_ends_new ();
   ledger->held = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return ledger;
 }
@@ -76,6 +81,7 @@
 {
   g_hash_table_unref (ledger->jobs);
   bts_bars_free (ledger->bars);
+  bts_early_ends_free (ledger->early_ends);
   g_hash_table_unref (ledger->held);
   g_free (ledger->owner);
   if (ledger->interference != NULL)
@@ -462,8 +468,23 @@
   return bts_stage_step (task->stage)->gang ? task->stage->gang_fails : task->fails;
 }
 
+/* Records which record the newest state of a task is in, and whether its occurrence is done since.
+ */
+static void
+note_offset (bts_task_t *task, bts_run_outcome_t outcome, gint64 offset)
+{
+  bts_stage_t *stage = task->stage;
+  task->ended_offset = offset;
+  if (outcome == BTS_OUTCOME_DONE && bts_stage_step (stage)->gang)
+    for (guint i = 0; i < stage->n_tasks; i++)
+      bts_stage_task (stage, i)->ended_offset = offset;
+  bts_occurrence_t *occurrence = bts_job_occurrence (stage->job, stage->occurrence);
+  if (occurrence->n_done == stage->job->n_tasks && occurrence->done_offset == 0)
+    occurrence->done_offset = offset;
+}
+
 static void
-fold_end (bts_ledger_t *ledger, const Bts__End *end, gint64 now_us)
+fold_end (bts_ledger_t *ledger, const Bts__End *end, gint64 offset, gint64 now_us)
 {
   char id[BTS_JOB_ID_LEN + 1];
   bts_job_id_from_number (end->job, id);
@@ -486,6 +507,7 @@
       else
         apply_task_end (task, outcome);
     }
+  note_offset (task, outcome, offset);
   job->begun = TRUE;
   if (!step->long_running && !task->done
       && count_failures (task) >= job->accepted->policy->attempts_max)
@@ -557,8 +579,37 @@
   remove_outdated_jobs (ledger, oldest_needed);
 }
 
+/* Keeps the ends of jobs that aren't known yet. The heartbeat then lacks them. */
 static void
-fold_heartbeat (bts_ledger_t *ledger, const Bts__Beat *heartbeat, gint64 offset, gint64 now_us)
+keep_early_ends (bts_ledger_t *ledger, Bts__Beat *heartbeat, gint64 offset, gint64 now_us)
+{
+  gsize n_left = 0;
+  for (gsize i = 0; i < heartbeat->n_ends; i++)
+    {
+      Bts__End *end = heartbeat->ends[i];
+      char id[BTS_JOB_ID_LEN + 1];
+      bts_job_id_from_number (end->job, id);
+      if (bts_ledger_job (ledger, id) != NULL)
+        heartbeat->ends[n_left++] = end;
+      else
+        bts_early_ends_add (ledger->early_ends, end, offset, now_us);
+    }
+  heartbeat->n_ends = n_left;
+}
+
+static void
+fold_early_ends (bts_ledger_t *ledger, const bts_job_t *job, gint64 now_us)
+{
+  g_autoptr (GPtrArray) ends = bts_early_ends_take (ledger->early_ends, bts_job_number (job));
+  for (guint i = 0; ends != NULL && i < ends->len; i++)
+    {
+      const bts_early_end_t *early = ends->pdata[i];
+      fold_end (ledger, early->end, early->offset, now_us);
+    }
+}
+
+static void
+fold_heartbeat (bts_ledger_t *ledger, Bts__Beat *heartbeat, gint64 offset, gint64 now_us)
 {
   if (heartbeat->term > ledger->term)
     set_term (ledger, heartbeat->term, OWNER_UNKNOWN, FALSE, offset);
@@ -576,8 +627,9 @@
   for (gsize i = 0; i < heartbeat->n_released; i++)
     if (g_hash_table_remove (ledger->held, heartbeat->released[i]))
       ledger->ops->worker_released (ledger->context, heartbeat->released[i]);
+  keep_early_ends (ledger, heartbeat, offset, now_us);
   for (gsize i = 0; i < heartbeat->n_ends; i++)
-    fold_end (ledger, heartbeat->ends[i], now_us);
+    fold_end (ledger, heartbeat->ends[i], offset, now_us);
   for (gsize i = 0; i < heartbeat->n_crashes; i++)
     fold_crash (ledger, heartbeat->crashes[i], now_us);
   for (gsize i = 0; i < heartbeat->n_silent; i++)
@@ -634,94 +686,6 @@
   return term != 0 && term < ledger->term;
 }
 
-static gint
-compare_places (const Bts__TaskState *state, const bts_task_t *task)
-{
-  const bts_stage_t *stage = task->stage;
-  if (state->occurrence != stage->occurrence)
-    return state->occurrence < stage->occurrence ? -1 : 1;
-  if (state->step != stage->step)
-    return state->step < stage->step ? -1 : 1;
-  return state->index < task->index ? -1 : state->index > task->index;
-}
-
-/* Whether a snapshot holds all that is known of a task. Its states are in the order of the tasks;
-   @next is moved on to that of the task. */
-static gboolean
-covers_task (const Bts__Kept *snapshot, gsize *next, const bts_task_t *task)
-{
-  while (*next < snapshot->n_tasks && compare_places (snapshot->tasks[*next], task) < 0)
-    (*next)++;
-  if (*next == snapshot->n_tasks || compare_places (snapshot->tasks[*next], task) > 0)
-    return task->ended_run == 0 && !task->done;
-  const Bts__TaskState *state = snapshot->tasks[*next];
-  return state->ended_run >= task->ended_run && (state->done || !task->done);
-}
-
-static gboolean
-is_occurrence_done (const bts_job_t *job, guint number)
-{
-  return bts_ranges_contains (job->done, number, number);
-}
-
-/* The occurrences that are done according to a snapshot. */
-static bts_ranges_t *
-read_done (const Bts__Kept *snapshot)
-{
-  bts_ranges_t *done = bts_ranges_new ();
-  for (gsize i = 0; i < snapshot->n_done; i++)
-    if (snapshot->done[i]->first <= snapshot->done[i]->last)
-      bts_ranges_add (done, snapshot->done[i]->first, snapshot->done[i]->last);
-  return done;
-}
-
-/* Whether a snapshot says of all occurrences that are done that they are. */
-static gboolean
-covers_done (const Bts__Kept *snapshot, const bts_job_t *job)
-{
-  g_autoptr (bts_ranges_t) said = read_done (snapshot);
-  guint n;
-  const bts_range_t *done = bts_ranges_list (job->done, &n);
-  for (guint i = 0; i < n; i++)
-    if (!bts_ranges_contains (said, done[i].first, done[i].last))
-      return FALSE;
-  return TRUE;
-}
-
-/* Whether a snapshot says that a job has ended as it has. */
-static gboolean
-covers_end (const Bts__Kept *snapshot, const bts_job_t *job)
-{
-  g_autoptr (bts_ranges_t) said = read_done (snapshot);
-  switch (bts_job_state (job))
-    {
-    case BTS_JOB_COMPLETED:
-      return bts_ranges_count (said) == bts_job_count_occurrences (job);
-    case BTS_JOB_FAILED:
-      return snapshot->failed;
-    default:
-      return snapshot->cancelled;
-    }
-}
-
-/* Whether a snapshot holds all that is known of a job. Its owner may have lacked records that are
-   before it in the log. */
-static gboolean
-covers_job (const Bts__Kept *snapshot, const bts_job_t *job)
-{
-  if (bts_job_has_ended (job))
-    return covers_end (snapshot, job);
-  if (!covers_done (snapshot, job))
-    return FALSE;
-  gsize next = 0;
-  bts_task_walk_t walk = { 0 };
-  const bts_task_t *task;
-  while ((task = bts_job_next_task (job, &walk)) != NULL)
-    if (!is_occurrence_done (job, task->stage->occurrence) && !covers_task (snapshot, &next, task))
-      return FALSE;
-  return TRUE;
-}
-
 /* Only adds to the known state, so a snapshot that is older than records folded before does no
    harm. */
 static gboolean
@@ -742,8 +706,8 @@
     return TRUE;
   if (snapshot->accepted != NULL && !bts_job_has_ended (job))
     move_spec (job, snapshot->accepted);
-  if (covers_job (snapshot, job))
-    set_snapshot_read (ledger, job, offset, now_us);
+  if (bts_job_is_covered (job, snapshot))
+    set_snapshot_read (ledger, job, snapshot->seen == 0 ? offset : (gint64)snapshot->seen, now_us);
   if (bts_job_has_ended (job))
     return TRUE;
   job->begun = job->begun || snapshot->begun;
@@ -758,6 +722,7 @@
     }
   job->cancelled = job->cancelled || snapshot->cancelled;
   job->failed = job->failed || snapshot->failed;
+  fold_early_ends (ledger, job, now_us);
   if (bts_job_has_ended (job))
     end_job (ledger, job, now_us);
   return TRUE;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -128,6 +128,7 @@
  * @next_assume_us: when to count again what may be running unlisted for each tenant
  * @waiting: the last report of what stages wait for
  * @snapshot_checked_us: when the owner last checked which snapshots are due
+ * @snapshot_reported_us: when it last reported one that is late
  * @oldest_needed: offset of the oldest record that a reader needs, at the last such check
  * @standing_sent_us: when the owner last appended a complete Standing record
  */
@@ -187,6 +188,7 @@
   gint64 next_assume_us;
   bts_waiting_t waiting;
   gint64 snapshot_checked_us;
+  gint64 snapshot_reported_us;
   gint64 oldest_needed;
   gint64 standing_sent_us;
 };
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -2,8 +2,10 @@
 
 #include <string.h>
 
-#include "libbamboothread/scheduler/blame.h"
+#include "libbamboothread/base/log.h"
+#include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/interference.h"
+#include "libbamboothread/scheduler/job_snapshot.h"
 
 /*
  * Snapshots of jobs, of the owner and of barred ids. The log deletes records after
@@ -32,6 +34,10 @@
 #define ENDED_PER_RECORD_MAX 1000
 /* Time after which a snapshot that wasn't read back is appended again, in microseconds. */
 #define SNAPSHOT_RETRY_US (1000 * 1000)
+/* A job whose newest snapshot is older than this many snapshot intervals is reported. */
+#define LATE_INTERVALS 2
+/* Minimum time between two such reports, in microseconds. */
+#define LATE_REPORT_INTERVAL_US (1000 * 1000)
 /* Time between two checks for snapshots that are due, in microseconds. */
 #define CHECK_INTERVAL_US (200 * 1000)
 
@@ -41,95 +47,6 @@
   return (gint64)sched->config.retention_ms * 1000 / SNAPSHOTS_PER_RETENTION;
 }
 
-static Bts__Crash *
-crash_new (const bts_task_t *task, guint points)
-{
-  Bts__Crash *crash = malloc (sizeof *crash);
-  bts__crash__init (crash);
-  crash->run = malloc (sizeof *crash->run);
-  bts__run__init (crash->run);
-  crash->run->run = task->crash_run;
-  bts_blames_write (task, crash);
-  crash->points = points;
-  return crash;
-}
-
-static void
-add_task_state (GPtrArray *states, const bts_task_t *task)
-{
-  const bts_stage_t *stage = task->stage;
-  if (task->ended_run == 0 && !task->done && stage->gang_fails == 0 && task->crash_points == 0)
-    return;
-  Bts__TaskState *state = g_new0 (Bts__TaskState, 1);
-  bts__task_state__init (state);
-  state->occurrence = stage->occurrence;
-  state->step = stage->step;
-  state->index = task->index;
-  state->done = task->done;
-  state->fails = task->fails;
-  state->ended_run = task->ended_run;
-  state->saved = task->checkpoint == NULL ? (char *)"" : task->checkpoint;
-  state->gang_fails = stage->gang_fails;
-  state->gang_failed_run = stage->gang_failed_run;
-  state->crash_run = task->crash_run;
-  /* Only a record of the crash itself gives a task up. */
-  state->crash_points = MIN (task->crash_points, BTS_CRASH_POINTS_MAX - 1);
-  if (task->crash_points > 0)
-    state->crash = crash_new (task, state->crash_points);
-  g_ptr_array_add (states, state);
-}
-
-static void
-task_state_free (gpointer data)
-{
-  Bts__TaskState *state = data;
-  if (state->crash != NULL)
-    bts__crash__free_unpacked (state->crash, NULL);
-  g_free (state);
-}
-
-static void
-add_done_ranges (GPtrArray *messages, const bts_job_t *job)
-{
-  guint n;
-  const bts_range_t *done = bts_ranges_list (job->done, &n);
-  for (guint i = 0; i < n; i++)
-    {
-      Bts__Range *message = g_new0 (Bts__Range, 1);
-      bts__range__init (message);
-      message->first = done[i].first;
-      message->last = done[i].last;
-      g_ptr_array_add (messages, message);
-    }
-}
-
-static void
-append_job_snapshot (bts_sched_t *sched, const bts_job_t *job)
-{
-  g_autoptr (GPtrArray) states = g_ptr_array_new_with_free_func (task_state_free);
-  bts_task_walk_t walk = { 0 };
-  const bts_task_t *task;
-  while ((task = bts_job_next_task (job, &walk)) != NULL)
-    if (!bts_ranges_contains (job->done, task->stage->occurrence, task->stage->occurrence))
-      add_task_state (states, task);
-  g_autoptr (GPtrArray) done = g_ptr_array_new_with_free_func (g_free);
-  add_done_ranges (done, job);
-  Bts__Kept kept = BTS__KEPT__INIT;
-  kept.term = sched->term;
-  kept.accepted = job->accepted;
-  kept.begun = job->begun;
-  kept.cancelled = job->cancelled;
-  kept.failed = job->failed;
-  kept.n_tasks = states->len;
-  kept.tasks = (Bts__TaskState **)states->pdata;
-  kept.n_done = done->len;
-  kept.done = (Bts__Range **)done->pdata;
-  Bts__Record record = BTS__RECORD__INIT;
-  record.kind_case = BTS__RECORD__KIND_KEPT;
-  record.kept = &kept;
-  sched->ops->append (sched->context, &record);
-}
-
 static void
 add_held_worker (GPtrArray *held, const bts_worker_t *worker)
 {
@@ -265,19 +182,6 @@
              : left->snapshot_offset > right->snapshot_offset;
 }
 
-/* Whether ends of the job are on their way into the journal. A snapshot that lacks them would land
-   after them, and a reader that knows the job from there alone would never learn of them. */
-static gboolean
-has_ends_in_flight (const bts_job_t *job)
-{
-  bts_task_walk_t walk = { 0 };
-  const bts_task_t *task;
-  while ((task = bts_job_next_task (job, &walk)) != NULL)
-    if (task->pending_end_run != 0)
-      return TRUE;
-  return FALSE;
-}
-
 /* Whether the log is known to have deleted the last snapshot of a job. */
 static gboolean
 is_snapshot_deleted (const bts_sched_t *sched, const bts_job_t *job)
@@ -285,16 +189,12 @@
   return job->snapshot_offset < bts_ledger_read_from (sched->ledger);
 }
 
-/* A job with ends in flight waits for them for at most another interval: the log must not delete
-   its last snapshot. */
 static gboolean
 is_due (const bts_sched_t *sched, const bts_job_t *job, gint64 now_us)
 {
   gint64 age_us = now_us - snapshot_time_us (sched, job);
-  if ((age_us < snapshot_interval_us (sched) && !is_snapshot_deleted (sched, job))
-      || now_us - job->snapshot_sent_us < SNAPSHOT_RETRY_US)
-    return FALSE;
-  return age_us >= 2 * snapshot_interval_us (sched) || !has_ends_in_flight (job);
+  return (age_us >= snapshot_interval_us (sched) || is_snapshot_deleted (sched, job))
+         && now_us - job->snapshot_sent_us >= SNAPSHOT_RETRY_US;
 }
 
 /* Jobs whose snapshot is due, the oldest first. */
@@ -312,6 +212,34 @@
   return due;
 }
 
+static void
+append_record (void *context, const Bts__Record *record)
+{
+  const bts_sched_t *sched = context;
+  sched->ops->append (sched->context, record);
+}
+
+/* Shows how old the newest snapshot of a job is at most, up to the next one that is read back. */
+static void
+report_age (bts_sched_t *sched, const GPtrArray *due, gint64 now_us)
+{
+  const bts_job_t *oldest = NULL;
+  for (guint i = 0; i < due->len && oldest == NULL; i++)
+    if (!bts_job_has_ended (due->pdata[i]))
+      oldest = due->pdata[i];
+  gint64 age_us = oldest == NULL ? 0 : now_us - snapshot_time_us (sched, oldest);
+  bt_metrics_set (BT_GAUGE_SNAPSHOT_AGE_MS, age_us / 1000);
+  if (age_us < LATE_INTERVALS * snapshot_interval_us (sched)
+      || now_us - sched->snapshot_reported_us < LATE_REPORT_INTERVAL_US)
+    return;
+  sched->snapshot_reported_us = now_us;
+  bt_log (BT_LOG_WARNING, "snapshot-late",
+          "job=%s age_ms=%" G_GINT64_FORMAT " since_append_ms=%" G_GINT64_FORMAT " due=%u",
+          bts_job_id (oldest), age_us / 1000,
+          oldest->snapshot_sent_us == 0 ? -1 : (now_us - oldest->snapshot_sent_us) / 1000,
+          due->len);
+}
+
 /* Appends the snapshots that are due, in batches that grow with the number of jobs, so that the
    interval is kept however many there are. Jobs that have ended take little room and don't count.
  */
@@ -322,21 +250,28 @@
   gint64 retention_us = (gint64)sched->config.retention_ms * 1000;
   gint64 batch
       = MAX (n_jobs * (gint64)CHECK_INTERVAL_US * CATCH_UP_DIVISOR / retention_us, BATCH_MIN);
-  gint64 n_live = 0;
   g_autoptr (GPtrArray) due = find_due_jobs (sched, now_us);
+  report_age (sched, due, now_us);
+  g_autoptr (GPtrArray) live = g_ptr_array_new ();
   g_autoptr (GPtrArray) ended = g_ptr_array_new ();
   for (guint i = 0; i < due->len; i++)
     {
       bts_job_t *job = due->pdata[i];
       gboolean has_ended = bts_job_has_ended (job);
-      if (has_ended ? ended->len >= ENDED_PER_CHECK_MAX : n_live >= batch)
+      if (has_ended ? ended->len >= ENDED_PER_CHECK_MAX : live->len >= batch)
         continue;
+      if (!has_ended)
+        bt_metrics_count (job->snapshot_sent_us > snapshot_time_us (sched, job)
+                              ? BT_COUNT_SNAPSHOTS_REPEATED
+                              : BT_COUNT_SNAPSHOTS);
       job->snapshot_sent_us = now_us;
-      if (has_ended)
-        g_ptr_array_add (ended, job);
-      else
-        append_job_snapshot (sched, job);
-      n_live += !has_ended;
+      g_ptr_array_add (has_ended ? ended : live, job);
+    }
+  for (guint i = 0; i < live->len; i++)
+    {
+      const bts_job_snapshot_t snapshot
+          = { live->pdata[i], sched->term, bts_ledger_next_offset (sched->ledger) };
+      bts_job_snapshot_write (&snapshot, append_record, sched);
     }
   append_ended_jobs (sched, ended);
 }
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -3734,7 +3734,7 @@
   (ProtobufCMessageInit) bts__range__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__kept__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bts__kept__field_descriptors[8] =
 {
   {
     "accepted",
@@ -3820,6 +3820,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__kept__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
@@ -3827,6 +3839,7 @@
   2,   /* field[2] = cancelled */
   6,   /* field[6] = done */
   3,   /* field[3] = failed */
+  7,   /* field[7] = seen */
   4,   /* field[4] = tasks */
   5,   /* field[5] = term */
 };
@@ -3834,7 +3847,7 @@
 {
   { 1, 0 },
   { 40, 6 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bts__kept__descriptor =
 {
@@ -3844,7 +3857,7 @@
   "Bts__Kept",
   "bts",
   sizeof(Bts__Kept),
-  7,
+  8,
   bts__kept__field_descriptors,
   bts__kept__field_indices_by_name,
   2,  bts__kept__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -606,10 +606,15 @@
    * Term of the owner that wrote it; in a later term it counts for nothing.
    */
   uint64_t term;
+  /*
+   * Number of records of the journal that the owner had read when it wrote this; 0 if not given.
+   * What the records from there on say of the job may be missing here.
+   */
+  uint64_t seen;
 };
 #define BTS__KEPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__kept__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
