Placement: small tasks of one customer leave runs for other jobs

Cause: a worker has 1,024 runs at most, 512 of them of tasks that last, and whoever came first got all of them. Preemption and reservations looked at resources alone, which were free.

Change: run_slots.c shares the runs of a worker by dynamic thresholds: a job has at most three times, a customer or a gang seven times as many there as are left free, and one in 16 is left for jobs of which nothing runs. Placement, preemption, reservations and explain use the same count; no-slot and cause=slot tell it from a lack of room.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -99,6 +99,7 @@
   X (WAITING_SPEC, "long_waiting_stages", "cause=\"spec\"")                                        \
   X (WAITING_TICKET, "long_waiting_stages", "cause=\"ticket\"")                                    \
   X (WAITING_ROOM, "long_waiting_stages", "cause=\"room\"")                                        \
+  X (WAITING_SLOT, "long_waiting_stages", "cause=\"slot\"")                                        \
   X (WAITING_TURN, "long_waiting_stages", "cause=\"turn\"")                                        \
   X (LONGEST_WAIT_MS, "longest_wait_ms", "")                                                       \
   X (OCCURRENCES_WAITING, "occurrences_waiting", "")                                               \
--- a/libbamboothread/scheduler/explain.c
+++ b/libbamboothread/scheduler/explain.c
@@ -13,8 +13,8 @@
 
 /* By bts_place_result_t. */
 static const char *const place_names[]
-    = { NULL,         "unavailable", "other-service", "no-label", "per-worker-max",
-        "interferes", "no-room",     "on-probation" };
+    = { NULL,         "unavailable", "other-service", "no-label",    "per-worker-max",
+        "interferes", "no-room",     "no-slot",       "on-probation" };
 
 /* By bts_availability_t. */
 static const char *const availability_names[]
@@ -330,8 +330,8 @@
           continue;
         }
       survey->n_candidates++;
-      survey->n_fitting += MIN (
-          bts_place_count_fitting (worker, &worker->used, bts_stage_step (stage)), BTS_TASKS_MAX);
+      survey->n_fitting
+          += MIN (bts_place_count_startable (worker, &worker->used, 0, stage), BTS_TASKS_MAX);
     }
 }
 
--- a/libbamboothread/scheduler/place.c
+++ b/libbamboothread/scheduler/place.c
@@ -5,6 +5,7 @@
 #include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/crash.h"
 #include "libbamboothread/scheduler/interference.h"
+#include "libbamboothread/scheduler/run_slots.h"
 
 /* Penalties are added to bts_place_free_permille(), so they are in thousandths of a worker. Each
    from PENALTY_AVOID_WORKER to PENALTY_OVERDUE_RUN outweighs any difference in free resources. */
@@ -29,10 +30,6 @@
 /* Time that backfill allows a task, in percent of its estimate: tasks may take longer than
    estimated. */
 #define BACKFILL_ESTIMATE_PERCENT 130
-/* Most runs on a worker, however little they take: each of them takes memory on the owner, and is
-   in every list of the worker. Tasks that last leave room for others. */
-#define RUNS_MAX 1024
-#define LASTING_RUNS_MAX 512
 /* More consecutive failures or overdue runs than this don't raise the penalty further. */
 #define PENALTY_COUNT_MAX 5
 
@@ -230,8 +227,8 @@
  * @now_us: the current time
  *
  * Return: %BTS_PLACE_OK, or the first reason found against the worker. %BTS_PLACE_NO_ROOM,
- * %BTS_PLACE_PER_WORKER_MAX and %BTS_PLACE_INTERFERES are returned only if the worker is available
- * and matches the stage.
+ * %BTS_PLACE_NO_SLOT, %BTS_PLACE_PER_WORKER_MAX and %BTS_PLACE_INTERFERES are returned only if the
+ * worker is available and matches the stage.
  */
 bts_place_result_t
 bts_place_check (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us)
@@ -246,9 +243,10 @@
   if (step->per_worker_max > 0 && count_runs_of_stage (worker, stage) >= step->per_worker_max)
     return BTS_PLACE_PER_WORKER_MAX;
   bts_resources_t demand = bts_place_demand (step);
-  guint runs_max = step->long_running ? LASTING_RUNS_MAX : RUNS_MAX;
-  if (!bts_worker_has_room (worker, &worker->used, &demand) || worker->runs->len >= runs_max)
+  if (!bts_worker_has_room (worker, &worker->used, &demand))
     return BTS_PLACE_NO_ROOM;
+  if (bts_run_slots_count (worker, stage, 0, 1) == 0)
+    return BTS_PLACE_NO_SLOT;
   if (!bts_place_has_restored_room (worker, &worker->used, &demand, now_us))
     return BTS_PLACE_ON_PROBATION;
   if (interferes (worker, step))
@@ -281,18 +279,19 @@
  * bts_place_count_startable() - how many more tasks of a stage may run on a worker
  * @worker: the worker
  * @used: resources in use on it
+ * @n_leaving: runs on it that are about to end, and whose resources aren't in @used
  * @stage: the stage, some tasks of which may run there
  */
 guint
-bts_place_count_startable (const bts_worker_t *worker, const bts_resources_t *used,
+bts_place_count_startable (const bts_worker_t *worker, const bts_resources_t *used, guint n_leaving,
                            const bts_stage_t *stage)
 {
   const Bts__Step *step = bts_stage_step (stage);
   guint fitting = bts_place_count_fitting (worker, used, step);
-  if (step->per_worker_max == 0)
-    return fitting;
-  return MIN (fitting, step->per_worker_max
-                           - MIN (step->per_worker_max, count_runs_of_stage (worker, stage)));
+  if (step->per_worker_max > 0)
+    fitting = MIN (fitting, step->per_worker_max
+                                - MIN (step->per_worker_max, count_runs_of_stage (worker, stage)));
+  return fitting == 0 ? 0 : bts_run_slots_count (worker, stage, n_leaving, fitting);
 }
 
 /**
@@ -313,7 +312,7 @@
   const bts_worker_t *worker;
   while ((worker = bts_candidates_next (&candidates)) != NULL)
     if (bts_place_check (worker, stage, now_us) == BTS_PLACE_OK)
-      n += MIN (bts_place_count_startable (worker, &worker->used, stage), n_tasks - n);
+      n += MIN (bts_place_count_startable (worker, &worker->used, 0, stage), n_tasks - n);
   return n >= n_tasks;
 }
 
--- a/libbamboothread/scheduler/place.h
+++ b/libbamboothread/scheduler/place.h
@@ -22,6 +22,7 @@
  * @BTS_PLACE_PER_WORKER_MAX: it runs as many tasks of the stage as the step permits on one worker
  * @BTS_PLACE_INTERFERES: filling tasks and tasks with a latency target would share it
  * @BTS_PLACE_NO_ROOM: it lacks free resources
+ * @BTS_PLACE_NO_SLOT: it has as many runs as it may have, or as many of the job or its customer
  * @BTS_PLACE_ON_PROBATION: they are in the part of its capacity that isn't used after crashes
  */
 typedef enum
@@ -33,6 +34,7 @@
   BTS_PLACE_PER_WORKER_MAX,
   BTS_PLACE_INTERFERES,
   BTS_PLACE_NO_ROOM,
+  BTS_PLACE_NO_SLOT,
   BTS_PLACE_ON_PROBATION,
 } bts_place_result_t;
 
@@ -88,7 +90,7 @@
 guint bts_place_count_fitting (const bts_worker_t *worker, const bts_resources_t *used,
                                const Bts__Step *step);
 guint bts_place_count_startable (const bts_worker_t *worker, const bts_resources_t *used,
-                                 const bts_stage_t *stage);
+                                 guint n_leaving, const bts_stage_t *stage);
 gboolean bts_place_may_fit (const bts_fleet_t *fleet, const bts_stage_t *stage, guint n_tasks,
                             gint64 now_us);
 gboolean bts_place_has_restored_room (const bts_worker_t *worker, const bts_resources_t *used,
--- a/libbamboothread/scheduler/preempt.c
+++ b/libbamboothread/scheduler/preempt.c
@@ -5,6 +5,7 @@
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/place.h"
+#include "libbamboothread/scheduler/run_slots.h"
 
 /*
  * Preemption: stops runs to make room for a stage, but never those of gangs or of
@@ -57,13 +58,16 @@
   return ran_ms * step->cpu_millis / 1000;
 }
 
+/* Whether a task of a stage fits on a worker once @n_freed runs have ended, which take @freed. */
 static gboolean
-has_room_after (const bts_worker_t *worker, const bts_resources_t *freed,
-                const bts_resources_t *demand)
+has_room_after (const bts_worker_t *worker, const bts_stage_t *stage, const bts_resources_t *freed,
+                guint n_freed)
 {
+  bts_resources_t demand = bts_place_demand (bts_stage_step (stage));
   bts_resources_t used = worker->used;
   bts_resources_subtract (&used, freed);
-  return bts_worker_has_room (worker, &used, demand);
+  return bts_worker_has_room (worker, &used, &demand)
+         && bts_run_slots_count (worker, stage, n_freed, 1) > 0;
 }
 
 static gint
@@ -81,7 +85,6 @@
 find_victims (const bts_worker_t *worker, const bts_stage_t *stage, gint64 now_us, gint64 *cost)
 {
   const Bts__Step *step = bts_stage_step (stage);
-  bts_resources_t demand = bts_place_demand (step);
   bts_resources_t freed = { 0 };
   g_autoptr (GPtrArray) runs = g_ptr_array_new ();
   GPtrArray *victims = g_ptr_array_new ();
@@ -101,29 +104,33 @@
       *cost += lost_work (run, now_us);
     }
   g_ptr_array_sort_with_data (runs, compare_lost_work, &now_us);
-  for (guint i = 0; i < runs->len && !has_room_after (worker, &freed, &demand); i++)
+  for (guint i = 0; i < runs->len && !has_room_after (worker, stage, &freed, victims->len); i++)
     {
       bts_run_t *run = runs->pdata[i];
       g_ptr_array_add (victims, run);
       bts_resources_add (&freed, &run->resources);
       *cost += lost_work (run, now_us);
     }
-  if (victims->len > 0 && has_room_after (worker, &freed, &demand))
+  if (victims->len > 0 && has_room_after (worker, stage, &freed, victims->len))
     return victims;
   g_ptr_array_unref (victims);
   return NULL;
 }
 
-/* Resources in use on a worker once the runs that are being stopped have ended. */
+/* Resources in use on a worker once the runs that are being stopped, of which there are
+   @n_stopping, have ended. */
 static bts_resources_t
-used_after_stops (const bts_worker_t *worker)
+used_after_stops (const bts_worker_t *worker, guint *n_stopping)
 {
   bts_resources_t used = worker->used;
+  *n_stopping = 0;
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const bts_run_t *run = worker->runs->pdata[i];
-      if (run->state == BTS_RUN_STOPPING)
-        bts_resources_subtract (&used, &run->resources);
+      if (run->state != BTS_RUN_STOPPING)
+        continue;
+      bts_resources_subtract (&used, &run->resources);
+      (*n_stopping)++;
     }
   return used;
 }
@@ -148,8 +155,10 @@
 will_have_room (const bts_worker_t *worker, const bts_stage_t *stage)
 {
   bts_resources_t demand = bts_place_demand (bts_stage_step (stage));
-  bts_resources_t used = used_after_stops (worker);
+  guint n_stopping;
+  bts_resources_t used = used_after_stops (worker, &n_stopping);
   return bts_worker_has_room (worker, &used, &demand)
+         && bts_run_slots_count (worker, stage, n_stopping, 1) > 0
          && !is_kept_off (worker, bts_stage_step (stage), FALSE);
 }
 
@@ -189,7 +198,8 @@
   while ((worker = bts_candidates_next (&candidates)) != NULL)
     {
       bts_place_result_t result = bts_place_check (worker, stage, now_us);
-      if ((result != BTS_PLACE_NO_ROOM && result != BTS_PLACE_INTERFERES)
+      if ((result != BTS_PLACE_NO_ROOM && result != BTS_PLACE_NO_SLOT
+           && result != BTS_PLACE_INTERFERES)
           || !is_worth_room (worker, stage, now_us))
         continue;
       if (will_have_room (worker, stage))
@@ -256,10 +266,11 @@
 static gboolean
 make_plan (bts_worker_t *worker, const bts_stage_t *stage, plan_t *plan)
 {
-  bts_resources_t used = used_after_stops (worker);
+  guint n_leaving;
+  bts_resources_t used = used_after_stops (worker, &n_leaving);
   plan->worker = worker;
   plan->victims = g_ptr_array_new ();
-  plan->n_fitting = bts_place_count_startable (worker, &used, stage);
+  plan->n_fitting = bts_place_count_startable (worker, &used, n_leaving, stage);
   for (guint i = 0; i < worker->runs->len && plan->n_fitting == 0; i++)
     {
       bts_run_t *run = worker->runs->pdata[i];
@@ -267,7 +278,8 @@
         continue;
       bts_resources_subtract (&used, &run->resources);
       g_ptr_array_add (plan->victims, run);
-      plan->n_fitting = bts_place_count_startable (worker, &used, stage);
+      n_leaving++;
+      plan->n_fitting = bts_place_count_startable (worker, &used, n_leaving, stage);
     }
   return plan->n_fitting > 0;
 }
@@ -284,7 +296,7 @@
   while ((worker = bts_candidates_next (&candidates)) != NULL)
     {
       bts_place_result_t result = bts_place_check (worker, stage, now_us);
-      if ((result != BTS_PLACE_OK && result != BTS_PLACE_NO_ROOM)
+      if ((result != BTS_PLACE_OK && result != BTS_PLACE_NO_ROOM && result != BTS_PLACE_NO_SLOT)
           || worker->reserved_pass == sched->pass_number || !is_worth_room (worker, stage, now_us)
           || (advised
               && bts_stage_valid_ticket (stage, worker->number, now_us + TICKET_VALIDITY_MIN_US)
@@ -445,9 +457,12 @@
   bts_candidates_init (&candidates, sched->fleet, stage);
   bts_worker_t *worker;
   while ((worker = bts_candidates_next (&candidates)) != NULL)
-    if (bts_place_check (worker, stage, now_us) == BTS_PLACE_NO_ROOM
-        && will_have_room (worker, stage))
-      return worker;
+    {
+      bts_place_result_t result = bts_place_check (worker, stage, now_us);
+      if ((result == BTS_PLACE_NO_ROOM || result == BTS_PLACE_NO_SLOT)
+          && will_have_room (worker, stage))
+        return worker;
+    }
   return NULL;
 }
 
--- a/libbamboothread/scheduler/reserve.c
+++ b/libbamboothread/scheduler/reserve.c
@@ -4,6 +4,7 @@
 #include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/crash.h"
 #include "libbamboothread/scheduler/place.h"
+#include "libbamboothread/scheduler/run_slots.h"
 
 /*
  * Reservations for gangs and large tasks. A stream of small tasks could starve them, since
@@ -87,12 +88,14 @@
 /**
  * struct space_t - what is left of a worker for a stage
  * @used: resources in use
+ * @n_runs: runs on the worker
  * @n_own: runs of the stage on the worker
  * @n_against: runs that keep the stage off the worker
  */
 typedef struct
 {
   bts_resources_t used;
+  guint n_runs;
   guint n_own;
   guint n_against;
 } space_t;
@@ -101,6 +104,7 @@
 space_add (space_t *space, const bts_run_t *run, const bts_stage_t *stage)
 {
   bts_resources_add (&space->used, &run->resources);
+  space->n_runs++;
   space->n_own += bts_place_is_of_stage (run, stage);
   space->n_against += bts_place_keeps_off (run, bts_stage_step (stage));
 }
@@ -109,6 +113,7 @@
 space_remove (space_t *space, const bts_run_t *run, const bts_stage_t *stage)
 {
   bts_resources_subtract (&space->used, &run->resources);
+  space->n_runs--;
   space->n_own -= bts_place_is_of_stage (run, stage);
   space->n_against -= bts_place_keeps_off (run, bts_stage_step (stage));
 }
@@ -123,7 +128,9 @@
   bts_resources_t demand = bts_place_demand (step);
   guint n = bts_worker_count_fitting (worker, &space->used, &demand);
   guint max = step->per_worker_max;
-  return max == 0 ? n : MIN (n, max - MIN (max, space->n_own));
+  if (max > 0)
+    n = MIN (n, max - MIN (max, space->n_own));
+  return n == 0 ? 0 : bts_run_slots_count (worker, stage, worker->runs->len - space->n_runs, n);
 }
 
 /* Returns when at least one task of a stage is expected to be able to start on a worker, G_MAXINT64
--- a/libbamboothread/scheduler/waiting.c
+++ b/libbamboothread/scheduler/waiting.c
@@ -10,7 +10,7 @@
 /* By bts_waiting_cause_t. The gauges follow in the same order. */
 static const char *const cause_names[]
     = { "paused",      "quota",         "advice-quota", "leases", "crash", "gang", "backoff",
-        "advice-call", "advice-queued", "spec",         "ticket", "room",  "turn" };
+        "advice-call", "advice-queued", "spec",         "ticket", "room",  "slot", "turn" };
 
 G_STATIC_ASSERT (G_N_ELEMENTS (cause_names) == BTS_N_WAITING_CAUSES);
 G_STATIC_ASSERT (BT_GAUGE_WAITING_TURN - BT_GAUGE_WAITING_PAUSED + 1 == BTS_N_WAITING_CAUSES);
@@ -102,13 +102,31 @@
       const bts_worker_t *worker = bts_fleet_worker (view->fleet, number);
       if (worker == NULL || bts_place_check (worker, stage, view->now_us) != BTS_PLACE_OK)
         continue;
-      guint n = bts_place_count_fitting (worker, &worker->used, step);
+      guint n = bts_place_count_startable (worker, &worker->used, 0, stage);
       n_fitting += n;
       n_with_ticket += bts_stage_valid_ticket (stage, number, view->now_us) != NULL ? n : 0;
     }
   return n_fitting >= needed && n_with_ticket < needed;
 }
 
+/* Whether no worker that a stage may use has room for it, but for one without a slot for a run. */
+static gboolean
+lacks_slot (const bts_stage_t *stage, const bts_waiting_view_t *view)
+{
+  gboolean found = FALSE;
+  bts_candidates_t candidates;
+  bts_candidates_init (&candidates, view->fleet, stage);
+  const bts_worker_t *worker;
+  while ((worker = bts_candidates_next (&candidates)) != NULL)
+    {
+      bts_place_result_t result = bts_place_check (worker, stage, view->now_us);
+      if (result == BTS_PLACE_OK)
+        return FALSE;
+      found = found || result == BTS_PLACE_NO_SLOT;
+    }
+  return found;
+}
+
 /**
  * bts_waiting_find_cause() - what a stage waits for now
  * @stage: a stage of the queue with pending tasks
@@ -140,7 +158,9 @@
     return BTS_WAITING_ADVICE_QUEUED;
   if (!stage->lacks_room)
     return BTS_WAITING_TURN;
-  return lacks_ticket (stage, view) ? BTS_WAITING_TICKET : BTS_WAITING_ROOM;
+  if (lacks_ticket (stage, view))
+    return BTS_WAITING_TICKET;
+  return lacks_slot (stage, view) ? BTS_WAITING_SLOT : BTS_WAITING_ROOM;
 }
 
 /* Longest waits first; stages whose result is of no use any more come last, as there may be
--- a/libbamboothread/scheduler/waiting.h
+++ b/libbamboothread/scheduler/waiting.h
@@ -34,6 +34,7 @@
  * @BTS_WAITING_SPEC: this process hasn't read what the job runs
  * @BTS_WAITING_TICKET: it has no valid ticket for the workers that have room
  * @BTS_WAITING_ROOM: the last attempt to place it left tasks without room
+ * @BTS_WAITING_SLOT: workers with room for it have no slot left for a run of its job or customer
  * @BTS_WAITING_TURN: none of these; the next pass has to come to it
  */
 typedef enum
@@ -50,6 +51,7 @@
   BTS_WAITING_SPEC,
   BTS_WAITING_TICKET,
   BTS_WAITING_ROOM,
+  BTS_WAITING_SLOT,
   BTS_WAITING_TURN,
   BTS_N_WAITING_CAUSES,
 } bts_waiting_cause_t;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -2016,7 +2016,7 @@
   job->spec.len = strlen (spec);
   Bts__Policy *kept = malloc (sizeof *kept);
   bts__policy__init (kept);
-  kept->route = strdup ("route");
+  kept->route = strdup (policy->route == NULL ? "route" : policy->route);
   kept->service = strdup (policy->service == NULL ? "main" : policy->service);
   kept->priority = policy->priority;
   kept->attempts_max = policy->attempts == 0 ? 3 : policy->attempts;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -370,6 +370,7 @@
  * @stretch: factor of the objective; 0 for %SIM_STRETCH
  * @repeat: how often the steps run, with @interval_ms between two; 0 for once
  * @due_in_ms: time until the first of these is due; negative if it was due before
+ * @route: its name; NULL for one that all such jobs share
  */
 typedef struct
 {
@@ -381,6 +382,7 @@
   guint repeat;
   guint interval_ms;
   gint64 due_in_ms;
+  const char *route;
 } sim_policy_t;
 
 sim_t *sim_new (guint nodes, guint workers, guint32 seed);
