Orders to workers: sent when their turn has come

Cause: all stops were handed to six connections a worker at once, and their time limit of 220 ms ran in the queue for these as well. Over 34 ms there and back some 65 a worker got through; the others were given up unsent and queued up together again 400 ms later. Starts did the same.

Change: outbox.c keeps the orders until their turn comes: 5 on their way to a worker, up to 24 while many wait, half as many after one without an answer; urgent jobs first, jobs of one priority by turns. The owner sends for 8 ms in one go, and places only urgent tasks while orders wait for itself. A run whose start was never sent is dropped without an order when it is stopped or its worker is silent, and counts for no crash.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -35,8 +35,10 @@
   X (STARTS, "starts_total", "")                                                                   \
   X (STARTS_REPEATED, "starts_repeated_total", "")                                                 \
   X (STARTS_REFUSED, "starts_refused_total", "")                                                   \
+  X (STARTS_WITHDRAWN, "starts_withdrawn_total", "")                                               \
   X (STOP_ORDERS, "stop_orders_total", "")                                                         \
   X (STOPS, "stops_total", "")                                                                     \
+  X (STOPS_UNANSWERED, "stops_unanswered_total", "")                                               \
   X (PREEMPTED, "runs_preempted_total", "")                                                        \
   X (EVACUATED, "runs_evacuated_total", "")                                                        \
   X (RESERVATIONS_UNUSED, "reservations_unused_total", "")                                         \
@@ -104,6 +106,8 @@
   X (LONGEST_WAIT_MS, "longest_wait_ms", "")                                                       \
   X (OCCURRENCES_WAITING, "occurrences_waiting", "")                                               \
   X (RUNS, "runs", "")                                                                             \
+  X (ORDERS_WAITING, "orders", "state=\"waiting\"")                                                \
+  X (ORDERS_ON_WAY, "orders", "state=\"on-way\"")                                                  \
   X (WORKERS, "workers", "")                                                                       \
   X (WORKERS_SILENT, "workers_silent", "")                                                         \
   X (WORKERS_FAST, "workers_fast", "")                                                             \
@@ -120,7 +124,8 @@
   X (ACCEPT_MS, "accept_ms")                                                                       \
   X (FIRST_START_MS, "first_start_ms")                                                             \
   X (JOB_MS, "job_ms")                                                                             \
-  X (ADVICE_MS, "advice_ms")
+  X (ADVICE_MS, "advice_ms")                                                                       \
+  X (ORDER_QUEUE_MS, "start_order_queue_ms")
 
 /**
  * enum bt_count_t - counters
--- a/libbamboothread/scheduler/crash.c
+++ b/libbamboothread/scheduler/crash.c
@@ -192,7 +192,7 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       bts_run_t *run = worker->runs->pdata[i];
-      if (run->task == NULL || !is_starting (run))
+      if (run->task == NULL || run->unsent || !is_starting (run))
         continue;
       add_lost_run (run, bts_sched_now (sched));
       g_ptr_array_add (starting, run);
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -94,15 +94,16 @@
  * @service: the service of the pool for which that counts it
  * @charged: what that counts for it
  * @usage_kind: kind of work (bts_usage_kind_t) as which that counts it
- * @created_us: when this owner ordered it, or found it in a worker's list
+ * @created_us: when this owner first ordered it, or found it in a worker's list
  * @startup_end_us: when it no longer counts as just started; G_MAXINT64 until the worker has
  *   confirmed it, 0 if this owner found it in a worker's list
  * @confirmed_us: when the worker last accepted an order for it, or when the newest hold was
  *   sent whose reply listed it; 0 before, and from a stop order until the worker accepts that
  * @task_listed_us: when the newest hold was sent whose reply listed a run of its task
  * @unanswered_starts: start orders without a reply
- * @start_in_flight: a start order awaits its reply
- * @stop_in_flight: a stop order awaits its reply
+ * @unsent: no start order for it has left this process yet, so that it can't have begun
+ * @start_in_flight: a start order waits for its turn, or awaits its reply
+ * @stop_in_flight: the same of a stop order
  * @stop_acked: the worker has accepted a stop order
  * @stop_retry_us: when the stop order is to be repeated; 0 if it isn't
  * @class_number: number of its class in interference.c plus one; 0 if none
@@ -130,6 +131,7 @@
   gint64 confirmed_us;
   gint64 task_listed_us;
   guint unanswered_starts;
+  gboolean unsent;
   gboolean start_in_flight;
   gboolean stop_in_flight;
   gboolean stop_acked;
--- a/libbamboothread/scheduler/gauges.c
+++ b/libbamboothread/scheduler/gauges.c
@@ -50,6 +50,8 @@
   bt_metrics_set (BT_GAUGE_LEADING, sched->term != 0);
   bt_metrics_set (BT_GAUGE_WAITING_STAGES, sched->queue->len);
   bts_waiting_update_gauges (sched->term == 0 ? NULL : &sched->waiting);
+  bt_metrics_set (BT_GAUGE_ORDERS_WAITING, bts_outbox_count_waiting (sched->outbox));
+  bt_metrics_set (BT_GAUGE_ORDERS_ON_WAY, bts_outbox_count_on_way (sched->outbox));
   bt_metrics_set (BT_GAUGE_RUNS, g_hash_table_size (sched->runs));
   bt_metrics_set (BT_GAUGE_WORKERS, g_hash_table_size (sched->fleet->workers));
   bt_metrics_set (BT_GAUGE_WORKERS_SILENT, silent);
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -21,6 +21,8 @@
 #define START_ATTEMPTS_MAX 5
 /* Time between two stop orders for a run, in microseconds. */
 #define STOP_RETRY_US (400 * 1000)
+/* Longest time for which orders are sent in one go, in microseconds. */
+#define SENDING_MAX_US (8 * 1000)
 /* Time for which a worker that was full or busy gets no new tasks, in microseconds; its
    next listing shows what takes its resources. */
 #define NO_ROOM_BACKOFF_US (300 * 1000)
@@ -123,17 +125,94 @@
 }
 
 static void
+add_order (bts_sched_t *sched, const bts_run_t *run, bts_order_kind_t kind)
+{
+  const bts_stage_t *stage = run->task == NULL ? NULL : run->task->stage;
+  const bts_order_t order
+      = { run->worker->entry->id, kind, stage == NULL ? 0 : bts_stage_policy (stage)->priority,
+          stage == NULL ? NULL : stage->job, run->serial };
+  bts_outbox_add (sched->outbox, &order);
+}
+
+static void
+order_start (bts_sched_t *sched, bts_run_t *run)
+{
+  run->start_in_flight = TRUE;
+  run->stop_retry_us = 0;
+  add_order (sched, run, BTS_ORDER_START);
+}
+
+/* Whether a start may be sent now that its turn has come. A later owner may have started the task
+   meanwhile, or the worker may have restarted as its lease is over. */
+static gboolean
+may_send_start (const bts_sched_t *sched, const bts_run_t *run)
+{
+  return run->state == BTS_RUN_STARTING && run->task != NULL && !bts_sched_is_journal_stale (sched)
+         && bts_sched_now (sched) <= bts_worker_lease_expiry_us (run->worker);
+}
+
+static gboolean
 send_start (bts_sched_t *sched, bts_run_t *run)
 {
-  const bts_stage_t *stage = run->task->stage;
-  const bts_ticket_t *ticket = bts_stage_ticket (stage, run->worker->number);
+  if (!may_send_start (sched, run))
+    {
+      run->start_in_flight = FALSE;
+      run->worker->may_repeat = TRUE;
+      return FALSE;
+    }
+  const bts_ticket_t *ticket = bts_stage_ticket (run->task->stage, run->worker->number);
   bts_start_order_t order = { 0 };
   order.fence = sched->term;
   order.deadline_ms = bts_sched_renew_lease (sched, run->worker);
   order.ticket = ticket == NULL ? NULL : ticket->ticket;
-  run->start_in_flight = TRUE;
-  run->stop_retry_us = 0;
+  if (run->unsent)
+    {
+      run->unsent = FALSE;
+      bt_metrics_observe (BT_HIST_ORDER_QUEUE_MS, (bts_sched_now (sched) - run->created_us) / 1000);
+      run->created_us = bts_sched_now (sched);
+    }
   sched->ops->start (sched->context, run, &order);
+  return TRUE;
+}
+
+static gboolean
+send_stop (const bts_sched_t *sched, const bts_run_t *run)
+{
+  sched->ops->stop (sched->context, run, sched->term);
+  return TRUE;
+}
+
+/**
+ * bts_run_send_order() - send an order whose turn in the outbox has come
+ * @context: the scheduler
+ * @kind: the order
+ * @serial: serial number of the run
+ *
+ * Return: FALSE if the order isn't sent: the run is over, or a start has to wait, or isn't wanted.
+ */
+gboolean
+bts_run_send_order (void *context, bts_order_kind_t kind, guint64 serial)
+{
+  bts_sched_t *sched = context;
+  bts_run_t *run = g_hash_table_lookup (sched->runs, &serial);
+  if (run == NULL)
+    return FALSE;
+  return kind == BTS_ORDER_START ? send_start (sched, run) : send_stop (sched, run);
+}
+
+/**
+ * bts_sched_send_orders() - send the orders to workers whose turn has come
+ * @sched: a leading scheduler
+ *
+ * Ends after some time, as a pass does, so that replies and jobs that have come in don't wait.
+ */
+void
+bts_sched_send_orders (bts_sched_t *sched)
+{
+  gint64 began_us = bts_sched_now (sched);
+  sched->is_sending_behind = FALSE;
+  while (!sched->is_sending_behind && bts_outbox_send_next (sched->outbox))
+    sched->is_sending_behind = bts_sched_now (sched) - began_us >= SENDING_MAX_US;
 }
 
 /**
@@ -145,24 +224,27 @@
 bts_run_start (bts_sched_t *sched, bts_run_t *run)
 {
   run->state = BTS_RUN_STARTING;
+  run->unsent = TRUE;
   bt_metrics_count (BT_COUNT_START_ORDERS);
   bt_log (BT_LOG_INFO, "start", "task=%s run=%u worker=%s term=%" G_GUINT64_FORMAT, run->name,
           run->number, run->worker->entry->id, sched->term);
-  send_start (sched, run);
+  order_start (sched, run);
 }
 
 static void
-send_stop (bts_sched_t *sched, bts_run_t *run)
+order_stop (bts_sched_t *sched, bts_run_t *run)
 {
   run->stop_in_flight = TRUE;
   run->stop_retry_us = 0;
-  sched->ops->stop (sched->context, run, sched->term);
+  add_order (sched, run, BTS_ORDER_STOP);
 }
 
 /**
  * bts_run_stop() - order a worker to stop a run
  * @sched: the scheduler
  * @run: the run; nothing happens if it is being stopped already
+ *
+ * One whose start was never sent is dropped at the next tick, without an order.
  */
 void
 bts_run_stop (bts_sched_t *sched, bts_run_t *run)
@@ -174,7 +256,10 @@
   run->confirmed_us = 0;
   bt_log (BT_LOG_INFO, "stop", "task=%s run=%u worker=%s", run->name, run->number,
           run->worker->entry->id);
-  send_stop (sched, run);
+  if (run->unsent)
+    run->worker->may_repeat = TRUE;
+  else
+    order_stop (sched, run);
 }
 
 /**
@@ -274,6 +359,32 @@
   requeue (sched, run);
 }
 
+/* Drops a run whose start was never sent, and queues its task again. */
+static void
+withdraw_start (bts_sched_t *sched, bts_run_t *run, const char *cause)
+{
+  bt_metrics_count (BT_COUNT_STARTS_WITHDRAWN);
+  bt_log (BT_LOG_INFO, "start-withdrawn", "task=%s run=%u worker=%s cause=%s", run->name,
+          run->number, run->worker->entry->id, cause);
+  requeue (sched, run);
+}
+
+/**
+ * bts_worker_withdraw_starts() - drop the runs on a silent worker whose starts were never sent
+ * @sched: the scheduler
+ * @worker: the worker; others may have room for these tasks
+ */
+void
+bts_worker_withdraw_starts (bts_sched_t *sched, bts_worker_t *worker)
+{
+  for (guint i = worker->runs->len; i > 0; i--)
+    {
+      bts_run_t *run = worker->runs->pdata[i - 1];
+      if (run->unsent)
+        withdraw_start (sched, run, "silent");
+    }
+}
+
 /**
  * bts_run_mark_worker_lost() - give a run up because its worker may have crashed
  * @sched: the scheduler
@@ -283,6 +394,11 @@
 void
 bts_run_mark_worker_lost (bts_sched_t *sched, bts_run_t *run, const char *cause)
 {
+  if (run->unsent)
+    {
+      withdraw_start (sched, run, cause);
+      return;
+    }
   bts_crash_on_run_lost (sched, run);
   bts_run_mark_lost (sched, run, cause);
 }
@@ -394,8 +510,9 @@
   /* No start order goes to a worker whose lease has expired: it may have restarted. */
   else if (bts_sched_now (sched) <= expiry_us && run->unanswered_starts < START_ATTEMPTS_MAX)
     {
-      bt_metrics_count (BT_COUNT_STARTS_REPEATED);
-      send_start (sched, run);
+      if (!run->unsent)
+        bt_metrics_count (BT_COUNT_STARTS_REPEATED);
+      order_start (sched, run);
     }
   else
     give_up_start (sched, run);
@@ -411,6 +528,7 @@
 void
 bts_sched_on_start_reply (bts_sched_t *sched, guint64 serial, bts_reply_t reply, gint64 clock_ms)
 {
+  bts_outbox_on_reply (sched->outbox, BTS_ORDER_START, serial, reply != BTS_REPLY_NO_ANSWER);
   bts_run_t *run = sched->term == 0 ? NULL : g_hash_table_lookup (sched->runs, &serial);
   if (run == NULL)
     return;
@@ -476,6 +594,7 @@
 void
 bts_sched_on_stop_reply (bts_sched_t *sched, guint64 serial, bts_reply_t reply, gint64 clock_ms)
 {
+  bts_outbox_on_reply (sched->outbox, BTS_ORDER_STOP, serial, reply != BTS_REPLY_NO_ANSWER);
   bts_run_t *run = sched->term == 0 ? NULL : g_hash_table_lookup (sched->runs, &serial);
   if (run == NULL)
     return;
@@ -496,26 +615,37 @@
     bts_worker_mark_replaced (sched, run->worker);
   else
     {
+      bt_metrics_count (BT_COUNT_STOPS_UNANSWERED);
       run->stop_retry_us = now_us + STOP_RETRY_US;
       run->worker->may_repeat = TRUE;
     }
 }
 
+/* Whether a start order, or the first one, has to be sent again or has to wait for that. */
+static gboolean
+needs_start (const bts_run_t *run)
+{
+  return run->state == BTS_RUN_STARTING && (run->unanswered_starts > 0 || run->unsent);
+}
+
 /* Repeats the order of a run if that is due. */
 static void
 repeat_order (bts_sched_t *sched, bts_run_t *run, gint64 now_us)
 {
-  if (run->state == BTS_RUN_STARTING && run->unanswered_starts > 0 && !run->start_in_flight)
+  if (run->state == BTS_RUN_STOPPING && run->unsent)
+    withdraw_start (sched, run, "stopped");
+  else if (needs_start (run) && !run->start_in_flight)
     repeat_start (sched, run);
   else if (run->state == BTS_RUN_STOPPING && !run->stop_in_flight && !run->stop_acked
            && run->stop_retry_us != 0 && run->stop_retry_us <= now_us)
-    send_stop (sched, run);
+    order_stop (sched, run);
 }
 
 static gboolean
 may_repeat_order (const bts_run_t *run)
 {
-  return run->stop_retry_us != 0 || (run->state == BTS_RUN_STARTING && run->unanswered_starts > 0);
+  return run->stop_retry_us != 0 || needs_start (run)
+         || (run->state == BTS_RUN_STOPPING && run->unsent);
 }
 
 /**
@@ -535,6 +665,8 @@
   worker->may_repeat = FALSE;
   for (guint i = 0; i < worker->runs->len; i++)
     worker->may_repeat = may_repeat_order (worker->runs->pdata[i]) || worker->may_repeat;
-  for (guint i = 0; i < worker->runs->len; i++)
-    repeat_order (sched, worker->runs->pdata[i], now_us);
+  /* From the end, as runs may be removed. */
+  for (guint i = worker->runs->len; i > 0; i--)
+    if (i <= worker->runs->len)
+      repeat_order (sched, worker->runs->pdata[i - 1], now_us);
 }
--- a/libbamboothread/scheduler/sched.c
+++ b/libbamboothread/scheduler/sched.c
@@ -68,6 +68,7 @@
   sched->queue = g_ptr_array_new ();
   sched->recurring = g_ptr_array_new ();
   sched->prefetch = g_ptr_array_new ();
+  sched->outbox = bts_outbox_new (bts_run_send_order, sched);
   bts_heartbeat_init (sched);
   sched->speed = bts_speed_new ();
   sched->unsynced = g_ptr_array_new ();
@@ -86,6 +87,7 @@
 {
   bts_sched_end_term (sched);
   g_hash_table_unref (sched->runs);
+  bts_outbox_free (sched->outbox);
   g_ptr_array_unref (sched->queue);
   g_ptr_array_unref (sched->recurring);
   g_ptr_array_unref (sched->prefetch);
@@ -360,6 +362,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     bts_run_free (value);
   g_hash_table_remove_all (sched->runs);
+  bts_outbox_clear (sched->outbox);
   bts_usage_reset (sched->usage);
   bts_interference_end_term (sched->fleet->interference, sched->fleet);
   g_hash_table_iter_init (&iter, bts_ledger_jobs (sched->ledger));
@@ -482,6 +485,15 @@
              && bts_sched_now (sched) - sched->entries_known_us > ENTRIES_AGE_MAX_US);
 }
 
+/* Whether the rest of a pass is put off. While orders wait for this process, only urgent tasks are
+   placed. */
+static gboolean
+is_put_off (const bts_sched_t *sched, const bts_stage_t *stage)
+{
+  return sched->pass_placing_us >= PASS_PLACING_MAX_US
+         || (sched->is_sending_behind && bts_stage_policy (stage)->priority > 0);
+}
+
 /* What keeps the owner from starting anything, or NULL. */
 static const char *
 find_pause (const bts_sched_t *sched)
@@ -531,12 +543,14 @@
   bts_evacuate_request (sched, now_us);
   guint n_queued = 0;
   guint n_reserving = 0;
+  gboolean was_cut = FALSE;
   for (guint i = 0; i < sched->queue->len; i++)
     {
       bts_stage_t *stage = sched->queue->pdata[i];
       if (stage->band != BTS_BAND_LONG_RUNNING)
         bts_evacuate_reserve (sched, now_us);
-      gboolean is_over = sched->pass_placing_us >= PASS_PLACING_MAX_US;
+      gboolean is_over = is_put_off (sched, stage);
+      was_cut = was_cut || is_over;
       if (is_over
           || (!bts_job_has_ended (stage->job)
               && (bts_quota_has_to_wait (sched, stage, now_us) || !is_due (sched, stage, now_us))))
@@ -562,7 +576,7 @@
     }
   g_ptr_array_set_size (sched->queue, (gint)n_queued);
   note_short_services (sched);
-  gboolean was_cut = sched->pass_placing_us >= PASS_PLACING_MAX_US;
+  was_cut = was_cut || sched->pass_placing_us >= PASS_PLACING_MAX_US;
   sched->dirty = sched->dirty || was_cut;
   if (!was_cut)
     bts_usage_end_pass (sched->usage);
@@ -656,6 +670,7 @@
   if (sched->term == 0)
     return;
   bts_heartbeat_tick (sched);
+  bts_sched_send_orders (sched);
   bts_sched_run_pass (sched);
 }
 
@@ -695,6 +710,7 @@
   bts_heartbeat_tick (sched);
   bts_snapshot_tick (sched);
   bts_evacuate_tick (sched);
+  bts_sched_send_orders (sched);
   bts_sched_run_pass (sched);
   bts_sched_report_waiting (sched);
 }
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -8,6 +8,7 @@
 #include "libbamboothread/scheduler/share.h"
 #include "libbamboothread/scheduler/speed.h"
 #include "libbamboothread/scheduler/usage.h"
+#include "libbamboothread/scheduler/outbox.h"
 #include "libbamboothread/scheduler/waiting.h"
 
 /* Length of the lease that the owner requests from workers, in milliseconds. It outlasts
@@ -77,6 +78,7 @@
  * @term: the term that this process leads; 0 if it isn't the owner
  * @serial: the newest serial number given to a run
  * @runs: serial number to bts_run_t
+ * @outbox: start and stop orders
  * @queue: bts_stage_t with tasks to be placed
  * @recurring: recurring bts_job_t with occurrences still to come
  * @prefetch: bts_stage_t for which advice is requested before they can start
@@ -116,6 +118,7 @@
  * @rounds: rounds over the workers
  * @ticked_us: when the last tick was, or the term began
  * @next_pass_us: no pass before this time
+ * @is_sending_behind: orders wait for this process, and not for replies
  * @pass_placing_us: time that the last pass has taken to place and start tasks
  * @pass_number: number of the last pass
  * @queue_unsorted: a stage was queued or has changed its band since the queue was last sorted
@@ -143,6 +146,7 @@
   guint64 term;
   guint64 serial;
   GHashTable *runs;
+  bts_outbox_t *outbox;
   GPtrArray *queue;
   GPtrArray *recurring;
   GPtrArray *prefetch;
@@ -178,6 +182,7 @@
   gint64 ticked_us;
   gint64 next_pass_us;
   gint64 pass_placing_us;
+  gboolean is_sending_behind;
   guint64 pass_number;
   gboolean queue_unsorted;
   GPtrArray *unsynced;
@@ -234,6 +239,9 @@
 void bts_run_free (bts_run_t *run);
 void bts_run_remove (bts_sched_t *sched, bts_run_t *run);
 void bts_run_start (bts_sched_t *sched, bts_run_t *run);
+void bts_sched_send_orders (bts_sched_t *sched);
+gboolean bts_run_send_order (void *context, bts_order_kind_t kind, guint64 serial);
+void bts_worker_withdraw_starts (bts_sched_t *sched, bts_worker_t *worker);
 void bts_run_mark_begun (bts_sched_t *sched, bts_run_t *run, gint64 now_us);
 void bts_run_mark_stopped (const bts_run_t *run);
 void bts_run_stop (bts_sched_t *sched, bts_run_t *run);
--- a/libbamboothread/scheduler/start.c
+++ b/libbamboothread/scheduler/start.c
@@ -199,6 +199,7 @@
       run->task->last_run = run->number;
       bts_run_start (sched, run);
     }
+  bts_sched_send_orders (sched);
   sched->pass_placing_us += bts_sched_now (sched) - now_us;
   return runs->len;
 }
--- a/libbamboothread/scheduler/worker.c
+++ b/libbamboothread/scheduler/worker.c
@@ -163,7 +163,7 @@
 may_be_in_next_incarnation (const bts_sched_t *sched, const bts_run_t *run, gint64 now_us)
 {
   gint64 lease_max_us = bts_lease_max_us (sched->config.hold_max_ms);
-  return run->start_in_flight
+  return (run->start_in_flight && !run->unsent)
          || (run->confirmed_us > run->worker->clock_at_us + REPLY_REORDER_MAX_US
              && now_us < run->confirmed_us + lease_max_us + BTS_LEASE_MARGIN_US);
 }
@@ -433,6 +433,7 @@
       bt_log (BT_LOG_NOTICE, "worker-silent", "worker=%s reply=%d runs=%u", worker->entry->id,
               reply, worker->runs->len);
       bts_crash_on_worker_silent (sched, worker);
+      bts_worker_withdraw_starts (sched, worker);
     }
   worker->silent_us = now_us;
   worker->hold_next_us = now_us + HOLD_RETRY_US * MIN (worker->hold_failures, 8);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -123,6 +123,8 @@
  * @leaves_us: when it leaves, if it drains and says how much time is left; 0 otherwise
  * @cut_from: number of a process that can't reach it, or -1
  * @clock_rate: speed of its clock
+ * @n_orders: orders to it that take up a channel
+ * @queue: orders (sim_order_t) that wait for one
  */
 typedef struct
 {
@@ -156,6 +158,8 @@
   gboolean fails;
   gboolean stalls;
   gint cut_from;
+  guint n_orders;
+  GQueue queue;
 } sim_worker_t;
 
 /**
@@ -235,6 +239,9 @@
  * @advice_calls: calls to the advice service
  * @advice_worker_us: time of a call for each worker that it names, beside the time of any call
  * @advice_extra_us: time that each call takes beyond what the policies of jobs say
+ * @order_way_us: time of an order, or of its reply, on its way
+ * @order_channels: most orders to one worker at a time; those beyond wait, and are given up
+ *   unsent after some time; 0 for no limit
  * @start_stall_us: how long the machine is suspended while the next start order is sent
  * @order_us: processor time that a process takes to send a start order
  * @spent_us: processor time taken by the message that is being handled
@@ -294,6 +301,8 @@
   gint64 advice_extra_us;
   gint64 entries_us;
   gint64 entries_read_us;
+  gint64 order_way_us;
+  guint order_channels;
   gint64 start_stall_us;
   gint64 order_us;
   gint64 spent_us;
