Calls: the time limit begins when the call has a connection

Cause: the time limit of a call ran while it waited for a connection, so that the last of many calls to one peer was given up unsent at each try. Appends and reads that hang after an outage take up the connections to the store in the same way.

Change: a call may have a limit for its wait, which doesn't count towards the other one. Messages between processes keep one limit for both: a caller waits for their answer.

--- a/libbamboothread/connection/channel.c
+++ b/libbamboothread/connection/channel.c
@@ -36,6 +36,7 @@
  * struct pending_call_t - a call in flight or queued for a connection
  * @link: the connection that carries it, or NULL while it is queued
  * @timer: ends the call when its time limit has passed, or at once if it couldn't be sent
+ * @sent_timeout_ms: new time limit from when it is sent on; 0 to keep that of the call
  * @progress_timeout_ms: new time limit from each part of the response on; 0 to keep that of the
  * call
  * @is_sending: libevent is being given the request
@@ -53,6 +54,7 @@
   char *path;
   bt_channel_reply_f reply;
   bt_channel_progress_f progress;
+  guint sent_timeout_ms;
   guint progress_timeout_ms;
   void *context;
 };
@@ -353,6 +355,8 @@
 {
   link->call = pending;
   pending->link = link;
+  if (pending->sent_timeout_ms > 0)
+    set_timeout (pending, pending->sent_timeout_ms);
   pending->is_sending = TRUE;
   int result
       = evhttp_make_request (link->connection, pending->request, pending->method, pending->path);
@@ -417,7 +421,8 @@
                     call->body_len);
     }
   pending->timer = evtimer_new (channels->base, on_timeout, pending);
-  set_timeout (pending, call->timeout_ms);
+  pending->sent_timeout_ms = call->queue_timeout_ms > 0 ? call->timeout_ms : 0;
+  set_timeout (pending, call->queue_timeout_ms > 0 ? call->queue_timeout_ms : call->timeout_ms);
   if (pending->peer->host == NULL)
     {
       fail_call (pending);
--- a/libbamboothread/connection/channel.h
+++ b/libbamboothread/connection/channel.h
@@ -41,7 +41,8 @@
  * @body: request body, or NULL for none
  * @body_len: length of @body in bytes
  * @content_type: content type of @body
- * @timeout_ms: time limit from the call to the complete response, including time spent queued
+ * @timeout_ms: time limit from when the call is given a connection to the complete response
+ * @queue_timeout_ms: time limit until then; 0 if the time that it waits counts towards @timeout_ms
  * @progress_timeout_ms: time limit for each further part of the response once a first one has
  *   arrived, instead of @timeout_ms; 0 for none
  * @progress: called for each part of the response, until the call ends; or NULL
@@ -56,6 +57,7 @@
   gsize body_len;
   const char *content_type;
   guint timeout_ms;
+  guint queue_timeout_ms;
   guint progress_timeout_ms;
   bt_channel_progress_f progress;
 } bt_call_t;
--- a/tests/test_channel.c
+++ b/tests/test_channel.c
@@ -203,11 +203,106 @@
 }
 END_TEST
 
+/* Calls that wait for the only connection, and the time that their peer takes for each. */
+#define N_CALLS 5
+#define ANSWER_MS 150
+
+/**
+ * struct queue_case - calls that are made at once
+ * @timeout_ms: time limit of each
+ * @queue_timeout_ms: that of the wait for a connection
+ * @n_answered: how many get an answer
+ */
+static const struct
+{
+  guint timeout_ms;
+  guint queue_timeout_ms;
+  guint n_answered;
+} queue_cases[] = {
+  { 400, 5000, N_CALLS },
+  { 5000, 0, N_CALLS },
+  { 400, 50, 1 },
+};
+
+/**
+ * struct queue_scene_t - a peer that answers one request after the other
+ * @request: the one that it works on
+ * @n_over: calls that have ended
+ * @n_not_sent: those that never got a connection
+ */
+typedef struct
+{
+  struct event_base *base;
+  struct event *timer;
+  struct evhttp_request *request;
+  guint n_over;
+  guint n_answered;
+  guint n_not_sent;
+} queue_scene_t;
+
+static void
+answer_late (evutil_socket_t fd, short what, void *context)
+{
+  queue_scene_t *scene = context;
+  evhttp_send_reply (scene->request, 200, "OK", NULL);
+}
+
+static void
+serve_late (struct evhttp_request *request, void *context)
+{
+  queue_scene_t *scene = context;
+  const struct timeval delay = { 0, ANSWER_MS * 1000 };
+  scene->request = request;
+  evtimer_add (scene->timer, &delay);
+}
+
+static void
+on_queued_reply (void *context, int status, const char *body, gsize len)
+{
+  queue_scene_t *scene = context;
+  scene->n_answered += status == 200;
+  scene->n_not_sent += status == BT_CHANNEL_NOT_SENT;
+  if (++scene->n_over == N_CALLS)
+    event_base_loopbreak (scene->base);
+}
+
+/* Guards against calls whose time limit is over before they are sent, each time that they are made
+   (review/14). */
+START_TEST (a_queued_call_keeps_its_time)
+{
+  queue_scene_t scene = { .base = bt_event_base_new () };
+  scene.timer = evtimer_new (scene.base, answer_late, &scene);
+  bt_channels_t *channels = bt_channels_new (scene.base, 1);
+  struct evhttp *http = evhttp_new (scene.base);
+  struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
+  ck_assert_ptr_nonnull (bound);
+  struct sockaddr_in at;
+  socklen_t len = sizeof at;
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&at, &len);
+  evhttp_set_gencb (http, serve_late, &scene);
+  g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", ntohs (at.sin_port));
+  bt_call_t get = { .method = "GET", .address = address, .path = "/" };
+  get.timeout_ms = queue_cases[_i].timeout_ms;
+  get.queue_timeout_ms = queue_cases[_i].queue_timeout_ms;
+  for (guint i = 0; i < N_CALLS; i++)
+    bt_channels_call (channels, &get, on_queued_reply, &scene);
+  event_base_dispatch (scene.base);
+  ck_assert_uint_eq (scene.n_over, N_CALLS);
+  ck_assert_uint_eq (scene.n_answered, queue_cases[_i].n_answered);
+  ck_assert (queue_cases[_i].queue_timeout_ms != 50 || scene.n_not_sent == N_CALLS - 1);
+  bt_channels_free (channels);
+  event_free (scene.timer);
+  evhttp_free (http);
+  event_base_free (scene.base);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("channel");
   tcase_add_loop_test (tests, reply_may_go_on_while_it_arrives, 0, G_N_ELEMENTS (slow_cases));
+  tcase_add_loop_test (tests, a_queued_call_keeps_its_time, 0, G_N_ELEMENTS (queue_cases));
   tcase_add_loop_test (tests, call_that_cannot_be_sent_is_reported_later, 0,
                        G_N_ELEMENTS (addresses));
   return suite_run ("channel", tests);
