Heartbeats: one that comes back late counts

What would be seen: while an append takes longer than 0.7 s, the owner lets the leases of its workers expire, and all that runs there ends.

Cause: a heartbeat that isn't read back in 0.7 s is appended again under the next number, and only the newest number counted; over a slow log none came back in time, so the owner was never certain to be the owner.

Change: the owner keeps when each heartbeat on its way was sent and what it carried; the one that is read back counts as of then.

Evidence: the three cases of heartbeats_count_when_they_are_late fail on (leases expire) and hold now.

--- a/libbamboothread/scheduler/heartbeat.c
+++ b/libbamboothread/scheduler/heartbeat.c
@@ -21,6 +21,8 @@
 /* Time after which a heartbeat that wasn't read back is appended again, in microseconds;
    folding its contents twice changes nothing. */
 #define HEARTBEAT_RETRY_US (700 * 1000)
+/* Most heartbeats whose way back is awaited. */
+#define SENT_MAX 32
 /* Most ends in one record; keeps it far below the store's size limit of a record. */
 #define HEARTBEAT_ENDS_MAX 1000
 
@@ -50,8 +52,9 @@
   sched->pending_ends = g_ptr_array_new_with_free_func (pending_end_free);
   sched->pending_begun = g_array_new (FALSE, FALSE, sizeof (guint64));
   for (guint i = 0; i < BTS_N_REPORTS; i++)
-    sched->reports[i].items
+    sched->reports[i]
         = g_ptr_array_new_with_free_func (i == BTS_REPORT_RELEASED ? g_free : message_free);
+  sched->sent_heartbeats = g_array_new (FALSE, FALSE, sizeof (bts_sent_heartbeat_t));
 }
 
 /**
@@ -64,13 +67,14 @@
   g_ptr_array_unref (sched->pending_ends);
   g_array_unref (sched->pending_begun);
   for (guint i = 0; i < BTS_N_REPORTS; i++)
-    g_ptr_array_unref (sched->reports[i].items);
+    g_ptr_array_unref (sched->reports[i]);
+  g_array_unref (sched->sent_heartbeats);
 }
 
 static void
 add_report (bts_sched_t *sched, bts_report_kind_t kind, gpointer item)
 {
-  g_ptr_array_add (sched->reports[kind].items, item);
+  g_ptr_array_add (sched->reports[kind], item);
 }
 
 static Bts__End *
@@ -186,7 +190,7 @@
 {
   if (bts_ledger_is_worker_held (sched->ledger, worker->entry->id))
     return;
-  const GPtrArray *pending = sched->reports[BTS_REPORT_HELD].items;
+  const GPtrArray *pending = sched->reports[BTS_REPORT_HELD];
   for (guint i = 0; i < pending->len; i++)
     if (strcmp (((Bts__Held *)pending->pdata[i])->worker, worker->entry->id) == 0)
       return;
@@ -207,20 +211,29 @@
 bts_heartbeat_add_released (bts_sched_t *sched, const bts_worker_t *worker)
 {
   if (!bts_ledger_is_worker_held (sched->ledger, worker->entry->id)
-      || g_ptr_array_find_with_equal_func (sched->reports[BTS_REPORT_RELEASED].items,
-                                           worker->entry->id, g_str_equal, NULL))
+      || g_ptr_array_find_with_equal_func (sched->reports[BTS_REPORT_RELEASED], worker->entry->id,
+                                           g_str_equal, NULL))
     return;
   add_report (sched, BTS_REPORT_RELEASED, g_strdup (worker->entry->id));
 }
 
-/* Marks the items of a kind as sent with the heartbeat that is being written. */
 static gpointer *
-take_reports (bts_sched_t *sched, bts_report_kind_t kind, gsize *n)
+list_reports (const bts_sched_t *sched, bts_report_kind_t kind, gsize *n)
 {
-  bts_report_t *report = &sched->reports[kind];
-  report->n_sent = report->items->len;
-  *n = report->items->len;
-  return report->items->pdata;
+  *n = sched->reports[kind]->len;
+  return sched->reports[kind]->pdata;
+}
+
+/* Notes what the heartbeat that is being written carries. */
+static void
+note_sent (bts_sched_t *sched, gint64 now_us)
+{
+  bts_sent_heartbeat_t sent = { sched->heartbeat_number, now_us, sched->pending_begun->len, { 0 } };
+  for (guint i = 0; i < BTS_N_REPORTS; i++)
+    sent.n_reports[i] = sched->reports[i]->len;
+  if (sched->sent_heartbeats->len == SENT_MAX)
+    g_array_remove_index (sched->sent_heartbeats, 0);
+  g_array_append_val (sched->sent_heartbeats, sent);
 }
 
 /* How long owners before this one may still renew leases, rounded up. */
@@ -240,7 +253,8 @@
   for (guint i = 0; i < sched->pending_ends->len && ends->len < HEARTBEAT_ENDS_MAX; i++)
     {
       bts_pending_end_t *item = sched->pending_ends->pdata[i];
-      item->heartbeat = sched->heartbeat_number;
+      if (item->heartbeat == 0)
+        item->heartbeat = sched->heartbeat_number;
       if (item->end != NULL)
         g_ptr_array_add (ends, item->end);
     }
@@ -257,12 +271,11 @@
   beat.ends = (Bts__End **)ends->pdata;
   beat.n_begun = sched->pending_begun->len;
   beat.begun = (guint64 *)(gpointer)sched->pending_begun->data;
-  sched->pending_heartbeat = sched->heartbeat_number;
-  sched->begun_sent = sched->pending_begun->len;
-  beat.held = (Bts__Held **)take_reports (sched, BTS_REPORT_HELD, &beat.n_held);
-  beat.released = (char **)take_reports (sched, BTS_REPORT_RELEASED, &beat.n_released);
-  beat.crashes = (Bts__Crash **)take_reports (sched, BTS_REPORT_CRASHES, &beat.n_crashes);
-  beat.silent = (Bts__Silent **)take_reports (sched, BTS_REPORT_SILENT, &beat.n_silent);
+  beat.held = (Bts__Held **)list_reports (sched, BTS_REPORT_HELD, &beat.n_held);
+  beat.released = (char **)list_reports (sched, BTS_REPORT_RELEASED, &beat.n_released);
+  beat.crashes = (Bts__Crash **)list_reports (sched, BTS_REPORT_CRASHES, &beat.n_crashes);
+  beat.silent = (Bts__Silent **)list_reports (sched, BTS_REPORT_SILENT, &beat.n_silent);
+  note_sent (sched, now_us);
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_BEAT;
   record.beat = &beat;
@@ -275,7 +288,7 @@
 has_reports (const bts_sched_t *sched)
 {
   for (guint i = 0; i < BTS_N_REPORTS; i++)
-    if (sched->reports[i].items->len > 0)
+    if (sched->reports[i]->len > 0)
       return TRUE;
   return sched->pending_ends->len > 0 || sched->pending_begun->len > 0;
 }
@@ -322,11 +335,31 @@
 }
 
 static void
-remove_sent (bts_report_t *report)
+reduce (guint *count, guint n)
 {
-  if (report->n_sent > 0)
-    g_ptr_array_remove_range (report->items, 0, report->n_sent);
-  report->n_sent = 0;
+  *count -= MIN (*count, n);
+}
+
+/* Removes what a heartbeat carried, now that the journal holds it, and that heartbeat with those
+   before it: a later one carried all that they did. */
+static void
+remove_sent (bts_sched_t *sched, guint index)
+{
+  GArray *all = sched->sent_heartbeats;
+  const bts_sent_heartbeat_t sent = g_array_index (all, bts_sent_heartbeat_t, index);
+  g_array_remove_range (all, 0, index + 1);
+  if (sent.n_begun > 0)
+    g_array_remove_range (sched->pending_begun, 0, sent.n_begun);
+  for (guint kind = 0; kind < BTS_N_REPORTS; kind++)
+    if (sent.n_reports[kind] > 0)
+      g_ptr_array_remove_range (sched->reports[kind], 0, sent.n_reports[kind]);
+  for (guint i = 0; i < all->len; i++)
+    {
+      bts_sent_heartbeat_t *later = &g_array_index (all, bts_sent_heartbeat_t, i);
+      reduce (&later->n_begun, sent.n_begun);
+      for (guint kind = 0; kind < BTS_N_REPORTS; kind++)
+        reduce (&later->n_reports[kind], sent.n_reports[kind]);
+    }
 }
 
 /**
@@ -340,10 +373,7 @@
   if (sched->term == 0)
     return;
   if (number == sched->heartbeat_number)
-    {
-      sched->heartbeat_in_flight = FALSE;
-      sched->confirmed_us = sched->heartbeat_sent_us;
-    }
+    sched->heartbeat_in_flight = FALSE;
   guint n_journaled = 0;
   while (n_journaled < sched->pending_ends->len)
     {
@@ -355,13 +385,16 @@
     }
   if (n_journaled > 0)
     g_ptr_array_remove_range (sched->pending_ends, 0, n_journaled);
-  if (sched->pending_heartbeat != number)
-    return;
-  if (sched->begun_sent > 0)
-    g_array_remove_range (sched->pending_begun, 0, sched->begun_sent);
-  sched->begun_sent = 0;
-  for (guint i = 0; i < BTS_N_REPORTS; i++)
-    remove_sent (&sched->reports[i]);
+  for (guint i = 0; i < sched->sent_heartbeats->len; i++)
+    {
+      const bts_sent_heartbeat_t *sent
+          = &g_array_index (sched->sent_heartbeats, bts_sent_heartbeat_t, i);
+      if (sent->number != number)
+        continue;
+      sched->confirmed_us = MAX (sched->confirmed_us, sent->sent_us);
+      remove_sent (sched, i);
+      return;
+    }
 }
 
 /**
@@ -374,12 +407,8 @@
   g_ptr_array_set_size (sched->pending_ends, 0);
   g_array_set_size (sched->pending_begun, 0);
   for (guint i = 0; i < BTS_N_REPORTS; i++)
-    {
-      g_ptr_array_set_size (sched->reports[i].items, 0);
-      sched->reports[i].n_sent = 0;
-    }
-  sched->pending_heartbeat = 0;
-  sched->begun_sent = 0;
+    g_ptr_array_set_size (sched->reports[i], 0);
+  g_array_set_size (sched->sent_heartbeats, 0);
   sched->heartbeat_number = 0;
   sched->heartbeat_sent_us = 0;
   sched->heartbeat_in_flight = FALSE;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -23,7 +23,7 @@
  * @seq: sequence number of the end on that worker
  * @end: the end as it goes into a heartbeat; NULL if it doesn't count and only has to be
  *   acknowledged in order
- * @heartbeat: number of the heartbeat that carried it last; 0 if none has
+ * @heartbeat: number of the heartbeat that carried it first; 0 if none has
  */
 typedef struct
 {
@@ -52,15 +52,19 @@
 } bts_report_kind_t;
 
 /**
- * struct bts_report_t - items of one kind that the journal doesn't hold yet
- * @items: the items
- * @n_sent: how many of the first of them the newest heartbeat carried
+ * struct bts_sent_heartbeat_t - a heartbeat that hasn't been read back from the journal
+ * @number: its number
+ * @sent_us: when it was sent
+ * @n_begun: how many of the first jobs that have begun it carried
+ * @n_reports: the same of the reports of each kind
  */
 typedef struct
 {
-  GPtrArray *items;
-  guint n_sent;
-} bts_report_t;
+  guint64 number;
+  gint64 sent_us;
+  guint n_begun;
+  guint n_reports[BTS_N_REPORTS];
+} bts_sent_heartbeat_t;
 
 /**
  * struct bts_advice_turns_t - turns of overdue stages among the requests for advice
@@ -84,12 +88,11 @@
  * @prefetch: bts_stage_t for which advice is requested before they can start
  * @pending_ends: bts_pending_end_t in the order in which workers listed them
  * @pending_begun: numbers of jobs that have begun while the journal doesn't say so yet
- * @reports: by kind, what heartbeats have to report
+ * @reports: by kind, items that heartbeats have to report and the journal doesn't hold yet
  * @has_spare_memory: whether jobs take little memory
  * @job_bytes: memory that they take; reported in heartbeats
  * @append_ms: time that the newest append took; reported in heartbeats
- * @pending_heartbeat: number of the newest heartbeat, which carried the first @begun_sent items
- *   of @pending_begun, and those of @reports that are marked as sent; 0 if none was sent
+ * @sent_heartbeats: bts_sent_heartbeat_t by rising number
  * @heartbeat_number: number of the newest heartbeat
  * @heartbeat_sent_us: when the newest heartbeat was sent
  * @heartbeat_in_flight: the newest heartbeat hasn't been read back from the journal yet
@@ -152,12 +155,11 @@
   GPtrArray *prefetch;
   GPtrArray *pending_ends;
   GArray *pending_begun;
-  bts_report_t reports[BTS_N_REPORTS];
+  GPtrArray *reports[BTS_N_REPORTS];
   gboolean has_spare_memory;
   gsize job_bytes;
   guint append_ms;
-  guint64 pending_heartbeat;
-  guint begun_sent;
+  GArray *sent_heartbeats;
   guint64 heartbeat_number;
   gint64 heartbeat_sent_us;
   gboolean heartbeat_in_flight;
