Run slots: a worker that is full for a stage is asked once

Cause: for each task of a wide stage, each worker that had no run left for its job walked all tasks of the job and all of its own runs (97% of the owner's time in perf).

Change: a job counts its runs, and a worker keeps its last refusal until its runs change.

--- a/libbamboothread/scheduler/fleet.c
+++ b/libbamboothread/scheduler/fleet.c
@@ -46,6 +46,7 @@
 {
   bts_worker_entry_free (worker->entry);
   g_ptr_array_unref (worker->runs);
+  g_free (worker->slot_refusal);
   g_ptr_array_unref (worker->lost_runs);
   g_clear_pointer (&worker->remnant.tasks, g_hash_table_unref);
   g_free (worker->classes);
@@ -232,6 +233,8 @@
       worker->registered = TRUE;
       worker->started_ms = entry->started_ms;
       worker->runs = g_ptr_array_new ();
+      worker->slot_refusal = g_new0 (bts_slot_refusal_t, 1);
+      worker->slot_refusal->version = G_MAXUINT64;
       worker->lost_runs = g_ptr_array_new_with_free_func (lost_run_free);
       g_hash_table_insert (fleet->workers, entry->id, worker);
       update_pool (fleet, worker);
@@ -589,6 +592,7 @@
 void
 bts_worker_add_run (bts_worker_t *worker, bts_run_t *run)
 {
+  worker->runs_version++;
   run->worker = worker;
   g_ptr_array_add (worker->runs, run);
   bts_resources_add (&worker->used, &run->resources);
@@ -602,6 +606,7 @@
 void
 bts_worker_remove_run (bts_worker_t *worker, bts_run_t *run)
 {
+  worker->runs_version++;
   if (!g_ptr_array_remove_fast (worker->runs, run))
     return;
   bts_resources_subtract (&worker->used, &run->resources);
--- a/libbamboothread/scheduler/fleet.h
+++ b/libbamboothread/scheduler/fleet.h
@@ -177,6 +177,23 @@
   GHashTable *tasks;
 } bts_remnant_t;
 
+/**
+ * struct bts_slot_refusal_t - the last answer that no run of a worker is left for a stage
+ * @job: offset of the stage's job in the journal
+ * @occurrence: number of its occurrence
+ * @step: number of its step
+ * @job_has_run: whether anything of the job ran
+ * @version: number of changes to the runs of the worker by then
+ */
+typedef struct
+{
+  gint64 job;
+  guint occurrence;
+  guint step;
+  gboolean job_has_run;
+  guint64 version;
+} bts_slot_refusal_t;
+
 /**
  * struct bts_worker_t - a worker
  * @number: identifies it in this process; small, and never reused
@@ -196,6 +213,8 @@
  * @synced: it has listed its runs to this owner
  * @partly_listed: it has listed only the first of its ends to this owner
  * @runs: bts_run_t that may be on it
+ * @runs_version: number of changes to them
+ * @slot_refusal: see run_slots.c
  * @may_repeat: an order for one of @runs may have to be repeated
  * @lost_runs: bts_lost_run_t for which it isn't known yet whether the worker has crashed
  * @probation: crashes of the workers at its address; NULL if none is remembered
@@ -247,6 +266,8 @@
   gboolean synced;
   gboolean partly_listed;
   GPtrArray *runs;
+  guint64 runs_version;
+  bts_slot_refusal_t *slot_refusal;
   gboolean may_repeat;
   GPtrArray *lost_runs;
   bts_probation_t *probation;
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -300,6 +300,7 @@
  * @next_occurrence: the first one that this owner hasn't opened; see recurrence.c
  * @opened_us: when it last opened one
  * @n_tasks: number of tasks in one occurrence
+ * @n_runs: runs of its tasks that this owner knows
  * @paths_ms: by step, estimated time of what follows, see order.c; NULL until an owner needs it
  * @waiting_bytes: memory that it takes while it waits, see job_budget.c
  * @begun: whether a task was started, according to the journal
@@ -326,6 +327,7 @@
   guint next_occurrence;
   gint64 opened_us;
   guint n_tasks;
+  guint n_runs;
   gint64 *paths_ms;
   gsize waiting_bytes;
   gboolean begun;
--- a/libbamboothread/scheduler/occurrence.c
+++ b/libbamboothread/scheduler/occurrence.c
@@ -271,6 +271,7 @@
       task->done_pending = FALSE;
       bts_crash_clear (task);
     }
+  job->n_runs = 0;
   job->next_occurrence = 0;
   job->opened_us = 0;
   job->begun_reported = FALSE;
--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -88,6 +88,7 @@
     {
       run->checkpoint = g_strdup (initial_checkpoint (task));
       task->run = run;
+      task->stage->job->n_runs++;
     }
   bts_worker_add_run (worker, run);
   charge_tenant (sched, run);
@@ -113,6 +114,8 @@
 void
 bts_run_remove (bts_sched_t *sched, bts_run_t *run)
 {
+  if (run->task != NULL)
+    run->task->stage->job->n_runs--;
   if (run->task != NULL && run->task->run == run)
     run->task->run = NULL;
   bts_interference_on_run_removed (sched->fleet->interference, run, bts_sched_now (sched));
--- a/libbamboothread/scheduler/run_slots.c
+++ b/libbamboothread/scheduler/run_slots.c
@@ -61,22 +61,22 @@
   return n_own >= most ? 0 : (most - n_own + share) / (share + 1);
 }
 
+static guint
+count_members (const bts_stage_t *stage)
+{
+  guint n = 0;
+  const bts_task_t *task;
+  for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
+    n += task->run != NULL;
+  return n;
+}
+
 /* Whether anything of a job runs, other than the members of a gang that is being placed. */
 static gboolean
 has_run (const bts_stage_t *placed)
 {
-  bts_stage_walk_t walk = { 0 };
-  const bts_stage_t *stage;
-  while ((stage = bts_job_next_stage (placed->job, &walk)) != NULL)
-    {
-      const bts_task_t *task;
-      if (stage == placed && bts_stage_step (stage)->gang)
-        continue;
-      for (guint i = 0; (task = bts_stage_next_task (stage, &i)) != NULL;)
-        if (task->run != NULL)
-          return TRUE;
-    }
-  return FALSE;
+  guint n = placed->job->n_runs;
+  return n > 0 && (!bts_stage_step (placed)->gang || n > count_members (placed));
 }
 
 /* How many runs of a job may take slots that are left for jobs of which nothing runs: a gang needs
@@ -128,6 +128,31 @@
   return MIN (count_in_pool (&tally, n_slots, stage), n_max);
 }
 
+static guint
+count_slots (const bts_worker_t *worker, const bts_stage_t *stage, guint n_leaving, guint n_max)
+{
+  guint n = count_of_kind (worker, stage, FALSE, n_leaving, n_max);
+  if (n > 0 && bts_stage_step (stage)->long_running)
+    n = count_of_kind (worker, stage, TRUE, 0, n);
+  return n;
+}
+
+static bts_slot_refusal_t
+refusal_of (const bts_worker_t *worker, const bts_stage_t *stage)
+{
+  const bts_slot_refusal_t refusal = { stage->job->offset, stage->occurrence, stage->step,
+                                       stage->job->n_runs > 0, worker->runs_version };
+  return refusal;
+}
+
+static gboolean
+is_same_refusal (const bts_slot_refusal_t *left, const bts_slot_refusal_t *right)
+{
+  return left->job == right->job && left->occurrence == right->occurrence
+         && left->step == right->step && left->job_has_run == right->job_has_run
+         && left->version == right->version;
+}
+
 /**
  * bts_run_slots_count() - how many more tasks of a stage may run on a worker, whatever they take
  * @worker: the worker
@@ -135,14 +160,19 @@
  * @n_leaving: runs on it that are about to end, and whose slots count as free
  * @n_max: the number that is needed
  *
+ * All tasks of a wide stage are tried on a worker that is full for them, so that answer is kept.
+ *
  * Return: that number, at most @n_max.
  */
 guint
 bts_run_slots_count (const bts_worker_t *worker, const bts_stage_t *stage, guint n_leaving,
                      guint n_max)
 {
-  guint n = count_of_kind (worker, stage, FALSE, n_leaving, n_max);
-  if (n > 0 && bts_stage_step (stage)->long_running)
-    n = count_of_kind (worker, stage, TRUE, 0, n);
+  bts_slot_refusal_t refusal = refusal_of (worker, stage);
+  if (n_leaving == 0 && is_same_refusal (&refusal, worker->slot_refusal))
+    return 0;
+  guint n = count_slots (worker, stage, n_leaving, n_max);
+  if (n_leaving == 0 && n == 0)
+    *worker->slot_refusal = refusal;
   return n;
 }
