--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -65,6 +65,7 @@
   X (APPEND_UNKNOWN, "store_appends_total", "outcome=\"unknown\"")                                 \
   X (SNAPSHOTS, "job_snapshots_total", "attempt=\"first\"")                                        \
   X (SNAPSHOTS_REPEATED, "job_snapshots_total", "attempt=\"repeated\"")                            \
+  X (RECORDS_TOO_LARGE, "records_too_large_total", "")                                             \
   X (RECORDS, "journal_records_total", "")                                                         \
   X (READS_FAILED, "journal_reads_failed_total", "")                                               \
   X (TABLES_READS_FAILED, "tables_reads_failed_total", "")                                         \
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -271,6 +271,21 @@
   append (context, TOKEN_NONE, record);
 }
 
+static void
+sched_append_snapshot (void *context, const Bts__Record *record)
+{
+  bts_node_t *node = context;
+  g_autoptr (GBytes) bytes = bts_message_pack (&record->base);
+  node->ops->append_snapshot (node->context, bytes);
+}
+
+static gsize
+sched_snapshot_backlog (void *context)
+{
+  const bts_node_t *node = context;
+  return node->ops->snapshot_backlog (node->context);
+}
+
 /* Messages to other processes and replies to theirs. */
 
 static void
@@ -318,8 +333,9 @@
 }
 
 static const bts_sched_ops_t sched_ops
-    = { sched_send_hold,      sched_send_start, sched_send_stop,  sched_append,
-        sched_request_advice, sched_fenced,     sched_now_unix_ms };
+    = { sched_send_hold,      sched_send_start,      sched_send_stop,
+        sched_append,         sched_append_snapshot, sched_snapshot_backlog,
+        sched_request_advice, sched_fenced,          sched_now_unix_ms };
 
 /* Callbacks of the client requests, the forwarder, the spec reader and the advice client. */
 
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -26,6 +26,9 @@
 /**
  * struct bts_node_ops_t - callbacks for outgoing messages
  * @append: append a record to the journal; completed by bts_node_on_append()
+ * @append_snapshot: append a record to the journal that holds what is in it already; no result is
+ *   given, and other records don't wait for it
+ * @snapshot_backlog: bytes of such records that wait to be sent
  * @append_spec: append a record to the log of specs; completed by bts_node_on_spec_append()
  * @read_specs: deliver the records of the log of specs from offset @from on to
  *   bts_node_on_spec(); a negative offset stops the delivery
@@ -40,6 +43,8 @@
 typedef struct
 {
   void (*append) (void *context, guint64 token, GBytes *record);
+  void (*append_snapshot) (void *context, GBytes *record);
+  gsize (*snapshot_backlog) (void *context);
   void (*append_spec) (void *context, guint64 token, GBytes *spec);
   void (*read_specs) (void *context, gint64 from);
   void (*hold) (void *context, const bts_worker_t *worker, const bts_hold_order_t *order);
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -136,6 +136,9 @@
  * @stop: sends a stop order; the result comes to bts_sched_on_stop_reply()
  * @append: appends a record to the journal; the record may get lost, otherwise it is
  *   read back through the ledger
+ * @append_snapshot: the same for a record that holds what is in the journal already, which must not
+ *   delay others
+ * @snapshot_backlog: bytes of such records that wait to be sent
  * @request_advice: has the process @node, which receives messages at @address, ask the
  *   advice service which of the workers in @ask may run a stage; the reply comes to
  *   bts_sched_on_advice()
@@ -150,6 +153,8 @@
   void (*start) (void *context, const bts_run_t *run, const bts_start_order_t *order);
   void (*stop) (void *context, const bts_run_t *run, guint64 fence);
   void (*append) (void *context, const Bts__Record *record);
+  void (*append_snapshot) (void *context, const Bts__Record *record);
+  gsize (*snapshot_backlog) (void *context);
   void (*request_advice) (void *context, const char *node, const char *address,
                           const Bts__Ask *ask);
   void (*fenced) (void *context);
@@ -161,6 +166,7 @@
  * @hold_max_ms: longest lease that a worker grants
  * @early_ms: how long before its due time an occurrence of a recurring job may start
  * @retention_ms: how long the log keeps records; 0 if it keeps them forever
+ * @record_bytes: size of the largest record that the log takes
  * @urgent_quota_percent: largest share of a tenant's cap that is kept for its urgent work
  * @interference: whether to learn which tasks slow each other down, and to keep them apart
  */
@@ -169,6 +175,7 @@
   guint hold_max_ms;
   guint early_ms;
   guint retention_ms;
+  gsize record_bytes;
   guint urgent_quota_percent;
   gboolean interference;
 } bts_sched_config_t;
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -32,6 +32,9 @@
 #define ENDED_PER_CHECK_MAX 2000
 /* Most ended jobs in one record; keeps it far below the store's size limit of a record. */
 #define ENDED_PER_RECORD_MAX 1000
+/* No further jobs are written while so many bytes of snapshots wait to be sent: those wait no
+   longer than it takes until they are written again. */
+#define BACKLOG_MAX_BYTES (512 * 1024)
 /* Time after which a snapshot that wasn't read back is appended again, in microseconds. */
 #define SNAPSHOT_RETRY_US (1000 * 1000)
 /* A job whose newest snapshot is older than this many snapshot intervals is reported. */
@@ -73,7 +76,7 @@
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_STANDING;
   record.standing = &standing;
-  sched->ops->append (sched->context, &record);
+  sched->ops->append_snapshot (sched->context, &record);
   if (standing.interference != NULL)
     bts__interference__free_unpacked (standing.interference, NULL);
 }
@@ -111,7 +114,7 @@
       Bts__Record record = BTS__RECORD__INIT;
       record.kind_case = BTS__RECORD__KIND_BARS;
       record.bars = snapshots->pdata[i];
-      sched->ops->append (sched->context, &record);
+      sched->ops->append_snapshot (sched->context, &record);
     }
 }
 
@@ -128,7 +131,7 @@
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_ENDED;
   record.ended = &ended;
-  sched->ops->append (sched->context, &record);
+  sched->ops->append_snapshot (sched->context, &record);
 }
 
 /* Appends the snapshots of jobs that have ended. */
@@ -216,7 +219,7 @@
 append_record (void *context, const Bts__Record *record)
 {
   const bts_sched_t *sched = context;
-  sched->ops->append (sched->context, record);
+  sched->ops->append_snapshot (sched->context, record);
 }
 
 /* Shows how old the newest snapshot of a job is at most, up to the next one that is read back. */
@@ -252,25 +255,29 @@
       = MAX (n_jobs * (gint64)CHECK_INTERVAL_US * CATCH_UP_DIVISOR / retention_us, BATCH_MIN);
   g_autoptr (GPtrArray) due = find_due_jobs (sched, now_us);
   report_age (sched, due, now_us);
-  g_autoptr (GPtrArray) live = g_ptr_array_new ();
+  gint64 n_live = 0;
   g_autoptr (GPtrArray) ended = g_ptr_array_new ();
   for (guint i = 0; i < due->len; i++)
     {
       bts_job_t *job = due->pdata[i];
       gboolean has_ended = bts_job_has_ended (job);
-      if (has_ended ? ended->len >= ENDED_PER_CHECK_MAX : live->len >= batch)
+      if (has_ended ? ended->len >= ENDED_PER_CHECK_MAX
+                    : n_live >= batch
+                          || sched->ops->snapshot_backlog (sched->context) >= BACKLOG_MAX_BYTES)
         continue;
       if (!has_ended)
         bt_metrics_count (job->snapshot_sent_us > snapshot_time_us (sched, job)
                               ? BT_COUNT_SNAPSHOTS_REPEATED
                               : BT_COUNT_SNAPSHOTS);
       job->snapshot_sent_us = now_us;
-      g_ptr_array_add (has_ended ? ended : live, job);
-    }
-  for (guint i = 0; i < live->len; i++)
-    {
+      if (has_ended)
+        {
+          g_ptr_array_add (ended, job);
+          continue;
+        }
+      n_live++;
       const bts_job_snapshot_t snapshot
-          = { live->pdata[i], sched->term, bts_ledger_next_offset (sched->ledger) };
+          = { job, sched->term, bts_ledger_next_offset (sched->ledger) };
       bts_job_snapshot_write (&snapshot, append_record, sched);
     }
   append_ended_jobs (sched, ended);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -266,6 +266,13 @@
   append->token = token;
   append->record = g_bytes_ref (record);
   append->sent_us = now (sim);
+  if (g_bytes_get_size (record) > SIM_RECORD_BYTES)
+    {
+      violate (sim, "SIZE a record of %zu bytes", g_bytes_get_size (record));
+      append->stored = BTS_APPEND_REFUSED;
+      post (node, 2 * SIM_DELAY_US, append_answered, append, append_free);
+      return;
+    }
   if (sim->append_serial)
     {
       g_ptr_array_add (node->batch, append);
@@ -301,6 +308,24 @@
   post (node, lost ? APPEND_TIMEOUT_US : delay_us, append_answered, append, append_free);
 }
 
+static void
+op_append_snapshot (void *context, GBytes *record)
+{
+  const sim_node_t *node = context;
+  if (node->sim->lost_snapshots > 0 && g_bytes_get_size (record) >= SIM_LARGE_BYTES)
+    {
+      node->sim->lost_snapshots--;
+      return;
+    }
+  op_append (context, 0, record);
+}
+
+static gsize
+op_snapshot_backlog (void *context)
+{
+  return 0;
+}
+
 typedef struct
 {
   sim_node_t *node;
@@ -1515,6 +1540,8 @@
 
 static const bts_node_ops_t node_ops = {
   .append = op_append,
+  .append_snapshot = op_append_snapshot,
+  .snapshot_backlog = op_snapshot_backlog,
   .append_spec = op_append_spec,
   .read_specs = op_read_specs,
   .hold = op_hold,
@@ -1777,6 +1804,7 @@
   config.sched.early_ms = 250;
   config.sched.urgent_quota_percent = BTS_HEADROOM_PERCENT;
   config.sched.retention_ms = sim->keep_ms;
+  config.sched.record_bytes = SIM_RECORD_BYTES;
   config.sched.interference = sim->interference;
   node->node = bts_node_new (&config, &sim->clock, &node_ops, node);
   node->was_leading = FALSE;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -34,6 +34,9 @@
 /* Images of tasks that are slowed down, and of those that slow them down. */
 #define SIM_SLOWED "slowed"
 #define SIM_NOISY "noisy"
+/* Size of the largest record that the log takes, and from which on a snapshot counts as large. */
+#define SIM_RECORD_BYTES (256 * 1024)
+#define SIM_LARGE_BYTES (16 * 1024)
 /* Most ends in one list of a worker. */
 #define SIM_LIST_ENDS_MAX 500
 
@@ -219,6 +222,7 @@
  * @lose_percent: share of appends that are done and not answered
  * @append_us: time of an append
  * @append_free_us: when the log will have got through its appends, if @append_serial
+ * @lost_snapshots: so many large snapshots are lost on their way to the log
  * @append_serial: the log works on one call at a time and refuses those that would wait
  *   for too long; a process has one call open, and further records go with its next one
  * @keep_ms: how long the log keeps records, told to processes as they start; 0 for ever
@@ -281,6 +285,7 @@
   gboolean store_refuses;
   guint lose_percent;
   gint64 append_us;
+  guint lost_snapshots;
   gboolean append_serial;
   gint64 append_free_us;
   gint64 late_append_us;
