--- a/libbamboothread/scheduler/early_ends.c
+++ b/libbamboothread/scheduler/early_ends.c
@@ -34,7 +34,8 @@
 early_end_free (gpointer data)
 {
   bts_early_end_t *early = data;
-  bts__end__free_unpacked (early->end, NULL);
+  if (early->end != NULL)
+    bts__end__free_unpacked (early->end, NULL);
   g_free (early);
 }
 
--- a/libbamboothread/scheduler/job.c
+++ b/libbamboothread/scheduler/job.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/error.h"
+#include "libbamboothread/scheduler/job_parts.h"
 
 /* Part of a ticket's validity left for the start order to reach the worker, in
    microseconds. */
@@ -167,6 +168,7 @@
   bts_job_clear_occurrences (job);
   g_ptr_array_unref (job->occurrences);
   bts_ranges_free (job->done);
+  bts_job_parts_free (job->parts);
   g_free (job->paths_ms);
   bts__accepted__free_unpacked (job->accepted, NULL);
   g_free (job);
@@ -315,6 +317,7 @@
   ProtobufCBinaryData *spec = &job->accepted->spec;
   g_clear_pointer (&spec->data, free);
   spec->len = 0;
+  g_clear_pointer (&job->parts, bts_job_parts_free);
   bts_stage_walk_t walk = { 0 };
   bts_stage_t *stage;
   while ((stage = bts_job_next_stage (job, &walk)) != NULL)
--- a/libbamboothread/scheduler/job.h
+++ b/libbamboothread/scheduler/job.h
@@ -281,6 +281,8 @@
   guint task;
 } bts_task_walk_t;
 
+typedef struct bts_job_parts_t bts_job_parts_t;
+
 /**
  * struct bts_job_t - a job of the journal
  * @accepted: the record that created it, without the spec once the job has ended
@@ -293,6 +295,7 @@
  *   that was in a replay, so that the record's age is unknown
  * @snapshot_offset: who has read the journal from this offset on knows the whole job
  * @snapshot_sent_us: when this process, as the owner, last appended a snapshot of the job
+ * @parts: what was read of a snapshot in several parts, see job_parts.h; NULL if none is incomplete
  * @ended_us: when this process saw the job end; 0 before
  * @occurrences: bts_occurrence_t in ascending order, without those that haven't been created or
  *   were removed; see occurrence.c
@@ -321,6 +324,7 @@
   gint64 snapshot_us;
   gint64 snapshot_offset;
   gint64 snapshot_sent_us;
+  bts_job_parts_t *parts;
   gint64 ended_us;
   GPtrArray *occurrences;
   bts_ranges_t *done;
--- a/libbamboothread/scheduler/job_snapshot.h
+++ b/libbamboothread/scheduler/job_snapshot.h
@@ -4,9 +4,10 @@
 #include "libbamboothread/scheduler/job.h"
 
 /*
- * The snapshot of a job that hasn't ended: a Kept record with the state of its tasks as of a point
+ * The snapshot of a job that hasn't ended: Kept records with the state of its tasks as of a point
  * in the journal. Ends that are on their way into the journal land after that point, so that a
- * snapshot can be written at any moment.
+ * snapshot can be written at any moment. Each record is about some tasks in a row, so that none of
+ * them outgrows what the log takes, however many tasks have ended; see job_parts.h.
  */
 
 /**
@@ -21,12 +22,14 @@
  * @job: the job, which hasn't ended
  * @term: term of the owner that writes it
  * @seen: offset after the newest record that the owner has folded
+ * @record_bytes: most bytes of a record
  */
 typedef struct
 {
   const bts_job_t *job;
   guint64 term;
   gint64 seen;
+  gsize record_bytes;
 } bts_job_snapshot_t;
 
 void bts_job_snapshot_write (const bts_job_snapshot_t *snapshot, bts_job_snapshot_append_f append,
--- a/libbamboothread/scheduler/ledger.c
+++ b/libbamboothread/scheduler/ledger.c
@@ -5,7 +5,7 @@
 #include "libbamboothread/base/error.h"
 #include "libbamboothread/scheduler/blame.h"
 #include "libbamboothread/scheduler/early_ends.h"
-#include "libbamboothread/scheduler/job_cover.h"
+#include "libbamboothread/scheduler/job_parts.h"
 
 /* Name for the owner of a term whose claim was deleted before this process could read it. */
 #define OWNER_UNKNOWN ""
@@ -579,7 +579,17 @@
   remove_outdated_jobs (ledger, oldest_needed);
 }
 
-/* Keeps the ends of jobs that aren't known yet. The heartbeat then lacks them. */
+/* Whether an end can be folded: its job and the earlier state of its task are known. */
+static gboolean
+is_end_due (const bts_ledger_t *ledger, const Bts__End *end)
+{
+  char id[BTS_JOB_ID_LEN + 1];
+  bts_job_id_from_number (end->job, id);
+  const bts_job_t *job = bts_ledger_job (ledger, id);
+  return job != NULL && bts_job_parts_has_state (job, end->occurrence, end->step, end->index);
+}
+
+/* Keeps the ends that can't be folded yet. The heartbeat then lacks them. */
 static void
 keep_early_ends (bts_ledger_t *ledger, Bts__Beat *heartbeat, gint64 offset, gint64 now_us)
 {
@@ -587,9 +597,7 @@
   for (gsize i = 0; i < heartbeat->n_ends; i++)
     {
       Bts__End *end = heartbeat->ends[i];
-      char id[BTS_JOB_ID_LEN + 1];
-      bts_job_id_from_number (end->job, id);
-      if (bts_ledger_job (ledger, id) != NULL)
+      if (is_end_due (ledger, end))
         heartbeat->ends[n_left++] = end;
       else
         bts_early_ends_add (ledger->early_ends, end, offset, now_us);
@@ -603,8 +611,12 @@
   g_autoptr (GPtrArray) ends = bts_early_ends_take (ledger->early_ends, bts_job_number (job));
   for (guint i = 0; ends != NULL && i < ends->len; i++)
     {
-      const bts_early_end_t *early = ends->pdata[i];
-      fold_end (ledger, early->end, early->offset, now_us);
+      bts_early_end_t *early = ends->pdata[i];
+      if (is_end_due (ledger, early->end))
+        fold_end (ledger, early->end, early->offset, now_us);
+      else
+        bts_early_ends_add (ledger->early_ends, g_steal_pointer (&early->end), early->offset,
+                            now_us);
     }
 }
 
@@ -660,6 +672,14 @@
     bts_task_set_done (task);
 }
 
+static void
+set_tasks_done (bts_job_t *job, const Bts__TaskRange *range)
+{
+  bts_stage_t *stage = bts_job_stage (job, range->occurrence, range->step);
+  for (guint64 i = range->first; stage != NULL && i <= range->last && i < stage->n_tasks; i++)
+    bts_task_set_done (bts_stage_task (stage, (guint)i));
+}
+
 /* Takes a missing spec from a job's snapshot: the log of specs may have deleted it. */
 static void
 move_spec (bts_job_t *job, Bts__Accepted *snapshot)
@@ -699,6 +719,7 @@
       return FALSE;
     }
   g_autofree char *id = g_strdup (snapshot->accepted->id);
+  gboolean is_new = bts_ledger_job (ledger, id) == NULL;
   if (!fold_accepted (ledger, &snapshot->accepted, offset, now_us, error))
     return FALSE;
   bts_job_t *job = bts_ledger_job (ledger, id);
@@ -706,13 +727,20 @@
     return TRUE;
   if (snapshot->accepted != NULL && !bts_job_has_ended (job))
     move_spec (job, snapshot->accepted);
-  if (bts_job_is_covered (job, snapshot))
+  if (is_new && snapshot->seen != 0)
+    {
+      job->snapshot_offset = (gint64)snapshot->seen;
+      bts_job_parts_begin (job);
+    }
+  if (bts_job_parts_add (job, snapshot, ledger->read_from))
     set_snapshot_read (ledger, job, snapshot->seen == 0 ? offset : (gint64)snapshot->seen, now_us);
   if (bts_job_has_ended (job))
     return TRUE;
   job->begun = job->begun || snapshot->begun;
   for (gsize i = 0; i < snapshot->n_done; i++)
     bts_job_set_done_range (job, snapshot->done[i]->first, snapshot->done[i]->last);
+  for (gsize i = 0; i < snapshot->n_done_tasks; i++)
+    set_tasks_done (job, snapshot->done_tasks[i]);
   for (gsize i = 0; i < snapshot->n_tasks; i++)
     {
       const Bts__TaskState *state = snapshot->tasks[i];
--- a/libbamboothread/scheduler/snapshot.c
+++ b/libbamboothread/scheduler/snapshot.c
@@ -277,7 +277,8 @@
         }
       n_live++;
       const bts_job_snapshot_t snapshot
-          = { job, sched->term, bts_ledger_next_offset (sched->ledger) };
+          = { job, sched->term, bts_ledger_next_offset (sched->ledger),
+              sched->config.record_bytes };
       bts_job_snapshot_write (&snapshot, append_record, sched);
     }
   append_ended_jobs (sched, ended);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -907,6 +907,96 @@
   assert(message->base.descriptor == &bts__task_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__task_range__init
+                     (Bts__TaskRange         *message)
+{
+  static const Bts__TaskRange init_value = BTS__TASK_RANGE__INIT;
+  *message = init_value;
+}
+size_t bts__task_range__get_packed_size
+                     (const Bts__TaskRange *message)
+{
+  assert(message->base.descriptor == &bts__task_range__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__task_range__pack
+                     (const Bts__TaskRange *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__task_range__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__task_range__pack_to_buffer
+                     (const Bts__TaskRange *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__task_range__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__TaskRange *
+       bts__task_range__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__TaskRange *)
+     protobuf_c_message_unpack (&bts__task_range__descriptor,
+                                allocator, len, data);
+}
+void   bts__task_range__free_unpacked
+                     (Bts__TaskRange *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__task_range__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__place__init
+                     (Bts__Place         *message)
+{
+  static const Bts__Place init_value = BTS__PLACE__INIT;
+  *message = init_value;
+}
+size_t bts__place__get_packed_size
+                     (const Bts__Place *message)
+{
+  assert(message->base.descriptor == &bts__place__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__place__pack
+                     (const Bts__Place *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__place__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__place__pack_to_buffer
+                     (const Bts__Place *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__place__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Place *
+       bts__place__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Place *)
+     protobuf_c_message_unpack (&bts__place__descriptor,
+                                allocator, len, data);
+}
+void   bts__place__free_unpacked
+                     (Bts__Place *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__place__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__range__init
                      (Bts__Range         *message)
 {
@@ -3683,6 +3773,147 @@
   (ProtobufCMessageInit) bts__task_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bts__task_range__field_descriptors[4] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskRange, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskRange, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "first",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskRange, first),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__TaskRange, last),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__task_range__field_indices_by_name[] = {
+  2,   /* field[2] = first */
+  3,   /* field[3] = last */
+  0,   /* field[0] = occurrence */
+  1,   /* field[1] = step */
+};
+static const ProtobufCIntRange bts__task_range__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor bts__task_range__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.TaskRange",
+  "TaskRange",
+  "Bts__TaskRange",
+  "bts",
+  sizeof(Bts__TaskRange),
+  4,
+  bts__task_range__field_descriptors,
+  bts__task_range__field_indices_by_name,
+  1,  bts__task_range__number_ranges,
+  (ProtobufCMessageInit) bts__task_range__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__place__field_descriptors[3] =
+{
+  {
+    "occurrence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Place, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Place, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Place, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__place__field_indices_by_name[] = {
+  2,   /* field[2] = index */
+  0,   /* field[0] = occurrence */
+  1,   /* field[1] = step */
+};
+static const ProtobufCIntRange bts__place__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor bts__place__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Place",
+  "Place",
+  "Bts__Place",
+  "bts",
+  sizeof(Bts__Place),
+  3,
+  bts__place__field_descriptors,
+  bts__place__field_indices_by_name,
+  1,  bts__place__number_ranges,
+  (ProtobufCMessageInit) bts__place__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bts__range__field_descriptors[2] =
 {
   {
@@ -3734,7 +3965,7 @@
   (ProtobufCMessageInit) bts__range__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__kept__field_descriptors[8] =
+static const ProtobufCFieldDescriptor bts__kept__field_descriptors[13] =
 {
   {
     "accepted",
@@ -3832,22 +4063,87 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "done_tasks",
+    42,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Kept, n_done_tasks),
+    offsetof(Bts__Kept, done_tasks),
+    &bts__task_range__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n_parts",
+    44,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, n_parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, from),
+    &bts__place__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "until",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Kept, until),
+    &bts__place__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__kept__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
   1,   /* field[1] = begun */
   2,   /* field[2] = cancelled */
   6,   /* field[6] = done */
+  8,   /* field[8] = done_tasks */
   3,   /* field[3] = failed */
+  11,   /* field[11] = from */
+  10,   /* field[10] = n_parts */
+  9,   /* field[9] = part */
   7,   /* field[7] = seen */
   4,   /* field[4] = tasks */
   5,   /* field[5] = term */
+  12,   /* field[12] = until */
 };
 static const ProtobufCIntRange bts__kept__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 40, 6 },
-  { 0, 8 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor bts__kept__descriptor =
 {
@@ -3857,7 +4153,7 @@
   "Bts__Kept",
   "bts",
   sizeof(Bts__Kept),
-  8,
+  13,
   bts__kept__field_descriptors,
   bts__kept__field_indices_by_name,
   2,  bts__kept__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -35,6 +35,8 @@
 typedef struct Bts__Held Bts__Held;
 typedef struct Bts__Beat Bts__Beat;
 typedef struct Bts__TaskState Bts__TaskState;
+typedef struct Bts__TaskRange Bts__TaskRange;
+typedef struct Bts__Place Bts__Place;
 typedef struct Bts__Range Bts__Range;
 typedef struct Bts__Kept Bts__Kept;
 typedef struct Bts__Ended Bts__Ended;
@@ -568,6 +570,37 @@
     , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, NULL }
 
 
+/*
+ * Tasks of a step whose numbers follow each other.
+ */
+struct  Bts__TaskRange
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t first;
+  uint32_t last;
+};
+#define BTS__TASK_RANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__task_range__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * The place of a task among those of its job.
+ */
+struct  Bts__Place
+{
+  ProtobufCMessage base;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+};
+#define BTS__PLACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__place__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * Numbers that follow each other.
  */
@@ -583,7 +616,8 @@
 
 
 /*
- * A snapshot of a job, written before retention deletes the records it was made from.
+ * A snapshot of a job, written before retention deletes the records it was made from. One that is
+ * too large for a record is cut into several, its parts, which fold in any order.
  */
 struct  Bts__Kept
 {
@@ -611,10 +645,28 @@
    * What the records from there on say of the job may be missing here.
    */
   uint64_t seen;
+  /*
+   * Tasks that are done, in the order of the tasks; those aren't in @tasks. Older versions write and
+   * read none.
+   */
+  size_t n_done_tasks;
+  Bts__TaskRange **done_tasks;
+  /*
+   * Number of this part, and of all parts; 0 for a whole snapshot. Parts of one snapshot have the
+   * same term and the same number of records seen.
+   */
+  uint32_t part;
+  uint32_t n_parts;
+  /*
+   * The part is about the tasks from this one on, and those before the other one; without that, up
+   * to the last. It is about the occurrences whose first task is among them, too.
+   */
+  Bts__Place *from;
+  Bts__Place *until;
 };
 #define BTS__KEPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__kept__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , NULL, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0, NULL, NULL }
 
 
 /*
@@ -1232,6 +1284,44 @@
 void   bts__task_state__free_unpacked
                      (Bts__TaskState *message,
                       ProtobufCAllocator *allocator);
+/* Bts__TaskRange methods */
+void   bts__task_range__init
+                     (Bts__TaskRange         *message);
+size_t bts__task_range__get_packed_size
+                     (const Bts__TaskRange   *message);
+size_t bts__task_range__pack
+                     (const Bts__TaskRange   *message,
+                      uint8_t             *out);
+size_t bts__task_range__pack_to_buffer
+                     (const Bts__TaskRange   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__TaskRange *
+       bts__task_range__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__task_range__free_unpacked
+                     (Bts__TaskRange *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Place methods */
+void   bts__place__init
+                     (Bts__Place         *message);
+size_t bts__place__get_packed_size
+                     (const Bts__Place   *message);
+size_t bts__place__pack
+                     (const Bts__Place   *message,
+                      uint8_t             *out);
+size_t bts__place__pack_to_buffer
+                     (const Bts__Place   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Place *
+       bts__place__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__place__free_unpacked
+                     (Bts__Place *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Range methods */
 void   bts__range__init
                      (Bts__Range         *message);
@@ -1522,6 +1612,12 @@
 typedef void (*Bts__TaskState_Closure)
                  (const Bts__TaskState *message,
                   void *closure_data);
+typedef void (*Bts__TaskRange_Closure)
+                 (const Bts__TaskRange *message,
+                  void *closure_data);
+typedef void (*Bts__Place_Closure)
+                 (const Bts__Place *message,
+                  void *closure_data);
 typedef void (*Bts__Range_Closure)
                  (const Bts__Range *message,
                   void *closure_data);
@@ -1584,6 +1680,8 @@
 extern const ProtobufCMessageDescriptor bts__held__descriptor;
 extern const ProtobufCMessageDescriptor bts__beat__descriptor;
 extern const ProtobufCMessageDescriptor bts__task_state__descriptor;
+extern const ProtobufCMessageDescriptor bts__task_range__descriptor;
+extern const ProtobufCMessageDescriptor bts__place__descriptor;
 extern const ProtobufCMessageDescriptor bts__range__descriptor;
 extern const ProtobufCMessageDescriptor bts__kept__descriptor;
 extern const ProtobufCMessageDescriptor bts__ended__descriptor;
--- a/tests/test_job_snapshot.c
+++ b/tests/test_job_snapshot.c
@@ -138,11 +138,109 @@
 }
 END_TEST
 
+/* What disturbs the processes while the state of a job is larger than a record. */
+typedef enum
+{
+  ROLLING_RESTART,
+  POWER_LOST,
+  PARTS_LOST,
+  OWNERS_KILLED,
+} trouble_t;
+
+/* Short tasks of each time of a wide job, which take so little that all of them run at once. */
+#define WIDE 2000
+#define WIDE_TIMES 14
+
+static const sim_policy_t wide_recurring = {
+  .service = "main", .priority = 0, .attempts = 100, .repeat = WIDE_TIMES, .interval_ms = 1000
+};
+
+/**
+ * Jobs whose state outgrows a record: of each time of them the short tasks have ended, and one runs
+ * for long.
+ * @jobs: how many at once
+ * @steps: number of the steps that have the short tasks; those of one step make a range
+ * @saves: tasks have checkpoints
+ * @fails: every third worker fails what it runs
+ */
+static const struct
+{
+  const char *name;
+  trouble_t trouble;
+  guint jobs;
+  guint steps;
+  gboolean saves;
+  gboolean fails;
+} wide_jobs[] = {
+  { "rolling restart", ROLLING_RESTART, 1, 1, FALSE, FALSE },
+  { "two jobs, rolling restart", ROLLING_RESTART, 2, 1, FALSE, FALSE },
+  { "checkpoints and failures, power lost", POWER_LOST, 1, 1, TRUE, TRUE },
+  { "many steps, rolling restart", ROLLING_RESTART, 1, WIDE, FALSE, FALSE },
+  { "many steps, parts lost", PARTS_LOST, 1, WIDE, FALSE, FALSE },
+  { "many steps, owners killed", OWNERS_KILLED, 1, WIDE, FALSE, FALSE },
+};
+
+static void
+disturb (sim_t *sim, trouble_t trouble)
+{
+  if (trouble == POWER_LOST)
+    {
+      lose_power (sim);
+      return;
+    }
+  if (trouble == PARTS_LOST)
+    {
+      sim->lost_snapshots = 1;
+      sim_run_ms (sim, 8000);
+      ck_assert_uint_eq (sim->lost_snapshots, 0);
+    }
+  for (guint i = 0; i < sim->nodes->len; i++)
+    {
+      guint node = trouble == OWNERS_KILLED ? (guint)sim_owner (sim) : i;
+      sim_kill (sim, node);
+      sim_run_ms (sim, 700);
+      sim_start (sim, node);
+      sim_run_ms (sim, 2500);
+    }
+}
+
+/* Guards against a snapshot that outgrows the largest record and is refused again and again, until
+   the log has deleted what is known of the job (review/13). */
+START_TEST (wide_job_outlives_its_owners)
+{
+  sim_t *sim = sim_with_retention (2, 14);
+  for (guint i = 0; i < 14 && wide_jobs[_i].fails; i += 3)
+    sim_worker (sim, i)->fails = TRUE;
+  guint n_steps = wide_jobs[_i].steps;
+  g_autofree sim_step_t *steps = g_new0 (sim_step_t, n_steps + 1);
+  for (guint i = 0; i < n_steps; i++)
+    steps[i] = (sim_step_t){
+      .count = WIDE / n_steps, .cpu = 5, .memory = 5, .ms = 200, .saves = wide_jobs[_i].saves
+    };
+  steps[n_steps] = (sim_step_t){ .count = 1, .cpu = 1000, .memory = 100, .ms = 60000, .after = 1 };
+  for (guint i = 0; i < wide_jobs[_i].jobs; i++)
+    sim_submit (sim, 0, &wide_recurring, steps, n_steps + 1);
+  sim_run_ms (sim, 2 * KEEP_MS);
+  disturb (sim, wide_jobs[_i].trouble);
+  sim_run_ms (sim, 8000);
+  trim_log (sim);
+  sim_restart (sim);
+  sim_run_ms (sim, 6000);
+  expect_known (sim, wide_jobs[_i].name);
+  sim_run_ms (sim, 70000);
+  if (!wide_jobs[_i].fails)
+    ck_assert_uint_eq (sim_count_state (sim, BTS_JOB_COMPLETED), sim->jobs->len);
+  sim_check (sim);
+  sim_free (sim);
+}
+END_TEST
+
 int
 main (void)
 {
   TCase *tests = tcase_create ("job_snapshot");
   tcase_set_timeout (tests, 240);
+  tcase_add_loop_test (tests, wide_job_outlives_its_owners, 0, G_N_ELEMENTS (wide_jobs));
   tcase_add_loop_test (tests, busy_job_outlives_a_loss_of_power, 0, G_N_ELEMENTS (busy_jobs));
   return suite_run ("job_snapshot", tests);
 }
