Heartbeats: what one carries is bounded by bytes

Cause: a heartbeat listed all workers that had fallen silent with all that was just starting on them, and all jobs that had begun. Its size followed from the tasks that callers submit; above a record it would be refused each time.

Change: ends, reports of each kind and jobs that have begun each have a bound; what is left goes with the next one.

Evidence: 40 workers with 700 tasks each fall silent just after they have started them: the largest record had 97,914 bytes, and is below 65,536 now (heartbeat_fits_into_a_record failed before). One above the 262,144 bytes of a record was not brought about.

--- a/libbamboothread/scheduler/heartbeat.c
+++ b/libbamboothread/scheduler/heartbeat.c
@@ -23,8 +23,14 @@
 #define HEARTBEAT_RETRY_US (700 * 1000)
 /* Most heartbeats whose way back is awaited. */
 #define SENT_MAX 32
-/* Most ends in one record; keeps it far below the store's size limit of a record. */
+/* Most ends in one record, most bytes of them, of the reports of each kind, and most jobs that have
+   begun; they keep it below the store's size limit of a record. What is left goes with the next. */
 #define HEARTBEAT_ENDS_MAX 1000
+#define HEARTBEAT_ENDS_BYTES (64 * 1024)
+#define HEARTBEAT_REPORT_BYTES (24 * 1024)
+#define HEARTBEAT_BEGUN_MAX 2000
+/* Bytes of a field beside its value. */
+#define FIELD_BYTES 5
 
 static void
 pending_end_free (gpointer data)
@@ -217,20 +223,61 @@
   add_report (sched, BTS_REPORT_RELEASED, g_strdup (worker->entry->id));
 }
 
+static gsize
+report_bytes (bts_report_kind_t kind, gconstpointer item)
+{
+  return FIELD_BYTES
+         + (kind == BTS_REPORT_RELEASED ? strlen (item)
+                                        : protobuf_c_message_get_packed_size (item));
+}
+
+/* The first reports of a kind: as many as fit, and at least one. */
 static gpointer *
 list_reports (const bts_sched_t *sched, bts_report_kind_t kind, gsize *n)
 {
-  *n = sched->reports[kind]->len;
-  return sched->reports[kind]->pdata;
+  const GPtrArray *reports = sched->reports[kind];
+  gsize bytes = 0;
+  for (*n = 0; *n < reports->len; (*n)++)
+    {
+      bytes += report_bytes (kind, reports->pdata[*n]);
+      if (*n > 0 && bytes > HEARTBEAT_REPORT_BYTES)
+        break;
+    }
+  return reports->pdata;
+}
+
+/* The first ends that wait, as many as fit. */
+static GPtrArray *
+list_ends (bts_sched_t *sched)
+{
+  GPtrArray *ends = g_ptr_array_new ();
+  gsize bytes = 0;
+  for (guint i = 0; i < sched->pending_ends->len && ends->len < HEARTBEAT_ENDS_MAX; i++)
+    {
+      bts_pending_end_t *item = sched->pending_ends->pdata[i];
+      if (item->end != NULL)
+        bytes += FIELD_BYTES + bts__end__get_packed_size (item->end);
+      if (ends->len > 0 && bytes > HEARTBEAT_ENDS_BYTES)
+        break;
+      if (item->heartbeat == 0)
+        item->heartbeat = sched->heartbeat_number;
+      if (item->end != NULL)
+        g_ptr_array_add (ends, item->end);
+    }
+  return ends;
 }
 
 /* Notes what the heartbeat that is being written carries. */
 static void
-note_sent (bts_sched_t *sched, gint64 now_us)
+note_sent (bts_sched_t *sched, const Bts__Beat *beat, gint64 now_us)
 {
-  bts_sent_heartbeat_t sent = { sched->heartbeat_number, now_us, sched->pending_begun->len, { 0 } };
-  for (guint i = 0; i < BTS_N_REPORTS; i++)
-    sent.n_reports[i] = sched->reports[i]->len;
+  const bts_sent_heartbeat_t sent = { sched->heartbeat_number,
+                                      now_us,
+                                      (guint)beat->n_begun,
+                                      { [BTS_REPORT_HELD] = (guint)beat->n_held,
+                                        [BTS_REPORT_RELEASED] = (guint)beat->n_released,
+                                        [BTS_REPORT_CRASHES] = (guint)beat->n_crashes,
+                                        [BTS_REPORT_SILENT] = (guint)beat->n_silent } };
   if (sched->sent_heartbeats->len == SENT_MAX)
     g_array_remove_index (sched->sent_heartbeats, 0);
   g_array_append_val (sched->sent_heartbeats, sent);
@@ -248,16 +295,8 @@
 static void
 send_heartbeat (bts_sched_t *sched, gint64 now_us)
 {
-  g_autoptr (GPtrArray) ends = g_ptr_array_new ();
   sched->heartbeat_number++;
-  for (guint i = 0; i < sched->pending_ends->len && ends->len < HEARTBEAT_ENDS_MAX; i++)
-    {
-      bts_pending_end_t *item = sched->pending_ends->pdata[i];
-      if (item->heartbeat == 0)
-        item->heartbeat = sched->heartbeat_number;
-      if (item->end != NULL)
-        g_ptr_array_add (ends, item->end);
-    }
+  g_autoptr (GPtrArray) ends = list_ends (sched);
   Bts__Beat beat = BTS__BEAT__INIT;
   beat.term = sched->term;
   beat.number = sched->heartbeat_number;
@@ -269,13 +308,13 @@
   beat.earlier_renewals_ms = earlier_renewals_ms (sched, now_us) + 1;
   beat.n_ends = ends->len;
   beat.ends = (Bts__End **)ends->pdata;
-  beat.n_begun = sched->pending_begun->len;
+  beat.n_begun = MIN (sched->pending_begun->len, HEARTBEAT_BEGUN_MAX);
   beat.begun = (guint64 *)(gpointer)sched->pending_begun->data;
   beat.held = (Bts__Held **)list_reports (sched, BTS_REPORT_HELD, &beat.n_held);
   beat.released = (char **)list_reports (sched, BTS_REPORT_RELEASED, &beat.n_released);
   beat.crashes = (Bts__Crash **)list_reports (sched, BTS_REPORT_CRASHES, &beat.n_crashes);
   beat.silent = (Bts__Silent **)list_reports (sched, BTS_REPORT_SILENT, &beat.n_silent);
-  note_sent (sched, now_us);
+  note_sent (sched, &beat, now_us);
   Bts__Record record = BTS__RECORD__INIT;
   record.kind_case = BTS__RECORD__KIND_BEAT;
   record.beat = &beat;
