--- a/libbamboothread/scheduler/job_snapshot.h
+++ b/libbamboothread/scheduler/job_snapshot.h
@@ -10,6 +10,9 @@
  * them outgrows what the log takes, however many tasks have ended; see job_parts.h.
  */
 
+/* Bytes of a record that a job has to leave for what happens to it. */
+#define BTS_JOB_SNAPSHOT_MIN_BYTES (4 * 1024)
+
 /**
  * typedef bts_job_snapshot_append_f - appends a record to the journal
  * @context: as given to bts_job_snapshot_write()
