Runs: one that a worker lists isn't unsent

A start of an earlier owner may have begun a run of the same number while this owner's order waits in the outbox. If the run was then to be stopped, it would have been dropped without an order. Found by reading; no test shows it.

--- a/libbamboothread/scheduler/run.c
+++ b/libbamboothread/scheduler/run.c
@@ -448,6 +448,8 @@
 void
 bts_run_mark_begun (bts_sched_t *sched, bts_run_t *run, gint64 now_us)
 {
+  /* An order of an earlier owner may have begun a run of the same number. */
+  run->unsent = FALSE;
   if (run->has_begun)
     return;
   run->has_begun = TRUE;
