--- a/tools/scripts/check.py
+++ b/tools/scripts/check.py
@@ -16,6 +16,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 COUNTS = re.compile(r"^counts: (\d+) passed, (\d+) failed$", re.MULTILINE)
 FAILURE = re.compile(r"^\S+:\d+:[FE]:[^:]*:([^:]+):(\d+):", re.MULTILINE)
+ENDED = re.compile(r"^ *\d+/\d+ (\S+) +(?:TIMEOUT|INTERRUPT|ERROR) ", re.MULTILINE)
 RED_TEST = re.compile(r"^test: (\S+)", re.MULTILINE)
 
 
@@ -47,7 +48,11 @@
         print(f"known red: {name}")
     for name in sorted(failures - known):
         print(f"failed: {name}")
-    failed -= len(red)
+    # A program that was ended reports no counts.
+    ended = sorted(set(ENDED.findall(log)))
+    for name in ended:
+        print(f"ended before it was over: {name}")
+    failed += len(ended) - len(red)
     if done.returncode != 0 and failed == 0 and not red:
         failed = 1
     print(f"{passed} passed, {failed} failed")
