Observability: reads of logs, messages by region, what gangs lack

Cause: no line told the hypotheses of the incident apart.

Change: a line a second for each log with 32 KB or more (bytes, time until replies begin and end), for the requests for advice to each region (replies, time on the way without that of the call), and for the gangs that wait: how many lack the first advice, tickets, answers or room, with the workers of the four that wait longest. Metrics for the first two. Hello records name the region, replies with advice how long the process had the request. The requests for advice between processes move out of node.c.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -67,6 +67,7 @@
   X (SNAPSHOTS_REPEATED, "job_snapshots_total", "attempt=\"repeated\"")                            \
   X (RECORDS_TOO_LARGE, "records_too_large_total", "")                                             \
   X (RECORDS, "journal_records_total", "")                                                         \
+  X (STORE_READ_BYTES, "store_read_bytes_total", "")                                               \
   X (READS_FAILED, "journal_reads_failed_total", "")                                               \
   X (TABLES_READS_FAILED, "tables_reads_failed_total", "")                                         \
   X (CLAIMS, "claims_total", "")                                                                   \
@@ -126,7 +127,10 @@
   X (FIRST_START_MS, "first_start_ms")                                                             \
   X (JOB_MS, "job_ms")                                                                             \
   X (ADVICE_MS, "advice_ms")                                                                       \
-  X (ORDER_QUEUE_MS, "start_order_queue_ms")
+  X (ORDER_QUEUE_MS, "start_order_queue_ms")                                                       \
+  X (READ_BEGIN_MS, "store_read_begin_ms")                                                         \
+  X (MESSAGE_NEAR_MS, "message_own_region_ms")                                                     \
+  X (MESSAGE_FAR_MS, "message_other_region_ms")
 
 /**
  * enum bt_count_t - counters
--- a/libbamboothread/scheduler/advice_client.c
+++ b/libbamboothread/scheduler/advice_client.c
@@ -83,9 +83,11 @@
  * @exchange: exchange of the message with the request; 0 if this process itself
  *   sent it, as the owner
  * @ask: the step and the workers
+ * @now_us: the time
  */
 void
-bts_advice_client_enqueue (bts_advice_client_t *client, guint64 exchange, const Bts__Ask *ask)
+bts_advice_client_enqueue (bts_advice_client_t *client, guint64 exchange, const Bts__Ask *ask,
+                           gint64 now_us)
 {
   bts_advice_request_t *request = g_new0 (bts_advice_request_t, 1);
   request->exchange = exchange;
@@ -93,6 +95,7 @@
   request->job = g_strdup (ask->job);
   request->occurrence = ask->occurrence;
   request->step = ask->step;
+  request->received_us = now_us;
   request->workers = g_ptr_array_new_with_free_func (g_free);
   for (gsize i = 0; i < ask->n_workers; i++)
     g_ptr_array_add (request->workers, g_strdup (ask->workers[i]));
--- a/libbamboothread/scheduler/advice_client.h
+++ b/libbamboothread/scheduler/advice_client.h
@@ -16,6 +16,7 @@
  *   sent it, as the owner
  * @node: name of this process, as the request gave it
  * @workers: ids of the workers
+ * @received_us: when the request came in
  * @attempts: calls made so far
  */
 typedef struct
@@ -26,6 +27,7 @@
   guint occurrence;
   guint step;
   GPtrArray *workers;
+  gint64 received_us;
   guint attempts;
 } bts_advice_request_t;
 
@@ -43,7 +45,8 @@
 bts_advice_client_t *bts_advice_client_new (bts_ledger_t *ledger,
                                             const bts_advice_client_ops_t *ops, void *context);
 void bts_advice_client_free (bts_advice_client_t *client);
-void bts_advice_client_enqueue (bts_advice_client_t *client, guint64 exchange, const Bts__Ask *ask);
+void bts_advice_client_enqueue (bts_advice_client_t *client, guint64 exchange, const Bts__Ask *ask,
+                                gint64 now_us);
 void bts_advice_client_on_reply (bts_advice_client_t *client, const bts_advice_request_t *request,
                                  gboolean ok);
 
--- a/libbamboothread/scheduler/gauges.c
+++ b/libbamboothread/scheduler/gauges.c
@@ -1,4 +1,5 @@
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/gang_waits.h"
 #include "libbamboothread/scheduler/interference.h"
 #include "libbamboothread/scheduler/sched_private.h"
 
@@ -21,6 +22,11 @@
 {
   gint64 now_us = bts_sched_now (sched);
   bts_sched_view_t view;
+  if (now_us >= sched->next_gang_waits_us)
+    {
+      sched->next_gang_waits_us = now_us + BTS_GANG_WAITS_INTERVAL_US;
+      bts_gang_waits_report (sched->queue, sched->fleet, now_us);
+    }
   if (!bts_waiting_is_due (&sched->waiting, now_us) || !bts_sched_view (sched, &view))
     return;
   /* Workers may have been removed since the last pass. */
--- a/libbamboothread/scheduler/members.c
+++ b/libbamboothread/scheduler/members.c
@@ -28,6 +28,7 @@
   bts_member_t *member = data;
   bts_advice_calls_clear (&member->calls);
   g_free (member->address);
+  g_free (member->region);
   g_free (member);
 }
 
@@ -73,6 +74,7 @@
       g_hash_table_foreach_remove (members->table, is_same_vm, (gpointer)node);
       member = g_new0 (bts_member_t, 1);
       member->name = g_strdup (node);
+      member->region = g_strdup ("");
       bts_advice_calls_init (&member->calls);
       g_hash_table_insert (members->table, member->name, member);
     }
@@ -95,6 +97,8 @@
     return;
   g_free (member->address);
   member->address = *hello->address == '\0' ? NULL : g_strdup (hello->address);
+  g_free (member->region);
+  member->region = g_strdup (hello->region);
   member->cpu_millis = hello->cpu_millis;
   member->job_memory_kb = hello->job_memory_kb;
 }
--- a/libbamboothread/scheduler/members.h
+++ b/libbamboothread/scheduler/members.h
@@ -14,6 +14,7 @@
  * struct bts_member_t - a process
  * @name: its name
  * @address: IP:port for messages between processes, or NULL if not known
+ * @region: the region of its VM; empty if not known
  * @cpu_millis: its CPU share, in thousandths of a core; 0 if not known
  * @job_memory_kb: memory that jobs may take there, in thousands of bytes; 0 if not known
  * @last_seen_us: when it was last heard from; 0 once it is suspected
@@ -25,6 +26,7 @@
 {
   char *name;
   char *address;
+  char *region;
   guint cpu_millis;
   guint job_memory_kb;
   gint64 last_seen_us;
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -4,6 +4,7 @@
 
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/advice_exchange.h"
 #include "libbamboothread/scheduler/claim.h"
 #include "libbamboothread/scheduler/handover.h"
 #include "libbamboothread/scheduler/job_budget.h"
@@ -22,9 +23,6 @@
    process gone that misses two of them. With a slow log, every other one is left out. */
 #define HELLO_INTERVAL_US (4 * BT_USEC_PER_SEC)
 #define HELLO_SLOW_LOG_INTERVAL_US (8 * BT_USEC_PER_SEC)
-/* Timeout for the reply to a request for advice, in milliseconds. The owner sends the request to
-   another process long before that; the timeout closes a connection that has gone silent. */
-#define ASK_TIMEOUT_MS 3500
 /* Bit that marks the exchange of a client request that another process has forwarded. */
 #define FORWARDED_EXCHANGE (G_GUINT64_CONSTANT (1) << 63)
 /* How long an owner that has skipped records starts nothing, in microseconds: a process that lacks
@@ -64,6 +62,7 @@
   bts_node_config_t config;
   char *name;
   char *address;
+  char *region;
   const bt_clock_t *clock;
   const bts_node_ops_t *ops;
   void *context;
@@ -72,7 +71,7 @@
   bts_members_t *members;
   bts_sched_t *sched;
   bts_requests_t *requests;
-  bts_advice_client_t *advice_client;
+  bts_advice_exchange_t *advice;
   bts_spec_reader_t *spec_reader;
   bts_election_t election;
   bts_tables_t *tables;
@@ -297,9 +296,10 @@
 }
 
 static void
-send_reply (bts_node_t *node, guint64 exchange, const Bts__Reply *reply)
+send_reply (void *context, guint64 exchange, const Bts__Reply *reply)
 {
-  g_autoptr (GBytes) bytes = bts_message_pack (&reply->base);
+  bts_node_t *node = context;
+  g_autoptr (GBytes) bytes = reply == NULL ? NULL : bts_message_pack (&reply->base);
   node->ops->reply (node->context, exchange, bytes);
 }
 
@@ -307,15 +307,7 @@
 sched_request_advice (void *context, const char *name, const char *address, const Bts__Ask *ask)
 {
   bts_node_t *node = context;
-  if (strcmp (name, node->name) == 0)
-    {
-      bts_advice_client_enqueue (node->advice_client, 0, ask);
-      return;
-    }
-  Bts__Message message = BTS__MESSAGE__INIT;
-  message.kind_case = BTS__MESSAGE__KIND_ASK;
-  message.ask = (Bts__Ask *)ask;
-  send_message (node, address, &message, ASK_TIMEOUT_MS);
+  bts_advice_exchange_request (node->advice, name, address, ask);
 }
 
 static void
@@ -337,7 +329,7 @@
         sched_append,         sched_append_snapshot, sched_snapshot_backlog,
         sched_request_advice, sched_fenced,          sched_now_unix_ms };
 
-/* Callbacks of the client requests, the forwarder, the spec reader and the advice client. */
+/* Callbacks of the client requests, the forwarder, the spec reader and the requests for advice. */
 
 static void
 requests_append (void *context, guint64 token, const Bts__Record *record)
@@ -435,48 +427,21 @@
 static const bts_spec_reader_ops_t spec_reader_ops = { spec_reader_follow };
 
 static void
-advice_client_send (void *context, const bts_advice_request_t *request)
+advice_call (void *context, const bts_advice_request_t *request)
 {
   bts_node_t *node = context;
   node->ops->request_advice (node->context, request);
 }
 
-/* Passes advice, or NULL if there is none, to the requester: the owner in this process, or the
-   process that sent the request. */
-static void
-deliver_advice (bts_node_t *node, const bts_advice_request_t *request, const Bts__Advice *advice)
-{
-  if (request->exchange == 0)
-    {
-      Bts__Ask ask = BTS__ASK__INIT;
-      ask.node = request->node;
-      ask.job = request->job;
-      ask.occurrence = request->occurrence;
-      ask.step = request->step;
-      ask.n_workers = request->workers->len;
-      ask.workers = (char **)request->workers->pdata;
-      bts_sched_on_advice (node->sched, &ask, advice);
-      return;
-    }
-  if (advice == NULL)
-    {
-      node->ops->reply (node->context, request->exchange, NULL);
-      return;
-    }
-  Bts__Reply reply = BTS__REPLY__INIT;
-  reply.kind_case = BTS__REPLY__KIND_ADVICE;
-  reply.advice = (Bts__Advice *)advice;
-  send_reply (node, request->exchange, &reply);
-}
-
 static void
-advice_client_failed (void *context, const bts_advice_request_t *request)
+advice_answered (void *context, const Bts__Ask *ask, const Bts__Advice *advice)
 {
-  deliver_advice (context, request, NULL);
+  const bts_node_t *node = context;
+  bts_sched_on_advice (node->sched, ask, advice);
 }
 
-static const bts_advice_client_ops_t advice_client_ops
-    = { advice_client_send, advice_client_failed };
+static const bts_advice_exchange_ops_t advice_ops
+    = { advice_call, send_message, send_reply, advice_answered };
 
 /**
  * bts_node_new() - create a process that hasn't read the journal yet
@@ -495,6 +460,7 @@
       = bts_election_capacity_millis (config->cpu_millis, config->bandwidth_kbps);
   node->name = g_strdup (config->name);
   node->address = g_strdup (config->address);
+  node->region = g_strdup (config->region == NULL ? "" : config->region);
   node->clock = clock;
   node->ops = ops;
   node->context = context;
@@ -506,7 +472,9 @@
                                &sched_ops, node);
   node->requests = bts_requests_new (node->ledger, &requests_ops, node);
   node->spec_reader = bts_spec_reader_new (node->ledger, &spec_reader_ops, node);
-  node->advice_client = bts_advice_client_new (node->ledger, &advice_client_ops, node);
+  const bts_advice_exchange_config_t advice
+      = { node->name, node->region, clock, node->ledger, node->members };
+  node->advice = bts_advice_exchange_new (&advice, &advice_ops, node);
   node->budget = bts_job_budget_new (config->job_memory_bytes);
   bts_election_init (&node->election, config->name);
   bts_freshness_init (&node->freshness, config->tables_max_age_ms);
@@ -522,7 +490,7 @@
 {
   bts_sched_free (node->sched);
   bts_requests_free (node->requests);
-  bts_advice_client_free (node->advice_client);
+  bts_advice_exchange_free (node->advice);
   bts_spec_reader_free (node->spec_reader);
   bts_ledger_free (node->ledger);
   bts_job_budget_free (node->budget);
@@ -534,6 +502,7 @@
   g_clear_pointer (&node->resignation, g_bytes_unref);
   g_free (node->name);
   g_free (node->address);
+  g_free (node->region);
   g_free (node);
 }
 
@@ -728,23 +697,7 @@
 bts_node_on_advice (bts_node_t *node, const bts_advice_request_t *request,
                     const Bts__Advice *advice)
 {
-  if (advice != NULL)
-    {
-      bt_log (BT_LOG_INFO, "advice", "job=%s occurrence=%u step=%u asked=%u allowed=%zu",
-              request->job, request->occurrence, request->step, request->workers->len,
-              advice->n_allowed);
-      deliver_advice (node, request, advice);
-    }
-  bts_advice_client_on_reply (node->advice_client, request, advice != NULL);
-}
-
-static gboolean
-handle_ask (bts_node_t *node, guint64 exchange, const Bts__Ask *ask)
-{
-  if (ask->n_workers == 0 || ask->n_workers > BTS_ADVICE_MAX_WORKERS || *ask->job == '\0')
-    return FALSE;
-  bts_advice_client_enqueue (node->advice_client, exchange, ask);
-  return TRUE;
+  bts_advice_exchange_on_call_done (node->advice, request, advice);
 }
 
 static gboolean
@@ -782,23 +735,13 @@
     return FALSE;
   gboolean usable = FALSE;
   if (message->kind_case == BTS__MESSAGE__KIND_ASK)
-    usable = handle_ask (node, exchange, message->ask);
+    usable = bts_advice_exchange_on_request (node->advice, exchange, message->ask);
   else if (message->kind_case == BTS__MESSAGE__KIND_FORWARD)
     usable = handle_forward (node, exchange, message->forward);
   bts__message__free_unpacked (message, NULL);
   return usable;
 }
 
-static void
-on_ask_reply (bts_node_t *node, const Bts__Ask *ask, const Bts__Reply *reply)
-{
-  const Bts__Advice *advice
-      = reply != NULL && reply->kind_case == BTS__REPLY__KIND_ADVICE ? reply->advice : NULL;
-  if (advice == NULL)
-    bt_log (BT_LOG_NOTICE, "advice-missing", "job=%s step=%u", ask->job, ask->step);
-  bts_sched_on_advice (node->sched, ask, advice);
-}
-
 /**
  * bts_node_on_reply() - another process replied to a message, or didn't
  * @node: the process
@@ -816,7 +759,7 @@
   Bts__Message *message = bts__message__unpack (NULL, sent_len, sent_data);
   Bts__Reply *reply = data == NULL ? NULL : bts__reply__unpack (NULL, len, data);
   if (message->kind_case == BTS__MESSAGE__KIND_ASK)
-    on_ask_reply (node, message->ask, reply);
+    bts_advice_exchange_on_reply (node->advice, message->ask, reply);
   else
     bts_forwarder_on_reply (node->forwarder, message->forward, was_delivered, reply,
                             node_now (node));
@@ -1113,6 +1056,7 @@
   Bts__Hello hello = BTS__HELLO__INIT;
   hello.node = node->name;
   hello.address = node->address == NULL ? (char *)protobuf_c_empty_string : node->address;
+  hello.region = node->region;
   /* No owner hands over to a process that has skipped records. */
   hello.job_memory_kb = (guint)(node->config.job_memory_bytes / 1000);
   hello.cpu_millis = bts_ledger_is_complete (node->ledger) ? node->config.cpu_millis : 0;
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -61,6 +61,7 @@
  * struct bts_node_config_t - configuration of a process
  * @name: name of this incarnation of the process, VM and incarnation separated by a slash
  * @address: IP:port at which it takes messages of other processes, or NULL
+ * @region: the region of its VM, or NULL
  * @cpu_millis: its CPU share, in thousandths of a core
  * @bandwidth_kbps: bandwidth of its link, in kbit/s; 0 if not known
  * @max_direct_appenders: with more processes than this, jobs go through the owner; usually
@@ -74,6 +75,7 @@
 {
   const char *name;
   const char *address;
+  const char *region;
   guint cpu_millis;
   guint bandwidth_kbps;
   guint max_direct_appenders;
--- a/libbamboothread/scheduler/sched_private.h
+++ b/libbamboothread/scheduler/sched_private.h
@@ -133,6 +133,7 @@
  * @share: shares of the tenants
  * @next_assume_us: when to count again what may be running unlisted for each tenant
  * @waiting: the last report of what stages wait for
+ * @next_gang_waits_us: when the next report of what gangs lack is due
  * @snapshot_checked_us: when the owner last checked which snapshots are due
  * @snapshot_reported_us: when it last reported one that is late
  * @oldest_needed: offset of the oldest record that a reader needs, at the last such check
@@ -194,6 +195,7 @@
   bts_share_t *share;
   gint64 next_assume_us;
   bts_waiting_t waiting;
+  gint64 next_gang_waits_us;
   gint64 snapshot_checked_us;
   gint64 snapshot_reported_us;
   gint64 oldest_needed;
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -4367,7 +4367,7 @@
   (ProtobufCMessageInit) bts__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__advice__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bts__advice__field_descriptors[7] =
 {
   {
     "job",
@@ -4441,10 +4441,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Advice, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__advice__field_indices_by_name[] = {
   3,   /* field[3] = allowed */
   5,   /* field[5] = denied */
+  6,   /* field[6] = held_ms */
   0,   /* field[0] = job */
   1,   /* field[1] = occurrence */
   2,   /* field[2] = step */
@@ -4454,7 +4467,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor bts__advice__descriptor =
 {
@@ -4464,14 +4477,14 @@
   "Bts__Advice",
   "bts",
   sizeof(Bts__Advice),
-  6,
+  7,
   bts__advice__field_descriptors,
   bts__advice__field_indices_by_name,
   2,  bts__advice__number_ranges,
   (ProtobufCMessageInit) bts__advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bts__ask__field_descriptors[6] =
 {
   {
     "node",
@@ -4533,18 +4546,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Ask, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__ask__field_indices_by_name[] = {
   1,   /* field[1] = job */
   0,   /* field[0] = node */
   2,   /* field[2] = occurrence */
+  5,   /* field[5] = sent_us */
   3,   /* field[3] = step */
   4,   /* field[4] = workers */
 };
 static const ProtobufCIntRange bts__ask__number_ranges[1 + 1] =
 {
   { 2, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bts__ask__descriptor =
 {
@@ -4554,7 +4580,7 @@
   "Bts__Ask",
   "bts",
   sizeof(Bts__Ask),
-  5,
+  6,
   bts__ask__field_descriptors,
   bts__ask__field_indices_by_name,
   1,  bts__ask__number_ranges,
@@ -4740,7 +4766,7 @@
   (ProtobufCMessageInit) bts__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bts__hello__field_descriptors[5] =
 {
   {
     "node",
@@ -4790,18 +4816,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Hello, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__hello__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = cpu_millis */
   3,   /* field[3] = job_memory_kb */
   0,   /* field[0] = node */
+  4,   /* field[4] = region */
 };
 static const ProtobufCIntRange bts__hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 40, 3 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bts__hello__descriptor =
 {
@@ -4811,7 +4850,7 @@
   "Bts__Hello",
   "bts",
   sizeof(Bts__Hello),
-  4,
+  5,
   bts__hello__field_descriptors,
   bts__hello__field_indices_by_name,
   2,  bts__hello__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -740,10 +740,15 @@
    */
   size_t n_denied;
   char **denied;
+  /*
+   * How long the process had the request until it sent this, in milliseconds plus one; 0 if not
+   * given.
+   */
+  uint32_t held_ms;
 };
 #define BTS__ADVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__advice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
@@ -762,10 +767,14 @@
   uint32_t step;
   size_t n_workers;
   char **workers;
+  /*
+   * The owner's clock when it sent this.
+   */
+  int64_t sent_us;
 };
 #define BTS__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -861,10 +870,14 @@
    * Memory that jobs may take there, in thousands of bytes; 0 for no limit.
    */
   uint32_t job_memory_kb;
+  /*
+   * The region of its VM; empty if not known.
+   */
+  char *region;
 };
 #define BTS__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 typedef enum {
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -1,9 +1,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "libbamboothread/base/log.h"
 #include "libbamboothread/base/metrics.h"
+#include "libbamboothread/scheduler/gang_waits.h"
 #include "libbamboothread/scheduler/order.h"
 #include "libbamboothread/scheduler/waiting.h"
 #include "tests/sim.h"
@@ -531,6 +533,57 @@
 }
 END_TEST
 
+static void
+deny (const scene_t *scene, bts_stage_t *stage)
+{
+  bts_stage_begin_advice (stage);
+  bts_stage_record_denied (stage, scene->worker->number);
+}
+
+static void
+allow (const scene_t *scene, bts_stage_t *stage)
+{
+  give_advice (scene, stage, 0);
+}
+
+static void
+allow_long_ago (const scene_t *scene, bts_stage_t *stage)
+{
+  give_advice (scene, stage, VALIDITY_MS + 1);
+}
+
+static const struct
+{
+  const char *lack;
+  void (*advise) (const scene_t *scene, bts_stage_t *stage);
+  bts_gang_room_t room;
+} gang_cases[] = {
+  { "advice=1 tickets=0 answers=0 room=0 startable=0", NULL, { .n_unasked = 2 } },
+  { "advice=0 tickets=0 answers=0 room=1 startable=0", deny, { .n_asked = 1 } },
+  { "advice=0 tickets=1 answers=0 room=0 startable=0", allow_long_ago, { 1, 1, 0, 2, 0, 0 } },
+  { "advice=0 tickets=0 answers=0 room=0 startable=1", allow, { 1, 1, 1, 2, 2, 0 } },
+};
+
+/* Guards against lines that don't tell a gang without advice, tickets or room from the others. */
+START_TEST (gang_that_waits_says_what_it_lacks)
+{
+  scene_t *scene = scene_new ();
+  bts_stage_t *stage = scene_queue (scene, "main", TRUE, TRUE, 4000);
+  if (gang_cases[_i].advise != NULL)
+    gang_cases[_i].advise (scene, stage);
+  bts_gang_room_t room = bts_gang_room (stage, &scene->fleet, NOW_US);
+  ck_assert_mem_eq (&room, &gang_cases[_i].room, sizeof room);
+  FILE *log = log_to_file ();
+  bts_gang_waits_report (scene->queue, &scene->fleet, NOW_US);
+  bt_log_flush ();
+  bt_log_set_fd (STDOUT_FILENO);
+  ck_assert_uint_eq (count_lines (log, "event=gang-waits ", "waited_ms=4000 "), 1);
+  ck_assert_uint_eq (count_lines (log, "event=gangs-wait ", gang_cases[_i].lack), 1);
+  fclose (log);
+  scene_free (scene);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -541,5 +594,6 @@
   tcase_add_test (tests, nothing_to_report);
   tcase_add_loop_test (tests, owner_names_the_cause, 0, G_N_ELEMENTS (clusters));
   tcase_add_test (tests, start_ends_the_wait);
+  tcase_add_loop_test (tests, gang_that_waits_says_what_it_lacks, 0, G_N_ELEMENTS (gang_cases));
   return suite_run ("waiting", tests);
 }
