--- a/bench/owner.c
+++ b/bench/owner.c
@@ -564,7 +564,7 @@
       bts_sched_run_pass (bts_node_sched (bench->node));
       if (now (bench) - read_us >= READ_US)
         {
-          bts_node_on_caught_up (bench->node, now (bench), 0);
+          bts_node_on_caught_up (bench->node, now (bench), now (bench), 0);
           bts_sched_on_entries (bts_node_sched (bench->node), TRUE);
           read_us = now (bench);
         }
--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -68,6 +68,8 @@
   X (RECORDS_TOO_LARGE, "records_too_large_total", "")                                             \
   X (RECORDS, "journal_records_total", "")                                                         \
   X (STORE_READ_BYTES, "store_read_bytes_total", "")                                               \
+  X (FEED_READ_BYTES, "journal_read_bytes_handed_on_total", "")                                    \
+  X (FEED_READS_FAILED, "journal_reads_through_others_failed_total", "")                           \
   X (READS_FAILED, "journal_reads_failed_total", "")                                               \
   X (TABLES_READS_FAILED, "tables_reads_failed_total", "")                                         \
   X (CLAIMS, "claims_total", "")                                                                   \
@@ -117,6 +119,7 @@
   X (INTERFERING_PAIRS, "interfering_pairs", "")                                                   \
   X (TABLES_VERSION, "tables_version", "")                                                         \
   X (TABLES_AGE_MS, "tables_age_ms", "")                                                           \
+  X (FEED_BYTES, "journal_handed_on_bytes", "")                                                    \
   X (JOURNAL_AGE_MS, "journal_age_ms", "")                                                         \
   X (CLIENT_CONNECTIONS, "client_connections", "")                                                 \
   X (CLIENT_HELD_BYTES, "client_held_bytes", "")
--- /dev/null
+++ b/libbamboothread/scheduler/journal_feed.h
@@ -0,0 +1,61 @@
+#ifndef BTS_JOURNAL_FEED_H
+#define BTS_JOURNAL_FEED_H
+
+#include "libbamboothread/base/clock.h"
+#include "libbamboothread/scheduler/feed_client.h"
+#include "libbamboothread/scheduler/ledger.h"
+
+/*
+ * How the journal reaches the processes of a region: a few of them read it from the log, and hand
+ * it on to the others. The owner, and those that are ready to become the owner, read from the log.
+ */
+
+typedef struct bts_journal_feed_t bts_journal_feed_t;
+
+/**
+ * struct bts_journal_feed_config_t - the process and its parts
+ * @name: its name
+ * @region: the region of its VM; with an empty one it reads from the log and hands nothing on
+ * @clock: its clock
+ * @members: the processes
+ * @ledger: the journal as it was read
+ */
+typedef struct
+{
+  const char *name;
+  const char *region;
+  const bt_clock_t *clock;
+  bts_members_t *members;
+  const bts_ledger_t *ledger;
+} bts_journal_feed_config_t;
+
+/**
+ * struct bts_journal_feed_ops_t - callbacks
+ * @send: sends a message; the reply goes to bts_journal_feed_on_reply()
+ * @reply: replies to a message; NULL if there is no reply
+ * @done: a read through another process is over, see bts_feed_client_ops_t
+ */
+typedef struct
+{
+  void (*send) (void *context, const char *address, const Bts__Message *message, guint timeout_ms);
+  void (*reply) (void *context, guint64 exchange, const Bts__Reply *reply);
+  void (*done) (void *context, const bts_feed_read_t *read);
+} bts_journal_feed_ops_t;
+
+bts_journal_feed_t *bts_journal_feed_new (const bts_journal_feed_config_t *config,
+                                          const bts_journal_feed_ops_t *ops, void *context);
+void bts_journal_feed_free (bts_journal_feed_t *feed);
+void bts_journal_feed_set_replaying (bts_journal_feed_t *feed, gboolean is_replaying);
+void bts_journal_feed_leave (bts_journal_feed_t *feed);
+gboolean bts_journal_feed_is_open (const bts_journal_feed_t *feed);
+void bts_journal_feed_tick (bts_journal_feed_t *feed);
+gboolean bts_journal_feed_read (bts_journal_feed_t *feed, gint64 from, guint max_kb, guint wait_ms);
+void bts_journal_feed_on_record (bts_journal_feed_t *feed, gint64 offset, const guint8 *data,
+                                 gsize len);
+void bts_journal_feed_on_read (bts_journal_feed_t *feed, gboolean caught_up, gint64 sent_us);
+void bts_journal_feed_on_request (bts_journal_feed_t *feed, guint64 exchange,
+                                  const Bts__Read *read);
+void bts_journal_feed_on_reply (bts_journal_feed_t *feed, const Bts__Read *sent,
+                                const Bts__Reply *reply);
+
+#endif
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -8,6 +8,7 @@
 #include "libbamboothread/scheduler/claim.h"
 #include "libbamboothread/scheduler/handover.h"
 #include "libbamboothread/scheduler/job_budget.h"
+#include "libbamboothread/scheduler/journal_feed.h"
 #include "libbamboothread/scheduler/usage.h"
 
 /* Token of records that belong to no client request. Nothing waits for the result of their
@@ -72,6 +73,7 @@
   bts_sched_t *sched;
   bts_requests_t *requests;
   bts_advice_exchange_t *advice;
+  bts_journal_feed_t *feed;
   bts_spec_reader_t *spec_reader;
   bts_election_t election;
   bts_tables_t *tables;
@@ -443,6 +445,15 @@
 static const bts_advice_exchange_ops_t advice_ops
     = { advice_call, send_message, send_reply, advice_answered };
 
+static void
+feed_done (void *context, const bts_feed_read_t *read)
+{
+  bts_node_t *node = context;
+  node->ops->feed_read (node->context, read);
+}
+
+static const bts_journal_feed_ops_t feed_ops = { send_message, send_reply, feed_done };
+
 /**
  * bts_node_new() - create a process that hasn't read the journal yet
  * @config: its configuration; copied
@@ -475,6 +486,9 @@
   const bts_advice_exchange_config_t advice
       = { node->name, node->region, clock, node->ledger, node->members };
   node->advice = bts_advice_exchange_new (&advice, &advice_ops, node);
+  const bts_journal_feed_config_t feed
+      = { node->name, node->region, clock, node->members, node->ledger };
+  node->feed = bts_journal_feed_new (&feed, &feed_ops, node);
   node->budget = bts_job_budget_new (config->job_memory_bytes);
   bts_election_init (&node->election, config->name);
   bts_freshness_init (&node->freshness, config->tables_max_age_ms);
@@ -491,6 +505,7 @@
   bts_sched_free (node->sched);
   bts_requests_free (node->requests);
   bts_advice_exchange_free (node->advice);
+  bts_journal_feed_free (node->feed);
   bts_spec_reader_free (node->spec_reader);
   bts_ledger_free (node->ledger);
   bts_job_budget_free (node->budget);
@@ -506,6 +521,12 @@
   g_free (node);
 }
 
+bts_journal_feed_t *
+bts_node_feed (const bts_node_t *node)
+{
+  return node->feed;
+}
+
 bts_sched_t *
 bts_node_sched (const bts_node_t *node)
 {
@@ -626,24 +647,26 @@
  * bts_node_on_caught_up() - the journal was read to its end
  * @node: the process
  * @sent_us: when that read was sent
+ * @as_of_us: when its reply had arrived: now, or before if another process has handed it on
  * @latency_us: time that it took, see bts_election_on_caught_up()
  *
  * A claim of this process takes effect only here: before, the records not read yet may contain
  * a later claim.
  */
 void
-bts_node_on_caught_up (bts_node_t *node, gint64 sent_us, gint64 latency_us)
+bts_node_on_caught_up (bts_node_t *node, gint64 sent_us, gint64 as_of_us, gint64 latency_us)
 {
   gint64 now_us = node_now (node);
   if (now_us - node->election.caught_up_us > STORE_OUTAGE_US)
     node->store_recovered_us = now_us;
-  bts_election_on_caught_up (&node->election, latency_us, now_us);
+  bts_election_on_caught_up (&node->election, latency_us, as_of_us);
   node->replaying = FALSE;
+  bts_journal_feed_set_replaying (node->feed, FALSE);
   if (sent_us > node->resumed_us)
     node->resumed_us = 0;
   bts_sched_set_journal_stale (node->sched, node->resumed_us != 0);
   bts_ledger_set_replaying (node->ledger, FALSE);
-  bts_requests_on_caught_up (node->requests, sent_us, now_us);
+  bts_requests_on_caught_up (node->requests, sent_us, as_of_us, now_us);
   check_owner_complete (node, now_us);
   begin_term_if_owner (node);
 }
@@ -738,6 +761,11 @@
     usable = bts_advice_exchange_on_request (node->advice, exchange, message->ask);
   else if (message->kind_case == BTS__MESSAGE__KIND_FORWARD)
     usable = handle_forward (node, exchange, message->forward);
+  else if (message->kind_case == BTS__MESSAGE__KIND_READ)
+    {
+      usable = TRUE;
+      bts_journal_feed_on_request (node->feed, exchange, message->read);
+    }
   bts__message__free_unpacked (message, NULL);
   return usable;
 }
@@ -760,6 +788,8 @@
   Bts__Reply *reply = data == NULL ? NULL : bts__reply__unpack (NULL, len, data);
   if (message->kind_case == BTS__MESSAGE__KIND_ASK)
     bts_advice_exchange_on_reply (node->advice, message->ask, reply);
+  else if (message->kind_case == BTS__MESSAGE__KIND_READ)
+    bts_journal_feed_on_reply (node->feed, message->read, reply);
   else
     bts_forwarder_on_reply (node->forwarder, message->forward, was_delivered, reply,
                             node_now (node));
@@ -963,6 +993,7 @@
 bts_node_leave (bts_node_t *node)
 {
   node->election.leaving = TRUE;
+  bts_journal_feed_leave (node->feed);
 }
 
 /**
@@ -1141,6 +1172,7 @@
     bts_spec_reader_tick (node->spec_reader, now_us);
   else
     bts_spec_reader_stop (node->spec_reader);
+  bts_journal_feed_tick (node->feed);
   count_job_memory (node, now_us);
   bts_sched_set_tables_known (node->sched, bts_freshness_is_known (&node->freshness));
   bts_sched_tick (node->sched);
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -7,6 +7,7 @@
 #include "libbamboothread/scheduler/explain.h"
 #include "libbamboothread/scheduler/forwarder.h"
 #include "libbamboothread/scheduler/intake.h"
+#include "libbamboothread/scheduler/journal_feed.h"
 #include "libbamboothread/scheduler/requests.h"
 #include "libbamboothread/scheduler/sched.h"
 #include "libbamboothread/scheduler/spec_reader.h"
@@ -37,6 +38,8 @@
  * @request_advice: send a request to the advice service; completed by bts_node_on_advice()
  * @send: send a message to the process at @address; completed by bts_node_on_reply()
  * @reply: reply to a message; NULL if there is no reply
+ * @feed_read: a read of the journal through another process is over, see bts_journal_feed_read() on
+ *   bts_node_feed(); NULL if it has failed
  * @answer: answer a caller
  * @now_unix_ms: Unix time in milliseconds
  */
@@ -53,6 +56,7 @@
   void (*request_advice) (void *context, const bts_advice_request_t *request);
   void (*send) (void *context, const char *address, GBytes *message, guint timeout_ms);
   void (*reply) (void *context, guint64 exchange, GBytes *reply);
+  void (*feed_read) (void *context, const bts_feed_read_t *read);
   void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
   gint64 (*now_unix_ms) (void *context);
 } bts_node_ops_t;
@@ -89,6 +93,7 @@
                           const bts_node_ops_t *ops, void *context);
 void bts_node_free (bts_node_t *node);
 bts_sched_t *bts_node_sched (const bts_node_t *node);
+bts_journal_feed_t *bts_node_feed (const bts_node_t *node);
 const bts_tables_t *bts_node_tables (const bts_node_t *node);
 bts_freshness_t *bts_node_freshness (bts_node_t *node);
 bts_access_t bts_node_check_access (const bts_node_t *node, const bts_route_t *route,
@@ -99,7 +104,7 @@
 void bts_node_on_spec_append (bts_node_t *node, guint64 token, bts_append_result_t result,
                               gint64 offset);
 void bts_node_on_readable (bts_node_t *node);
-void bts_node_on_caught_up (bts_node_t *node, gint64 sent_us, gint64 latency_us);
+void bts_node_on_caught_up (bts_node_t *node, gint64 sent_us, gint64 as_of_us, gint64 latency_us);
 void bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first);
 void bts_node_on_append (bts_node_t *node, guint64 token, bts_append_result_t result,
                          gint64 took_us);
--- a/libbamboothread/scheduler/requests.c
+++ b/libbamboothread/scheduler/requests.c
@@ -571,12 +571,13 @@
  * bts_requests_on_caught_up() - the journal was read to its end
  * @requests: the client requests
  * @sent_us: when that read was sent
+ * @as_of_us: when its reply had arrived
  * @now_us: current time
  */
 void
-bts_requests_on_caught_up (bts_requests_t *requests, gint64 sent_us, gint64 now_us)
+bts_requests_on_caught_up (bts_requests_t *requests, gint64 sent_us, gint64 as_of_us, gint64 now_us)
 {
-  requests->caught_up_us = now_us;
+  requests->caught_up_us = as_of_us;
   requests->read_sent_us = sent_us;
   /* Backwards, since requests are removed on the way. */
   for (guint i = requests->in_flight->len; i > 0; i--)
--- a/libbamboothread/scheduler/requests.h
+++ b/libbamboothread/scheduler/requests.h
@@ -97,7 +97,8 @@
                              gint64 now_us);
 void bts_requests_on_spec_append (bts_requests_t *requests, guint64 token,
                                   bts_append_result_t result, gint64 offset, gint64 now_us);
-void bts_requests_on_caught_up (bts_requests_t *requests, gint64 sent_us, gint64 now_us);
+void bts_requests_on_caught_up (bts_requests_t *requests, gint64 sent_us, gint64 as_of_us,
+                                gint64 now_us);
 void bts_requests_on_job (bts_requests_t *requests, const bts_job_t *job);
 void bts_requests_tick (bts_requests_t *requests, gint64 now_us);
 
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1357,6 +1357,96 @@
   assert(message->base.descriptor == &bts__forward__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__read__init
+                     (Bts__Read         *message)
+{
+  static const Bts__Read init_value = BTS__READ__INIT;
+  *message = init_value;
+}
+size_t bts__read__get_packed_size
+                     (const Bts__Read *message)
+{
+  assert(message->base.descriptor == &bts__read__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__read__pack
+                     (const Bts__Read *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__read__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__read__pack_to_buffer
+                     (const Bts__Read *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__read__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Read *
+       bts__read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Read *)
+     protobuf_c_message_unpack (&bts__read__descriptor,
+                                allocator, len, data);
+}
+void   bts__read__free_unpacked
+                     (Bts__Read *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__read__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__records__init
+                     (Bts__Records         *message)
+{
+  static const Bts__Records init_value = BTS__RECORDS__INIT;
+  *message = init_value;
+}
+size_t bts__records__get_packed_size
+                     (const Bts__Records *message)
+{
+  assert(message->base.descriptor == &bts__records__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__records__pack
+                     (const Bts__Records *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__records__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__records__pack_to_buffer
+                     (const Bts__Records *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__records__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Records *
+       bts__records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Records *)
+     protobuf_c_message_unpack (&bts__records__descriptor,
+                                allocator, len, data);
+}
+void   bts__records__free_unpacked
+                     (Bts__Records *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__records__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__message__init
                      (Bts__Message         *message)
 {
@@ -4664,7 +4754,200 @@
   (ProtobufCMessageInit) bts__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__message__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bts__read__field_descriptors[5] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_kb",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, max_kb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_replaying",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, is_replaying),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__read__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+  4,   /* field[4] = is_replaying */
+  1,   /* field[1] = max_kb */
+  3,   /* field[3] = sent_us */
+  2,   /* field[2] = wait_ms */
+};
+static const ProtobufCIntRange bts__read__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bts__read__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Read",
+  "Read",
+  "Bts__Read",
+  "bts",
+  sizeof(Bts__Read),
+  5,
+  bts__read__field_descriptors,
+  bts__read__field_indices_by_name,
+  1,  bts__read__number_ranges,
+  (ProtobufCMessageInit) bts__read__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__records__field_descriptors[6] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, records),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caught_up",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, caught_up),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, sent_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__records__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = caught_up */
+  0,   /* field[0] = from */
+  5,   /* field[5] = held_ms */
+  1,   /* field[1] = records */
+  3,   /* field[3] = sent_age_ms */
+};
+static const ProtobufCIntRange bts__records__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bts__records__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Records",
+  "Records",
+  "Bts__Records",
+  "bts",
+  sizeof(Bts__Records),
+  6,
+  bts__records__field_descriptors,
+  bts__records__field_indices_by_name,
+  1,  bts__records__number_ranges,
+  (ProtobufCMessageInit) bts__records__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__message__field_descriptors[3] =
 {
   {
     "ask",
@@ -4690,15 +4973,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Message, kind_case),
+    offsetof(Bts__Message, read),
+    &bts__read__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__message__field_indices_by_name[] = {
   0,   /* field[0] = ask */
   1,   /* field[1] = forward */
+  2,   /* field[2] = read */
 };
 static const ProtobufCIntRange bts__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bts__message__descriptor =
 {
@@ -4708,14 +5004,14 @@
   "Bts__Message",
   "bts",
   sizeof(Bts__Message),
-  2,
+  3,
   bts__message__field_descriptors,
   bts__message__field_indices_by_name,
   1,  bts__message__number_ranges,
   (ProtobufCMessageInit) bts__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bts__reply__field_descriptors[3] =
 {
   {
     "advice",
@@ -4741,15 +5037,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "records",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Reply, kind_case),
+    offsetof(Bts__Reply, records),
+    &bts__records__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__reply__field_indices_by_name[] = {
   0,   /* field[0] = advice */
   1,   /* field[1] = answer */
+  2,   /* field[2] = records */
 };
 static const ProtobufCIntRange bts__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bts__reply__descriptor =
 {
@@ -4759,7 +5068,7 @@
   "Bts__Reply",
   "bts",
   sizeof(Bts__Reply),
-  2,
+  3,
   bts__reply__field_descriptors,
   bts__reply__field_indices_by_name,
   1,  bts__reply__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -45,6 +45,8 @@
 typedef struct Bts__Advice Bts__Advice;
 typedef struct Bts__Ask Bts__Ask;
 typedef struct Bts__Forward Bts__Forward;
+typedef struct Bts__Read Bts__Read;
+typedef struct Bts__Records Bts__Records;
 typedef struct Bts__Message Bts__Message;
 typedef struct Bts__Reply Bts__Reply;
 typedef struct Bts__Hello Bts__Hello;
@@ -800,10 +802,70 @@
     , NULL, 0, 0, 0 }
 
 
+/*
+ * A read of the journal through a process that hands it on.
+ */
+struct  Bts__Read
+{
+  ProtobufCMessage base;
+  /*
+   * Offset of the first record.
+   */
+  int64_t from;
+  uint32_t max_kb;
+  /*
+   * How long the reply may wait for records, in milliseconds.
+   */
+  uint32_t wait_ms;
+  /*
+   * The clock of the process that reads when it sent this.
+   */
+  int64_t sent_us;
+  /*
+   * It hasn't read the journal to its end yet, and waits for one that hasn't either.
+   */
+  protobuf_c_boolean is_replaying;
+};
+#define BTS__READ__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__read__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * The reply to it.
+ */
+struct  Bts__Records
+{
+  ProtobufCMessage base;
+  int64_t from;
+  /*
+   * Each after its length, four bytes in network byte order.
+   */
+  ProtobufCBinaryData records;
+  /*
+   * Whether they reach the end of the log by the last read of it.
+   */
+  protobuf_c_boolean caught_up;
+  /*
+   * Time since that read was sent, and since its reply had arrived, in milliseconds, rounded up.
+   */
+  uint32_t sent_age_ms;
+  uint32_t age_ms;
+  /*
+   * How long the request has waited for records, in milliseconds.
+   */
+  uint32_t held_ms;
+};
+#define BTS__RECORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__records__descriptor) \
+    , 0, {0,NULL}, 0, 0, 0, 0 }
+
+
 typedef enum {
   BTS__MESSAGE__KIND__NOT_SET = 0,
   BTS__MESSAGE__KIND_ASK = 1,
-  BTS__MESSAGE__KIND_FORWARD = 2
+  BTS__MESSAGE__KIND_FORWARD = 2,
+  BTS__MESSAGE__KIND_READ = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__MESSAGE__KIND__CASE)
 } Bts__Message__KindCase;
 
@@ -817,6 +879,7 @@
   union {
     Bts__Ask *ask;
     Bts__Forward *forward;
+    Bts__Read *read;
   };
 };
 #define BTS__MESSAGE__INIT \
@@ -827,7 +890,8 @@
 typedef enum {
   BTS__REPLY__KIND__NOT_SET = 0,
   BTS__REPLY__KIND_ADVICE = 1,
-  BTS__REPLY__KIND_ANSWER = 2
+  BTS__REPLY__KIND_ANSWER = 2,
+  BTS__REPLY__KIND_RECORDS = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__REPLY__KIND__CASE)
 } Bts__Reply__KindCase;
 
@@ -844,6 +908,7 @@
      * The answer to the caller of a forwarded job; see bts_answer_t.
      */
     uint32_t answer;
+    Bts__Records *records;
   };
 };
 #define BTS__REPLY__INIT \
@@ -1487,6 +1552,44 @@
 void   bts__forward__free_unpacked
                      (Bts__Forward *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Read methods */
+void   bts__read__init
+                     (Bts__Read         *message);
+size_t bts__read__get_packed_size
+                     (const Bts__Read   *message);
+size_t bts__read__pack
+                     (const Bts__Read   *message,
+                      uint8_t             *out);
+size_t bts__read__pack_to_buffer
+                     (const Bts__Read   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Read *
+       bts__read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__read__free_unpacked
+                     (Bts__Read *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Records methods */
+void   bts__records__init
+                     (Bts__Records         *message);
+size_t bts__records__get_packed_size
+                     (const Bts__Records   *message);
+size_t bts__records__pack
+                     (const Bts__Records   *message,
+                      uint8_t             *out);
+size_t bts__records__pack_to_buffer
+                     (const Bts__Records   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Records *
+       bts__records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__records__free_unpacked
+                     (Bts__Records *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Message methods */
 void   bts__message__init
                      (Bts__Message         *message);
@@ -1655,6 +1758,12 @@
 typedef void (*Bts__Forward_Closure)
                  (const Bts__Forward *message,
                   void *closure_data);
+typedef void (*Bts__Read_Closure)
+                 (const Bts__Read *message,
+                  void *closure_data);
+typedef void (*Bts__Records_Closure)
+                 (const Bts__Records *message,
+                  void *closure_data);
 typedef void (*Bts__Message_Closure)
                  (const Bts__Message *message,
                   void *closure_data);
@@ -1703,6 +1812,8 @@
 extern const ProtobufCMessageDescriptor bts__advice__descriptor;
 extern const ProtobufCMessageDescriptor bts__ask__descriptor;
 extern const ProtobufCMessageDescriptor bts__forward__descriptor;
+extern const ProtobufCMessageDescriptor bts__read__descriptor;
+extern const ProtobufCMessageDescriptor bts__records__descriptor;
 extern const ProtobufCMessageDescriptor bts__message__descriptor;
 extern const ProtobufCMessageDescriptor bts__reply__descriptor;
 extern const ProtobufCMessageDescriptor bts__hello__descriptor;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/scheduler/feed.h"
 #include "libbamboothread/scheduler/headroom.h"
 
 /* Time between two looks of a process at what is due. */
@@ -330,6 +331,8 @@
 {
   sim_node_t *node;
   gint64 sent_us;
+  gint64 upto;
+  gint64 begin_us;
 } sim_read_t;
 
 static void read_sent (sim_t *sim, gpointer data);
@@ -342,28 +345,82 @@
   post (node, delay_us, read_sent, read, g_free);
 }
 
+static void
+read_record (sim_node_t *node, const guint8 *bytes, gsize len)
+{
+  bts_node_on_record (node->node, node->next, bytes, len);
+  bts_journal_feed_on_record (bts_node_feed (node->node), node->next, bytes, len);
+  node->next++;
+}
+
+static void
+skip_deleted (sim_node_t *node)
+{
+  if (node->next >= node->sim->log_first)
+    return;
+  bts_node_on_skipped (node->node, node->next, node->sim->log_first);
+  node->next = node->sim->log_first;
+}
+
 static void
 read_answered (sim_t *sim, gpointer data)
 {
   sim_read_t *read = data;
   sim_node_t *node = read->node;
-  if (node->next < sim->log_first)
-    {
-      bts_node_on_skipped (node->node, node->next, sim->log_first);
-      node->next = sim->log_first;
-    }
-  while (node->next < (gint64)sim->log->len)
+  gint64 first = node->next;
+  skip_deleted (node);
+  while (node->next < MIN (read->upto, (gint64)sim->log->len))
     {
       gsize len;
       const guint8 *bytes = g_bytes_get_data (sim->log->pdata[node->next], &len);
-      bts_node_on_record (node->node, node->next++, bytes, len);
+      sim->log_read_bytes += len;
+      read_record (node, bytes, len);
     }
   if (node->read_failed)
     bts_node_on_readable (node->node);
   node->read_failed = FALSE;
-  bts_node_on_caught_up (node->node, read->sent_us, 2 * SIM_DELAY_US);
+  gboolean caught_up = node->next >= (gint64)sim->log->len;
+  if (node->next > first && read->begin_us > 0)
+    bts_read_window_on_reply (&node->window, read->begin_us);
+  if (caught_up)
+    bts_read_window_on_caught_up (&node->window);
+  bts_journal_feed_on_read (bts_node_feed (node->node), caught_up, read->sent_us);
+  if (caught_up)
+    bts_node_on_caught_up (node->node, read->sent_us, now (node->sim), 2 * SIM_DELAY_US);
   schedule_flush (node);
-  read_again (node, READ_SPACING_US);
+  read_again (node, caught_up ? READ_SPACING_US : bts_read_window_pause_us (&node->window));
+}
+
+/* The offset up to which a reply has records, and their bytes. Without links it has all that are
+   there when it arrives. */
+static gint64
+find_read_end (const sim_node_t *node, gsize *n_bytes)
+{
+  const sim_t *sim = node->sim;
+  if (sim->link_kbps == 0)
+    return G_MAXINT64;
+  gint64 upto = MAX (node->next, sim->log_first);
+  gsize max_bytes = (gsize)bts_read_window_kb (&node->window) * 1024;
+  *n_bytes = 0;
+  while (upto < (gint64)sim->log->len && (*n_bytes == 0 || *n_bytes < max_bytes))
+    *n_bytes += g_bytes_get_size (sim->log->pdata[upto++]);
+  return upto;
+}
+
+/* The link of a region works through the replies in order. Returns how long this one takes. */
+static gint64
+cross_link (sim_node_t *node, gsize n_bytes, gint64 *begin_us)
+{
+  sim_t *sim = node->sim;
+  if (sim->link_kbps == 0)
+    return 0;
+  gint64 *free_us = &sim->link_free_us[node->index % sim->regions];
+  gint64 wait_us = MAX (*free_us - now (sim), 0);
+  gint64 takes_us = (gint64)n_bytes * 8000 / sim->link_kbps;
+  sim->link_queue_max_us = MAX (sim->link_queue_max_us, wait_us);
+  *free_us = now (sim) + wait_us + takes_us;
+  *begin_us = 3 * SIM_DELAY_US + wait_us;
+  return wait_us + takes_us;
 }
 
 /* Looks again and again whether there is something to answer a waiting read with. */
@@ -378,22 +435,61 @@
     {
       g_free (next);
       node->read_failed = TRUE;
+      bts_read_window_init (&node->window);
       read_again (node, READ_WAIT_US);
     }
   else if (node->next < (gint64)sim->log->len || now (sim) - read->sent_us >= READ_WAIT_US)
-    post (node, SIM_DELAY_US, read_answered, next, g_free);
+    {
+      gsize n_bytes = 0;
+      next->upto = find_read_end (node, &n_bytes);
+      gint64 way_us = cross_link (node, n_bytes, &next->begin_us);
+      post (node, SIM_DELAY_US + way_us, read_answered, next, g_free);
+    }
   else
     post (node, SIM_DELAY_US, read_waits, next, g_free);
 }
 
+/* As the agent does, a process whose own reads fail doesn't read through others. */
 static void
 read_sent (sim_t *sim, gpointer data)
 {
   sim_read_t *read = data;
+  sim_node_t *node = read->node;
+  if (!node->read_failed
+      && bts_journal_feed_read (bts_node_feed (node->node), node->next,
+                                bts_read_window_kb (&node->window), BTS_FEED_WAIT_MAX_MS))
+    return;
   sim_read_t *next = g_new0 (sim_read_t, 1);
-  next->node = read->node;
+  next->node = node;
   next->sent_us = now (sim);
-  post (read->node, SIM_DELAY_US, read_waits, next, g_free);
+  post (node, SIM_DELAY_US, read_waits, next, g_free);
+}
+
+/* A read through another process is over. */
+static void
+op_feed_read (void *context, const bts_feed_read_t *read)
+{
+  sim_node_t *node = context;
+  if (read == NULL)
+    {
+      read_again (node, 0);
+      return;
+    }
+  for (gsize at = 0; at < read->len;)
+    {
+      guint32 len;
+      memcpy (&len, read->data + at, sizeof len);
+      len = GUINT32_FROM_BE (len);
+      const guint8 *bytes = read->data + at + sizeof len;
+      ck_assert_mem_eq (bytes, g_bytes_get_data (node->sim->log->pdata[node->next], NULL), len);
+      read_record (node, bytes, len);
+      node->sim->handed_on_bytes += len;
+      at += sizeof len + len;
+    }
+  if (read->caught_up)
+    bts_node_on_caught_up (node->node, read->sent_us, read->as_of_us, -1);
+  schedule_flush (node);
+  read_again (node, 0);
 }
 
 /* Workers. */
@@ -1550,6 +1646,7 @@
   .request_advice = op_advise,
   .send = op_send,
   .reply = op_reply,
+  .feed_read = op_feed_read,
   .answer = op_answer,
   .now_unix_ms = op_now_unix_ms,
 };
@@ -1796,6 +1893,8 @@
   config.name = node->name;
   g_autofree char *address = g_strdup_printf ("%u", index);
   config.address = address;
+  g_autofree char *region = g_strdup_printf ("region-%u", index % MAX (sim->regions, 1));
+  config.region = sim->regions == 0 ? NULL : region;
   config.cpu_millis = node->cpu_millis;
   config.max_direct_appenders = sim->max_direct_appenders;
   config.status_retention_ms = 120000;
@@ -1807,6 +1906,7 @@
   config.sched.record_bytes = SIM_RECORD_BYTES;
   config.sched.interference = sim->interference;
   node->node = bts_node_new (&config, &sim->clock, &node_ops, node);
+  bts_read_window_init (&node->window);
   node->was_leading = FALSE;
   node->flush_scheduled = FALSE;
   node->read_failed = FALSE;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -2,6 +2,7 @@
 #define BT_TESTS_SIM_H
 
 #include "libbamboothread/scheduler/node.h"
+#include "libbamboothread/scheduler/read_window.h"
 
 /*
  * A simulated installation on a paused clock: a log, workers, an advice service
@@ -37,6 +38,7 @@
 /* Size of the largest record that the log takes, and from which on a snapshot counts as large. */
 #define SIM_RECORD_BYTES (256 * 1024)
 #define SIM_LARGE_BYTES (16 * 1024)
+#define SIM_REGIONS_MAX 4
 /* Most ends in one list of a worker. */
 #define SIM_LIST_ENDS_MAX 500
 
@@ -175,6 +177,7 @@
  * @cut: it can't reach the store
  * @late_append_us: its appends to the journal are done so much later and get no answer
  * @deaf: its reads of the log get no answer
+ * @window: how much of the log it asks for, if links carry no more than so much
  * @entries_fail: its reads of the registry are refused
  * @next: the offset that it reads next
  * @spec_next: the offset that it reads next of the log of specs; -1 if it doesn't
@@ -201,6 +204,7 @@
   gboolean cut;
   gint64 late_append_us;
   gboolean deaf;
+  bts_read_window_t window;
   gboolean entries_fail;
   gint64 next;
   gint64 spec_next;
@@ -244,6 +248,13 @@
  * @advice_worker_us: time of a call for each worker that it names, beside the time of any call
  * @advice_extra_us: time that each call takes beyond what the policies of jobs say
  * @order_way_us: time of an order, or of its reply, on its way
+ * @regions: number of regions over which the processes are spread; 0 if they know none
+ * @link_kbps: what the link between each region and the log carries, in kilobits a second, and what
+ *   the processes there read share; 0 for no limit
+ * @link_free_us: by region, when its link has carried what was read so far
+ * @link_queue_max_us: the longest that a read had to wait for a link
+ * @log_read_bytes: bytes of records that processes have read from the log
+ * @handed_on_bytes: bytes of records that processes have got from other ones
  * @order_channels: most orders to one worker at a time; those beyond wait, and are given up
  *   unsent after some time; 0 for no limit
  * @start_stall_us: how long the machine is suspended while the next start order is sent
@@ -307,6 +318,12 @@
   gint64 entries_us;
   gint64 entries_read_us;
   gint64 order_way_us;
+  guint regions;
+  guint link_kbps;
+  gint64 link_free_us[SIM_REGIONS_MAX];
+  gint64 link_queue_max_us;
+  gsize log_read_bytes;
+  gsize handed_on_bytes;
   guint order_channels;
   gint64 start_stall_us;
   gint64 order_us;
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -10,15 +10,20 @@
  * simulated workers check every start; when all faults are over, every job that
  * was accepted has to come to its end. BT_SEED plays one seed, BT_SEEDS that
  * many from it on, BT_DAY the kind of day ("small", "crash-loops",
- * "large", "forgets").
+ * "large", "regions", "forgets").
  */
 
 #define SEEDS_IN_CI 40
+#define REGION_SEEDS_IN_CI 8
 #define LARGE_SEEDS_IN_CI 8
 #define NODES 4
 #define WORKERS 8
 /* Bounds of a large day, with processes that don't read the registry. */
 #define NODES_LARGE 9
+/* Processes of two regions, each of which is large enough for some that hand the journal on. */
+#define NODES_OF_REGIONS 20
+#define REGIONS 2
+#define NODES_MAX NODES_OF_REGIONS
 #define WORKERS_LARGE 24
 #define DAY_MS 25000
 #define STEP_MS 100
@@ -95,9 +100,9 @@
   guint n_nodes;
   guint n_workers;
   gboolean labelled;
-  gint64 node_heal_us[NODES_LARGE];
+  gint64 node_heal_us[NODES_MAX];
   gint64 worker_heal_us[WORKERS_LARGE];
-  gint64 entries_heal_us[NODES_LARGE];
+  gint64 entries_heal_us[NODES_MAX];
   gint64 store_heal_us;
   GRand *crash_loops;
   guint n_crash_loops;
@@ -477,10 +482,13 @@
 /* More processes and workers than processes read the registry of, a short history of the log, more
    faults, workers that join and troubles of the registry. */
 static void
-play_large (guint32 seed, gboolean store_forgets)
+play_large (guint32 seed, guint n_regions, gboolean store_forgets)
 {
-  day_t day = { .n_nodes = NODES_LARGE, .n_workers = WORKERS_LARGE, .labelled = TRUE };
+  day_t day = { .n_nodes = n_regions > 0 ? NODES_OF_REGIONS : NODES_LARGE,
+                .n_workers = WORKERS_LARGE,
+                .labelled = TRUE };
   day.sim = sim_new (day.n_nodes, day.n_workers, seed);
+  day.sim->regions = n_regions;
   day.random = g_rand_new_with_seed (seed);
   day.sim->advised = draw (&day, 2) == 0;
   day.sim->keep_ms = KEEP_LARGE_MS;
@@ -532,19 +540,26 @@
 
 START_TEST (seeded_large_day_keeps_its_promises)
 {
-  play_large (number_from ("BT_SEED", 1) + (guint)_i, FALSE);
+  play_large (number_from ("BT_SEED", 1) + (guint)_i, 0, FALSE);
+}
+END_TEST
+
+/* Guards against processes that act by a journal which was handed on too late, or not at all. */
+START_TEST (seeded_day_of_regions)
+{
+  play_large (number_from ("BT_SEED", 1) + (guint)_i, REGIONS, FALSE);
 }
 END_TEST
 
 START_TEST (seeded_day_of_a_store_that_forgets)
 {
-  play_large (number_from ("BT_SEED", 1) + (guint)_i, TRUE);
+  play_large (number_from ("BT_SEED", 1) + (guint)_i, 0, TRUE);
 }
 END_TEST
 
 START_TEST (large_seed_that_failed_once)
 {
-  play_large (large_regressions[_i], FALSE);
+  play_large (large_regressions[_i], 0, FALSE);
 }
 END_TEST
 
@@ -583,6 +598,9 @@
   if (is_played ("large"))
     tcase_add_loop_test (tests, seeded_large_day_keeps_its_promises, 0,
                          (int)number_from ("BT_SEEDS", LARGE_SEEDS_IN_CI));
+  if (is_played ("regions"))
+    tcase_add_loop_test (tests, seeded_day_of_regions, 0,
+                         (int)number_from ("BT_SEEDS", REGION_SEEDS_IN_CI));
   if (is_played ("forgets"))
     tcase_add_loop_test (tests, seeded_day_of_a_store_that_forgets, 0,
                          (int)number_from ("BT_SEEDS", LARGE_SEEDS_IN_CI));
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -242,11 +242,11 @@
 }
 
 static void
-on_log_read (void *context, gboolean caught_up, gint64 sent_us, gint64 latency_us)
+on_log_read (void *context, const pf_log_read_t *read)
 {
   log_scene_t *scene = context;
-  ck_assert_int_eq (caught_up, (gint64)scene->n_read + 1 == ends[scene->n_read]);
-  scene->latencies_us[scene->n_read++] = latency_us;
+  ck_assert_int_eq (read->caught_up, (gint64)scene->n_read + 1 == ends[scene->n_read]);
+  scene->latencies_us[scene->n_read++] = read->latency_us;
   if (scene->n_read == G_N_ELEMENTS (ends))
     event_base_loopbreak (scene->base);
 }
