--- a/libbamboothread/scheduler/feeders.h
+++ b/libbamboothread/scheduler/feeders.h
@@ -18,8 +18,7 @@
  * @members: the processes
  * @region: the region
  * @owner: name of the owner, which hands nothing on; NULL if there is none
- * @with_unconfirmed: whether processes count that only a replay has named, as while this process
- *   replays the journal itself
+ * @with_unconfirmed: whether processes count that only a replay has named
  * @now_us: the time
  */
 typedef struct
--- a/libbamboothread/scheduler/journal_feed.c
+++ b/libbamboothread/scheduler/journal_feed.c
@@ -7,6 +7,9 @@
 
 /* Interval at which it is decided anew who hands on, in microseconds. */
 #define PLAN_INTERVAL_US (200 * 1000)
+/* How long processes that only a replay has named may hand on after its end, in microseconds: all
+   of those that are alive have said so by then. */
+#define UNCONFIRMED_US (10 * G_USEC_PER_SEC)
 
 /**
  * struct bts_journal_feed_t - the part of one process
@@ -15,6 +18,7 @@
  * @feeders: who hands on in its region (bts_member_t); NULL before the first plan
  * @next_plan_us: when that is decided anew
  * @is_replaying: it hasn't read the journal to its end yet
+ * @replayed_us: when it has; 0 before
  * @is_leaving: it is about to shut down
  * @is_open: it hands on
  */
@@ -30,6 +34,7 @@
   GPtrArray *feeders;
   gint64 next_plan_us;
   gboolean is_replaying;
+  gint64 replayed_us;
   gboolean is_leaving;
   gboolean is_open;
 };
@@ -96,23 +101,23 @@
   return bt_clock_now (feed->config.clock);
 }
 
-/* A process that replays keeps the records until it knows whether it is to hand them on: after a
-   loss of power nobody has them. */
+/* A process that replays keeps all records, since who is to hand them on turns out meanwhile: after
+   a loss of power nobody has them. */
 static gboolean
 has_to_be_open (const bts_journal_feed_t *feed)
 {
   if (*feed->region == '\0' || feed->is_leaving)
     return FALSE;
-  return bts_feeders_contain (feed->feeders, feed->name)
-         || (feed->is_replaying && feed->feeders->len == 0);
+  return feed->is_replaying || bts_feeders_contain (feed->feeders, feed->name);
 }
 
 static void
 make_plan (bts_journal_feed_t *feed, gint64 now_us)
 {
+  gboolean with_unconfirmed = feed->is_replaying || now_us - feed->replayed_us < UNCONFIRMED_US;
   const bts_feeders_view_t view
       = { feed->config.members, feed->region, bts_ledger_owner (feed->config.ledger),
-          feed->is_replaying, now_us };
+          with_unconfirmed, now_us };
   g_clear_pointer (&feed->feeders, g_ptr_array_unref);
   feed->feeders = bts_feeders_list (&view);
   feed->next_plan_us = now_us + PLAN_INTERVAL_US;
@@ -131,14 +136,16 @@
 }
 
 /**
- * bts_journal_feed_set_replaying() - set whether the journal has to be read to its end yet
- * @feed: the feed
- * @is_replaying: whether it has
+ * bts_journal_feed_on_replayed() - the journal was read to its end
+ * @feed: the feed; only the first call counts
  */
 void
-bts_journal_feed_set_replaying (bts_journal_feed_t *feed, gboolean is_replaying)
+bts_journal_feed_on_replayed (bts_journal_feed_t *feed)
 {
-  feed->is_replaying = is_replaying;
+  if (!feed->is_replaying)
+    return;
+  feed->is_replaying = FALSE;
+  feed->replayed_us = feed_now (feed);
 }
 
 /**
@@ -200,7 +207,7 @@
   if (*feed->region == '\0' || feed->is_leaving)
     return FALSE;
   ensure_plan (feed);
-  if (feed->is_open || may_lead (feed))
+  if (bts_feeders_contain (feed->feeders, feed->name) || may_lead (feed))
     return FALSE;
   Bts__Read read = BTS__READ__INIT;
   read.from = from;
--- a/libbamboothread/scheduler/journal_feed.h
+++ b/libbamboothread/scheduler/journal_feed.h
@@ -45,7 +45,7 @@
 bts_journal_feed_t *bts_journal_feed_new (const bts_journal_feed_config_t *config,
                                           const bts_journal_feed_ops_t *ops, void *context);
 void bts_journal_feed_free (bts_journal_feed_t *feed);
-void bts_journal_feed_set_replaying (bts_journal_feed_t *feed, gboolean is_replaying);
+void bts_journal_feed_on_replayed (bts_journal_feed_t *feed);
 void bts_journal_feed_leave (bts_journal_feed_t *feed);
 gboolean bts_journal_feed_is_open (const bts_journal_feed_t *feed);
 void bts_journal_feed_tick (bts_journal_feed_t *feed);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -661,7 +661,7 @@
     node->store_recovered_us = now_us;
   bts_election_on_caught_up (&node->election, latency_us, as_of_us);
   node->replaying = FALSE;
-  bts_journal_feed_set_replaying (node->feed, FALSE);
+  bts_journal_feed_on_replayed (node->feed);
   if (sent_us > node->resumed_us)
     node->resumed_us = 0;
   bts_sched_set_journal_stale (node->sched, node->resumed_us != 0);
