Advice: a request of a gang names what may let it start

Callers saw: of the largest tenth of proof-render fewer were served than of all, with room on workers that they may use.

Cause: a gang has one request for advice at a time, 0.7 to 1.2 s each, and as long as a worker that it knows nothing of had become free that request was about this worker alone. The tickets of those that it may use and that have room ran out meanwhile.

If the tasks of a gang fit on workers that it may use, its request renews the tickets of those with room; otherwise it names these, if that may suffice, and those with room that nothing is known about.

--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -6,6 +6,7 @@
 #include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/call_share.h"
 #include "libbamboothread/scheduler/election.h"
+#include "libbamboothread/scheduler/gang_request.h"
 #include "libbamboothread/scheduler/place.h"
 
 /*
@@ -168,7 +169,8 @@
 /**
  * enum request_scope_t - which workers a request is about
  * @SCOPE_UNKNOWN: workers without advice for the stage
- * @SCOPE_FURTHER: those of them that can take a task now, or any if few are eligible so far
+ * @SCOPE_FURTHER: those of them that can take a task now, or any if few are eligible so far; of a
+ *   gang, see gang_request.h
  * @SCOPE_ALLOWED: workers that were allowed before, to renew their tickets
  */
 typedef enum
@@ -310,9 +312,15 @@
   const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
   const Bts__Step *step = bts_stage_step (stage);
   gboolean low_priority = bts_stage_policy (stage)->priority > 0;
-  GPtrArray *ids = g_ptr_array_new ();
   /* Each request starts at another worker, so that jobs spread over all of them. */
   guint first = pool->len == 0 ? 0 : ++sched->advice_requests % pool->len;
+  if (step->gang && scope == SCOPE_FURTHER && !has_few_eligible (sched, stage))
+    {
+      gint64 answered_us = now_us + call_duration_us (bts_stage_policy (stage), TYPICAL_WORKERS);
+      return bts_gang_request_workers (stage, sched->fleet, first, BTS_ADVICE_MAX_WORKERS,
+                                       answered_us, now_us);
+    }
+  GPtrArray *ids = g_ptr_array_new ();
   guint allowed_percent = scope == SCOPE_ALLOWED ? 100
                           : step->gang           ? EXPECTED_ALLOWED_GANG_PERCENT
                                                  : EXPECTED_ALLOWED_PERCENT;
