Advice: answers outlive the owner that has asked

Cause: only the owner kept answers. All waiting steps asked their first question again at once, and the answer to an owner that had resigned was thrown away.

Change: each process keeps the answers that it fetched, or was given as the owner (advice_memory.c), and tells them to a new owner. That one asks no long question about older jobs in its first 0.15 s.

--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -59,6 +59,7 @@
   X (ADVICE_ANSWERED, "advice_questions_total", "")                                                \
   X (ADVICE_REQUESTS_FAILED, "advice_questions_failed_total", "")                                  \
   X (ADVICE_OVERDUE, "advice_questions_overdue_total", "")                                         \
+  X (ADVICE_TOLD, "advice_answers_told_total", "")                                                 \
   X (ADVICE_YIELDED, "advice_questions_yielded_total", "")                                         \
   X (APPEND_STORED, "store_appends_total", "outcome=\"stored\"")                                   \
   X (APPEND_REFUSED, "store_appends_total", "outcome=\"refused\"")                                 \
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -51,6 +51,9 @@
 #define REQUESTS_PER_TURN 16
 /* A stage whose request has waited this long is overdue, in microseconds. */
 #define OVERDUE_US (1000 * 1000)
+/* Time from the beginning of a term in which other processes tell the owner what earlier ones have
+   learned about jobs from before it, in microseconds. */
+#define TOLD_WAIT_US (150 * 1000)
 /* With at least this many other processes the owner makes no calls to the service itself. */
 #define OTHER_NODES_MIN 2
 
@@ -500,6 +503,14 @@
     stage->advice_wanted_us = now_us;
 }
 
+/* Whether other processes may yet tell what earlier owners have learned about a stage. */
+static gboolean
+may_be_told (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+{
+  return now_us - sched->term_began_us < TOLD_WAIT_US && needs_long_call (stage)
+         && stage->job->offset < bts_ledger_claim_offset (sched->ledger);
+}
+
 /**
  * bts_advice_ensure() - check that a stage has advice, or request it
  * @sched: a leading scheduler
@@ -520,7 +531,7 @@
     suspect_advice_node (sched, stage, now_us);
   if (stage->advice != NULL)
     return TRUE;
-  if (stage->advice_asked_us == 0)
+  if (stage->advice_asked_us == 0 && !may_be_told (sched, stage, now_us))
     request_advice (sched, stage, SCOPE_UNKNOWN, now_us);
   return FALSE;
 }
@@ -619,6 +630,49 @@
     }
 }
 
+/* Workers that aren't known any more are passed over, and newer tickets are kept. */
+static void
+record_advice (const bts_sched_t *sched, bts_stage_t *stage, char **asked, gsize n_asked,
+               const Bts__Advice *advice, gint64 received_us)
+{
+  bts_stage_begin_advice (stage);
+  for (gsize i = 0; i < n_asked; i++)
+    {
+      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, asked[i]);
+      if (worker != NULL)
+        bts_stage_record_denied (stage, worker->number);
+    }
+  for (gsize i = 0; i < advice->n_allowed; i++)
+    {
+      const Bts__Ticket *ticket = advice->allowed[i];
+      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, ticket->worker);
+      const bts_ticket_t *known = worker == NULL ? NULL : bts_stage_ticket (stage, worker->number);
+      if (worker != NULL && (known == NULL || known->received_us <= received_us))
+        bts_stage_record_allowed (stage, worker->number, ticket->ticket, received_us);
+    }
+}
+
+/**
+ * bts_sched_on_advice_told() - an answer that an earlier owner was given
+ * @sched: the scheduler; it may be about to lead
+ * @advice: the answer with the workers that it denies, and its age
+ */
+void
+bts_sched_on_advice_told (bts_sched_t *sched, const Bts__Advice *advice)
+{
+  bts_job_t *job = bts_ledger_job (sched->ledger, advice->job);
+  bts_stage_t *stage = job == NULL || bts_job_has_ended (job)
+                           ? NULL
+                           : bts_job_stage (job, advice->occurrence, advice->step);
+  if (stage == NULL)
+    return;
+  bt_metrics_count (BT_COUNT_ADVICE_TOLD);
+  record_advice (sched, stage, advice->denied, advice->n_denied, advice,
+                 bts_sched_now (sched) - (gint64)advice->age_ms * 1000);
+  stage->retry_us = 0;
+  sched->dirty = TRUE;
+}
+
 /**
  * bts_sched_on_advice() - handle the reply to a request for advice
  * @sched: the scheduler
@@ -647,18 +701,5 @@
     return;
   stage->advice_asked_us = 0;
   stage->retry_us = 0;
-  bts_stage_begin_advice (stage);
-  for (gsize i = 0; i < asked->n_workers; i++)
-    {
-      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, asked->workers[i]);
-      if (worker != NULL)
-        bts_stage_record_denied (stage, worker->number);
-    }
-  for (gsize i = 0; i < advice->n_allowed; i++)
-    {
-      const Bts__Ticket *ticket = advice->allowed[i];
-      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, ticket->worker);
-      if (worker != NULL)
-        bts_stage_record_allowed (stage, worker->number, ticket->ticket, now_us);
-    }
+  record_advice (sched, stage, asked->workers, asked->n_workers, advice, now_us);
 }
--- a/libbamboothread/scheduler/advice_client.c
+++ b/libbamboothread/scheduler/advice_client.c
@@ -96,6 +96,7 @@
   request->occurrence = ask->occurrence;
   request->step = ask->step;
   request->received_us = now_us;
+  request->term = bts_ledger_term (client->ledger);
   request->workers = g_ptr_array_new_with_free_func (g_free);
   for (gsize i = 0; i < ask->n_workers; i++)
     g_ptr_array_add (request->workers, g_strdup (ask->workers[i]));
--- a/libbamboothread/scheduler/advice_client.h
+++ b/libbamboothread/scheduler/advice_client.h
@@ -17,6 +17,7 @@
  * @node: name of this process, as the request gave it
  * @workers: ids of the workers
  * @received_us: when the request came in
+ * @term: the term of the owner then, as this process knew it
  * @attempts: calls made so far
  */
 typedef struct
@@ -28,6 +29,7 @@
   guint step;
   GPtrArray *workers;
   gint64 received_us;
+  guint64 term;
   guint attempts;
 } bts_advice_request_t;
 
--- a/libbamboothread/scheduler/advice_exchange.c
+++ b/libbamboothread/scheduler/advice_exchange.c
@@ -3,17 +3,24 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
+#include "libbamboothread/scheduler/advice_memory.h"
 #include "libbamboothread/scheduler/election.h"
 #include "libbamboothread/scheduler/message_stats.h"
 
 /* Timeout for the reply to a request for advice, in milliseconds. The owner sends the request to
    another process long before that; the timeout closes a connection that has gone silent. */
 #define ASK_TIMEOUT_MS 3500
+/* The same for the reply of an owner that is told of earlier answers. */
+#define TELL_TIMEOUT_MS 500
+/* Time until an owner that hasn't replied is told again, in microseconds. */
+#define TELL_RETRY_US (250 * 1000)
 
 /**
  * struct bts_advice_exchange_t - the requests of one process and those to it
  * @client: calls of this process to the advice service
  * @stats: how long requests and replies are on the way
+ * @memory: answers that owners were given
+ * @next_tell_us: no owner is told of them before this time
  */
 struct bts_advice_exchange_t
 {
@@ -23,6 +30,8 @@
   void *context;
   bts_advice_client_t *client;
   bts_message_stats_t *stats;
+  bts_advice_memory_t *memory;
+  gint64 next_tell_us;
 };
 
 static void
@@ -32,6 +41,19 @@
   exchange->ops->call (exchange->context, request);
 }
 
+static Bts__Ask
+ask_of (const bts_advice_request_t *request)
+{
+  Bts__Ask ask = BTS__ASK__INIT;
+  ask.node = request->node;
+  ask.job = request->job;
+  ask.occurrence = request->occurrence;
+  ask.step = request->step;
+  ask.n_workers = request->workers->len;
+  ask.workers = (char **)request->workers->pdata;
+  return ask;
+}
+
 /* Passes advice, or NULL if there is none, to the requester: the owner in this process, or the
    process that sent the request. */
 static void
@@ -40,13 +62,7 @@
 {
   if (request->exchange == 0)
     {
-      Bts__Ask ask = BTS__ASK__INIT;
-      ask.node = request->node;
-      ask.job = request->job;
-      ask.occurrence = request->occurrence;
-      ask.step = request->step;
-      ask.n_workers = request->workers->len;
-      ask.workers = (char **)request->workers->pdata;
+      Bts__Ask ask = ask_of (request);
       exchange->ops->answered (exchange->context, &ask, advice);
       return;
     }
@@ -89,6 +105,7 @@
   exchange->context = context;
   exchange->client = bts_advice_client_new (config->ledger, &client_ops, exchange);
   exchange->stats = bts_message_stats_new (config->region);
+  exchange->memory = bts_advice_memory_new (config->ledger);
   return exchange;
 }
 
@@ -97,6 +114,7 @@
 {
   bts_advice_client_free (exchange->client);
   bts_message_stats_free (exchange->stats);
+  bts_advice_memory_free (exchange->memory);
   g_free (exchange->name);
   g_free (exchange);
 }
@@ -159,11 +177,101 @@
       bt_log (BT_LOG_INFO, "advice", "job=%s occurrence=%u step=%u asked=%u allowed=%zu",
               request->job, request->occurrence, request->step, request->workers->len,
               advice->n_allowed);
+      Bts__Ask ask = ask_of (request);
+      bts_advice_memory_add (exchange->memory, &ask, advice, request->term,
+                             bt_clock_now (exchange->config.clock));
       deliver (exchange, request, advice);
     }
   bts_advice_client_on_reply (exchange->client, request, advice != NULL);
 }
 
+static void
+tell_self (bts_advice_exchange_t *exchange, const Bts__Told *told)
+{
+  for (gsize i = 0; i < told->n_advice; i++)
+    exchange->ops->told (exchange->context, told->advice[i]);
+}
+
+/* Keeps what the owner is told, for the one after it. */
+static void
+keep_told (bts_advice_exchange_t *exchange, const Bts__Advice *advice)
+{
+  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
+  for (gsize i = 0; i < advice->n_allowed; i++)
+    g_ptr_array_add (workers, advice->allowed[i]->worker);
+  for (gsize i = 0; i < advice->n_denied; i++)
+    g_ptr_array_add (workers, advice->denied[i]);
+  Bts__Ask asked = BTS__ASK__INIT;
+  asked.job = advice->job;
+  asked.occurrence = advice->occurrence;
+  asked.step = advice->step;
+  asked.n_workers = workers->len;
+  asked.workers = (char **)workers->pdata;
+  bts_advice_memory_add (exchange->memory, &asked, advice,
+                         bts_ledger_term (exchange->config.ledger),
+                         bt_clock_now (exchange->config.clock) - (gint64)advice->age_ms * 1000);
+}
+
+/**
+ * bts_advice_exchange_on_told() - a process tells of answers that earlier owners had
+ * @exchange: the requests of the owner
+ * @number: identifies the message for its reply
+ * @told: the answers
+ */
+void
+bts_advice_exchange_on_told (bts_advice_exchange_t *exchange, guint64 number, const Bts__Told *told)
+{
+  tell_self (exchange, told);
+  for (gsize i = 0; i < told->n_advice; i++)
+    keep_told (exchange, told->advice[i]);
+  Bts__Reply reply = BTS__REPLY__INIT;
+  reply.kind_case = BTS__REPLY__KIND_ANSWER;
+  exchange->ops->reply (exchange->context, number, &reply);
+}
+
+/**
+ * bts_advice_exchange_on_told_reply() - an owner has replied to what it was told, or hasn't
+ * @exchange: the requests to this process
+ * @reply: the reply; NULL if there is none
+ */
+void
+bts_advice_exchange_on_told_reply (bts_advice_exchange_t *exchange, const Bts__Reply *reply)
+{
+  if (reply != NULL)
+    return;
+  bts_advice_memory_forget_term (exchange->memory);
+  exchange->next_tell_us = bt_clock_now (exchange->config.clock) + TELL_RETRY_US;
+}
+
+/**
+ * bts_advice_exchange_tick() - tell the owner what earlier ones knew
+ * @exchange: the requests to this process
+ */
+void
+bts_advice_exchange_tick (bts_advice_exchange_t *exchange)
+{
+  gint64 now_us = bt_clock_now (exchange->config.clock);
+  const char *owner = bts_ledger_owner (exchange->config.ledger);
+  const bts_member_t *member
+      = owner == NULL ? NULL : bts_members_find (exchange->config.members, owner);
+  gboolean is_self = g_strcmp0 (owner, exchange->name) == 0;
+  if (now_us < exchange->next_tell_us || (!is_self && (member == NULL || member->address == NULL)))
+    return;
+  Bts__Told *told = bts_advice_memory_tell (exchange->memory,
+                                            bts_ledger_term (exchange->config.ledger), now_us);
+  if (told == NULL)
+    return;
+  bt_log (BT_LOG_INFO, "advice-told", "owner=%s answers=%zu", owner, told->n_advice);
+  Bts__Message message = BTS__MESSAGE__INIT;
+  message.kind_case = BTS__MESSAGE__KIND_TOLD;
+  message.told = told;
+  if (is_self)
+    tell_self (exchange, told);
+  else
+    exchange->ops->send (exchange->context, member->address, &message, TELL_TIMEOUT_MS);
+  bts__told__free_unpacked (told, NULL);
+}
+
 static void
 count_reply (bts_advice_exchange_t *exchange, const Bts__Ask *ask, const Bts__Advice *advice)
 {
@@ -190,7 +298,10 @@
   const Bts__Advice *advice
       = reply != NULL && reply->kind_case == BTS__REPLY__KIND_ADVICE ? reply->advice : NULL;
   count_reply (exchange, ask, advice);
-  if (advice == NULL)
+  if (advice != NULL)
+    bts_advice_memory_add (exchange->memory, ask, advice, bts_ledger_term (exchange->config.ledger),
+                           bt_clock_now (exchange->config.clock));
+  else
     bt_log (BT_LOG_NOTICE, "advice-missing", "job=%s step=%u", ask->job, ask->step);
   exchange->ops->answered (exchange->context, ask, advice);
 }
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -442,8 +442,15 @@
   bts_sched_on_advice (node->sched, ask, advice);
 }
 
+static void
+advice_told (void *context, const Bts__Advice *advice)
+{
+  const bts_node_t *node = context;
+  bts_sched_on_advice_told (node->sched, advice);
+}
+
 static const bts_advice_exchange_ops_t advice_ops
-    = { advice_call, send_message, send_reply, advice_answered };
+    = { advice_call, send_message, send_reply, advice_answered, advice_told };
 
 static void
 feed_done (void *context, const bts_feed_read_t *read)
@@ -756,16 +763,15 @@
   Bts__Message *message = bts__message__unpack (NULL, len, data);
   if (message == NULL)
     return FALSE;
-  gboolean usable = FALSE;
+  gboolean usable = message->kind_case != BTS__MESSAGE__KIND__NOT_SET;
   if (message->kind_case == BTS__MESSAGE__KIND_ASK)
     usable = bts_advice_exchange_on_request (node->advice, exchange, message->ask);
   else if (message->kind_case == BTS__MESSAGE__KIND_FORWARD)
     usable = handle_forward (node, exchange, message->forward);
   else if (message->kind_case == BTS__MESSAGE__KIND_READ)
-    {
-      usable = TRUE;
-      bts_journal_feed_on_request (node->feed, exchange, message->read);
-    }
+    bts_journal_feed_on_request (node->feed, exchange, message->read);
+  else if (message->kind_case == BTS__MESSAGE__KIND_TOLD)
+    bts_advice_exchange_on_told (node->advice, exchange, message->told);
   bts__message__free_unpacked (message, NULL);
   return usable;
 }
@@ -790,6 +796,8 @@
     bts_advice_exchange_on_reply (node->advice, message->ask, reply);
   else if (message->kind_case == BTS__MESSAGE__KIND_READ)
     bts_journal_feed_on_reply (node->feed, message->read, reply);
+  else if (message->kind_case == BTS__MESSAGE__KIND_TOLD)
+    bts_advice_exchange_on_told_reply (node->advice, reply);
   else
     bts_forwarder_on_reply (node->forwarder, message->forward, was_delivered, reply,
                             node_now (node));
@@ -1173,6 +1181,8 @@
   else
     bts_spec_reader_stop (node->spec_reader);
   bts_journal_feed_tick (node->feed);
+  if (!node->replaying)
+    bts_advice_exchange_tick (node->advice);
   count_job_memory (node, now_us);
   bts_sched_set_tables_known (node->sched, bts_freshness_is_known (&node->freshness));
   bts_sched_tick (node->sched);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1267,6 +1267,51 @@
   assert(message->base.descriptor == &bts__advice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__told__init
+                     (Bts__Told         *message)
+{
+  static const Bts__Told init_value = BTS__TOLD__INIT;
+  *message = init_value;
+}
+size_t bts__told__get_packed_size
+                     (const Bts__Told *message)
+{
+  assert(message->base.descriptor == &bts__told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__told__pack
+                     (const Bts__Told *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__told__pack_to_buffer
+                     (const Bts__Told *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Told *
+       bts__told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Told *)
+     protobuf_c_message_unpack (&bts__told__descriptor,
+                                allocator, len, data);
+}
+void   bts__told__free_unpacked
+                     (Bts__Told *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__ask__init
                      (Bts__Ask         *message)
 {
@@ -4457,7 +4502,7 @@
   (ProtobufCMessageInit) bts__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__advice__field_descriptors[7] =
+static const ProtobufCFieldDescriptor bts__advice__field_descriptors[8] =
 {
   {
     "job",
@@ -4543,8 +4588,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Advice, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__advice__field_indices_by_name[] = {
+  7,   /* field[7] = age_ms */
   3,   /* field[3] = allowed */
   5,   /* field[5] = denied */
   6,   /* field[6] = held_ms */
@@ -4557,7 +4615,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bts__advice__descriptor =
 {
@@ -4567,13 +4625,51 @@
   "Bts__Advice",
   "bts",
   sizeof(Bts__Advice),
-  7,
+  8,
   bts__advice__field_descriptors,
   bts__advice__field_indices_by_name,
   2,  bts__advice__number_ranges,
   (ProtobufCMessageInit) bts__advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor bts__told__field_descriptors[1] =
+{
+  {
+    "advice",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Told, n_advice),
+    offsetof(Bts__Told, advice),
+    &bts__advice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__told__field_indices_by_name[] = {
+  0,   /* field[0] = advice */
+};
+static const ProtobufCIntRange bts__told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bts__told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Told",
+  "Told",
+  "Bts__Told",
+  "bts",
+  sizeof(Bts__Told),
+  1,
+  bts__told__field_descriptors,
+  bts__told__field_indices_by_name,
+  1,  bts__told__number_ranges,
+  (ProtobufCMessageInit) bts__told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor bts__ask__field_descriptors[6] =
 {
   {
@@ -4947,7 +5043,7 @@
   (ProtobufCMessageInit) bts__records__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__message__field_descriptors[3] =
+static const ProtobufCFieldDescriptor bts__message__field_descriptors[4] =
 {
   {
     "ask",
@@ -4985,16 +5081,29 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "told",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Message, kind_case),
+    offsetof(Bts__Message, told),
+    &bts__told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__message__field_indices_by_name[] = {
   0,   /* field[0] = ask */
   1,   /* field[1] = forward */
   2,   /* field[2] = read */
+  3,   /* field[3] = told */
 };
 static const ProtobufCIntRange bts__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bts__message__descriptor =
 {
@@ -5004,7 +5113,7 @@
   "Bts__Message",
   "bts",
   sizeof(Bts__Message),
-  3,
+  4,
   bts__message__field_descriptors,
   bts__message__field_indices_by_name,
   1,  bts__message__number_ranges,
--- a/tests/test_advice.c
+++ b/tests/test_advice.c
@@ -290,6 +290,60 @@
 }
 END_TEST
 
+static const bts_stage_t *
+find_waiting (sim_t *sim, const sim_job_t *job)
+{
+  bts_sched_view_t view;
+  gint owner = sim_owner (sim);
+  if (owner < 0 || !bts_sched_view (bts_node_sched (sim_node (sim, (guint)owner)->node), &view))
+    return NULL;
+  for (guint i = 0; i < view.queue->len; i++)
+    {
+      const bts_stage_t *stage = view.queue->pdata[i];
+      if (strcmp (bts_job_id (stage->job), job->id) == 0)
+        return stage;
+    }
+  return NULL;
+}
+
+/* How often the owner changes, and for how long each of them leads. */
+static const struct
+{
+  guint n_owners;
+  guint lead_ms;
+} successions[] = { { 1, 400 }, { 3, 700 }, { 6, 250 } };
+
+/* Guards against answers of the advice service that are lost with the owner that has asked: a gang
+   waits for a second with each owner, and for ever while owners follow each other faster
+   (review/15, SHORT on ravi-hq-large). A call takes 0.9 s. */
+START_TEST (advice_outlives_the_owner)
+{
+  sim_t *sim = sim_with_advice (8);
+  sim->advised = FALSE;
+  for (guint i = 0; i < N_WORKERS; i++)
+    sim_submit (sim, 0, &batch, whole, G_N_ELEMENTS (whole));
+  sim_run_ms (sim, 3000);
+  sim->advised = TRUE;
+  sim->advice_worker_us = LONG_CALL_WORKER_US;
+  const sim_job_t *job = sim_submit (sim, 0, &service, gang, G_N_ELEMENTS (gang));
+  run_until_calls (sim, 1);
+  sim_run_ms (sim, 2000);
+  ck_assert_ptr_nonnull (find_waiting (sim, job)->advice);
+  for (guint i = 0; i < successions[_i].n_owners; i++)
+    {
+      gint earlier = sim_owner (sim);
+      sim_kill (sim, (guint)earlier);
+      for (guint at = 0; at < 400 && sim_owner (sim) < 0; at++)
+        sim_run_ms (sim, 10);
+      sim_run_ms (sim, successions[_i].lead_ms);
+      ck_assert_ptr_nonnull (find_waiting (sim, job));
+      ck_assert_ptr_nonnull (find_waiting (sim, job)->advice);
+      sim_start (sim, (guint)earlier);
+    }
+  sim_free (sim);
+}
+END_TEST
+
 /* Guards against a process that is taken for dead although it answers all that it is asked: each of
    its calls takes a little longer than expected, and that added up for as long as the next request
    was there before the answer. Its calls were made again elsewhere. */
@@ -380,6 +434,7 @@
   tcase_add_test (tests, gang_beside_a_service_that_is_full);
   tcase_add_test (tests, obsolete_step_beside_newer_work);
   tcase_add_test (tests, room_that_appears_during_a_call);
+  tcase_add_loop_test (tests, advice_outlives_the_owner, 0, G_N_ELEMENTS (successions));
   tcase_add_test (tests, calls_that_take_longer_than_expected);
   tcase_add_loop_test (tests, calls_are_due_by_what_was_answered, 0, G_N_ELEMENTS (due_cases));
   return suite_run ("advice", tests);
