--- a/libbamboothread/base/metrics.h
+++ b/libbamboothread/base/metrics.h
@@ -59,7 +59,7 @@
   X (ADVICE_ANSWERED, "advice_questions_total", "")                                                \
   X (ADVICE_REQUESTS_FAILED, "advice_questions_failed_total", "")                                  \
   X (ADVICE_OVERDUE, "advice_questions_overdue_total", "")                                         \
-  X (ADVICE_TOLD, "advice_answers_told_total", "")                                                 \
+  X (ADVICE_TRANSFERRED, "advice_answers_transferred_total", "")                                   \
   X (ADVICE_YIELDED, "advice_questions_yielded_total", "")                                         \
   X (APPEND_STORED, "store_appends_total", "outcome=\"stored\"")                                   \
   X (APPEND_REFUSED, "store_appends_total", "outcome=\"refused\"")                                 \
@@ -69,8 +69,8 @@
   X (RECORDS_TOO_LARGE, "records_too_large_total", "")                                             \
   X (RECORDS, "journal_records_total", "")                                                         \
   X (STORE_READ_BYTES, "store_read_bytes_total", "")                                               \
-  X (FEED_READ_BYTES, "journal_read_bytes_handed_on_total", "")                                    \
-  X (FEED_READS_FAILED, "journal_reads_through_others_failed_total", "")                           \
+  X (RELAYED_BYTES, "journal_relayed_bytes_total", "")                                             \
+  X (RELAY_READS_FAILED, "journal_relay_reads_failed_total", "")                                   \
   X (READS_FAILED, "journal_reads_failed_total", "")                                               \
   X (TABLES_READS_FAILED, "tables_reads_failed_total", "")                                         \
   X (CLAIMS, "claims_total", "")                                                                   \
@@ -120,7 +120,7 @@
   X (INTERFERING_PAIRS, "interfering_pairs", "")                                                   \
   X (TABLES_VERSION, "tables_version", "")                                                         \
   X (TABLES_AGE_MS, "tables_age_ms", "")                                                           \
-  X (FEED_BYTES, "journal_handed_on_bytes", "")                                                    \
+  X (RELAY_BUFFER_BYTES, "journal_relay_buffer_bytes", "")                                         \
   X (JOURNAL_AGE_MS, "journal_age_ms", "")                                                         \
   X (CLIENT_CONNECTIONS, "client_connections", "")                                                 \
   X (CLIENT_HELD_BYTES, "client_held_bytes", "")
--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -51,9 +51,9 @@
 #define REQUESTS_PER_TURN 16
 /* A stage whose request has waited this long is overdue, in microseconds. */
 #define OVERDUE_US (1000 * 1000)
-/* Time from the beginning of a term in which other processes tell the owner what earlier ones have
-   learned about jobs from before it, in microseconds. */
-#define TOLD_WAIT_US (150 * 1000)
+/* Time from the beginning of a term in which other processes send the owner what earlier ones were
+   given about jobs from before it, in microseconds. */
+#define TRANSFER_WAIT_US (150 * 1000)
 /* With at least this many other processes the owner makes no calls to the service itself. */
 #define OTHER_NODES_MIN 2
 
@@ -503,11 +503,11 @@
     stage->advice_wanted_us = now_us;
 }
 
-/* Whether other processes may yet tell what earlier owners have learned about a stage. */
+/* Whether other processes may yet send what earlier owners were given about a stage. */
 static gboolean
-may_be_told (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+may_be_transferred (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
 {
-  return now_us - sched->term_began_us < TOLD_WAIT_US && needs_long_call (stage)
+  return now_us - sched->term_began_us < TRANSFER_WAIT_US && needs_long_call (stage)
          && stage->job->offset < bts_ledger_claim_offset (sched->ledger);
 }
 
@@ -531,7 +531,7 @@
     suspect_advice_node (sched, stage, now_us);
   if (stage->advice != NULL)
     return TRUE;
-  if (stage->advice_asked_us == 0 && !may_be_told (sched, stage, now_us))
+  if (stage->advice_asked_us == 0 && !may_be_transferred (sched, stage, now_us))
     request_advice (sched, stage, SCOPE_UNKNOWN, now_us);
   return FALSE;
 }
@@ -653,12 +653,12 @@
 }
 
 /**
- * bts_sched_on_advice_told() - an answer that an earlier owner was given
+ * bts_sched_on_advice_transferred() - an answer that an earlier owner was given
  * @sched: the scheduler; it may be about to lead
  * @advice: the answer with the workers that it denies, and its age
  */
 void
-bts_sched_on_advice_told (bts_sched_t *sched, const Bts__Advice *advice)
+bts_sched_on_advice_transferred (bts_sched_t *sched, const Bts__Advice *advice)
 {
   bts_job_t *job = bts_ledger_job (sched->ledger, advice->job);
   bts_stage_t *stage = job == NULL || bts_job_has_ended (job)
@@ -666,7 +666,7 @@
                            : bts_job_stage (job, advice->occurrence, advice->step);
   if (stage == NULL)
     return;
-  bt_metrics_count (BT_COUNT_ADVICE_TOLD);
+  bt_metrics_count (BT_COUNT_ADVICE_TRANSFERRED);
   record_advice (sched, stage, advice->denied, advice->n_denied, advice,
                  bts_sched_now (sched) - (gint64)advice->age_ms * 1000);
   stage->retry_us = 0;
--- a/libbamboothread/scheduler/advice_exchange.c
+++ b/libbamboothread/scheduler/advice_exchange.c
@@ -3,24 +3,24 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
-#include "libbamboothread/scheduler/advice_memory.h"
+#include "libbamboothread/scheduler/advice_cache.h"
 #include "libbamboothread/scheduler/election.h"
 #include "libbamboothread/scheduler/message_stats.h"
 
 /* Timeout for the reply to a request for advice, in milliseconds. The owner sends the request to
    another process long before that; the timeout closes a connection that has gone silent. */
 #define ASK_TIMEOUT_MS 3500
-/* The same for the reply of an owner that is told of earlier answers. */
-#define TELL_TIMEOUT_MS 500
-/* Time until an owner that hasn't replied is told again, in microseconds. */
-#define TELL_RETRY_US (250 * 1000)
+/* The same for the reply of an owner to answers of earlier ones. */
+#define TRANSFER_TIMEOUT_MS 500
+/* Time until the answers are sent again to an owner that hasn't replied, in microseconds. */
+#define TRANSFER_RETRY_US (250 * 1000)
 
 /**
  * struct bts_advice_exchange_t - the requests of one process and those to it
  * @client: calls of this process to the advice service
  * @stats: how long requests and replies are on the way
- * @memory: answers that owners were given
- * @next_tell_us: no owner is told of them before this time
+ * @cache: answers that owners were given
+ * @next_transfer_us: they are sent to no owner before this time
  */
 struct bts_advice_exchange_t
 {
@@ -30,8 +30,8 @@
   void *context;
   bts_advice_client_t *client;
   bts_message_stats_t *stats;
-  bts_advice_memory_t *memory;
-  gint64 next_tell_us;
+  bts_advice_cache_t *cache;
+  gint64 next_transfer_us;
 };
 
 static void
@@ -105,7 +105,7 @@
   exchange->context = context;
   exchange->client = bts_advice_client_new (config->ledger, &client_ops, exchange);
   exchange->stats = bts_message_stats_new (config->region);
-  exchange->memory = bts_advice_memory_new (config->ledger);
+  exchange->cache = bts_advice_cache_new (config->ledger);
   return exchange;
 }
 
@@ -114,7 +114,7 @@
 {
   bts_advice_client_free (exchange->client);
   bts_message_stats_free (exchange->stats);
-  bts_advice_memory_free (exchange->memory);
+  bts_advice_cache_free (exchange->cache);
   g_free (exchange->name);
   g_free (exchange);
 }
@@ -178,23 +178,23 @@
               request->job, request->occurrence, request->step, request->workers->len,
               advice->n_allowed);
       Bts__Ask ask = ask_of (request);
-      bts_advice_memory_add (exchange->memory, &ask, advice, request->term,
-                             bt_clock_now (exchange->config.clock));
+      bts_advice_cache_add (exchange->cache, &ask, advice, request->term,
+                            bt_clock_now (exchange->config.clock));
       deliver (exchange, request, advice);
     }
   bts_advice_client_on_reply (exchange->client, request, advice != NULL);
 }
 
 static void
-tell_self (bts_advice_exchange_t *exchange, const Bts__Told *told)
+apply_transfer (bts_advice_exchange_t *exchange, const Bts__AdviceTransfer *transfer)
 {
-  for (gsize i = 0; i < told->n_advice; i++)
-    exchange->ops->told (exchange->context, told->advice[i]);
+  for (gsize i = 0; i < transfer->n_advice; i++)
+    exchange->ops->transferred (exchange->context, transfer->advice[i]);
 }
 
-/* Keeps what the owner is told, for the one after it. */
+/* Keeps a transferred answer for the next owner. */
 static void
-keep_told (bts_advice_exchange_t *exchange, const Bts__Advice *advice)
+cache_transferred (bts_advice_exchange_t *exchange, const Bts__Advice *advice)
 {
   g_autoptr (GPtrArray) workers = g_ptr_array_new ();
   for (gsize i = 0; i < advice->n_allowed; i++)
@@ -207,44 +207,44 @@
   asked.step = advice->step;
   asked.n_workers = workers->len;
   asked.workers = (char **)workers->pdata;
-  bts_advice_memory_add (exchange->memory, &asked, advice,
-                         bts_ledger_term (exchange->config.ledger),
-                         bt_clock_now (exchange->config.clock) - (gint64)advice->age_ms * 1000);
+  bts_advice_cache_add (exchange->cache, &asked, advice, bts_ledger_term (exchange->config.ledger),
+                        bt_clock_now (exchange->config.clock) - (gint64)advice->age_ms * 1000);
 }
 
 /**
- * bts_advice_exchange_on_told() - a process tells of answers that earlier owners had
+ * bts_advice_exchange_on_transfer() - a process sends answers that earlier owners were given
  * @exchange: the requests of the owner
  * @number: identifies the message for its reply
- * @told: the answers
+ * @transfer: the answers
  */
 void
-bts_advice_exchange_on_told (bts_advice_exchange_t *exchange, guint64 number, const Bts__Told *told)
+bts_advice_exchange_on_transfer (bts_advice_exchange_t *exchange, guint64 number,
+                                 const Bts__AdviceTransfer *transfer)
 {
-  tell_self (exchange, told);
-  for (gsize i = 0; i < told->n_advice; i++)
-    keep_told (exchange, told->advice[i]);
+  apply_transfer (exchange, transfer);
+  for (gsize i = 0; i < transfer->n_advice; i++)
+    cache_transferred (exchange, transfer->advice[i]);
   Bts__Reply reply = BTS__REPLY__INIT;
   reply.kind_case = BTS__REPLY__KIND_ANSWER;
   exchange->ops->reply (exchange->context, number, &reply);
 }
 
 /**
- * bts_advice_exchange_on_told_reply() - an owner has replied to what it was told, or hasn't
+ * bts_advice_exchange_on_transfer_reply() - an owner has replied to a transfer, or hasn't
  * @exchange: the requests to this process
  * @reply: the reply; NULL if there is none
  */
 void
-bts_advice_exchange_on_told_reply (bts_advice_exchange_t *exchange, const Bts__Reply *reply)
+bts_advice_exchange_on_transfer_reply (bts_advice_exchange_t *exchange, const Bts__Reply *reply)
 {
   if (reply != NULL)
     return;
-  bts_advice_memory_forget_term (exchange->memory);
-  exchange->next_tell_us = bt_clock_now (exchange->config.clock) + TELL_RETRY_US;
+  bts_advice_cache_mark_unsent (exchange->cache);
+  exchange->next_transfer_us = bt_clock_now (exchange->config.clock) + TRANSFER_RETRY_US;
 }
 
 /**
- * bts_advice_exchange_tick() - tell the owner what earlier ones knew
+ * bts_advice_exchange_tick() - send a new owner the answers that earlier ones were given
  * @exchange: the requests to this process
  */
 void
@@ -255,21 +255,22 @@
   const bts_member_t *member
       = owner == NULL ? NULL : bts_members_find (exchange->config.members, owner);
   gboolean is_self = g_strcmp0 (owner, exchange->name) == 0;
-  if (now_us < exchange->next_tell_us || (!is_self && (member == NULL || member->address == NULL)))
+  if (now_us < exchange->next_transfer_us
+      || (!is_self && (member == NULL || member->address == NULL)))
     return;
-  Bts__Told *told = bts_advice_memory_tell (exchange->memory,
-                                            bts_ledger_term (exchange->config.ledger), now_us);
-  if (told == NULL)
+  Bts__AdviceTransfer *transfer = bts_advice_cache_take_unsent (
+      exchange->cache, bts_ledger_term (exchange->config.ledger), now_us);
+  if (transfer == NULL)
     return;
-  bt_log (BT_LOG_INFO, "advice-told", "owner=%s answers=%zu", owner, told->n_advice);
+  bt_log (BT_LOG_INFO, "advice-transfer", "owner=%s answers=%zu", owner, transfer->n_advice);
   Bts__Message message = BTS__MESSAGE__INIT;
-  message.kind_case = BTS__MESSAGE__KIND_TOLD;
-  message.told = told;
+  message.kind_case = BTS__MESSAGE__KIND_TRANSFER;
+  message.transfer = transfer;
   if (is_self)
-    tell_self (exchange, told);
+    apply_transfer (exchange, transfer);
   else
-    exchange->ops->send (exchange->context, member->address, &message, TELL_TIMEOUT_MS);
-  bts__told__free_unpacked (told, NULL);
+    exchange->ops->send (exchange->context, member->address, &message, TRANSFER_TIMEOUT_MS);
+  bts__advice_transfer__free_unpacked (transfer, NULL);
 }
 
 static void
@@ -299,8 +300,8 @@
       = reply != NULL && reply->kind_case == BTS__REPLY__KIND_ADVICE ? reply->advice : NULL;
   count_reply (exchange, ask, advice);
   if (advice != NULL)
-    bts_advice_memory_add (exchange->memory, ask, advice, bts_ledger_term (exchange->config.ledger),
-                           bt_clock_now (exchange->config.clock));
+    bts_advice_cache_add (exchange->cache, ask, advice, bts_ledger_term (exchange->config.ledger),
+                          bt_clock_now (exchange->config.clock));
   else
     bt_log (BT_LOG_NOTICE, "advice-missing", "job=%s step=%u", ask->job, ask->step);
   exchange->ops->answered (exchange->context, ask, advice);
--- a/libbamboothread/scheduler/advice_exchange.h
+++ b/libbamboothread/scheduler/advice_exchange.h
@@ -18,7 +18,7 @@
  *   bts_advice_exchange_on_reply()
  * @reply: replies to a message; NULL if there is no reply
  * @answered: a request of this process, as the owner, was answered; NULL if there is no advice
- * @told: a process tells this one, as the owner, of an answer to an earlier owner
+ * @transferred: another process passes on an answer that an earlier owner was given
  */
 typedef struct
 {
@@ -26,7 +26,7 @@
   void (*send) (void *context, const char *address, const Bts__Message *message, guint timeout_ms);
   void (*reply) (void *context, guint64 exchange, const Bts__Reply *reply);
   void (*answered) (void *context, const Bts__Ask *ask, const Bts__Advice *advice);
-  void (*told) (void *context, const Bts__Advice *advice);
+  void (*transferred) (void *context, const Bts__Advice *advice);
 } bts_advice_exchange_ops_t;
 
 /**
@@ -57,9 +57,10 @@
 void bts_advice_exchange_on_call_done (bts_advice_exchange_t *exchange,
                                        const bts_advice_request_t *request,
                                        const Bts__Advice *advice);
-void bts_advice_exchange_on_told (bts_advice_exchange_t *exchange, guint64 number,
-                                  const Bts__Told *told);
-void bts_advice_exchange_on_told_reply (bts_advice_exchange_t *exchange, const Bts__Reply *reply);
+void bts_advice_exchange_on_transfer (bts_advice_exchange_t *exchange, guint64 number,
+                                      const Bts__AdviceTransfer *transfer);
+void bts_advice_exchange_on_transfer_reply (bts_advice_exchange_t *exchange,
+                                            const Bts__Reply *reply);
 void bts_advice_exchange_tick (bts_advice_exchange_t *exchange);
 void bts_advice_exchange_on_reply (bts_advice_exchange_t *exchange, const Bts__Ask *ask,
                                    const Bts__Reply *reply);
--- a/libbamboothread/scheduler/node.c
+++ b/libbamboothread/scheduler/node.c
@@ -8,7 +8,7 @@
 #include "libbamboothread/scheduler/claim.h"
 #include "libbamboothread/scheduler/handover.h"
 #include "libbamboothread/scheduler/job_budget.h"
-#include "libbamboothread/scheduler/journal_feed.h"
+#include "libbamboothread/scheduler/journal_relay.h"
 #include "libbamboothread/scheduler/usage.h"
 
 /* Token of records that belong to no client request. Nothing waits for the result of their
@@ -73,7 +73,7 @@
   bts_sched_t *sched;
   bts_requests_t *requests;
   bts_advice_exchange_t *advice;
-  bts_journal_feed_t *feed;
+  bts_journal_relay_t *relay;
   bts_spec_reader_t *spec_reader;
   bts_election_t election;
   bts_tables_t *tables;
@@ -443,23 +443,23 @@
 }
 
 static void
-advice_told (void *context, const Bts__Advice *advice)
+advice_transferred (void *context, const Bts__Advice *advice)
 {
   const bts_node_t *node = context;
-  bts_sched_on_advice_told (node->sched, advice);
+  bts_sched_on_advice_transferred (node->sched, advice);
 }
 
 static const bts_advice_exchange_ops_t advice_ops
-    = { advice_call, send_message, send_reply, advice_answered, advice_told };
+    = { advice_call, send_message, send_reply, advice_answered, advice_transferred };
 
 static void
-feed_done (void *context, const bts_feed_read_t *read)
+relay_done (void *context, const bts_relay_read_t *read)
 {
   bts_node_t *node = context;
-  node->ops->feed_read (node->context, read);
+  node->ops->relay_read (node->context, read);
 }
 
-static const bts_journal_feed_ops_t feed_ops = { send_message, send_reply, feed_done };
+static const bts_journal_relay_ops_t relay_ops = { send_message, send_reply, relay_done };
 
 /**
  * bts_node_new() - create a process that hasn't read the journal yet
@@ -493,9 +493,9 @@
   const bts_advice_exchange_config_t advice
       = { node->name, node->region, clock, node->ledger, node->members };
   node->advice = bts_advice_exchange_new (&advice, &advice_ops, node);
-  const bts_journal_feed_config_t feed
+  const bts_journal_relay_config_t relay
       = { node->name, node->region, clock, node->members, node->ledger };
-  node->feed = bts_journal_feed_new (&feed, &feed_ops, node);
+  node->relay = bts_journal_relay_new (&relay, &relay_ops, node);
   node->budget = bts_job_budget_new (config->job_memory_bytes);
   bts_election_init (&node->election, config->name);
   bts_freshness_init (&node->freshness, config->tables_max_age_ms);
@@ -512,7 +512,7 @@
   bts_sched_free (node->sched);
   bts_requests_free (node->requests);
   bts_advice_exchange_free (node->advice);
-  bts_journal_feed_free (node->feed);
+  bts_journal_relay_free (node->relay);
   bts_spec_reader_free (node->spec_reader);
   bts_ledger_free (node->ledger);
   bts_job_budget_free (node->budget);
@@ -528,10 +528,10 @@
   g_free (node);
 }
 
-bts_journal_feed_t *
-bts_node_feed (const bts_node_t *node)
+bts_journal_relay_t *
+bts_node_relay (const bts_node_t *node)
 {
-  return node->feed;
+  return node->relay;
 }
 
 bts_sched_t *
@@ -654,7 +654,7 @@
  * bts_node_on_caught_up() - the journal was read to its end
  * @node: the process
  * @sent_us: when that read was sent
- * @as_of_us: when its reply had arrived: now, or before if another process has handed it on
+ * @as_of_us: when its reply had arrived: now, or before if another process has relayed it
  * @latency_us: time that it took, see bts_election_on_caught_up()
  *
  * A claim of this process takes effect only here: before, the records not read yet may contain
@@ -668,7 +668,7 @@
     node->store_recovered_us = now_us;
   bts_election_on_caught_up (&node->election, latency_us, as_of_us);
   node->replaying = FALSE;
-  bts_journal_feed_on_replayed (node->feed);
+  bts_journal_relay_on_replayed (node->relay);
   if (sent_us > node->resumed_us)
     node->resumed_us = 0;
   bts_sched_set_journal_stale (node->sched, node->resumed_us != 0);
@@ -769,9 +769,9 @@
   else if (message->kind_case == BTS__MESSAGE__KIND_FORWARD)
     usable = handle_forward (node, exchange, message->forward);
   else if (message->kind_case == BTS__MESSAGE__KIND_READ)
-    bts_journal_feed_on_request (node->feed, exchange, message->read);
-  else if (message->kind_case == BTS__MESSAGE__KIND_TOLD)
-    bts_advice_exchange_on_told (node->advice, exchange, message->told);
+    bts_journal_relay_on_request (node->relay, exchange, message->read);
+  else if (message->kind_case == BTS__MESSAGE__KIND_TRANSFER)
+    bts_advice_exchange_on_transfer (node->advice, exchange, message->transfer);
   bts__message__free_unpacked (message, NULL);
   return usable;
 }
@@ -795,9 +795,9 @@
   if (message->kind_case == BTS__MESSAGE__KIND_ASK)
     bts_advice_exchange_on_reply (node->advice, message->ask, reply);
   else if (message->kind_case == BTS__MESSAGE__KIND_READ)
-    bts_journal_feed_on_reply (node->feed, message->read, reply);
-  else if (message->kind_case == BTS__MESSAGE__KIND_TOLD)
-    bts_advice_exchange_on_told_reply (node->advice, reply);
+    bts_journal_relay_on_reply (node->relay, message->read, reply);
+  else if (message->kind_case == BTS__MESSAGE__KIND_TRANSFER)
+    bts_advice_exchange_on_transfer_reply (node->advice, reply);
   else
     bts_forwarder_on_reply (node->forwarder, message->forward, was_delivered, reply,
                             node_now (node));
@@ -1001,7 +1001,7 @@
 bts_node_leave (bts_node_t *node)
 {
   node->election.leaving = TRUE;
-  bts_journal_feed_leave (node->feed);
+  bts_journal_relay_leave (node->relay);
 }
 
 /**
@@ -1180,7 +1180,7 @@
     bts_spec_reader_tick (node->spec_reader, now_us);
   else
     bts_spec_reader_stop (node->spec_reader);
-  bts_journal_feed_tick (node->feed);
+  bts_journal_relay_tick (node->relay);
   if (!node->replaying)
     bts_advice_exchange_tick (node->advice);
   count_job_memory (node, now_us);
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -7,7 +7,7 @@
 #include "libbamboothread/scheduler/explain.h"
 #include "libbamboothread/scheduler/forwarder.h"
 #include "libbamboothread/scheduler/intake.h"
-#include "libbamboothread/scheduler/journal_feed.h"
+#include "libbamboothread/scheduler/journal_relay.h"
 #include "libbamboothread/scheduler/requests.h"
 #include "libbamboothread/scheduler/sched.h"
 #include "libbamboothread/scheduler/spec_reader.h"
@@ -38,8 +38,8 @@
  * @request_advice: send a request to the advice service; completed by bts_node_on_advice()
  * @send: send a message to the process at @address; completed by bts_node_on_reply()
  * @reply: reply to a message; NULL if there is no reply
- * @feed_read: a read of the journal through another process is over, see bts_journal_feed_read() on
- *   bts_node_feed(); NULL if it has failed
+ * @relay_read: a read of the journal through another process is over, see bts_journal_relay_read()
+ * on bts_node_relay(); NULL if it has failed
  * @answer: answer a caller
  * @now_unix_ms: Unix time in milliseconds
  */
@@ -56,7 +56,7 @@
   void (*request_advice) (void *context, const bts_advice_request_t *request);
   void (*send) (void *context, const char *address, GBytes *message, guint timeout_ms);
   void (*reply) (void *context, guint64 exchange, GBytes *reply);
-  void (*feed_read) (void *context, const bts_feed_read_t *read);
+  void (*relay_read) (void *context, const bts_relay_read_t *read);
   void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
   gint64 (*now_unix_ms) (void *context);
 } bts_node_ops_t;
@@ -93,7 +93,7 @@
                           const bts_node_ops_t *ops, void *context);
 void bts_node_free (bts_node_t *node);
 bts_sched_t *bts_node_sched (const bts_node_t *node);
-bts_journal_feed_t *bts_node_feed (const bts_node_t *node);
+bts_journal_relay_t *bts_node_relay (const bts_node_t *node);
 const bts_tables_t *bts_node_tables (const bts_node_t *node);
 bts_freshness_t *bts_node_freshness (bts_node_t *node);
 bts_access_t bts_node_check_access (const bts_node_t *node, const bts_route_t *route,
--- a/libbamboothread/scheduler/sched.h
+++ b/libbamboothread/scheduler/sched.h
@@ -231,7 +231,7 @@
 void bts_sched_on_run_ended (bts_sched_t *sched, bts_task_t *task, guint run,
                              bts_run_outcome_t outcome);
 void bts_sched_on_advice (bts_sched_t *sched, const Bts__Ask *asked, const Bts__Advice *advice);
-void bts_sched_on_advice_told (bts_sched_t *sched, const Bts__Advice *advice);
+void bts_sched_on_advice_transferred (bts_sched_t *sched, const Bts__Advice *advice);
 void bts_sched_on_readable (bts_sched_t *sched);
 void bts_sched_on_heartbeat (bts_sched_t *sched, guint64 number);
 void bts_sched_on_job_removed (bts_sched_t *sched, bts_job_t *job);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1267,49 +1267,49 @@
   assert(message->base.descriptor == &bts__advice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   bts__told__init
-                     (Bts__Told         *message)
+void   bts__advice_transfer__init
+                     (Bts__AdviceTransfer         *message)
 {
-  static const Bts__Told init_value = BTS__TOLD__INIT;
+  static const Bts__AdviceTransfer init_value = BTS__ADVICE_TRANSFER__INIT;
   *message = init_value;
 }
-size_t bts__told__get_packed_size
-                     (const Bts__Told *message)
+size_t bts__advice_transfer__get_packed_size
+                     (const Bts__AdviceTransfer *message)
 {
-  assert(message->base.descriptor == &bts__told__descriptor);
+  assert(message->base.descriptor == &bts__advice_transfer__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t bts__told__pack
-                     (const Bts__Told *message,
+size_t bts__advice_transfer__pack
+                     (const Bts__AdviceTransfer *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &bts__told__descriptor);
+  assert(message->base.descriptor == &bts__advice_transfer__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t bts__told__pack_to_buffer
-                     (const Bts__Told *message,
+size_t bts__advice_transfer__pack_to_buffer
+                     (const Bts__AdviceTransfer *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &bts__told__descriptor);
+  assert(message->base.descriptor == &bts__advice_transfer__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Bts__Told *
-       bts__told__unpack
+Bts__AdviceTransfer *
+       bts__advice_transfer__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Bts__Told *)
-     protobuf_c_message_unpack (&bts__told__descriptor,
+  return (Bts__AdviceTransfer *)
+     protobuf_c_message_unpack (&bts__advice_transfer__descriptor,
                                 allocator, len, data);
 }
-void   bts__told__free_unpacked
-                     (Bts__Told *message,
+void   bts__advice_transfer__free_unpacked
+                     (Bts__AdviceTransfer *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &bts__told__descriptor);
+  assert(message->base.descriptor == &bts__advice_transfer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   bts__ask__init
@@ -4632,42 +4632,42 @@
   (ProtobufCMessageInit) bts__advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__told__field_descriptors[1] =
+static const ProtobufCFieldDescriptor bts__advice_transfer__field_descriptors[1] =
 {
   {
     "advice",
     1,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Bts__Told, n_advice),
-    offsetof(Bts__Told, advice),
+    offsetof(Bts__AdviceTransfer, n_advice),
+    offsetof(Bts__AdviceTransfer, advice),
     &bts__advice__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned bts__told__field_indices_by_name[] = {
+static const unsigned bts__advice_transfer__field_indices_by_name[] = {
   0,   /* field[0] = advice */
 };
-static const ProtobufCIntRange bts__told__number_ranges[1 + 1] =
+static const ProtobufCIntRange bts__advice_transfer__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 1 }
 };
-const ProtobufCMessageDescriptor bts__told__descriptor =
+const ProtobufCMessageDescriptor bts__advice_transfer__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "bts.Told",
-  "Told",
-  "Bts__Told",
+  "bts.AdviceTransfer",
+  "AdviceTransfer",
+  "Bts__AdviceTransfer",
   "bts",
-  sizeof(Bts__Told),
+  sizeof(Bts__AdviceTransfer),
   1,
-  bts__told__field_descriptors,
-  bts__told__field_indices_by_name,
-  1,  bts__told__number_ranges,
-  (ProtobufCMessageInit) bts__told__init,
+  bts__advice_transfer__field_descriptors,
+  bts__advice_transfer__field_indices_by_name,
+  1,  bts__advice_transfer__number_ranges,
+  (ProtobufCMessageInit) bts__advice_transfer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor bts__ask__field_descriptors[6] =
@@ -5082,13 +5082,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "told",
+    "transfer",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Bts__Message, kind_case),
-    offsetof(Bts__Message, told),
-    &bts__told__descriptor,
+    offsetof(Bts__Message, transfer),
+    &bts__advice_transfer__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -5098,7 +5098,7 @@
   0,   /* field[0] = ask */
   1,   /* field[1] = forward */
   2,   /* field[2] = read */
-  3,   /* field[3] = told */
+  3,   /* field[3] = transfer */
 };
 static const ProtobufCIntRange bts__message__number_ranges[1 + 1] =
 {
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -43,7 +43,7 @@
 typedef struct Bts__Standing Bts__Standing;
 typedef struct Bts__Ticket Bts__Ticket;
 typedef struct Bts__Advice Bts__Advice;
-typedef struct Bts__Told Bts__Told;
+typedef struct Bts__AdviceTransfer Bts__AdviceTransfer;
 typedef struct Bts__Ask Bts__Ask;
 typedef struct Bts__Forward Bts__Forward;
 typedef struct Bts__Read Bts__Read;
@@ -749,7 +749,7 @@
    */
   uint32_t held_ms;
   /*
-   * Its age where an owner is told of answers to earlier ones, in milliseconds.
+   * Its age in a transfer, in milliseconds.
    */
   uint32_t age_ms;
 };
@@ -759,16 +759,16 @@
 
 
 /*
- * What a process has asked the advice service for earlier owners, for the next one.
+ * Answers of the advice service to earlier owners, for the next one.
  */
-struct  Bts__Told
+struct  Bts__AdviceTransfer
 {
   ProtobufCMessage base;
   size_t n_advice;
   Bts__Advice **advice;
 };
-#define BTS__TOLD__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&bts__told__descriptor) \
+#define BTS__ADVICE_TRANSFER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__advice_transfer__descriptor) \
     , 0,NULL }
 
 
@@ -822,7 +822,7 @@
 
 
 /*
- * A read of the journal through a process that hands it on.
+ * A read of the journal through a process that relays it.
  */
 struct  Bts__Read
 {
@@ -885,7 +885,7 @@
   BTS__MESSAGE__KIND_ASK = 1,
   BTS__MESSAGE__KIND_FORWARD = 2,
   BTS__MESSAGE__KIND_READ = 3,
-  BTS__MESSAGE__KIND_TOLD = 4
+  BTS__MESSAGE__KIND_TRANSFER = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__MESSAGE__KIND__CASE)
 } Bts__Message__KindCase;
 
@@ -900,7 +900,7 @@
     Bts__Ask *ask;
     Bts__Forward *forward;
     Bts__Read *read;
-    Bts__Told *told;
+    Bts__AdviceTransfer *transfer;
   };
 };
 #define BTS__MESSAGE__INIT \
@@ -1535,24 +1535,24 @@
 void   bts__advice__free_unpacked
                      (Bts__Advice *message,
                       ProtobufCAllocator *allocator);
-/* Bts__Told methods */
-void   bts__told__init
-                     (Bts__Told         *message);
-size_t bts__told__get_packed_size
-                     (const Bts__Told   *message);
-size_t bts__told__pack
-                     (const Bts__Told   *message,
+/* Bts__AdviceTransfer methods */
+void   bts__advice_transfer__init
+                     (Bts__AdviceTransfer         *message);
+size_t bts__advice_transfer__get_packed_size
+                     (const Bts__AdviceTransfer   *message);
+size_t bts__advice_transfer__pack
+                     (const Bts__AdviceTransfer   *message,
                       uint8_t             *out);
-size_t bts__told__pack_to_buffer
-                     (const Bts__Told   *message,
+size_t bts__advice_transfer__pack_to_buffer
+                     (const Bts__AdviceTransfer   *message,
                       ProtobufCBuffer     *buffer);
-Bts__Told *
-       bts__told__unpack
+Bts__AdviceTransfer *
+       bts__advice_transfer__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   bts__told__free_unpacked
-                     (Bts__Told *message,
+void   bts__advice_transfer__free_unpacked
+                     (Bts__AdviceTransfer *message,
                       ProtobufCAllocator *allocator);
 /* Bts__Ask methods */
 void   bts__ask__init
@@ -1792,8 +1792,8 @@
 typedef void (*Bts__Advice_Closure)
                  (const Bts__Advice *message,
                   void *closure_data);
-typedef void (*Bts__Told_Closure)
-                 (const Bts__Told *message,
+typedef void (*Bts__AdviceTransfer_Closure)
+                 (const Bts__AdviceTransfer *message,
                   void *closure_data);
 typedef void (*Bts__Ask_Closure)
                  (const Bts__Ask *message,
@@ -1853,7 +1853,7 @@
 extern const ProtobufCMessageDescriptor bts__standing__descriptor;
 extern const ProtobufCMessageDescriptor bts__ticket__descriptor;
 extern const ProtobufCMessageDescriptor bts__advice__descriptor;
-extern const ProtobufCMessageDescriptor bts__told__descriptor;
+extern const ProtobufCMessageDescriptor bts__advice_transfer__descriptor;
 extern const ProtobufCMessageDescriptor bts__ask__descriptor;
 extern const ProtobufCMessageDescriptor bts__forward__descriptor;
 extern const ProtobufCMessageDescriptor bts__read__descriptor;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "libbamboothread/base/log.h"
-#include "libbamboothread/scheduler/feed.h"
+#include "libbamboothread/scheduler/relay_server.h"
 #include "libbamboothread/scheduler/headroom.h"
 
 /* Time between two looks of a process at what is due. */
@@ -349,7 +349,7 @@
 read_record (sim_node_t *node, const guint8 *bytes, gsize len)
 {
   bts_node_on_record (node->node, node->next, bytes, len);
-  bts_journal_feed_on_record (bts_node_feed (node->node), node->next, bytes, len);
+  bts_journal_relay_on_record (bts_node_relay (node->node), node->next, bytes, len);
   node->next++;
 }
 
@@ -384,7 +384,7 @@
     bts_read_window_on_reply (&node->window, read->begin_us);
   if (caught_up)
     bts_read_window_on_caught_up (&node->window);
-  bts_journal_feed_on_read (bts_node_feed (node->node), caught_up, read->sent_us);
+  bts_journal_relay_on_read (bts_node_relay (node->node), caught_up, read->sent_us);
   if (caught_up)
     bts_node_on_caught_up (node->node, read->sent_us, now (node->sim), 2 * SIM_DELAY_US);
   schedule_flush (node);
@@ -456,8 +456,8 @@
   sim_read_t *read = data;
   sim_node_t *node = read->node;
   if (!node->read_failed
-      && bts_journal_feed_read (bts_node_feed (node->node), node->next,
-                                bts_read_window_kb (&node->window), BTS_FEED_WAIT_MAX_MS))
+      && bts_journal_relay_read (bts_node_relay (node->node), node->next,
+                                 bts_read_window_kb (&node->window), BTS_RELAY_WAIT_MAX_MS))
     return;
   sim_read_t *next = g_new0 (sim_read_t, 1);
   next->node = node;
@@ -467,7 +467,7 @@
 
 /* A read through another process is over. */
 static void
-op_feed_read (void *context, const bts_feed_read_t *read)
+op_relay_read (void *context, const bts_relay_read_t *read)
 {
   sim_node_t *node = context;
   if (read == NULL)
@@ -483,7 +483,7 @@
       const guint8 *bytes = read->data + at + sizeof len;
       ck_assert_mem_eq (bytes, g_bytes_get_data (node->sim->log->pdata[node->next], NULL), len);
       read_record (node, bytes, len);
-      node->sim->handed_on_bytes += len;
+      node->sim->relayed_bytes += len;
       at += sizeof len + len;
     }
   if (read->caught_up)
@@ -1646,7 +1646,7 @@
   .request_advice = op_advise,
   .send = op_send,
   .reply = op_reply,
-  .feed_read = op_feed_read,
+  .relay_read = op_relay_read,
   .answer = op_answer,
   .now_unix_ms = op_now_unix_ms,
 };
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -254,7 +254,7 @@
  * @link_free_us: by region, when its link has carried what was read so far
  * @link_queue_max_us: the longest that a read had to wait for a link
  * @log_read_bytes: bytes of records that processes have read from the log
- * @handed_on_bytes: bytes of records that processes have got from other ones
+ * @relayed_bytes: bytes of records that processes have got from other ones
  * @order_channels: most orders to one worker at a time; those beyond wait, and are given up
  *   unsent after some time; 0 for no limit
  * @start_stall_us: how long the machine is suspended while the next start order is sent
@@ -323,7 +323,7 @@
   gint64 link_free_us[SIM_REGIONS_MAX];
   gint64 link_queue_max_us;
   gsize log_read_bytes;
-  gsize handed_on_bytes;
+  gsize relayed_bytes;
   guint order_channels;
   gint64 start_stall_us;
   gint64 order_us;
--- a/tests/test_cluster_random.c
+++ b/tests/test_cluster_random.c
@@ -20,7 +20,7 @@
 #define WORKERS 8
 /* Bounds of a large day, with processes that don't read the registry. */
 #define NODES_LARGE 9
-/* Processes of two regions, each of which is large enough for some that hand the journal on. */
+/* Processes of two regions, each of which is large enough for some that relay the journal. */
 #define NODES_OF_REGIONS 20
 #define REGIONS 2
 #define NODES_MAX NODES_OF_REGIONS
@@ -544,7 +544,7 @@
 }
 END_TEST
 
-/* Guards against processes that act by a journal which was handed on too late, or not at all. */
+/* Guards against processes that act by a journal which was relayed too late, or not at all. */
 START_TEST (seeded_day_of_regions)
 {
   play_large (number_from ("BT_SEED", 1) + (guint)_i, REGIONS, FALSE);
--- a/tests/test_feed.c
+++ b/tests/test_relay.c
@@ -1,11 +1,11 @@
 #include <string.h>
 
-#include "libbamboothread/scheduler/feed.h"
-#include "libbamboothread/scheduler/feed_client.h"
+#include "libbamboothread/scheduler/relay_server.h"
+#include "libbamboothread/scheduler/relay_client.h"
 #include "tests/suite.h"
 
 /*
- * Processes that hand the journal on to others of their region, each part by itself on a paused
+ * Processes that relay the journal to others of their region, each part by itself on a paused
  * clock.
  */
 
@@ -14,7 +14,7 @@
 #define REGION "north"
 
 /**
- * struct scene_t - a feed, and what it has replied last
+ * struct scene_t - a server, and what it has replied last
  * @replies: number of replies
  * @refusals: number of those that refuse
  * @packed: the last one that doesn't; NULL if there is none
@@ -23,7 +23,7 @@
 typedef struct
 {
   bt_clock_t clock;
-  bts_feed_t *feed;
+  bts_relay_server_t *server;
   guint replies;
   guint refusals;
   GBytes *packed;
@@ -50,13 +50,13 @@
 {
   *scene = (scene_t){ 0 };
   bt_clock_init_paused (&scene->clock, NOW_US);
-  scene->feed = bts_feed_new (&scene->clock, on_reply, scene);
+  scene->server = bts_relay_server_new (&scene->clock, on_reply, scene);
 }
 
 static void
 scene_clear (scene_t *scene)
 {
-  bts_feed_free (scene->feed);
+  bts_relay_server_free (scene->server);
   g_clear_pointer (&scene->packed, g_bytes_unref);
 }
 
@@ -75,9 +75,9 @@
   for (guint i = 0; i < n; i++)
     {
       memcpy (data, &(gint64){ first + i }, sizeof (gint64));
-      bts_feed_on_record (scene->feed, first + i, data, sizeof data);
+      bts_relay_server_on_record (scene->server, first + i, data, sizeof data);
     }
-  bts_feed_on_read (scene->feed, caught_up, sent_us);
+  bts_relay_server_on_read (scene->server, caught_up, sent_us);
 }
 
 static void
@@ -88,7 +88,7 @@
   read.max_kb = max_kb;
   read.wait_ms = wait_ms;
   read.is_replaying = scene->is_replaying;
-  bts_feed_on_request (scene->feed, 1, &read);
+  bts_relay_server_on_request (scene->server, 1, &read);
 }
 
 /**
@@ -124,13 +124,13 @@
   { "reads_have_stopped", TRUE, 10, 128, 2000, REFUSED, 0, FALSE },
 };
 
-/* Guards against records that are left out or handed on twice, and against answers from a process
+/* Guards against records that are left out or relayed twice, and against answers from a process
    that can't read the log itself. */
 START_TEST (request_gets_the_records_that_follow)
 {
   scene_t scene;
   scene_init (&scene);
-  bts_feed_set_open (scene.feed, requests[_i].is_open);
+  bts_relay_server_set_open (scene.server, requests[_i].is_open);
   read_records (&scene, 10, 10, FALSE, NOW_US);
   read_records (&scene, 20, 10, TRUE, NOW_US);
   bt_clock_advance (&scene.clock, requests[_i].age_ms * 1000);
@@ -161,7 +161,7 @@
 static void
 read_nothing (scene_t *scene)
 {
-  bts_feed_on_read (scene->feed, TRUE, bt_clock_now (&scene->clock));
+  bts_relay_server_on_read (scene->server, TRUE, bt_clock_now (&scene->clock));
 }
 
 static void
@@ -173,21 +173,21 @@
 static void
 close_feed (scene_t *scene)
 {
-  bts_feed_set_open (scene->feed, FALSE);
+  bts_relay_server_set_open (scene->server, FALSE);
 }
 
 static void
 stop_reading (scene_t *scene)
 {
   bt_clock_advance (&scene->clock, 2000 * 1000);
-  bts_feed_tick (scene->feed);
+  bts_relay_server_tick (scene->server);
 }
 
 static void
 wait_long (scene_t *scene)
 {
-  bt_clock_advance (&scene->clock, BTS_FEED_WAIT_MAX_MS * 1000);
-  bts_feed_tick (scene->feed);
+  bt_clock_advance (&scene->clock, BTS_RELAY_WAIT_MAX_MS * 1000);
+  bts_relay_server_tick (scene->server);
 }
 
 static const struct
@@ -219,7 +219,7 @@
   scene_t scene;
   scene_init (&scene);
   scene.is_replaying = ahead[_i].is_replaying;
-  bts_feed_set_open (scene.feed, TRUE);
+  bts_relay_server_set_open (scene.server, TRUE);
   read_records (&scene, 0, 10, ahead[_i].has_caught_up, NOW_US);
   request (&scene, ahead[_i].from, 128, 300);
   ck_assert_uint_eq (scene.replies, ahead[_i].answer != WAITS);
@@ -237,7 +237,7 @@
 {
   scene_t scene;
   scene_init (&scene);
-  bts_feed_set_open (scene.feed, TRUE);
+  bts_relay_server_set_open (scene.server, TRUE);
   read_records (&scene, 0, 1, TRUE, NOW_US);
   request (&scene, 1, 128, 60000);
   ck_assert_uint_eq (scene.replies, 0);
@@ -248,15 +248,15 @@
 }
 END_TEST
 
-/* Guards against a process whose memory grows with the journal that it hands on. */
+/* Guards against a process whose memory grows with the journal that it relays. */
 START_TEST (records_that_are_kept_are_bounded)
 {
   scene_t scene;
   scene_init (&scene);
-  bts_feed_set_open (scene.feed, TRUE);
+  bts_relay_server_set_open (scene.server, TRUE);
   for (guint i = 0; i < 200; i++)
     read_records (&scene, i * 100, 100, TRUE, NOW_US);
-  ck_assert_uint_le (bts_feed_bytes (scene.feed), BTS_FEED_MAX_BYTES);
+  ck_assert_uint_le (bts_relay_server_bytes (scene.server), BTS_RELAY_MAX_BYTES);
   request (&scene, 0, 128, 0);
   ck_assert_uint_eq (scene.refusals, 1);
   request (&scene, 19900, 128, 0);
@@ -273,7 +273,7 @@
   GString *addresses;
   Bts__Read last;
   gboolean has_failed;
-  bts_feed_read_t read;
+  bts_relay_read_t read;
 } sent_t;
 
 static void
@@ -285,7 +285,7 @@
 }
 
 static void
-client_done (void *context, const bts_feed_read_t *read)
+client_done (void *context, const bts_relay_read_t *read)
 {
   sent_t *sent = context;
   sent->has_failed = read == NULL;
@@ -293,17 +293,17 @@
     sent->read = *read;
 }
 
-static const bts_feed_client_ops_t client_ops = { client_send, client_done };
+static const bts_relay_client_ops_t client_ops = { client_send, client_done };
 
 static gboolean
-client_read (bts_feed_client_t *client, const GPtrArray *feeders, gint64 from, gint64 now_us)
+client_read (bts_relay_client_t *client, const GPtrArray *relays, gint64 from, gint64 now_us)
 {
   Bts__Read read = BTS__READ__INIT;
   read.from = from;
   read.max_kb = 128;
   read.wait_ms = 300;
   read.sent_us = now_us;
-  return bts_feed_client_read (client, feeders, &read);
+  return bts_relay_client_read (client, relays, &read);
 }
 
 static void
@@ -319,7 +319,7 @@
   bts_members_update (members, &hello, seen_us);
 }
 
-/* Ways of a message in milliseconds, and for how long the feed's process stood still. */
+/* Ways of a message in milliseconds, and for how long the server's process stood still. */
 static const struct
 {
   gint64 there_ms;
@@ -336,26 +336,26 @@
 {
   bts_members_t *members = bts_members_new ();
   add_member (members, "f", REGION, 500, NOW_US);
-  g_autoptr (GPtrArray) feeders = bts_members_list_askable (members, NOW_US);
+  g_autoptr (GPtrArray) relays = bts_members_list_askable (members, NOW_US);
   sent_t sent = { .addresses = g_string_new (NULL) };
-  bts_feed_client_t *client = bts_feed_client_new ("a/1", &client_ops, &sent);
+  bts_relay_client_t *client = bts_relay_client_new ("a/1", &client_ops, &sent);
   scene_t scene;
   scene_init (&scene);
-  bts_feed_set_open (scene.feed, TRUE);
+  bts_relay_server_set_open (scene.server, TRUE);
   gint64 read_sent_us = NOW_US;
   bt_clock_advance (&scene.clock, 20 * 1000);
   gint64 read_came_us = bt_clock_now (&scene.clock);
   read_records (&scene, 0, 3, TRUE, read_sent_us);
   bt_clock_advance (&scene.clock, 100 * 1000);
-  ck_assert (client_read (client, feeders, 3, bt_clock_now (&scene.clock)));
+  ck_assert (client_read (client, relays, 3, bt_clock_now (&scene.clock)));
   bt_clock_advance (&scene.clock, ways[_i].there_ms * 1000);
   request (&scene, 3, 128, (guint)ways[_i].held_ms);
   bt_clock_advance (&scene.clock, (ways[_i].held_ms + ways[_i].still_ms) * 1000);
-  bts_feed_tick (scene.feed);
+  bts_relay_server_tick (scene.server);
   ck_assert_uint_eq (scene.replies, 1);
   bt_clock_advance (&scene.clock, ways[_i].back_ms * 1000);
   Bts__Reply *reply = scene.packed == NULL ? NULL : last_reply (&scene);
-  bts_feed_client_on_reply (client, &sent.last, reply, bt_clock_now (&scene.clock));
+  bts_relay_client_on_reply (client, &sent.last, reply, bt_clock_now (&scene.clock));
   ck_assert_int_eq (sent.has_failed, scene.refusals == 1);
   if (!sent.has_failed)
     {
@@ -365,7 +365,7 @@
     }
   if (reply != NULL)
     bts__reply__free_unpacked (reply, NULL);
-  bts_feed_client_free (client);
+  bts_relay_client_free (client);
   g_string_free (sent.addresses, TRUE);
   bts_members_free (members);
   scene_clear (&scene);
@@ -379,37 +379,37 @@
   bts_members_t *members = bts_members_new ();
   add_member (members, "f", REGION, 500, NOW_US);
   add_member (members, "g", REGION, 500, NOW_US);
-  g_autoptr (GPtrArray) feeders = bts_members_list_askable (members, NOW_US);
+  g_autoptr (GPtrArray) relays = bts_members_list_askable (members, NOW_US);
   sent_t sent = { .addresses = g_string_new (NULL) };
-  bts_feed_client_t *client = bts_feed_client_new ("a/1", &client_ops, &sent);
+  bts_relay_client_t *client = bts_relay_client_new ("a/1", &client_ops, &sent);
   gint64 now_us = NOW_US;
   /* The first one is silent, the second one refuses. */
-  ck_assert (client_read (client, feeders, 0, now_us));
+  ck_assert (client_read (client, relays, 0, now_us));
   now_us += 700 * 1000;
-  bts_feed_client_on_reply (client, &sent.last, NULL, now_us);
-  ck_assert (client_read (client, feeders, 0, now_us));
+  bts_relay_client_on_reply (client, &sent.last, NULL, now_us);
+  ck_assert (client_read (client, relays, 0, now_us));
   now_us += 2 * 1000;
-  bts_feed_client_on_reply (client, &sent.last, NULL, now_us);
-  ck_assert (!client_read (client, feeders, 0, now_us));
+  bts_relay_client_on_reply (client, &sent.last, NULL, now_us);
+  ck_assert (!client_read (client, relays, 0, now_us));
   ck_assert (strcmp (sent.addresses->str, "fg") == 0 || strcmp (sent.addresses->str, "gf") == 0);
   /* Only the one that has refused is asked again soon. */
   now_us += 1500 * 1000;
-  ck_assert (client_read (client, feeders, 0, now_us));
+  ck_assert (client_read (client, relays, 0, now_us));
   ck_assert_int_eq (sent.addresses->str[2], sent.addresses->str[1]);
-  bts_feed_client_free (client);
+  bts_relay_client_free (client);
   g_string_free (sent.addresses, TRUE);
   bts_members_free (members);
 }
 END_TEST
 
 /* Processes of a region and of another one, those of the region that have died, and how many are to
-   hand on. */
+   relay. */
 static const struct
 {
   guint n;
   guint n_elsewhere;
   guint n_dead;
-  guint n_feeders;
+  guint n_relays;
 } regions[] = {
   { 3, 40, 0, 0 },  { 7, 0, 20, 0 },  { 8, 0, 0, 1 },
   { 16, 16, 0, 2 }, { 74, 73, 3, 7 }, { 500, 0, 0, 42 },
@@ -428,20 +428,20 @@
       add_member (members, name, i < n + regions[_i].n_dead ? REGION : "south",
                   i % 8 == 0 ? 500 : 120, is_dead ? NOW_US - 60 * G_USEC_PER_SEC : NOW_US);
     }
-  const bts_feeders_view_t view = { members, REGION, "v0/1", FALSE, NOW_US };
-  g_autoptr (GPtrArray) feeders = bts_feeders_list (&view);
-  ck_assert_uint_eq (feeders->len, regions[_i].n_feeders);
-  ck_assert (!bts_feeders_contain (feeders, "v0/2"));
+  const bts_relays_view_t view = { members, REGION, "v0/1", FALSE, NOW_US };
+  g_autoptr (GPtrArray) relays = bts_relays_list (&view);
+  ck_assert_uint_eq (relays->len, regions[_i].n_relays);
+  ck_assert (!bts_relays_contain (relays, "v0/2"));
   guint n_large = 0;
-  for (guint i = 0; i < feeders->len; i++)
+  for (guint i = 0; i < relays->len; i++)
     {
-      const bts_member_t *member = feeders->pdata[i];
+      const bts_member_t *member = relays->pdata[i];
       ck_assert_str_eq (member->region, REGION);
       ck_assert_int_eq (member->last_seen_us, NOW_US);
       n_large += member->cpu_millis == 500;
     }
   /* The owner is on one of the large VMs. */
-  ck_assert_uint_eq (n_large, MIN (feeders->len, (n - 1) / 8));
+  ck_assert_uint_eq (n_large, MIN (relays->len, (n - 1) / 8));
   bts_members_free (members);
 }
 END_TEST
@@ -449,7 +449,7 @@
 int
 main (void)
 {
-  TCase *tests = tcase_create ("feed");
+  TCase *tests = tcase_create ("relay");
   tcase_add_loop_test (tests, request_gets_the_records_that_follow, 0, G_N_ELEMENTS (requests));
   tcase_add_loop_test (tests, process_that_replays_waits_for_another, 0, G_N_ELEMENTS (ahead));
   tcase_add_loop_test (tests, request_that_waits_gets_a_reply, 0, G_N_ELEMENTS (waits));
@@ -458,5 +458,5 @@
                        G_N_ELEMENTS (ways));
   tcase_add_test (tests, failed_read_goes_elsewhere);
   tcase_add_loop_test (tests, large_processes_of_a_region_hand_on, 0, G_N_ELEMENTS (regions));
-  return suite_run ("feed", tests);
+  return suite_run ("relay", tests);
 }
--- a/tests/test_feed_cluster.c
+++ b/tests/test_relay_cluster.c
@@ -2,7 +2,7 @@
 #include "tests/suite.h"
 
 /*
- * Processes of two regions, a few of which hand the journal on to the others, on a paused clock.
+ * Processes of two regions, a few of which relay the journal to the others, on a paused clock.
  * All that a region reads from the log crosses one link.
  */
 
@@ -35,24 +35,24 @@
 }
 
 static gboolean
-hands_on (sim_t *sim, guint i)
+is_relay (sim_t *sim, guint i)
 {
   const sim_node_t *node = sim_node (sim, i);
-  return node->node != NULL && bts_journal_feed_is_open (bts_node_feed (node->node));
+  return node->node != NULL && bts_journal_relay_is_open (bts_node_relay (node->node));
 }
 
-/* The processes that hand on when a fault begins; a bit for each. */
+/* The processes that relay when a fault begins; a bit for each. */
 static guint32
-find_feeders (sim_t *sim)
+find_relays (sim_t *sim)
 {
-  guint32 feeders = 0;
+  guint32 relays = 0;
   for (guint i = 0; i < N_NODES; i++)
-    feeders |= hands_on (sim, i) ? 1u << i : 0;
-  return feeders;
+    relays |= is_relay (sim, i) ? 1u << i : 0;
+  return relays;
 }
 
 static void
-kill_all (sim_t *sim, guint32 feeders)
+kill_all (sim_t *sim, guint32 relays)
 {
   for (guint i = 0; i < N_NODES; i++)
     sim_kill (sim, i);
@@ -62,7 +62,7 @@
 }
 
 static void
-kill_third (sim_t *sim, guint32 feeders)
+kill_third (sim_t *sim, guint32 relays)
 {
   for (guint i = 0; i < N_NODES; i += 3)
     {
@@ -72,82 +72,82 @@
 }
 
 static void
-kill_feeders (sim_t *sim, guint32 feeders)
+kill_relays (sim_t *sim, guint32 relays)
 {
   for (guint i = 0; i < N_NODES; i++)
-    if (feeders & (1u << i))
+    if (relays & (1u << i))
       sim_kill (sim, i);
 }
 
 static void
-start_again (sim_t *sim, guint32 feeders)
+start_again (sim_t *sim, guint32 relays)
 {
   for (guint i = 0; i < N_NODES; i++)
-    if (feeders & (1u << i))
+    if (relays & (1u << i))
       sim_start (sim, i);
 }
 
 static void
-freeze_feeders (sim_t *sim, guint32 feeders)
+freeze_relays (sim_t *sim, guint32 relays)
 {
   for (guint i = 0; i < N_NODES; i++)
-    if (feeders & (1u << i))
+    if (relays & (1u << i))
       sim_freeze (sim, i);
 }
 
 static void
-thaw_feeders (sim_t *sim, guint32 feeders)
+thaw_relays (sim_t *sim, guint32 relays)
 {
   for (guint i = 0; i < N_NODES; i++)
-    if (feeders & (1u << i))
+    if (relays & (1u << i))
       sim_thaw (sim, i);
 }
 
 static void
-set_cut (sim_t *sim, guint32 feeders, gboolean is_cut)
+set_cut (sim_t *sim, guint32 relays, gboolean is_cut)
 {
   for (guint i = 0; i < N_NODES; i++)
-    if (feeders & (1u << i))
+    if (relays & (1u << i))
       sim_node (sim, i)->cut = is_cut;
 }
 
 static void
-cut_feeders (sim_t *sim, guint32 feeders)
+cut_relays (sim_t *sim, guint32 relays)
 {
-  set_cut (sim, feeders, TRUE);
+  set_cut (sim, relays, TRUE);
 }
 
 static void
-mend_feeders (sim_t *sim, guint32 feeders)
+mend_relays (sim_t *sim, guint32 relays)
 {
-  set_cut (sim, feeders, FALSE);
+  set_cut (sim, relays, FALSE);
 }
 
 static void
-end_feeders (sim_t *sim, guint32 feeders)
+end_relays (sim_t *sim, guint32 relays)
 {
   for (guint i = 0; i < N_NODES; i++)
-    if (feeders & (1u << i))
+    if (relays & (1u << i))
       sim_leave (sim, i);
 }
 
 static void
-stop_store (sim_t *sim, guint32 feeders)
+stop_store (sim_t *sim, guint32 relays)
 {
   sim->store_down = TRUE;
 }
 
 static void
-start_store (sim_t *sim, guint32 feeders)
+start_store (sim_t *sim, guint32 relays)
 {
   sim->store_down = FALSE;
 }
 
 static void
-kill_and_start_again (sim_t *sim, guint32 feeders)
+kill_and_start_again (sim_t *sim, guint32 relays)
 {
-  kill_feeders (sim, feeders);
-  start_again (sim, feeders);
+  kill_relays (sim, relays);
+  start_again (sim, relays);
 }
 
 /**
@@ -159,17 +159,17 @@
 static const struct
 {
   const char *name;
-  void (*begin) (sim_t *sim, guint32 feeders);
-  void (*end) (sim_t *sim, guint32 feeders);
+  void (*begin) (sim_t *sim, guint32 relays);
+  void (*end) (sim_t *sim, guint32 relays);
   guint share_percent;
 } cases[] = {
   { "calm", NULL, NULL, 50 },
   { "all_lose_power", kill_all, NULL, 60 },
   { "third_is_killed", kill_third, NULL, 60 },
-  { "feeders_are_killed", kill_feeders, start_again, 70 },
-  { "feeders_freeze", freeze_feeders, thaw_feeders, 70 },
-  { "feeders_are_cut_off_from_the_store", cut_feeders, mend_feeders, 70 },
-  { "feeders_leave", end_feeders, kill_and_start_again, 70 },
+  { "relays_are_killed", kill_relays, start_again, 70 },
+  { "relays_freeze", freeze_relays, thaw_relays, 70 },
+  { "relays_are_cut_off_from_the_store", cut_relays, mend_relays, 70 },
+  { "relays_leave", end_relays, kill_and_start_again, 70 },
   { "store_is_down", stop_store, start_store, 60 },
 };
 
@@ -183,7 +183,7 @@
 }
 
 /* Guards against a journal that crosses the link of a region once for each process, and against
-   processes that stop reading it with the one that hands it on to them. */
+   processes that stop reading it with the one that relays it to them. */
 START_TEST (journal_crosses_a_link_for_few_processes)
 {
   const char *name = cases[_i].name;
@@ -193,20 +193,20 @@
   sim->keep_ms = KEEP_MS;
   sim_restart (sim);
   run_with_jobs (sim, WARM_UP_MS);
-  guint32 feeders = find_feeders (sim);
-  ck_assert_msg (feeders != 0, "%s: none hands on", name);
+  guint32 relays = find_relays (sim);
+  ck_assert_msg (relays != 0, "%s: none relays", name);
   sim->log_read_bytes = 0;
-  sim->handed_on_bytes = 0;
+  sim->relayed_bytes = 0;
   if (cases[_i].begin != NULL)
-    cases[_i].begin (sim, feeders);
+    cases[_i].begin (sim, relays);
   run_with_jobs (sim, FAULT_MS);
   if (cases[_i].end != NULL)
-    cases[_i].end (sim, feeders);
+    cases[_i].end (sim, relays);
   run_with_jobs (sim, AFTER_FAULT_MS);
   sim_run_ms (sim, 4000);
   expect_all_caught_up (sim, name);
   ck_assert_int_ge (sim_owner (sim), 0);
-  gsize all_bytes = sim->log_read_bytes + sim->handed_on_bytes;
+  gsize all_bytes = sim->log_read_bytes + sim->relayed_bytes;
   ck_assert_msg (sim->log_read_bytes * 100 <= all_bytes * cases[_i].share_percent,
                  "%s: %zu of %zu bytes crossed the links", name, sim->log_read_bytes, all_bytes);
   ck_assert_msg (sim->link_queue_max_us <= MESSAGE_MAX_US,
@@ -220,8 +220,8 @@
 int
 main (void)
 {
-  TCase *tests = tcase_create ("feed_cluster");
+  TCase *tests = tcase_create ("relay_cluster");
   tcase_set_timeout (tests, 120);
   tcase_add_loop_test (tests, journal_crosses_a_link_for_few_processes, 0, G_N_ELEMENTS (cases));
-  return suite_run ("feed_cluster", tests);
+  return suite_run ("relay_cluster", tests);
 }
