--- a/libbamboothread/scheduler/advice.c
+++ b/libbamboothread/scheduler/advice.c
@@ -6,6 +6,7 @@
 #include "libbamboothread/base/metrics.h"
 #include "libbamboothread/scheduler/call_share.h"
 #include "libbamboothread/scheduler/election.h"
+#include "libbamboothread/scheduler/gang_request.h"
 #include "libbamboothread/scheduler/place.h"
 
 /*
@@ -50,6 +51,9 @@
 #define REQUESTS_PER_TURN 16
 /* A stage whose request has waited this long is overdue, in microseconds. */
 #define OVERDUE_US (1000 * 1000)
+/* Time from the beginning of a term in which other processes send the owner what earlier ones were
+   given about jobs from before it, in microseconds. */
+#define TRANSFER_WAIT_US (150 * 1000)
 /* With at least this many other processes the owner makes no calls to the service itself. */
 #define OTHER_NODES_MIN 2
 
@@ -168,7 +172,8 @@
 /**
  * enum request_scope_t - which workers a request is about
  * @SCOPE_UNKNOWN: workers without advice for the stage
- * @SCOPE_FURTHER: those of them that can take a task now, or any if few are eligible so far
+ * @SCOPE_FURTHER: those of them that can take a task now, or any if few are eligible so far; of a
+ *   gang, see gang_request.h
  * @SCOPE_ALLOWED: workers that were allowed before, to renew their tickets
  */
 typedef enum
@@ -310,9 +315,15 @@
   const GPtrArray *pool = bts_fleet_pool (sched->fleet, stage->job->service);
   const Bts__Step *step = bts_stage_step (stage);
   gboolean low_priority = bts_stage_policy (stage)->priority > 0;
-  GPtrArray *ids = g_ptr_array_new ();
   /* Each request starts at another worker, so that jobs spread over all of them. */
   guint first = pool->len == 0 ? 0 : ++sched->advice_requests % pool->len;
+  if (step->gang && scope == SCOPE_FURTHER && !has_few_eligible (sched, stage))
+    {
+      gint64 answered_us = now_us + call_duration_us (bts_stage_policy (stage), TYPICAL_WORKERS);
+      return bts_gang_request_workers (stage, sched->fleet, first, BTS_ADVICE_MAX_WORKERS,
+                                       answered_us, now_us);
+    }
+  GPtrArray *ids = g_ptr_array_new ();
   guint allowed_percent = scope == SCOPE_ALLOWED ? 100
                           : step->gang           ? EXPECTED_ALLOWED_GANG_PERCENT
                                                  : EXPECTED_ALLOWED_PERCENT;
@@ -492,6 +503,14 @@
     stage->advice_wanted_us = now_us;
 }
 
+/* Whether other processes may yet send what earlier owners were given about a stage. */
+static gboolean
+may_be_transferred (const bts_sched_t *sched, const bts_stage_t *stage, gint64 now_us)
+{
+  return now_us - sched->term_began_us < TRANSFER_WAIT_US && needs_long_call (stage)
+         && stage->job->offset < bts_ledger_claim_offset (sched->ledger);
+}
+
 /**
  * bts_advice_ensure() - check that a stage has advice, or request it
  * @sched: a leading scheduler
@@ -512,7 +531,7 @@
     suspect_advice_node (sched, stage, now_us);
   if (stage->advice != NULL)
     return TRUE;
-  if (stage->advice_asked_us == 0)
+  if (stage->advice_asked_us == 0 && !may_be_transferred (sched, stage, now_us))
     request_advice (sched, stage, SCOPE_UNKNOWN, now_us);
   return FALSE;
 }
@@ -611,6 +630,49 @@
     }
 }
 
+/* Workers that aren't known any more are passed over, and newer tickets are kept. */
+static void
+record_advice (const bts_sched_t *sched, bts_stage_t *stage, char **asked, gsize n_asked,
+               const Bts__Advice *advice, gint64 received_us)
+{
+  bts_stage_begin_advice (stage);
+  for (gsize i = 0; i < n_asked; i++)
+    {
+      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, asked[i]);
+      if (worker != NULL)
+        bts_stage_record_denied (stage, worker->number);
+    }
+  for (gsize i = 0; i < advice->n_allowed; i++)
+    {
+      const Bts__Ticket *ticket = advice->allowed[i];
+      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, ticket->worker);
+      const bts_ticket_t *known = worker == NULL ? NULL : bts_stage_ticket (stage, worker->number);
+      if (worker != NULL && (known == NULL || known->received_us <= received_us))
+        bts_stage_record_allowed (stage, worker->number, ticket->ticket, received_us);
+    }
+}
+
+/**
+ * bts_sched_on_advice_transferred() - an answer that an earlier owner was given
+ * @sched: the scheduler; it may be about to lead
+ * @advice: the answer with the workers that it denies, and its age
+ */
+void
+bts_sched_on_advice_transferred (bts_sched_t *sched, const Bts__Advice *advice)
+{
+  bts_job_t *job = bts_ledger_job (sched->ledger, advice->job);
+  bts_stage_t *stage = job == NULL || bts_job_has_ended (job)
+                           ? NULL
+                           : bts_job_stage (job, advice->occurrence, advice->step);
+  if (stage == NULL)
+    return;
+  bt_metrics_count (BT_COUNT_ADVICE_TRANSFERRED);
+  record_advice (sched, stage, advice->denied, advice->n_denied, advice,
+                 bts_sched_now (sched) - (gint64)advice->age_ms * 1000);
+  stage->retry_us = 0;
+  sched->dirty = TRUE;
+}
+
 /**
  * bts_sched_on_advice() - handle the reply to a request for advice
  * @sched: the scheduler
@@ -639,18 +701,5 @@
     return;
   stage->advice_asked_us = 0;
   stage->retry_us = 0;
-  bts_stage_begin_advice (stage);
-  for (gsize i = 0; i < asked->n_workers; i++)
-    {
-      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, asked->workers[i]);
-      if (worker != NULL)
-        bts_stage_record_denied (stage, worker->number);
-    }
-  for (gsize i = 0; i < advice->n_allowed; i++)
-    {
-      const Bts__Ticket *ticket = advice->allowed[i];
-      const bts_worker_t *worker = bts_fleet_find_worker (sched->fleet, ticket->worker);
-      if (worker != NULL)
-        bts_stage_record_allowed (stage, worker->number, ticket->ticket, now_us);
-    }
+  record_advice (sched, stage, asked->workers, asked->n_workers, advice, now_us);
 }
--- a/libbamboothread/scheduler/node.h
+++ b/libbamboothread/scheduler/node.h
@@ -7,6 +7,7 @@
 #include "libbamboothread/scheduler/explain.h"
 #include "libbamboothread/scheduler/forwarder.h"
 #include "libbamboothread/scheduler/intake.h"
+#include "libbamboothread/scheduler/journal_relay.h"
 #include "libbamboothread/scheduler/requests.h"
 #include "libbamboothread/scheduler/sched.h"
 #include "libbamboothread/scheduler/spec_reader.h"
@@ -37,6 +38,8 @@
  * @request_advice: send a request to the advice service; completed by bts_node_on_advice()
  * @send: send a message to the process at @address; completed by bts_node_on_reply()
  * @reply: reply to a message; NULL if there is no reply
+ * @relay_read: a read of the journal through another process is over, see bts_journal_relay_read()
+ * on bts_node_relay(); NULL if it has failed
  * @answer: answer a caller
  * @now_unix_ms: Unix time in milliseconds
  */
@@ -53,6 +56,7 @@
   void (*request_advice) (void *context, const bts_advice_request_t *request);
   void (*send) (void *context, const char *address, GBytes *message, guint timeout_ms);
   void (*reply) (void *context, guint64 exchange, GBytes *reply);
+  void (*relay_read) (void *context, const bts_relay_read_t *read);
   void (*answer) (void *context, guint64 exchange, bts_answer_t answer);
   gint64 (*now_unix_ms) (void *context);
 } bts_node_ops_t;
@@ -61,6 +65,7 @@
  * struct bts_node_config_t - configuration of a process
  * @name: name of this incarnation of the process, VM and incarnation separated by a slash
  * @address: IP:port at which it takes messages of other processes, or NULL
+ * @region: the region of its VM, or NULL
  * @cpu_millis: its CPU share, in thousandths of a core
  * @bandwidth_kbps: bandwidth of its link, in kbit/s; 0 if not known
  * @max_direct_appenders: with more processes than this, jobs go through the owner; usually
@@ -74,6 +79,7 @@
 {
   const char *name;
   const char *address;
+  const char *region;
   guint cpu_millis;
   guint bandwidth_kbps;
   guint max_direct_appenders;
@@ -87,6 +93,7 @@
                           const bts_node_ops_t *ops, void *context);
 void bts_node_free (bts_node_t *node);
 bts_sched_t *bts_node_sched (const bts_node_t *node);
+bts_journal_relay_t *bts_node_relay (const bts_node_t *node);
 const bts_tables_t *bts_node_tables (const bts_node_t *node);
 bts_freshness_t *bts_node_freshness (bts_node_t *node);
 bts_access_t bts_node_check_access (const bts_node_t *node, const bts_route_t *route,
@@ -97,7 +104,7 @@
 void bts_node_on_spec_append (bts_node_t *node, guint64 token, bts_append_result_t result,
                               gint64 offset);
 void bts_node_on_readable (bts_node_t *node);
-void bts_node_on_caught_up (bts_node_t *node, gint64 sent_us, gint64 latency_us);
+void bts_node_on_caught_up (bts_node_t *node, gint64 sent_us, gint64 as_of_us, gint64 latency_us);
 void bts_node_on_skipped (bts_node_t *node, gint64 from, gint64 first);
 void bts_node_on_append (bts_node_t *node, guint64 token, bts_append_result_t result,
                          gint64 took_us);
--- a/proto/record.pb-c.c
+++ b/proto/record.pb-c.c
@@ -1267,6 +1267,51 @@
   assert(message->base.descriptor == &bts__advice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__advice_transfer__init
+                     (Bts__AdviceTransfer         *message)
+{
+  static const Bts__AdviceTransfer init_value = BTS__ADVICE_TRANSFER__INIT;
+  *message = init_value;
+}
+size_t bts__advice_transfer__get_packed_size
+                     (const Bts__AdviceTransfer *message)
+{
+  assert(message->base.descriptor == &bts__advice_transfer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__advice_transfer__pack
+                     (const Bts__AdviceTransfer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__advice_transfer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__advice_transfer__pack_to_buffer
+                     (const Bts__AdviceTransfer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__advice_transfer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__AdviceTransfer *
+       bts__advice_transfer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__AdviceTransfer *)
+     protobuf_c_message_unpack (&bts__advice_transfer__descriptor,
+                                allocator, len, data);
+}
+void   bts__advice_transfer__free_unpacked
+                     (Bts__AdviceTransfer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__advice_transfer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__ask__init
                      (Bts__Ask         *message)
 {
@@ -1357,6 +1402,96 @@
   assert(message->base.descriptor == &bts__forward__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   bts__read__init
+                     (Bts__Read         *message)
+{
+  static const Bts__Read init_value = BTS__READ__INIT;
+  *message = init_value;
+}
+size_t bts__read__get_packed_size
+                     (const Bts__Read *message)
+{
+  assert(message->base.descriptor == &bts__read__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__read__pack
+                     (const Bts__Read *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__read__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__read__pack_to_buffer
+                     (const Bts__Read *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__read__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Read *
+       bts__read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Read *)
+     protobuf_c_message_unpack (&bts__read__descriptor,
+                                allocator, len, data);
+}
+void   bts__read__free_unpacked
+                     (Bts__Read *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__read__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   bts__records__init
+                     (Bts__Records         *message)
+{
+  static const Bts__Records init_value = BTS__RECORDS__INIT;
+  *message = init_value;
+}
+size_t bts__records__get_packed_size
+                     (const Bts__Records *message)
+{
+  assert(message->base.descriptor == &bts__records__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t bts__records__pack
+                     (const Bts__Records *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &bts__records__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t bts__records__pack_to_buffer
+                     (const Bts__Records *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &bts__records__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Bts__Records *
+       bts__records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Bts__Records *)
+     protobuf_c_message_unpack (&bts__records__descriptor,
+                                allocator, len, data);
+}
+void   bts__records__free_unpacked
+                     (Bts__Records *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &bts__records__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   bts__message__init
                      (Bts__Message         *message)
 {
@@ -4367,7 +4502,7 @@
   (ProtobufCMessageInit) bts__ticket__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__advice__field_descriptors[6] =
+static const ProtobufCFieldDescriptor bts__advice__field_descriptors[8] =
 {
   {
     "job",
@@ -4441,10 +4576,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Advice, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Advice, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__advice__field_indices_by_name[] = {
+  7,   /* field[7] = age_ms */
   3,   /* field[3] = allowed */
   5,   /* field[5] = denied */
+  6,   /* field[6] = held_ms */
   0,   /* field[0] = job */
   1,   /* field[1] = occurrence */
   2,   /* field[2] = step */
@@ -4454,7 +4615,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor bts__advice__descriptor =
 {
@@ -4464,14 +4625,52 @@
   "Bts__Advice",
   "bts",
   sizeof(Bts__Advice),
-  6,
+  8,
   bts__advice__field_descriptors,
   bts__advice__field_indices_by_name,
   2,  bts__advice__number_ranges,
   (ProtobufCMessageInit) bts__advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor bts__advice_transfer__field_descriptors[1] =
+{
+  {
+    "advice",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__AdviceTransfer, n_advice),
+    offsetof(Bts__AdviceTransfer, advice),
+    &bts__advice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__advice_transfer__field_indices_by_name[] = {
+  0,   /* field[0] = advice */
+};
+static const ProtobufCIntRange bts__advice_transfer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor bts__advice_transfer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.AdviceTransfer",
+  "AdviceTransfer",
+  "Bts__AdviceTransfer",
+  "bts",
+  sizeof(Bts__AdviceTransfer),
+  1,
+  bts__advice_transfer__field_descriptors,
+  bts__advice_transfer__field_indices_by_name,
+  1,  bts__advice_transfer__number_ranges,
+  (ProtobufCMessageInit) bts__advice_transfer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__ask__field_descriptors[6] =
 {
   {
     "node",
@@ -4533,18 +4732,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Ask, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__ask__field_indices_by_name[] = {
   1,   /* field[1] = job */
   0,   /* field[0] = node */
   2,   /* field[2] = occurrence */
+  5,   /* field[5] = sent_us */
   3,   /* field[3] = step */
   4,   /* field[4] = workers */
 };
 static const ProtobufCIntRange bts__ask__number_ranges[1 + 1] =
 {
   { 2, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor bts__ask__descriptor =
 {
@@ -4554,7 +4766,7 @@
   "Bts__Ask",
   "bts",
   sizeof(Bts__Ask),
-  5,
+  6,
   bts__ask__field_descriptors,
   bts__ask__field_indices_by_name,
   1,  bts__ask__number_ranges,
@@ -4638,7 +4850,200 @@
   (ProtobufCMessageInit) bts__forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__message__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bts__read__field_descriptors[5] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_kb",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, max_kb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_replaying",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Read, is_replaying),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__read__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+  4,   /* field[4] = is_replaying */
+  1,   /* field[1] = max_kb */
+  3,   /* field[3] = sent_us */
+  2,   /* field[2] = wait_ms */
+};
+static const ProtobufCIntRange bts__read__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor bts__read__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Read",
+  "Read",
+  "Bts__Read",
+  "bts",
+  sizeof(Bts__Read),
+  5,
+  bts__read__field_descriptors,
+  bts__read__field_indices_by_name,
+  1,  bts__read__number_ranges,
+  (ProtobufCMessageInit) bts__read__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__records__field_descriptors[6] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, records),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caught_up",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, caught_up),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, sent_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Records, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned bts__records__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  2,   /* field[2] = caught_up */
+  0,   /* field[0] = from */
+  5,   /* field[5] = held_ms */
+  1,   /* field[1] = records */
+  3,   /* field[3] = sent_age_ms */
+};
+static const ProtobufCIntRange bts__records__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor bts__records__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "bts.Records",
+  "Records",
+  "Bts__Records",
+  "bts",
+  sizeof(Bts__Records),
+  6,
+  bts__records__field_descriptors,
+  bts__records__field_indices_by_name,
+  1,  bts__records__number_ranges,
+  (ProtobufCMessageInit) bts__records__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor bts__message__field_descriptors[4] =
 {
   {
     "ask",
@@ -4664,15 +5069,41 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Message, kind_case),
+    offsetof(Bts__Message, read),
+    &bts__read__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transfer",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Message, kind_case),
+    offsetof(Bts__Message, transfer),
+    &bts__advice_transfer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__message__field_indices_by_name[] = {
   0,   /* field[0] = ask */
   1,   /* field[1] = forward */
+  2,   /* field[2] = read */
+  3,   /* field[3] = transfer */
 };
 static const ProtobufCIntRange bts__message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor bts__message__descriptor =
 {
@@ -4682,14 +5113,14 @@
   "Bts__Message",
   "bts",
   sizeof(Bts__Message),
-  2,
+  4,
   bts__message__field_descriptors,
   bts__message__field_indices_by_name,
   1,  bts__message__number_ranges,
   (ProtobufCMessageInit) bts__message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor bts__reply__field_descriptors[3] =
 {
   {
     "advice",
@@ -4715,15 +5146,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "records",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Bts__Reply, kind_case),
+    offsetof(Bts__Reply, records),
+    &bts__records__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__reply__field_indices_by_name[] = {
   0,   /* field[0] = advice */
   1,   /* field[1] = answer */
+  2,   /* field[2] = records */
 };
 static const ProtobufCIntRange bts__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor bts__reply__descriptor =
 {
@@ -4733,14 +5177,14 @@
   "Bts__Reply",
   "bts",
   sizeof(Bts__Reply),
-  2,
+  3,
   bts__reply__field_descriptors,
   bts__reply__field_indices_by_name,
   1,  bts__reply__number_ranges,
   (ProtobufCMessageInit) bts__reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor bts__hello__field_descriptors[4] =
+static const ProtobufCFieldDescriptor bts__hello__field_descriptors[5] =
 {
   {
     "node",
@@ -4790,18 +5234,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Bts__Hello, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned bts__hello__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = cpu_millis */
   3,   /* field[3] = job_memory_kb */
   0,   /* field[0] = node */
+  4,   /* field[4] = region */
 };
 static const ProtobufCIntRange bts__hello__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 40, 3 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor bts__hello__descriptor =
 {
@@ -4811,7 +5268,7 @@
   "Bts__Hello",
   "bts",
   sizeof(Bts__Hello),
-  4,
+  5,
   bts__hello__field_descriptors,
   bts__hello__field_indices_by_name,
   2,  bts__hello__number_ranges,
--- a/proto/record.pb-c.h
+++ b/proto/record.pb-c.h
@@ -43,8 +43,11 @@
 typedef struct Bts__Standing Bts__Standing;
 typedef struct Bts__Ticket Bts__Ticket;
 typedef struct Bts__Advice Bts__Advice;
+typedef struct Bts__AdviceTransfer Bts__AdviceTransfer;
 typedef struct Bts__Ask Bts__Ask;
 typedef struct Bts__Forward Bts__Forward;
+typedef struct Bts__Read Bts__Read;
+typedef struct Bts__Records Bts__Records;
 typedef struct Bts__Message Bts__Message;
 typedef struct Bts__Reply Bts__Reply;
 typedef struct Bts__Hello Bts__Hello;
@@ -740,10 +743,33 @@
    */
   size_t n_denied;
   char **denied;
+  /*
+   * How long the process had the request until it sent this, in milliseconds plus one; 0 if not
+   * given.
+   */
+  uint32_t held_ms;
+  /*
+   * Its age in a transfer, in milliseconds.
+   */
+  uint32_t age_ms;
 };
 #define BTS__ADVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__advice__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0,NULL, 0, 0 }
+
+
+/*
+ * Answers of the advice service to earlier owners, for the next one.
+ */
+struct  Bts__AdviceTransfer
+{
+  ProtobufCMessage base;
+  size_t n_advice;
+  Bts__Advice **advice;
+};
+#define BTS__ADVICE_TRANSFER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__advice_transfer__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -762,10 +788,14 @@
   uint32_t step;
   size_t n_workers;
   char **workers;
+  /*
+   * The owner's clock when it sent this.
+   */
+  int64_t sent_us;
 };
 #define BTS__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__ask__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -791,10 +821,71 @@
     , NULL, 0, 0, 0 }
 
 
+/*
+ * A read of the journal through a process that relays it.
+ */
+struct  Bts__Read
+{
+  ProtobufCMessage base;
+  /*
+   * Offset of the first record.
+   */
+  int64_t from;
+  uint32_t max_kb;
+  /*
+   * How long the reply may wait for records, in milliseconds.
+   */
+  uint32_t wait_ms;
+  /*
+   * The clock of the process that reads when it sent this.
+   */
+  int64_t sent_us;
+  /*
+   * It hasn't read the journal to its end yet, and waits for one that hasn't either.
+   */
+  protobuf_c_boolean is_replaying;
+};
+#define BTS__READ__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__read__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * The reply to it.
+ */
+struct  Bts__Records
+{
+  ProtobufCMessage base;
+  int64_t from;
+  /*
+   * Each after its length, four bytes in network byte order.
+   */
+  ProtobufCBinaryData records;
+  /*
+   * Whether they reach the end of the log by the last read of it.
+   */
+  protobuf_c_boolean caught_up;
+  /*
+   * Time since that read was sent, and since its reply had arrived, in milliseconds, rounded up.
+   */
+  uint32_t sent_age_ms;
+  uint32_t age_ms;
+  /*
+   * How long the request has waited for records, in milliseconds.
+   */
+  uint32_t held_ms;
+};
+#define BTS__RECORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&bts__records__descriptor) \
+    , 0, {0,NULL}, 0, 0, 0, 0 }
+
+
 typedef enum {
   BTS__MESSAGE__KIND__NOT_SET = 0,
   BTS__MESSAGE__KIND_ASK = 1,
-  BTS__MESSAGE__KIND_FORWARD = 2
+  BTS__MESSAGE__KIND_FORWARD = 2,
+  BTS__MESSAGE__KIND_READ = 3,
+  BTS__MESSAGE__KIND_TRANSFER = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__MESSAGE__KIND__CASE)
 } Bts__Message__KindCase;
 
@@ -808,6 +899,8 @@
   union {
     Bts__Ask *ask;
     Bts__Forward *forward;
+    Bts__Read *read;
+    Bts__AdviceTransfer *transfer;
   };
 };
 #define BTS__MESSAGE__INIT \
@@ -818,7 +911,8 @@
 typedef enum {
   BTS__REPLY__KIND__NOT_SET = 0,
   BTS__REPLY__KIND_ADVICE = 1,
-  BTS__REPLY__KIND_ANSWER = 2
+  BTS__REPLY__KIND_ANSWER = 2,
+  BTS__REPLY__KIND_RECORDS = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(BTS__REPLY__KIND__CASE)
 } Bts__Reply__KindCase;
 
@@ -835,6 +929,7 @@
      * The answer to the caller of a forwarded job; see bts_answer_t.
      */
     uint32_t answer;
+    Bts__Records *records;
   };
 };
 #define BTS__REPLY__INIT \
@@ -861,10 +956,14 @@
    * Memory that jobs may take there, in thousands of bytes; 0 for no limit.
    */
   uint32_t job_memory_kb;
+  /*
+   * The region of its VM; empty if not known.
+   */
+  char *region;
 };
 #define BTS__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&bts__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 typedef enum {
@@ -1436,6 +1535,25 @@
 void   bts__advice__free_unpacked
                      (Bts__Advice *message,
                       ProtobufCAllocator *allocator);
+/* Bts__AdviceTransfer methods */
+void   bts__advice_transfer__init
+                     (Bts__AdviceTransfer         *message);
+size_t bts__advice_transfer__get_packed_size
+                     (const Bts__AdviceTransfer   *message);
+size_t bts__advice_transfer__pack
+                     (const Bts__AdviceTransfer   *message,
+                      uint8_t             *out);
+size_t bts__advice_transfer__pack_to_buffer
+                     (const Bts__AdviceTransfer   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__AdviceTransfer *
+       bts__advice_transfer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__advice_transfer__free_unpacked
+                     (Bts__AdviceTransfer *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Ask methods */
 void   bts__ask__init
                      (Bts__Ask         *message);
@@ -1474,6 +1592,44 @@
 void   bts__forward__free_unpacked
                      (Bts__Forward *message,
                       ProtobufCAllocator *allocator);
+/* Bts__Read methods */
+void   bts__read__init
+                     (Bts__Read         *message);
+size_t bts__read__get_packed_size
+                     (const Bts__Read   *message);
+size_t bts__read__pack
+                     (const Bts__Read   *message,
+                      uint8_t             *out);
+size_t bts__read__pack_to_buffer
+                     (const Bts__Read   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Read *
+       bts__read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__read__free_unpacked
+                     (Bts__Read *message,
+                      ProtobufCAllocator *allocator);
+/* Bts__Records methods */
+void   bts__records__init
+                     (Bts__Records         *message);
+size_t bts__records__get_packed_size
+                     (const Bts__Records   *message);
+size_t bts__records__pack
+                     (const Bts__Records   *message,
+                      uint8_t             *out);
+size_t bts__records__pack_to_buffer
+                     (const Bts__Records   *message,
+                      ProtobufCBuffer     *buffer);
+Bts__Records *
+       bts__records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   bts__records__free_unpacked
+                     (Bts__Records *message,
+                      ProtobufCAllocator *allocator);
 /* Bts__Message methods */
 void   bts__message__init
                      (Bts__Message         *message);
@@ -1636,12 +1792,21 @@
 typedef void (*Bts__Advice_Closure)
                  (const Bts__Advice *message,
                   void *closure_data);
+typedef void (*Bts__AdviceTransfer_Closure)
+                 (const Bts__AdviceTransfer *message,
+                  void *closure_data);
 typedef void (*Bts__Ask_Closure)
                  (const Bts__Ask *message,
                   void *closure_data);
 typedef void (*Bts__Forward_Closure)
                  (const Bts__Forward *message,
                   void *closure_data);
+typedef void (*Bts__Read_Closure)
+                 (const Bts__Read *message,
+                  void *closure_data);
+typedef void (*Bts__Records_Closure)
+                 (const Bts__Records *message,
+                  void *closure_data);
 typedef void (*Bts__Message_Closure)
                  (const Bts__Message *message,
                   void *closure_data);
@@ -1688,8 +1853,11 @@
 extern const ProtobufCMessageDescriptor bts__standing__descriptor;
 extern const ProtobufCMessageDescriptor bts__ticket__descriptor;
 extern const ProtobufCMessageDescriptor bts__advice__descriptor;
+extern const ProtobufCMessageDescriptor bts__advice_transfer__descriptor;
 extern const ProtobufCMessageDescriptor bts__ask__descriptor;
 extern const ProtobufCMessageDescriptor bts__forward__descriptor;
+extern const ProtobufCMessageDescriptor bts__read__descriptor;
+extern const ProtobufCMessageDescriptor bts__records__descriptor;
 extern const ProtobufCMessageDescriptor bts__message__descriptor;
 extern const ProtobufCMessageDescriptor bts__reply__descriptor;
 extern const ProtobufCMessageDescriptor bts__hello__descriptor;
