Relays: what a process keeps while it replays is bounded

Found by reading: a process that replays through a relay kept all that it read until it had read all, without a bound; with 300 s of history that may be more than a small VM has. Records are now made available, and the oldest dropped, every 256 KB, and a process that knows no relay keeps 1 MB. records_that_are_kept_are_bounded:1 of test_relay adds 20 MB and expects at most 6; it was written with the change and not run without it.

--- a/libbamboothread/scheduler/journal_relay.c
+++ b/libbamboothread/scheduler/journal_relay.c
@@ -125,7 +125,9 @@
   if (is_open != relay->is_open)
     bt_log (BT_LOG_INFO, "journal-relay", "open=%d relays=%u", is_open, relay->relays->len);
   relay->is_open = is_open;
-  bts_relay_server_set_open (relay->server, is_open);
+  bts_relay_server_set_open (relay->server, is_open,
+                             relay->relays->len == 0 ? BTS_RELAY_PENDING_MAX_BYTES
+                                                     : BTS_RELAY_MAX_BYTES);
 }
 
 /* Members may have been freed since the plan was made. */
--- a/libbamboothread/scheduler/relay_server.c
+++ b/libbamboothread/scheduler/relay_server.c
@@ -5,6 +5,8 @@
 /* A request is refused, so that its process reads the log itself, once the last read of this
    process is so long ago, in microseconds: reads at the end of the log follow each other sooner. */
 #define READ_AGE_MAX_US (900 * 1000)
+/* A chunk that is as large as this is closed before its read is over. */
+#define CHUNK_MAX_BYTES (256 * 1024)
 /* Size of the length before each record in a reply, in network byte order. */
 #define LENGTH_BYTES 4
 /* Most bytes of a reply, but for a record that is larger. */
@@ -40,6 +42,7 @@
 /**
  * struct bts_relay_server_t - records and requests of one process
  * @is_open: records are kept and relayed
+ * @max_bytes: most bytes of records that are kept
  * @chunks: chunk_t without gaps
  * @n_bytes: their bytes
  * @unread: the records of the read in progress, which follow those of @chunks
@@ -56,6 +59,7 @@
   bts_relay_reply_f reply;
   void *context;
   gboolean is_open;
+  gsize max_bytes;
   GQueue chunks;
   gsize n_bytes;
   GByteArray *unread;
@@ -117,10 +121,12 @@
  * bts_relay_server_set_open() - set whether records are kept and relayed
  * @server: the server
  * @is_open: whether they are; requests are refused otherwise
+ * @max_bytes: most bytes of records to keep
  */
 void
-bts_relay_server_set_open (bts_relay_server_t *server, gboolean is_open)
+bts_relay_server_set_open (bts_relay_server_t *server, gboolean is_open, gsize max_bytes)
 {
+  server->max_bytes = max_bytes;
   if (server->is_open == is_open)
     return;
   server->is_open = is_open;
@@ -132,6 +138,28 @@
   g_array_set_size (server->waiting, 0);
 }
 
+/* Makes the records that were read available. */
+static void
+close_chunk (bts_relay_server_t *server)
+{
+  if (server->n_unread == 0)
+    return;
+  chunk_t *chunk = g_new0 (chunk_t, 1);
+  chunk->first = server->next - server->n_unread;
+  chunk->n = server->n_unread;
+  chunk->bytes = g_bytes_new (server->unread->data, server->unread->len);
+  g_queue_push_tail (&server->chunks, chunk);
+  server->n_bytes += server->unread->len;
+  g_byte_array_set_size (server->unread, 0);
+  server->n_unread = 0;
+  while (server->n_bytes + CHUNK_MAX_BYTES > server->max_bytes && server->chunks.length > 1)
+    {
+      chunk_t *oldest = g_queue_pop_head (&server->chunks);
+      server->n_bytes -= g_bytes_get_size (oldest->bytes);
+      chunk_free (oldest);
+    }
+}
+
 /**
  * bts_relay_server_on_record() - a record was read from the log
  * @server: the server
@@ -152,28 +180,9 @@
   g_byte_array_append (server->unread, (const guint8 *)&size, sizeof size);
   g_byte_array_append (server->unread, data, (guint)len);
   server->n_unread++;
-}
-
-/* Makes the records of the read that is over available. */
-static void
-close_chunk (bts_relay_server_t *server)
-{
-  if (server->n_unread == 0)
-    return;
-  chunk_t *chunk = g_new0 (chunk_t, 1);
-  chunk->first = server->next - server->n_unread;
-  chunk->n = server->n_unread;
-  chunk->bytes = g_bytes_new (server->unread->data, server->unread->len);
-  g_queue_push_tail (&server->chunks, chunk);
-  server->n_bytes += server->unread->len;
-  g_byte_array_set_size (server->unread, 0);
-  server->n_unread = 0;
-  while (server->n_bytes > BTS_RELAY_MAX_BYTES && server->chunks.length > 1)
-    {
-      chunk_t *oldest = g_queue_pop_head (&server->chunks);
-      server->n_bytes -= g_bytes_get_size (oldest->bytes);
-      chunk_free (oldest);
-    }
+  /* Reads that went through a relay don't end here. */
+  if (server->unread->len >= CHUNK_MAX_BYTES)
+    close_chunk (server);
 }
 
 /* Requests mostly ask for the newest records. */
@@ -343,5 +352,5 @@
 gsize
 bts_relay_server_bytes (const bts_relay_server_t *server)
 {
-  return server->n_bytes;
+  return server->n_bytes + server->unread->len;
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -69,7 +69,7 @@
 }
 
 static void
-read_records (scene_t *scene, gint64 first, guint n, gboolean caught_up, gint64 sent_us)
+add_records (scene_t *scene, gint64 first, guint n)
 {
   guint8 data[RECORD_BYTES] = { 0 };
   for (guint i = 0; i < n; i++)
@@ -77,6 +77,12 @@
       memcpy (data, &(gint64){ first + i }, sizeof (gint64));
       bts_relay_server_on_record (scene->server, first + i, data, sizeof data);
     }
+}
+
+static void
+read_records (scene_t *scene, gint64 first, guint n, gboolean caught_up, gint64 sent_us)
+{
+  add_records (scene, first, n);
   bts_relay_server_on_read (scene->server, caught_up, sent_us);
 }
 
@@ -130,7 +136,7 @@
 {
   scene_t scene;
   scene_init (&scene);
-  bts_relay_server_set_open (scene.server, requests[_i].is_open);
+  bts_relay_server_set_open (scene.server, requests[_i].is_open, BTS_RELAY_MAX_BYTES);
   read_records (&scene, 10, 10, FALSE, NOW_US);
   read_records (&scene, 20, 10, TRUE, NOW_US);
   bt_clock_advance (&scene.clock, requests[_i].age_ms * 1000);
@@ -173,7 +179,7 @@
 static void
 close_feed (scene_t *scene)
 {
-  bts_relay_server_set_open (scene->server, FALSE);
+  bts_relay_server_set_open (scene->server, FALSE, BTS_RELAY_MAX_BYTES);
 }
 
 static void
@@ -219,7 +225,7 @@
   scene_t scene;
   scene_init (&scene);
   scene.is_replaying = ahead[_i].is_replaying;
-  bts_relay_server_set_open (scene.server, TRUE);
+  bts_relay_server_set_open (scene.server, TRUE, BTS_RELAY_MAX_BYTES);
   read_records (&scene, 0, 10, ahead[_i].has_caught_up, NOW_US);
   request (&scene, ahead[_i].from, 128, 300);
   ck_assert_uint_eq (scene.replies, ahead[_i].answer != WAITS);
@@ -237,7 +243,7 @@
 {
   scene_t scene;
   scene_init (&scene);
-  bts_relay_server_set_open (scene.server, TRUE);
+  bts_relay_server_set_open (scene.server, TRUE, BTS_RELAY_MAX_BYTES);
   read_records (&scene, 0, 1, TRUE, NOW_US);
   request (&scene, 1, 128, 60000);
   ck_assert_uint_eq (scene.replies, 0);
@@ -248,15 +254,20 @@
 }
 END_TEST
 
-/* Guards against a process whose memory grows with the journal that it relays. */
+/* Guards against a process whose memory grows with the journal that it relays, or reads through a
+   relay (_i = 1) while it replays. */
 START_TEST (records_that_are_kept_are_bounded)
 {
   scene_t scene;
   scene_init (&scene);
-  bts_relay_server_set_open (scene.server, TRUE);
+  bts_relay_server_set_open (scene.server, TRUE, BTS_RELAY_MAX_BYTES);
   for (guint i = 0; i < 200; i++)
-    read_records (&scene, i * 100, 100, TRUE, NOW_US);
+    if (_i == 0)
+      read_records (&scene, i * 100, 100, TRUE, NOW_US);
+    else
+      add_records (&scene, i * 100, 100);
   ck_assert_uint_le (bts_relay_server_bytes (scene.server), BTS_RELAY_MAX_BYTES);
+  bts_relay_server_on_read (scene.server, TRUE, NOW_US);
   request (&scene, 0, 128, 0);
   ck_assert_uint_eq (scene.refusals, 1);
   request (&scene, 19900, 128, 0);
@@ -341,7 +352,7 @@
   bts_relay_client_t *client = bts_relay_client_new ("a/1", &client_ops, &sent);
   scene_t scene;
   scene_init (&scene);
-  bts_relay_server_set_open (scene.server, TRUE);
+  bts_relay_server_set_open (scene.server, TRUE, BTS_RELAY_MAX_BYTES);
   gint64 read_sent_us = NOW_US;
   bt_clock_advance (&scene.clock, 20 * 1000);
   gint64 read_came_us = bt_clock_now (&scene.clock);
@@ -453,7 +464,7 @@
   tcase_add_loop_test (tests, request_gets_the_records_that_follow, 0, G_N_ELEMENTS (requests));
   tcase_add_loop_test (tests, process_that_replays_waits_for_another, 0, G_N_ELEMENTS (ahead));
   tcase_add_loop_test (tests, request_that_waits_gets_a_reply, 0, G_N_ELEMENTS (waits));
-  tcase_add_test (tests, records_that_are_kept_are_bounded);
+  tcase_add_loop_test (tests, records_that_are_kept_are_bounded, 0, 2);
   tcase_add_loop_test (tests, read_through_another_process_is_never_too_new, 0,
                        G_N_ELEMENTS (ways));
   tcase_add_test (tests, failed_read_goes_elsewhere);
