--- a/libbamboothread/scheduler/journal_relay.c
+++ b/libbamboothread/scheduler/journal_relay.c
@@ -111,9 +111,11 @@
   return relay->is_replaying || bts_relays_contain (relay->relays, relay->name);
 }
 
+/* Also before each read, since members may have been freed since the last plan. */
 static void
-make_plan (bts_journal_relay_t *relay, gint64 now_us)
+make_plan (bts_journal_relay_t *relay)
 {
+  gint64 now_us = relay_now (relay);
   gboolean with_unconfirmed = relay->is_replaying || now_us - relay->replayed_us < UNCONFIRMED_US;
   const bts_relays_view_t view
       = { relay->config.members, relay->region, bts_ledger_owner (relay->config.ledger),
@@ -130,13 +132,6 @@
                                                      : BTS_RELAY_MAX_BYTES);
 }
 
-/* Members may have been freed since the plan was made. */
-static void
-ensure_plan (bts_journal_relay_t *relay)
-{
-  make_plan (relay, relay_now (relay));
-}
-
 /**
  * bts_journal_relay_on_replayed() - the journal was read to its end
  * @relay: the relay; only the first call counts
@@ -179,7 +174,7 @@
 bts_journal_relay_tick (bts_journal_relay_t *relay)
 {
   if (relay_now (relay) >= relay->next_plan_us)
-    ensure_plan (relay);
+    make_plan (relay);
   bts_relay_server_tick (relay->server);
   bt_metrics_set (BT_GAUGE_RELAY_BUFFER_BYTES, (gint64)bts_relay_server_bytes (relay->server));
 }
@@ -208,7 +203,7 @@
 {
   if (*relay->region == '\0' || relay->is_leaving)
     return FALSE;
-  ensure_plan (relay);
+  make_plan (relay);
   if (bts_relays_contain (relay->relays, relay->name) || may_lead (relay))
     return FALSE;
   Bts__Read read = BTS__READ__INIT;
