--- a/libbamboothread/scheduler/advice_cache.c
+++ b/libbamboothread/scheduler/advice_cache.c
@@ -6,7 +6,7 @@
 /* Answers that take less than this to fetch again aren't kept, in milliseconds. */
 #define SHORT_CALL_MS 100
 /* Most bytes of a transfer: a message has 64 KB at most, and all processes send theirs
-    at the same moment. */
+   at the same moment. */
 #define TRANSFER_MAX_BYTES (32 * 1024)
 
 /**
